--- /dev/null
+++ b/schema/config.capnp
@@ -0,0 +1,154 @@
+@0xb7a1c3d94e5f6021;
+# Configuration values: what operators write and what nodes apply.
+#
+# Rule for compatible change: fields are only added, at the end, and their
+# default keeps the earlier meaning; names may change, numbers and types never.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("cassiabend::schema");
+
+struct Id128 {
+  high @0 :UInt64;
+  low @1 :UInt64;
+}
+
+struct Site {
+  # A place of work whose neighbours may hold quiet-hour orders.
+  name @0 :Text;
+  tenant @1 :Text;
+  timeZone @2 :Text;
+  # Zone rule with daylight saving, for example
+  # "PST-08PDT,M3.2.0/02:00,M11.1.0/02:00" or "GMT+00".
+  revision @3 :UInt64;
+  # Version number of the configuration that last changed this item.
+}
+
+struct Service {
+  # A named group of upstreams.
+  name @0 :Text;
+  tenant @1 :Text;
+  revision @2 :UInt64;
+}
+
+enum RepeatPolicy {
+  repeatable @0;
+  # May be run any number of times.
+  once @1;
+  # Runs at most once; a call may carry an order key.
+}
+
+struct Route {
+  # Sends the calls that match to one service.
+  name @0 :Text;
+  tenant @1 :Text;
+  host @2 :Text;
+  # Exact host name; empty matches every host.
+  pathPrefix @3 :Text;
+  method @4 :Text;
+  # Exact method; empty matches every method.
+  service @5 :Text;
+  requestClass @6 :Text;
+  # Class for limits, shares and histograms, for example "status".
+  repeat @7 :RepeatPolicy;
+  timeoutMs @8 :UInt32;
+  noisy @9 :Bool;
+  # Work that must not start at a site during its quiet windows.
+  site @10 :Text;
+  # Site of noisy work; empty when `siteHeader` names it per call.
+  siteHeader @11 :Text;
+  longestJobSeconds @12 :UInt32;
+  # Longest time that one noisy job takes.
+  revision @13 :UInt64;
+}
+
+struct QuietWindow {
+  # A time during which noisy work must not run at a site.
+  name @0 :Text;
+  tenant @1 :Text;
+  site @2 :Text;
+  schedule :union {
+    once :group {
+      beginMs @3 :Int64;
+      # Milliseconds since the Unix epoch, UTC; inclusive.
+      endMs @4 :Int64;
+      # Exclusive.
+    }
+    weekly :group {
+      weekdays @5 :UInt8;
+      # Bit 0 is Sunday, bit 6 is Saturday; the day on which it begins.
+      fromMinute @6 :UInt16;
+      # Minutes after local midnight; inclusive.
+      toMinute @7 :UInt16;
+      # Exclusive; at or before `fromMinute` it ends on the next day.
+    }
+  }
+  revision @8 :UInt64;
+}
+
+struct Config {
+  # One whole version. Lists are sorted by name.
+  number @0 :UInt64;
+  parent @1 :UInt64;
+  changeId @2 :Id128;
+  author @3 :Text;
+  sites @4 :List(Site);
+  services @5 :List(Service);
+  routes @6 :List(Route);
+  windows @7 :List(QuietWindow);
+}
+
+struct Edit {
+  # One change to one item.
+  union {
+    putSite @0 :Site;
+    putService @1 :Service;
+    putRoute @2 :Route;
+    putWindow @3 :QuietWindow;
+    removeSite @4 :Text;
+    removeService @5 :Text;
+    removeRoute @6 :Text;
+    removeWindow @7 :Text;
+  }
+  checkRevision @8 :Bool;
+  expectedRevision @9 :UInt64;
+  # With `checkRevision`: the item's revision that the author saw, 0 for absent.
+}
+
+struct ConfigDelta {
+  # Turns the version `baseNumber` into the version `number`.
+  baseNumber @0 :UInt64;
+  baseHash @1 :Id128;
+  number @2 :UInt64;
+  hash @3 :Id128;
+  changeId @4 :Id128;
+  author @5 :Text;
+  edits @6 :List(Edit);
+}
+
+struct CommittedChange {
+  number @0 :UInt64;
+  changeId @1 :Id128;
+}
+
+struct Head {
+  # The value of the head key: the newest accepted version.
+  number @0 :UInt64;
+  hash @1 :Id128;
+  valueKeys @2 :List(Text);
+  # Keys of the full value's chunks, in order.
+  deltaKey @3 :Text;
+  # Key of the delta from the version before; empty when there is none.
+  recent @4 :List(CommittedChange);
+  # The newest accepted changes, newest first.
+  history @5 :List(HistoryEntry);
+  # Versions that can still be read, newest first.
+}
+
+struct HistoryEntry {
+  number @0 :UInt64;
+  hash @1 :Id128;
+  changeId @2 :Id128;
+  author @3 :Text;
+  committedMs @4 :Int64;
+  valueKeys @5 :List(Text);
+}
--- /dev/null
+++ b/schema/mesh.capnp
@@ -0,0 +1,99 @@
+@0xd2c4e6f80a1b3c5d;
+# Messages between the nodes. Node-to-node messages follow the rule for
+# compatible change in config.capnp.
+
+using Cxx = import "/capnp/c++.capnp";
+using Config = import "config.capnp";
+$Cxx.namespace("cassiabend::schema");
+
+struct VersionMark {
+  # Names one version of the configuration.
+  number @0 :UInt64;
+  hash @1 :Config.Id128;
+}
+
+enum MemberStatus {
+  alive @0;
+  suspect @1;
+  dead @2;
+  left @3;
+}
+
+enum UpstreamState {
+  none @0;
+  warming @1;
+  serving @2;
+  draining @3;
+}
+
+struct Member {
+  ip @0 :Text;
+  peerPort @1 :UInt16;
+  callPort @2 :UInt16;
+  region @3 :Text;
+  zone @4 :Text;
+  startId @5 :UInt64;
+  # Greater for each start of the process.
+  revision @6 :UInt32;
+  # Greater for each statement of the same process about itself.
+  status @7 :MemberStatus;
+  service @8 :Text;
+  slots @9 :UInt32;
+  upstreamState @10 :UpstreamState;
+}
+
+struct Datagram {
+  # One UDP message.
+  fromIp @0 :Text;
+  fromPort @1 :UInt16;
+  fromStartId @2 :UInt64;
+  mark @3 :VersionMark;
+  # The sender's version in force.
+  confirmedAgeMs @4 :UInt32;
+  # Age of the sender's newest confirmation of the store's head;
+  # 0xffffffff for none.
+  loadPermille @5 :UInt16;
+  # Outstanding calls in thousandths of the slots.
+  updates @6 :List(Member);
+  body :union {
+    ping @7 :UInt32;
+    # Sequence number.
+    ack @8 :UInt32;
+    pingRequest :group {
+      sequence @9 :UInt32;
+      targetIp @10 :Text;
+      targetPort @11 :UInt16;
+    }
+    beat @12 :Void;
+    # From a parent to a child of the dissemination tree.
+    join @13 :Void;
+    # Asks for the members that the receiver knows.
+    attach @14 :Void;
+    # From a child to the parent that it has chosen.
+  }
+}
+
+struct ConfigUpdate {
+  # A new version, as a delta or whole.
+  mark @0 :VersionMark;
+  union {
+    none @1 :Void;
+    # The receiver has the newest version that the sender knows.
+    delta @2 :Config.ConfigDelta;
+    full @3 :Config.Config;
+    busy @4 :UInt32;
+    # The sender is at its limit; ask again after so many milliseconds.
+  }
+  confirmedAgeMs @5 :UInt32;
+}
+
+interface Peer {
+  push @0 (update :ConfigUpdate) -> (mark :VersionMark);
+  # Hands over a version; returns the receiver's version afterwards.
+  pull @1 (have :VersionMark) -> (update :ConfigUpdate);
+  # Asks for whatever is newer than `have`.
+  members @2 () -> (members :List(Member));
+  # All members that the node knows.
+  drain @3 () -> ();
+  # Starts a graceful shutdown of the node's upstream.
+}
--- /dev/null
+++ b/src/cassiabend/base/log.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace cassiabend {
+
+enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarning, kError };
+
+/// \brief One named value of a log line.
+struct LogField {
+  using Value =
+      std::variant<std::int64_t, std::uint64_t, double, bool, std::string_view>;
+
+  LogField(std::string_view field_name, Value field_value)
+      : name(field_name), value(field_value) {}
+  LogField(std::string_view field_name, int field_value)
+      : name(field_name), value(std::int64_t{field_value}) {}
+  LogField(std::string_view field_name, const std::string& field_value)
+      : name(field_name), value(std::string_view(field_value)) {}
+  LogField(std::string_view field_name, const char* field_value)
+      : name(field_name), value(std::string_view(field_value)) {}
+
+  std::string_view name;
+  Value value;
+};
+
+/// \brief Sets up logging to standard error, one JSON object a line.
+/// \param program Name of the program, written into each line.
+/// \param level Lines below this level are dropped.
+void InitializeLog(std::string_view program, LogLevel level);
+
+/// \brief Changes the level at run time.
+void SetLogLevel(LogLevel level) noexcept;
+
+/// \brief Writes one line. Lines of one event name beyond
+/// `kLogLinesPerEventPerSecond` are dropped; the next line that passes carries
+/// their count as "suppressed".
+/// \param event Stable name of the event, in snake_case.
+/// \param fields Further values; never secrets.
+void Log(LogLevel level,
+         std::string_view event,
+         std::initializer_list<LogField> fields = {});
+
+inline constexpr int kLogLinesPerEventPerSecond = 20;
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/core/call_events.h
@@ -0,0 +1,347 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "cassiabend/base/hash.h"
+#include "cassiabend/base/ref_counted.h"
+#include "cassiabend/core/fleet_events.h"
+#include "cassiabend/core/member.h"
+#include "cassiabend/model/snapshot.h"
+
+namespace cassiabend {
+
+/// \brief Names one caller's request at the node that it entered.
+using CallId = std::uint64_t;
+/// \brief Names one attempt's connection at the destination node.
+using LinkId = std::uint64_t;
+
+/// \brief What the entry node knows of a caller's request.
+struct CallFacts {
+  std::string tenant;
+  std::string host;
+  std::string path;
+  std::string method;
+  /// Idempotency key of an order; empty for none.
+  std::string order_key;
+  /// Custom headers ("x-…"), with lower-case names.
+  std::vector<std::pair<std::string, std::string>> headers;
+  /// Time that the caller still waits; unset when it does not say.
+  std::optional<Milliseconds> deadline;
+  /// How many calls of the mesh this one descends from.
+  std::uint8_t depth = 0;
+  /// Whether a caller above this one already retries; see docs/CALLERS.md.
+  bool is_retry = false;
+};
+
+/// \brief Why a call was not run. Keep `kNotRunReasonNames` in step.
+enum class NotRunReason : std::uint8_t {
+  kNoRoute,
+  kNotReady,
+  kNoUpstream,
+  kOverloaded,
+  kShareExceeded,
+  kQuietWindow,
+  kStaleConfiguration,
+  kUnknownSite,
+  kDraining,
+  kDeadline,
+  kRestarted,
+  kCancelled,
+  kUnreachable,
+  kDepthExceeded,
+  kBadRequest,
+};
+
+/// \returns The stable name of a reason, as callers and metrics see it.
+[[nodiscard]] std::string_view NameOf(NotRunReason reason) noexcept;
+/// \brief Reads what `NameOf` writes; unset for an unknown name.
+[[nodiscard]] std::optional<NotRunReason> NotRunReasonByName(
+    std::string_view name) noexcept;
+
+/// \brief One attempt, as the entry node sends it to the destination node.
+struct AttemptRequest {
+  AttemptId id;
+  /// Start of the destination's process; another start refuses the attempt.
+  std::uint64_t destination_start_id = 0;
+  std::string route;
+  std::string service;
+  std::string tenant;
+  std::string request_class;
+  std::string order_key;
+  std::string site;
+  bool noisy = false;
+  bool once = false;
+  Seconds longest_job{0};
+  /// Version that the entry node routed by.
+  VersionNumber config_number = 0;
+  /// Time left at the moment of sending.
+  Milliseconds deadline{0};
+  std::uint8_t depth = 0;
+};
+
+// Events at the entry node.
+
+/// \brief Event: a caller's request arrived, whole.
+struct CallArrived {
+  CallId call = 0;
+  CallFacts facts;
+};
+
+/// \brief Event: the destination refused: the attempt was not and will not be
+/// run there.
+struct AttemptNotRun {
+  CallId call = 0;
+  AttemptId attempt;
+  NotRunReason reason = NotRunReason::kOverloaded;
+  Milliseconds retry_after{0};
+};
+/// \brief Event: the upstream's answer begins to arrive.
+struct AttemptAnswering {
+  CallId call = 0;
+  AttemptId attempt;
+  std::uint16_t status = 0;
+};
+/// \brief Event: a fetch found the attempt still queued or running.
+struct AttemptStillRunning {
+  CallId call = 0;
+  AttemptId attempt;
+};
+/// \brief Event: the destination cannot tell, such as after its upstream broke
+/// off.
+struct AttemptUnknown {
+  CallId call = 0;
+  AttemptId attempt;
+};
+
+enum class LinkLoss : std::uint8_t {
+  /// No byte of the attempt left this host.
+  kNeverSent,
+  /// The connection broke after bytes were sent.
+  kBroken,
+  /// Nothing moved on the connection for its progress limit.
+  kSilent,
+};
+/// \brief Event: the connection of an attempt, fetch or cancel was lost before
+/// an answer began.
+struct AttemptLost {
+  CallId call = 0;
+  AttemptId attempt;
+  LinkLoss loss = LinkLoss::kNeverSent;
+};
+/// \brief Event: the answer was handed to the caller, whole or cut.
+struct AnswerRelayed {
+  CallId call = 0;
+  AttemptId attempt;
+  bool complete = false;
+};
+/// \brief Event: the caller closed its connection.
+struct CallerGone {
+  CallId call = 0;
+};
+
+// Events at the destination node.
+
+struct AttemptArrived {
+  LinkId link = 0;
+  AttemptRequest request;
+};
+/// \brief Event: an entry node asks for the answer of an earlier attempt.
+struct FetchArrived {
+  LinkId link = 0;
+  AttemptId attempt;
+  std::uint64_t destination_start_id = 0;
+};
+/// \brief Event: an entry node asks to cancel an attempt if it has not started.
+struct CancelArrived {
+  LinkId link = 0;
+  AttemptId attempt;
+  std::uint64_t destination_start_id = 0;
+};
+/// \brief Event: the connection that an attempt's answer goes to is lost.
+struct LinkLost {
+  LinkId link = 0;
+};
+/// \brief Event: the upstream refused by its own word before running (shed).
+struct UpstreamShed {
+  AttemptId attempt;
+  Milliseconds retry_after{0};
+};
+/// \brief Event: the upstream could not be reached; no byte was sent.
+struct UpstreamUnreached {
+  AttemptId attempt;
+};
+/// \brief Event: the upstream's answer begins to arrive.
+struct UpstreamAnswering {
+  AttemptId attempt;
+  std::uint16_t status = 0;
+};
+/// \brief Event: the upstream's answer is whole.
+struct UpstreamFinished {
+  AttemptId attempt;
+};
+/// \brief Event: the upstream's connection broke or fell silent after sending.
+struct UpstreamBroken {
+  AttemptId attempt;
+};
+/// \brief Event: the upstream's health endpoint answered, or failed to.
+struct UpstreamProbed {
+  bool healthy = false;
+  /// Slots that the upstream says it has in use, in thousandths.
+  std::uint16_t load_permille = 0;
+};
+
+// Events at both.
+
+/// \brief Event: time has passed; sent every `kCallTickPeriod`.
+struct CallTick {};
+/// \brief Event: the node must stop: new work is refused, work in flight ends.
+struct DrainRequested {};
+
+using CallEvent = std::variant<CallArrived,
+                               AttemptNotRun,
+                               AttemptAnswering,
+                               AttemptStillRunning,
+                               AttemptUnknown,
+                               AttemptLost,
+                               AnswerRelayed,
+                               CallerGone,
+                               AttemptArrived,
+                               FetchArrived,
+                               CancelArrived,
+                               LinkLost,
+                               UpstreamShed,
+                               UpstreamUnreached,
+                               UpstreamAnswering,
+                               UpstreamFinished,
+                               UpstreamBroken,
+                               UpstreamProbed,
+                               CallTick,
+                               DrainRequested,
+                               // From the fleet's effects.
+                               ApplyVersion,
+                               HeadConfirmed,
+                               MembersChanged,
+                               MemberLoadReported,
+                               ReadinessChanged,
+                               StoreReplied>;
+
+// Effects at the entry node.
+
+enum class AttemptVerb : std::uint8_t {
+  /// Run the attempt.
+  kRun,
+  /// Ask for the answer of the attempt.
+  kFetch,
+  /// Cancel the attempt if it has not started.
+  kCancel,
+};
+/// \brief Effect: send an attempt, fetch or cancel to a destination node.
+/// A fetch or cancel always goes over a new connection.
+struct SendAttempt {
+  CallId call = 0;
+  AttemptVerb verb = AttemptVerb::kRun;
+  NodeId destination;
+  std::uint16_t call_port = 0;
+  AttemptRequest request;
+};
+/// \brief Effect: hand the answer of this attempt to the caller as it arrives.
+struct RelayAnswer {
+  CallId call = 0;
+  AttemptId attempt;
+};
+/// \brief Effect: the connection of this attempt is of no more use.
+struct DropAttempt {
+  CallId call = 0;
+  AttemptId attempt;
+};
+/// \brief Effect: tell the caller that its request was not run.
+struct AnswerNotRun {
+  CallId call = 0;
+  NotRunReason reason = NotRunReason::kNoRoute;
+  /// When it makes sense to ask again; 0 for "not by waiting".
+  Milliseconds retry_after{0};
+  std::string detail;
+};
+/// \brief Effect: tell the caller that its request may have been run.
+struct AnswerUnknown {
+  CallId call = 0;
+  std::string detail;
+};
+/// \brief Effect: one call has ended; for metrics.
+struct CallEnded {
+  CallId call = 0;
+  std::string tenant;
+  std::string request_class;
+  std::string route;
+  /// "answered", "cut", "unknown", "caller_gone", or the reason not run.
+  std::string outcome;
+  Nanoseconds elapsed{0};
+  std::uint8_t attempts = 0;
+};
+
+// Effects at the destination node.
+
+/// \brief Effect: hand the attempt's request to this host's upstream now.
+struct StartUpstream {
+  AttemptId attempt;
+  Milliseconds deadline{0};
+};
+/// \brief Effect: close the upstream connection of the attempt.
+struct CancelUpstream {
+  AttemptId attempt;
+};
+/// \brief Effect: send the upstream's answer to this connection as it arrives.
+struct BindAnswer {
+  LinkId link = 0;
+  AttemptId attempt;
+};
+struct ReplyNotRun {
+  LinkId link = 0;
+  AttemptId attempt;
+  NotRunReason reason = NotRunReason::kOverloaded;
+  Milliseconds retry_after{0};
+};
+struct ReplyStillRunning {
+  LinkId link = 0;
+  AttemptId attempt;
+};
+struct ReplyUnknown {
+  LinkId link = 0;
+  AttemptId attempt;
+};
+/// \brief Effect: the request and answer of the attempt need not be held.
+struct ReleaseAttempt {
+  AttemptId attempt;
+};
+/// \brief Effect: no work is left after `DrainRequested`.
+struct DrainFinished {};
+
+using CallEffect = std::variant<SendAttempt,
+                                RelayAnswer,
+                                DropAttempt,
+                                AnswerNotRun,
+                                AnswerUnknown,
+                                CallEnded,
+                                StartUpstream,
+                                CancelUpstream,
+                                BindAnswer,
+                                ReplyNotRun,
+                                ReplyStillRunning,
+                                ReplyUnknown,
+                                ReleaseAttempt,
+                                LocalUpstreamChanged,
+                                LocalLoadChanged,
+                                StoreCall,
+                                DrainFinished>;
+
+inline constexpr Milliseconds kCallTickPeriod{20};
+
+/// \brief Deepest chain of calls that the mesh carries.
+inline constexpr std::uint8_t kMaxCallDepth = 32;
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/core/call_reducer.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "cassiabend/base/time.h"
+#include "cassiabend/core/call_events.h"
+#include "cassiabend/core/options.h"
+
+namespace cassiabend {
+
+/// \brief Sizes of the call path's state, for metrics.
+struct CallCounts {
+  std::size_t calls = 0;
+  std::size_t attempts_queued = 0;
+  std::size_t attempts_running = 0;
+  std::size_t attempts_held = 0;
+  std::size_t ejected = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t retries_refused = 0;
+};
+
+/// \brief Decides routing, balancing, admission, attempts, retries, orders,
+/// quiet windows at dispatch, and draining.
+class CallReducer {
+ public:
+  /// \param self This node's statement about itself.
+  /// \param seed Seed of choices and attempt ids.
+  CallReducer(const CallOptions& options,
+              const Member& self,
+              std::uint64_t seed);
+  CallReducer(const CallReducer&) = delete;
+  CallReducer& operator=(const CallReducer&) = delete;
+  ~CallReducer();
+
+  /// \brief Answers one event; effects are appended to `*out`.
+  void Reduce(const Instant& now,
+              const CallEvent& event,
+              std::vector<CallEffect>* out);
+
+  [[nodiscard]] CallCounts counts() const noexcept;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/core/node_reducer.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "cassiabend/core/call_reducer.h"
+#include "cassiabend/core/config_reducer.h"
+#include "cassiabend/core/event.h"
+#include "cassiabend/core/fleet_reducer.h"
+#include "cassiabend/core/options.h"
+
+namespace cassiabend {
+
+/// \brief The one reducer of a node: hands each event to the part that it
+/// concerns, and the effects that concern other parts on to these.
+/// It reads no clock, does no I/O and uses no global state.
+class NodeReducer {
+ public:
+  explicit NodeReducer(const CoreOptions& options);
+
+  /// \returns The effects for the shell to carry out, in order.
+  [[nodiscard]] Effects Reduce(const Event& event);
+
+  [[nodiscard]] const FleetReducer& fleet() const noexcept { return fleet_; }
+  [[nodiscard]] const CallReducer& calls() const noexcept { return calls_; }
+
+ private:
+  void ReduceConfig(const Instant& now, const ConfigEvent& event, Effects* out);
+  void ReduceFleet(const Instant& now, const FleetEvent& event, Effects* out);
+  void ReduceCall(const Instant& now, const CallEvent& event, Effects* out);
+  void TakeConfigEffects(const Instant& now,
+                         std::vector<ConfigEffect> effects,
+                         Effects* out);
+  void TakeFleetEffects(const Instant& now,
+                        std::vector<FleetEffect> effects,
+                        Effects* out);
+  void TakeCallEffects(const Instant& now,
+                       std::vector<CallEffect> effects,
+                       Effects* out);
+
+  ConfigReducer config_;
+  FleetReducer fleet_;
+  CallReducer calls_;
+};
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/core/options.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "cassiabend/base/time.h"
+#include "cassiabend/core/member.h"
+
+namespace cassiabend {
+
+/// \brief Limits of the commit path.
+struct ConfigOptions {
+  /// Versions that stay readable and are never cleaned up.
+  std::uint32_t kept_versions = 20;
+  /// Change ids that the head remembers.
+  std::uint32_t remembered_changes = 200;
+  std::uint32_t max_waiting_changes = 64;
+  /// Longest time from a request to its answer.
+  Milliseconds commit_timeout{10'000};
+  Milliseconds retry_base{100};
+  Milliseconds retry_limit{5'000};
+  Milliseconds cleanup_period{60'000};
+  /// A value is deleted only when it has been unreachable this long.
+  Milliseconds cleanup_grace{3'600'000};
+};
+
+/// \brief Settings of membership, spread and freshness.
+struct FleetOptions {
+  Milliseconds probe_period{1'000};
+  Milliseconds probe_timeout{300};
+  std::uint32_t indirect_probes = 3;
+  Milliseconds suspicion_timeout{4'000};
+  Milliseconds beat_period{1'000};
+  std::uint32_t fan_out = 16;
+  std::uint32_t readers_per_zone = 2;
+  /// Members that may try for a reader's lease.
+  std::uint32_t reader_candidates = 4;
+  Seconds reader_lease{9};
+  Milliseconds watch_wait{10'000};
+  Milliseconds store_retry_base{200};
+  Milliseconds store_retry_limit{15'000};
+  /// Whole values that one node sends at the same time.
+  std::uint32_t full_value_limit = 4;
+  Milliseconds full_value_pause{50};
+  /// A member that stays dead this long is forgotten.
+  Milliseconds forget_after{600'000};
+  /// Peers of the zone that must vouch for a version when the store is down.
+  std::uint32_t join_quorum = 2;
+  /// Most of a service's members of a zone, in thousandths, that suspicion may
+  /// take out within `removal_interval`.
+  std::uint32_t removal_permille = 340;
+  Milliseconds removal_interval{30'000};
+  std::vector<NodeId> seeds;
+};
+
+/// \brief Settings of the call path.
+struct CallOptions {
+  Milliseconds default_timeout{5'000};
+  /// Largest age of the head's confirmation at which noisy work starts.
+  Milliseconds freshness_limit{10'000};
+  /// Largest error of the wall clock.
+  Milliseconds clock_error{500};
+  std::uint32_t slots = 0;
+  std::uint32_t queue_limit = 64;
+  /// Share of the slots that one class may hold while others wait.
+  std::uint32_t class_share_permille = 600;
+  /// Retries a tenant's class may add, in thousandths of its calls.
+  std::uint32_t retry_budget_permille = 200;
+  std::uint32_t max_attempts = 3;
+  /// How long the answer of an attempt is held for a caller's node.
+  Milliseconds answer_hold{10'000};
+  /// How long order keys and tombstones are remembered.
+  Milliseconds order_memory{600'000};
+  Milliseconds slow_start{10'000};
+  std::uint32_t ejection_failures = 5;
+  Milliseconds ejection_time{5'000};
+  /// Most of a service's upstreams that may be ejected, in thousandths.
+  std::uint32_t ejection_permille = 340;
+};
+
+/// \brief All settings of one node's decision core.
+struct CoreOptions {
+  Member self;
+  std::uint64_t seed = 1;
+  ConfigOptions config;
+  FleetOptions fleet;
+  CallOptions calls;
+};
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/http/call_server.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "cassiabend/core/call_events.h"
+#include "cassiabend/core/event_sink.h"
+#include "cassiabend/core/member.h"
+
+namespace cassiabend {
+
+/// \brief Addresses and limits of the call path's connections.
+struct CallServerOptions {
+  NodeId self;
+  std::uint64_t start_id = 0;
+  std::uint16_t call_port = 0;
+  /// Upstream on this host; port 0 for none.
+  std::string upstream_ip;
+  std::uint16_t upstream_port = 0;
+  std::uint32_t max_connections = 4'096;
+  std::uint32_t max_header_bytes = 16 * 1024;
+  /// Request bodies are held whole so that an attempt can be sent again.
+  std::uint32_t max_request_body_bytes = 1024 * 1024;
+  /// Bytes of one answer that are held when its link is lost.
+  std::uint32_t held_answer_bytes = 256 * 1024;
+  /// Bytes of all held requests and answers.
+  std::uint64_t max_held_bytes = 64 * 1024 * 1024;
+  Milliseconds connect_timeout{250};
+  /// Longest pause within a request, or between bytes of an answer.
+  Milliseconds progress_timeout{2'000};
+  Milliseconds idle_timeout{30'000};
+  /// Idle connections kept to the upstream and to each peer.
+  std::uint32_t idle_connections = 8;
+  Milliseconds probe_period{1'000};
+  /// Path of the upstream's health endpoint; empty for none.
+  std::string health_path = "/healthz";
+};
+
+/// \brief Counters of the call path's connections.
+struct CallServerCounts {
+  std::uint64_t connections = 0;
+  std::uint64_t open_connections = 0;
+  std::uint64_t rejected_requests = 0;
+  std::uint64_t relayed_bytes = 0;
+  std::uint64_t held_bytes = 0;
+};
+
+/// \brief Carries calls: callers and other nodes come in on the call port,
+/// attempts go out to other nodes and to this host's upstream. All decisions
+/// arrive as effects. Used on the thread of `io` only.
+class CallServer {
+ public:
+  /// \throws HttpError when the call port cannot be opened.
+  CallServer(boost::asio::io_context& io,
+             const CallServerOptions& options,
+             EventSink* sink);
+  CallServer(const CallServer&) = delete;
+  CallServer& operator=(const CallServer&) = delete;
+  ~CallServer();
+
+  /// \returns The port that callers reach.
+  [[nodiscard]] std::uint16_t call_port() const noexcept;
+  [[nodiscard]] CallServerCounts counts() const noexcept;
+
+  /// \brief Carries out one effect of the call reducer. `CallEnded`,
+  /// `StoreCall` and `DrainFinished` are not for this class and do nothing.
+  void Execute(const CallEffect& effect);
+
+  /// \brief Accepts no more connections; open ones end after their request.
+  void StopAccepting();
+  /// \brief Closes everything.
+  void Close();
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/model/snapshot.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cassiabend/base/ref_counted.h"
+#include "cassiabend/model/config.h"
+#include "cassiabend/model/version.h"
+
+namespace cassiabend {
+
+/// \brief What a call is matched by.
+struct RouteQuery {
+  /// Empty when the caller names no tenant.
+  std::string_view tenant;
+  std::string_view host;
+  std::string_view path;
+  std::string_view method;
+};
+
+/// \brief One whole version with its indexes. Immutable; calls share it.
+class Snapshot final : public RefCounted<Snapshot> {
+ public:
+  /// \throws ModelError when `config` breaks a rule of the model.
+  explicit Snapshot(Config config);
+
+  [[nodiscard]] const Config& config() const noexcept { return config_; }
+  [[nodiscard]] const VersionMark& mark() const noexcept { return mark_; }
+
+  /// \returns The most specific route that matches: an exact host goes before
+  /// any host, then the longer path prefix, then an exact method before any
+  /// method. Null when none matches.
+  [[nodiscard]] const Route* FindRoute(const RouteQuery& query) const noexcept;
+
+  [[nodiscard]] const Route* RouteByName(std::string_view name) const noexcept;
+  [[nodiscard]] const Site* SiteByName(std::string_view name) const noexcept;
+
+  /// \brief Whether work at `site` would touch a quiet window in [from, to).
+  /// \returns When the last window of the run of windows that it touches ends;
+  /// unset when it touches none.
+  [[nodiscard]] std::optional<WallTime> QuietUntil(std::string_view site,
+                                                   WallTime from,
+                                                   WallTime to) const;
+
+ private:
+  Config config_;
+  VersionMark mark_;
+  /// Routes of each host, most specific first; "" holds those of any host.
+  std::map<std::string, std::vector<const Route*>, std::less<>> by_host_;
+  std::map<std::string, std::vector<const QuietWindow*>, std::less<>>
+      windows_by_site_;
+};
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/rpc/admin_server.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cassiabend/core/event_sink.h"
+#include "cassiabend/rpc/admin_types.h"
+
+namespace cassiabend {
+
+struct AdminServerOptions {
+  std::string ip;
+  std::uint16_t port = 0;
+  std::vector<OperatorToken> operators;
+  std::uint32_t max_connections = 32;
+  std::uint32_t max_message_bytes = 16 * 1024 * 1024;
+};
+
+/// \brief Reads of the node's state; called on the thread of `io`.
+struct AdminCallbacks {
+  std::function<FleetStatus()> status;
+  std::function<RefPtr<const Snapshot>()> newest;
+  /// Asks the node `id` to drain.
+  std::function<void(const NodeId& id)> drain;
+};
+
+/// \brief Serves schema/admin.capnp. Requests become events; their outcomes
+/// come back as effects. The RPC event loop runs on a thread of its own.
+class AdminServer {
+ public:
+  /// \throws RpcError when the port cannot be opened.
+  AdminServer(boost::asio::io_context& io,
+              const AdminServerOptions& options,
+              AdminCallbacks callbacks,
+              EventSink* sink);
+  AdminServer(const AdminServer&) = delete;
+  AdminServer& operator=(const AdminServer&) = delete;
+  ~AdminServer();
+
+  [[nodiscard]] std::uint16_t port() const noexcept;
+
+  /// \brief Carries out `CommitFinished`, `HistoryFinished` and
+  /// `VersionFinished`; other effects do nothing.
+  void Execute(const ConfigEffect& effect);
+
+  /// \brief Replaces the operators, as after a reload of the settings.
+  void SetOperators(std::vector<OperatorToken> operators);
+
+  void Close();
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/rpc/peer_transport.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "cassiabend/core/event_sink.h"
+#include "cassiabend/core/fleet_events.h"
+#include "cassiabend/core/member.h"
+
+namespace cassiabend {
+
+/// \brief Addresses and limits of the traffic between nodes.
+struct PeerTransportOptions {
+  NodeId self;
+  Milliseconds rpc_timeout{2'000};
+  std::uint32_t max_connections = 256;
+  std::uint32_t max_message_bytes = 16 * 1024 * 1024;
+};
+
+/// \brief Bytes on the wire by purpose, headers of IP and UDP or TCP included
+/// as estimates.
+struct PeerTraffic {
+  std::uint64_t datagrams_sent = 0;
+  std::uint64_t datagrams_received = 0;
+  std::uint64_t membership_bytes_sent = 0;
+  std::uint64_t membership_bytes_received = 0;
+  std::uint64_t beat_bytes_sent = 0;
+  std::uint64_t beat_bytes_received = 0;
+  std::uint64_t config_bytes_sent = 0;
+  std::uint64_t config_bytes_received = 0;
+  std::uint64_t rejected_messages = 0;
+};
+
+/// \brief Datagrams and Cap'n Proto RPC between nodes, on one UDP and one TCP
+/// port of the same number. The RPC event loop runs on a thread of its own;
+/// events are posted to the sink on the thread of `io`.
+class PeerTransport {
+ public:
+  /// \throws RpcError when a port cannot be opened.
+  PeerTransport(boost::asio::io_context& io,
+                const PeerTransportOptions& options,
+                EventSink* sink);
+  PeerTransport(const PeerTransport&) = delete;
+  PeerTransport& operator=(const PeerTransport&) = delete;
+  ~PeerTransport();
+
+  [[nodiscard]] PeerTraffic traffic() const noexcept;
+
+  /// \brief Carries out one effect of the fleet reducer; those that are not
+  /// messages to or answers for peers do nothing.
+  void Execute(const FleetEffect& effect);
+
+  /// \brief Sends a peer the request to drain. Failures are logged.
+  void SendDrain(const NodeId& to);
+  /// \brief Called when a peer or operator asks this node to drain; the
+  /// function is called on the thread of `io`.
+  void OnDrain(std::function<void()> handler);
+
+  void Close();
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/store/store_client.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cassiabend/core/event_sink.h"
+#include "cassiabend/core/store_types.h"
+
+namespace cassiabend {
+
+struct StoreEndpoint {
+  std::string ip;
+  std::uint16_t port = 0;
+
+  [[nodiscard]] bool operator==(const StoreEndpoint&) const = default;
+};
+
+struct StoreClientOptions {
+  std::vector<StoreEndpoint> endpoints;
+  Milliseconds request_timeout{2'000};
+  std::uint32_t max_connections = 4;
+  /// Requests that may wait for a connection; further ones fail at once.
+  std::uint32_t max_waiting = 64;
+};
+
+struct StoreClientCounts {
+  std::uint64_t calls = 0;
+  std::uint64_t failures = 0;
+  std::uint64_t unknown_outcomes = 0;
+  std::uint64_t bytes_sent = 0;
+  std::uint64_t bytes_received = 0;
+};
+
+/// \brief Client of the platform's key-value service, by the etcd v3
+/// HTTP/JSON gateway. Each `StoreCall` is answered by one `StoreReplied`.
+/// Used on the thread of `io` only.
+class StoreClient {
+ public:
+  StoreClient(boost::asio::io_context& io,
+              const StoreClientOptions& options,
+              EventSink* sink);
+  StoreClient(const StoreClient&) = delete;
+  StoreClient& operator=(const StoreClient&) = delete;
+  ~StoreClient();
+
+  [[nodiscard]] StoreClientCounts counts() const noexcept;
+
+  void Execute(const StoreCall& call);
+  void Close();
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/third_party_easylogging.cc
@@ -0,0 +1,1 @@
+#include <easylogging++.cc>  // NOLINT(bugprone-suspicious-include)
