--- a/src/cassiabend/base/log.h
+++ b/src/cassiabend/base/log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <concepts>
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -15,14 +16,23 @@
   using Value =
       std::variant<std::int64_t, std::uint64_t, double, bool, std::string_view>;
 
-  LogField(std::string_view field_name, Value field_value)
+  LogField(std::string_view field_name, bool field_value)
+      : name(field_name), value(field_value) {}
+  LogField(std::string_view field_name, double field_value)
+      : name(field_name), value(field_value) {}
+  LogField(std::string_view field_name, std::string_view field_value)
       : name(field_name), value(field_value) {}
-  LogField(std::string_view field_name, int field_value)
-      : name(field_name), value(std::int64_t{field_value}) {}
   LogField(std::string_view field_name, const std::string& field_value)
       : name(field_name), value(std::string_view(field_value)) {}
   LogField(std::string_view field_name, const char* field_value)
       : name(field_name), value(std::string_view(field_value)) {}
+  template <std::signed_integral T>
+  LogField(std::string_view field_name, T field_value)
+      : name(field_name), value(static_cast<std::int64_t>(field_value)) {}
+  template <std::unsigned_integral T>
+  requires(!std::same_as<T, bool>)
+      LogField(std::string_view field_name, T field_value)
+      : name(field_name), value(static_cast<std::uint64_t>(field_value)) {}
 
   std::string_view name;
   Value value;
--- /dev/null
+++ b/src/cassiabend/node/metrics.cc
@@ -0,0 +1,318 @@
+#include "cassiabend/node/metrics.h"
+
+#include <prometheus/collectable.h>
+#include <prometheus/text_serializer.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <array>
+#include <fstream>
+#include <utility>
+
+namespace cassiabend {
+namespace {
+
+using prometheus::ClientMetric;
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+
+/// Bounds of the latency histograms, in seconds.
+const prometheus::Histogram::BucketBoundaries kLatencyBounds = {
+    0.0001, 0.00025, 0.0005, 0.00092, 0.0015, 0.0025, 0.005, 0.01,
+    0.025,  0.05,    0.1,    0.25,    0.5,    1.0,    2.5,   5.0};
+
+MetricFamily Single(const std::string& name,
+                    const std::string& help,
+                    MetricType type,
+                    double value) {
+  ClientMetric metric;
+  if (type == MetricType::Counter) {
+    metric.counter.value = value;
+  } else {
+    metric.gauge.value = value;
+  }
+  return {name, help, type, {std::move(metric)}};
+}
+
+ClientMetric Labelled(const std::string& label,
+                      const std::string& text,
+                      MetricType type,
+                      double value) {
+  ClientMetric metric;
+  metric.label.push_back({label, text});
+  if (type == MetricType::Counter) {
+    metric.counter.value = value;
+  } else {
+    metric.gauge.value = value;
+  }
+  return metric;
+}
+
+/// \brief One number of a group that becomes one metric.
+template <typename Group>
+struct NumberMetric {
+  const char* name;
+  const char* help;
+  MetricType type;
+  std::uint64_t Group::*member;
+};
+
+constexpr auto kStoreMetrics = std::to_array<NumberMetric<StoreClientCounts>>({
+    {"cassiabend_store_calls_total", "Calls to the key-value service.",
+     MetricType::Counter, &StoreClientCounts::calls},
+    {"cassiabend_store_failures_total",
+     "Calls to the key-value service that failed.", MetricType::Counter,
+     &StoreClientCounts::failures},
+    {"cassiabend_store_unknown_total",
+     "Writes to the key-value service whose outcome is unknown.",
+     MetricType::Counter, &StoreClientCounts::unknown_outcomes},
+    {"cassiabend_store_sent_bytes_total",
+     "Bytes sent to the key-value service.", MetricType::Counter,
+     &StoreClientCounts::bytes_sent},
+    {"cassiabend_store_received_bytes_total",
+     "Bytes received from the key-value service.", MetricType::Counter,
+     &StoreClientCounts::bytes_received},
+});
+
+constexpr auto kServerMetrics = std::to_array<NumberMetric<CallServerCounts>>({
+    {"cassiabend_connections_total", "Connections accepted on the call port.",
+     MetricType::Counter, &CallServerCounts::connections},
+    {"cassiabend_open_connections", "Open connections on the call port.",
+     MetricType::Gauge, &CallServerCounts::open_connections},
+    {"cassiabend_rejected_requests_total",
+     "Requests refused as malformed or over a limit.", MetricType::Counter,
+     &CallServerCounts::rejected_requests},
+    {"cassiabend_relayed_bytes_total", "Bytes of answers relayed.",
+     MetricType::Counter, &CallServerCounts::relayed_bytes},
+    {"cassiabend_held_bytes", "Bytes of requests and answers held.",
+     MetricType::Gauge, &CallServerCounts::held_bytes},
+});
+
+/// \brief Bytes of one purpose between nodes.
+struct TrafficMetric {
+  const char* purpose;
+  std::uint64_t PeerTraffic::*sent;
+  std::uint64_t PeerTraffic::*received;
+};
+
+constexpr TrafficMetric kTrafficMetrics[] = {
+    {"membership", &PeerTraffic::membership_bytes_sent,
+     &PeerTraffic::membership_bytes_received},
+    {"beat", &PeerTraffic::beat_bytes_sent, &PeerTraffic::beat_bytes_received},
+    {"config", &PeerTraffic::config_bytes_sent,
+     &PeerTraffic::config_bytes_received},
+};
+
+/// \brief Turns the node's readings into metric families at each scrape.
+class ReadingsCollectable final : public prometheus::Collectable {
+ public:
+  explicit ReadingsCollectable(std::function<NodeReadings()> read)
+      : read_(std::move(read)) {}
+
+  [[nodiscard]] std::vector<MetricFamily> Collect() const override {
+    const NodeReadings readings = read_();
+    std::vector<MetricFamily> out;
+    AddState(readings, &out);
+    AddMembers(readings, &out);
+    AddCalls(readings.calls, &out);
+    AddTraffic(readings.traffic, &out);
+    AddNumbers(kStoreMetrics, readings.store, &out);
+    AddNumbers(kServerMetrics, readings.call_server, &out);
+    return out;
+  }
+
+ private:
+  template <typename Group, std::size_t kSize>
+  static void AddNumbers(const std::array<NumberMetric<Group>, kSize>& table,
+                         const Group& group,
+                         std::vector<MetricFamily>* out) {
+    for (const NumberMetric<Group>& it : table) {
+      const auto value = static_cast<double>(group.*it.member);
+      out->push_back(Single(it.name, it.help, it.type, value));
+    }
+  }
+
+  static void AddState(const NodeReadings& readings,
+                       std::vector<MetricFamily>* out) {
+    const auto gauge = [out](const char* name, const char* help, double value) {
+      out->push_back(Single(name, help, MetricType::Gauge, value));
+    };
+    gauge("cassiabend_config_version", "Number of the version in force.",
+          static_cast<double>(readings.config_version));
+    const double age =
+        readings.confirmed_age
+            ? std::chrono::duration<double>(*readings.confirmed_age).count()
+            : -1.0;
+    gauge("cassiabend_confirmation_age_seconds",
+          "Age of the newest confirmation of the head; -1 for none.", age);
+    gauge("cassiabend_ready", "Whether the node may serve calls.",
+          readings.ready ? 1 : 0);
+    gauge("cassiabend_reader", "Whether the node reads the store for its zone.",
+          readings.reader ? 1 : 0);
+    gauge("process_resident_memory_bytes", "Resident memory.",
+          static_cast<double>(readings.resident_bytes));
+    out->push_back(Single("process_cpu_seconds_total", "Processor time.",
+                          MetricType::Counter,
+                          std::chrono::duration<double>(readings.cpu).count()));
+    out->push_back(
+        Single("cassiabend_events_total", "Events that the node has reduced.",
+               MetricType::Counter, static_cast<double>(readings.events)));
+  }
+
+  static void AddMembers(const NodeReadings& readings,
+                         std::vector<MetricFamily>* out) {
+    MetricFamily family{
+        "cassiabend_members", "Members by status.", MetricType::Gauge, {}};
+    for (const auto& [status, n] : readings.members_by_status) {
+      family.metric.push_back(Labelled("status", status, MetricType::Gauge,
+                                       static_cast<double>(n)));
+    }
+    out->push_back(std::move(family));
+  }
+
+  static void AddCalls(const CallCounts& counts,
+                       std::vector<MetricFamily>* out) {
+    MetricFamily family{"cassiabend_work",
+                        "Calls and attempts by state.",
+                        MetricType::Gauge,
+                        {}};
+    const std::pair<const char*, std::size_t> states[] = {
+        {"calls", counts.calls},
+        {"attempts_queued", counts.attempts_queued},
+        {"attempts_running", counts.attempts_running},
+        {"attempts_held", counts.attempts_held},
+        {"upstreams_ejected", counts.ejected},
+    };
+    for (const auto& [state, n] : states) {
+      family.metric.push_back(
+          Labelled("state", state, MetricType::Gauge, static_cast<double>(n)));
+    }
+    out->push_back(std::move(family));
+    out->push_back(Single("cassiabend_retries_total", "Attempts sent again.",
+                          MetricType::Counter,
+                          static_cast<double>(counts.retries)));
+    out->push_back(Single(
+        "cassiabend_retries_refused_total", "Retries that the budget refused.",
+        MetricType::Counter, static_cast<double>(counts.retries_refused)));
+  }
+
+  static void AddTraffic(const PeerTraffic& traffic,
+                         std::vector<MetricFamily>* out) {
+    MetricFamily sent{"cassiabend_control_sent_bytes_total",
+                      "Bytes sent to other nodes for control.",
+                      MetricType::Counter,
+                      {}};
+    MetricFamily received{"cassiabend_control_received_bytes_total",
+                          "Bytes received from other nodes for control.",
+                          MetricType::Counter,
+                          {}};
+    for (const TrafficMetric& it : kTrafficMetrics) {
+      sent.metric.push_back(Labelled("purpose", it.purpose, MetricType::Counter,
+                                     static_cast<double>(traffic.*it.sent)));
+      received.metric.push_back(
+          Labelled("purpose", it.purpose, MetricType::Counter,
+                   static_cast<double>(traffic.*it.received)));
+    }
+    out->push_back(std::move(sent));
+    out->push_back(std::move(received));
+    out->push_back(Single("cassiabend_rejected_messages_total",
+                          "Messages from other nodes that were malformed.",
+                          MetricType::Counter,
+                          static_cast<double>(traffic.rejected_messages)));
+  }
+
+  std::function<NodeReadings()> read_;
+};
+
+std::string_view NameOf(CommitCode code) noexcept {
+  constexpr std::string_view kNames[] = {
+      "ok",           "conflict",  "invalid",
+      "unavailable",  "unknown",   "not_authorised",
+      "store_behind", "not_found", "busy"};
+  return kNames[static_cast<std::size_t>(code)];
+}
+
+}  // namespace
+
+NodeMetrics::NodeMetrics(std::function<NodeReadings()> read)
+    : readings_(std::make_shared<ReadingsCollectable>(std::move(read))),
+      calls_(&prometheus::BuildCounter()
+                  .Name("cassiabend_calls_total")
+                  .Help("Calls by tenant, class and outcome.")
+                  .Register(registry_)),
+      latency_(&prometheus::BuildHistogram()
+                    .Name("cassiabend_call_seconds")
+                    .Help("Time from a call's arrival to its end.")
+                    .Register(registry_)),
+      changes_(&prometheus::BuildCounter()
+                    .Name("cassiabend_changes_total")
+                    .Help("Operators' changes by outcome.")
+                    .Register(registry_)) {}
+
+NodeMetrics::~NodeMetrics() = default;
+
+std::string NodeMetrics::Scrape() const {
+  std::vector<MetricFamily> families = registry_.Collect();
+  for (MetricFamily& it : readings_->Collect()) {
+    families.push_back(std::move(it));
+  }
+  return prometheus::TextSerializer().Serialize(families);
+}
+
+void NodeMetrics::Record(const CallEnded& ended) {
+  CallCounter(ended).Increment();
+  const double seconds = std::chrono::duration<double>(ended.elapsed).count();
+  CallHistogram(ended).Observe(seconds);
+}
+
+void NodeMetrics::Record(const CommitFinished& finished) {
+  const std::string outcome(NameOf(finished.result.code));
+  changes_->Add({{"outcome", outcome}}).Increment();
+}
+
+prometheus::Counter& NodeMetrics::CallCounter(const CallEnded& ended) {
+  const CallKey key(ended.tenant, ended.request_class, ended.outcome);
+  const auto it = call_counters_.find(key);
+  if (it != call_counters_.end()) {
+    return *it->second;
+  }
+  prometheus::Counter& counter = calls_->Add({{"tenant", ended.tenant},
+                                              {"class", ended.request_class},
+                                              {"outcome", ended.outcome}});
+  call_counters_.emplace(key, &counter);
+  return counter;
+}
+
+prometheus::Histogram& NodeMetrics::CallHistogram(const CallEnded& ended) {
+  const CallKey key(ended.tenant, ended.request_class, "");
+  const auto it = call_histograms_.find(key);
+  if (it != call_histograms_.end()) {
+    return *it->second;
+  }
+  prometheus::Histogram& histogram =
+      latency_->Add({{"tenant", ended.tenant}, {"class", ended.request_class}},
+                    kLatencyBounds);
+  call_histograms_.emplace(key, &histogram);
+  return histogram;
+}
+
+Nanoseconds ProcessCpuTime() noexcept {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  const auto seconds = Seconds(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec);
+  const auto rest =
+      Microseconds(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec);
+  return seconds + rest;
+}
+
+std::uint64_t ProcessResidentBytes() {
+  std::ifstream in("/proc/self/statm");
+  std::uint64_t total_pages = 0;
+  std::uint64_t resident_pages = 0;
+  if (!(in >> total_pages >> resident_pages)) {
+    return 0;
+  }
+  return resident_pages * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/node/metrics.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <tuple>
+
+#include "cassiabend/core/call_events.h"
+#include "cassiabend/core/call_reducer.h"
+#include "cassiabend/core/event.h"
+#include "cassiabend/http/call_server.h"
+#include "cassiabend/rpc/peer_transport.h"
+#include "cassiabend/store/store_client.h"
+
+namespace cassiabend {
+
+/// \brief Values that are read when the metrics are scraped.
+struct NodeReadings {
+  VersionNumber config_version = 0;
+  /// Age of the newest confirmation of the head; unset for none.
+  std::optional<Nanoseconds> confirmed_age;
+  bool ready = false;
+  bool reader = false;
+  std::map<std::string, std::size_t> members_by_status;
+  CallCounts calls;
+  CallServerCounts call_server;
+  PeerTraffic traffic;
+  StoreClientCounts store;
+  std::uint64_t events = 0;
+  /// Processor time of the process, user and system.
+  Nanoseconds cpu{0};
+  std::uint64_t resident_bytes = 0;
+};
+
+/// \brief The metrics of one node, in the Prometheus text form.
+class NodeMetrics {
+ public:
+  /// \param read Called at each scrape.
+  explicit NodeMetrics(std::function<NodeReadings()> read);
+  NodeMetrics(const NodeMetrics&) = delete;
+  NodeMetrics& operator=(const NodeMetrics&) = delete;
+  ~NodeMetrics();
+
+  /// \returns All metrics as text.
+  [[nodiscard]] std::string Scrape() const;
+
+  /// \brief Counts the end of one call.
+  void Record(const CallEnded& ended);
+  /// \brief Counts the outcome of an operator's request.
+  void Record(const CommitFinished& finished);
+
+ private:
+  using CallKey = std::tuple<std::string, std::string, std::string>;
+
+  prometheus::Counter& CallCounter(const CallEnded& ended);
+  prometheus::Histogram& CallHistogram(const CallEnded& ended);
+
+  prometheus::Registry registry_;
+  std::shared_ptr<prometheus::Collectable> readings_;
+  prometheus::Family<prometheus::Counter>* calls_;
+  prometheus::Family<prometheus::Histogram>* latency_;
+  prometheus::Family<prometheus::Counter>* changes_;
+  std::map<CallKey, prometheus::Counter*> call_counters_;
+  std::map<CallKey, prometheus::Histogram*> call_histograms_;
+};
+
+/// \returns Processor time of this process, user and system.
+[[nodiscard]] Nanoseconds ProcessCpuTime() noexcept;
+/// \returns Resident memory of this process, in bytes; 0 when unknown.
+[[nodiscard]] std::uint64_t ProcessResidentBytes();
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/node/node.cc
@@ -0,0 +1,346 @@
+#include "cassiabend/node/node.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+#include <random>
+#include <utility>
+
+#include "cassiabend/base/error.h"
+#include "cassiabend/base/log.h"
+
+namespace cassiabend {
+namespace {
+
+/// Time for the statement that this node leaves to reach its peers.
+constexpr Milliseconds kLeaveTime{300};
+
+std::uint64_t StartId(const Clock& clock) {
+  const auto since_epoch = clock.Now().wall.time_since_epoch();
+  return static_cast<std::uint64_t>(Microseconds(since_epoch).count());
+}
+
+std::uint64_t SeedOf(const Settings& settings) {
+  if (settings.node.seed != 0) {
+    return settings.node.seed;
+  }
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+std::string_view NameOf(MemberStatus status) noexcept {
+  constexpr std::string_view kNames[] = {"alive", "suspect", "dead", "left"};
+  return kNames[static_cast<std::size_t>(status)];
+}
+
+std::string_view NameOf(UpstreamState state) noexcept {
+  constexpr std::string_view kNames[] = {"none", "warming", "serving",
+                                         "draining"};
+  return kNames[static_cast<std::size_t>(state)];
+}
+
+}  // namespace
+
+Node::Node(boost::asio::io_context& io,
+           const Clock& clock,
+           Settings settings,
+           std::string settings_file)
+    : io_(io),
+      clock_(clock),
+      settings_(std::move(settings)),
+      settings_file_(std::move(settings_file)),
+      reducer_(CoreOptionsOf(settings_, StartId(clock), SeedOf(settings_))),
+      metrics_([this] { return Read(); }),
+      fleet_timer_(io),
+      call_timer_(io),
+      shutdown_timer_(io) {
+  const NodeSettings& place = settings_.node;
+  const NodeId self{place.ip, place.peer_port};
+  const std::uint64_t start_id =
+      reducer_.fleet().Members(clock_.Now()).front().member.start_id;
+  calls_ = std::make_unique<CallServer>(
+      io_, CallServerOptionsOf(settings_, start_id), this);
+  peers_ = std::make_unique<PeerTransport>(
+      io_, PeerTransportOptions{.self = self}, this);
+  peers_->OnDrain([this] { Shutdown(); });
+  store_ = std::make_unique<StoreClient>(io_, settings_.store, this);
+  if (place.admin_port != 0) {
+    AdminServerOptions options{.ip = place.ip,
+                               .port = place.admin_port,
+                               .operators = settings_.operators};
+    AdminCallbacks callbacks{
+        .status = [this] { return Status(); },
+        .newest = [this] { return reducer_.fleet().newest(); },
+        .drain = [this](const NodeId& id) { DrainMember(id); }};
+    admin_ =
+        std::make_unique<AdminServer>(io_, options, std::move(callbacks), this);
+  }
+  if (place.metrics_port != 0) {
+    ops_ = std::make_unique<OpsServer>(
+        io_, place.ip, place.metrics_port,
+        [this](const std::string& path) { return Page(path); });
+  }
+  ScheduleTick(&fleet_timer_, kFleetTickPeriod, FleetEvent(FleetTick{}));
+  ScheduleTick(&call_timer_, kCallTickPeriod, CallEvent(CallTick{}));
+  Log(LogLevel::kInfo, "started",
+      {{"node", ToString(self)},
+       {"region", place.region},
+       {"zone", place.zone},
+       {"service", settings_.upstream.service},
+       {"start_id", start_id}});
+}
+
+Node::~Node() = default;
+
+void Node::Post(Body body) {
+  queue_.push_back(std::move(body));
+  if (drain_scheduled_) {
+    return;
+  }
+  drain_scheduled_ = true;
+  boost::asio::post(io_, [this] { DrainQueue(); });
+}
+
+void Node::DrainQueue() {
+  while (!queue_.empty()) {
+    const Event event{clock_.Now(), std::move(queue_.front())};
+    queue_.pop_front();
+    ++events_;
+    for (const Effect& it : reducer_.Reduce(event)) {
+      Execute(it);
+    }
+  }
+  drain_scheduled_ = false;
+}
+
+void Node::Execute(const Effect& effect) {
+  if (stopped_) {
+    return;
+  }
+  if (const auto* config = std::get_if<ConfigEffect>(&effect)) {
+    ExecuteConfig(*config);
+  } else if (const auto* fleet = std::get_if<FleetEffect>(&effect)) {
+    ExecuteFleet(*fleet);
+  } else if (const auto* call = std::get_if<CallEffect>(&effect)) {
+    ExecuteCall(*call);
+  }
+}
+
+void Node::ExecuteConfig(const ConfigEffect& effect) {
+  if (const auto* store_call = std::get_if<StoreCall>(&effect)) {
+    store_->Execute(*store_call);
+    return;
+  }
+  if (const auto* finished = std::get_if<CommitFinished>(&effect)) {
+    metrics_.Record(*finished);
+    Log(LogLevel::kInfo, "change_finished",
+        {{"change_id", ToHex(finished->result.change_id)},
+         {"code", static_cast<int>(finished->result.code)},
+         {"version", finished->result.mark.number},
+         {"path", finished->result.path},
+         {"reason", finished->result.reason}});
+  }
+  if (admin_) {
+    admin_->Execute(effect);
+  }
+}
+
+void Node::ExecuteFleet(const FleetEffect& effect) {
+  if (const auto* store_call = std::get_if<StoreCall>(&effect)) {
+    store_->Execute(*store_call);
+    return;
+  }
+  NoteFleetEffect(effect);
+  peers_->Execute(effect);
+}
+
+void Node::NoteFleetEffect(const FleetEffect& effect) {
+  if (const auto* applied = std::get_if<ApplyVersion>(&effect)) {
+    Log(LogLevel::kInfo, "version_applied",
+        {{"version", applied->snapshot->mark().number},
+         {"hash", ToHex(applied->snapshot->mark().hash)}});
+  } else if (const auto* changed = std::get_if<MembersChanged>(&effect)) {
+    for (const Member& it : changed->members) {
+      Log(LogLevel::kDebug, "member_changed",
+          {{"node", ToString(it.id)},
+           {"status", NameOf(it.status)},
+           {"upstream", NameOf(it.upstream_state)},
+           {"revision", std::uint64_t{it.revision}}});
+    }
+  } else if (const auto* readiness = std::get_if<ReadinessChanged>(&effect)) {
+    ready_ = readiness->ready;
+    not_ready_reason_ = readiness->reason;
+    Log(LogLevel::kInfo, "readiness_changed",
+        {{"ready", readiness->ready}, {"reason", readiness->reason}});
+  }
+}
+
+void Node::ExecuteCall(const CallEffect& effect) {
+  if (const auto* ended = std::get_if<CallEnded>(&effect)) {
+    metrics_.Record(*ended);
+    return;
+  }
+  if (const auto* store_call = std::get_if<StoreCall>(&effect)) {
+    store_->Execute(*store_call);
+    return;
+  }
+  if (std::holds_alternative<DrainFinished>(effect)) {
+    LeaveFleet();
+    return;
+  }
+  calls_->Execute(effect);
+}
+
+void Node::ScheduleTick(boost::asio::steady_timer* timer,
+                        Milliseconds period,
+                        const Body& body) {
+  timer->expires_after(period);
+  timer->async_wait([this, timer, period, body](boost::system::error_code ec) {
+    if (ec) {
+      return;
+    }
+    Post(body);
+    ScheduleTick(timer, period, body);
+  });
+}
+
+void Node::Shutdown() {
+  if (shutting_down_) {
+    return;
+  }
+  shutting_down_ = true;
+  ready_ = false;
+  not_ready_reason_ = "draining";
+  Log(LogLevel::kInfo, "shutdown_started");
+  Post(CallEvent(DrainRequested{}));
+  shutdown_timer_.expires_after(settings_.node.shutdown_timeout);
+  shutdown_timer_.async_wait([this](boost::system::error_code ec) {
+    if (!ec) {
+      Log(LogLevel::kWarning, "shutdown_timed_out");
+      LeaveFleet();
+    }
+  });
+}
+
+void Node::LeaveFleet() {
+  calls_->StopAccepting();
+  Post(FleetEvent(LeaveRequested{}));
+  shutdown_timer_.expires_after(kLeaveTime);
+  shutdown_timer_.async_wait([this](boost::system::error_code ec) {
+    if (!ec) {
+      Stop();
+    }
+  });
+}
+
+void Node::Stop() {
+  Log(LogLevel::kInfo, "stopped");
+  stopped_ = true;
+  fleet_timer_.cancel();
+  call_timer_.cancel();
+  calls_->Close();
+  peers_->Close();
+  store_->Close();
+  if (admin_) {
+    admin_->Close();
+  }
+  if (ops_) {
+    ops_->Close();
+  }
+  io_.stop();
+}
+
+void Node::DrainMember(const NodeId& id) {
+  if (id == NodeId{settings_.node.ip, settings_.node.peer_port}) {
+    Shutdown();
+    return;
+  }
+  peers_->SendDrain(id);
+}
+
+void Node::Reload() {
+  if (settings_file_.empty()) {
+    return;
+  }
+  try {
+    const Settings fresh = LoadSettings(settings_file_);
+    settings_.node.log_level = fresh.node.log_level;
+    settings_.operators = fresh.operators;
+    SetLogLevel(ParseLogLevel(fresh.node.log_level));
+    if (admin_) {
+      admin_->SetOperators(fresh.operators);
+    }
+    Log(LogLevel::kInfo, "settings_reloaded", {{"file", settings_file_}});
+  } catch (const SettingsError& e) {
+    Log(LogLevel::kError, "settings_refused",
+        {{"file", settings_file_}, {"error", e.what()}});
+  }
+}
+
+NodeReadings Node::Read() const {
+  const Instant now = clock_.Now();
+  NodeReadings out;
+  const RefPtr<const Snapshot> newest = reducer_.fleet().newest();
+  out.config_version = newest ? newest->mark().number : 0;
+  if (const auto at = reducer_.fleet().confirmed_at()) {
+    out.confirmed_age = now.mono - *at;
+  }
+  out.ready = ready_;
+  out.reader = reducer_.fleet().is_reader();
+  for (const MemberView& it : reducer_.fleet().Members(now)) {
+    ++out.members_by_status[std::string(NameOf(it.member.status))];
+  }
+  out.calls = reducer_.calls().counts();
+  out.call_server = calls_->counts();
+  out.traffic = peers_->traffic();
+  out.store = store_->counts();
+  out.events = events_;
+  out.cpu = ProcessCpuTime();
+  out.resident_bytes = ProcessResidentBytes();
+  return out;
+}
+
+FleetStatus Node::Status() const {
+  FleetStatus out;
+  if (const RefPtr<const Snapshot> newest = reducer_.fleet().newest()) {
+    out.mark = newest->mark();
+  }
+  out.members = reducer_.fleet().Members(clock_.Now());
+  return out;
+}
+
+OpsPage Node::Page(const std::string& path) const {
+  if (path == "/metrics") {
+    return {200, "text/plain; version=0.0.4", metrics_.Scrape()};
+  }
+  if (path == "/healthz") {
+    return {200, "text/plain", "ok\n"};
+  }
+  if (path == "/readyz") {
+    return ready_ ? OpsPage{200, "text/plain", "ready\n"}
+                  : OpsPage{503, "text/plain", not_ready_reason_ + "\n"};
+  }
+  if (path == "/members") {
+    return {200, "application/json", MembersPage()};
+  }
+  return {404, "text/plain",
+          "no such page; there are /metrics, /healthz, /readyz and /members\n"};
+}
+
+std::string Node::MembersPage() const {
+  boost::json::array members;
+  for (const MemberView& it : reducer_.fleet().Members(clock_.Now())) {
+    members.push_back(
+        boost::json::object{{"node", ToString(it.member.id)},
+                            {"zone", it.member.zone},
+                            {"service", it.member.service},
+                            {"status", NameOf(it.member.status)},
+                            {"upstream", NameOf(it.member.upstream_state)},
+                            {"start_id", it.member.start_id},
+                            {"revision", it.member.revision},
+                            {"version", it.mark.number}});
+  }
+  return boost::json::serialize(members);
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/node/node.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "cassiabend/base/clock.h"
+#include "cassiabend/core/event_sink.h"
+#include "cassiabend/core/node_reducer.h"
+#include "cassiabend/node/metrics.h"
+#include "cassiabend/node/ops_server.h"
+#include "cassiabend/node/settings.h"
+#include "cassiabend/rpc/admin_server.h"
+
+namespace cassiabend {
+
+/// \brief One node: the reducer and the layers with I/O around it. Everything
+/// runs on the thread of `io`, but for the RPC threads behind the transports.
+class Node final : public EventSink {
+ public:
+  /// \param settings_file Read again by `Reload`; empty for none.
+  /// \throws Error when a port cannot be opened.
+  Node(boost::asio::io_context& io,
+       const Clock& clock,
+       Settings settings,
+       std::string settings_file);
+  ~Node() override;
+
+  void Post(Body body) override;
+
+  /// \brief Starts a graceful shutdown; `io` runs out of work at its end.
+  void Shutdown();
+  /// \brief Reads the settings file again and takes over what may change.
+  void Reload();
+
+ private:
+  void DrainQueue();
+  void Execute(const Effect& effect);
+  void ExecuteConfig(const ConfigEffect& effect);
+  void ExecuteFleet(const FleetEffect& effect);
+  void ExecuteCall(const CallEffect& effect);
+  void NoteFleetEffect(const FleetEffect& effect);
+  void ScheduleTick(boost::asio::steady_timer* timer,
+                    Milliseconds period,
+                    const Body& body);
+  void LeaveFleet();
+  void Stop();
+  void DrainMember(const NodeId& id);
+  [[nodiscard]] NodeReadings Read() const;
+  [[nodiscard]] FleetStatus Status() const;
+  [[nodiscard]] OpsPage Page(const std::string& path) const;
+  [[nodiscard]] std::string MembersPage() const;
+
+  boost::asio::io_context& io_;
+  const Clock& clock_;
+  Settings settings_;
+  std::string settings_file_;
+  NodeReducer reducer_;
+  NodeMetrics metrics_;
+  std::deque<Body> queue_;
+  bool drain_scheduled_ = false;
+  bool shutting_down_ = false;
+  bool stopped_ = false;
+  bool ready_ = false;
+  std::string not_ready_reason_ = "starting";
+  std::uint64_t events_ = 0;
+  std::unique_ptr<StoreClient> store_;
+  std::unique_ptr<PeerTransport> peers_;
+  std::unique_ptr<CallServer> calls_;
+  std::unique_ptr<AdminServer> admin_;
+  std::unique_ptr<OpsServer> ops_;
+  boost::asio::steady_timer fleet_timer_;
+  boost::asio::steady_timer call_timer_;
+  boost::asio::steady_timer shutdown_timer_;
+};
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/node/ops_server.cc
@@ -0,0 +1,146 @@
+#include "cassiabend/node/ops_server.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <utility>
+
+#include "cassiabend/base/error.h"
+
+namespace cassiabend {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr std::chrono::seconds kRequestTimeout{5};
+constexpr std::uint32_t kMaxHeaderBytes = 8 * 1024;
+constexpr int kMaxSessions = 32;
+
+using PageFunction = std::function<OpsPage(const std::string& path)>;
+
+/// \brief One connection: a request, its answer, and the next one.
+class Session : public std::enable_shared_from_this<Session> {
+ public:
+  Session(asio::ip::tcp::socket socket,
+          std::shared_ptr<PageFunction> page,
+          std::shared_ptr<int> open)
+      : stream_(std::move(socket)),
+        page_(std::move(page)),
+        open_(std::move(open)) {
+    ++*open_;
+  }
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
+  ~Session() { --*open_; }
+
+  void Read() {
+    parser_.emplace();
+    parser_->header_limit(kMaxHeaderBytes);
+    parser_->body_limit(0);
+    stream_.expires_after(kRequestTimeout);
+    http::async_read(
+        stream_, buf_, *parser_,
+        [self = shared_from_this()](beast::error_code ec, std::size_t) {
+          if (!ec) {
+            self->Answer();
+          }
+        });
+  }
+
+ private:
+  void Answer() {
+    const auto& request = parser_->get();
+    const OpsPage page = (*page_)(std::string(request.target()));
+    response_ = {};
+    response_.result(page.status);
+    response_.version(request.version());
+    response_.keep_alive(request.keep_alive());
+    response_.set(http::field::content_type, page.content_type);
+    response_.body() = page.body;
+    response_.prepare_payload();
+    http::async_write(
+        stream_, response_,
+        [self = shared_from_this()](beast::error_code ec, std::size_t) {
+          if (!ec && self->response_.keep_alive()) {
+            self->Read();
+          }
+        });
+  }
+
+  beast::tcp_stream stream_;
+  std::shared_ptr<PageFunction> page_;
+  std::shared_ptr<int> open_;
+  beast::flat_buffer buf_;
+  std::optional<http::request_parser<http::empty_body>> parser_;
+  http::response<http::string_body> response_;
+};
+
+}  // namespace
+
+class OpsServer::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(asio::io_context& io, PageFunction page)
+      : acceptor_(io),
+        page_(std::make_shared<PageFunction>(std::move(page))),
+        open_(std::make_shared<int>(0)) {}
+
+  void Open(const std::string& ip, std::uint16_t port) {
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(ip), port);
+    try {
+      acceptor_.open(endpoint.protocol());
+      acceptor_.set_option(asio::socket_base::reuse_address(true));
+      acceptor_.bind(endpoint);
+      acceptor_.listen();
+    } catch (const boost::system::system_error& e) {
+      throw HttpError("open the metrics port", ip + ":" + std::to_string(port),
+                      e.code().message());
+    }
+  }
+
+  void Accept() {
+    acceptor_.async_accept([self = shared_from_this()](
+                               beast::error_code ec,
+                               asio::ip::tcp::socket socket) {
+      if (ec == asio::error::operation_aborted) {
+        return;
+      }
+      if (!ec && *self->open_ < kMaxSessions) {
+        std::make_shared<Session>(std::move(socket), self->page_, self->open_)
+            ->Read();
+      }
+      self->Accept();
+    });
+  }
+
+  void Close() {
+    beast::error_code ec;
+    acceptor_.close(ec);
+  }
+
+ private:
+  asio::ip::tcp::acceptor acceptor_;
+  std::shared_ptr<PageFunction> page_;
+  std::shared_ptr<int> open_;
+};
+
+OpsServer::OpsServer(asio::io_context& io,
+                     const std::string& ip,
+                     std::uint16_t port,
+                     std::function<OpsPage(const std::string& path)> page)
+    : impl_(std::make_shared<Impl>(io, std::move(page))) {
+  impl_->Open(ip, port);
+  impl_->Accept();
+}
+
+OpsServer::~OpsServer() {
+  Close();
+}
+
+void OpsServer::Close() {
+  impl_->Close();
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/node/settings_fields.cc
@@ -0,0 +1,196 @@
+#include "cassiabend/node/settings_fields.h"
+
+#include <array>
+
+namespace cassiabend {
+namespace {
+
+constexpr std::uint64_t kMaxName = 128;
+constexpr std::uint64_t kMaxPort = 65'535;
+constexpr std::uint64_t kMinuteMs = 60'000;
+constexpr std::uint64_t kHourMs = 3'600'000;
+constexpr std::uint64_t kDayMs = 86'400'000;
+constexpr std::uint64_t kAnySeed = UINT64_MAX;
+
+using Node = NodeSettings;
+constexpr auto kNodeFields = std::to_array<SettingField<Node>>({
+    {"ip", &Node::ip, 2, 45, "Address that the node listens on and announces."},
+    {"peer_port", &Node::peer_port, 1, kMaxPort,
+     "UDP and TCP port for other nodes."},
+    {"call_port", &Node::call_port, 1, kMaxPort, "HTTP port for calls."},
+    {"admin_port", &Node::admin_port, 0, kMaxPort,
+     "Port of the administration API; 0 turns it off."},
+    {"metrics_port", &Node::metrics_port, 0, kMaxPort,
+     "HTTP port of /metrics, /healthz and /readyz; 0 turns it off."},
+    {"region", &Node::region, 1, kMaxName, "Region of the host."},
+    {"zone", &Node::zone, 1, kMaxName, "Availability zone of the host."},
+    {"shutdown_timeout_ms", &Node::shutdown_timeout, 0, kHourMs,
+     "Longest graceful shutdown."},
+    {"seed", &Node::seed, 0, kAnySeed,
+     "Seed of random choices; 0 takes a fresh one at each start."},
+    {"log_level", &Node::log_level, 4, 7,
+     "Lowest level logged: debug, info, warning or error. Reloadable."},
+});
+
+using Upstream = UpstreamSettings;
+constexpr auto kUpstreamFields = std::to_array<SettingField<Upstream>>({
+    {"service", &Upstream::service, 0, kMaxName,
+     "Service of the upstream on this host; empty for none."},
+    {"ip", &Upstream::ip, 0, 45, "Address of the upstream."},
+    {"port", &Upstream::port, 0, kMaxPort, "HTTP port of the upstream."},
+    {"slots", &Upstream::slots, 1, 100'000,
+     "Calls that the upstream runs at the same time."},
+});
+
+using Store = StoreClientOptions;
+constexpr auto kStoreFields = std::to_array<SettingField<Store>>({
+    {"request_timeout_ms", &Store::request_timeout, 50, kMinuteMs,
+     "Longest wait for an answer of the store."},
+    {"max_connections", &Store::max_connections, 1, 64,
+     "Connections to the store."},
+    {"max_waiting", &Store::max_waiting, 1, 10'000,
+     "Requests that may wait for a connection."},
+});
+
+using Conf = ConfigOptions;
+constexpr auto kConfigFields = std::to_array<SettingField<Conf>>({
+    {"kept_versions", &Conf::kept_versions, 1, 200,
+     "Versions that stay readable for history and rollback."},
+    {"remembered_changes", &Conf::remembered_changes, 10, 5'000,
+     "Change ids that are recognised when a change is sent again."},
+    {"max_waiting_changes", &Conf::max_waiting_changes, 1, 10'000,
+     "Changes that may wait on one node."},
+    {"commit_timeout_ms", &Conf::commit_timeout, 500, 10 * kMinuteMs,
+     "Longest time from an operator's change to its answer."},
+    {"retry_base_ms", &Conf::retry_base, 1, kMinuteMs,
+     "First pause before a store call of a commit is repeated."},
+    {"retry_limit_ms", &Conf::retry_limit, 1, 10 * kMinuteMs,
+     "Longest pause before a store call of a commit is repeated."},
+    {"cleanup_period_ms", &Conf::cleanup_period, 100, kDayMs,
+     "Pause between clean-ups of unreachable values."},
+    {"cleanup_grace_ms", &Conf::cleanup_grace, 0, 7 * kDayMs,
+     "Time that a value must have been unreachable before it is deleted."},
+});
+
+using Fleet = FleetOptions;
+constexpr auto kFleetFields = std::to_array<SettingField<Fleet>>({
+    {"probe_period_ms", &Fleet::probe_period, 100, kMinuteMs,
+     "Pause between probes of other members."},
+    {"probe_timeout_ms", &Fleet::probe_timeout, 10, kMinuteMs,
+     "Wait for a probe's answer before other members are asked to probe."},
+    {"indirect_probes", &Fleet::indirect_probes, 0, 16,
+     "Members asked to probe one that did not answer."},
+    {"suspicion_timeout_ms", &Fleet::suspicion_timeout, 100, 10 * kMinuteMs,
+     "Time that a suspected member has to answer before it counts as dead."},
+    {"beat_period_ms", &Fleet::beat_period, 100, kMinuteMs,
+     "Pause between heartbeats from a parent to its children."},
+    {"fan_out", &Fleet::fan_out, 2, 64,
+     "Most children of one node in the dissemination tree."},
+    {"readers_per_zone", &Fleet::readers_per_zone, 1, 4,
+     "Nodes of a zone that read the store."},
+    {"reader_candidates", &Fleet::reader_candidates, 1, 32,
+     "Members of a zone that try for a reader's lease."},
+    {"reader_lease_s", &Fleet::reader_lease, 1, 600, "Length of that lease."},
+    {"watch_wait_ms", &Fleet::watch_wait, 100, 10 * kMinuteMs,
+     "Longest wait of one watch on the head."},
+    {"store_retry_base_ms", &Fleet::store_retry_base, 1, kMinuteMs,
+     "First pause before a failed store call is repeated."},
+    {"store_retry_limit_ms", &Fleet::store_retry_limit, 1, 10 * kMinuteMs,
+     "Longest pause before a failed store call is repeated."},
+    {"full_value_limit", &Fleet::full_value_limit, 1, 256,
+     "Whole versions that a node sends at the same time."},
+    {"full_value_pause_ms", &Fleet::full_value_pause, 0, kMinuteMs,
+     "Pause between whole versions that a node sends."},
+    {"forget_after_ms", &Fleet::forget_after, 1'000, 7 * kDayMs,
+     "Time after which a dead member is forgotten."},
+    {"join_quorum", &Fleet::join_quorum, 1, 16,
+     "Peers that must vouch for a version when the store cannot be read."},
+    {"removal_permille", &Fleet::removal_permille, 0, 1'000,
+     "Largest share of a service's members of a zone that suspicion may remove "
+     "within the removal interval, in thousandths."},
+    {"removal_interval_ms", &Fleet::removal_interval, 100, kHourMs,
+     "Interval of the removal share."},
+});
+
+using Calls = CallOptions;
+constexpr auto kCallFields = std::to_array<SettingField<Calls>>({
+    {"default_timeout_ms", &Calls::default_timeout, 1, 10 * kMinuteMs,
+     "Deadline of a call whose caller and route name none."},
+    {"freshness_limit_ms", &Calls::freshness_limit, 100, kDayMs,
+     "Largest age of the configuration's confirmation at which noisy work "
+     "starts."},
+    {"clock_error_ms", &Calls::clock_error, 0, kMinuteMs,
+     "Largest error of the host's wall clock."},
+    {"queue_limit", &Calls::queue_limit, 0, 100'000,
+     "Attempts that may wait for a slot."},
+    {"class_share_permille", &Calls::class_share_permille, 1, 1'000,
+     "Share of the slots that one class may hold while others wait, in "
+     "thousandths."},
+    {"retry_budget_permille", &Calls::retry_budget_permille, 0, 1'000,
+     "Retries that a class may add, in thousandths of its calls."},
+    {"max_attempts", &Calls::max_attempts, 1, 10, "Attempts of one call."},
+    {"answer_hold_ms", &Calls::answer_hold, 100, 10 * kMinuteMs,
+     "Time that an answer is held for an entry node whose link was lost."},
+    {"order_memory_ms", &Calls::order_memory, 1'000, 7 * kDayMs,
+     "Time that order keys are remembered."},
+    {"slow_start_ms", &Calls::slow_start, 0, 10 * kMinuteMs,
+     "Time over which a new upstream's share of calls grows to the full one."},
+    {"ejection_failures", &Calls::ejection_failures, 1, 1'000,
+     "Failures in a row after which an upstream is left out."},
+    {"ejection_time_ms", &Calls::ejection_time, 10, kHourMs,
+     "Time that an upstream is left out."},
+    {"ejection_permille", &Calls::ejection_permille, 0, 1'000,
+     "Largest share of a service's upstreams left out, in thousandths."},
+});
+
+using Http = CallServerOptions;
+constexpr auto kHttpFields = std::to_array<SettingField<Http>>({
+    {"max_connections", &Http::max_connections, 1, 1'000'000,
+     "Connections that the call port accepts."},
+    {"max_header_bytes", &Http::max_header_bytes, 512, 1024 * 1024,
+     "Largest header of a request or an answer."},
+    {"max_request_body_bytes", &Http::max_request_body_bytes, 0,
+     64 * 1024 * 1024, "Largest body of a request."},
+    {"held_answer_bytes", &Http::held_answer_bytes, 0, 64 * 1024 * 1024,
+     "Bytes of one answer that are held when its link is lost."},
+    {"max_held_bytes", &Http::max_held_bytes, 1024 * 1024, 1ULL << 40,
+     "Bytes of all held requests and answers."},
+    {"connect_timeout_ms", &Http::connect_timeout, 1, kMinuteMs,
+     "Longest wait for a connection."},
+    {"progress_timeout_ms", &Http::progress_timeout, 10, 10 * kMinuteMs,
+     "Longest pause on a connection in use."},
+    {"idle_timeout_ms", &Http::idle_timeout, 10, kHourMs,
+     "Time after which an idle connection is closed."},
+    {"idle_connections", &Http::idle_connections, 0, 1'000,
+     "Idle connections kept to the upstream and to each peer."},
+    {"probe_period_ms", &Http::probe_period, 10, kMinuteMs,
+     "Pause between probes of the upstream's health."},
+    {"health_path", &Http::health_path, 0, 256,
+     "Path of the upstream's health endpoint; empty for none."},
+});
+
+}  // namespace
+
+std::span<const SettingField<NodeSettings>> NodeFields() {
+  return kNodeFields;
+}
+std::span<const SettingField<UpstreamSettings>> UpstreamFields() {
+  return kUpstreamFields;
+}
+std::span<const SettingField<StoreClientOptions>> StoreFields() {
+  return kStoreFields;
+}
+std::span<const SettingField<ConfigOptions>> ConfigFields() {
+  return kConfigFields;
+}
+std::span<const SettingField<FleetOptions>> FleetFields() {
+  return kFleetFields;
+}
+std::span<const SettingField<CallOptions>> CallFields() {
+  return kCallFields;
+}
+std::span<const SettingField<CallServerOptions>> HttpFields() {
+  return kHttpFields;
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/tools/node_main.cc
@@ -0,0 +1,95 @@
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdio>
+#include <exception>
+#include <iostream>
+
+#include "cassiabend/base/clock.h"
+#include "cassiabend/base/command_line.h"
+#include "cassiabend/base/error.h"
+#include "cassiabend/base/log.h"
+#include "cassiabend/node/node.h"
+#include "cassiabend/node/settings.h"
+
+namespace cassiabend {
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitUsage = 1;
+constexpr int kExitFailed = 2;
+
+constexpr char kEpilogue[] =
+    "\nSignals: SIGTERM and SIGINT shut down gracefully; SIGHUP reads the\n"
+    "settings again.\n"
+    "Exit codes: 0 ended as asked, 1 bad command line or settings, 2 a port "
+    "could\nnot be opened or the node failed.\n";
+
+/// \brief Waits for signals and hands them to the node.
+void AwaitSignals(boost::asio::signal_set* signals, Node* node) {
+  signals->async_wait([signals, node](boost::system::error_code ec, int n) {
+    if (ec) {
+      return;
+    }
+    if (n == SIGHUP) {
+      node->Reload();
+    } else {
+      node->Shutdown();
+    }
+    AwaitSignals(signals, node);
+  });
+}
+
+int Serve(const Settings& settings, const std::string& file) {
+  InitializeLog("cassiabend-node", ParseLogLevel(settings.node.log_level));
+  boost::asio::io_context io(1);
+  const SystemClock clock;
+  Node node(io, clock, settings, file);
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
+  AwaitSignals(&signals, &node);
+  io.run();
+  return kExitOk;
+}
+
+int Main(int argc, const char** argv) {
+  CommandLine line("cassiabend-node", "SETTINGS", kEpilogue);
+  bool check = false;
+  bool describe = false;
+  line.AddFlag("check", &check, "Print the effective settings and exit");
+  line.AddFlag("describe-settings", &describe,
+               "Print the page of all settings and exit");
+  bool finished = false;
+  const std::vector<std::string> rest = line.Parse(argc, argv, &finished);
+  if (finished) {
+    return kExitOk;
+  }
+  if (describe) {
+    std::cout << DescribeSettings();
+    return kExitOk;
+  }
+  if (rest.size() != 1) {
+    throw SettingsError("read the command line", "SETTINGS",
+                        "name one settings file; see --help");
+  }
+  const Settings settings = LoadSettings(rest.front());
+  if (check) {
+    std::cout << PrintSettings(settings) << "\n";
+    return kExitOk;
+  }
+  return Serve(settings, rest.front());
+}
+
+}  // namespace
+}  // namespace cassiabend
+
+int main(int argc, char** argv) {
+  try {
+    return cassiabend::Main(argc, const_cast<const char**>(argv));
+  } catch (const cassiabend::SettingsError& e) {
+    std::cerr << "cassiabend-node: " << e.what() << "\n";
+    return cassiabend::kExitUsage;
+  } catch (const std::exception& e) {
+    std::cerr << "cassiabend-node: " << e.what() << "\n";
+    return cassiabend::kExitFailed;
+  }
+}
