Add a harness that starts fleets of processes on loopback

Change: child processes by id, a blocking HTTP client, settings per host, the deployments' shapes. The page /version tells when a version applied.

--- a/src/cassiabend/node/node.cc
+++ b/src/cassiabend/node/node.cc
@@ -156,6 +156,7 @@
 
 void Node::NoteFleetEffect(const FleetEffect& effect) {
   if (const auto* applied = std::get_if<ApplyVersion>(&effect)) {
+    applied_at_ = clock_.Now().wall;
     Log(LogLevel::kInfo, "version_applied",
         {{"version", applied->snapshot->mark().number},
          {"hash", ToHex(applied->snapshot->mark().hash)}});
@@ -323,8 +324,22 @@
   if (path == "/members") {
     return {200, "application/json", MembersPage()};
   }
+  if (path == "/version") {
+    return {200, "application/json", VersionPage()};
+  }
   return {404, "text/plain",
-          "no such page; there are /metrics, /healthz, /readyz and /members\n"};
+          "no such page; there are /metrics, /healthz, /readyz, /members and "
+          "/version\n"};
+}
+
+std::string Node::VersionPage() const {
+  const RefPtr<const Snapshot> newest = reducer_.fleet().newest();
+  const VersionMark mark = newest ? newest->mark() : VersionMark{};
+  const boost::json::object version{
+      {"version", mark.number},
+      {"hash", ToHex(mark.hash)},
+      {"applied_unix_ms", applied_at_.time_since_epoch().count()}};
+  return boost::json::serialize(version);
 }
 
 std::string Node::MembersPage() const {
--- a/src/cassiabend/node/node.h
+++ b/src/cassiabend/node/node.h
@@ -54,6 +54,7 @@
   [[nodiscard]] FleetStatus Status() const;
   [[nodiscard]] OpsPage Page(const std::string& path) const;
   [[nodiscard]] std::string MembersPage() const;
+  [[nodiscard]] std::string VersionPage() const;
 
   boost::asio::io_context& io_;
   const Clock& clock_;
@@ -68,6 +69,8 @@
   bool ready_ = false;
   std::string not_ready_reason_ = "starting";
   std::uint64_t events_ = 0;
+  /// When the version in force was applied.
+  WallTime applied_at_{};
   std::unique_ptr<StoreClient> store_;
   std::unique_ptr<PeerTransport> peers_;
   std::unique_ptr<CallServer> calls_;
--- /dev/null
+++ b/tools/harness/fleet.cc
@@ -0,0 +1,400 @@
+#include "tools/harness/fleet.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <csignal>
+#include <fstream>
+#include <set>
+#include <stdexcept>
+#include <thread>
+
+#include <unistd.h>
+
+namespace cassiabend::harness {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr std::chrono::seconds kStartWait{20};
+constexpr std::chrono::milliseconds kFetchTimeout{5'000};
+constexpr std::chrono::milliseconds kPollPeriod{50};
+constexpr char kStoreIp[] = "127.0.0.1";
+constexpr char kToken[] = "example-operator-token";
+constexpr std::size_t kZonesPerRegion = 2;
+constexpr std::size_t kSeedHosts = 6;
+
+/// \returns A port that nothing listens on, for both TCP and UDP.
+std::uint16_t FreePort(const std::string& ip, std::set<std::uint16_t>* taken) {
+  asio::io_context io;
+  const auto address = asio::ip::make_address(ip);
+  while (true) {
+    asio::ip::tcp::acceptor acceptor(io, {address, 0});
+    const std::uint16_t port = acceptor.local_endpoint().port();
+    boost::system::error_code ec;
+    asio::ip::udp::socket datagrams(io, asio::ip::udp::v4());
+    datagrams.bind({address, port}, ec);
+    if (!ec && taken->insert(port).second) {
+      return port;
+    }
+  }
+}
+
+/// \returns The second octet of this process's loopback addresses.
+int LoopbackOctet() {
+  return 10 + static_cast<int>(getpid() % 200);
+}
+
+std::string ZoneName(const std::string& region, std::size_t zone) {
+  return region + "-" + static_cast<char>('a' + zone);
+}
+
+std::vector<HostPlan> MakeHosts(const Deployment& deployment, std::size_t n) {
+  std::vector<HostPlan> hosts;
+  std::set<std::uint16_t> taken;
+  const std::size_t zones = deployment.regions.size() * kZonesPerRegion;
+  for (std::size_t i = 0; i < n; ++i) {
+    const std::size_t zone = i % zones;
+    HostPlan host;
+    host.region = deployment.regions.at(zone % deployment.regions.size());
+    host.zone = ZoneName(host.region, zone / deployment.regions.size());
+    // Hosts of one zone take the services in turn.
+    host.service =
+        deployment.services.at((i / zones + zone) % deployment.services.size());
+    host.ip = "127." + std::to_string(LoopbackOctet()) + "." +
+              std::to_string(zone + 1) + "." + std::to_string(i / zones + 1);
+    for (std::uint16_t HostPlan::*it :
+         {&HostPlan::peer_port, &HostPlan::call_port, &HostPlan::admin_port,
+          &HostPlan::metrics_port}) {
+      host.*it = FreePort(host.ip, &taken);
+    }
+    hosts.push_back(std::move(host));
+  }
+  return hosts;
+}
+
+std::uint16_t ReadPort(ChildProcess* child, const std::string& program) {
+  const auto line = child->ReadLine(kStartWait);
+  if (!line) {
+    throw std::runtime_error(program + " did not print its port");
+  }
+  return json::parse(*line).at("port").to_number<std::uint16_t>();
+}
+
+/// \brief Puts the keys of `from` into the sections of `*to`.
+void Merge(const json::object& from, json::object* to) {
+  for (const json::key_value_pair& section : from) {
+    json::value& target = (*to)[section.key()];
+    if (!target.is_object()) {
+      target = json::object();
+    }
+    for (const json::key_value_pair& it : section.value().as_object()) {
+      target.as_object()[it.key()] = it.value();
+    }
+  }
+}
+
+}  // namespace
+
+Deployment DeploymentByName(const std::string& name) {
+  if (name == "cascadia") {
+    return {.name = name,
+            .tenant = "cascadia",
+            .regions = {"puget", "willamette", "inland"},
+            .services = {"catalog", "orders", "artwork"},
+            .slots = 12,
+            .settings = {}};
+  }
+  if (name == "silfurhud") {
+    return {.name = name,
+            .tenant = "silfurhud",
+            .regions = {"reykjavik", "akureyri", "egilsstadir"},
+            .services = {"tracker", "orders", "docs"},
+            .slots = 9,
+            .settings = {{"fleet",
+                          {{"beat_period_ms", 2'000},
+                           {"probe_period_ms", 2'000},
+                           {"probe_timeout_ms", 500},
+                           {"suspicion_timeout_ms", 6'000}}}}};
+  }
+  throw std::runtime_error("no deployment \"" + name +
+                           "\"; there are cascadia and silfurhud");
+}
+
+Fleet::Fleet(FleetOptions options)
+    : options_(std::move(options)),
+      hosts_(MakeHosts(options_.deployment, options_.hosts)),
+      upstreams_(hosts_.size()),
+      nodes_(hosts_.size()) {}
+
+Fleet::~Fleet() {
+  for (const auto& it : nodes_) {
+    if (it) {
+      it->Signal(SIGKILL);
+    }
+  }
+}
+
+void Fleet::Start() {
+  StartStore();
+  for (std::size_t i = 0; i < hosts_.size(); ++i) {
+    StartUpstream(i);
+  }
+  for (std::size_t i = 0; i < hosts_.size(); ++i) {
+    StartNode(i);
+  }
+}
+
+void Fleet::StartStore() {
+  std::vector<std::string> arguments = {options_.bin + "/cassiabend-fake-store",
+                                        "--ip", kStoreIp, "--port",
+                                        std::to_string(store_port_)};
+  arguments.insert(arguments.end(), options_.store_arguments.begin(),
+                   options_.store_arguments.end());
+  store_ =
+      std::make_unique<ChildProcess>(arguments, options_.work + "/store.log");
+  store_port_ = ReadPort(store_.get(), "cassiabend-fake-store");
+}
+
+void Fleet::StartUpstream(std::size_t host) {
+  HostPlan& plan = hosts_.at(host);
+  std::vector<std::string> arguments = {
+      options_.bin + "/cassiabend-fake-upstream",
+      "--ip",
+      plan.ip,
+      "--port",
+      std::to_string(plan.upstream_port),
+      "--slots",
+      std::to_string(options_.deployment.slots)};
+  arguments.insert(arguments.end(), options_.upstream_arguments.begin(),
+                   options_.upstream_arguments.end());
+  upstreams_.at(host) = std::make_unique<ChildProcess>(
+      arguments, options_.work + "/upstream-" + std::to_string(host) + ".log");
+  plan.upstream_port =
+      ReadPort(upstreams_.at(host).get(), "cassiabend-fake-upstream");
+}
+
+void Fleet::StartNode(std::size_t host) {
+  nodes_.at(host) = std::make_unique<ChildProcess>(
+      std::vector<std::string>{options_.bin + "/cassiabend-node",
+                               WriteSettings(host)},
+      options_.work + "/node-" + std::to_string(host) + ".log");
+}
+
+void Fleet::KillNode(std::size_t host) {
+  nodes_.at(host)->Signal(SIGKILL);
+  (void)nodes_.at(host)->Wait(kStartWait);
+  nodes_.at(host).reset();
+}
+
+void Fleet::StopNode(std::size_t host) {
+  nodes_.at(host)->Signal(SIGTERM);
+}
+
+bool Fleet::WaitForAll(
+    std::chrono::milliseconds wait,
+    const std::function<bool(std::size_t host)>& holds) const {
+  const auto end = std::chrono::steady_clock::now() + wait;
+  std::size_t host = 0;
+  while (host < hosts_.size()) {
+    if (!nodes_.at(host)) {
+      ++host;
+      continue;
+    }
+    bool held = false;
+    try {
+      held = holds(host);
+    } catch (const std::exception&) {
+      held = false;
+    }
+    if (held) {
+      ++host;
+      continue;
+    }
+    if (std::chrono::steady_clock::now() >= end) {
+      return false;
+    }
+    std::this_thread::sleep_for(kPollPeriod);
+  }
+  return true;
+}
+
+bool Fleet::WaitReady(std::chrono::milliseconds wait) {
+  return WaitForAll(wait, [this](std::size_t host) {
+    const HostPlan& plan = hosts_.at(host);
+    const Request request{.target = "/readyz"};
+    return Fetch(plan.ip, plan.metrics_port, request, kFetchTimeout).status ==
+           200;
+  });
+}
+
+bool Fleet::WaitVersion(std::uint64_t number, std::chrono::milliseconds wait) {
+  return WaitForAll(wait, [this, number](std::size_t host) {
+    return Version(host).at("version").to_number<std::uint64_t>() >= number;
+  });
+}
+
+bool Fleet::WaitMembers(std::size_t n, std::chrono::milliseconds wait) {
+  return WaitForAll(wait, [this, n](std::size_t host) {
+    const auto metrics = Metrics(host);
+    const auto it = metrics.find("cassiabend_members{status=\"alive\"}");
+    return it != metrics.end() && it->second == static_cast<double>(n);
+  });
+}
+
+std::map<std::string, double> Fleet::Metrics(std::size_t host) const {
+  const HostPlan& plan = hosts_.at(host);
+  const Request request{.target = "/metrics"};
+  return ParseMetrics(
+      Fetch(plan.ip, plan.metrics_port, request, kFetchTimeout).body);
+}
+
+json::value Fleet::Version(std::size_t host) const {
+  const HostPlan& plan = hosts_.at(host);
+  const Request request{.target = "/version"};
+  return json::parse(
+      Fetch(plan.ip, plan.metrics_port, request, kFetchTimeout).body);
+}
+
+Response Fleet::Call(std::size_t host, const Request& request) const {
+  const HostPlan& plan = hosts_.at(host);
+  return Fetch(plan.ip, plan.call_port, request, kFetchTimeout);
+}
+
+void Fleet::ControlStore(const std::string& text) const {
+  const Request request{.method = "POST", .target = "/control", .body = text};
+  const Response response =
+      Fetch(kStoreIp, store_port_, request, kFetchTimeout);
+  if (response.status != 200) {
+    throw std::runtime_error("the store refused " + text + ": " +
+                             response.body);
+  }
+}
+
+json::value Fleet::StoreStats() const {
+  const Request request{.target = "/control/stats"};
+  return json::parse(Fetch(kStoreIp, store_port_, request, kFetchTimeout).body);
+}
+
+void Fleet::ControlUpstream(std::size_t host, const std::string& text) const {
+  const HostPlan& plan = hosts_.at(host);
+  const Request request{.method = "POST", .target = "/control", .body = text};
+  const Response response =
+      Fetch(plan.ip, plan.upstream_port, request, kFetchTimeout);
+  if (response.status != 200) {
+    throw std::runtime_error("the upstream refused " + text + ": " +
+                             response.body);
+  }
+}
+
+json::value Fleet::Executions(std::size_t host) const {
+  const HostPlan& plan = hosts_.at(host);
+  const Request request{.target = "/control/executions"};
+  return json::parse(
+      Fetch(plan.ip, plan.upstream_port, request, kFetchTimeout).body);
+}
+
+std::unique_ptr<AdminClient> Fleet::Admin(std::size_t host) const {
+  const HostPlan& plan = hosts_.at(host);
+  return std::make_unique<AdminClient>(plan.ip, plan.admin_port, kToken,
+                                       Milliseconds(15'000));
+}
+
+std::string Fleet::Token() {
+  return kToken;
+}
+
+json::object Fleet::SettingsOf(std::size_t host) const {
+  const HostPlan& plan = hosts_.at(host);
+  json::array seeds;
+  for (std::size_t i = 0; i < std::min(hosts_.size(), kSeedHosts); ++i) {
+    seeds.emplace_back(hosts_.at(i).ip + ":" +
+                       std::to_string(hosts_.at(i).peer_port));
+  }
+  json::object settings{
+      {"node",
+       {{"ip", plan.ip},
+        {"peer_port", plan.peer_port},
+        {"call_port", plan.call_port},
+        {"admin_port", plan.admin_port},
+        {"metrics_port", plan.metrics_port},
+        {"region", plan.region},
+        {"zone", plan.zone}}},
+      {"upstream",
+       {{"service", plan.service},
+        {"ip", plan.ip},
+        {"port", plan.upstream_port},
+        {"slots", options_.deployment.slots}}},
+      {"store",
+       {{"endpoints",
+         {std::string(kStoreIp) + ":" + std::to_string(store_port_)}}}},
+      {"fleet", {{"seeds", std::move(seeds)}}},
+  };
+  Merge(options_.deployment.settings, &settings);
+  Merge(options_.settings, &settings);
+  settings["operators"] =
+      json::array{json::object{{"name", "example"},
+                               {"token_hash", HashToken(kToken)},
+                               {"tenants", json::array{"*"}}}};
+  return settings;
+}
+
+std::string Fleet::WriteSettings(std::size_t host) const {
+  const std::string file =
+      options_.work + "/node-" + std::to_string(host) + ".json";
+  std::ofstream out(file, std::ios::trunc);
+  out << json::serialize(SettingsOf(host)) << "\n";
+  return file;
+}
+
+Change ExampleChange(const Deployment& deployment, const ChangeId& id) {
+  Change change{.id = id, .author = {}, .edits = {}};
+  const std::string& tenant = deployment.tenant;
+  const auto put = [&change](auto item) {
+    change.edits.push_back({std::move(item), {}});
+  };
+  put(Site{.name = "workshop", .tenant = tenant, .time_zone = "GMT+00"});
+  for (const std::string& it : deployment.services) {
+    put(Service{.name = it, .tenant = tenant});
+  }
+  const std::string& reads = deployment.services.at(0);
+  const std::string& orders = deployment.services.at(1);
+  const std::string& files = deployment.services.at(2);
+  put(Route{.name = "status",
+            .tenant = tenant,
+            .path_prefix = "/status",
+            .service = reads,
+            .request_class = "status",
+            .repeat = RepeatPolicy::kRepeatable,
+            .timeout = Milliseconds(2'000)});
+  put(Route{.name = "files",
+            .tenant = tenant,
+            .path_prefix = "/bytes",
+            .service = files,
+            .request_class = "files",
+            .repeat = RepeatPolicy::kRepeatable,
+            .timeout = Milliseconds(10'000)});
+  put(Route{.name = "orders",
+            .tenant = tenant,
+            .path_prefix = "/orders",
+            .service = orders,
+            .request_class = "order",
+            .repeat = RepeatPolicy::kOnce,
+            .timeout = Milliseconds(5'000)});
+  put(Route{.name = "runs",
+            .tenant = tenant,
+            .path_prefix = "/runs",
+            .service = orders,
+            .request_class = "run",
+            .repeat = RepeatPolicy::kOnce,
+            .timeout = Milliseconds(5'000),
+            .noisy = true,
+            .site = "workshop",
+            .longest_job = Seconds(60)});
+  return change;
+}
+
+}  // namespace cassiabend::harness
