--- /dev/null
+++ b/src/cassiabend/model/change.cc
@@ -0,0 +1,146 @@
+#include "cassiabend/model/change.h"
+
+#include <algorithm>
+#include <array>
+#include <type_traits>
+#include <utility>
+
+#include "cassiabend/base/error.h"
+#include "cassiabend/model/items.h"
+
+namespace cassiabend {
+namespace {
+
+/// \brief Whether two items are equal but for their revisions.
+template <typename Item>
+bool SameContent(const Item& a, Item b) {
+  b.revision = a.revision;
+  return a == b;
+}
+
+template <typename Item>
+void PutItem(Item item, VersionNumber number, Config* config) {
+  item.revision = number;
+  std::vector<Item>& items = ItemsOf<Item>(*config);
+  const auto it = LowerBound(items, item.name);
+  if (it == items.end() || it->name != item.name) {
+    items.insert(it, std::move(item));
+    return;
+  }
+  if (!SameContent(*it, item)) {
+    *it = std::move(item);
+  }
+}
+
+template <typename Item>
+void RemoveItem(const ItemRef& target, Config* config) {
+  std::vector<Item>& items = ItemsOf<Item>(*config);
+  const auto it = LowerBound(items, target.name);
+  if (it == items.end() || it->name != target.name) {
+    throw ModelError("cannot remove the item", PathOf(target),
+                     "it does not exist");
+  }
+  items.erase(it);
+}
+
+void Remove(const ItemRef& target, Config* config) {
+  switch (target.kind) {
+    case ItemKind::kSite:
+      return RemoveItem<Site>(target, config);
+    case ItemKind::kService:
+      return RemoveItem<Service>(target, config);
+    case ItemKind::kRoute:
+      return RemoveItem<Route>(target, config);
+    case ItemKind::kWindow:
+      return RemoveItem<QuietWindow>(target, config);
+  }
+}
+
+template <typename Item>
+void AppendDifference(const Config& from,
+                      const Config& to,
+                      std::vector<Edit>* out) {
+  const std::vector<Item>& before = ItemsOf<Item>(from);
+  const std::vector<Item>& after = ItemsOf<Item>(to);
+  for (const Item& it : before) {
+    if (FindItem(after, it.name) == nullptr) {
+      out->push_back({.action = ItemRef{kKindOf<Item>, it.name}});
+    }
+  }
+  for (const Item& it : after) {
+    const Item* old = FindItem(before, it.name);
+    if (old == nullptr || !SameContent(*old, it)) {
+      out->push_back({.action = it});
+    }
+  }
+}
+
+}  // namespace
+
+ItemRef TargetOf(const Edit& edit) {
+  return std::visit(
+      [](const auto& it) {
+        using Action = std::decay_t<decltype(it)>;
+        if constexpr (std::is_same_v<Action, ItemRef>) {
+          return it;
+        } else {
+          return ItemRef{kKindOf<Action>, it.name};
+        }
+      },
+      edit.action);
+}
+
+std::string PathOf(const ItemRef& item) {
+  constexpr std::array<const char*, 4> kListNames = {"sites", "services",
+                                                     "routes", "windows"};
+  std::string out = kListNames.at(static_cast<std::size_t>(item.kind));
+  out += "[" + item.name + "]";
+  return out;
+}
+
+Config ApplyEdits(const Config& base,
+                  const std::vector<Edit>& edits,
+                  const ChangeId& change_id,
+                  const std::string& author) {
+  return ApplyEditsAs(base.number + 1, base, edits, change_id, author);
+}
+
+Config ApplyEditsAs(VersionNumber number,
+                    const Config& base,
+                    const std::vector<Edit>& edits,
+                    const ChangeId& change_id,
+                    const std::string& author) {
+  if (number <= base.number) {
+    throw ModelError("cannot number the version", std::to_string(number),
+                     "its base has the number " + std::to_string(base.number));
+  }
+  Config out = base;
+  out.number = number;
+  out.parent = base.number;
+  out.change_id = change_id;
+  out.author = author;
+  for (const Edit& edit : edits) {
+    std::visit(
+        [&out](const auto& it) {
+          using Action = std::decay_t<decltype(it)>;
+          if constexpr (std::is_same_v<Action, ItemRef>) {
+            Remove(it, &out);
+          } else {
+            PutItem(it, out.number, &out);
+          }
+        },
+        edit.action);
+  }
+  return out;
+}
+
+std::vector<Edit> Difference(const Config& from, const Config& to) {
+  std::vector<Edit> out;
+  AppendDifference<QuietWindow>(from, to, &out);
+  AppendDifference<Route>(from, to, &out);
+  AppendDifference<Service>(from, to, &out);
+  AppendDifference<Site>(from, to, &out);
+  return out;
+}
+
+}  // namespace cassiabend
--- a/src/cassiabend/model/change.h
+++ b/src/cassiabend/model/change.h
@@ -59,13 +59,22 @@
 [[nodiscard]] std::string PathOf(const ItemRef& item);
 
 /// \brief Applies `edits` to `base` and stamps the result as its successor.
-/// Changed items get the new number as their revision. Does not validate.
+/// Items whose content changes get the new number as their revision. Does not
+/// validate.
 /// \throws ModelError when an edit removes an absent item.
 [[nodiscard]] Config ApplyEdits(const Config& base,
                                 const std::vector<Edit>& edits,
                                 const ChangeId& change_id,
                                 const std::string& author);
 
+/// \brief Like `ApplyEdits`, with a number that need not be the next one.
+/// \throws ModelError also when `number` is not above that of `base`.
+[[nodiscard]] Config ApplyEditsAs(VersionNumber number,
+                                  const Config& base,
+                                  const std::vector<Edit>& edits,
+                                  const ChangeId& change_id,
+                                  const std::string& author);
+
 /// \returns The edits that turn `from` into `to`; revisions are not compared.
 [[nodiscard]] std::vector<Edit> Difference(const Config& from,
                                            const Config& to);
--- a/src/cassiabend/model/quiet_calendar.h
+++ b/src/cassiabend/model/quiet_calendar.h
@@ -6,6 +6,7 @@
 
 #include "cassiabend/base/time.h"
 #include "cassiabend/model/config.h"
+#include "cassiabend/model/time_zone.h"
 
 namespace cassiabend {
 
@@ -28,5 +29,12 @@
                                                  std::string_view time_zone,
                                                  WallTime from,
                                                  WallTime to);
+[[nodiscard]] std::vector<TimeRange> QuietRanges(const QuietWindow& window,
+                                                 const TimeZone& zone,
+                                                 WallTime from,
+                                                 WallTime to);
+
+/// \brief Sorts ranges and joins those that touch or overlap.
+[[nodiscard]] std::vector<TimeRange> MergeRanges(std::vector<TimeRange> ranges);
 
 }  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/model/route_table.cc
@@ -0,0 +1,52 @@
+#include "cassiabend/model/route_table.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace cassiabend {
+namespace {
+
+/// \brief Orders by prefix; within one, exact methods go before any method.
+bool Before(const Route* a, const Route* b) noexcept {
+  return std::tie(a->path_prefix, b->method, a->tenant) <
+         std::tie(b->path_prefix, a->method, b->tenant);
+}
+
+}  // namespace
+
+RouteTable::RouteTable(std::vector<const Route*> routes)
+    : routes_(std::move(routes)) {
+  std::ranges::sort(routes_, Before);
+  for (std::size_t i = 0; i < routes_.size(); ++i) {
+    const std::string_view text = routes_[i]->path_prefix;
+    if (prefixes_.empty() || prefixes_.back().text != text) {
+      const std::size_t last = prefixes_.empty() ? kNone : prefixes_.size() - 1;
+      prefixes_.push_back({text, i, i, Enclosing(last, text)});
+    }
+    prefixes_.back().last = i + 1;
+  }
+}
+
+std::size_t RouteTable::LongestPrefix(std::string_view path) const noexcept {
+  // Between a prefix and a path that starts with it, every text starts with
+  // that prefix too: the answer is the last entry not after `path`, or one of
+  // the entries that enclose it.
+  const auto after =
+      std::ranges::upper_bound(prefixes_, path, {}, &Prefix::text);
+  if (after == prefixes_.begin()) {
+    return kNone;
+  }
+  return Enclosing(static_cast<std::size_t>(after - prefixes_.begin()) - 1,
+                   path);
+}
+
+std::size_t RouteTable::Enclosing(std::size_t i,
+                                  std::string_view path) const noexcept {
+  while (i != kNone && !path.starts_with(prefixes_[i].text)) {
+    i = prefixes_[i].parent;
+  }
+  return i;
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/model/snapshot.cc
@@ -0,0 +1,112 @@
+#include "cassiabend/model/snapshot.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cassiabend/base/error.h"
+#include "cassiabend/model/codec.h"
+#include "cassiabend/model/items.h"
+#include "cassiabend/model/quiet_calendar.h"
+#include "cassiabend/model/validate.h"
+
+namespace cassiabend {
+namespace {
+
+/// How far beyond the work a search for the end of a run of windows looks.
+constexpr std::chrono::days kRunStep{8};
+/// Longest run of windows that is followed.
+constexpr std::chrono::days kRunLimit{400};
+
+bool Matches(const Route& route, const RouteQuery& query) noexcept {
+  if (!query.tenant.empty() && !route.tenant.empty() &&
+      route.tenant != query.tenant) {
+    return false;
+  }
+  return route.method.empty() || route.method == query.method;
+}
+
+/// \returns The end of the last of the merged ranges that touch [from, to).
+std::optional<WallTime> LastEnd(const std::vector<TimeRange>& ranges,
+                                WallTime from,
+                                WallTime to) {
+  std::optional<WallTime> out;
+  for (const TimeRange& it : ranges) {
+    if (it.end > from && it.begin < to) {
+      out = it.end;
+    }
+  }
+  return out;
+}
+
+}  // namespace
+
+Snapshot::Snapshot(Config config) : config_(std::move(config)) {
+  const std::vector<Violation> violations = Validate(config_);
+  if (!violations.empty()) {
+    throw ModelError("the configuration is not valid", violations.front().path,
+                     violations.front().reason);
+  }
+  mark_ = MarkOf(config_);
+  std::map<std::string, std::vector<const Route*>> routes;
+  for (const Route& it : config_.routes) {
+    routes[it.host].push_back(&it);
+  }
+  for (auto& [host, list] : routes) {
+    by_host_.emplace(host, RouteTable(std::move(list)));
+  }
+  for (const QuietWindow& it : config_.windows) {
+    auto found = calendars_.find(it.site);
+    if (found == calendars_.end()) {
+      const TimeZone zone(SiteByName(it.site)->time_zone);
+      found = calendars_.emplace(it.site, SiteCalendar{zone, {}}).first;
+    }
+    found->second.windows.push_back(&it);
+  }
+}
+
+const Route* Snapshot::FindRoute(const RouteQuery& query) const noexcept {
+  const auto accept = [&query](const Route& it) { return Matches(it, query); };
+  for (const std::string_view host : {query.host, std::string_view()}) {
+    const auto found = by_host_.find(host);
+    if (found == by_host_.end()) {
+      continue;
+    }
+    if (const Route* route = found->second.Find(query.path, accept)) {
+      return route;
+    }
+  }
+  return nullptr;
+}
+
+const Route* Snapshot::RouteByName(std::string_view name) const noexcept {
+  return FindItem(config_.routes, name);
+}
+
+const Site* Snapshot::SiteByName(std::string_view name) const noexcept {
+  return FindItem(config_.sites, name);
+}
+
+std::optional<WallTime> Snapshot::QuietUntil(std::string_view site,
+                                             WallTime from,
+                                             WallTime to) const {
+  const auto found = calendars_.find(site);
+  if (found == calendars_.end()) {
+    return std::nullopt;
+  }
+  WallTime limit = to + kRunStep;
+  for (;;) {
+    std::vector<TimeRange> ranges;
+    for (const QuietWindow* it : found->second.windows) {
+      const auto own = QuietRanges(*it, found->second.zone, from, limit);
+      ranges.insert(ranges.end(), own.begin(), own.end());
+    }
+    const auto end = LastEnd(MergeRanges(std::move(ranges)), from, to);
+    // A run that reaches the searched limit may go on beyond it.
+    if (!end || *end < limit || limit - to > kRunLimit) {
+      return end;
+    }
+    limit = *end + kRunStep;
+  }
+}
+
+}  // namespace cassiabend
--- a/src/cassiabend/model/snapshot.h
+++ b/src/cassiabend/model/snapshot.h
@@ -8,6 +8,8 @@
 
 #include "cassiabend/base/ref_counted.h"
 #include "cassiabend/model/config.h"
+#include "cassiabend/model/route_table.h"
+#include "cassiabend/model/time_zone.h"
 #include "cassiabend/model/version.h"
 
 namespace cassiabend {
@@ -26,6 +28,8 @@
  public:
   /// \throws ModelError when `config` breaks a rule of the model.
   explicit Snapshot(Config config);
+  Snapshot(const Snapshot&) = delete;
+  Snapshot& operator=(const Snapshot&) = delete;
 
   [[nodiscard]] const Config& config() const noexcept { return config_; }
   [[nodiscard]] const VersionMark& mark() const noexcept { return mark_; }
@@ -46,12 +50,17 @@
                                                    WallTime to) const;
 
  private:
+  /// \brief The quiet windows of one site.
+  struct SiteCalendar {
+    TimeZone zone;
+    std::vector<const QuietWindow*> windows;
+  };
+
   Config config_;
   VersionMark mark_;
-  /// Routes of each host, most specific first; "" holds those of any host.
-  std::map<std::string, std::vector<const Route*>, std::less<>> by_host_;
-  std::map<std::string, std::vector<const QuietWindow*>, std::less<>>
-      windows_by_site_;
+  /// Routes of each host; "" holds those of any host.
+  std::map<std::string, RouteTable, std::less<>> by_host_;
+  std::map<std::string, SiteCalendar, std::less<>> calendars_;
 };
 
 }  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/model/time_zone.cc
@@ -0,0 +1,116 @@
+#include "cassiabend/model/time_zone.h"
+
+#include <algorithm>
+#include <boost/date_time/local_time/posix_time_zone.hpp>
+#include <boost/date_time/posix_time/posix_time_types.hpp>
+#include <regex>
+#include <string>
+
+#include "cassiabend/base/error.h"
+
+namespace cassiabend {
+namespace {
+
+namespace local_time = boost::local_time;
+namespace posix_time = boost::posix_time;
+
+/// Years that Boost.DateTime can evaluate.
+constexpr int kFirstYear = 1400;
+constexpr int kLastYear = 9998;
+
+/// The forms that are accepted: a name with an offset, and optionally a
+/// daylight-saving name with its first and last day by month, week and weekday.
+const std::regex& RulePattern() {
+  static const std::regex pattern(
+      "[A-Za-z]{3,6}[+-][0-9]{2}(:[0-9]{2}){0,2}"
+      "([A-Za-z]{3,6}([+-]?[0-9]{2}(:[0-9]{2}){0,2})?"
+      "(,M([1-9]|1[0-2])\\.[1-5]\\.[0-6](/[0-9]{2}(:[0-9]{2}){0,2})?){2})?",
+      std::regex::optimize);
+  return pattern;
+}
+
+Seconds ToSeconds(const posix_time::time_duration& duration) {
+  return Seconds(duration.total_seconds());
+}
+
+std::chrono::sys_seconds ToSysSeconds(const posix_time::ptime& time) {
+  static const posix_time::ptime epoch(boost::gregorian::date(1970, 1, 1));
+  return std::chrono::sys_seconds(ToSeconds(time - epoch));
+}
+
+int YearOf(WallTime time) {
+  const std::chrono::year_month_day date(
+      std::chrono::floor<std::chrono::days>(time));
+  return std::clamp(static_cast<int>(date.year()), kFirstYear, kLastYear);
+}
+
+/// \brief The offset that holds from one moment on.
+struct Transition {
+  WallTime at{};
+  Seconds offset{0};
+};
+
+}  // namespace
+
+struct TimeZone::Rule {
+  explicit Rule(const std::string& text) : zone(text) {}
+
+  /// \returns Both changes of offset of one year, in order.
+  [[nodiscard]] std::array<Transition, 2> TransitionsOf(int year) const {
+    const auto y = static_cast<boost::gregorian::greg_year>(
+        static_cast<unsigned short>(year));
+    const Seconds base = ToSeconds(zone.base_utc_offset());
+    const Seconds summer = base + ToSeconds(zone.dst_offset());
+    const Transition start{ToSysSeconds(zone.dst_local_start_time(y)) - base,
+                           summer};
+    const Transition end{ToSysSeconds(zone.dst_local_end_time(y)) - summer,
+                         base};
+    if (start.at < end.at) {
+      return {start, end};
+    }
+    return {end, start};
+  }
+
+  local_time::posix_time_zone zone;
+};
+
+TimeZone::TimeZone(std::string_view rule) {
+  const std::string text(rule);
+  if (!std::regex_match(text, RulePattern())) {
+    throw ModelError("cannot read the zone rule", text,
+                     "it does not have the form NAME+HH or "
+                     "NAME+HHNAME,Mm.w.d/HH:MM,Mm.w.d/HH:MM");
+  }
+  try {
+    rule_ = std::make_shared<const Rule>(text);
+  } catch (const std::exception& e) {
+    throw ModelError("cannot read the zone rule", text, e.what());
+  }
+}
+
+std::vector<OffsetPeriod> TimeZone::Periods(WallTime from, WallTime to) const {
+  const Seconds base = ToSeconds(rule_->zone.base_utc_offset());
+  if (!rule_->zone.has_dst()) {
+    return {{from, to, base}};
+  }
+  std::vector<OffsetPeriod> out;
+  OffsetPeriod period{from, to, base};
+  for (int year = YearOf(from) - 1; year <= YearOf(to) + 1; ++year) {
+    for (const Transition& it : rule_->TransitionsOf(year)) {
+      if (it.at <= from) {
+        period.offset = it.offset;
+        continue;
+      }
+      if (it.at >= to) {
+        continue;
+      }
+      period.end = it.at;
+      out.push_back(period);
+      period = {it.at, to, it.offset};
+    }
+  }
+  out.push_back(period);
+  return out;
+}
+
+}  // namespace cassiabend
