--- a/schema/gen/mesh.capnp.h
+++ b/schema/gen/mesh.capnp.h
@@ -85,7 +85,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f58a70a20e155194, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f58a70a20e155194, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -101,7 +101,7 @@
   struct Body;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bd47d51d261602f1, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(bd47d51d261602f1, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -125,7 +125,7 @@
   struct PingRequest;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c29a73bbcf70fdd7, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(c29a73bbcf70fdd7, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -140,7 +140,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f3403346a1dd913b, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f3403346a1dd913b, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -445,6 +445,8 @@
 
   inline  ::cassiabend::schema::UpstreamState getUpstreamState() const;
 
+  inline bool getIsReader() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -522,6 +524,9 @@
   inline  ::cassiabend::schema::UpstreamState getUpstreamState();
   inline void setUpstreamState( ::cassiabend::schema::UpstreamState value);
 
+  inline bool getIsReader();
+  inline void setIsReader(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -584,6 +589,13 @@
 
   inline typename Body::Reader getBody() const;
 
+  inline  ::uint32_t getAttachSequence() const;
+
+  inline  ::uint32_t getHeldMs() const;
+
+  inline bool hasUnreachableZones() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getUnreachableZones() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -648,6 +660,20 @@
   inline typename Body::Builder getBody();
   inline typename Body::Builder initBody();
 
+  inline  ::uint32_t getAttachSequence();
+  inline void setAttachSequence( ::uint32_t value);
+
+  inline  ::uint32_t getHeldMs();
+  inline void setHeldMs( ::uint32_t value);
+
+  inline bool hasUnreachableZones();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getUnreachableZones();
+  inline void setUnreachableZones( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setUnreachableZones(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initUnreachableZones(unsigned int size);
+  inline void adoptUnreachableZones(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownUnreachableZones();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1991,6 +2017,20 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Member::Reader::getIsReader() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool Member::Builder::getIsReader() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setIsReader(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Datagram::Reader::hasFromIp() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2172,6 +2212,72 @@
   _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).clear();
   return typename Datagram::Body::Builder(_builder);
 }
+inline  ::uint32_t Datagram::Reader::getAttachSequence() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Datagram::Builder::getAttachSequence() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setAttachSequence( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Datagram::Reader::getHeldMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Datagram::Builder::getHeldMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setHeldMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Datagram::Reader::hasUnreachableZones() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasUnreachableZones() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Datagram::Reader::getUnreachableZones() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Datagram::Builder::getUnreachableZones() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setUnreachableZones( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void Datagram::Builder::setUnreachableZones(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Datagram::Builder::initUnreachableZones(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::Builder::adoptUnreachableZones(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Datagram::Builder::disownUnreachableZones() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline  ::cassiabend::schema::Datagram::Body::Which Datagram::Body::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<10>() * ::capnp::ELEMENTS);
--- a/schema/mesh.capnp
+++ b/schema/mesh.capnp
@@ -40,6 +40,8 @@
   service @8 :Text;
   slots @9 :UInt32;
   upstreamState @10 :UpstreamState;
+  isReader @11 :Bool;
+  # Holds one of its zone's reader leases.
 }
 
 struct Datagram {
@@ -71,6 +73,12 @@
     attach @14 :Void;
     # From a child to the parent that it has chosen.
   }
+  attachSequence @15 :UInt32;
+  # With `attach`: its number. With `beat`: that of the receiver's newest attach.
+  heldMs @16 :UInt32;
+  # With `beat`: time since that attach was received.
+  unreachableZones @17 :List(Text);
+  # With `beat`: zones that the sender's zone cannot reach.
 }
 
 struct ConfigUpdate {
--- a/src/cassiabend/core/fleet_events.h
+++ b/src/cassiabend/core/fleet_events.h
@@ -26,9 +26,16 @@
   std::uint32_t sequence = 0;
   NodeId target;
 };
-struct BeatBody {};
+struct BeatBody {
+  /// Sequence of the receiver's newest attach.
+  std::uint32_t sequence = 0;
+  /// Time since that attach was received.
+  Milliseconds held{0};
+};
 struct JoinBody {};
-struct AttachBody {};
+struct AttachBody {
+  std::uint32_t sequence = 0;
+};
 
 struct Datagram {
   NodeId from;
@@ -46,6 +53,8 @@
                JoinBody,
                AttachBody>
       body;
+  /// With a beat: zones that the sender's zone cannot reach.
+  std::vector<std::string> unreachable_zones;
 };
 
 /// \brief The sender has nothing newer.
--- /dev/null
+++ b/src/cassiabend/core/fleet_reducer_impl.cc
@@ -0,0 +1,316 @@
+#include "cassiabend/core/fleet_reducer_impl.h"
+
+#include <utility>
+
+namespace cassiabend {
+
+FleetReducer::Impl::Impl(const FleetOptions& options,
+                         const Member& self,
+                         std::uint64_t seed)
+    : options_(options),
+      random_(seed),
+      membership_(self),
+      prober_(self.start_id),
+      spread_(self.start_id),
+      lease_(self) {}
+
+void FleetReducer::Impl::Reduce(const Instant& now,
+                                const FleetEvent& event,
+                                std::vector<FleetEffect>* out) {
+  const std::size_t begin = out->size();
+  const FleetContext context(options_, now, &random_, &store_sequence_, out);
+  const VersionMark mark_before = versions_.mark();
+  committed_here_ = false;
+  std::visit([&](const auto& it) { On(context, it); }, event);
+  Finish(context, mark_before);
+  for (std::size_t i = begin; i < out->size(); ++i) {
+    if (auto* send = std::get_if<SendDatagram>(&(*out)[i])) {
+      Complete(context, send);
+    }
+  }
+}
+
+void FleetReducer::Impl::Finish(const FleetContext& context,
+                                const VersionMark& mark_before) {
+  tree_.Refresh(options_, membership_);
+  if (versions_.mark() != mark_before) {
+    spread_.PushNewest(context, tree_, membership_, versions_, freshness_,
+                       committed_here_);
+  }
+  if (membership_.self().is_reader != lease_.holds()) {
+    Member self = membership_.self();
+    self.is_reader = lease_.holds();
+    membership_.StateSelf(context, std::move(self));
+  }
+  readiness_.Update(context,
+                    {membership_, versions_, freshness_, watch_.head_state(),
+                     join_.joined(), store_answers_});
+}
+
+void FleetReducer::Impl::Complete(const FleetContext& context,
+                                  SendDatagram* send) {
+  Datagram& datagram = send->datagram;
+  const Member& self = membership_.self();
+  datagram.from = self.id;
+  datagram.from_start_id = self.start_id;
+  datagram.mark = versions_.mark();
+  datagram.confirmed_age = freshness_.AgeAt(context.now());
+  datagram.load_permille = load_permille_;
+  const MemberEntry* receiver = membership_.Find(send->to);
+  const auto* ack = std::get_if<AckBody>(&datagram.body);
+  const bool introduces = std::holds_alternative<JoinBody>(datagram.body) ||
+                          (ack != nullptr && ack->sequence == 0) ||
+                          receiver == nullptr || !receiver->heard_at;
+  datagram.updates = membership_.TakeUpdates(send->to, introduces);
+  if (std::holds_alternative<BeatBody>(datagram.body)) {
+    const auto& zones = membership_.unreachable_zones();
+    datagram.unreachable_zones.assign(zones.begin(), zones.end());
+  }
+}
+
+void FleetReducer::Impl::On(const FleetContext& context, const FleetTick&) {
+  tree_.Refresh(options_, membership_);
+  membership_.Tick(context);
+  prober_.Tick(context, tree_, &membership_);
+  lease_.Tick(context, tree_);
+  watch_.Tick(context, lease_.holds());
+  seeds_.Tick(context, tree_, membership_, lease_.holds());
+  spread_.Tick(context, tree_, membership_, watch_.ReadsAt(context));
+  pull_.Tick(context, versions_);
+  join_.Tick(context, tree_, membership_);
+}
+
+bool FleetReducer::Impl::IsFromOlderProcess(const Datagram& datagram) const {
+  const MemberEntry* entry = membership_.Find(datagram.from);
+  return entry != nullptr && datagram.from_start_id < entry->member.start_id;
+}
+
+void FleetReducer::Impl::On(const FleetContext& context,
+                            const DatagramReceived& event) {
+  const Datagram& datagram = event.datagram;
+  if (datagram.from.empty() || datagram.from == membership_.self().id) {
+    return;
+  }
+  membership_.Merge(context, datagram.updates);
+  TakeSender(context, datagram);
+  if (IsFromOlderProcess(datagram)) {
+    return;
+  }
+  std::visit([&](const auto& it) { OnBody(context, datagram, it); },
+             datagram.body);
+  NoticeMark(context, datagram.from, datagram.mark);
+}
+
+void FleetReducer::Impl::TakeSender(const FleetContext& context,
+                                    const Datagram& datagram) {
+  const MemberEntry* entry = membership_.Find(datagram.from);
+  if (entry != nullptr && entry->member.start_id == datagram.from_start_id) {
+    membership_.TakeHeader(context, datagram);
+    prober_.OnHeard(context, entry->member.zone);
+    return;
+  }
+  // Either this node or the sender does not know the sender's newest start.
+  if (!std::holds_alternative<JoinBody>(datagram.body) &&
+      member_server_.MayAskWho(context)) {
+    context.Send(datagram.from, JoinBody{});
+  }
+}
+
+void FleetReducer::Impl::NoticeMark(const FleetContext& context,
+                                    const NodeId& peer,
+                                    const VersionMark& mark) {
+  if (IsLive(membership_.self().status)) {
+    pull_.Notice(context, versions_, peer, mark);
+  }
+}
+
+void FleetReducer::Impl::OnBody(const FleetContext& context,
+                                const Datagram& datagram,
+                                const PingBody& body) {
+  prober_.OnPing(context, datagram.from, body);
+}
+
+void FleetReducer::Impl::OnBody(const FleetContext& context,
+                                const Datagram& datagram,
+                                const AckBody& body) {
+  const std::optional<MonoTime> sent_at = prober_.OnAck(context, body);
+  if (sent_at && versions_.Covers(datagram.mark)) {
+    freshness_.ConfirmByPeer(context, *sent_at, Milliseconds(0),
+                             datagram.confirmed_age);
+  }
+}
+
+void FleetReducer::Impl::OnBody(const FleetContext& context,
+                                const Datagram& datagram,
+                                const PingRequestBody& body) {
+  prober_.OnPingRequest(context, datagram.from, body);
+}
+
+void FleetReducer::Impl::OnBody(const FleetContext& context,
+                                const Datagram& datagram,
+                                const BeatBody& body) {
+  const std::optional<MonoTime> sent_at =
+      spread_.OnBeat(context, datagram.from, body);
+  if (sent_at && versions_.Covers(datagram.mark)) {
+    freshness_.ConfirmByPeer(context, *sent_at, body.held,
+                             datagram.confirmed_age);
+  }
+  if (spread_.parent() == datagram.from && !tree_.is_root()) {
+    membership_.SetUnreachableZones(
+        context,
+        {datagram.unreachable_zones.begin(), datagram.unreachable_zones.end()});
+  }
+}
+
+void FleetReducer::Impl::OnBody(const FleetContext& context,
+                                const Datagram& datagram,
+                                const JoinBody&) {
+  context.Send(datagram.from, AckBody{0});
+}
+
+void FleetReducer::Impl::OnBody(const FleetContext& context,
+                                const Datagram& datagram,
+                                const AttachBody& body) {
+  const MemberEntry* entry = membership_.Find(datagram.from);
+  if (entry != nullptr && !IsLive(entry->member.status)) {
+    return;
+  }
+  spread_.OnAttach(context, datagram.from, datagram.mark, body);
+}
+
+void FleetReducer::Impl::On(const FleetContext& context,
+                            const PushReceived& event) {
+  const ConfigUpdate& update = event.update;
+  OfferResult result = OfferResult::kSame;
+  if (!IsLive(membership_.self().status)) {
+    result = OfferResult::kOlder;
+  } else if (const auto* delta = std::get_if<ConfigDelta>(&update.body)) {
+    result = versions_.OfferDelta(context, update.mark, *delta);
+  } else if (const auto* whole =
+                 std::get_if<RefPtr<const Snapshot>>(&update.body)) {
+    result = versions_.OfferWhole(context, update.mark, *whole);
+  }
+  if (result == OfferResult::kNoBase) {
+    // The sender of a push is not named; a parent or root has the version soon.
+    if (spread_.parent()) {
+      NoticeMark(context, *spread_.parent(), update.mark);
+    }
+  }
+  context.Emit(ReplyPush{event.request, versions_.mark()});
+}
+
+void FleetReducer::Impl::On(const FleetContext& context,
+                            const PullReceived& event) {
+  context.Emit(ReplyPull{
+      event.request,
+      pull_server_.Answer(context, versions_, freshness_, event.have)});
+}
+
+void FleetReducer::Impl::On(const FleetContext& context,
+                            const MembersRequested& event) {
+  context.Emit(ReplyMembers{
+      event.request, member_server_.Answer(context, membership_, tree_)});
+}
+
+void FleetReducer::Impl::On(const FleetContext& context,
+                            const PushAnswered& event) {
+  if (!event.mark) {
+    return;
+  }
+  spread_.OnChildMark(event.peer, *event.mark);
+  NoticeMark(context, event.peer, *event.mark);
+}
+
+void FleetReducer::Impl::On(const FleetContext& context,
+                            const PullAnswered& event) {
+  pull_.OnAnswer(context, event, &versions_, &freshness_);
+}
+
+void FleetReducer::Impl::On(const FleetContext& context,
+                            const MembersAnswered& event) {
+  join_.OnMembers(context, event, &membership_);
+}
+
+void FleetReducer::Impl::On(const FleetContext& context,
+                            const LocalUpstreamChanged& event) {
+  Member self = membership_.self();
+  self.upstream_state = event.state;
+  self.slots = event.slots;
+  membership_.StateSelf(context, std::move(self));
+}
+
+void FleetReducer::Impl::On(const FleetContext&,
+                            const LocalLoadChanged& event) {
+  load_permille_ = event.load_permille;
+}
+
+void FleetReducer::Impl::On(const FleetContext& context,
+                            const LeaveRequested&) {
+  if (!IsLive(membership_.self().status)) {
+    return;
+  }
+  lease_.Release(context);
+  Member self = membership_.self();
+  self.status = MemberStatus::kLeft;
+  self.upstream_state = UpstreamState::kDraining;
+  self.is_reader = false;
+  membership_.StateSelf(context, std::move(self));
+  prober_.Announce(context, tree_, membership_);
+}
+
+void FleetReducer::Impl::On(const FleetContext& context,
+                            const VersionCommitted& event) {
+  if (!event.snapshot) {
+    return;
+  }
+  const VersionMark mark = event.snapshot->mark();
+  const OfferResult result =
+      versions_.OfferWhole(context, mark, event.snapshot);
+  committed_here_ = result == OfferResult::kApplied;
+  versions_.KeepDelta(event.delta);
+  if (versions_.Covers(mark)) {
+    freshness_.Confirm(context, event.confirmed_at);
+  }
+}
+
+void FleetReducer::Impl::On(const FleetContext& context,
+                            const StoreReplied& event) {
+  if (event.id.role != StoreClientRole::kFleet) {
+    return;
+  }
+  store_answers_ = event.reply.status != StoreStatus::kUnavailable &&
+                   event.reply.status != StoreStatus::kUnknown;
+  if (lease_.OnReply(context, event)) {
+    const NodeId holder = lease_.TakeSeenHolder();
+    if (!holder.empty()) {
+      join_.MeetUnknown(context, {holder}, membership_);
+    }
+    return;
+  }
+  if (watch_.OnReply(context, event, &versions_, &freshness_) ||
+      join_.OnReply(context, event, membership_)) {
+    return;
+  }
+  if (seeds_.OnReply(context, event, tree_, membership_)) {
+    join_.MeetUnknown(context, seeds_.TakeSeen(), membership_);
+  }
+}
+
+std::vector<MemberView> FleetReducer::Impl::Members(const Instant& now) const {
+  std::vector<MemberView> views;
+  MemberView own{membership_.self(), versions_.mark(),
+                 freshness_.AgeAt(now.mono), Milliseconds(0)};
+  views.push_back(std::move(own));
+  for (const auto& [id, entry] : membership_.entries()) {
+    MemberView view{membership_.Shown(entry), entry.mark, entry.confirmed_age,
+                    std::nullopt};
+    if (entry.heard_at) {
+      view.mark_age =
+          std::chrono::ceil<Milliseconds>(now.mono - *entry.heard_at);
+    }
+    views.push_back(std::move(view));
+  }
+  return views;
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/core/join.cc
@@ -0,0 +1,168 @@
+#include "cassiabend/core/join.h"
+
+#include <algorithm>
+
+#include "cassiabend/core/join_seeds.h"
+
+namespace cassiabend {
+namespace {
+
+/// Addresses tried at the same time.
+constexpr std::size_t kMeetAtOnce = 2;
+constexpr Milliseconds kMeetPeriod{1'500};
+/// Most members that a joining node asks for their lists.
+constexpr std::uint32_t kMeetingLimit = 6;
+
+bool KnowsLiveMember(const Membership& membership) {
+  return std::ranges::any_of(membership.entries(), [](const auto& it) {
+    return IsLive(it.second.member.status);
+  });
+}
+
+}  // namespace
+
+void Join::Tick(const FleetContext& context,
+                const SpreadTree& tree,
+                const Membership& membership) {
+  if (!IsLive(membership.self().status)) {
+    return;
+  }
+  if (joined_ && !KnowsLiveMember(membership)) {
+    joined_ = false;
+  }
+  if (!joined_) {
+    SeekPeers(context, membership);
+    return;
+  }
+  const MonoTime now = context.now();
+  if (meetings_left_ > 0 && now >= next_meet_at_) {
+    --meetings_left_;
+    next_meet_at_ = now + context.random().Jitter(kMeetPeriod, 0.5);
+    std::vector<NodeId> live = membership.LiveInZone();
+    if (!live.empty()) {
+      Meet(context, live[context.random().Below(live.size())]);
+    }
+  }
+  CompareMembers(context, tree, membership);
+}
+
+void Join::SeekPeers(const FleetContext& context,
+                     const Membership& membership) {
+  const MonoTime now = context.now();
+  if (now >= next_meet_at_) {
+    next_meet_at_ = now + context.random().Jitter(kMeetPeriod, 0.5);
+    std::vector<NodeId> peers = context.options().seeds;
+    peers.insert(peers.end(), found_.begin(), found_.end());
+    MeetSome(context, peers, membership);
+  }
+  if (!next_read_at_) {
+    next_read_at_ =
+        now + context.random().Jitter(context.options().join_jitter / 2, 1.0);
+  }
+  if (seed_read_.OverdueAt(now)) {
+    seed_read_.GiveUp();
+    next_read_at_ = backoff_.Fail(context);
+  }
+  if (seed_read_.active() || now < *next_read_at_) {
+    return;
+  }
+  const std::string key = zone_key_read_ ? std::string(kFleetSeedKey)
+                                         : kSeedPrefix + membership.self().zone;
+  seed_read_.Start(context, StoreGet{key}, kStoreCallTimeout);
+}
+
+bool Join::OnReply(const FleetContext& context,
+                   const StoreReplied& replied,
+                   const Membership& membership) {
+  if (!seed_read_.Finish(replied.id.sequence)) {
+    return false;
+  }
+  next_read_at_ = backoff_.Fail(context);
+  if (replied.reply.status != StoreStatus::kOk) {
+    return true;
+  }
+  // Where the zone's own addresses do not help, those of the fleet are next.
+  zone_key_read_ = !zone_key_read_;
+  if (!replied.reply.entry) {
+    return true;
+  }
+  found_ = ParseSeeds(replied.reply.entry->value);
+  MeetSome(context, found_, membership);
+  return true;
+}
+
+void Join::OnMembers(const FleetContext& context,
+                     const MembersAnswered& answer,
+                     Membership* membership) {
+  if (!answer.members) {
+    return;
+  }
+  const bool sync = answer.peer == sync_peer_;
+  const std::size_t known = membership->entries().size();
+  membership->Merge(context, *answer.members, sync ? Relay::kYes : Relay::kNo);
+  if (!joined_) {
+    joined_ = KnowsLiveMember(*membership);
+    backoff_.Reset();
+    meetings_left_ = kMeetingLimit;
+    next_meet_at_ =
+        context.now() + context.random().Jitter(kMeetPeriod / 2, 0.5);
+  } else if (!sync && membership->entries().size() == known) {
+    meetings_left_ = 0;
+  }
+}
+
+void Join::MeetUnknown(const FleetContext& context,
+                       const std::vector<NodeId>& peers,
+                       const Membership& membership) {
+  std::vector<NodeId> unknown;
+  for (const NodeId& id : peers) {
+    if (membership.Find(id) == nullptr) {
+      unknown.push_back(id);
+    }
+  }
+  MeetSome(context, unknown, membership);
+}
+
+void Join::Meet(const FleetContext& context, const NodeId& peer) const {
+  context.Send(peer, JoinBody{});
+  context.Emit(SendMembersRequest{peer});
+}
+
+void Join::MeetSome(const FleetContext& context,
+                    const std::vector<NodeId>& peers,
+                    const Membership& membership) const {
+  std::vector<NodeId> left = peers;
+  std::erase(left, membership.self().id);
+  for (std::size_t i = 0; i < kMeetAtOnce && !left.empty(); ++i) {
+    const auto it = left.begin() + static_cast<std::ptrdiff_t>(
+                                       context.random().Below(left.size()));
+    Meet(context, *it);
+    left.erase(it);
+  }
+}
+
+void Join::CompareMembers(const FleetContext& context,
+                          const SpreadTree& tree,
+                          const Membership& membership) {
+  const Nanoseconds period = context.options().member_sync_period;
+  if (!next_sync_at_) {
+    next_sync_at_ = context.now() + context.random().Jitter(period / 2, 1.0);
+  }
+  if (!tree.is_root() || context.now() < *next_sync_at_) {
+    return;
+  }
+  next_sync_at_ = context.now() + context.random().Jitter(period, 0.3);
+  std::vector<NodeId> peers;
+  for (const auto& [zone, roots] : tree.all_roots()) {
+    if (zone != membership.self().zone) {
+      peers.insert(peers.end(), roots.begin(), roots.end());
+    }
+  }
+  if (peers.empty()) {
+    return;
+  }
+  sync_peer_ = peers[context.random().Below(peers.size())];
+  context.Emit(SendMembersRequest{sync_peer_});
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/core/join_readiness.cc
@@ -0,0 +1,89 @@
+#include "cassiabend/core/join_readiness.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiabend {
+namespace {
+
+/// Time after the start in which only a confirmation of the head counts, so
+/// that peers can be met before their number is judged.
+constexpr Milliseconds kMeetTime{2'000};
+/// Oldest confirmation, before the start, that makes a node ready by itself.
+constexpr Milliseconds kConfirmationAge{10'000};
+
+}  // namespace
+
+void JoinReadiness::Update(const FleetContext& context, const Inputs& inputs) {
+  if (!started_at_) {
+    started_at_ = context.now();
+  }
+  const bool leaves = !IsLive(inputs.membership.self().status);
+  std::string reason;
+  if (leaves) {
+    reason = "the node is leaving";
+  } else if (!ready_) {
+    reason = ReasonNotReady(context, inputs);
+  }
+  ready_ = reason.empty();
+  if (reason_ == reason) {
+    return;
+  }
+  reason_ = reason;
+  context.Emit(ReadinessChanged{ready_, std::move(reason)});
+}
+
+std::string JoinReadiness::ReasonNotReady(const FleetContext& context,
+                                          const Inputs& inputs) const {
+  const bool store_lost = inputs.store_answers == false;
+  if (inputs.versions.newest()) {
+    if (IsVouchedFor(context, inputs)) {
+      return {};
+    }
+    return "no store read and too few peers vouch for the version held";
+  }
+  if (inputs.head_state == HeadState::kAbsent) {
+    return "the store holds no configuration";
+  }
+  if (!inputs.joined) {
+    return store_lost ? "the store is unreachable and no peer answers"
+                      : "no configuration yet: looking for peers";
+  }
+  return store_lost ? "the store is unreachable and no peer has a configuration"
+                    : "no configuration yet: waiting for peers";
+}
+
+bool JoinReadiness::IsVouchedFor(const FleetContext& context,
+                                 const Inputs& inputs) const {
+  const std::optional<MonoTime> confirmed = inputs.freshness.confirmed_at();
+  if (confirmed && *confirmed + kConfirmationAge >= *started_at_) {
+    return true;
+  }
+  if (context.now() - *started_at_ < kMeetTime || !inputs.joined) {
+    return false;
+  }
+  const std::string& zone = inputs.membership.self().zone;
+  std::uint32_t in_zone = 0;
+  std::uint32_t elsewhere = 0;
+  std::uint32_t vouching_in_zone = 0;
+  std::uint32_t vouching_elsewhere = 0;
+  for (const auto& [id, entry] : inputs.membership.entries()) {
+    if (!IsLive(entry.member.status)) {
+      continue;
+    }
+    const bool vouches = entry.heard_at && entry.mark.number > 0;
+    if (vouches && !inputs.versions.Covers(entry.mark)) {
+      return false;
+    }
+    const bool near = entry.member.zone == zone;
+    (near ? in_zone : elsewhere) += 1;
+    (near ? vouching_in_zone : vouching_elsewhere) += vouches ? 1 : 0;
+  }
+  const std::uint32_t known = in_zone > 0 ? in_zone : elsewhere;
+  const std::uint32_t vouching =
+      in_zone > 0 ? vouching_in_zone : vouching_elsewhere;
+  return known > 0 &&
+         vouching >= std::min(known, context.options().join_quorum);
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/core/join_seeds.cc
@@ -0,0 +1,153 @@
+#include "cassiabend/core/join_seeds.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiabend {
+namespace {
+
+constexpr Milliseconds kCheckPeriod{60'000};
+/// Pause before the second key and after a lost race.
+constexpr Milliseconds kShortPause{300};
+constexpr std::size_t kSeedsPerZone = 4;
+constexpr std::size_t kFleetSeedsPerZone = 2;
+constexpr std::size_t kFleetSeedLimit = 32;
+
+bool Contains(const std::vector<NodeId>& ids, const NodeId& id) {
+  return std::ranges::find(ids, id) != ids.end();
+}
+
+}  // namespace
+
+std::string FormatSeeds(const std::vector<NodeId>& seeds) {
+  std::string text;
+  for (const NodeId& id : seeds) {
+    text += ToString(id) + "\n";
+  }
+  return text;
+}
+
+std::vector<NodeId> ParseSeeds(std::string_view text) {
+  std::vector<NodeId> seeds;
+  while (!text.empty()) {
+    const std::size_t end = std::min(text.find('\n'), text.size());
+    NodeId id;
+    if (ParseNodeId(text.substr(0, end), &id)) {
+      seeds.push_back(std::move(id));
+    }
+    text.remove_prefix(std::min(end + 1, text.size()));
+  }
+  return seeds;
+}
+
+void SeedDirectory::Tick(const FleetContext& context,
+                         const SpreadTree& tree,
+                         const Membership& membership,
+                         bool enabled) {
+  (void)tree;
+  if (enabled != enabled_) {
+    enabled_ = enabled;
+    pending_.GiveUp();
+    next_at_ = context.now();
+    fleet_key_ = false;
+  }
+  if (!enabled_) {
+    return;
+  }
+  if (pending_.OverdueAt(context.now())) {
+    pending_.GiveUp();
+  }
+  if (pending_.active() || context.now() < next_at_) {
+    return;
+  }
+  next_at_ = context.now() + context.random().Jitter(kCheckPeriod, 0.3);
+  writing_ = false;
+  key_ = fleet_key_ ? std::string(kFleetSeedKey)
+                    : kSeedPrefix + membership.self().zone;
+  pending_.Start(context, StoreGet{key_}, kStoreCallTimeout);
+}
+
+bool SeedDirectory::OnReply(const FleetContext& context,
+                            const StoreReplied& replied,
+                            const SpreadTree& tree,
+                            const Membership& membership) {
+  if (!pending_.Finish(replied.id.sequence)) {
+    return false;
+  }
+  const StoreReply& reply = replied.reply;
+  if (writing_ || reply.status != StoreStatus::kOk) {
+    writing_ = false;
+    if (reply.status == StoreStatus::kConflict) {
+      next_at_ = context.now() + context.random().Jitter(kShortPause, 0.5);
+    } else if (reply.status == StoreStatus::kOk && !fleet_key_) {
+      fleet_key_ = true;
+      next_at_ = context.now() + context.random().Jitter(kShortPause, 0.5);
+    } else {
+      fleet_key_ = false;
+    }
+    return true;
+  }
+  const std::vector<NodeId> present =
+      reply.entry ? ParseSeeds(reply.entry->value) : std::vector<NodeId>{};
+  seen_.insert(seen_.end(), present.begin(), present.end());
+  const std::vector<NodeId> wanted = Wanted(tree, membership, present);
+  if (wanted != present) {
+    writing_ = true;
+    pending_.Start(
+        context,
+        StoreCompareAndSwap{key_, reply.entry ? reply.entry->revision : 0,
+                            FormatSeeds(wanted), 0},
+        kStoreCallTimeout);
+    return true;
+  }
+  if (!fleet_key_) {
+    next_at_ = context.now() + context.random().Jitter(kShortPause, 0.5);
+  }
+  fleet_key_ = !fleet_key_;
+  return true;
+}
+
+std::vector<NodeId> SeedDirectory::TakeSeen() {
+  return std::exchange(seen_, {});
+}
+
+std::vector<NodeId> SeedDirectory::Wanted(
+    const SpreadTree& tree,
+    const Membership& membership,
+    const std::vector<NodeId>& present) const {
+  // Addresses that still serve stay, so that readers do not overwrite each
+  // other; those of members not known here are another zone's to replace.
+  std::vector<NodeId> wanted;
+  std::map<std::string, std::size_t> counts;
+  const std::string& own_zone = membership.self().zone;
+  const std::size_t limit = fleet_key_ ? kFleetSeedsPerZone : kSeedsPerZone;
+  const auto take = [&](const NodeId& id, const std::string& zone) {
+    if (counts[zone] < limit && !Contains(wanted, id)) {
+      ++counts[zone];
+      wanted.push_back(id);
+    }
+  };
+  for (const NodeId& id : present) {
+    const MemberEntry* entry = membership.Find(id);
+    if (id == membership.self().id) {
+      take(id, own_zone);
+    } else if (entry != nullptr && IsLive(entry->member.status)) {
+      take(id, entry->member.zone);
+    } else if (entry == nullptr && fleet_key_ &&
+               wanted.size() < kFleetSeedLimit) {
+      wanted.push_back(id);
+    }
+  }
+  take(membership.self().id, own_zone);
+  for (const NodeId& id : tree.roots()) {
+    take(id, own_zone);
+  }
+  if (!fleet_key_) {
+    for (const NodeId& id : membership.LiveInZone()) {
+      take(id, own_zone);
+    }
+  }
+  return wanted;
+}
+
+}  // namespace cassiabend
--- a/src/cassiabend/core/member.h
+++ b/src/cassiabend/core/member.h
@@ -57,6 +57,8 @@
   /// Calls that the upstream runs at the same time.
   std::uint32_t slots = 0;
   UpstreamState upstream_state = UpstreamState::kNone;
+  /// Whether the node holds one of its zone's reader leases.
+  bool is_reader = false;
 
   [[nodiscard]] bool operator==(const Member&) const = default;
 };
--- a/src/cassiabend/core/options.h
+++ b/src/cassiabend/core/options.h
@@ -52,6 +52,14 @@
   std::uint32_t removal_permille = 340;
   Milliseconds removal_interval{30'000};
   std::vector<NodeId> seeds;
+  /// How often a reader reads the head to confirm it.
+  Milliseconds confirm_period{3'000};
+  /// Longest time that a joining node waits before it reads the store.
+  Milliseconds join_jitter{1'000};
+  /// A zone that has not been heard this long counts as unreachable.
+  Milliseconds unreachable_after{8'000};
+  /// How often a root of a zone asks another zone for all members.
+  Milliseconds member_sync_period{300'000};
 };
 
 /// \brief Settings of the call path.
--- /dev/null
+++ b/src/cassiabend/core/spread.cc
@@ -0,0 +1,222 @@
+#include "cassiabend/core/spread.h"
+
+#include <algorithm>
+
+namespace cassiabend {
+namespace {
+
+/// Beat periods between two attaches.
+constexpr std::int64_t kAttachBeats = 3;
+/// A child that has not attached for so many beat periods is dropped.
+constexpr std::int64_t kChildBeats = 8;
+/// Beat periods without a beat after which another parent is taken.
+constexpr std::int64_t kParentBeats = 2;
+/// Beat periods for which the sending time of an attach is remembered.
+constexpr std::int64_t kAttachMemoryBeats = 12;
+/// Most children of one node, as a multiple of the fan-out.
+constexpr std::size_t kChildLimitPerFanOut = 2;
+
+}  // namespace
+
+void Spread::Tick(const FleetContext& context,
+                  const SpreadTree& tree,
+                  const Membership& membership,
+                  bool reads_store) {
+  const MonoTime now = context.now();
+  const Milliseconds beat = context.options().beat_period;
+  ChooseParent(context, tree, membership, reads_store);
+  if (parent_ && now >= next_attach_at_) {
+    Attach(context);
+  }
+  std::erase_if(attaches_, [&](const auto& it) {
+    return now - it.second > beat * kAttachMemoryBeats;
+  });
+  std::erase_if(children_, [&](const auto& it) {
+    const MemberEntry* entry = membership.Find(it.first);
+    return now - it.second.attached_at > beat * kChildBeats ||
+           (entry != nullptr && !IsLive(entry->member.status));
+  });
+  if (now >= next_beat_at_) {
+    next_beat_at_ = now + context.random().Jitter(beat, 0.05);
+    SendBeats(context);
+  }
+}
+
+void Spread::ChooseParent(const FleetContext& context,
+                          const SpreadTree& tree,
+                          const Membership& membership,
+                          bool reads_store) {
+  if (reads_store || !IsLive(membership.self().status)) {
+    parent_.reset();
+    return;
+  }
+  const Milliseconds patience = context.options().beat_period * kParentBeats +
+                                context.options().beat_period / 2;
+  const bool changed = tree.version() != tree_version_;
+  const bool silent = parent_ && context.now() - heard_parent_at_ > patience;
+  if (parent_ && !changed && !silent) {
+    return;
+  }
+  tree_version_ = tree.version();
+  failovers_ = silent ? failovers_ + 1 : 0;
+  const std::vector<NodeId> candidates =
+      ParentCandidates(context, tree, membership);
+  if (candidates.empty()) {
+    parent_.reset();
+    return;
+  }
+  const NodeId& next = candidates[failovers_ % candidates.size()];
+  if (parent_ == next && !silent) {
+    return;
+  }
+  parent_ = next;
+  heard_parent_at_ = context.now();
+  next_attach_at_ = context.now();
+}
+
+std::vector<NodeId> Spread::ParentCandidates(
+    const FleetContext& context,
+    const SpreadTree& tree,
+    const Membership& membership) const {
+  const NodeId& self = membership.self().id;
+  std::vector<NodeId> candidates;
+  if (tree.parent()) {
+    candidates.push_back(*tree.parent());
+  }
+  for (const NodeId& id : tree.roots()) {
+    candidates.push_back(id);
+  }
+  if (tree.is_root()) {
+    // A root that does not read the store itself: roots of other zones.
+    for (const auto& [zone, roots] : tree.all_roots()) {
+      if (zone != membership.self().zone) {
+        candidates.insert(candidates.end(), roots.begin(), roots.end());
+      }
+    }
+    // Readers first, the others in an order that differs between nodes.
+    std::ranges::sort(candidates, std::greater<>(), [&](const NodeId& id) {
+      const MemberEntry* entry = membership.Find(id);
+      const bool reader = entry != nullptr && entry->member.is_reader;
+      const bool own_zone =
+          entry != nullptr && entry->member.zone == membership.self().zone;
+      return std::make_tuple(reader, own_zone,
+                             RendezvousWeight(ToString(self), ToString(id)));
+    });
+  }
+  const std::vector<NodeId> zone = membership.LiveInZone();
+  if (!zone.empty()) {
+    candidates.push_back(zone[context.random().Below(zone.size())]);
+  }
+  std::erase(candidates, self);
+  return candidates;
+}
+
+void Spread::Attach(const FleetContext& context) {
+  const Milliseconds beat = context.options().beat_period;
+  next_attach_at_ =
+      context.now() + context.random().Jitter(beat * kAttachBeats, 0.1);
+  const std::uint32_t sequence = ++next_attach_;
+  attaches_[sequence] = context.now();
+  context.Send(*parent_, AttachBody{sequence});
+}
+
+void Spread::SendBeats(const FleetContext& context) const {
+  for (const auto& [id, child] : children_) {
+    SendBeat(context, id, child);
+  }
+}
+
+void Spread::SendBeat(const FleetContext& context,
+                      const NodeId& id,
+                      const Child& child) {
+  const auto held =
+      std::chrono::floor<Milliseconds>(context.now() - child.attached_at);
+  context.Send(id, BeatBody{child.sequence, held});
+}
+
+void Spread::OnAttach(const FleetContext& context,
+                      const NodeId& from,
+                      const VersionMark& mark,
+                      const AttachBody& body) {
+  const std::size_t limit = context.options().fan_out * kChildLimitPerFanOut;
+  if (!children_.contains(from) && children_.size() >= limit) {
+    return;
+  }
+  const bool known = children_.contains(from);
+  const Child& child = children_[from] = {body.sequence, context.now(), mark};
+  if (!known) {
+    SendBeat(context, from, child);
+  }
+}
+
+std::optional<MonoTime> Spread::OnBeat(const FleetContext& context,
+                                       const NodeId& from,
+                                       const BeatBody& body) {
+  if (parent_ == from) {
+    heard_parent_at_ = context.now();
+  }
+  const auto it = attaches_.find(body.sequence);
+  if (it == attaches_.end()) {
+    return std::nullopt;
+  }
+  return it->second;
+}
+
+void Spread::OnChildMark(const NodeId& child, const VersionMark& mark) {
+  const auto it = children_.find(child);
+  if (it != children_.end()) {
+    it->second.mark = mark;
+  }
+}
+
+void Spread::PushNewest(const FleetContext& context,
+                        const SpreadTree& tree,
+                        const Membership& membership,
+                        const SpreadVersions& versions,
+                        const Freshness& freshness,
+                        bool as_committer) {
+  ConfigUpdate update;
+  update.mark = versions.mark();
+  update.confirmed_age = freshness.AgeAt(context.now());
+  std::set<NodeId> targets;
+  for (const auto& [id, child] : children_) {
+    targets.insert(id);
+  }
+  if (as_committer) {
+    for (const auto& [zone, roots] : tree.all_roots()) {
+      targets.insert(roots.begin(), roots.end());
+    }
+  }
+  targets.erase(membership.self().id);
+  for (const NodeId& id : targets) {
+    const VersionMark have = MarkOfPeer(membership, id);
+    if (have.number >= update.mark.number) {
+      continue;
+    }
+    const ConfigDelta* delta =
+        have.number == 0 ? versions.LatestDelta() : versions.DeltaFrom(have);
+    if (delta != nullptr) {
+      update.body = *delta;
+      context.Emit(SendPush{id, update});
+      continue;
+    }
+    // The mark in the beat's header makes the peer pull at its own pace.
+    const auto child = children_.find(id);
+    SendBeat(context, id, child == children_.end() ? Child{} : child->second);
+  }
+}
+
+VersionMark Spread::MarkOfPeer(const Membership& membership,
+                               const NodeId& id) const {
+  VersionMark mark;
+  if (const MemberEntry* entry = membership.Find(id)) {
+    mark = entry->mark;
+  }
+  const auto child = children_.find(id);
+  if (child != children_.end()) {
+    mark = std::max(mark, child->second.mark);
+  }
+  return mark;
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/core/spread_pull.cc
@@ -0,0 +1,160 @@
+#include "cassiabend/core/spread_pull.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiabend {
+namespace {
+
+constexpr std::size_t kSourceLimit = 4;
+/// Time for a push that may be on its way to arrive first.
+constexpr Milliseconds kPullDelay{150};
+constexpr double kPullJitter = 0.7;
+/// A pull without an answer for so long counts as failed.
+constexpr Milliseconds kPullTimeout{3'000};
+constexpr Milliseconds kRetryBase{200};
+constexpr Milliseconds kRetryLimit{2'000};
+constexpr std::uint32_t kMaxBackoffShift = 4;
+
+}  // namespace
+
+void SpreadPull::Notice(const FleetContext& context,
+                        const SpreadVersions& versions,
+                        const NodeId& peer,
+                        const VersionMark& mark) {
+  if (mark.number <= versions.mark().number) {
+    return;
+  }
+  const auto it = std::ranges::find(sources_, peer, &Source::peer);
+  if (it != sources_.end()) {
+    it->mark = mark;
+  } else if (sources_.size() < kSourceLimit) {
+    sources_.push_back({peer, mark});
+  } else {
+    sources_.back() = {peer, mark};
+  }
+  if (!in_flight_ && !next_at_) {
+    Schedule(context, kPullDelay);
+  }
+}
+
+void SpreadPull::Tick(const FleetContext& context,
+                      const SpreadVersions& versions) {
+  const MonoTime now = context.now();
+  if (in_flight_ && now - sent_at_ > kPullTimeout) {
+    in_flight_.reset();
+    ++failures_;
+    Schedule(context, kRetryBase);
+  }
+  if (in_flight_ || !next_at_ || now < *next_at_) {
+    return;
+  }
+  next_at_.reset();
+  DropUseless(versions);
+  if (sources_.empty()) {
+    return;
+  }
+  in_flight_ = std::move(sources_.front());
+  sources_.pop_front();
+  sent_at_ = now;
+  context.Emit(SendPull{in_flight_->peer, versions.mark()});
+}
+
+void SpreadPull::OnAnswer(const FleetContext& context,
+                          const PullAnswered& answer,
+                          SpreadVersions* versions,
+                          Freshness* freshness) {
+  if (!in_flight_ || in_flight_->peer != answer.peer) {
+    // The answer to a pull that was given up; a version is still welcome.
+    if (answer.update) {
+      (void)Take(context, *answer.update, versions);
+    }
+    return;
+  }
+  const Source source = *std::exchange(in_flight_, std::nullopt);
+  const bool useful = answer.update && Take(context, *answer.update, versions);
+  if (useful) {
+    failures_ = 0;
+    if (versions->Covers(answer.update->mark)) {
+      freshness->ConfirmByPeer(context, sent_at_, Milliseconds(0),
+                               answer.update->confirmed_age);
+    } else {
+      Notice(context, *versions, source.peer, answer.update->mark);
+      next_at_ = context.now();
+    }
+  } else {
+    ++failures_;
+  }
+  DropUseless(*versions);
+  if (sources_.empty() || next_at_) {
+    return;
+  }
+  const auto* busy =
+      answer.update ? std::get_if<BusyUpdate>(&answer.update->body) : nullptr;
+  Schedule(context, busy != nullptr ? std::max(busy->retry_after, kRetryBase)
+                                    : Nanoseconds(kRetryBase));
+}
+
+void SpreadPull::Schedule(const FleetContext& context, Nanoseconds delay) {
+  const std::uint32_t shift = std::min(failures_, kMaxBackoffShift);
+  const Nanoseconds grown =
+      std::min<Nanoseconds>(delay * (1U << shift), kRetryLimit);
+  next_at_ = context.now() + context.random().Jitter(grown, kPullJitter);
+}
+
+void SpreadPull::DropUseless(const SpreadVersions& versions) {
+  std::erase_if(sources_, [&](const Source& it) {
+    return it.mark.number <= versions.mark().number;
+  });
+}
+
+bool SpreadPull::Take(const FleetContext& context,
+                      const ConfigUpdate& update,
+                      SpreadVersions* versions) {
+  OfferResult result = OfferResult::kNoBase;
+  if (const auto* delta = std::get_if<ConfigDelta>(&update.body)) {
+    // A chain of deltas is handed out one at a time.
+    result = versions->OfferDelta(context, delta->mark, *delta);
+  } else if (const auto* whole =
+                 std::get_if<RefPtr<const Snapshot>>(&update.body)) {
+    result = versions->OfferWhole(context, update.mark, *whole);
+  } else if (std::holds_alternative<NoUpdate>(update.body)) {
+    result = OfferResult::kSame;
+  }
+  return result == OfferResult::kApplied || result == OfferResult::kSame ||
+         result == OfferResult::kOlder;
+}
+
+ConfigUpdate SpreadPullServer::Answer(const FleetContext& context,
+                                      const SpreadVersions& versions,
+                                      const Freshness& freshness,
+                                      const VersionMark& have) {
+  ConfigUpdate update;
+  update.mark = versions.mark();
+  update.confirmed_age = freshness.AgeAt(context.now());
+  if (versions.mark().number <= have.number) {
+    update.body = NoUpdate{};
+  } else if (const ConfigDelta* delta = versions.DeltaFrom(have)) {
+    update.body = *delta;
+  } else if (TakeToken(context)) {
+    update.body = versions.newest();
+  } else {
+    const auto wait =
+        std::chrono::ceil<Milliseconds>(busy_until_ - context.now());
+    update.body = BusyUpdate{wait};
+  }
+  return update;
+}
+
+bool SpreadPullServer::TakeToken(const FleetContext& context) {
+  const Milliseconds pause = context.options().full_value_pause;
+  const std::uint32_t limit = context.options().full_value_limit;
+  busy_until_ = std::max(busy_until_, context.now());
+  if (busy_until_ - context.now() >= pause * limit) {
+    return false;
+  }
+  busy_until_ += pause;
+  return true;
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/core/spread_tree.cc
@@ -0,0 +1,103 @@
+#include "cassiabend/core/spread_tree.h"
+
+#include <algorithm>
+
+namespace cassiabend {
+namespace {
+
+struct Ranked {
+  bool is_reader = false;
+  std::uint64_t rank = 0;
+  NodeId id;
+};
+
+/// \returns The roots among members that are sorted by rank: readers first.
+std::vector<NodeId> PickRoots(const std::vector<Ranked>& by_rank,
+                              std::size_t count) {
+  std::vector<NodeId> roots;
+  for (const bool readers : {true, false}) {
+    for (const Ranked& it : by_rank) {
+      if (roots.size() < count && it.is_reader == readers) {
+        roots.push_back(it.id);
+      }
+    }
+  }
+  return roots;
+}
+
+Ranked RankOf(const Member& member, std::uint64_t rank) {
+  return {member.is_reader, rank, member.id};
+}
+
+}  // namespace
+
+void SpreadTree::Refresh(const FleetOptions& options,
+                         const Membership& membership) {
+  if (version_ == membership.view_version()) {
+    return;
+  }
+  version_ = membership.view_version();
+  const Member& self = membership.self();
+  zone_ = self.zone;
+  std::map<std::string, std::vector<Ranked>> zones;
+  if (IsLive(self.status)) {
+    const std::uint64_t rank = RendezvousWeight(self.zone, ToString(self.id));
+    zones[self.zone].push_back(RankOf(self, rank));
+  }
+  for (const auto& [id, entry] : membership.entries()) {
+    if (IsLive(entry.member.status)) {
+      zones[entry.member.zone].push_back(RankOf(entry.member, entry.rank));
+    }
+  }
+  roots_.clear();
+  for (auto& [zone, ranked] : zones) {
+    std::ranges::sort(ranked, std::greater<>(), &Ranked::rank);
+    roots_[zone] = PickRoots(ranked, options.readers_per_zone);
+  }
+  std::vector<NodeId> by_rank;
+  for (const Ranked& it : zones[zone_]) {
+    by_rank.push_back(it.id);
+  }
+  ComputeOwnPlace(options, membership, by_rank);
+}
+
+const std::vector<NodeId>& SpreadTree::RootsOf(
+    const std::string& zone) const noexcept {
+  static const std::vector<NodeId> kNone;
+  const auto it = roots_.find(zone);
+  return it == roots_.end() ? kNone : it->second;
+}
+
+void SpreadTree::ComputeOwnPlace(const FleetOptions& options,
+                                 const Membership& membership,
+                                 const std::vector<NodeId>& by_rank) {
+  const NodeId& self = membership.self().id;
+  std::vector<NodeId> order = roots();
+  const std::size_t root_count = order.size();
+  for (const NodeId& id : by_rank) {
+    const auto end = order.begin() + static_cast<std::ptrdiff_t>(root_count);
+    if (std::find(order.begin(), end, id) == end) {
+      order.push_back(id);
+    }
+  }
+  const auto place =
+      static_cast<std::size_t>(std::ranges::find(order, self) - order.begin());
+  const auto rank = static_cast<std::size_t>(std::ranges::find(by_rank, self) -
+                                             by_rank.begin());
+  self_is_root_ = place < root_count;
+  is_candidate_ = rank < by_rank.size() && rank < options.reader_candidates;
+  parent_.reset();
+  if (place >= root_count && place < order.size()) {
+    const std::size_t fan_out = std::max<std::uint32_t>(options.fan_out, 1);
+    parent_ = order[(place - root_count) / fan_out];
+  }
+  other_readers_ = 0;
+  for (const auto& [id, entry] : membership.entries()) {
+    other_readers_ += entry.member.is_reader && entry.member.zone == zone_ &&
+                              IsLive(entry.member.status)
+                          ? 1
+                          : 0;
+  }
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/core/spread_versions.cc
@@ -0,0 +1,107 @@
+#include "cassiabend/core/spread_versions.h"
+
+#include <utility>
+
+#include "cassiabend/base/error.h"
+#include "cassiabend/model/delta.h"
+
+namespace cassiabend {
+namespace {
+
+/// Deltas kept for peers that are a few versions behind.
+constexpr std::size_t kKeptDeltas = 8;
+
+}  // namespace
+
+bool SpreadVersions::Covers(const VersionMark& mark) const noexcept {
+  const VersionMark own = this->mark();
+  return own.number > mark.number || own == mark;
+}
+
+const ConfigDelta* SpreadVersions::DeltaFrom(
+    const VersionMark& base) const noexcept {
+  for (const ConfigDelta& it : deltas_) {
+    if (it.base == base) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
+const ConfigDelta* SpreadVersions::LatestDelta() const noexcept {
+  const bool held = !deltas_.empty() && deltas_.back().mark == mark();
+  return held ? &deltas_.back() : nullptr;
+}
+
+OfferResult SpreadVersions::OfferWhole(const FleetContext& context,
+                                       const VersionMark& mark,
+                                       const RefPtr<const Snapshot>& snapshot) {
+  const OfferResult order = Compare(mark);
+  if (order != OfferResult::kApplied) {
+    return order;
+  }
+  if (!snapshot || snapshot->mark() != mark) {
+    ++refusals_.damaged;
+    return OfferResult::kDamaged;
+  }
+  Apply(context, snapshot);
+  return OfferResult::kApplied;
+}
+
+OfferResult SpreadVersions::OfferDelta(const FleetContext& context,
+                                       const VersionMark& mark,
+                                       const ConfigDelta& delta) {
+  const OfferResult order = Compare(mark);
+  if (order != OfferResult::kApplied) {
+    return order;
+  }
+  if (delta.mark != mark) {
+    ++refusals_.damaged;
+    return OfferResult::kDamaged;
+  }
+  if (!newest_ || delta.base != newest_->mark()) {
+    return OfferResult::kNoBase;
+  }
+  try {
+    Apply(context, ApplyDelta(*newest_, delta));
+  } catch (const ModelError&) {
+    ++refusals_.damaged;
+    return OfferResult::kDamaged;
+  }
+  KeepDelta(delta);
+  return OfferResult::kApplied;
+}
+
+void SpreadVersions::KeepDelta(const ConfigDelta& delta) {
+  if (delta.mark != mark() || delta.base.number >= delta.mark.number ||
+      DeltaFrom(delta.base) != nullptr) {
+    return;
+  }
+  deltas_.push_back(delta);
+  if (deltas_.size() > kKeptDeltas) {
+    deltas_.pop_front();
+  }
+}
+
+OfferResult SpreadVersions::Compare(const VersionMark& mark) noexcept {
+  const VersionMark own = this->mark();
+  if (mark.number > own.number) {
+    return OfferResult::kApplied;
+  }
+  if (mark == own) {
+    return OfferResult::kSame;
+  }
+  if (mark.number == own.number) {
+    ++refusals_.forks;
+    return OfferResult::kFork;
+  }
+  return OfferResult::kOlder;
+}
+
+void SpreadVersions::Apply(const FleetContext& context,
+                           RefPtr<const Snapshot> snapshot) {
+  newest_ = std::move(snapshot);
+  context.Emit(ApplyVersion{newest_});
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/tests/fleet_test.cc
@@ -0,0 +1,64 @@
+#include <doctest/doctest.h>
+
+#include "tests/support/fleet_driver.h"
+
+namespace cassiabend::testing {
+namespace {
+
+const std::vector<std::string> kZones{"puget-a", "puget-b", "inland-a"};
+
+std::string Joined(const std::vector<std::string>& lines) {
+  std::string all;
+  for (const std::string& it : lines) {
+    all += it + "\n";
+  }
+  return all;
+}
+
+bool AllReady(FleetDriver& driver) {
+  for (std::size_t i = 0; i < driver.size(); ++i) {
+    if (driver.node(i).up && !driver.node(i).ready) {
+      return false;
+    }
+  }
+  return true;
+}
+
+TEST_CASE("nodes find each other and agree on the version in the store") {
+  FleetDriver driver(6, kZones, {}, 1);
+  driver.Commit();
+  driver.StartAll();
+  const Nanoseconds took =
+      driver.RunUntil([&] { return AllReady(driver); }, Seconds(20));
+  MESSAGE("ready after ms: ", took.count() / 1'000'000);
+  CHECK(took < Seconds(20));
+  CHECK(driver.Converged());
+  CHECK_MESSAGE(driver.violations.empty(), Joined(driver.violations));
+  for (std::size_t i = 0; i < driver.size(); ++i) {
+    INFO("node ", i, ": ", driver.node(i).reason);
+    CHECK(driver.node(i).ready);
+    CHECK(driver.node(i)
+              .reducer->Members({driver.now() + driver.node(i).clock_offset})
+              .size() == 6);
+  }
+}
+
+TEST_CASE("a committed change holds everywhere within four seconds") {
+  FleetDriver driver(12, kZones, {}, 2);
+  driver.Commit();
+  driver.StartAll();
+  driver.RunFor(Seconds(30));
+  REQUIRE(driver.Converged());
+  for (const int committer : {-1, 4}) {
+    driver.Commit(committer);
+    const Nanoseconds took =
+        driver.RunUntil([&] { return driver.Converged(); }, Seconds(20));
+    MESSAGE("committer ", committer, " ms: ", took.count() / 1'000'000);
+    CHECK(took < Seconds(4));
+    driver.RunFor(Seconds(5));
+  }
+  CHECK_MESSAGE(driver.violations.empty(), Joined(driver.violations));
+}
+
+}  // namespace
+}  // namespace cassiabend::testing
--- /dev/null
+++ b/tests/support/fake_store.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "cassiabend/core/store_types.h"
+
+namespace cassiabend::testing {
+
+/// \brief The platform's key-value service as plain values: compare-and-swap of
+/// one key, leases that run out by the time passed in, and revisions.
+class FakeStore {
+ public:
+  [[nodiscard]] const StoreEntry* Find(const std::string& key) const {
+    const auto it = entries_.find(key);
+    return it == entries_.end() ? nullptr : &it->second;
+  }
+
+  /// \brief Writes a key without a condition.
+  void Put(const std::string& key, const std::string& value) {
+    entries_[key] = {key, value, ++revision_};
+  }
+
+  /// \brief Ends the leases that ran out, and the keys under them.
+  void Expire(MonoTime now) {
+    for (auto it = leases_.begin(); it != leases_.end();) {
+      if (now < it->second.expires_at) {
+        ++it;
+        continue;
+      }
+      DropKeysOf(it->first);
+      it = leases_.erase(it);
+    }
+  }
+
+  /// \brief Carries out any request but a watch.
+  [[nodiscard]] StoreReply Execute(const StoreRequest& request, MonoTime now) {
+    Expire(now);
+    StoreReply reply;
+    reply.status = StoreStatus::kOk;
+    std::visit([&](const auto& it) { Do(it, now, &reply); }, request);
+    reply.store_revision = revision_;
+    return reply;
+  }
+
+ private:
+  struct Lease {
+    Seconds ttl{0};
+    MonoTime expires_at{};
+  };
+
+  void Do(const StoreGet& get, MonoTime, StoreReply* reply) {
+    if (const StoreEntry* entry = Find(get.key)) {
+      reply->entry = *entry;
+    }
+  }
+  void Do(const StoreWatch& watch, MonoTime now, StoreReply* reply) {
+    Do(StoreGet{watch.key}, now, reply);
+    if (reply->entry && reply->entry->revision <= watch.after) {
+      reply->entry.reset();
+    }
+  }
+  void Do(const StoreCompareAndSwap& swap, MonoTime now, StoreReply* reply) {
+    Do(StoreGet{swap.key}, now, reply);
+    const StoreRevision present = reply->entry ? reply->entry->revision : 0;
+    if (present != swap.expected) {
+      reply->status = StoreStatus::kConflict;
+      return;
+    }
+    if (swap.lease != 0 && !leases_.contains(swap.lease)) {
+      reply->status = StoreStatus::kLeaseLost;
+      return;
+    }
+    Put(swap.key, swap.value);
+    lease_of_[swap.key] = swap.lease;
+    reply->entry = *Find(swap.key);
+  }
+  void Do(const StoreCompareAndDelete& erase, MonoTime, StoreReply* reply) {
+    const StoreEntry* entry = Find(erase.key);
+    if ((entry == nullptr ? 0 : entry->revision) != erase.expected) {
+      reply->status = StoreStatus::kConflict;
+      return;
+    }
+    entries_.erase(erase.key);
+    ++revision_;
+  }
+  void Do(const StoreLeaseGrant& grant, MonoTime now, StoreReply* reply) {
+    reply->lease = ++last_lease_;
+    leases_[last_lease_] = {grant.ttl, now + grant.ttl};
+  }
+  void Do(const StoreLeaseKeepAlive& keep, MonoTime now, StoreReply* reply) {
+    const auto it = leases_.find(keep.lease);
+    if (it == leases_.end()) {
+      reply->status = StoreStatus::kLeaseLost;
+      return;
+    }
+    it->second.expires_at = now + it->second.ttl;
+    reply->lease = keep.lease;
+  }
+  void Do(const StoreLeaseRevoke& revoke, MonoTime, StoreReply*) {
+    DropKeysOf(revoke.lease);
+    leases_.erase(revoke.lease);
+  }
+
+  void DropKeysOf(LeaseId lease) {
+    for (const auto& [key, owner] : lease_of_) {
+      if (owner == lease && owner != 0 && entries_.erase(key) != 0) {
+        ++revision_;
+      }
+    }
+  }
+
+  std::map<std::string, StoreEntry> entries_;
+  std::map<std::string, LeaseId> lease_of_;
+  std::map<LeaseId, Lease> leases_;
+  LeaseId last_lease_ = 0;
+  StoreRevision revision_ = 0;
+};
+
+}  // namespace cassiabend::testing
--- /dev/null
+++ b/tests/support/fleet_driver.h
@@ -0,0 +1,603 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cassiabend/base/random.h"
+#include "cassiabend/core/fleet_reducer.h"
+#include "cassiabend/core/membership_updates.h"
+#include "cassiabend/model/codec.h"
+#include "tests/support/fake_store.h"
+
+namespace cassiabend::testing {
+
+/// \brief Faults of the fake network, each per message in thousandths.
+struct NetworkFaults {
+  std::uint32_t lost_permille = 0;
+  std::uint32_t doubled_permille = 0;
+  /// Delayed by up to `late_by`, which also puts messages out of order.
+  std::uint32_t late_permille = 0;
+  Milliseconds late_by{1'500};
+};
+
+/// \brief Faults of the fake store.
+struct StoreFaults {
+  /// Calls fail at once.
+  bool down = false;
+  /// Calls are carried out and their answers are lost.
+  bool answers_lost = false;
+  /// Watches never return.
+  bool watches_dead = false;
+  Milliseconds slow_by{0};
+  /// Zones that cannot reach the store.
+  std::set<std::string> cut_zones;
+};
+
+/// \brief What the fleet sent, counted as the shell would send it.
+struct FleetTraffic {
+  std::uint64_t datagrams = 0;
+  std::uint64_t datagram_bytes = 0;
+  std::uint64_t config_messages = 0;
+  std::uint64_t config_bytes = 0;
+  std::uint64_t zone_crossing_bytes = 0;
+  std::uint64_t store_calls = 0;
+};
+
+/// \brief Drives a few fleet reducers over a fake network and a fake store by
+/// virtual time, and checks the invariants at every effect.
+class FleetDriver {
+ public:
+  struct Node {
+    Member self;
+    std::unique_ptr<FleetReducer> reducer;
+    /// Counts the starts; what was sent to an earlier one is dropped.
+    std::uint64_t epoch = 0;
+    bool up = false;
+    MonoTime paused_until{};
+    /// The host's clock runs ahead of the driver's by this much.
+    Nanoseconds clock_offset{0};
+    VersionNumber applied = 0;
+    bool ready = false;
+    std::string reason;
+    std::uint64_t store_calls = 0;
+    std::uint64_t bytes_sent = 0;
+    /// Versions applied after this node had left.
+    std::uint64_t applied_after_leave = 0;
+    bool left = false;
+  };
+
+  /// \param zones Names; the nodes are spread evenly over them.
+  FleetDriver(std::size_t count,
+              const std::vector<std::string>& zones,
+              const FleetOptions& options,
+              std::uint64_t seed)
+      : options_(options), random_(seed), seed_(seed) {
+    now_ = MonoTime(Seconds(1'000));
+    nodes_.resize(count);
+    for (std::size_t i = 0; i < count; ++i) {
+      Member& self = nodes_[i].self;
+      const std::size_t zone = i % zones.size();
+      self.id = {"10." + std::to_string(zone) + ".0." + std::to_string(i + 1),
+                 7000};
+      self.region = "region-" + std::to_string(zone / 2);
+      self.zone = zones[zone];
+      self.service = "orders";
+      self.slots = 12;
+      nodes_[i].clock_offset = Seconds(7 * static_cast<std::int64_t>(i));
+      index_[self.id] = i;
+    }
+    if (options_.seeds.empty()) {
+      for (std::size_t i = 0; i < std::min(count, zones.size()); ++i) {
+        options_.seeds.push_back(nodes_[i].self.id);
+      }
+    }
+  }
+
+  NetworkFaults network;
+  StoreFaults store_faults;
+  /// Pairs of zones (from, to) that messages do not pass.
+  std::set<std::pair<std::string, std::string>> cuts;
+  std::vector<std::string> violations;
+
+  [[nodiscard]] MonoTime now() const noexcept { return now_; }
+  [[nodiscard]] Node& node(std::size_t i) { return nodes_[i]; }
+  [[nodiscard]] std::size_t size() const noexcept { return nodes_.size(); }
+  [[nodiscard]] const FleetTraffic& traffic() const noexcept {
+    return traffic_;
+  }
+  [[nodiscard]] FakeStore& store() noexcept { return store_; }
+  [[nodiscard]] VersionNumber head_number() const {
+    return heads_.empty() ? 0 : heads_.back().second;
+  }
+  /// \returns Whether every node that is up has the newest version.
+  [[nodiscard]] bool Converged() const {
+    for (const Node& it : nodes_) {
+      if (it.up && !it.left && it.applied != head_number()) {
+        return false;
+      }
+    }
+    return true;
+  }
+  [[nodiscard]] std::size_t ReaderCount(const std::string& zone) const {
+    std::size_t n = 0;
+    for (const Node& it : nodes_) {
+      n += it.up && it.self.zone == zone && it.reducer->is_reader() ? 1 : 0;
+    }
+    return n;
+  }
+
+  void Start(std::size_t i) {
+    Node& node = nodes_[i];
+    ++node.epoch;
+    node.up = true;
+    node.left = false;
+    node.ready = false;
+    node.applied = 0;
+    node.paused_until = {};
+    node.self.start_id = 1'000 + ++starts_;
+    node.reducer = std::make_unique<FleetReducer>(options_, node.self,
+                                                  seed_ * 1'000'003 + starts_);
+    const Nanoseconds phase(random_.Below(100'000'000));
+    ScheduleTick(i, node.epoch, now_ + phase);
+  }
+  void StartAll() {
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      Start(i);
+    }
+  }
+  void Kill(std::size_t i) {
+    nodes_[i].up = false;
+    ++nodes_[i].epoch;
+  }
+  /// \brief Suspends the process; its messages wait and its clock goes on.
+  void Pause(std::size_t i, Nanoseconds time) {
+    nodes_[i].paused_until = now_ + time;
+  }
+  void Leave(std::size_t i) {
+    Deliver(i, nodes_[i].epoch, LeaveRequested{});
+    nodes_[i].left = true;
+  }
+  /// \brief Cuts two zones from each other, or only the way from `a` to `b`.
+  void Cut(const std::string& a, const std::string& b, bool one_way = false) {
+    cuts.insert({a, b});
+    if (!one_way) {
+      cuts.insert({b, a});
+    }
+  }
+  void Isolate(const std::string& zone) {
+    for (const Node& it : nodes_) {
+      if (it.self.zone != zone) {
+        Cut(zone, it.self.zone);
+      }
+    }
+    store_faults.cut_zones.insert(zone);
+  }
+  void Heal() {
+    cuts.clear();
+    network = {};
+    store_faults = {};
+  }
+
+  /// \brief Accepts a new version in the store.
+  /// \param committer Node whose commit path learns it; -1 for none.
+  void Commit(int committer = -1) {
+    const RefPtr<const Snapshot> before = newest_;
+    Config config = before ? before->config() : Config{};
+    const VersionNumber number = config.number + 1;
+    const std::string name = "site-" + std::to_string(number % 5);
+    const std::vector<Edit> edits{
+        {Site{name, "tenant-" + std::to_string(number), "GMT+00", 0},
+         std::nullopt}};
+    ConfigDelta delta;
+    delta.base = before ? before->mark() : VersionMark{};
+    delta.change_id = {number, random_.Next()};
+    delta.author = "operator";
+    delta.edits = edits;
+    config = ApplyEdits(config, edits, delta.change_id, delta.author);
+    newest_ = RefPtr<const Snapshot>(new Snapshot(config));
+    delta.mark = newest_->mark();
+    WriteVersion(delta, before != nullptr);
+    if (committer >= 0) {
+      Node& node = nodes_[static_cast<std::size_t>(committer)];
+      Deliver(static_cast<std::size_t>(committer), node.epoch,
+              VersionCommitted{newest_, delta, now_ + node.clock_offset});
+    }
+  }
+  /// \brief Puts the head back to an earlier value, as from an old copy.
+  void RestoreHead(const std::string& value) { store_.Put(kHeadKey, value); }
+  [[nodiscard]] std::string HeadValue() const {
+    const StoreEntry* entry = store_.Find(kHeadKey);
+    return entry == nullptr ? std::string() : entry->value;
+  }
+
+  /// \brief Runs one action; the invariants are checked within.
+  bool Step() {
+    if (actions_.empty()) {
+      return false;
+    }
+    const Action action = actions_.top();
+    actions_.pop();
+    now_ = std::max(now_, action.at);
+    action.run();
+    return true;
+  }
+  void RunFor(Nanoseconds time) {
+    const MonoTime end = now_ + time;
+    while (!actions_.empty() && actions_.top().at <= end) {
+      Step();
+    }
+    now_ = end;
+  }
+  /// \brief Runs until `done`.
+  /// \returns The time that it took, or `limit` when it did not come.
+  template <typename Done>
+  Nanoseconds RunUntil(Done done, Nanoseconds limit) {
+    const MonoTime begin = now_;
+    while (!done() && now_ - begin < limit && Step()) {
+    }
+    return std::min<Nanoseconds>(now_ - begin, limit);
+  }
+
+ private:
+  struct Action {
+    MonoTime at{};
+    std::uint64_t order = 0;
+    std::function<void()> run;
+    bool operator<(const Action& other) const {
+      return std::tie(other.at, other.order) < std::tie(at, order);
+    }
+  };
+
+  void At(MonoTime at, std::function<void()> run) {
+    actions_.push({at, ++order_, std::move(run)});
+  }
+
+  void ScheduleTick(std::size_t i, std::uint64_t epoch, MonoTime at) {
+    At(at, [this, i, epoch] {
+      if (nodes_[i].epoch != epoch) {
+        return;
+      }
+      const MonoTime resume = std::max(now_, nodes_[i].paused_until);
+      ScheduleTick(i, epoch, resume + kFleetTickPeriod);
+      Deliver(i, epoch, FleetTick{});
+    });
+  }
+
+  void Deliver(std::size_t i, std::uint64_t epoch, FleetEvent event) {
+    Node& node = nodes_[i];
+    if (!node.up || node.epoch != epoch) {
+      return;
+    }
+    if (now_ < node.paused_until) {
+      At(node.paused_until, [this, i, epoch, event = std::move(event)] {
+        Deliver(i, epoch, event);
+      });
+      return;
+    }
+    const Instant instant{now_ + node.clock_offset, {}};
+    std::vector<FleetEffect> effects;
+    node.reducer->Reduce(instant, event, &effects);
+    for (FleetEffect& it : effects) {
+      std::visit([&](auto& effect) { Do(i, effect); }, it);
+    }
+  }
+
+  // Invariants.
+
+  void Fail(std::size_t i, const std::string& what) {
+    violations.push_back(ToString(nodes_[i].self.id) + " at " +
+                         std::to_string(now_.time_since_epoch().count()) +
+                         " ns: " + what);
+  }
+  void Do(std::size_t i, const ApplyVersion& effect) {
+    Node& node = nodes_[i];
+    const VersionMark mark = effect.snapshot->mark();
+    if (mark.number <= node.applied) {
+      Fail(i, "applied version " + std::to_string(mark.number) + " after " +
+                  std::to_string(node.applied));
+    }
+    const auto it = committed_.find(mark.number);
+    if (it == committed_.end() ||
+        it->second->config() != effect.snapshot->config()) {
+      Fail(i, "applied a version that was not committed");
+    }
+    node.applied = mark.number;
+    node.applied_after_leave += node.left ? 1 : 0;
+  }
+  void Do(std::size_t i, const HeadConfirmed& effect) {
+    const MonoTime at = effect.at - nodes_[i].clock_offset;
+    VersionNumber then = 0;
+    for (const auto& [time, number] : heads_) {
+      then = time <= at ? number : then;
+    }
+    if (at > now_ || then > nodes_[i].applied) {
+      Fail(i, "claims confirmation of " + std::to_string(nodes_[i].applied) +
+                  " when the head was " + std::to_string(then));
+    }
+  }
+
+  // Messages.
+
+  [[nodiscard]] Nanoseconds Latency(const Member& a, const Member& b) {
+    Nanoseconds base = Microseconds(300);
+    if (a.region != b.region) {
+      base = Milliseconds(12);
+    } else if (a.zone != b.zone) {
+      base = Microseconds(1'400);
+    }
+    return random_.Jitter(base, 0.2);
+  }
+  [[nodiscard]] bool IsCut(std::size_t from, std::size_t to) const {
+    return cuts.contains({nodes_[from].self.zone, nodes_[to].self.zone});
+  }
+  [[nodiscard]] bool Chance(std::uint32_t permille) {
+    return permille != 0 && random_.Below(1'000) < permille;
+  }
+  void CountBytes(std::size_t from, const NodeId& to, std::uint64_t bytes) {
+    nodes_[from].bytes_sent += bytes;
+    const auto it = index_.find(to);
+    const bool crosses = it != index_.end() &&
+                         nodes_[it->second].self.zone != nodes_[from].self.zone;
+    traffic_.zone_crossing_bytes += crosses ? bytes : 0;
+  }
+
+  void Do(std::size_t i, const SendDatagram& effect) {
+    constexpr std::uint64_t kHeaderBytes = 28 + 96;
+    std::uint64_t bytes = kHeaderBytes;
+    for (const Member& it : effect.datagram.updates) {
+      bytes += EncodedBytesBound(it);
+    }
+    if (bytes > kDatagramLimitBytes) {
+      Fail(i, "sends a datagram of " + std::to_string(bytes) + " bytes");
+    }
+    ++traffic_.datagrams;
+    traffic_.datagram_bytes += bytes;
+    CountBytes(i, effect.to, bytes);
+    const auto it = index_.find(effect.to);
+    if (it == index_.end() || IsCut(i, it->second) ||
+        Chance(network.lost_permille)) {
+      return;
+    }
+    const int copies = Chance(network.doubled_permille) ? 2 : 1;
+    for (int n = 0; n < copies; ++n) {
+      Nanoseconds delay = Latency(nodes_[i].self, nodes_[it->second].self);
+      if (Chance(network.late_permille)) {
+        delay += random_.Jitter(network.late_by / 2, 1.0);
+      }
+      const std::size_t to = it->second;
+      At(now_ + delay, [this, to, datagram = effect.datagram] {
+        Deliver(to, nodes_[to].epoch, DatagramReceived{datagram});
+      });
+    }
+  }
+
+  /// A call to a peer: `make_event` gives the event there, its answer comes
+  /// back through `calls_`; `fail` is the event here when none comes.
+  void CallPeer(std::size_t i,
+                const NodeId& to,
+                std::function<FleetEvent(PeerRequestId)> make_event,
+                FleetEvent fail) {
+    const PeerRequestId request = ++last_request_;
+    const auto it = index_.find(to);
+    const std::uint64_t epoch = nodes_[i].epoch;
+    calls_[request] = {i, epoch, to};
+    At(now_ + Seconds(2), [this, request, i, epoch, fail = std::move(fail)] {
+      if (calls_.erase(request) != 0) {
+        Deliver(i, epoch, fail);
+      }
+    });
+    if (it == index_.end() || IsCut(i, it->second) ||
+        Chance(network.lost_permille)) {
+      return;
+    }
+    const std::size_t peer = it->second;
+    At(now_ + Latency(nodes_[i].self, nodes_[peer].self),
+       [this, peer, request, make_event = std::move(make_event)] {
+         Deliver(peer, nodes_[peer].epoch, make_event(request));
+       });
+  }
+  void Answer(std::size_t i,
+              PeerRequestId request,
+              std::function<FleetEvent(const NodeId&)> make_event) {
+    const auto it = calls_.find(request);
+    if (it == calls_.end() || IsCut(i, it->second.from) ||
+        Chance(network.lost_permille)) {
+      return;
+    }
+    const PeerCall call = it->second;
+    At(now_ + Latency(nodes_[i].self, nodes_[call.from].self),
+       [this, request, call, make_event = std::move(make_event)] {
+         if (calls_.erase(request) != 0) {
+           Deliver(call.from, call.epoch, make_event(call.to));
+         }
+       });
+  }
+  [[nodiscard]] static std::uint64_t BytesOf(const ConfigUpdate& update) {
+    constexpr std::uint64_t kCallBytes = 160;
+    if (const auto* delta = std::get_if<ConfigDelta>(&update.body)) {
+      return kCallBytes + EncodeDelta(*delta).size();
+    }
+    if (const auto* whole = std::get_if<RefPtr<const Snapshot>>(&update.body)) {
+      return kCallBytes + EncodeConfig((*whole)->config()).size();
+    }
+    return kCallBytes;
+  }
+  void CountConfig(std::size_t i, const NodeId& to, std::uint64_t bytes) {
+    ++traffic_.config_messages;
+    traffic_.config_bytes += bytes;
+    CountBytes(i, to, bytes);
+  }
+  void Do(std::size_t i, const SendPush& effect) {
+    CountConfig(i, effect.to, BytesOf(effect.update));
+    CallPeer(
+        i, effect.to,
+        [update = effect.update](PeerRequestId request) {
+          return PushReceived{request, update};
+        },
+        PushAnswered{effect.to, std::nullopt});
+  }
+  void Do(std::size_t i, const ReplyPush& effect) {
+    Answer(i, effect.request, [mark = effect.mark](const NodeId& peer) {
+      return PushAnswered{peer, mark};
+    });
+  }
+  void Do(std::size_t i, const SendPull& effect) {
+    CountConfig(i, effect.to, BytesOf({}));
+    CallPeer(
+        i, effect.to,
+        [have = effect.have](PeerRequestId request) {
+          return PullReceived{request, have};
+        },
+        PullAnswered{effect.to, std::nullopt});
+  }
+  void Do(std::size_t i, const ReplyPull& effect) {
+    const auto it = calls_.find(effect.request);
+    if (it != calls_.end()) {
+      CountConfig(i, nodes_[it->second.from].self.id, BytesOf(effect.update));
+    }
+    Answer(i, effect.request, [update = effect.update](const NodeId& peer) {
+      return PullAnswered{peer, update};
+    });
+  }
+  void Do(std::size_t i, const SendMembersRequest& effect) {
+    CallPeer(
+        i, effect.to,
+        [](PeerRequestId request) { return MembersRequested{request}; },
+        MembersAnswered{effect.to, std::nullopt});
+  }
+  void Do(std::size_t i, const ReplyMembers& effect) {
+    const auto it = calls_.find(effect.request);
+    if (it != calls_.end()) {
+      std::uint64_t bytes = 160;
+      for (const Member& member : effect.members) {
+        bytes += EncodedBytesBound(member);
+      }
+      CountBytes(i, nodes_[it->second.from].self.id, bytes);
+    }
+    Answer(i, effect.request, [members = effect.members](const NodeId& peer) {
+      return MembersAnswered{peer, members};
+    });
+  }
+  void Do(std::size_t i, const ReadinessChanged& effect) {
+    nodes_[i].ready = effect.ready;
+    nodes_[i].reason = effect.reason;
+  }
+  void Do(std::size_t, const MembersChanged&) {}
+  void Do(std::size_t, const MemberLoadReported&) {}
+
+  // The store.
+
+  void Do(std::size_t i, const StoreCall& call) {
+    Node& node = nodes_[i];
+    ++traffic_.store_calls;
+    ++node.store_calls;
+    const MonoTime sent_at = now_ + node.clock_offset;
+    const std::uint64_t epoch = node.epoch;
+    if (store_faults.down || store_faults.cut_zones.contains(node.self.zone)) {
+      StoreReply reply;
+      reply.sent_at = sent_at;
+      At(now_ + Milliseconds(2), [this, i, epoch, id = call.id, reply] {
+        Deliver(i, epoch, StoreReplied{id, reply});
+      });
+      return;
+    }
+    const Nanoseconds delay = Milliseconds(2) + store_faults.slow_by;
+    At(now_ + delay,
+       [this, i, epoch, call, sent_at] { RunStore(i, epoch, call, sent_at); });
+  }
+  void RunStore(std::size_t i,
+                std::uint64_t epoch,
+                const StoreCall& call,
+                MonoTime sent_at) {
+    if (const auto* watch = std::get_if<StoreWatch>(&call.request)) {
+      if (!store_faults.watches_dead) {
+        PollWatch(i, epoch, call.id, *watch, sent_at, now_ + watch->wait);
+      }
+      return;
+    }
+    StoreReply reply = store_.Execute(call.request, now_);
+    reply.sent_at = sent_at;
+    Nanoseconds delay = Milliseconds(2);
+    if (store_faults.answers_lost) {
+      reply = {.status = StoreStatus::kUnknown, .sent_at = sent_at};
+      delay = Seconds(2);
+    }
+    At(now_ + delay, [this, i, epoch, id = call.id, reply] {
+      Deliver(i, epoch, StoreReplied{id, reply});
+    });
+  }
+  void PollWatch(std::size_t i,
+                 std::uint64_t epoch,
+                 StoreCallId id,
+                 const StoreWatch& watch,
+                 MonoTime sent_at,
+                 MonoTime end) {
+    StoreReply reply = store_.Execute(watch, now_);
+    reply.sent_at = sent_at;
+    const bool lost = store_faults.watches_dead || store_faults.down;
+    if (lost || nodes_[i].epoch != epoch) {
+      return;
+    }
+    if (reply.entry || now_ >= end) {
+      At(now_ + Milliseconds(2), [this, i, epoch, id, reply] {
+        Deliver(i, epoch, StoreReplied{id, reply});
+      });
+      return;
+    }
+    At(now_ + Milliseconds(20), [this, i, epoch, id, watch, sent_at, end] {
+      PollWatch(i, epoch, id, watch, sent_at, end);
+    });
+  }
+  void WriteVersion(const ConfigDelta& delta, bool has_base) {
+    const std::string number = std::to_string(newest_->mark().number);
+    Head head;
+    head.mark = newest_->mark();
+    // Two chunks, as a value over the store's limit has.
+    const std::string value = EncodeConfig(newest_->config());
+    head.value_keys = {kValuePrefix + number + "/0",
+                       kValuePrefix + number + "/1"};
+    store_.Put(head.value_keys[0], value.substr(0, value.size() / 2));
+    store_.Put(head.value_keys[1], value.substr(value.size() / 2));
+    if (has_base) {
+      head.delta_key = kDeltaPrefix + number;
+      store_.Put(head.delta_key, EncodeDelta(delta));
+    }
+    store_.Put(kHeadKey, EncodeHead(head));
+    committed_[head.mark.number] = newest_;
+    heads_.emplace_back(now_, head.mark.number);
+  }
+
+  struct PeerCall {
+    std::size_t from = 0;
+    std::uint64_t epoch = 0;
+    NodeId to;
+  };
+
+  FleetOptions options_;
+  Random random_;
+  std::uint64_t seed_;
+  MonoTime now_{};
+  std::uint64_t order_ = 0;
+  std::uint64_t starts_ = 0;
+  std::vector<Node> nodes_;
+  std::map<NodeId, std::size_t> index_;
+  std::priority_queue<Action> actions_;
+  std::map<PeerRequestId, PeerCall> calls_;
+  PeerRequestId last_request_ = 0;
+  FakeStore store_;
+  RefPtr<const Snapshot> newest_;
+  std::map<VersionNumber, RefPtr<const Snapshot>> committed_;
+  /// When each head was written, by the driver's clock.
+  std::vector<std::pair<MonoTime, VersionNumber>> heads_;
+  FleetTraffic traffic_;
+};
+
+}  // namespace cassiabend::testing
