Anchor a pull's confirmation at the earliest pull that it may answer

Cause: an answer to a pull does not say which pull it belongs to.

Change: pulls in flight are counted per peer, and an answer counts from the first of them. The fake network now delays calls between nodes as well as datagrams.

--- a/src/cassiabend/core/spread_pull.cc
+++ b/src/cassiabend/core/spread_pull.cc
@@ -65,16 +65,38 @@
   if (sources_.empty()) {
     return;
   }
+  Send(context, versions);
+}
+
+void SpreadPull::Send(const FleetContext& context,
+                      const SpreadVersions& versions) {
   in_flight_ = std::move(sources_.front());
   sources_.pop_front();
-  sent_at_ = now;
+  sent_at_ = context.now();
+  Outstanding& calls = outstanding_[in_flight_->peer];
+  if (++calls.count == 1) {
+    calls.earliest_sent_at = context.now();
+  }
   context.Emit(SendPull{in_flight_->peer, versions.mark()});
 }
 
+std::optional<MonoTime> SpreadPull::TakeOutstanding(const NodeId& peer) {
+  const auto it = outstanding_.find(peer);
+  if (it == outstanding_.end()) {
+    return std::nullopt;
+  }
+  const MonoTime sent_at = it->second.earliest_sent_at;
+  if (--it->second.count == 0) {
+    outstanding_.erase(it);
+  }
+  return sent_at;
+}
+
 void SpreadPull::OnAnswer(const FleetContext& context,
                           const PullAnswered& answer,
                           SpreadVersions* versions,
                           Freshness* freshness) {
+  const std::optional<MonoTime> sent_at = TakeOutstanding(answer.peer);
   if (!in_flight_ || in_flight_->peer != answer.peer) {
     // The answer to a pull that was given up; a version is still welcome.
     if (answer.update) {
@@ -86,8 +108,8 @@
   const bool useful = answer.update && Take(context, *answer.update, versions);
   if (useful) {
     failures_ = 0;
-    if (versions->Covers(answer.update->mark)) {
-      freshness->ConfirmByPeer(context, sent_at_, Milliseconds(0),
+    if (sent_at && versions->Covers(answer.update->mark)) {
+      freshness->ConfirmByPeer(context, *sent_at, Milliseconds(0),
                                answer.update->confirmed_age);
     } else {
       Notice(context, *versions, source.peer, answer.update->mark);
--- a/src/cassiabend/core/spread_pull.h
+++ b/src/cassiabend/core/spread_pull.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
 
 #include "cassiabend/core/fleet_context.h"
@@ -31,6 +32,16 @@
     VersionMark mark;
   };
 
+  /// \brief Pulls sent to one peer whose answers or failures are still to come.
+  /// An answer does not say which of them it belongs to.
+  struct Outstanding {
+    MonoTime earliest_sent_at{};
+    std::uint32_t count = 0;
+  };
+
+  void Send(const FleetContext& context, const SpreadVersions& versions);
+  /// \returns When the pull that `peer` answers was sent, at the latest.
+  [[nodiscard]] std::optional<MonoTime> TakeOutstanding(const NodeId& peer);
   void Schedule(const FleetContext& context, Nanoseconds delay);
   void DropUseless(const SpreadVersions& versions);
   [[nodiscard]] bool Take(const FleetContext& context,
@@ -42,6 +53,7 @@
   std::optional<MonoTime> next_at_;
   std::optional<Source> in_flight_;
   MonoTime sent_at_{};
+  std::map<NodeId, Outstanding> outstanding_;
   std::uint32_t failures_ = 0;
   /// Whether the last peer asked was at its limit.
   bool peer_busy_ = false;
--- a/tests/matrix/fleet_matrix_test.cc
+++ b/tests/matrix/fleet_matrix_test.cc
@@ -13,6 +13,7 @@
 
 const std::vector<std::string> kZones{"puget-a", "puget-b", "inland-a"};
 constexpr std::size_t kNodes = 9;
+constexpr std::size_t kJoiner = 5;
 /// The stated target: an accepted change is in force everywhere within this.
 constexpr Seconds kConvergenceTarget{4};
 constexpr std::uint64_t kSeed = 11;
@@ -63,6 +64,8 @@
   std::string name;
   std::function<void(FleetDriver&)> begin;
   std::vector<Step> steps;
+  /// Node whose effects are the steps; unset for any node's.
+  std::optional<std::size_t> node;
 };
 
 std::size_t FirstReader(FleetDriver& driver) {
@@ -101,22 +104,26 @@
         {"apply", Is<ApplyVersion>}}},
       {"join",
        [](FleetDriver& it) {
-         it.Kill(5);
-         it.Start(5);
+         it.Kill(kJoiner);
+         it.Start(kJoiner);
        },
        {{"meet", Is<SendMembersRequest>},
         {"pull", Is<SendPull>},
         {"apply", Is<ApplyVersion>},
-        {"ready", IsReady}}},
+        {"ready", IsReady}},
+       kJoiner},
       {"join-by-store",
        [](FleetDriver& it) {
-         it.Kill(5);
+         it.Kill(kJoiner);
+         // Until the others do not ask for it any more.
+         it.RunFor(Seconds(12));
          it.seeds_from_settings = false;
-         it.Start(5);
+         it.Start(kJoiner);
        },
        {{"seeds", get(kSeedPrefix)},
         {"meet", Is<SendMembersRequest>},
-        {"pull", Is<SendPull>}}},
+        {"pull", Is<SendPull>}},
+       kJoiner},
       {"leave",
        [](FleetDriver& it) { it.Leave(FirstReader(it)); },
        {{"tell", IsDatagram<PingBody>},
@@ -257,7 +264,8 @@
   }
   std::optional<std::size_t> struck;
   driver.on_effect = [&](std::size_t i, const FleetEffect& effect) {
-    if (struck || !cell.step->match(effect)) {
+    if (struck || (cell.flow->node && cell.flow->node != i) ||
+        !cell.step->match(effect)) {
       return;
     }
     struck = i;
--- a/tests/support/fleet_driver.h
+++ b/tests/support/fleet_driver.h
@@ -147,7 +147,11 @@
     node.applied = 0;
     node.paused_until = {};
     node.self.start_id = 1'000 + ++starts_;
-    node.reducer = std::make_unique<FleetReducer>(options_, node.self,
+    FleetOptions options = options_;
+    if (!seeds_from_settings) {
+      options.seeds.clear();
+    }
+    node.reducer = std::make_unique<FleetReducer>(options, node.self,
                                                   seed_ * 1'000'003 + starts_);
     const Nanoseconds phase(random_.Below(100'000'000));
     ScheduleTick(i, node.epoch, now_ + phase);
@@ -348,6 +352,13 @@
     }
     return random_.Jitter(base, 0.2);
   }
+  [[nodiscard]] Nanoseconds Delay(std::size_t from, std::size_t to) {
+    Nanoseconds delay = Latency(nodes_[from].self, nodes_[to].self);
+    if (Chance(network.late_permille)) {
+      delay += random_.Jitter(network.late_by / 2, 1.0);
+    }
+    return delay;
+  }
   [[nodiscard]] bool IsCut(std::size_t from, std::size_t to) const {
     return cuts.contains({nodes_[from].self.zone, nodes_[to].self.zone});
   }
@@ -381,12 +392,8 @@
     }
     const int copies = Chance(network.doubled_permille) ? 2 : 1;
     for (int n = 0; n < copies; ++n) {
-      Nanoseconds delay = Latency(nodes_[i].self, nodes_[it->second].self);
-      if (Chance(network.late_permille)) {
-        delay += random_.Jitter(network.late_by / 2, 1.0);
-      }
       const std::size_t to = it->second;
-      At(now_ + delay, [this, to, datagram = effect.datagram] {
+      At(now_ + Delay(i, to), [this, to, datagram = effect.datagram] {
         Deliver(to, nodes_[to].epoch, DatagramReceived{datagram});
       });
     }
@@ -412,7 +419,7 @@
       return;
     }
     const std::size_t peer = it->second;
-    At(now_ + Latency(nodes_[i].self, nodes_[peer].self),
+    At(now_ + Delay(i, peer),
        [this, peer, request, make_event = std::move(make_event)] {
          Deliver(peer, nodes_[peer].epoch, make_event(request));
        });
@@ -426,7 +433,7 @@
       return;
     }
     const PeerCall call = it->second;
-    At(now_ + Latency(nodes_[i].self, nodes_[call.from].self),
+    At(now_ + Delay(i, call.from),
        [this, request, call, make_event = std::move(make_event)] {
          if (calls_.erase(request) != 0) {
            Deliver(call.from, call.epoch, make_event(call.to));
