--- /dev/null
+++ b/tests/shell/settings_test.cc
@@ -0,0 +1,109 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "cassiabend/base/error.h"
+#include "cassiabend/node/settings.h"
+
+namespace cassiabend {
+namespace {
+
+constexpr char kMinimal[] = R"({
+  // A comment.
+  "node": {"ip": "127.0.0.1", "region": "puget", "zone": "puget-a"},
+  "store": {"endpoints": ["127.0.0.1:2379"]},
+})";
+
+std::string ErrorOf(const std::string& text) {
+  try {
+    (void)ParseSettings(text, "node.json");
+  } catch (const SettingsError& e) {
+    return e.what();
+  }
+  return "";
+}
+
+std::string With(const std::string& section) {
+  std::string text = kMinimal;
+  return text.insert(1, section + ",");
+}
+
+TEST_CASE("comments are allowed and defaults fill the rest") {
+  const Settings settings = ParseSettings(kMinimal, "node.json");
+  CHECK(settings.node.zone == "puget-a");
+  CHECK(settings.store.endpoints.size() == 1);
+  CHECK(settings.fleet.fan_out == FleetOptions().fan_out);
+}
+
+TEST_CASE("printed settings read back the same") {
+  const Settings settings = ParseSettings(
+      With(R"("fleet": {"seeds": ["127.0.0.2:7"], "beat_period_ms": 700},
+              "upstream": {"service": "s", "ip": "127.0.0.1", "port": 9})"),
+      "node.json");
+  const std::string printed = PrintSettings(settings);
+  CHECK(PrintSettings(ParseSettings(printed, "printed")) == printed);
+}
+
+TEST_CASE("faults name the key, the fault and the range") {
+  const struct {
+    std::string text;
+    std::string path;
+    std::string why;
+  } cases[] = {
+      {"[", "node.json", "not JSON"},
+      {"[]", "node.json", "must be an object"},
+      {With(R"("nodes": {})"), "nodes", "not a known section"},
+      {With(R"("fleet": {"beat": 1})"), "fleet.beat", "not a known key"},
+      {With(R"("fleet": {"beat_period_ms": "1"})"), "fleet.beat_period_ms",
+       "whole number from 100 to 60000"},
+      {With(R"("fleet": {"beat_period_ms": 99})"), "fleet.beat_period_ms",
+       "outside the range 100 to 60000"},
+      {With(R"("fleet": {"beat_period_ms": -5})"), "fleet.beat_period_ms",
+       "outside the range"},
+      {With(R"("fleet": {"beat_period_ms": 1.5})"), "fleet.beat_period_ms",
+       "whole number"},
+      {With(R"("fleet": {"seeds": ["x"]})"), "fleet.seeds[0]", "IP:PORT"},
+      {With(R"("fleet": {"seeds": ["host:1"]})"), "fleet.seeds", "IPv4"},
+      {With(R"("upstream": {"service": "a", "ip": "127.0.0.1"})"),
+       "upstream.port", "missing"},
+      {With(R"("operators": [{"name": "a", "token_hash": "12"}])"),
+       "operators[0].token_hash", "64 hexadecimal digits"},
+      {With(R"("fleet": {"probe_period_ms": 200, "probe_timeout_ms": 200})"),
+       "fleet.probe_timeout_ms", "below"},
+      {R"({"node": {"ip": "127.0.0.1", "zone": "a"}})", "node.region",
+       "missing"},
+      {R"({"node": {"ip": "here", "region": "r", "zone": "a"}})", "node.ip",
+       "IPv4"},
+      {R"({"node": {"ip": "127.0.0.1", "region": "r", "zone": "a"}})",
+       "store.endpoints", "missing"},
+      {With(R"("node": {"log_level": "loud", "ip": "127.0.0.1",
+                        "region": "r", "zone": "a"})"),
+       "node.log_level", "debug, info"},
+  };
+  for (const auto& it : cases) {
+    CAPTURE(it.text);
+    const std::string error = ErrorOf(it.text);
+    CHECK(error.find("(" + it.path + ")") != std::string::npos);
+    CHECK(error.find(it.why) != std::string::npos);
+  }
+}
+
+TEST_CASE("an unreadable file is named") {
+  try {
+    (void)LoadSettings("/nonexistent/node.json");
+    FAIL("no error");
+  } catch (const SettingsError& e) {
+    CHECK(e.where() == "/nonexistent/node.json");
+  }
+}
+
+TEST_CASE("the page of settings names every section") {
+  const std::string page = DescribeSettings();
+  for (const char* it :
+       {"node", "upstream", "store", "config", "fleet", "calls", "http"}) {
+    CHECK(page.find("## `" + std::string(it) + "`") != std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace cassiabend
