Add the commit path: plan, fresh values, compare-and-swap of the head

Operators' changes need one commit point on a store that only offers single-key compare-and-swap. A job reads the head, plans the next version, writes it under fresh keys and swaps the head. While a lost write of the head may still take effect, the request is never refused: the same write is sent again against the same revision, so that it takes effect at most once.

--- /dev/null
+++ b/src/cassiabend/core/commit_job.cc
@@ -0,0 +1,366 @@
+#include "cassiabend/core/commit_job.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cassiabend/base/error.h"
+#include "cassiabend/model/codec.h"
+
+namespace cassiabend {
+namespace {
+
+/// Reads of a head whose value is missing before the job gives up.
+constexpr int kMaxUnreadable = 3;
+/// Time from the first value's write to the head's within which the values are
+/// taken to be there still. Restoring a store takes longer.
+constexpr Milliseconds kTrustValues{1'000};
+
+AdminRequestId RequestOf(const CommitRequest& request) {
+  return std::visit([](const auto& it) { return it.request; }, request);
+}
+
+ChangeId ChangeOf(const CommitRequest& request) {
+  if (const auto* commit = std::get_if<CommitRequested>(&request)) {
+    return commit->change.id;
+  }
+  if (const auto* rollback = std::get_if<RollbackRequested>(&request)) {
+    return rollback->change_id;
+  }
+  return std::get<RecoverRequested>(request).change_id;
+}
+
+std::string VersionText(VersionNumber number) {
+  return "version " + std::to_string(number);
+}
+
+}  // namespace
+
+CommitJob::CommitJob(ConfigEnv* env, CommitRequest request, MonoTime deadline)
+    : env_(env),
+      request_(std::move(request)),
+      change_id_(ChangeOf(request_)),
+      deadline_(deadline),
+      calls_(StoreClientRole::kCommit, env),
+      loader_(&calls_) {}
+
+bool CommitJob::OnReply(const ReduceContext& ctx, const StoreReplied& event) {
+  return calls_.OnReply(ctx, event);
+}
+
+void CommitJob::Tick(const ReduceContext& ctx) {
+  calls_.Tick(ctx);
+}
+
+void CommitJob::Start(const ReduceContext& ctx) {
+  if (change_id_.IsZero()) {
+    Finish(ctx,
+           Refusal(CommitCode::kInvalid, "change.id", "it must not be zero"));
+    return;
+  }
+  if (const auto* commit = std::get_if<CommitRequested>(&request_)) {
+    if (auto refusal = CheckChange(commit->change)) {
+      Finish(ctx, *std::move(refusal));
+      return;
+    }
+  }
+  ReadHead(ctx);
+}
+
+void CommitJob::ReadHead(const ReduceContext& ctx) {
+  if (OutOfTime(ctx)) {
+    return;
+  }
+  newest_at_read_ = env_->newest_mark();
+  SendOptions options{.deadline = deadline_};
+  if (lost_answers_ > 1) {
+    options.not_before = ctx.now.mono + calls_.Backoff(lost_answers_ - 1);
+  }
+  calls_.Send(ctx, StoreGet{kHeadKey}, options,
+              [this](const ReduceContext& at, const StoreReply& reply) {
+                OnHead(at, reply);
+              });
+}
+
+void CommitJob::OnHead(const ReduceContext& ctx, const StoreReply& reply) {
+  if (!TakeHead(ctx, reply)) {
+    return;
+  }
+  if (const auto mark = FindChange(head_, change_id_)) {
+    Accept(ctx, *mark);
+    return;
+  }
+  if (in_doubt_ && head_revision_ == attempt_->expected) {
+    SendHead(ctx);
+    return;
+  }
+  in_doubt_ = false;
+  if (auto refusal = CheckStoreBehind()) {
+    if (std::holds_alternative<RecoverRequested>(request_)) {
+      MakePlan(ctx);
+      return;
+    }
+    Finish(ctx, *std::move(refusal));
+    return;
+  }
+  LoadBase(ctx);
+}
+
+bool CommitJob::TakeHead(const ReduceContext& ctx, const StoreReply& reply) {
+  if (reply.status != StoreStatus::kOk &&
+      reply.status != StoreStatus::kConflict) {
+    Fail(ctx, "the head cannot be read from the store");
+    return false;
+  }
+  try {
+    head_ = reply.entry ? DecodeHead(reply.entry->value) : Head{};
+  } catch (const ModelError& e) {
+    Fail(ctx, e.what());
+    return false;
+  }
+  head_revision_ = reply.entry ? reply.entry->revision : 0;
+  head_sent_at_ = reply.sent_at;
+  return true;
+}
+
+std::optional<CommitResult> CommitJob::CheckStoreBehind() const {
+  const VersionMark& newest = newest_at_read_;
+  if (head_.mark.number > newest.number || head_.mark == newest) {
+    return std::nullopt;
+  }
+  const std::string held =
+      head_revision_ == 0 ? "no version" : VersionText(head_.mark.number);
+  const std::string difference =
+      head_.mark.number == newest.number ? " with another content" : "";
+  return Refusal(CommitCode::kStoreBehind, kHeadKey,
+                 "the store holds " + held + difference +
+                     " while the fleet has " + VersionText(newest.number) +
+                     "; see the command recover");
+}
+
+void CommitJob::LoadBase(const ReduceContext& ctx) {
+  if (head_revision_ == 0) {
+    base_ = nullptr;
+    MakePlan(ctx);
+    return;
+  }
+  if (env_->newest_mark() == head_.mark) {
+    base_ = env_->newest;
+  }
+  if (base_ && base_->mark() == head_.mark) {
+    MakePlan(ctx);
+    return;
+  }
+  loader_.Load(ctx, head_.mark, head_.value_keys, deadline_,
+               [this](const ReduceContext& at, const LoadedVersion& loaded) {
+                 OnBase(at, loaded);
+               });
+}
+
+void CommitJob::OnBase(const ReduceContext& ctx, const LoadedVersion& loaded) {
+  if (!loaded.snapshot) {
+    OnUnreadable(ctx, loaded);
+    return;
+  }
+  base_ = loaded.snapshot;
+  Publish(ctx, {.snapshot = base_}, head_sent_at_);
+  MakePlan(ctx);
+}
+
+void CommitJob::OnUnreadable(const ReduceContext& ctx,
+                             const LoadedVersion& loaded) {
+  ++unreadable_;
+  if (loaded.unavailable || unreadable_ > kMaxUnreadable) {
+    Fail(ctx, loaded.reason);
+    return;
+  }
+  ReadHead(ctx);
+}
+
+void CommitJob::MakePlan(const ReduceContext& ctx) {
+  if (const auto* commit = std::get_if<CommitRequested>(&request_)) {
+    OnPlan(ctx, PlanChange(base_.get(), commit->change));
+  } else if (const auto* rollback = std::get_if<RollbackRequested>(&request_)) {
+    PlanRollbackTo(ctx, *rollback);
+  } else {
+    PlanRecoveryOver(ctx, std::get<RecoverRequested>(request_));
+  }
+}
+
+void CommitJob::PlanRollbackTo(const ReduceContext& ctx,
+                               const RollbackRequested& wish) {
+  const auto entry =
+      std::ranges::find(head_.history, wish.number,
+                        [](const HistoryEntry& it) { return it.mark.number; });
+  if (entry == head_.history.end()) {
+    Finish(ctx, Refusal(CommitCode::kNotFound, VersionText(wish.number),
+                        "the history does not hold it"));
+    return;
+  }
+  loader_.Load(ctx, entry->mark, entry->value_keys, deadline_,
+               [this](const ReduceContext& at, const LoadedVersion& loaded) {
+                 if (!loaded.snapshot) {
+                   OnUnreadable(at, loaded);
+                   return;
+                 }
+                 const auto& rollback = std::get<RollbackRequested>(request_);
+                 OnPlan(at, PlanRollback(*base_, *loaded.snapshot,
+                                         rollback.change_id, rollback.author));
+               });
+}
+
+void CommitJob::PlanRecoveryOver(const ReduceContext& ctx,
+                                 const RecoverRequested& wish) {
+  if (!env_->newest) {
+    Finish(ctx, Refusal(CommitCode::kNotFound, "version",
+                        "no version is in force on this node"));
+    return;
+  }
+  const VersionMark newest = env_->newest_mark();
+  if (head_.mark == newest) {
+    CommitResult result{.mark = newest};
+    Finish(ctx, result);
+    return;
+  }
+  if (head_.mark.number > newest.number) {
+    CommitResult result = Refusal(
+        CommitCode::kConflict, kHeadKey,
+        "the store is not behind: it holds " + VersionText(head_.mark.number));
+    result.conflict_number = head_.mark.number;
+    Finish(ctx, result);
+    return;
+  }
+  OnPlan(ctx, PlanRecovery(*env_->newest, head_.mark.number, wish.change_id,
+                           wish.author));
+}
+
+void CommitJob::OnPlan(const ReduceContext& ctx, const Plan& plan) {
+  if (const auto* refusal = std::get_if<CommitResult>(&plan)) {
+    Finish(ctx, *refusal);
+    return;
+  }
+  const auto& next = std::get<NextVersion>(plan);
+  try {
+    attempt_ = MakeAttempt(next, head_, head_revision_, ctx.now.wall, env_);
+  } catch (const ModelError& e) {
+    Finish(ctx, Refusal(CommitCode::kInvalid, e.where(), e.why()));
+    return;
+  }
+  const auto* commit = std::get_if<CommitRequested>(&request_);
+  if (commit != nullptr && commit->dry_run) {
+    CommitResult result{.mark = next.snapshot->mark()};
+    Finish(ctx, result);
+    return;
+  }
+  WriteValues(ctx);
+}
+
+void CommitJob::WriteValues(const ReduceContext& ctx) {
+  values_missing_ = attempt_->values.size();
+  values_sent_at_ = ctx.now.mono;
+  for (const FreshValue& it : attempt_->values) {
+    calls_.Send(ctx, StoreCompareAndSwap{.key = it.key, .value = it.value},
+                {.deadline = deadline_, .repeatable = true},
+                [this, &it](const ReduceContext& at, const StoreReply& reply) {
+                  OnValueWritten(at, it.value, reply);
+                });
+  }
+}
+
+void CommitJob::OnValueWritten(const ReduceContext& ctx,
+                               const std::string& value,
+                               const StoreReply& reply) {
+  // An earlier try of the same write may have taken effect.
+  const bool written = reply.status == StoreStatus::kOk ||
+                       (reply.status == StoreStatus::kConflict && reply.entry &&
+                        reply.entry->value == value);
+  if (!written) {
+    Fail(ctx, "the version's value cannot be written to the store");
+    return;
+  }
+  if (--values_missing_ == 0) {
+    SendHead(ctx);
+  }
+}
+
+void CommitJob::SendHead(const ReduceContext& ctx) {
+  if (OutOfTime(ctx)) {
+    return;
+  }
+  const VersionNumber number = attempt_->head.mark.number;
+  if (!in_doubt_ && env_->newest_mark().number >= number) {
+    // The fleet moved on while the values were written.
+    ReadHead(ctx);
+    return;
+  }
+  newest_at_read_ = env_->newest_mark();
+  calls_.Send(ctx,
+              StoreCompareAndSwap{.key = kHeadKey,
+                                  .expected = attempt_->expected,
+                                  .value = attempt_->head_bytes},
+              {.deadline = deadline_},
+              [this](const ReduceContext& at, const StoreReply& reply) {
+                OnHeadSent(at, reply);
+              });
+}
+
+void CommitJob::OnHeadSent(const ReduceContext& ctx, const StoreReply& reply) {
+  switch (reply.status) {
+    case StoreStatus::kOk:
+      head_ = attempt_->head;
+      head_sent_at_ = reply.sent_at;
+      Accept(ctx, head_.mark);
+      return;
+    case StoreStatus::kConflict:
+      OnHead(ctx, reply);
+      return;
+    case StoreStatus::kUnknown:
+      in_doubt_ = true;
+      ++lost_answers_;
+      ReadHead(ctx);
+      return;
+    case StoreStatus::kUnavailable:
+    case StoreStatus::kLeaseLost:
+      Fail(ctx, "the head cannot be written to the store");
+      return;
+  }
+}
+
+void CommitJob::Accept(const ReduceContext& ctx, const VersionMark& mark) {
+  if (attempt_ && attempt_->head.mark == head_.mark) {
+    Publish(ctx, attempt_->next, head_sent_at_);
+  }
+  CommitResult result{.mark = mark};
+  Finish(ctx, std::move(result));
+}
+
+void CommitJob::Publish(const ReduceContext& ctx,
+                        const NextVersion& version,
+                        MonoTime confirmed_at) const {
+  ctx.out->emplace_back(
+      VersionCommitted{.snapshot = version.snapshot,
+                       .delta = version.delta.value_or(ConfigDelta{}),
+                       .confirmed_at = confirmed_at});
+}
+
+bool CommitJob::OutOfTime(const ReduceContext& ctx) {
+  if (ctx.now.mono < deadline_) {
+    return false;
+  }
+  Fail(ctx, "the time for the request is over");
+  return true;
+}
+
+void CommitJob::Fail(const ReduceContext& ctx, const std::string& reason) {
+  const CommitCode code =
+      in_doubt_ ? CommitCode::kOutcomeUnknown : CommitCode::kStoreUnavailable;
+  Finish(ctx, Refusal(code, kHeadKey, reason));
+}
+
+void CommitJob::Finish(const ReduceContext& ctx, CommitResult result) {
+  done_ = true;
+  calls_.Clear();
+  result.change_id = change_id_;
+  ctx.out->emplace_back(CommitFinished{RequestOf(request_), std::move(result)});
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/core/commit_job.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "cassiabend/core/commit_attempt.h"
+#include "cassiabend/core/commit_plan.h"
+#include "cassiabend/core/config_loader.h"
+#include "cassiabend/core/config_store_caller.h"
+
+namespace cassiabend {
+
+/// \brief A request that leads to a new version.
+using CommitRequest =
+    std::variant<CommitRequested, RollbackRequested, RecoverRequested>;
+
+/// \brief Carries one request to its answer: reads the head, plans the next
+/// version, writes it under fresh keys and moves the head by compare-and-swap.
+///
+/// While a write of the head may still take effect (`in_doubt_`), the request
+/// is never refused: the job reads the head until its revision shows that the
+/// write did or cannot take effect any more.
+class CommitJob {
+ public:
+  CommitJob(ConfigEnv* env, CommitRequest request, MonoTime deadline);
+  CommitJob(const CommitJob&) = delete;
+  CommitJob& operator=(const CommitJob&) = delete;
+
+  [[nodiscard]] bool done() const noexcept { return done_; }
+  [[nodiscard]] MonoTime deadline() const noexcept { return deadline_; }
+
+  void Start(const ReduceContext& ctx);
+  /// \returns Whether the answer belonged to this job.
+  bool OnReply(const ReduceContext& ctx, const StoreReplied& event);
+  void Tick(const ReduceContext& ctx);
+
+  /// \brief Answers the request and ends the job.
+  void Finish(const ReduceContext& ctx, CommitResult result);
+
+ private:
+  void ReadHead(const ReduceContext& ctx);
+  void OnHead(const ReduceContext& ctx, const StoreReply& reply);
+  [[nodiscard]] bool TakeHead(const ReduceContext& ctx,
+                              const StoreReply& reply);
+  [[nodiscard]] std::optional<CommitResult> CheckStoreBehind() const;
+  void LoadBase(const ReduceContext& ctx);
+  void OnBase(const ReduceContext& ctx, const LoadedVersion& loaded);
+  void OnUnreadable(const ReduceContext& ctx, const LoadedVersion& loaded);
+
+  void MakePlan(const ReduceContext& ctx);
+  void PlanRollbackTo(const ReduceContext& ctx, const RollbackRequested& wish);
+  void PlanRecoveryOver(const ReduceContext& ctx, const RecoverRequested& wish);
+  void OnPlan(const ReduceContext& ctx, const Plan& plan);
+
+  void WriteValues(const ReduceContext& ctx);
+  void OnValueWritten(const ReduceContext& ctx,
+                      const std::string& value,
+                      const StoreReply& reply);
+  void SendHead(const ReduceContext& ctx);
+  void OnHeadSent(const ReduceContext& ctx, const StoreReply& reply);
+  void CheckValues(const ReduceContext& ctx);
+
+  void Accept(const ReduceContext& ctx, const VersionMark& mark);
+  void Publish(const ReduceContext& ctx,
+               const NextVersion& version,
+               MonoTime confirmed_at) const;
+  void Fail(const ReduceContext& ctx, const std::string& reason);
+  [[nodiscard]] bool OutOfTime(const ReduceContext& ctx);
+
+  ConfigEnv* env_;
+  CommitRequest request_;
+  ChangeId change_id_;
+  MonoTime deadline_;
+  StoreCaller calls_;
+  VersionLoader loader_;
+
+  /// The head as last read, with its revision (0 when it is absent).
+  Head head_;
+  StoreRevision head_revision_ = 0;
+  MonoTime head_sent_at_{};
+  /// The version in force here when the head's read was sent.
+  VersionMark newest_at_read_;
+  RefPtr<const Snapshot> base_;
+  int unreadable_ = 0;
+
+  std::optional<CommitAttempt> attempt_;
+  std::size_t values_missing_ = 0;
+  MonoTime values_sent_at_{};
+  /// Whether a sent write of the head may still take effect.
+  bool in_doubt_ = false;
+  std::uint32_t lost_answers_ = 0;
+  bool done_ = false;
+};
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/core/config_env.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "cassiabend/base/random.h"
+#include "cassiabend/base/time.h"
+#include "cassiabend/core/config_events.h"
+#include "cassiabend/core/options.h"
+
+namespace cassiabend {
+
+/// \brief The event's time and the list that takes its effects.
+struct ReduceContext {
+  Instant now;
+  std::vector<ConfigEffect>* out = nullptr;
+};
+
+/// \brief What the jobs of one `ConfigReducer` share.
+struct ConfigEnv {
+  ConfigOptions options;
+  Random random;
+  /// Sequence of the last store call.
+  std::uint64_t last_sequence = 0;
+  /// The version in force on this node; null for none.
+  RefPtr<const Snapshot> newest;
+
+  [[nodiscard]] VersionMark newest_mark() const noexcept {
+    return newest ? newest->mark() : VersionMark{};
+  }
+};
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/core/config_reducer.cc
@@ -0,0 +1,139 @@
+#include "cassiabend/core/config_reducer.h"
+
+#include <algorithm>
+#include <deque>
+#include <type_traits>
+#include <utility>
+
+#include "cassiabend/core/commit_job.h"
+#include "cassiabend/core/config_reads.h"
+
+namespace cassiabend {
+
+/// \brief Runs the jobs: changes one at a time, reads side by side.
+class ConfigReducer::Impl {
+ public:
+  Impl(const ConfigOptions& options, std::uint64_t seed)
+      : env_{.options = options, .random = Random(seed)} {}
+
+  void Reduce(const ReduceContext& ctx, const ConfigEvent& event) {
+    std::visit(
+        [this, &ctx](const auto& it) {
+          using E = std::decay_t<decltype(it)>;
+          if constexpr (std::is_same_v<E, StoreReplied>) {
+            OnReply(ctx, it);
+          } else if constexpr (std::is_same_v<E, HistoryRequested> ||
+                               std::is_same_v<E, VersionRequested>) {
+            AddRead(ctx, it);
+          } else {
+            AddChange(ctx, it);
+          }
+        },
+        event);
+    RemoveDone(ctx);
+  }
+
+  void Tick(const ReduceContext& ctx) {
+    if (!changes_.empty()) {
+      changes_.front()->Tick(ctx);
+    }
+    for (const auto& it : reads_) {
+      it->Tick(ctx);
+    }
+    ExpireWaiting(ctx);
+    RemoveDone(ctx);
+  }
+
+  void SetNewest(RefPtr<const Snapshot> snapshot) {
+    env_.newest = std::move(snapshot);
+  }
+
+ private:
+  [[nodiscard]] MonoTime DeadlineOf(const ReduceContext& ctx) const {
+    return ctx.now.mono + env_.options.commit_timeout;
+  }
+
+  void AddChange(const ReduceContext& ctx, const CommitRequest& request) {
+    auto job = std::make_unique<CommitJob>(&env_, request, DeadlineOf(ctx));
+    if (changes_.size() > env_.options.max_waiting_changes) {
+      job->Finish(ctx, Refusal(CommitCode::kBusy, "change",
+                               "too many changes are waiting"));
+      return;
+    }
+    changes_.push_back(std::move(job));
+    if (changes_.size() == 1) {
+      changes_.front()->Start(ctx);
+    }
+  }
+
+  void AddRead(const ReduceContext& ctx, const ReadRequest& request) {
+    auto job = std::make_unique<ReadJob>(&env_, request, DeadlineOf(ctx));
+    if (reads_.size() >= env_.options.max_waiting_changes) {
+      job->Refuse(ctx, CommitCode::kBusy, "request",
+                  "too many requests are waiting");
+      return;
+    }
+    reads_.push_back(std::move(job));
+    reads_.back()->Start(ctx);
+  }
+
+  void OnReply(const ReduceContext& ctx, const StoreReplied& event) {
+    if (!changes_.empty() && changes_.front()->OnReply(ctx, event)) {
+      return;
+    }
+    for (const auto& it : reads_) {
+      if (it->OnReply(ctx, event)) {
+        return;
+      }
+    }
+  }
+
+  /// \brief Answers the waiting changes whose time is over.
+  void ExpireWaiting(const ReduceContext& ctx) {
+    for (std::size_t i = 1; i < changes_.size(); ++i) {
+      if (ctx.now.mono < changes_[i]->deadline()) {
+        continue;
+      }
+      changes_[i]->Finish(ctx, Refusal(CommitCode::kBusy, "change",
+                                       "earlier changes took all its time"));
+    }
+  }
+
+  void RemoveDone(const ReduceContext& ctx) {
+    std::erase_if(reads_, [](const auto& it) { return it->done(); });
+    for (;;) {
+      const CommitJob* first = changes_.empty() ? nullptr : changes_[0].get();
+      std::erase_if(changes_, [](const auto& it) { return it->done(); });
+      if (changes_.empty() || changes_[0].get() == first) {
+        return;
+      }
+      changes_[0]->Start(ctx);
+    }
+  }
+
+  ConfigEnv env_;
+  /// The first is being carried out; the others wait.
+  std::deque<std::unique_ptr<CommitJob>> changes_;
+  std::vector<std::unique_ptr<ReadJob>> reads_;
+};
+
+ConfigReducer::ConfigReducer(const ConfigOptions& options, std::uint64_t seed)
+    : impl_(std::make_unique<Impl>(options, seed)) {}
+
+ConfigReducer::~ConfigReducer() = default;
+
+void ConfigReducer::Reduce(const Instant& now,
+                           const ConfigEvent& event,
+                           std::vector<ConfigEffect>* out) {
+  impl_->Reduce({now, out}, event);
+}
+
+void ConfigReducer::Tick(const Instant& now, std::vector<ConfigEffect>* out) {
+  impl_->Tick({now, out});
+}
+
+void ConfigReducer::SetNewest(RefPtr<const Snapshot> snapshot) {
+  impl_->SetNewest(std::move(snapshot));
+}
+
+}  // namespace cassiabend
