--- /dev/null
+++ b/src/cassiabend/core/admission.cc
@@ -0,0 +1,121 @@
+#include "cassiabend/core/admission.h"
+
+#include <algorithm>
+
+namespace cassiabend {
+namespace {
+
+/// Weight of the newest service time in the average is 1 / kServiceTimeWindow.
+constexpr int kServiceTimeWindow = 16;
+
+}  // namespace
+
+Nanoseconds AdmissionQueue::ExpectedWait(const AttemptRequest& request,
+                                         std::uint32_t slots) const {
+  if (slots == 0 || (queued_ == 0 && running_ < slots)) {
+    return Nanoseconds(0);
+  }
+  const auto it = flows_.find({request.tenant, request.request_class});
+  const std::size_t own = it == flows_.end() ? 0 : it->second.size;
+  const std::size_t flows = flows_.size() + (it == flows_.end() ? 1 : 0);
+  const std::size_t ahead = std::min((own + 1) * flows, queued_ + 1);
+  return service_time_ * static_cast<std::int64_t>(ahead) / slots;
+}
+
+Attempt* AdmissionQueue::Enqueue(Attempt* attempt) {
+  const AttemptRequest& request = attempt->request;
+  Attempt* refused = nullptr;
+  if (queued_ >= queue_limit_) {
+    const auto longest = LongestFlow();
+    const auto own = flows_.find({request.tenant, request.request_class});
+    const std::size_t own_size = own == flows_.end() ? 0 : own->second.size;
+    if (longest == flows_.end() || longest->second.size <= own_size + 1) {
+      return attempt;
+    }
+    refused = &longest->second.waiting.back();
+    Remove(refused);
+  }
+  Flow& flow = flows_[{request.tenant, request.request_class}];
+  flow.request_class = request.request_class;
+  flow.waiting.push_back(*attempt);
+  ++flow.size;
+  ++queued_;
+  return refused;
+}
+
+void AdmissionQueue::Remove(Attempt* attempt) {
+  const auto it =
+      flows_.find({attempt->request.tenant, attempt->request.request_class});
+  static_cast<AdmissionHook*>(attempt)->unlink();
+  --queued_;
+  if (--it->second.size == 0) {
+    flows_.erase(it);
+  }
+}
+
+Attempt* AdmissionQueue::TakeNext(std::uint32_t slots) {
+  if (running_ >= slots || flows_.empty()) {
+    return nullptr;
+  }
+  auto it = flows_.upper_bound(last_served_);
+  auto chosen = flows_.end();
+  for (std::size_t i = 0; i < flows_.size(); ++i) {
+    it = it == flows_.end() ? flows_.begin() : it;
+    chosen = chosen == flows_.end() ? it : chosen;
+    if (!IsOverShare(it->second.request_class, slots)) {
+      chosen = it;
+      break;
+    }
+    ++it;
+  }
+  Attempt* attempt = TakeFront(chosen);
+  ++running_;
+  ++running_by_class_[attempt->request.request_class];
+  return attempt;
+}
+
+void AdmissionQueue::Release(const Attempt& attempt, Nanoseconds held) {
+  --running_;
+  const auto it = running_by_class_.find(attempt.request.request_class);
+  if (--it->second == 0) {
+    running_by_class_.erase(it);
+  }
+  if (held > Nanoseconds(0)) {
+    service_time_ =
+        service_time_ == Nanoseconds(0)
+            ? held
+            : service_time_ + (held - service_time_) / kServiceTimeWindow;
+  }
+}
+
+Attempt* AdmissionQueue::TakeAny() {
+  if (flows_.empty()) {
+    return nullptr;
+  }
+  return TakeFront(flows_.begin());
+}
+
+Attempt* AdmissionQueue::TakeFront(FlowTable::iterator it) {
+  Attempt* attempt = &it->second.waiting.front();
+  last_served_ = it->first;
+  Remove(attempt);
+  return attempt;
+}
+
+AdmissionQueue::FlowTable::iterator AdmissionQueue::LongestFlow() {
+  return std::ranges::max_element(
+      flows_, {}, [](const auto& it) { return it.second.size; });
+}
+
+bool AdmissionQueue::IsOverShare(const std::string& request_class,
+                                 std::uint32_t slots) const {
+  const auto it = running_by_class_.find(request_class);
+  if (it == running_by_class_.end()) {
+    return false;
+  }
+  const std::uint64_t limit = std::max<std::uint64_t>(
+      1, slots * std::uint64_t{class_share_permille_} / 1000);
+  return it->second >= limit;
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/core/admission.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <boost/intrusive/list.hpp>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+#include "cassiabend/core/attempt.h"
+#include "cassiabend/core/options.h"
+
+namespace cassiabend {
+
+/// \brief Hands out the slots of this host's upstream. Attempts of one tenant
+/// and class form a flow; flows that wait take turns, and while others wait, no
+/// class holds more than its share of the slots.
+class AdmissionQueue {
+ public:
+  explicit AdmissionQueue(const CallOptions& options)
+      : queue_limit_(options.queue_limit),
+        class_share_permille_(options.class_share_permille) {}
+  AdmissionQueue(const AdmissionQueue&) = delete;
+  AdmissionQueue& operator=(const AdmissionQueue&) = delete;
+  ~AdmissionQueue() = default;
+
+  [[nodiscard]] std::uint32_t running() const noexcept { return running_; }
+  [[nodiscard]] std::size_t queued() const noexcept { return queued_; }
+  /// \returns The time that an attempt of this flow would wait for a slot.
+  [[nodiscard]] Nanoseconds ExpectedWait(const AttemptRequest& request,
+                                         std::uint32_t slots) const;
+
+  /// \brief Queues an attempt. `TakeNext` gives it back in its turn.
+  /// \returns The attempt that must be refused to make room, which may be
+  /// `attempt` itself; null when there is room.
+  [[nodiscard]] Attempt* Enqueue(Attempt* attempt);
+  /// \brief Takes an attempt that waits out of the queue.
+  void Remove(Attempt* attempt);
+  /// \returns The next attempt, which then holds a slot; null when no slot is
+  /// free or none waits.
+  [[nodiscard]] Attempt* TakeNext(std::uint32_t slots);
+  /// \brief Gives back the slot of an attempt.
+  /// \param held How long it ran; 0 when it did not.
+  void Release(const Attempt& attempt, Nanoseconds held);
+  /// \returns Any attempt that waits, taken out; null when none does.
+  [[nodiscard]] Attempt* TakeAny();
+
+ private:
+  using FlowKey = std::pair<std::string, std::string>;
+  struct Flow {
+    std::string request_class;
+    boost::intrusive::list<Attempt, boost::intrusive::constant_time_size<false>>
+        waiting;
+    std::size_t size = 0;
+  };
+  using FlowTable = std::map<FlowKey, Flow>;
+
+  [[nodiscard]] Attempt* TakeFront(FlowTable::iterator it);
+  [[nodiscard]] FlowTable::iterator LongestFlow();
+  [[nodiscard]] bool IsOverShare(const std::string& request_class,
+                                 std::uint32_t slots) const;
+
+  std::uint32_t queue_limit_;
+  std::uint32_t class_share_permille_;
+  std::uint32_t running_ = 0;
+  std::size_t queued_ = 0;
+  Nanoseconds service_time_{0};
+  std::unordered_map<std::string, std::uint32_t> running_by_class_;
+  /// Flows with attempts that wait.
+  FlowTable flows_;
+  /// Key of the flow that was served last.
+  FlowKey last_served_;
+};
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/core/balancer.cc
@@ -0,0 +1,340 @@
+#include "cassiabend/core/balancer.h"
+
+#include <algorithm>
+
+namespace cassiabend {
+namespace {
+
+/// Upstreams that one draw looks at before it gives up on a level.
+constexpr std::size_t kDrawLimit = 8;
+/// Use of the slots at which an upstream counts as saturated.
+constexpr std::uint32_t kSaturatedPermille = 950;
+/// Age at which a reported load counts no more.
+constexpr Milliseconds kReportLifetime{5'000};
+/// Most that a report may count, so that no report outweighs what is seen.
+constexpr std::uint32_t kReportCapPermille = 1'000;
+/// Shortest and longest time that a shedding upstream is left alone.
+constexpr Milliseconds kMinShedPause{20};
+constexpr Milliseconds kMaxShedPause{1'000};
+/// Score of an idle upstream, in thousandths of its slots.
+constexpr double kIdleScore = 200.0;
+/// Bounds of an upstream's latency against its service's average.
+constexpr double kMinLatencyRatio = 0.5;
+constexpr double kMaxLatencyRatio = 4.0;
+/// Weight of the newest latency in the averages is 1 / kLatencyWindow.
+constexpr int kLatencyWindow = 8;
+
+void Average(Nanoseconds sample, Nanoseconds* average) noexcept {
+  if (*average == Nanoseconds(0)) {
+    *average = sample;
+    return;
+  }
+  *average += (sample - *average) / kLatencyWindow;
+}
+
+bool IsCandidate(const Member& member) noexcept {
+  return !member.service.empty() &&
+         member.upstream_state == UpstreamState::kServing &&
+         (member.status == MemberStatus::kAlive ||
+          member.status == MemberStatus::kSuspect);
+}
+
+bool WasTried(const UpstreamQuery& query, const Upstream* upstream) noexcept {
+  for (const RefPtr<Upstream>& it : query.tried) {
+    if (it.get() == upstream) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+Balancer::Balancer(const CallOptions& options, const Member& self)
+    : options_(options), self_(self) {}
+
+std::size_t Balancer::ejected() const noexcept {
+  std::size_t n = 0;
+  for (const auto& [name, service] : services_) {
+    n += service.ejection.ejected();
+  }
+  return n;
+}
+
+RefPtr<Upstream> Balancer::Pick(MonoTime now,
+                                const UpstreamQuery& query,
+                                Random* random) {
+  Service* service = FindService(query.service);
+  if (service == nullptr) {
+    return nullptr;
+  }
+  Upstream* fallback = nullptr;
+  for (const Level& level : service->levels) {
+    Upstream* chosen = PickInLevel(now, query, service, level, random);
+    if (chosen == nullptr) {
+      continue;
+    }
+    if (!IsSaturated(now, *chosen)) {
+      return chosen;
+    }
+    fallback = fallback == nullptr ? chosen : fallback;
+  }
+  if (fallback == nullptr) {
+    fallback = PickLastResort(query, *service, random);
+  }
+  return fallback;
+}
+
+RefPtr<Upstream> Balancer::PickHome(MonoTime now,
+                                    const UpstreamQuery& query,
+                                    std::string_view key) {
+  Service* service = FindService(query.service);
+  if (service == nullptr) {
+    return nullptr;
+  }
+  Upstream* best = nullptr;
+  std::pair<bool, std::uint64_t> best_rank{false, 0};
+  for (const Level& level : service->levels) {
+    for (Upstream* it : level) {
+      if (WasTried(query, it)) {
+        continue;
+      }
+      const std::pair<bool, std::uint64_t> rank{
+          IsUsable(now, query, service, it),
+          Hash64(key, NodeIdHasher()(it->member_.id))};
+      if (best == nullptr || rank > best_rank) {
+        best = it;
+        best_rank = rank;
+      }
+    }
+  }
+  return best;
+}
+
+void Balancer::Update(MonoTime now, const Member& member) {
+  RefPtr<Upstream>& slot = upstreams_[member.id];
+  if (slot && slot->member_.start_id != member.start_id) {
+    Unindex(slot.get());
+    slot = nullptr;
+  }
+  if (!slot) {
+    slot = new Upstream(member);
+  }
+  Upstream* upstream = slot.get();
+  const Nearness nearness = NearnessOf(member);
+  const bool moved = upstream->member_.service != member.service ||
+                     upstream->nearness_ != nearness;
+  if (moved || !IsCandidate(member)) {
+    Unindex(upstream);
+  }
+  const bool served =
+      upstream->member_.upstream_state == UpstreamState::kServing;
+  const bool serves = member.upstream_state == UpstreamState::kServing;
+  if (!served && serves) {
+    upstream->serving_since_ = now;
+  }
+  upstream->member_ = member;
+  upstream->nearness_ = nearness;
+  if (IsCandidate(member)) {
+    Index(upstream);
+  } else if (member.status == MemberStatus::kDead ||
+             member.status == MemberStatus::kLeft) {
+    upstreams_.erase(member.id);
+  }
+}
+
+void Balancer::UpdateLoad(MonoTime now,
+                          const NodeId& id,
+                          std::uint16_t load_permille) {
+  const auto it = upstreams_.find(id);
+  if (it == upstreams_.end()) {
+    return;
+  }
+  it->second->reported_permille_ = load_permille;
+  it->second->reported_at_ = now;
+}
+
+void Balancer::RecordEnd(MonoTime now,
+                         AttemptOutcome outcome,
+                         Nanoseconds latency,
+                         Milliseconds retry_after,
+                         Upstream* upstream) {
+  --upstream->outstanding_;
+  Service* service = FindService(upstream->member_.service);
+  if (service == nullptr || !upstream->indexed_) {
+    return;
+  }
+  switch (outcome) {
+    case AttemptOutcome::kAnswered:
+      Average(latency, &upstream->latency_);
+      Average(latency, &service->latency);
+      service->ejection.RecordSuccess(&upstream->ejection_);
+      return;
+    case AttemptOutcome::kShed:
+      upstream->shed_until_ =
+          now + std::clamp(retry_after, kMinShedPause, kMaxShedPause);
+      return;
+    case AttemptOutcome::kNeutral:
+      return;
+    case AttemptOutcome::kSilent:
+      service->ejection.RecordSilence(now, &upstream->ejection_);
+      [[fallthrough]];
+    case AttemptOutcome::kFailed:
+      service->ejection.RecordFailure(now, service->size, &upstream->ejection_);
+      return;
+  }
+}
+
+Nearness Balancer::NearnessOf(const Member& member) const noexcept {
+  if (member.region != self_.region) {
+    return Nearness::kBeyond;
+  }
+  return member.zone == self_.zone ? Nearness::kZone : Nearness::kRegion;
+}
+
+Balancer::Service* Balancer::FindService(std::string_view name) {
+  const auto it = services_.find(std::string(name));
+  return it == services_.end() ? nullptr : &it->second;
+}
+
+void Balancer::Index(Upstream* upstream) {
+  if (upstream->indexed_) {
+    return;
+  }
+  const EjectionLimits limits{options_.ejection_failures,
+                              options_.ejection_time,
+                              options_.ejection_permille};
+  Service& service =
+      services_.try_emplace(upstream->member_.service, limits).first->second;
+  const auto level = static_cast<std::size_t>(upstream->nearness_);
+  service.levels.at(level).push_back(upstream);
+  ++service.size;
+  upstream->indexed_ = true;
+}
+
+void Balancer::Unindex(Upstream* upstream) {
+  if (!upstream->indexed_) {
+    return;
+  }
+  const auto it = services_.find(upstream->member_.service);
+  Service& service = it->second;
+  std::erase(service.levels.at(static_cast<std::size_t>(upstream->nearness_)),
+             upstream);
+  service.ejection.Remove(&upstream->ejection_);
+  upstream->indexed_ = false;
+  if (--service.size == 0) {
+    services_.erase(it);
+  }
+}
+
+bool Balancer::IsUsable(MonoTime now,
+                        const UpstreamQuery& query,
+                        Service* service,
+                        Upstream* upstream) {
+  return upstream->member_.status == MemberStatus::kAlive &&
+         !service->ejection.IsAvoided(now, &upstream->ejection_) &&
+         !WasTried(query, upstream);
+}
+
+Upstream* Balancer::Draw(MonoTime now,
+                         const UpstreamQuery& query,
+                         Service* service,
+                         const Level& level,
+                         Random* random) {
+  std::size_t index = random->Below(level.size());
+  const std::size_t limit = std::min(level.size(), kDrawLimit);
+  Upstream* cold = nullptr;
+  for (std::size_t i = 0; i < limit; ++i) {
+    Upstream* it = level[index];
+    index = index + 1 == level.size() ? 0 : index + 1;
+    if (!IsUsable(now, query, service, it)) {
+      continue;
+    }
+    if (IsWarm(now, *it, random)) {
+      return it;
+    }
+    cold = it;
+  }
+  return cold;
+}
+
+Upstream* Balancer::PickInLevel(MonoTime now,
+                                const UpstreamQuery& query,
+                                Service* service,
+                                const Level& level,
+                                Random* random) {
+  if (level.empty()) {
+    return nullptr;
+  }
+  Upstream* first = Draw(now, query, service, level, random);
+  if (first == nullptr || level.size() == 1) {
+    return first;
+  }
+  Upstream* second = Draw(now, query, service, level, random);
+  const bool take_second =
+      Score(now, *service, *second) < Score(now, *service, *first);
+  return take_second ? second : first;
+}
+
+Upstream* Balancer::PickLastResort(const UpstreamQuery& query,
+                                   const Service& service,
+                                   Random* random) const {
+  for (const Level& level : service.levels) {
+    std::size_t index = random->Below(level.size());
+    const std::size_t limit = std::min(level.size(), kDrawLimit);
+    for (std::size_t i = 0; i < limit; ++i) {
+      Upstream* it = level[index];
+      index = index + 1 == level.size() ? 0 : index + 1;
+      if (!WasTried(query, it)) {
+        return it;
+      }
+    }
+  }
+  return nullptr;
+}
+
+bool Balancer::IsWarm(MonoTime now,
+                      const Upstream& upstream,
+                      Random* random) const {
+  if (!upstream.serving_since_ ||
+      now - *upstream.serving_since_ >= options_.slow_start) {
+    return true;
+  }
+  const Nanoseconds age = now - *upstream.serving_since_;
+  const double share =
+      static_cast<double>(age.count()) /
+      static_cast<double>(Nanoseconds(options_.slow_start).count());
+  constexpr double kMinShare = 0.1;
+  return random->Unit() < std::max(share, kMinShare);
+}
+
+bool Balancer::IsSaturated(MonoTime now,
+                           const Upstream& upstream) const noexcept {
+  const std::uint64_t slots = std::max(upstream.member_.slots, 1U);
+  const bool reported_full = now - upstream.reported_at_ < kReportLifetime &&
+                             upstream.reported_permille_ >= kSaturatedPermille;
+  return now < upstream.shed_until_ || reported_full ||
+         upstream.outstanding_ * 1000ULL >= slots * kSaturatedPermille;
+}
+
+double Balancer::Score(MonoTime now,
+                       const Service& service,
+                       const Upstream& upstream) const noexcept {
+  const double slots = std::max(upstream.member_.slots, 1U);
+  const double seen = upstream.outstanding_ * 1000.0 / slots;
+  double reported = 0;
+  if (now - upstream.reported_at_ < kReportLifetime) {
+    reported = std::min<std::uint32_t>(upstream.reported_permille_,
+                                       kReportCapPermille);
+  }
+  double ratio = 1.0;
+  if (service.latency > Nanoseconds(0) && upstream.latency_ > Nanoseconds(0)) {
+    ratio = static_cast<double>(upstream.latency_.count()) /
+            static_cast<double>(service.latency.count());
+  }
+  const double penalty = now < upstream.shed_until_ ? 1'000.0 : 0.0;
+  return (kIdleScore + seen + reported / 2 + penalty) *
+         std::clamp(ratio, kMinLatencyRatio, kMaxLatencyRatio);
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/core/call_context.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "cassiabend/base/random.h"
+#include "cassiabend/base/time.h"
+#include "cassiabend/core/call_events.h"
+#include "cassiabend/core/options.h"
+
+namespace cassiabend {
+
+/// \brief Longest deadline of a call: an attempt's tombstone outlives every
+/// copy of the attempt, which is refused after its deadline and the clocks'
+/// error.
+[[nodiscard]] inline Milliseconds LongestDeadline(const CallOptions& options) {
+  return options.order_memory / 2;
+}
+
+/// \brief What the parts of the call reducer share: settings, the version in
+/// force, and the time and effects of the event being answered.
+struct CallContext {
+  CallOptions options;
+  Member self;
+  Random random;
+  RefPtr<const Snapshot> snapshot;
+  /// Time to which the head is confirmed; unset for never.
+  std::optional<MonoTime> confirmed_at;
+  bool ready = false;
+  bool draining = false;
+  Instant now;
+  std::vector<CallEffect>* out = nullptr;
+
+  /// \brief Appends one effect of the event being answered.
+  template <typename T>
+  void Emit(T&& effect) {
+    out->emplace_back(std::forward<T>(effect));
+  }
+  /// \returns The number of the version in force; 0 for none.
+  [[nodiscard]] VersionNumber config_number() const noexcept {
+    return snapshot ? snapshot->mark().number : 0;
+  }
+};
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/core/call_destination.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <memory>
+#include <unordered_map>
+
+#include "cassiabend/core/admission.h"
+#include "cassiabend/core/attempt.h"
+#include "cassiabend/core/attempt_tombstones.h"
+#include "cassiabend/core/call_context.h"
+#include "cassiabend/core/call_upstream_health.h"
+#include "cassiabend/core/dispatch_gate.h"
+
+namespace cassiabend {
+
+/// \brief Answers events at the node beside the upstream: admits attempts,
+/// hands them to the upstream, and keeps each one's answer or fate for the node
+/// that sent it.
+class CallDestination {
+ public:
+  CallDestination(CallContext* context, const CallUpstreamHealth* health);
+
+  [[nodiscard]] std::size_t queued() const noexcept {
+    return admission_.queued();
+  }
+  [[nodiscard]] std::uint32_t running() const noexcept {
+    return admission_.running();
+  }
+  [[nodiscard]] std::size_t held() const noexcept;
+  /// \returns Whether an attempt waits, runs, or has an answer to be fetched.
+  [[nodiscard]] bool has_work() const noexcept;
+
+  void Reduce(const AttemptArrived& event);
+  void Reduce(const FetchArrived& event);
+  void Reduce(const CancelArrived& event);
+  void Reduce(const LinkLost& event);
+  void Reduce(const UpstreamShed& event);
+  void Reduce(const UpstreamUnreached& event);
+  void Reduce(const UpstreamAnswering& event);
+  void Reduce(const UpstreamFinished& event);
+  void Reduce(const UpstreamBroken& event);
+  /// \brief Answers the time that has passed.
+  void Tick();
+  /// \brief Refuses everything that waits.
+  void Drain();
+
+ private:
+  using AttemptTable =
+      std::unordered_map<AttemptId, std::unique_ptr<Attempt>, Id128Hasher>;
+
+  [[nodiscard]] std::optional<Refusal> CheckArrival(
+      const AttemptRequest& request) const;
+  void Admit(const AttemptArrived& event);
+  void StartWaiting();
+  void Dispatch(Attempt* attempt);
+  [[nodiscard]] std::optional<Refusal> CheckDispatch(
+      const Attempt& attempt) const;
+  void Start(Attempt* attempt);
+
+  /// \brief Answers a connection that asks for a known attempt.
+  void Join(Attempt* attempt, LinkId link, bool fetches);
+  void ReplyToAbsent(LinkId link, const AttemptId& id, std::uint64_t start_id);
+  void SetLink(Attempt* attempt, LinkId link, bool fetches);
+  void ClearLink(Attempt* attempt);
+  void Bind(Attempt* attempt);
+
+  /// \brief Ends an attempt that the upstream does not have.
+  void Refuse(Attempt* attempt, const Refusal& refusal);
+  /// \brief Ends an attempt that the upstream may have run.
+  void EndUnknown(Attempt* attempt);
+  void ReleaseSlot(Attempt* attempt);
+  void Forget(Attempt* attempt, AttemptFate fate);
+  void Remember(const AttemptRequest& request, AttemptFate fate);
+  void Expire(Attempt* attempt);
+  void ExpireRunning(Attempt* attempt);
+  void ScheduleRunning(Attempt* attempt);
+
+  [[nodiscard]] Attempt* Find(const AttemptId& id) const;
+
+  CallContext* context_;
+  const CallUpstreamHealth* health_;
+  AdmissionQueue admission_;
+  AttemptTombstones tombstones_;
+  AttemptTable attempts_;
+  std::unordered_map<LinkId, AttemptId> links_;
+  TimerQueue<Attempt> timers_;
+};
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/core/call_entry.cc
@@ -0,0 +1,441 @@
+#include "cassiabend/core/call_entry.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiabend {
+namespace {
+
+/// Fetches of one attempt that may fail before it is cancelled.
+constexpr std::uint8_t kMaxFailedFetches = 2;
+constexpr Milliseconds kFetchPause{40};
+/// Taken off the deadline that is passed on, so that a refusal at the far end
+/// comes back in time.
+constexpr Milliseconds kReturnMargin{10};
+/// Shortest time left with which an attempt is sent.
+constexpr Milliseconds kMinAttemptTime{2};
+/// Time before the deadline at which an attempt in doubt is cancelled.
+constexpr Milliseconds kCancelMargin{60};
+/// When to come back after a refusal that names no time.
+constexpr Milliseconds kDefaultRetryAfter{100};
+
+/// \returns Whether another upstream may take what one refused for `reason`.
+bool IsRetriable(NotRunReason reason) noexcept {
+  switch (reason) {
+    case NotRunReason::kOverloaded:
+    case NotRunReason::kStaleConfiguration:
+    case NotRunReason::kDraining:
+    case NotRunReason::kDeadline:
+    case NotRunReason::kRestarted:
+    case NotRunReason::kCancelled:
+    case NotRunReason::kUnreachable:
+    case NotRunReason::kNoUpstream:
+    case NotRunReason::kNotReady:
+      return true;
+    default:
+      return false;
+  }
+}
+
+AttemptOutcome OutcomeOf(NotRunReason reason) noexcept {
+  switch (reason) {
+    case NotRunReason::kOverloaded:
+      return AttemptOutcome::kShed;
+    case NotRunReason::kUnreachable:
+    case NotRunReason::kRestarted:
+      return AttemptOutcome::kFailed;
+    default:
+      return AttemptOutcome::kNeutral;
+  }
+}
+
+/// \returns The time that a caller is told, for a refusal that names none.
+Milliseconds RetryAfterOf(const Refusal& refusal) noexcept {
+  if (refusal.retry_after > Milliseconds(0)) {
+    return refusal.retry_after;
+  }
+  switch (refusal.reason) {
+    case NotRunReason::kNoRoute:
+    case NotRunReason::kUnknownSite:
+    case NotRunReason::kDepthExceeded:
+    case NotRunReason::kBadRequest:
+      return Milliseconds(0);
+    default:
+      return kDefaultRetryAfter;
+  }
+}
+
+}  // namespace
+
+CallEntry::CallEntry(CallContext* context, Balancer* balancer)
+    : context_(context),
+      balancer_(balancer),
+      budget_(context->options.retry_budget_permille) {}
+
+void CallEntry::Reduce(const CallArrived& event) {
+  auto& slot = calls_[event.call];
+  if (slot) {
+    return;
+  }
+  slot = std::make_unique<Call>();
+  Call* call = slot.get();
+  call->id = event.call;
+  call->facts = event.facts;
+  call->arrived_at = context_->now.mono;
+  call->deadline = call->arrived_at + context_->options.default_timeout;
+  if (const auto refusal = Route(call)) {
+    FinishNotRun(call, *refusal);
+    return;
+  }
+  budget_.Earn(call->facts.tenant, call->route->request_class);
+  SendFirst(call);
+}
+
+std::optional<Refusal> CallEntry::Route(Call* call) const {
+  if (context_->draining) {
+    return Refusal{NotRunReason::kDraining};
+  }
+  if (!context_->ready || !context_->snapshot) {
+    return Refusal{NotRunReason::kNotReady};
+  }
+  const CallFacts& facts = call->facts;
+  if (facts.depth >= kMaxCallDepth) {
+    return Refusal{NotRunReason::kDepthExceeded};
+  }
+  call->snapshot = context_->snapshot;
+  call->route = call->snapshot->FindRoute(
+      {facts.tenant, facts.host, facts.path, facts.method});
+  if (call->route == nullptr) {
+    return Refusal{NotRunReason::kNoRoute};
+  }
+  if (call->facts.tenant.empty()) {
+    call->facts.tenant = call->route->tenant;
+  }
+  Milliseconds timeout = call->route->timeout > Milliseconds(0)
+                             ? call->route->timeout
+                             : context_->options.default_timeout;
+  if (facts.deadline) {
+    timeout = std::min(timeout, *facts.deadline);
+  }
+  timeout = std::min(timeout, LongestDeadline(context_->options));
+  call->deadline = call->arrived_at + timeout;
+  if (timeout <= kMinAttemptTime) {
+    return Refusal{NotRunReason::kDeadline};
+  }
+  return CheckSite(call);
+}
+
+std::optional<Refusal> CallEntry::CheckSite(Call* call) const {
+  const cassiabend::Route& route = *call->route;
+  if (!route.noisy) {
+    return std::nullopt;
+  }
+  call->site = route.site;
+  for (const auto& [name, value] : call->facts.headers) {
+    if (call->site.empty() && name == route.site_header) {
+      call->site = value;
+    }
+  }
+  return CheckNoisyWork(*context_, {call->site, route.longest_job,
+                                    call->snapshot->mark().number});
+}
+
+void CallEntry::SendFirst(Call* call) {
+  RefPtr<Upstream> upstream = Choose(*call);
+  if (!upstream) {
+    FinishNotRun(call, {NotRunReason::kNoUpstream});
+    return;
+  }
+  SendTo(call, std::move(upstream));
+}
+
+RefPtr<Upstream> CallEntry::Choose(const Call& call) {
+  const UpstreamQuery query{call.route->service,
+                            {call.tried.data(), call.tried.size()}};
+  const bool keyed = call.route->repeat == RepeatPolicy::kOnce &&
+                     !call.facts.order_key.empty();
+  if (keyed) {
+    return balancer_->PickHome(context_->now.mono, query, call.facts.order_key);
+  }
+  return balancer_->Pick(context_->now.mono, query, &context_->random);
+}
+
+void CallEntry::SendTo(Call* call, RefPtr<Upstream> upstream) {
+  AttemptRequest& request = call->request;
+  const cassiabend::Route& route = *call->route;
+  request.id = context_->random.NextId();
+  request.destination_start_id = upstream->member().start_id;
+  request.route = route.name;
+  request.service = route.service;
+  request.tenant = call->facts.tenant;
+  request.request_class = route.request_class;
+  request.order_key = call->facts.order_key;
+  request.site = call->site;
+  request.noisy = route.noisy;
+  request.once = route.repeat == RepeatPolicy::kOnce;
+  request.longest_job = route.longest_job;
+  request.config_number = call->snapshot->mark().number;
+  request.depth = call->facts.depth;
+  request.is_retry = call->facts.is_retry || !call->tried.empty();
+  request.deadline =
+      std::max(Remaining(*call) - kReturnMargin, kMinAttemptTime);
+  request.expires_at = context_->now.wall + request.deadline;
+  balancer_->RecordStart(upstream.get());
+  call->tried.push_back(std::move(upstream));
+  call->outstanding = true;
+  call->silent = false;
+  call->failed_fetches = 0;
+  call->sent_at = context_->now.mono;
+  call->phase = Phase::kSent;
+  SendVerb(call, AttemptVerb::kRun);
+}
+
+void CallEntry::SendVerb(Call* call, AttemptVerb verb) {
+  const Member& member = call->tried.back()->member();
+  context_->Emit(
+      SendAttempt{call->id, verb, member.id, member.call_port, call->request});
+  Schedule(call);
+}
+
+void CallEntry::Reduce(const AttemptNotRun& event) {
+  Call* call = Find(event.call, event.attempt);
+  if (call == nullptr || call->phase == Phase::kRelaying) {
+    return;
+  }
+  if (call->phase != Phase::kSent && context_->now.mono >= call->deadline) {
+    // The destination may have forgotten by now that it ran the attempt.
+    GiveUpAttempt(call);
+    return;
+  }
+  EndAttempt(call, OutcomeOf(event.reason), event.retry_after);
+  if (IsRetriable(event.reason) && Retry(call)) {
+    return;
+  }
+  if (call->may_have_run) {
+    FinishUnknown(call, "an earlier attempt may have run");
+    return;
+  }
+  FinishNotRun(call, {event.reason, event.retry_after});
+}
+
+void CallEntry::Reduce(const AttemptAnswering& event) {
+  Call* call = Find(event.call, event.attempt);
+  if (call == nullptr) {
+    context_->Emit(DropAttempt{event.call, event.attempt});
+    return;
+  }
+  if (call->phase == Phase::kRelaying) {
+    return;
+  }
+  EndAttempt(call, AttemptOutcome::kAnswered, Milliseconds(0));
+  call->phase = Phase::kRelaying;
+  timers_.Cancel(call);
+  context_->Emit(RelayAnswer{call->id, event.attempt});
+}
+
+void CallEntry::Reduce(const AttemptStillRunning& event) {
+  Call* call = Find(event.call, event.attempt);
+  if (call == nullptr || call->phase == Phase::kRelaying) {
+    return;
+  }
+  call->silent = false;
+  call->failed_fetches = 0;
+  call->phase = Phase::kFetching;
+  SendVerb(call, AttemptVerb::kFetch);
+}
+
+void CallEntry::Reduce(const AttemptUnknown& event) {
+  Call* call = Find(event.call, event.attempt);
+  if (call == nullptr || call->phase == Phase::kRelaying) {
+    return;
+  }
+  GiveUpAttempt(call);
+}
+
+void CallEntry::Reduce(const AttemptLost& event) {
+  Call* call = Find(event.call, event.attempt);
+  if (call == nullptr || call->phase == Phase::kRelaying) {
+    return;
+  }
+  if (call->phase == Phase::kSent && event.loss == LinkLoss::kNeverSent) {
+    Reduce(AttemptNotRun{event.call, event.attempt, NotRunReason::kUnreachable,
+                         Milliseconds(0)});
+    return;
+  }
+  call->silent = call->silent || event.loss == LinkLoss::kSilent;
+  Recover(call);
+}
+
+void CallEntry::Recover(Call* call) {
+  switch (call->phase) {
+    case Phase::kSent:
+      call->phase = Phase::kFetching;
+      SendVerb(call, AttemptVerb::kFetch);
+      return;
+    case Phase::kFetching:
+      FetchFailed(call);
+      return;
+    case Phase::kCancelling:
+      GiveUpAttempt(call);
+      return;
+    case Phase::kWaiting:
+    case Phase::kRelaying:
+      return;
+  }
+}
+
+void CallEntry::FetchFailed(Call* call) {
+  ++call->failed_fetches;
+  if (call->failed_fetches < kMaxFailedFetches) {
+    call->phase = Phase::kWaiting;
+    Schedule(call);
+    return;
+  }
+  if (!call->request.once) {
+    GiveUpAttempt(call);
+    return;
+  }
+  call->phase = Phase::kCancelling;
+  SendVerb(call, AttemptVerb::kCancel);
+}
+
+void CallEntry::GiveUpAttempt(Call* call) {
+  const bool silent = call->silent;
+  EndAttempt(call, silent ? AttemptOutcome::kSilent : AttemptOutcome::kFailed,
+             Milliseconds(0));
+  call->may_have_run = true;
+  context_->Emit(DropAttempt{call->id, call->request.id});
+  if (!call->request.once && Retry(call)) {
+    return;
+  }
+  FinishUnknown(call, "the answer of the upstream was lost");
+}
+
+void CallEntry::Reduce(const AnswerRelayed& event) {
+  Call* call = Find(event.call, event.attempt);
+  if (call == nullptr || call->phase != Phase::kRelaying) {
+    return;
+  }
+  Finish(call, event.complete ? "answered" : "cut");
+}
+
+void CallEntry::Reduce(const CallerGone& event) {
+  const auto it = calls_.find(event.call);
+  if (it == calls_.end()) {
+    return;
+  }
+  Call* call = it->second.get();
+  EndAttempt(call, AttemptOutcome::kNeutral, Milliseconds(0));
+  context_->Emit(DropAttempt{call->id, call->request.id});
+  Finish(call, "caller_gone");
+}
+
+void CallEntry::Tick() {
+  while (Call* call = timers_.PopDue(context_->now.mono)) {
+    Expire(call);
+  }
+}
+
+void CallEntry::Expire(Call* call) {
+  if (context_->now.mono >= call->deadline) {
+    EndAttempt(call, AttemptOutcome::kFailed, Milliseconds(0));
+    context_->Emit(DropAttempt{call->id, call->request.id});
+    FinishUnknown(call, "no answer came before the deadline");
+    return;
+  }
+  if (call->phase == Phase::kWaiting) {
+    call->phase = Phase::kFetching;
+    SendVerb(call, AttemptVerb::kFetch);
+    return;
+  }
+  if (call->phase == Phase::kSent && call->request.once) {
+    call->phase = Phase::kCancelling;
+    SendVerb(call, AttemptVerb::kCancel);
+    return;
+  }
+  Schedule(call);
+}
+
+void CallEntry::Schedule(Call* call) {
+  MonoTime due = call->deadline;
+  if (call->phase == Phase::kWaiting) {
+    due = std::min(due, context_->now.mono + kFetchPause);
+  }
+  if (call->phase == Phase::kSent && call->request.once &&
+      call->deadline - kCancelMargin > context_->now.mono) {
+    due = call->deadline - kCancelMargin;
+  }
+  timers_.Schedule(call, due);
+}
+
+Milliseconds CallEntry::Remaining(const Call& call) const {
+  return std::chrono::floor<Milliseconds>(call.deadline - context_->now.mono);
+}
+
+bool CallEntry::MayRetry(const Call& call) const {
+  const std::size_t limit =
+      std::min<std::size_t>(context_->options.max_attempts, kMaxAttemptsLimit);
+  return !call.facts.is_retry && call.tried.size() < limit &&
+         Remaining(call) > kReturnMargin + kMinAttemptTime;
+}
+
+bool CallEntry::Retry(Call* call) {
+  if (!MayRetry(*call)) {
+    return false;
+  }
+  RefPtr<Upstream> upstream = Choose(*call);
+  if (!upstream ||
+      !budget_.Spend(call->facts.tenant, call->route->request_class)) {
+    return false;
+  }
+  SendTo(call, std::move(upstream));
+  return true;
+}
+
+void CallEntry::EndAttempt(Call* call,
+                           AttemptOutcome outcome,
+                           Milliseconds retry_after) {
+  if (!call->outstanding) {
+    return;
+  }
+  call->outstanding = false;
+  balancer_->RecordEnd(context_->now.mono, outcome,
+                       context_->now.mono - call->sent_at, retry_after,
+                       call->tried.back().get());
+}
+
+CallEntry::Call* CallEntry::Find(CallId id, const AttemptId& attempt) const {
+  const auto it = calls_.find(id);
+  if (it == calls_.end() || it->second->request.id != attempt) {
+    return nullptr;
+  }
+  return it->second.get();
+}
+
+void CallEntry::FinishNotRun(Call* call, const Refusal& refusal) {
+  context_->Emit(AnswerNotRun{call->id, refusal.reason, RetryAfterOf(refusal),
+                              std::string(NameOf(refusal.reason))});
+  Finish(call, NameOf(refusal.reason));
+}
+
+void CallEntry::FinishUnknown(Call* call, std::string detail) {
+  context_->Emit(AnswerUnknown{call->id, std::move(detail)});
+  Finish(call, "unknown");
+}
+
+void CallEntry::Finish(Call* call, std::string_view outcome) {
+  CallEnded ended;
+  ended.call = call->id;
+  ended.tenant = call->facts.tenant;
+  if (call->route != nullptr) {
+    ended.request_class = call->route->request_class;
+    ended.route = call->route->name;
+  }
+  ended.outcome = outcome;
+  ended.elapsed = context_->now.mono - call->arrived_at;
+  ended.attempts = static_cast<std::uint8_t>(call->tried.size());
+  context_->Emit(std::move(ended));
+  calls_.erase(CallId(call->id));
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/core/call_entry.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <boost/container/static_vector.hpp>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "cassiabend/core/balancer.h"
+#include "cassiabend/core/call_context.h"
+#include "cassiabend/core/call_timer.h"
+#include "cassiabend/core/dispatch_gate.h"
+#include "cassiabend/core/retry_budget.h"
+
+namespace cassiabend {
+
+/// \brief Most attempts that one call can be given.
+inline constexpr std::size_t kMaxAttemptsLimit = 8;
+
+/// \brief Answers events at the node that a call entered: routes the call,
+/// sends attempts, recovers answers whose connection was lost, and tells the
+/// caller how the call ended.
+class CallEntry {
+ public:
+  CallEntry(CallContext* context, Balancer* balancer);
+
+  [[nodiscard]] std::size_t calls() const noexcept { return calls_.size(); }
+  [[nodiscard]] const RetryBudget& budget() const noexcept { return budget_; }
+
+  void Reduce(const CallArrived& event);
+  void Reduce(const AttemptNotRun& event);
+  void Reduce(const AttemptAnswering& event);
+  void Reduce(const AttemptStillRunning& event);
+  void Reduce(const AttemptUnknown& event);
+  void Reduce(const AttemptLost& event);
+  void Reduce(const AnswerRelayed& event);
+  void Reduce(const CallerGone& event);
+  /// \brief Answers the time that has passed.
+  void Tick();
+
+ private:
+  enum class Phase : std::uint8_t {
+    /// The attempt was sent.
+    kSent,
+    /// Its answer is being fetched over a new connection.
+    kFetching,
+    /// It is being cancelled over a new connection.
+    kCancelling,
+    /// The next fetch waits for its time.
+    kWaiting,
+    /// The answer is on its way to the caller.
+    kRelaying,
+  };
+
+  struct Call : TimerEntry {
+    CallId id = 0;
+    CallFacts facts;
+    RefPtr<const Snapshot> snapshot;
+    const Route* route = nullptr;
+    std::string site;
+    MonoTime arrived_at{};
+    MonoTime deadline{};
+    Phase phase = Phase::kSent;
+    /// The newest attempt.
+    AttemptRequest request;
+    MonoTime sent_at{};
+    /// Upstreams of all attempts, the newest last.
+    boost::container::static_vector<RefPtr<Upstream>, kMaxAttemptsLimit> tried;
+    /// Whether the newest attempt still counts as outstanding.
+    bool outstanding = false;
+    /// Whether an attempt before the newest may have run.
+    bool may_have_run = false;
+    /// Whether the newest attempt's connection fell silent.
+    bool silent = false;
+    std::uint8_t failed_fetches = 0;
+  };
+  using CallTable = std::unordered_map<CallId, std::unique_ptr<Call>>;
+
+  [[nodiscard]] Call* Find(CallId id, const AttemptId& attempt) const;
+  [[nodiscard]] std::optional<Refusal> Route(Call* call) const;
+  [[nodiscard]] std::optional<Refusal> CheckSite(Call* call) const;
+  void SendFirst(Call* call);
+  [[nodiscard]] RefPtr<Upstream> Choose(const Call& call);
+  void SendTo(Call* call, RefPtr<Upstream> upstream);
+  void SendVerb(Call* call, AttemptVerb verb);
+  [[nodiscard]] Milliseconds Remaining(const Call& call) const;
+  [[nodiscard]] bool MayRetry(const Call& call) const;
+  /// \brief Sends the next attempt if the limits allow one.
+  /// \returns Whether it was sent.
+  [[nodiscard]] bool Retry(Call* call);
+  void Recover(Call* call);
+  void FetchFailed(Call* call);
+  void GiveUpAttempt(Call* call);
+  void EndAttempt(Call* call, AttemptOutcome outcome, Milliseconds retry_after);
+  void Expire(Call* call);
+  void Schedule(Call* call);
+
+  void FinishNotRun(Call* call, const Refusal& refusal);
+  void FinishUnknown(Call* call, std::string detail);
+  void Finish(Call* call, std::string_view outcome);
+
+  CallContext* context_;
+  Balancer* balancer_;
+  RetryBudget budget_;
+  CallTable calls_;
+  TimerQueue<Call> timers_;
+};
+
+}  // namespace cassiabend
--- a/src/cassiabend/core/call_events.h
+++ b/src/cassiabend/core/call_events.h
@@ -55,6 +55,8 @@
   kUnreachable,
   kDepthExceeded,
   kBadRequest,
+  /// The store, in which orders with a key are claimed, cannot be reached.
+  kStoreUnavailable,
 };
 
 /// \returns The stable name of a reason, as callers and metrics see it.
@@ -81,7 +83,14 @@
   VersionNumber config_number = 0;
   /// Time left at the moment of sending.
   Milliseconds deadline{0};
+  /// Depth of the call itself; calls that the upstream makes are one deeper.
   std::uint8_t depth = 0;
+  /// Whether this attempt, or a call above it, is a retry. It goes down with
+  /// the calls that the upstream makes, which are then not retried.
+  bool is_retry = false;
+  /// Wall-clock time after which no copy of the attempt may start, whatever
+  /// held it up on the way; the epoch for none.
+  WallTime expires_at{};
 };
 
 // Events at the entry node.
@@ -241,7 +250,10 @@
   kCancel,
 };
 /// \brief Effect: send an attempt, fetch or cancel to a destination node.
-/// A fetch or cancel always goes over a new connection.
+/// A run is written at most once, on one connection; it may be an idle one. A
+/// fetch or cancel goes over a new connection and replaces the connection that
+/// the attempt had: that one is closed and its loss is not an event. Of a fetch
+/// or cancel, the destination needs the attempt's id and start only.
 struct SendAttempt {
   CallId call = 0;
   AttemptVerb verb = AttemptVerb::kRun;
@@ -254,7 +266,8 @@
   CallId call = 0;
   AttemptId attempt;
 };
-/// \brief Effect: the connection of this attempt is of no more use.
+/// \brief Effect: the connection of this attempt is of no more use and is
+/// closed; no event of the attempt follows.
 struct DropAttempt {
   CallId call = 0;
   AttemptId attempt;
@@ -286,35 +299,50 @@
 
 // Effects at the destination node.
 
-/// \brief Effect: hand the attempt's request to this host's upstream now.
+/// \brief Effect: hand the attempt's request to this host's upstream now, with
+/// the deadline, `depth` + 1 and `is_retry` of its request, so that the calls
+/// that the upstream makes carry them on.
 struct StartUpstream {
   AttemptId attempt;
   Milliseconds deadline{0};
 };
-/// \brief Effect: close the upstream connection of the attempt.
+/// \brief Effect: close the upstream connection of the attempt; no event of
+/// that connection follows.
 struct CancelUpstream {
   AttemptId attempt;
 };
-/// \brief Effect: send the upstream's answer to this connection as it arrives.
+/// \brief Effect: send the upstream's answer to this connection from its first
+/// byte, those held first, the rest as it arrives. It comes only after
+/// `UpstreamAnswering`. A later one for another connection replaces it while
+/// the answer is not whole, and stands beside it afterwards. Where the held
+/// bytes do not reach back to the first, the connection is closed instead.
 struct BindAnswer {
   LinkId link = 0;
   AttemptId attempt;
 };
+/// \brief Effect: answer the connection: the attempt was not run here, and no
+/// copy of it will be.
 struct ReplyNotRun {
   LinkId link = 0;
   AttemptId attempt;
   NotRunReason reason = NotRunReason::kOverloaded;
   Milliseconds retry_after{0};
 };
+/// \brief Effect: answer the connection: the attempt waits or runs; fetch
+/// again.
 struct ReplyStillRunning {
   LinkId link = 0;
   AttemptId attempt;
 };
+/// \brief Effect: answer the connection: the attempt may have run and its
+/// answer is not here. A connection that already carries the answer is cut
+/// instead.
 struct ReplyUnknown {
   LinkId link = 0;
   AttemptId attempt;
 };
-/// \brief Effect: the request and answer of the attempt need not be held.
+/// \brief Effect: the request and answer of the attempt need not be held. An
+/// answer on its way to a connection still goes there, whole.
 struct ReleaseAttempt {
   AttemptId attempt;
 };
--- a/src/cassiabend/core/call_names.cc
+++ b/src/cassiabend/core/call_names.cc
@@ -5,14 +5,26 @@
 namespace cassiabend {
 namespace {
 
-constexpr std::array<std::string_view, 15> kNotRunReasonNames = {
-    "no_route",       "not_ready",      "no_upstream",         "overloaded",
-    "share_exceeded", "quiet_window",   "stale_configuration", "unknown_site",
-    "draining",       "deadline",       "restarted",           "cancelled",
-    "unreachable",    "depth_exceeded", "bad_request",
+constexpr std::array<std::string_view, 16> kNotRunReasonNames = {
+    "no_route",
+    "not_ready",
+    "no_upstream",
+    "overloaded",
+    "share_exceeded",
+    "quiet_window",
+    "stale_configuration",
+    "unknown_site",
+    "draining",
+    "deadline",
+    "restarted",
+    "cancelled",
+    "unreachable",
+    "depth_exceeded",
+    "bad_request",
+    "store_unavailable",
 };
 static_assert(kNotRunReasonNames.size() ==
-              static_cast<std::size_t>(NotRunReason::kBadRequest) + 1);
+              static_cast<std::size_t>(NotRunReason::kStoreUnavailable) + 1);
 
 }  // namespace
 
--- /dev/null
+++ b/src/cassiabend/core/call_reducer.cc
@@ -0,0 +1,162 @@
+#include "cassiabend/core/call_reducer.h"
+
+#include <type_traits>
+#include <variant>
+
+#include "cassiabend/core/balancer.h"
+#include "cassiabend/core/call_context.h"
+#include "cassiabend/core/call_destination.h"
+#include "cassiabend/core/call_entry.h"
+#include "cassiabend/core/call_upstream_health.h"
+
+namespace cassiabend {
+
+/// \brief Hands each event to the part that it concerns.
+class CallReducer::Impl {
+ public:
+  Impl(const CallOptions& options, const Member& self, std::uint64_t seed)
+      : context_{.options = options, .self = self, .random = Random(seed)},
+        balancer_(options, self),
+        health_(&context_),
+        entry_(&context_, &balancer_),
+        destination_(&context_, &health_) {}
+
+  void Reduce(const Instant& now,
+              const CallEvent& event,
+              std::vector<CallEffect>* out) {
+    context_.now = now;
+    context_.out = out;
+    std::visit([this](const auto& it) { Handle(it); }, event);
+    UpdateSelf();
+    FinishDrain();
+    context_.out = nullptr;
+  }
+
+  [[nodiscard]] CallCounts counts() const noexcept {
+    CallCounts counts;
+    counts.calls = entry_.calls();
+    counts.attempts_queued = destination_.queued();
+    counts.attempts_running = destination_.running();
+    counts.attempts_held = destination_.held();
+    counts.ejected = balancer_.ejected();
+    counts.retries = entry_.budget().granted();
+    counts.retries_refused = entry_.budget().refused();
+    return counts;
+  }
+
+ private:
+  template <typename T>
+  void Handle(const T& event) {
+    if constexpr (requires { entry_.Reduce(event); }) {
+      entry_.Reduce(event);
+    } else {
+      destination_.Reduce(event);
+    }
+  }
+
+  void Handle(const UpstreamProbed& event) { health_.Reduce(event); }
+  void Handle(const UpstreamUnreached& event) {
+    health_.RecordFailure();
+    destination_.Reduce(event);
+  }
+  void Handle(const UpstreamBroken& event) {
+    health_.RecordFailure();
+    destination_.Reduce(event);
+  }
+  void Handle(const UpstreamAnswering& event) {
+    health_.RecordAnswer();
+    destination_.Reduce(event);
+  }
+
+  void Handle(const CallTick& /*event*/) {
+    entry_.Tick();
+    destination_.Tick();
+    health_.ReportLoad(destination_.queued() + destination_.running());
+  }
+
+  void Handle(const DrainRequested& /*event*/) {
+    if (context_.draining) {
+      return;
+    }
+    context_.draining = true;
+    health_.Drain();
+    destination_.Drain();
+  }
+
+  void Handle(const ApplyVersion& event) {
+    const bool newer = !context_.snapshot ||
+                       event.snapshot->mark().number > context_.config_number();
+    if (newer) {
+      context_.snapshot = event.snapshot;
+    }
+  }
+
+  void Handle(const HeadConfirmed& event) {
+    if (!context_.confirmed_at || event.at > *context_.confirmed_at) {
+      context_.confirmed_at = event.at;
+    }
+  }
+
+  void Handle(const MembersChanged& event) {
+    for (const Member& it : event.members) {
+      if (it.id == context_.self.id) {
+        continue;
+      }
+      balancer_.Update(context_.now.mono, it);
+    }
+  }
+
+  void Handle(const MemberLoadReported& event) {
+    balancer_.UpdateLoad(context_.now.mono, event.id, event.load_permille);
+  }
+
+  void Handle(const ReadinessChanged& event) { context_.ready = event.ready; }
+  void Handle(const StoreReplied& /*event*/) {}
+
+  /// \brief Lets the balancer know this host's own upstream.
+  void UpdateSelf() {
+    if (context_.self.upstream_state == health_.state() && self_known_) {
+      return;
+    }
+    self_known_ = true;
+    context_.self.upstream_state = health_.state();
+    context_.self.slots = health_.slots();
+    balancer_.Update(context_.now.mono, context_.self);
+  }
+
+  void FinishDrain() {
+    if (!context_.draining || drain_finished_ || entry_.calls() > 0 ||
+        destination_.has_work()) {
+      return;
+    }
+    drain_finished_ = true;
+    context_.Emit(DrainFinished{});
+  }
+
+  CallContext context_;
+  Balancer balancer_;
+  CallUpstreamHealth health_;
+  CallEntry entry_;
+  CallDestination destination_;
+  bool self_known_ = false;
+  bool drain_finished_ = false;
+};
+
+CallReducer::CallReducer(const CallOptions& options,
+                         const Member& self,
+                         std::uint64_t seed)
+    : impl_(std::make_unique<Impl>(options, self, seed)) {}
+
+CallReducer::~CallReducer() = default;
+
+void CallReducer::Reduce(const Instant& now,
+                         const CallEvent& event,
+                         std::vector<CallEffect>* out) {
+  impl_->Reduce(now, event, out);
+}
+
+CallCounts CallReducer::counts() const noexcept {
+  return impl_->counts();
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/core/call_upstream_health.cc
@@ -0,0 +1,91 @@
+#include "cassiabend/core/call_upstream_health.h"
+
+#include <algorithm>
+
+namespace cassiabend {
+namespace {
+
+/// Healthy probes in a row after which a warming upstream serves.
+constexpr std::uint32_t kProbesToServe = 2;
+/// Failures in a row, of probes and calls, after which it serves no more.
+constexpr std::uint32_t kFailuresToStop = 3;
+/// Age up to which an answered call outweighs failed probes.
+constexpr Milliseconds kAnswerWeighs{3'000};
+/// Shortest time between two reports of the load.
+constexpr Milliseconds kLoadReportPeriod{100};
+/// Change of the load that is reported, in thousandths.
+constexpr int kLoadReportStep = 50;
+
+}  // namespace
+
+CallUpstreamHealth::CallUpstreamHealth(CallContext* context)
+    : context_(context), state_(context->self.upstream_state) {
+  if (state_ == UpstreamState::kNone && !context->self.service.empty()) {
+    state_ = UpstreamState::kWarming;
+  }
+  slots_ =
+      context->options.slots > 0 ? context->options.slots : context->self.slots;
+}
+
+void CallUpstreamHealth::Reduce(const UpstreamProbed& event) {
+  if (event.healthy) {
+    failures_ = 0;
+    ++healthy_probes_;
+    if (state_ == UpstreamState::kWarming &&
+        healthy_probes_ >= kProbesToServe) {
+      SetState(UpstreamState::kServing);
+    }
+    return;
+  }
+  if (answered_at_ && context_->now.mono - *answered_at_ < kAnswerWeighs) {
+    return;
+  }
+  RecordFailure();
+}
+
+void CallUpstreamHealth::RecordAnswer() noexcept {
+  failures_ = 0;
+  answered_at_ = context_->now.mono;
+}
+
+void CallUpstreamHealth::RecordFailure() {
+  healthy_probes_ = 0;
+  ++failures_;
+  if (state_ == UpstreamState::kServing && failures_ >= kFailuresToStop) {
+    SetState(UpstreamState::kWarming);
+  }
+}
+
+void CallUpstreamHealth::ReportLoad(std::size_t outstanding) {
+  if (slots_ == 0) {
+    return;
+  }
+  constexpr std::size_t kMaxPermille = 60'000;
+  const auto load = static_cast<std::uint16_t>(
+      std::min(outstanding * 1000 / slots_, kMaxPermille));
+  const int change = std::abs(int{load} - int{reported_permille_});
+  const bool due =
+      !reported_at_ || context_->now.mono - *reported_at_ >= kLoadReportPeriod;
+  if (!due || (change < kLoadReportStep && (load != 0 || change == 0))) {
+    return;
+  }
+  reported_permille_ = load;
+  reported_at_ = context_->now.mono;
+  context_->Emit(LocalLoadChanged{load});
+}
+
+void CallUpstreamHealth::Drain() {
+  if (state_ != UpstreamState::kNone) {
+    SetState(UpstreamState::kDraining);
+  }
+}
+
+void CallUpstreamHealth::SetState(UpstreamState state) {
+  if (state_ == state || state_ == UpstreamState::kDraining) {
+    return;
+  }
+  state_ = state;
+  context_->Emit(LocalUpstreamChanged{state_, slots_});
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/core/call_upstream_health.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "cassiabend/core/call_context.h"
+
+namespace cassiabend {
+
+/// \brief Judges this host's upstream by its health endpoint and, before that,
+/// by what its calls show, and tells the fleet its state and load.
+class CallUpstreamHealth {
+ public:
+  explicit CallUpstreamHealth(CallContext* context);
+
+  [[nodiscard]] UpstreamState state() const noexcept { return state_; }
+  /// \returns Calls that the upstream runs at the same time.
+  [[nodiscard]] std::uint32_t slots() const noexcept { return slots_; }
+
+  void Reduce(const UpstreamProbed& event);
+  /// \brief Notes that the upstream answered a call.
+  void RecordAnswer() noexcept;
+  /// \brief Notes that the upstream was not reached, or broke off.
+  void RecordFailure();
+  /// \brief Tells the load to the fleet when it has changed enough.
+  /// \param outstanding Calls that the upstream has and that wait for it.
+  void ReportLoad(std::size_t outstanding);
+  /// \brief States that the upstream takes no more work.
+  void Drain();
+
+ private:
+  void SetState(UpstreamState state);
+
+  CallContext* context_;
+  UpstreamState state_ = UpstreamState::kNone;
+  std::uint32_t slots_ = 0;
+  std::uint32_t healthy_probes_ = 0;
+  std::uint32_t failures_ = 0;
+  std::optional<MonoTime> answered_at_;
+  std::uint16_t reported_permille_ = 0;
+  std::optional<MonoTime> reported_at_;
+};
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/core/dispatch_gate.cc
@@ -0,0 +1,43 @@
+#include "cassiabend/core/dispatch_gate.h"
+
+#include <algorithm>
+
+namespace cassiabend {
+namespace {
+
+/// Pause after a refusal that ends with the next confirmation of the head.
+constexpr Milliseconds kConfirmationPause{1'000};
+
+bool IsFresh(const CallContext& context) {
+  if (!context.confirmed_at) {
+    return false;
+  }
+  const Nanoseconds age = context.now.mono - *context.confirmed_at;
+  return age <= context.options.freshness_limit;
+}
+
+}  // namespace
+
+std::optional<Refusal> CheckNoisyWork(const CallContext& context,
+                                      const NoisyWork& work) {
+  if (!context.snapshot || context.config_number() < work.config_number ||
+      !IsFresh(context)) {
+    return Refusal{NotRunReason::kStaleConfiguration, kConfirmationPause};
+  }
+  if (context.snapshot->SiteByName(work.site) == nullptr) {
+    return Refusal{NotRunReason::kUnknownSite};
+  }
+  const Milliseconds error = context.options.clock_error;
+  const WallTime from = context.now.wall - error;
+  const WallTime to = context.now.wall + work.longest_job + error;
+  // An empty range touches no window, so it is widened by the clock's step.
+  const auto until = context.snapshot->QuietUntil(
+      work.site, from, std::max(to, from + Milliseconds(1)));
+  if (!until) {
+    return std::nullopt;
+  }
+  const Milliseconds wait = *until + error - context.now.wall;
+  return Refusal{NotRunReason::kQuietWindow, std::max(wait, Milliseconds(1))};
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/core/dispatch_gate.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <optional>
+
+#include "cassiabend/core/call_context.h"
+
+namespace cassiabend {
+
+/// \brief Why work must not start, and when to ask again.
+struct Refusal {
+  NotRunReason reason = NotRunReason::kOverloaded;
+  /// 0 for "not by waiting".
+  Milliseconds retry_after{0};
+
+  [[nodiscard]] bool operator==(const Refusal&) const = default;
+};
+
+/// \brief Work that is about to start at a site.
+struct NoisyWork {
+  std::string_view site;
+  Seconds longest_job{0};
+  /// Version that the work was routed by.
+  VersionNumber config_number = 0;
+};
+
+/// \brief Checks noisy work against the version in force, its freshness and
+/// the quiet windows of the site, at the time of `context.now`.
+/// \returns Why it must not start; unset when it may.
+[[nodiscard]] std::optional<Refusal> CheckNoisyWork(const CallContext& context,
+                                                    const NoisyWork& work);
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/core/ejection.cc
@@ -0,0 +1,75 @@
+#include "cassiabend/core/ejection.h"
+
+#include <algorithm>
+
+namespace cassiabend {
+namespace {
+
+/// Silent links within `kSilenceInterval` that make a path suspect.
+constexpr std::uint32_t kSilentLinksOfSuspectPath = 2;
+constexpr Milliseconds kSilenceInterval{30'000};
+/// Longest ejection, in multiples of the first.
+constexpr std::uint32_t kMaxEjectionFactor = 6;
+
+}  // namespace
+
+void EjectionPolicy::RecordSuccess(EjectionRecord* record) noexcept {
+  record->consecutive_failures = 0;
+  record->ejections = 0;
+  record->silent_links = 0;
+  record->suspect_until = {};
+  EndEjection(record);
+}
+
+void EjectionPolicy::RecordFailure(MonoTime now,
+                                   std::size_t upstreams,
+                                   EjectionRecord* record) noexcept {
+  ++record->consecutive_failures;
+  if (record->ejected || record->consecutive_failures < limits_.failures) {
+    return;
+  }
+  if ((ejected_ + 1) * 1000ULL > upstreams * limits_.permille) {
+    return;
+  }
+  record->ejected = true;
+  ++ejected_;
+  ++record->ejections;
+  const auto factor = std::min(record->ejections, kMaxEjectionFactor);
+  record->ejected_until = now + limits_.time * factor;
+}
+
+void EjectionPolicy::RecordSilence(MonoTime now,
+                                   EjectionRecord* record) const noexcept {
+  if (record->silent_links == 0 ||
+      now - record->first_silent_at > kSilenceInterval) {
+    record->silent_links = 0;
+    record->first_silent_at = now;
+  }
+  ++record->silent_links;
+  if (record->silent_links >= kSilentLinksOfSuspectPath) {
+    record->suspect_until = now + limits_.time;
+  }
+}
+
+bool EjectionPolicy::IsAvoided(MonoTime now, EjectionRecord* record) noexcept {
+  if (record->ejected && now >= record->ejected_until) {
+    EndEjection(record);
+    // One more failure ejects it again.
+    record->consecutive_failures = limits_.failures - 1;
+  }
+  return record->ejected || now < record->suspect_until;
+}
+
+void EjectionPolicy::Remove(EjectionRecord* record) noexcept {
+  EndEjection(record);
+  *record = {};
+}
+
+void EjectionPolicy::EndEjection(EjectionRecord* record) noexcept {
+  if (record->ejected) {
+    record->ejected = false;
+    --ejected_;
+  }
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/core/retry_budget.cc
@@ -0,0 +1,50 @@
+#include "cassiabend/core/retry_budget.h"
+
+#include <algorithm>
+
+namespace cassiabend {
+namespace {
+
+constexpr std::uint32_t kOneRetry = 1'000;
+/// Most retries that a balance holds; a new balance starts full.
+constexpr std::uint32_t kBalanceLimit = 10 * kOneRetry;
+/// Balances beyond this count share one, so that names that callers choose
+/// cannot grow the table.
+constexpr std::size_t kMaxBalances = 4'096;
+
+}  // namespace
+
+void RetryBudget::Earn(std::string_view tenant,
+                       std::string_view request_class) {
+  std::uint32_t* balance = Balance(tenant, request_class);
+  *balance = std::min(*balance + permille_, kBalanceLimit);
+}
+
+bool RetryBudget::Spend(std::string_view tenant,
+                        std::string_view request_class) {
+  std::uint32_t* balance = Balance(tenant, request_class);
+  if (*balance < kOneRetry) {
+    ++refused_;
+    return false;
+  }
+  *balance -= kOneRetry;
+  ++granted_;
+  return true;
+}
+
+std::uint32_t* RetryBudget::Balance(std::string_view tenant,
+                                    std::string_view request_class) {
+  key_.assign(tenant);
+  key_.push_back('\0');
+  key_.append(request_class);
+  const auto it = balances_.find(key_);
+  if (it != balances_.end()) {
+    return &it->second;
+  }
+  if (balances_.size() >= kMaxBalances) {
+    key_.clear();
+  }
+  return &balances_.try_emplace(key_, kBalanceLimit).first->second;
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/core/retry_budget.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace cassiabend {
+
+/// \brief Bounds retries to a share of the calls of each tenant and class.
+class RetryBudget {
+ public:
+  /// \param permille Retries per thousand calls.
+  explicit RetryBudget(std::uint32_t permille) : permille_(permille) {}
+
+  [[nodiscard]] std::uint64_t granted() const noexcept { return granted_; }
+  [[nodiscard]] std::uint64_t refused() const noexcept { return refused_; }
+
+  /// \brief Counts one call: it earns a share of a retry.
+  void Earn(std::string_view tenant, std::string_view request_class);
+  /// \returns Whether one retry may be made; it is spent then.
+  [[nodiscard]] bool Spend(std::string_view tenant,
+                           std::string_view request_class);
+
+ private:
+  /// \returns The balance in thousandths of a retry.
+  [[nodiscard]] std::uint32_t* Balance(std::string_view tenant,
+                                       std::string_view request_class);
+
+  std::uint32_t permille_;
+  std::uint64_t granted_ = 0;
+  std::uint64_t refused_ = 0;
+  std::unordered_map<std::string, std::uint32_t> balances_;
+  /// Scratch space for keys, so that a lookup allocates nothing.
+  std::string key_;
+};
+
+}  // namespace cassiabend
--- /dev/null
+++ b/tests/call_path_test.cc
@@ -0,0 +1,121 @@
+#include <doctest/doctest.h>
+
+#include "tests/call_support.h"
+
+namespace cassiabend::testing {
+namespace {
+
+TEST_CASE("a call goes to a serving upstream and back to its caller") {
+  CallNode entry(MakeMember(1));
+  CallNode home(MakeMember(2));
+  entry.MakeReady({MakeMember(2)});
+  home.MakeReady({MakeMember(1)});
+  Member own = MakeMember(1);
+
+  std::optional<SendAttempt> send;
+  for (CallId call = 1; !send || send->destination != home.self().id; ++call) {
+    entry.Do(CallArrived{call, MakeFacts("status")});
+    send = entry.Only<SendAttempt>();
+    REQUIRE(send);
+    CHECK(send->verb == AttemptVerb::kRun);
+    CHECK(send->request.expires_at > entry.now().wall);
+  }
+  const AttemptId id = send->request.id;
+  home.Do(AttemptArrived{9, send->request});
+  REQUIRE(home.Only<StartUpstream>());
+  CHECK(home.Only<StartUpstream>()->attempt == id);
+  home.Do(UpstreamAnswering{id, 200});
+  REQUIRE(home.Only<BindAnswer>());
+  CHECK(home.Only<BindAnswer>()->link == 9);
+  entry.Do(AttemptAnswering{send->call, id, 200});
+  CHECK(entry.Only<RelayAnswer>());
+  home.Do(UpstreamFinished{id});
+  CHECK(home.counts().attempts_running == 0);
+  entry.Do(AnswerRelayed{send->call, id, true});
+  REQUIRE(entry.Only<CallEnded>());
+  CHECK(entry.Only<CallEnded>()->outcome == "answered");
+}
+
+TEST_CASE("calls that cannot be routed are not run") {
+  CallNode node(MakeMember(1));
+  node.Do(CallArrived{1, MakeFacts("status")});
+  REQUIRE(node.Only<AnswerNotRun>());
+  CHECK(node.Only<AnswerNotRun>()->reason == NotRunReason::kNotReady);
+  CHECK(node.Only<AnswerNotRun>()->retry_after > Milliseconds(0));
+  node.MakeReady({});
+  node.Do(CallArrived{2, MakeFacts("elsewhere")});
+  CHECK(node.Only<AnswerNotRun>()->reason == NotRunReason::kNoRoute);
+  CallFacts deep = MakeFacts("status");
+  deep.depth = kMaxCallDepth;
+  node.Do(CallArrived{3, deep});
+  CHECK(node.Only<AnswerNotRun>()->reason == NotRunReason::kDepthExceeded);
+  CHECK(node.counts().calls == 0);
+}
+
+TEST_CASE("noisy work is refused around a window and without freshness") {
+  struct Row {
+    int wall_ms;
+    int confirmed_age_ms;
+    std::optional<NotRunReason> reason;
+  };
+  // The window is [1,000 s, 2,000 s), the job 60 s, the clock error 0.5 s.
+  const Row rows[] = {
+      {939'499, 0, std::nullopt},
+      {939'501, 0, NotRunReason::kQuietWindow},
+      {1'500'000, 0, NotRunReason::kQuietWindow},
+      {2'000'499, 0, NotRunReason::kQuietWindow},
+      {2'000'500, 0, std::nullopt},
+      {500'000, 10'000, std::nullopt},
+      {500'000, 10'001, NotRunReason::kStaleConfiguration},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.wall_ms);
+    CAPTURE(row.confirmed_age_ms);
+    CallNode entry(MakeMember(1));
+    CallNode home(MakeMember(2));
+    entry.MakeReady({});
+    home.MakeReady({});
+    entry.Do(CallArrived{1, MakeFacts("print")});
+    const auto send = entry.Only<SendAttempt>();
+    REQUIRE(send);
+    AttemptRequest request = send->request;
+    request.expires_at = WallTime(Seconds(10'000));
+    home.Advance(Milliseconds(row.confirmed_age_ms));
+    home.SetWall(WallTime(Milliseconds(row.wall_ms)));
+    home.Do(AttemptArrived{1, request});
+    CHECK(home.Only<StartUpstream>().has_value() == !row.reason);
+    if (row.reason) {
+      REQUIRE(home.Only<ReplyNotRun>());
+      CHECK(home.Only<ReplyNotRun>()->reason == *row.reason);
+      CHECK(home.Only<ReplyNotRun>()->retry_after > Milliseconds(0));
+    }
+    entry.Advance(Milliseconds(row.confirmed_age_ms));
+    entry.SetWall(WallTime(Milliseconds(row.wall_ms)));
+    entry.Do(CallArrived{2, MakeFacts("print")});
+    CHECK(entry.Only<AnswerNotRun>().has_value() == row.reason.has_value());
+  }
+}
+
+TEST_CASE("attempts beyond the slots wait in order") {
+  CallNode home(MakeMember(2));
+  home.MakeReady({});
+  AttemptRequest request;
+  request.destination_start_id = 100;
+  request.service = "svc";
+  request.deadline = Milliseconds(1'000);
+  for (std::uint64_t n = 1; n <= 4; ++n) {
+    request.id = {0, n};
+    home.Do(AttemptArrived{n, request});
+    CHECK(home.Only<StartUpstream>().has_value() == (n <= 2));
+  }
+  CHECK(home.counts().attempts_queued == 2);
+  home.Do(UpstreamFinished{{0, 2}});
+  REQUIRE(home.Only<StartUpstream>());
+  CHECK(home.Only<StartUpstream>()->attempt == AttemptId{0, 3});
+  home.Tick(Milliseconds(1'001));
+  REQUIRE(home.Only<ReplyNotRun>());
+  CHECK(home.Only<ReplyNotRun>()->reason == NotRunReason::kDeadline);
+}
+
+}  // namespace
+}  // namespace cassiabend::testing
