Carry calls over HTTP: sessions, pooled connections, relayed answers

Cause: the call reducer speaks in events and effects; nothing carried them. Change: http/ reads callers' and nodes' requests on the call port, sends attempts to other nodes over pooled connections or loops them back in process, hands requests to the upstream and relays answers under back pressure.

--- /dev/null
+++ b/src/cassiabend/http/attempt_client.cc
@@ -0,0 +1,129 @@
+#include "cassiabend/http/attempt_client.h"
+
+#include <utility>
+
+#include "cassiabend/http/headers.h"
+#include "cassiabend/http/message_rules.h"
+
+namespace cassiabend {
+namespace {
+
+LinkLoss LossOf(ExchangeFailure failure) noexcept {
+  switch (failure) {
+    case ExchangeFailure::kNeverSent:
+      return LinkLoss::kNeverSent;
+    case ExchangeFailure::kSilent:
+      return LinkLoss::kSilent;
+    default:
+      return LinkLoss::kBroken;
+  }
+}
+
+/// \returns The head of the message that carries `send` to its destination.
+MessageHead PeerHead(const SendAttempt& send, const HeldRequest* held) {
+  MessageHead head;
+  if (held != nullptr) {
+    head = held->head();
+  } else {
+    head.method = "POST";
+    head.target = "/";
+    head.Add("Host", send.destination.ip);
+    head.content_length = 0;
+  }
+  WritePeerRequest({send.verb, send.request}, &head);
+  return head;
+}
+
+}  // namespace
+
+AttemptClient::AttemptClient(ConnectionPool* pool,
+                             const SendAttempt& send,
+                             RefPtr<HeldRequest> held,
+                             RefPtr<HeldBytes> held_bytes,
+                             Milliseconds progress_timeout,
+                             EventSink* sink)
+    : call_(send.call),
+      attempt_(send.request.id),
+      verb_(send.verb),
+      held_bytes_(std::move(held_bytes)),
+      sink_(sink) {
+  boost::system::error_code ec;
+  const auto address = boost::asio::ip::make_address(send.destination.ip, ec);
+  if (ec) {
+    PostLost(LinkLoss::kNeverSent);
+    return;
+  }
+  exchange_ = new ClientExchange(pool, {address, send.call_port}, this);
+  exchange_->Start({.head = PeerHead(send, held.get()),
+                    .held = held,
+                    .head_timeout = progress_timeout,
+                    .body_timeout = progress_timeout,
+                    .may_reuse = verb_ == AttemptVerb::kRun});
+}
+
+AttemptClient::~AttemptClient() {
+  if (exchange_ != nullptr) {
+    exchange_->Cancel();
+  }
+  if (answer_ != nullptr && !answer_->ended()) {
+    answer_->Finish(false);
+  }
+}
+
+void AttemptClient::OnResponseHead(MessageHead& head) {
+  const Outcome outcome = ReadOutcome(head);
+  if (outcome.name == kOutcomeAnswered) {
+    const std::uint16_t status = head.status;
+    StripConnectionHeaders(&head);
+    StripSystemHeaders(&head);
+    answer_ = new AnswerStream(AnswerLimits{}, held_bytes_);
+    answer_->set_writer(this);
+    answer_->Begin(std::move(head));
+    sink_->Post(CallEvent(AttemptAnswering{call_, attempt_, status}));
+  } else if (outcome.name == kOutcomeNotRun) {
+    sink_->Post(CallEvent(
+        AttemptNotRun{call_, attempt_, outcome.reason, outcome.retry_after}));
+  } else if (outcome.name == kOutcomeStillRunning) {
+    sink_->Post(CallEvent(AttemptStillRunning{call_, attempt_}));
+  } else {
+    sink_->Post(CallEvent(AttemptUnknown{call_, attempt_}));
+  }
+}
+
+void AttemptClient::OnResponseBody(std::string_view bytes) {
+  if (answer_ == nullptr) {
+    return;
+  }
+  answer_->Append(bytes);
+  if (!answer_->HasRoom()) {
+    exchange_->Pause();
+  }
+}
+
+void AttemptClient::OnResponseEnd() {
+  exchange_ = nullptr;
+  if (answer_ != nullptr) {
+    answer_->Finish(true);
+  }
+}
+
+void AttemptClient::OnExchangeFailed(ExchangeFailure failure) {
+  exchange_ = nullptr;
+  if (answer_ != nullptr) {
+    answer_->Finish(false);
+    return;
+  }
+  PostLost(LossOf(failure));
+}
+
+void AttemptClient::OnRoom() {
+  if (exchange_ != nullptr) {
+    exchange_->Resume();
+  }
+}
+
+void AttemptClient::PostLost(LinkLoss loss) {
+  sink_->Post(CallEvent(AttemptLost{call_, attempt_, loss}));
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/http/attempt_client.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+
+#include "cassiabend/core/call_events.h"
+#include "cassiabend/core/event_sink.h"
+#include "cassiabend/http/answer_stream.h"
+#include "cassiabend/http/client_exchange.h"
+
+namespace cassiabend {
+
+/// \brief One attempt, fetch or cancel on its way to another node, at the node
+/// where the call entered.
+class AttemptClient final : private ExchangeListener, private AnswerWriter {
+ public:
+  /// \param held The caller's request; null for a fetch or cancel.
+  AttemptClient(ConnectionPool* pool,
+                const SendAttempt& send,
+                RefPtr<HeldRequest> held,
+                RefPtr<HeldBytes> held_bytes,
+                Milliseconds progress_timeout,
+                EventSink* sink);
+  ~AttemptClient() override;
+
+  [[nodiscard]] AttemptVerb verb() const noexcept { return verb_; }
+  /// \returns The answer, once it has begun; null before.
+  [[nodiscard]] const RefPtr<AnswerStream>& answer() const noexcept {
+    return answer_;
+  }
+
+ private:
+  void OnResponseHead(MessageHead& head) override;
+  void OnResponseBody(std::string_view bytes) override;
+  void OnResponseEnd() override;
+  void OnExchangeFailed(ExchangeFailure failure) override;
+  void OnRoom() override;
+
+  void PostLost(LinkLoss loss);
+
+  CallId call_;
+  AttemptId attempt_;
+  AttemptVerb verb_;
+  RefPtr<HeldBytes> held_bytes_;
+  EventSink* sink_;
+  RefPtr<ClientExchange> exchange_;
+  RefPtr<AnswerStream> answer_;
+};
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/http/attempt_link.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "cassiabend/core/call_events.h"
+#include "cassiabend/http/answer_stream.h"
+
+namespace cassiabend {
+
+/// \brief The way back from a destination node to the entry node of one
+/// attempt, fetch or cancel.
+class AttemptLink {
+ public:
+  AttemptLink() = default;
+  AttemptLink(const AttemptLink&) = delete;
+  AttemptLink& operator=(const AttemptLink&) = delete;
+  virtual ~AttemptLink() = default;
+
+  virtual void NotRun(NotRunReason reason, Milliseconds retry_after) = 0;
+  virtual void StillRunning() = 0;
+  virtual void Unknown() = 0;
+  /// \brief Hands over the answer as it arrives, from its start.
+  virtual void Answer(RefPtr<AnswerStream> answer) = 0;
+  /// \brief Another link has taken this one's place.
+  virtual void Close() = 0;
+};
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/http/call_table.cc
@@ -0,0 +1,201 @@
+#include "cassiabend/http/call_table.h"
+
+#include <utility>
+
+#include "cassiabend/http/headers.h"
+#include "cassiabend/http/message_rules.h"
+
+namespace cassiabend {
+
+/// \brief Way back for an attempt at this node's own upstream.
+class CallTable::LocalLink final : public AttemptLink, private AnswerReader {
+ public:
+  LocalLink(CallTable* table, CallId call, const AttemptId& attempt)
+      : table_(table), call_(call), attempt_(attempt) {}
+  LocalLink(const LocalLink&) = delete;
+  LocalLink& operator=(const LocalLink&) = delete;
+  ~LocalLink() override { StopWaiting(); }
+
+  void NotRun(NotRunReason reason, Milliseconds retry_after) override {
+    Post(AttemptNotRun{call_, attempt_, reason, retry_after});
+  }
+  void StillRunning() override { Post(AttemptStillRunning{call_, attempt_}); }
+  void Unknown() override { Post(AttemptUnknown{call_, attempt_}); }
+  void Close() override { StopWaiting(); }
+
+  void Answer(RefPtr<AnswerStream> answer) override {
+    answer_ = std::move(answer);
+    answer_->set_reader(this);
+    OnAnswer();
+  }
+
+ private:
+  void OnAnswer() override {
+    if (!answer_->has_head()) {
+      return;
+    }
+    table_->attempts_[attempt_].local_answer = answer_;
+    Post(AttemptAnswering{call_, attempt_, answer_->head().status});
+    StopWaiting();
+  }
+
+  void StopWaiting() {
+    if (answer_ != nullptr) {
+      answer_->ClearReader(this);
+      answer_ = nullptr;
+    }
+  }
+
+  void Post(CallEvent event) { table_->sink_->Post(std::move(event)); }
+
+  CallTable* table_;
+  CallId call_;
+  AttemptId attempt_;
+  RefPtr<AnswerStream> answer_;
+};
+
+CallTable::CallTable(NodeId self,
+                     ConnectionPool* pool,
+                     Milliseconds progress_timeout,
+                     RefPtr<HeldBytes> held_bytes,
+                     DestinationTable* destination,
+                     std::uint64_t* next_id,
+                     EventSink* sink)
+    : self_(std::move(self)),
+      pool_(pool),
+      progress_timeout_(progress_timeout),
+      held_bytes_(std::move(held_bytes)),
+      destination_(destination),
+      next_id_(next_id),
+      sink_(sink) {}
+
+void CallTable::Arrive(CallId id,
+                       CallFacts facts,
+                       RefPtr<HeldRequest> held,
+                       ServerSession& session) {
+  calls_[id] = {.session = RefPtr<ServerSession>(&session),
+                .held = std::move(held)};
+  sink_->Post(CallEvent(CallArrived{id, std::move(facts)}));
+}
+
+void CallTable::CallerLeft(CallId id) {
+  if (calls_.erase(id) != 0) {
+    sink_->Post(CallEvent(CallerGone{id}));
+  }
+}
+
+void CallTable::AnswerEnded(CallId id, bool complete) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) {
+    return;
+  }
+  const AttemptId attempt = found->second.relayed;
+  calls_.erase(found);
+  if (attempt.IsZero()) {
+    return;
+  }
+  const auto sent = attempts_.find(attempt);
+  if (complete && sent != attempts_.end()) {
+    for (const LinkId it : std::exchange(sent->second.links, {})) {
+      destination_->LinkDone(it);
+    }
+  }
+  sink_->Post(CallEvent(AnswerRelayed{id, attempt, complete}));
+}
+
+void CallTable::Execute(const SendAttempt& effect) {
+  RefPtr<HeldRequest> held;
+  if (effect.verb == AttemptVerb::kRun) {
+    const auto call = calls_.find(effect.call);
+    if (call == calls_.end()) {
+      sink_->Post(CallEvent(
+          AttemptLost{effect.call, effect.request.id, LinkLoss::kNeverSent}));
+      return;
+    }
+    held = call->second.held;
+  }
+  if (effect.destination == self_) {
+    SendLocally(effect, std::move(held));
+    return;
+  }
+  Attempt& attempt = attempts_[effect.request.id];
+  attempt.clients.push_back(std::make_unique<AttemptClient>(
+      pool_, effect, std::move(held), held_bytes_, progress_timeout_, sink_));
+}
+
+void CallTable::SendLocally(const SendAttempt& effect,
+                            RefPtr<HeldRequest> held) {
+  const LinkId link = (*next_id_)++;
+  attempts_[effect.request.id].links.push_back(link);
+  destination_->Arrive(
+      link, {effect.verb, effect.request}, std::move(held),
+      std::make_unique<LocalLink>(this, effect.call, effect.request.id));
+}
+
+RefPtr<AnswerStream> CallTable::AnswerOf(const AttemptId& id) const {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) {
+    return nullptr;
+  }
+  for (const auto& it : found->second.clients) {
+    if (it->answer() != nullptr) {
+      return it->answer();
+    }
+  }
+  return found->second.local_answer;
+}
+
+void CallTable::Execute(const RelayAnswer& effect) {
+  const auto call = calls_.find(effect.call);
+  if (call == calls_.end()) {
+    return;
+  }
+  const RefPtr<AnswerStream> answer = AnswerOf(effect.attempt);
+  if (answer == nullptr) {
+    return;
+  }
+  call->second.relayed = effect.attempt;
+  call->second.held = nullptr;
+  const RefPtr<ServerSession> session = call->second.session;
+  session->Relay(answer);
+}
+
+void CallTable::Execute(const DropAttempt& effect) {
+  const auto found = attempts_.find(effect.attempt);
+  if (found == attempts_.end()) {
+    return;
+  }
+  const Attempt attempt = std::move(found->second);
+  attempts_.erase(found);
+  for (const LinkId it : attempt.links) {
+    destination_->LinkGone(it);
+  }
+}
+
+void CallTable::Execute(const AnswerNotRun& effect) {
+  const auto call = calls_.find(effect.call);
+  if (call == calls_.end()) {
+    return;
+  }
+  const RefPtr<ServerSession> session = call->second.session;
+  session->Reply(
+      NotRunHead(effect.reason, effect.retry_after),
+      ExplanationBody(kOutcomeNotRun, NameOf(effect.reason), effect.detail));
+}
+
+void CallTable::Execute(const AnswerUnknown& effect) {
+  const auto call = calls_.find(effect.call);
+  if (call == calls_.end()) {
+    return;
+  }
+  const RefPtr<ServerSession> session = call->second.session;
+  session->Reply(UnknownHead(),
+                 ExplanationBody(kOutcomeUnknown, {}, effect.detail));
+}
+
+void CallTable::Close() {
+  attempts_.clear();
+  calls_.clear();
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/http/call_table.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "cassiabend/core/call_events.h"
+#include "cassiabend/core/event_sink.h"
+#include "cassiabend/http/attempt_client.h"
+#include "cassiabend/http/connection_pool.h"
+#include "cassiabend/http/destination_table.h"
+#include "cassiabend/http/server_session.h"
+
+namespace cassiabend {
+
+/// \brief Callers' requests at the node that they entered, and the attempts
+/// made for them.
+class CallTable {
+ public:
+  /// \param self This node; attempts to it need no connection.
+  /// \param next_link Gives out the numbers of links.
+  CallTable(NodeId self,
+            ConnectionPool* pool,
+            Milliseconds progress_timeout,
+            RefPtr<HeldBytes> held_bytes,
+            DestinationTable* destination,
+            std::uint64_t* next_id,
+            EventSink* sink);
+
+  /// \brief Takes a caller's request and says that it arrived.
+  void Arrive(CallId id,
+              CallFacts facts,
+              RefPtr<HeldRequest> held,
+              ServerSession& session);
+  [[nodiscard]] bool Has(CallId id) const { return calls_.contains(id); }
+  /// \brief The caller closed before its answer began.
+  void CallerLeft(CallId id);
+  /// \brief The caller's connection took the answer, whole or cut.
+  void AnswerEnded(CallId id, bool complete);
+
+  void Execute(const SendAttempt& effect);
+  void Execute(const RelayAnswer& effect);
+  void Execute(const DropAttempt& effect);
+  void Execute(const AnswerNotRun& effect);
+  void Execute(const AnswerUnknown& effect);
+  void Close();
+
+ private:
+  class LocalLink;
+
+  struct Call {
+    RefPtr<ServerSession> session;
+    RefPtr<HeldRequest> held;
+    /// Attempt whose answer is being relayed; zero for none.
+    AttemptId relayed;
+  };
+  struct Attempt {
+    std::vector<std::unique_ptr<AttemptClient>> clients;
+    /// Links within this process.
+    std::vector<LinkId> links;
+    RefPtr<AnswerStream> local_answer;
+  };
+
+  void SendLocally(const SendAttempt& effect, RefPtr<HeldRequest> held);
+  [[nodiscard]] RefPtr<AnswerStream> AnswerOf(const AttemptId& id) const;
+
+  NodeId self_;
+  ConnectionPool* pool_;
+  Milliseconds progress_timeout_;
+  RefPtr<HeldBytes> held_bytes_;
+  DestinationTable* destination_;
+  std::uint64_t* next_id_;
+  EventSink* sink_;
+  std::unordered_map<CallId, Call> calls_;
+  std::unordered_map<AttemptId, Attempt, Id128Hasher> attempts_;
+};
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/http/client_exchange.cc
@@ -0,0 +1,151 @@
+#include "cassiabend/http/client_exchange.h"
+
+#include <utility>
+
+#include "cassiabend/http/message_writer.h"
+
+namespace cassiabend {
+namespace {
+
+constexpr std::uint16_t kFirstFinalStatus = 200;
+
+ExchangeFailure FailureOf(ConnectionEnd end, bool may_have_sent) noexcept {
+  if (!may_have_sent) {
+    return ExchangeFailure::kNeverSent;
+  }
+  return end == ConnectionEnd::kTimeout ? ExchangeFailure::kSilent
+                                        : ExchangeFailure::kBroken;
+}
+
+}  // namespace
+
+ClientExchange::ClientExchange(ConnectionPool* pool,
+                               const ConnectionPool::Endpoint& endpoint,
+                               ExchangeListener* listener)
+    : pool_(pool), endpoint_(endpoint), listener_(listener) {}
+
+void ClientExchange::Start(ExchangeRequest request) {
+  request_ = std::move(request);
+  self_ = this;
+  Open(request_.may_reuse);
+}
+
+void ClientExchange::Open(bool may_reuse) {
+  connection_ = may_reuse ? pool_->TakeIdle(endpoint_) : nullptr;
+  is_reused_ = connection_ != nullptr;
+  if (is_reused_) {
+    connection_->set_listener(this);
+    Send();
+    return;
+  }
+  connection_ = pool_->Connect(endpoint_, this);
+}
+
+void ClientExchange::OnConnected() {
+  Send();
+}
+
+void ClientExchange::Send() {
+  connection_->NextMessage(request_.head.method == "HEAD");
+  std::string* out = connection_->output();
+  const std::string_view body =
+      request_.held == nullptr ? std::string_view() : request_.held->body();
+  AppendRequestHead(request_.head, body.size(), out);
+  out->append(body);
+  connection_->SetTimeout(request_.head_timeout);
+  connection_->Flush();
+}
+
+void ClientExchange::OnHead(MessageHead& head) {
+  is_interim_ = head.status < kFirstFinalStatus;
+  if (is_interim_) {
+    return;
+  }
+  has_head_ = true;
+  keep_alive_ = head.keep_alive;
+  connection_->SetTimeout(request_.body_timeout);
+  listener_->OnResponseHead(head);
+}
+
+void ClientExchange::OnBody(std::string_view bytes) {
+  if (listener_ == nullptr) {
+    return;
+  }
+  connection_->SetTimeout(request_.body_timeout);
+  listener_->OnResponseBody(bytes);
+}
+
+void ClientExchange::OnMessageEnd() {
+  if (listener_ == nullptr) {
+    return;
+  }
+  if (is_interim_) {
+    connection_->NextMessage(request_.head.method == "HEAD");
+    return;
+  }
+  Finish();
+}
+
+void ClientExchange::Finish() {
+  const RefPtr<ClientExchange> keep = std::move(self_);
+  const RefPtr<Connection> connection = std::move(connection_);
+  ExchangeListener* listener = std::exchange(listener_, nullptr);
+  connection->set_listener(nullptr);
+  connection->ClearTimeout();
+  if (keep_alive_ && connection->unwritten() == 0) {
+    connection->ResumeReading();
+    connection->NextMessage(false);
+    if (!connection->HasInput()) {
+      pool_->Put(endpoint_, connection);
+    } else {
+      connection->Close();
+    }
+  } else {
+    connection->Close();
+  }
+  listener->OnResponseEnd();
+}
+
+void ClientExchange::OnEnd(ConnectionEnd end) {
+  const RefPtr<ClientExchange> keep(this);
+  const RefPtr<Connection> connection = std::move(connection_);
+  const bool may_have_sent = connection->MayHaveSent();
+  connection->Close();
+  if (is_reused_ && !may_have_sent && listener_ != nullptr) {
+    Open(false);
+    return;
+  }
+  self_ = nullptr;
+  if (end == ConnectionEnd::kTimeout) {
+    pool_->Drop(endpoint_);
+  }
+  ExchangeListener* listener = std::exchange(listener_, nullptr);
+  if (listener != nullptr) {
+    listener->OnExchangeFailed(FailureOf(end, may_have_sent));
+  }
+}
+
+void ClientExchange::Pause() noexcept {
+  if (connection_ != nullptr) {
+    connection_->PauseReading();
+    connection_->ClearTimeout();
+  }
+}
+
+void ClientExchange::Resume() {
+  if (connection_ != nullptr) {
+    connection_->SetTimeout(request_.body_timeout);
+    connection_->ResumeReading();
+  }
+}
+
+void ClientExchange::Cancel() noexcept {
+  const RefPtr<ClientExchange> keep = std::move(self_);
+  listener_ = nullptr;
+  if (connection_ != nullptr) {
+    connection_->Close();
+    connection_ = nullptr;
+  }
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/http/connection.cc
@@ -0,0 +1,289 @@
+#include "cassiabend/http/connection.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <cerrno>
+#include <utility>
+
+namespace cassiabend {
+namespace {
+
+using boost::system::error_code;
+
+/// Bytes asked for by one read.
+constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
+/// An output buffer that grew beyond this is given back when it is empty.
+constexpr std::size_t kKeptOutputBytes = std::size_t{64} * 1024;
+/// How long a refused sender may go on sending.
+constexpr Milliseconds kLingerTimeout{1'000};
+
+}  // namespace
+
+Connection::Connection(Socket socket,
+                       TickList* ticks,
+                       MessageKind reads,
+                       const ParseLimits& limits)
+    : socket_(std::move(socket)),
+      ticks_(ticks),
+      parser_(reads, limits),
+      max_unread_(limits.header_bytes + kReadBytes) {
+  ticks_->Add(this);
+  if (socket_.is_open()) {
+    error_code ec;
+    socket_.set_option(boost::asio::ip::tcp::no_delay(true), ec);
+    socket_.non_blocking(true, ec);
+  }
+}
+
+std::size_t Connection::unwritten() const noexcept {
+  return writing_.size() - written_ + pending_.size();
+}
+
+bool Connection::HasInput() const noexcept {
+  return parser_.started() || parsed_ < filled_;
+}
+
+bool Connection::IsAlive() {
+  if (!socket_.is_open() || HasInput()) {
+    return false;
+  }
+  char byte = 0;
+  const ssize_t n =
+      ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void Connection::Connect(const Endpoint& endpoint, Milliseconds timeout) {
+  is_connected_ = false;
+  SetTimeout(timeout);
+  error_code open_error;
+  socket_.open(endpoint.protocol(), open_error);
+  socket_.async_connect(
+      endpoint, [self = RefPtr<Connection>(this)](const error_code& ec) {
+        if (!self->socket_.is_open() || self->listener_ == nullptr) {
+          return;
+        }
+        if (ec) {
+          self->End(ConnectionEnd::kConnectFailed);
+          return;
+        }
+        self->is_connected_ = true;
+        self->ClearTimeout();
+        error_code ignored;
+        self->socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+        self->socket_.non_blocking(true, ignored);
+        self->listener_->OnConnected();
+        self->Start();
+      });
+}
+
+void Connection::Start() {
+  Read();
+}
+
+void Connection::NextMessage(bool skip_body) {
+  parser_.Reset(skip_body);
+  is_message_done_ = false;
+  Parse();
+  Read();
+}
+
+void Connection::ResumeReading() {
+  if (!is_paused_) {
+    return;
+  }
+  is_paused_ = false;
+  Parse();
+  Read();
+}
+
+void Connection::Read() {
+  if (is_reading_ || is_paused_ || !is_connected_ || !socket_.is_open() ||
+      filled_ - parsed_ >= max_unread_) {
+    return;
+  }
+  is_reading_ = true;
+  input_.erase(0, parsed_);
+  filled_ -= parsed_;
+  parsed_ = 0;
+  input_.resize(filled_ + kReadBytes);
+  socket_.async_read_some(
+      boost::asio::buffer(input_.data() + filled_, kReadBytes),
+      [self = RefPtr<Connection>(this)](const error_code& ec, std::size_t n) {
+        self->is_reading_ = false;
+        self->filled_ += n;
+        self->OnRead(ec);
+      });
+}
+
+void Connection::OnRead(const error_code& ec) {
+  if (!socket_.is_open()) {
+    return;
+  }
+  if (is_closing_) {
+    // The sender's rest is read and dropped until it closes.
+    parsed_ = filled_;
+    if (ec) {
+      Close();
+      return;
+    }
+    Read();
+    return;
+  }
+  if (ec) {
+    OnReadError(ec);
+    return;
+  }
+  Parse();
+  Read();
+}
+
+void Connection::OnReadError(const error_code& ec) {
+  const bool is_whole =
+      ec == boost::asio::error::eof && !is_message_done_ && parser_.PutEnd();
+  if (is_whole) {
+    is_message_done_ = true;
+    listener_->OnMessageEnd();
+    return;
+  }
+  const bool is_between = is_message_done_ || !parser_.started();
+  End(is_between && ec == boost::asio::error::eof ? ConnectionEnd::kClosed
+                                                  : ConnectionEnd::kBroken);
+}
+
+void Connection::Parse() {
+  if (is_parsing_) {
+    return;
+  }
+  is_parsing_ = true;
+  const RefPtr<Connection> keep(this);
+  while (ParseStep()) {
+  }
+  is_parsing_ = false;
+}
+
+/// \brief Handles one piece of a message.
+/// \returns Whether there may be another.
+bool Connection::ParseStep() {
+  if (!socket_.is_open() || listener_ == nullptr || is_paused_ ||
+      is_message_done_ || is_closing_) {
+    return false;
+  }
+  const std::string_view unread(input_.data() + parsed_, filled_ - parsed_);
+  if (!parser_.started() && !unread.empty()) {
+    listener_->OnMessageStart();
+  }
+  const bool had_head = parser_.head_done();
+  body_.clear();
+  const std::size_t n = parser_.Put(unread, &body_);
+  parsed_ += n;
+  if (parser_.error() != ParseError::kNone) {
+    End(ConnectionEnd::kBadMessage);
+    return false;
+  }
+  if (!had_head && parser_.head_done()) {
+    listener_->OnHead(parser_.head());
+  }
+  if (!body_.empty() && listener_ != nullptr) {
+    listener_->OnBody(body_);
+  }
+  if (parser_.done() && listener_ != nullptr) {
+    is_message_done_ = true;
+    listener_->OnMessageEnd();
+  }
+  return n != 0;
+}
+
+void Connection::Flush() {
+  if (is_writing_ || pending_.empty() || !socket_.is_open()) {
+    return;
+  }
+  writing_.swap(pending_);
+  written_ = 0;
+  Write();
+}
+
+void Connection::Write() {
+  is_writing_ = true;
+  socket_.async_write_some(
+      boost::asio::buffer(writing_.data() + written_,
+                          writing_.size() - written_),
+      [self = RefPtr<Connection>(this)](const error_code& ec, std::size_t n) {
+        self->is_writing_ = false;
+        self->OnWritten(ec, n);
+      });
+}
+
+void Connection::OnWritten(const error_code& ec, std::size_t n) {
+  sent_bytes_ += n;
+  written_ += n;
+  if (!socket_.is_open()) {
+    return;
+  }
+  if (ec) {
+    End(ConnectionEnd::kBroken);
+    return;
+  }
+  if (written_ < writing_.size()) {
+    Write();
+    return;
+  }
+  if (writing_.capacity() > kKeptOutputBytes) {
+    std::string().swap(writing_);
+  }
+  writing_.clear();
+  written_ = 0;
+  if (!pending_.empty()) {
+    Flush();
+    return;
+  }
+  OnAllWritten();
+}
+
+void Connection::OnAllWritten() {
+  if (is_closing_) {
+    error_code ignored;
+    socket_.shutdown(Socket::shutdown_send, ignored);
+    SetTimeout(kLingerTimeout);
+    return;
+  }
+  if (listener_ != nullptr) {
+    listener_->OnDrained();
+  }
+}
+
+void Connection::Close() noexcept {
+  listener_ = nullptr;
+  ClearTimeout();
+  error_code ignored;
+  socket_.close(ignored);
+}
+
+void Connection::CloseAfterWrite() {
+  listener_ = nullptr;
+  is_closing_ = true;
+  is_paused_ = false;
+  SetTimeout(kLingerTimeout);
+  if (unwritten() == 0) {
+    OnAllWritten();
+  }
+  Flush();
+  Read();
+}
+
+void Connection::End(ConnectionEnd end) {
+  const RefPtr<Connection> keep(this);
+  ConnectionListener* listener = std::exchange(listener_, nullptr);
+  ClearTimeout();
+  if (end != ConnectionEnd::kBadMessage) {
+    error_code ignored;
+    socket_.close(ignored);
+  }
+  if (listener != nullptr) {
+    listener->OnEnd(end);
+  }
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/http/destination_table.cc
@@ -0,0 +1,157 @@
+#include "cassiabend/http/destination_table.h"
+
+#include <utility>
+
+namespace cassiabend {
+
+DestinationTable::DestinationTable(ConnectionPool* pool,
+                                   const DestinationOptions& options,
+                                   RefPtr<HeldBytes> held_bytes,
+                                   EventSink* sink)
+    : pool_(pool),
+      options_(options),
+      held_bytes_(std::move(held_bytes)),
+      sink_(sink) {}
+
+void DestinationTable::Arrive(LinkId id,
+                              const PeerRequest& request,
+                              RefPtr<HeldRequest> held,
+                              std::unique_ptr<AttemptLink> link) {
+  const AttemptRequest& attempt = request.attempt;
+  links_[id] = {attempt.id, request.verb, std::move(link)};
+  if (request.verb == AttemptVerb::kFetch) {
+    sink_->Post(
+        CallEvent(FetchArrived{id, attempt.id, attempt.destination_start_id}));
+    return;
+  }
+  if (request.verb == AttemptVerb::kCancel) {
+    sink_->Post(
+        CallEvent(CancelArrived{id, attempt.id, attempt.destination_start_id}));
+    return;
+  }
+  Attempt& entry = attempts_[attempt.id];
+  ++entry.run_links;
+  if (entry.held == nullptr) {
+    entry.request = attempt;
+    entry.held = std::move(held);
+  }
+  sink_->Post(CallEvent(AttemptArrived{id, attempt}));
+}
+
+void DestinationTable::LinkGone(LinkId id) {
+  if (TakeLink(id) != nullptr) {
+    sink_->Post(CallEvent(LinkLost{id}));
+  }
+}
+
+std::unique_ptr<AttemptLink> DestinationTable::TakeLink(LinkId id) {
+  const auto found = links_.find(id);
+  if (found == links_.end()) {
+    return nullptr;
+  }
+  Link link = std::move(found->second);
+  links_.erase(found);
+  const auto attempt = attempts_.find(link.attempt);
+  if (attempt == attempts_.end()) {
+    return std::move(link.way);
+  }
+  if (link.verb == AttemptVerb::kRun) {
+    --attempt->second.run_links;
+  }
+  if (attempt->second.bound_link == id) {
+    attempt->second.bound_link = 0;
+  }
+  return std::move(link.way);
+}
+
+void DestinationTable::Execute(const StartUpstream& effect) {
+  const auto found = attempts_.find(effect.attempt);
+  if (found == attempts_.end() || found->second.held == nullptr) {
+    sink_->Post(CallEvent(UpstreamUnreached{effect.attempt}));
+    return;
+  }
+  Attempt& attempt = found->second;
+  attempt.started = true;
+  if (attempt.answer == nullptr) {
+    attempt.answer = new AnswerStream(
+        {.kept_bytes = options_.held_answer_bytes}, held_bytes_);
+  }
+  attempt.call = std::make_unique<UpstreamCall>(
+      pool_,
+      UpstreamCallOptions{.endpoint = options_.upstream,
+                          .deadline = effect.deadline,
+                          .progress_timeout = options_.progress_timeout},
+      attempt.request, attempt.held, attempt.answer, sink_);
+  pool_->Prepare(options_.upstream, options_.prepared_connections);
+}
+
+void DestinationTable::Execute(const CancelUpstream& effect) {
+  const auto found = attempts_.find(effect.attempt);
+  if (found != attempts_.end()) {
+    found->second.call = nullptr;
+  }
+}
+
+void DestinationTable::Execute(const BindAnswer& effect) {
+  const auto link = links_.find(effect.link);
+  const auto found = attempts_.find(effect.attempt);
+  if (link == links_.end()) {
+    return;
+  }
+  if (found == attempts_.end() ||
+      (found->second.answer != nullptr && !found->second.answer->whole())) {
+    TakeLink(effect.link)->Unknown();
+    return;
+  }
+  Attempt& attempt = found->second;
+  const LinkId old_link = std::exchange(attempt.bound_link, effect.link);
+  if (old_link != 0 && old_link != effect.link) {
+    if (const auto old = TakeLink(old_link)) {
+      old->Close();
+      sink_->Post(CallEvent(LinkLost{old_link}));
+    }
+  }
+  if (attempt.answer == nullptr) {
+    attempt.answer = new AnswerStream(
+        {.kept_bytes = options_.held_answer_bytes}, held_bytes_);
+  }
+  link->second.way->Answer(attempt.answer);
+}
+
+void DestinationTable::Execute(const ReplyNotRun& effect) {
+  if (const auto link = TakeLink(effect.link)) {
+    link->NotRun(effect.reason, effect.retry_after);
+  }
+  ForgetIfRefused(effect.attempt);
+}
+
+void DestinationTable::Execute(const ReplyStillRunning& effect) {
+  if (const auto link = TakeLink(effect.link)) {
+    link->StillRunning();
+  }
+}
+
+void DestinationTable::Execute(const ReplyUnknown& effect) {
+  if (const auto link = TakeLink(effect.link)) {
+    link->Unknown();
+  }
+}
+
+void DestinationTable::Execute(const ReleaseAttempt& effect) {
+  attempts_.erase(effect.attempt);
+}
+
+void DestinationTable::Close() {
+  links_.clear();
+  attempts_.clear();
+}
+
+void DestinationTable::ForgetIfRefused(const AttemptId& id) {
+  const auto found = attempts_.find(id);
+  if (found != attempts_.end() && !found->second.started &&
+      found->second.run_links == 0) {
+    attempts_.erase(found);
+  }
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/http/destination_table.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+
+#include "cassiabend/core/call_events.h"
+#include "cassiabend/core/event_sink.h"
+#include "cassiabend/http/attempt_link.h"
+#include "cassiabend/http/connection_pool.h"
+#include "cassiabend/http/message_rules.h"
+#include "cassiabend/http/upstream_call.h"
+
+namespace cassiabend {
+
+/// \brief Settings of the destination's side.
+struct DestinationOptions {
+  /// Unset port for a host without an upstream.
+  ConnectionPool::Endpoint upstream;
+  Milliseconds progress_timeout{2'000};
+  std::size_t held_answer_bytes = std::size_t{256} * 1024;
+  /// Connections to the upstream that are opened ahead.
+  std::uint32_t prepared_connections = 2;
+};
+
+/// \brief Attempts at this node's upstream and the links that wait for them.
+class DestinationTable {
+ public:
+  DestinationTable(ConnectionPool* pool,
+                   const DestinationOptions& options,
+                   RefPtr<HeldBytes> held_bytes,
+                   EventSink* sink);
+
+  /// \brief Takes a message of an entry node.
+  /// \param held The caller's request; null for a fetch or cancel.
+  void Arrive(LinkId id,
+              const PeerRequest& request,
+              RefPtr<HeldRequest> held,
+              std::unique_ptr<AttemptLink> link);
+  /// \brief Forgets a link whose answer was handed over.
+  void LinkDone(LinkId id) { (void)TakeLink(id); }
+  /// \brief Forgets a link that was lost and says so.
+  void LinkGone(LinkId id);
+
+  void Execute(const StartUpstream& effect);
+  void Execute(const CancelUpstream& effect);
+  void Execute(const BindAnswer& effect);
+  void Execute(const ReplyNotRun& effect);
+  void Execute(const ReplyStillRunning& effect);
+  void Execute(const ReplyUnknown& effect);
+  void Execute(const ReleaseAttempt& effect);
+  void Close();
+
+ private:
+  struct Link {
+    AttemptId attempt;
+    AttemptVerb verb = AttemptVerb::kRun;
+    std::unique_ptr<AttemptLink> way;
+  };
+  struct Attempt {
+    AttemptRequest request;
+    RefPtr<HeldRequest> held;
+    RefPtr<AnswerStream> answer;
+    std::unique_ptr<UpstreamCall> call;
+    /// Open links that brought the attempt.
+    std::uint32_t run_links = 0;
+    LinkId bound_link = 0;
+    bool started = false;
+  };
+  using LinkMap = std::unordered_map<LinkId, Link>;
+  using AttemptMap = std::unordered_map<AttemptId, Attempt, Id128Hasher>;
+
+  [[nodiscard]] std::unique_ptr<AttemptLink> TakeLink(LinkId id);
+  void ForgetIfRefused(const AttemptId& id);
+
+  ConnectionPool* pool_;
+  DestinationOptions options_;
+  RefPtr<HeldBytes> held_bytes_;
+  EventSink* sink_;
+  LinkMap links_;
+  AttemptMap attempts_;
+};
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/http/headers.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <string_view>
+
+namespace cassiabend {
+
+/// \brief Names of the headers that the call path reads and writes.
+/// Callers may set those of the first group.
+inline constexpr std::string_view kTenantHeader = "X-Cassiabend-Tenant";
+inline constexpr std::string_view kDeadlineHeader = "X-Cassiabend-Deadline-Ms";
+inline constexpr std::string_view kDepthHeader = "X-Cassiabend-Depth";
+inline constexpr std::string_view kRetryHeader = "X-Cassiabend-Retry";
+inline constexpr std::string_view kOrderKeyHeader = "Idempotency-Key";
+
+/// Answers to callers and between nodes.
+inline constexpr std::string_view kOutcomeHeader = "X-Cassiabend-Outcome";
+inline constexpr std::string_view kReasonHeader = "X-Cassiabend-Reason";
+inline constexpr std::string_view kRetryAfterHeader = "Retry-After";
+inline constexpr std::string_view kRetryAfterMsHeader =
+    "X-Cassiabend-Retry-After-Ms";
+
+/// Requests between nodes.
+inline constexpr std::string_view kAttemptHeader = "X-Cassiabend-Attempt";
+inline constexpr std::string_view kVerbHeader = "X-Cassiabend-Verb";
+inline constexpr std::string_view kStartIdHeader = "X-Cassiabend-Start-Id";
+inline constexpr std::string_view kRouteHeader = "X-Cassiabend-Route";
+inline constexpr std::string_view kServiceHeader = "X-Cassiabend-Service";
+inline constexpr std::string_view kClassHeader = "X-Cassiabend-Class";
+inline constexpr std::string_view kSiteHeader = "X-Cassiabend-Site";
+inline constexpr std::string_view kNoisyHeader = "X-Cassiabend-Noisy";
+inline constexpr std::string_view kOnceHeader = "X-Cassiabend-Once";
+inline constexpr std::string_view kLongestJobHeader =
+    "X-Cassiabend-Longest-Job-S";
+inline constexpr std::string_view kConfigHeader = "X-Cassiabend-Config";
+/// Every header that starts so belongs to the system.
+inline constexpr std::string_view kSystemHeaderPrefix = "X-Cassiabend-";
+
+/// Requests to and answers from an upstream.
+inline constexpr std::string_view kRequestIdHeader = "X-Request-Id";
+inline constexpr std::string_view kUpstreamShedHeader = "X-Upstream-Shed";
+
+/// Values of `kOutcomeHeader`.
+inline constexpr std::string_view kOutcomeAnswered = "answered";
+inline constexpr std::string_view kOutcomeNotRun = "not-run";
+inline constexpr std::string_view kOutcomeUnknown = "unknown";
+inline constexpr std::string_view kOutcomeStillRunning = "still-running";
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/http/message.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "cassiabend/base/ref_counted.h"
+
+namespace cassiabend {
+
+/// \brief One header line of an HTTP message.
+struct HeaderField {
+  std::string name;
+  std::string value;
+
+  [[nodiscard]] bool operator==(const HeaderField&) const = default;
+};
+
+/// \brief Head of an HTTP/1.x request or response.
+struct MessageHead {
+  /// Requests only.
+  std::string method;
+  std::string target;
+  /// Responses only.
+  std::uint16_t status = 0;
+  std::string reason;
+  std::vector<HeaderField> fields;
+  /// Length of the body, where the message states it.
+  std::optional<std::uint64_t> content_length;
+  bool is_http_1_0 = false;
+  /// Whether the connection may carry another message after this one.
+  bool keep_alive = true;
+  bool expects_continue = false;
+
+  /// \returns The first value of a header; empty when it is absent.
+  [[nodiscard]] std::string_view Get(std::string_view name) const noexcept;
+  [[nodiscard]] bool Has(std::string_view name) const noexcept;
+
+  void Add(std::string_view name, std::string_view value) {
+    fields.push_back({std::string(name), std::string(value)});
+  }
+};
+
+/// \brief Bytes of all messages held at a time.
+struct HeldBytes final : public RefCounted<HeldBytes> {
+  std::uint64_t n = 0;
+};
+
+/// \brief A request that is held whole, so that it can be sent again.
+class HeldRequest final : public RefCounted<HeldRequest> {
+ public:
+  explicit HeldRequest(RefPtr<HeldBytes> held_bytes)
+      : held_bytes_(std::move(held_bytes)) {}
+  HeldRequest(const HeldRequest&) = delete;
+  HeldRequest& operator=(const HeldRequest&) = delete;
+  ~HeldRequest() { held_bytes_->n -= counted_; }
+
+  [[nodiscard]] const MessageHead& head() const noexcept { return head_; }
+  [[nodiscard]] MessageHead& head() noexcept { return head_; }
+  [[nodiscard]] const std::string& body() const noexcept { return body_; }
+
+  void SetHead(MessageHead head);
+  void AppendBody(std::string_view bytes);
+
+ private:
+  void Count(std::size_t n) noexcept;
+
+  RefPtr<HeldBytes> held_bytes_;
+  MessageHead head_;
+  std::string body_;
+  std::size_t counted_ = 0;
+};
+
+/// \brief How the end of a body is marked.
+enum class BodyFraming : std::uint8_t {
+  /// There is no body, whatever the head says of its length.
+  kNone,
+  kLength,
+  kChunked,
+  /// The body ends with the connection.
+  kUntilClose,
+};
+
+/// \returns Whether two header names or tokens are equal but for case.
+[[nodiscard]] bool EqualsIgnoreCase(std::string_view a,
+                                    std::string_view b) noexcept;
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/http/prober.cc
@@ -0,0 +1,96 @@
+#include "cassiabend/http/prober.h"
+
+#include <algorithm>
+#include <boost/json/parse.hpp>
+#include <utility>
+
+namespace cassiabend {
+namespace {
+
+/// Bytes of a health answer that are read; the rest is dropped.
+constexpr std::size_t kMaxHealthBytes = std::size_t{4} * 1024;
+constexpr std::uint16_t kOk = 200;
+
+}  // namespace
+
+UpstreamProbed ReadHealth(std::uint16_t status, std::string_view body) {
+  constexpr std::int64_t kMaxLoad = 10'000;
+  UpstreamProbed probed{.healthy = status == kOk};
+  boost::system::error_code ec;
+  const boost::json::value value = boost::json::parse(body, ec);
+  const boost::json::object* object = ec ? nullptr : value.if_object();
+  if (object == nullptr) {
+    return probed;
+  }
+  const boost::json::value* healthy = object->if_contains("healthy");
+  if (healthy != nullptr && healthy->is_bool()) {
+    probed.healthy = probed.healthy && healthy->get_bool();
+  }
+  const boost::json::value* load = object->if_contains("load_permille");
+  if (load != nullptr && load->is_int64()) {
+    probed.load_permille = static_cast<std::uint16_t>(
+        std::clamp<std::int64_t>(load->get_int64(), 0, kMaxLoad));
+  }
+  return probed;
+}
+
+Prober::Prober(boost::asio::io_context& io,
+               ConnectionPool* pool,
+               ProbeOptions options,
+               EventSink* sink)
+    : pool_(pool), options_(std::move(options)), sink_(sink), timer_(io) {}
+
+Prober::~Prober() {
+  if (exchange_ != nullptr) {
+    exchange_->Cancel();
+  }
+}
+
+void Prober::Start() {
+  Probe();
+}
+
+void Prober::Probe() {
+  status_ = 0;
+  body_.clear();
+  MessageHead head;
+  head.method = "GET";
+  head.target = options_.path;
+  head.Add("Host", options_.endpoint.address().to_string());
+  exchange_ = new ClientExchange(pool_, options_.endpoint, this);
+  exchange_->Start({.head = std::move(head),
+                    .held = nullptr,
+                    .head_timeout = options_.period,
+                    .body_timeout = options_.period});
+}
+
+void Prober::Wait() {
+  exchange_ = nullptr;
+  timer_.expires_after(options_.period);
+  timer_.async_wait([this](const boost::system::error_code& ec) {
+    if (!ec) {
+      Probe();
+    }
+  });
+}
+
+void Prober::OnResponseHead(MessageHead& head) {
+  status_ = head.status;
+}
+
+void Prober::OnResponseBody(std::string_view bytes) {
+  const std::size_t room = kMaxHealthBytes - body_.size();
+  body_.append(bytes.substr(0, room));
+}
+
+void Prober::OnResponseEnd() {
+  sink_->Post(CallEvent(ReadHealth(status_, body_)));
+  Wait();
+}
+
+void Prober::OnExchangeFailed(ExchangeFailure /*failure*/) {
+  sink_->Post(CallEvent(UpstreamProbed{}));
+  Wait();
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/http/prober.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <string>
+
+#include "cassiabend/core/event_sink.h"
+#include "cassiabend/http/client_exchange.h"
+
+namespace cassiabend {
+
+/// \brief Where and how often the upstream's health is asked for.
+struct ProbeOptions {
+  ConnectionPool::Endpoint endpoint;
+  std::string path;
+  Milliseconds period{1'000};
+};
+
+/// \brief Asks the upstream for its health each period.
+class Prober final : private ExchangeListener {
+ public:
+  Prober(boost::asio::io_context& io,
+         ConnectionPool* pool,
+         ProbeOptions options,
+         EventSink* sink);
+  ~Prober() override;
+
+  void Start();
+
+ private:
+  void OnResponseHead(MessageHead& head) override;
+  void OnResponseBody(std::string_view bytes) override;
+  void OnResponseEnd() override;
+  void OnExchangeFailed(ExchangeFailure failure) override;
+
+  void Probe();
+  void Wait();
+
+  ConnectionPool* pool_;
+  ProbeOptions options_;
+  EventSink* sink_;
+  boost::asio::steady_timer timer_;
+  RefPtr<ClientExchange> exchange_;
+  std::uint16_t status_ = 0;
+  std::string body_;
+};
+
+/// \returns What an answer of the health endpoint says: JSON such as
+/// {"healthy": true, "load_permille": 250}, or a bare status.
+[[nodiscard]] UpstreamProbed ReadHealth(std::uint16_t status,
+                                        std::string_view body);
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/http/tick_list.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/intrusive/list.hpp>
+#include <cstdint>
+
+#include "cassiabend/base/time.h"
+
+namespace cassiabend {
+
+/// \brief Something with a coarse timeout; unlinks itself when destroyed.
+class TickEntry
+    : public boost::intrusive::list_base_hook<
+          boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+ public:
+  TickEntry() = default;
+  TickEntry(const TickEntry&) = delete;
+  TickEntry& operator=(const TickEntry&) = delete;
+  virtual ~TickEntry() = default;
+
+  /// \brief The timeout has passed; it is no longer set.
+  virtual void OnTimeout() = 0;
+
+ private:
+  friend class TickList;
+  /// Tick at which the timeout has passed; 0 for none.
+  std::uint64_t expires_ = 0;
+};
+
+/// \brief Timeouts of all connections under one timer, so that setting one
+/// costs neither a system call nor a clock read. A timeout passes up to
+/// `kPeriod` late and never early.
+class TickList {
+ public:
+  static constexpr Milliseconds kPeriod{20};
+
+  explicit TickList(boost::asio::io_context& io) : timer_(io) {}
+
+  void Add(TickEntry* entry) { entries_.push_back(*entry); }
+  void SetTimeout(TickEntry* entry, Milliseconds timeout) const noexcept;
+  static void ClearTimeout(TickEntry* entry) noexcept { entry->expires_ = 0; }
+
+  void Start();
+  void Stop();
+
+ private:
+  using Entries =
+      boost::intrusive::list<TickEntry,
+                             boost::intrusive::constant_time_size<false>>;
+
+  void Advance();
+
+  boost::asio::steady_timer timer_;
+  Entries entries_;
+  std::uint64_t now_ = 1;
+  bool stopped_ = false;
+};
+
+}  // namespace cassiabend
