Add the store client over the etcd v3 JSON gateway

Cause: nodes and commits need single-key compare-and-swap, leases and watches of the platform's key-value service. Change: StoreClient sends each StoreCall over pooled keep-alive connections and posts one StoreReplied. kUnavailable for a write is given only where the store surely did nothing; everything else after the first byte is kUnknown. A watch survives compaction by reading the key, and a store older than the watch ends it as kUnavailable.

--- /dev/null
+++ b/src/cassiabend/store/store_client.cc
@@ -0,0 +1,392 @@
+#include "cassiabend/store/store_client.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+#include <deque>
+#include <utility>
+#include <vector>
+
+#include "cassiabend/base/clock.h"
+#include "cassiabend/base/error.h"
+#include "cassiabend/base/log.h"
+#include "cassiabend/store/gateway_codec.h"
+#include "cassiabend/store/gateway_connection.h"
+#include "cassiabend/store/watch_reader.h"
+
+namespace cassiabend {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using ConnectionPtr = std::shared_ptr<GatewayConnection>;
+
+constexpr Milliseconds kConnectTimeout{500};
+// Watches hold their connections for long, so they have a limit of their own.
+constexpr std::uint32_t kMaxWatches = 8;
+
+/// \brief One call on its way.
+struct Operation {
+  StoreCall call;
+  MonoTime give_up_at{};
+  MonoTime sent_at{};
+  /// Endpoints that may still be tried.
+  std::size_t endpoints_left = 0;
+  std::size_t endpoint = 0;
+};
+using OperationPtr = std::shared_ptr<Operation>;
+
+std::vector<tcp::endpoint> ResolveEndpoints(
+    const std::vector<StoreEndpoint>& endpoints) {
+  std::vector<tcp::endpoint> out;
+  for (const StoreEndpoint& it : endpoints) {
+    boost::system::error_code ec;
+    const auto address = asio::ip::make_address(it.ip, ec);
+    if (ec) {
+      throw StoreError("set up the store client", it.ip, "not an IP number");
+    }
+    out.emplace_back(address, it.port);
+  }
+  if (out.empty()) {
+    throw StoreError("set up the store client", "endpoints", "none is named");
+  }
+  return out;
+}
+
+}  // namespace
+
+class StoreClient::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(asio::io_context& io, const StoreClientOptions& options, EventSink* sink)
+      : io_(io),
+        options_(options),
+        endpoints_(ResolveEndpoints(options.endpoints)),
+        sink_(sink) {}
+
+  [[nodiscard]] const StoreClientCounts& counts() const noexcept {
+    return counts_;
+  }
+
+  void Execute(const StoreCall& call) {
+    auto op = std::make_shared<Operation>();
+    op->call = call;
+    op->give_up_at = clock_.Now().mono + options_.request_timeout;
+    op->sent_at = clock_.Now().mono;
+    op->endpoints_left = endpoints_.size();
+    op->endpoint = preferred_;
+    ++counts_.calls;
+    if (closed_) {
+      Refuse(op, "the client is closed");
+      return;
+    }
+    if (const auto* watch = std::get_if<StoreWatch>(&call.request)) {
+      StartWatch(op, watch->after);
+      return;
+    }
+    if (active_ < options_.max_connections) {
+      ++active_;
+      Attempt(op);
+      return;
+    }
+    if (waiting_.size() >= options_.max_waiting) {
+      Refuse(op, "too many requests are waiting");
+      return;
+    }
+    waiting_.push_back(std::move(op));
+  }
+
+  /// \brief Posts no more events: the sink may be gone.
+  void Detach() noexcept { sink_ = nullptr; }
+
+  void Close() {
+    closed_ = true;
+    for (const ConnectionPtr& it : idle_) {
+      it->Close();
+    }
+    idle_.clear();
+    // Closing breaks the exchanges, which answers their calls.
+    for (const std::weak_ptr<GatewayConnection>& it : busy_) {
+      if (const ConnectionPtr connection = it.lock()) {
+        connection->Close();
+      }
+    }
+  }
+
+ private:
+  ConnectionPtr Connect(const tcp::endpoint& endpoint) {
+    ConnectionPtr connection = GatewayConnection::Create(io_, endpoint);
+    std::erase_if(busy_, [](const auto& it) { return it.expired(); });
+    busy_.push_back(connection);
+    return connection;
+  }
+
+  ConnectionPtr TakeConnection(const tcp::endpoint& endpoint) {
+    for (auto it = idle_.begin(); it != idle_.end();) {
+      ConnectionPtr connection = *it;
+      if (!connection->IsReusable()) {
+        connection->Close();
+        it = idle_.erase(it);
+        continue;
+      }
+      if (connection->endpoint() == endpoint) {
+        idle_.erase(it);
+        return connection;
+      }
+      ++it;
+    }
+    return Connect(endpoint);
+  }
+
+  Milliseconds TimeLeft(const Operation& op) const {
+    return std::chrono::duration_cast<Milliseconds>(op.give_up_at -
+                                                    clock_.Now().mono);
+  }
+
+  // Ordinary calls.
+
+  void Attempt(const OperationPtr& op) {
+    const Milliseconds left = TimeLeft(*op);
+    if (left <= Milliseconds(0)) {
+      Refuse(op, "timed out before it was sent");
+      Release();
+      return;
+    }
+    op->sent_at = clock_.Now().mono;
+    const ConnectionPtr connection = TakeConnection(endpoints_[op->endpoint]);
+    connection->Exchange(
+        EncodeGatewayRequest(op->call.request), kConnectTimeout, left,
+        [self = shared_from_this(), op, connection](ExchangeResult result) {
+          self->OnExchanged(op, connection, result);
+        });
+  }
+
+  void OnExchanged(const OperationPtr& op,
+                   const ConnectionPtr& connection,
+                   const ExchangeResult& result) {
+    Count(result);
+    if (result.end == ExchangeResult::End::kAnswered) {
+      preferred_ = op->endpoint;
+      if (!closed_ && idle_.size() < options_.max_connections) {
+        idle_.push_back(connection);
+      }
+      Reply(op, DecodeGatewayReply(op->call.request, result.http_status,
+                                   result.body));
+      Release();
+      return;
+    }
+    const bool may_repeat = result.end == ExchangeResult::End::kNotSent ||
+                            !IsWrite(op->call.request);
+    if (may_repeat && MoveToNextEndpoint(op.get())) {
+      Attempt(op);
+      return;
+    }
+    StoreReply reply;
+    reply.status =
+        may_repeat ? StoreStatus::kUnavailable : StoreStatus::kUnknown;
+    LogFailure(*op, result.why);
+    Reply(op, reply);
+    Release();
+  }
+
+  bool MoveToNextEndpoint(Operation* op) {
+    if (closed_ || --op->endpoints_left == 0) {
+      return false;
+    }
+    op->endpoint = (op->endpoint + 1) % endpoints_.size();
+    return true;
+  }
+
+  /// \brief Gives the place of a finished call to the next one.
+  void Release() {
+    if (waiting_.empty()) {
+      --active_;
+      return;
+    }
+    const OperationPtr next = std::move(waiting_.front());
+    waiting_.pop_front();
+    if (closed_) {
+      Refuse(next, "the client is closed");
+      Release();
+      return;
+    }
+    Attempt(next);
+  }
+
+  // Watches.
+
+  void StartWatch(const OperationPtr& op, StoreRevision after) {
+    if (watches_ >= kMaxWatches) {
+      Refuse(op, "too many watches");
+      return;
+    }
+    ++watches_;
+    op->give_up_at =
+        clock_.Now().mono + std::get<StoreWatch>(op->call.request).wait;
+    AttemptWatch(op, after);
+  }
+
+  void AttemptWatch(const OperationPtr& op, StoreRevision after) {
+    const Milliseconds left = TimeLeft(*op);
+    if (left <= Milliseconds(0)) {
+      FinishWatch(op, StoreReply{StoreStatus::kUnavailable});
+      return;
+    }
+    StoreWatch watch = std::get<StoreWatch>(op->call.request);
+    watch.after = after;
+    auto reader = std::make_shared<WatchReader>(after);
+    op->sent_at = clock_.Now().mono;
+    const ConnectionPtr connection = Connect(endpoints_[op->endpoint]);
+    connection->Stream(
+        EncodeGatewayRequest(watch), kConnectTimeout, left,
+        [reader](std::string_view chunk) { return reader->Take(chunk); },
+        [self = shared_from_this(), op, connection,
+         reader](const ExchangeResult& result) {
+          connection->Close();
+          self->OnWatchEnded(op, *reader, result);
+        });
+  }
+
+  void OnWatchEnded(const OperationPtr& op,
+                    const WatchReader& reader,
+                    const ExchangeResult& result) {
+    Count(result);
+    if (reader.compacted() && !closed_) {
+      ReadBeforeWatch(op);
+      return;
+    }
+    if (result.end == ExchangeResult::End::kNotSent &&
+        MoveToNextEndpoint(op.get())) {
+      AttemptWatch(op, std::get<StoreWatch>(op->call.request).after);
+      return;
+    }
+    const bool ran_out = TimeLeft(*op) <= Milliseconds(0);
+    if (reader.decided() || (ran_out && !closed_)) {
+      FinishWatch(op, reader.reply());
+      return;
+    }
+    LogFailure(*op, result.why);
+    FinishWatch(op, StoreReply{StoreStatus::kUnavailable});
+  }
+
+  /// \brief After a compaction: reads the key, and watches from that reading
+  /// where the key has not moved.
+  void ReadBeforeWatch(const OperationPtr& op) {
+    const StoreGet get{std::get<StoreWatch>(op->call.request).key};
+    op->sent_at = clock_.Now().mono;
+    const ConnectionPtr connection = Connect(endpoints_[op->endpoint]);
+    connection->Exchange(EncodeGatewayRequest(get), kConnectTimeout,
+                         options_.request_timeout,
+                         [self = shared_from_this(), op, get,
+                          connection](const ExchangeResult& result) {
+                           connection->Close();
+                           self->OnReadBeforeWatch(op, get, result);
+                         });
+  }
+
+  void OnReadBeforeWatch(const OperationPtr& op,
+                         const StoreGet& get,
+                         const ExchangeResult& result) {
+    Count(result);
+    StoreReply reply;
+    if (result.end == ExchangeResult::End::kAnswered) {
+      reply = DecodeGatewayReply(get, result.http_status, result.body);
+    }
+    const auto& watch = std::get<StoreWatch>(op->call.request);
+    const bool moved = !reply.entry || reply.entry->revision != watch.after;
+    if (reply.status != StoreStatus::kOk || moved) {
+      const bool newer = reply.entry && reply.entry->revision > watch.after;
+      FinishWatch(op, newer ? reply : StoreReply{StoreStatus::kUnavailable});
+      return;
+    }
+    AttemptWatch(op, reply.store_revision);
+  }
+
+  void FinishWatch(const OperationPtr& op, const StoreReply& reply) {
+    --watches_;
+    Reply(op, reply);
+  }
+
+  // Answers.
+
+  void Count(const ExchangeResult& result) {
+    counts_.bytes_sent += result.bytes_sent;
+    counts_.bytes_received += result.bytes_received;
+  }
+
+  void LogFailure(const Operation& op, const std::string& why) {
+    const tcp::endpoint& endpoint = endpoints_[op.endpoint];
+    Log(LogLevel::kWarning, "store_call_failed",
+        {{"endpoint", endpoint.address().to_string() + ":" +
+                          std::to_string(endpoint.port())},
+         {"path", EncodeGatewayRequest(op.call.request).path},
+         {"why", why}});
+  }
+
+  /// \brief Answers a call that was never sent, after `Execute` has returned.
+  void Refuse(const OperationPtr& op, const char* why) {
+    Log(LogLevel::kWarning, "store_call_refused", {{"why", why}});
+    asio::post(io_, [self = shared_from_this(), op] {
+      self->Reply(op, StoreReply{StoreStatus::kUnavailable});
+    });
+  }
+
+  void Reply(const OperationPtr& op, StoreReply reply) {
+    if (sink_ == nullptr) {
+      return;
+    }
+    reply.sent_at = op->sent_at;
+    counts_.failures += reply.status == StoreStatus::kUnavailable ? 1 : 0;
+    counts_.unknown_outcomes += reply.status == StoreStatus::kUnknown ? 1 : 0;
+    StoreReplied event{op->call.id, std::move(reply)};
+    switch (op->call.id.role) {
+      case StoreClientRole::kCommit:
+      case StoreClientRole::kCleanup:
+        sink_->Post(ConfigEvent(std::move(event)));
+        return;
+      case StoreClientRole::kFleet:
+        sink_->Post(FleetEvent(std::move(event)));
+        return;
+      case StoreClientRole::kCalls:
+        sink_->Post(CallEvent(std::move(event)));
+        return;
+    }
+  }
+
+  asio::io_context& io_;
+  StoreClientOptions options_;
+  std::vector<tcp::endpoint> endpoints_;
+  EventSink* sink_;
+  SystemClock clock_;
+  StoreClientCounts counts_;
+  /// Index of the endpoint that answered last.
+  std::size_t preferred_ = 0;
+  std::uint32_t active_ = 0;
+  std::uint32_t watches_ = 0;
+  std::deque<OperationPtr> waiting_;
+  std::vector<ConnectionPtr> idle_;
+  std::vector<std::weak_ptr<GatewayConnection>> busy_;
+  bool closed_ = false;
+};
+
+StoreClient::StoreClient(asio::io_context& io,
+                         const StoreClientOptions& options,
+                         EventSink* sink)
+    : impl_(std::make_shared<Impl>(io, options, sink)) {}
+
+StoreClient::~StoreClient() {
+  Close();
+  impl_->Detach();
+}
+
+StoreClientCounts StoreClient::counts() const noexcept {
+  return impl_->counts();
+}
+
+void StoreClient::Execute(const StoreCall& call) {
+  impl_->Execute(call);
+}
+
+void StoreClient::Close() {
+  impl_->Close();
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/store/watch_reader.cc
@@ -0,0 +1,67 @@
+#include "cassiabend/store/watch_reader.h"
+
+namespace cassiabend {
+namespace {
+
+// An entry of the value limit in base64, with room for the rest.
+constexpr std::size_t kMaxMessageBytes = 2 * 1024 * 1024;
+
+}  // namespace
+
+StoreReply WatchReader::reply() const {
+  StoreReply reply = reply_;
+  if (!decided_) {
+    // A watch that was never acknowledged says nothing about the key.
+    reply.status = created_ ? StoreStatus::kOk : StoreStatus::kUnavailable;
+  }
+  return reply;
+}
+
+bool WatchReader::Take(std::string_view chunk) {
+  partial_ += chunk;
+  std::size_t begin = 0;
+  while (!decided_) {
+    const std::size_t end = partial_.find('\n', begin);
+    if (end == std::string::npos) {
+      break;
+    }
+    TakeMessage(std::string_view(partial_).substr(begin, end - begin));
+    begin = end + 1;
+  }
+  partial_.erase(0, begin);
+  if (!decided_ && partial_.size() > kMaxMessageBytes) {
+    Decide(StoreStatus::kUnavailable);
+  }
+  return !decided_;
+}
+
+void WatchReader::TakeMessage(std::string_view line) {
+  if (line.empty()) {
+    return;
+  }
+  std::optional<WatchMessage> message = DecodeWatchMessage(line);
+  if (!message || message->canceled || message->removed) {
+    compacted_ = message && message->compact_revision != 0;
+    Decide(StoreStatus::kUnavailable);
+    return;
+  }
+  reply_.store_revision = message->store_revision;
+  created_ = created_ || message->created;
+  if (message->entry && message->entry->revision > after_) {
+    reply_.entry = std::move(message->entry);
+    Decide(StoreStatus::kOk);
+    return;
+  }
+  if (message->created && message->store_revision < after_) {
+    // The store came back older than the caller's knowledge: no event would
+    // ever arrive, so the caller has to read the key again.
+    Decide(StoreStatus::kUnavailable);
+  }
+}
+
+void WatchReader::Decide(StoreStatus status) {
+  decided_ = true;
+  reply_.status = status;
+}
+
+}  // namespace cassiabend
