--- /dev/null
+++ b/tests/shell/store_client_test.cc
@@ -0,0 +1,333 @@
+#include <doctest/doctest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "cassiabend/base/clock.h"
+#include "cassiabend/base/error.h"
+#include "cassiabend/store/store_client.h"
+#include "tools/fake_store_server.h"
+
+namespace cassiabend {
+namespace {
+
+constexpr Milliseconds kRequestTimeout{300};
+constexpr Seconds kPatience{20};
+
+/// \brief Keeps the answers that the client posts.
+class ReplySink final : public EventSink {
+ public:
+  void Post(Body body) override {
+    if (const auto* event = std::get_if<ConfigEvent>(&body)) {
+      Keep(std::get_if<StoreReplied>(event), "config");
+    } else if (const auto* event = std::get_if<FleetEvent>(&body)) {
+      Keep(std::get_if<StoreReplied>(event), "fleet");
+    } else {
+      Keep(std::get_if<StoreReplied>(&std::get<CallEvent>(body)), "calls");
+    }
+  }
+
+  std::vector<StoreReplied> replies;
+  std::vector<std::string> areas;
+
+ private:
+  void Keep(const StoreReplied* reply, const char* area) {
+    REQUIRE(reply != nullptr);
+    replies.push_back(*reply);
+    areas.emplace_back(area);
+  }
+};
+
+/// \brief A client and a stand-in on one thread.
+struct Fixture {
+  explicit Fixture(FakeStoreOptions store = {}, StoreClientOptions base = {})
+      : server(io, store), client(io, Options(std::move(base)), &sink) {}
+
+  StoreClientOptions Options(StoreClientOptions base) {
+    base.request_timeout = kRequestTimeout;
+    base.endpoints.push_back({"127.0.0.1", server.port()});
+    return base;
+  }
+
+  void Start(StoreRequest request,
+             StoreClientRole role = StoreClientRole::kFleet) {
+    client.Execute({{role, ++sequence}, std::move(request)});
+  }
+
+  /// \brief Runs until `n` answers are there.
+  void RunUntil(std::size_t n) {
+    const SystemClock clock;
+    const MonoTime end = clock.Now().mono + kPatience;
+    while (sink.replies.size() < n && clock.Now().mono < end) {
+      io.run_one_for(Milliseconds(50));
+    }
+    REQUIRE(sink.replies.size() == n);
+  }
+
+  void RunFor(Milliseconds time) { io.run_for(time); }
+
+  StoreReply Ask(StoreRequest request) {
+    const std::size_t before = sink.replies.size();
+    Start(std::move(request));
+    RunUntil(before + 1);
+    return sink.replies.back().reply;
+  }
+
+  boost::asio::io_context io;
+  ReplySink sink;
+  FakeStoreServer server;
+  StoreClient client;
+  std::uint64_t sequence = 0;
+};
+
+const std::string kBytes("a\0b\xff\n\"", 6);
+
+TEST_CASE("values are created, swapped and deleted by revision") {
+  Fixture it;
+  const StoreReply absent = it.Ask(StoreGet{"k"});
+  CHECK(absent.status == StoreStatus::kOk);
+  CHECK_FALSE(absent.entry);
+  CHECK(absent.store_revision > 0);
+
+  const StoreReply created = it.Ask(StoreCompareAndSwap{"k", 0, kBytes});
+  REQUIRE(created.status == StoreStatus::kOk);
+  const StoreReply read = it.Ask(StoreGet{"k"});
+  CHECK(read.entry == StoreEntry{"k", kBytes, created.entry->revision});
+
+  const StoreReply lost = it.Ask(StoreCompareAndSwap{"k", 0, "other"});
+  CHECK(lost.status == StoreStatus::kConflict);
+  CHECK(lost.entry == read.entry);
+  const StoreReply swapped =
+      it.Ask(StoreCompareAndSwap{"k", read.entry->revision, "2"});
+  REQUIRE(swapped.status == StoreStatus::kOk);
+  CHECK(swapped.entry->revision > read.entry->revision);
+
+  CHECK(it.Ask(StoreCompareAndDelete{"k", read.entry->revision}).status ==
+        StoreStatus::kConflict);
+  CHECK(it.Ask(StoreCompareAndDelete{"k", swapped.entry->revision}).status ==
+        StoreStatus::kOk);
+  const StoreReply conflict =
+      it.Ask(StoreCompareAndSwap{"k", swapped.entry->revision, "3"});
+  CHECK(conflict.status == StoreStatus::kConflict);
+  CHECK_FALSE(conflict.entry);
+}
+
+TEST_CASE("an answer goes to the area of its role, once") {
+  Fixture it;
+  it.Start(StoreGet{"k"}, StoreClientRole::kCommit);
+  it.RunUntil(1);
+  it.Start(StoreGet{"k"}, StoreClientRole::kCleanup);
+  it.RunUntil(2);
+  it.Start(StoreGet{"k"}, StoreClientRole::kFleet);
+  it.RunUntil(3);
+  it.Start(StoreGet{"k"}, StoreClientRole::kCalls);
+  it.RunUntil(4);
+  CHECK(it.sink.areas ==
+        std::vector<std::string>{"config", "config", "fleet", "calls"});
+  CHECK(it.sink.replies[2].id == StoreCallId{StoreClientRole::kFleet, 3});
+}
+
+/// \brief What a fault makes of each kind of request.
+struct FaultRow {
+  const char* fault;
+  StoreStatus read;
+  StoreStatus write;
+  bool took_effect;
+};
+
+TEST_CASE("each fault gives a status that never promises too much") {
+  const FaultRow rows[] = {
+      {R"({"down":true})", StoreStatus::kUnavailable, StoreStatus::kUnavailable,
+       false},
+      {R"({"reject_next":2})", StoreStatus::kUnavailable,
+       StoreStatus::kUnavailable, false},
+      {R"({"lose_next_answers":2})", StoreStatus::kUnavailable,
+       StoreStatus::kUnknown, true},
+      {R"({"drop_next":2})", StoreStatus::kUnavailable, StoreStatus::kUnknown,
+       false},
+      {R"({"slow_ms":900})", StoreStatus::kUnavailable, StoreStatus::kUnknown,
+       true},
+  };
+  for (const FaultRow& row : rows) {
+    CAPTURE(row.fault);
+    for (const bool warm : {false, true}) {
+      CAPTURE(warm);
+      Fixture it;
+      if (warm) {
+        REQUIRE(it.Ask(StoreGet{"k"}).status == StoreStatus::kOk);
+      }
+      REQUIRE(it.server.Control(row.fault) == R"({"ok":true})");
+      CHECK(it.Ask(StoreGet{"k"}).status == row.read);
+      CHECK(it.Ask(StoreCompareAndSwap{"k", 0, "v"}).status == row.write);
+      it.server.Control(
+          R"({"down":false,"slow_ms":0,"lose_next_answers":0,"drop_next":0})");
+      it.RunFor(Milliseconds(1'000));
+      const StoreReply after = it.Ask(StoreGet{"k"});
+      REQUIRE(after.status == StoreStatus::kOk);
+      CHECK(after.entry.has_value() == row.took_effect);
+    }
+  }
+}
+
+TEST_CASE(
+    "a closed port is a certain refusal, and the next endpoint is tried") {
+  Fixture it;
+  StoreClientOptions options;
+  options.request_timeout = kRequestTimeout;
+  boost::asio::ip::tcp::acceptor closed(
+      it.io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  const std::uint16_t closed_port = closed.local_endpoint().port();
+  closed.close();
+  options.endpoints = {{"127.0.0.1", closed_port}};
+  StoreClient unreachable(it.io, options, &it.sink);
+  unreachable.Execute({{}, StoreCompareAndSwap{"k", 0, "v"}});
+  it.RunUntil(1);
+  CHECK(it.sink.replies[0].reply.status == StoreStatus::kUnavailable);
+
+  options.endpoints.push_back({"127.0.0.1", it.server.port()});
+  StoreClient second(it.io, options, &it.sink);
+  second.Execute({{}, StoreCompareAndSwap{"k", 0, "v"}});
+  it.RunUntil(2);
+  CHECK(it.sink.replies[1].reply.status == StoreStatus::kOk);
+}
+
+TEST_CASE("calls over the rate are refused without effect") {
+  FakeStoreOptions store;
+  store.writes_per_second = 1;
+  Fixture it(store);
+  CHECK(it.Ask(StoreCompareAndSwap{"a", 0, "v"}).status == StoreStatus::kOk);
+  CHECK(it.Ask(StoreCompareAndSwap{"b", 0, "v"}).status ==
+        StoreStatus::kUnavailable);
+  CHECK_FALSE(it.Ask(StoreGet{"b"}).entry);
+}
+
+TEST_CASE("values over the limit are refused without effect") {
+  Fixture it;
+  const std::string largest(kStoreValueLimitBytes, 'x');
+  CHECK(it.Ask(StoreCompareAndSwap{"a", 0, largest}).status ==
+        StoreStatus::kOk);
+  CHECK(it.Ask(StoreCompareAndSwap{"b", 0, largest + "x"}).status ==
+        StoreStatus::kUnavailable);
+}
+
+TEST_CASE("requests beyond the bounds fail at once, the others are answered") {
+  StoreClientOptions options;
+  options.max_connections = 1;
+  options.max_waiting = 2;
+  Fixture it({}, options);
+  for (int i = 0; i < 5; ++i) {
+    it.Start(StoreGet{"k"});
+  }
+  it.RunUntil(5);
+  std::size_t ok = 0;
+  for (const StoreReplied& reply : it.sink.replies) {
+    ok += reply.reply.status == StoreStatus::kOk ? 1 : 0;
+  }
+  CHECK(ok == 3);
+}
+
+TEST_CASE("leases hold keys until they are revoked or lapse") {
+  Fixture it;
+  const StoreReply lease = it.Ask(StoreLeaseGrant{Seconds(30)});
+  REQUIRE(lease.status == StoreStatus::kOk);
+  REQUIRE(it.Ask(StoreCompareAndSwap{"r", 0, "v", lease.lease}).status ==
+          StoreStatus::kOk);
+  CHECK(it.Ask(StoreLeaseKeepAlive{lease.lease}).status == StoreStatus::kOk);
+  it.server.Control("{\"expire_lease\":" + std::to_string(lease.lease) + "}");
+  CHECK_FALSE(it.Ask(StoreGet{"r"}).entry);
+  CHECK(it.Ask(StoreLeaseKeepAlive{lease.lease}).status ==
+        StoreStatus::kLeaseLost);
+  CHECK(it.Ask(StoreCompareAndSwap{"r", 0, "v", lease.lease}).status ==
+        StoreStatus::kLeaseLost);
+  CHECK(it.Ask(StoreLeaseRevoke{lease.lease}).status ==
+        StoreStatus::kLeaseLost);
+  const StoreReply second = it.Ask(StoreLeaseGrant{Seconds(30)});
+  CHECK(it.Ask(StoreLeaseRevoke{second.lease}).status == StoreStatus::kOk);
+}
+
+TEST_CASE("a watch returns a change made before or after it began") {
+  Fixture it;
+  const StoreReply first = it.Ask(StoreCompareAndSwap{"k", 0, "1"});
+  const StoreRevision known = first.entry->revision;
+  REQUIRE(it.Ask(StoreCompareAndSwap{"k", known, "2"}).status ==
+          StoreStatus::kOk);
+  const StoreReply missed = it.Ask(StoreWatch{"k", known, Seconds(10)});
+  REQUIRE(missed.status == StoreStatus::kOk);
+  CHECK(missed.entry->value == "2");
+
+  const StoreRevision newest = missed.entry->revision;
+  it.Start(StoreWatch{"k", newest, Seconds(10)});
+  it.RunFor(Milliseconds(50));
+  CHECK(it.sink.replies.size() == 3);
+  it.Start(StoreCompareAndSwap{"k", newest, "3"});
+  it.RunUntil(5);
+  for (const StoreReplied& reply : it.sink.replies) {
+    CHECK(reply.reply.status == StoreStatus::kOk);
+  }
+}
+
+TEST_CASE("the end of a watch's time tells whether the store acknowledged it") {
+  Fixture it;
+  const StoreReply first = it.Ask(StoreCompareAndSwap{"k", 0, "1"});
+  const StoreWatch watch{"k", first.entry->revision, Milliseconds(150)};
+  const StoreReply quiet = it.Ask(watch);
+  CHECK(quiet.status == StoreStatus::kOk);
+  CHECK_FALSE(quiet.entry);
+  it.server.Control(R"({"dead_watches":true})");
+  CHECK(it.Ask(watch).status == StoreStatus::kUnavailable);
+}
+
+TEST_CASE("a watch survives compaction and sees a restored older store") {
+  Fixture it;
+  const StoreReply first = it.Ask(StoreCompareAndSwap{"k", 0, "1"});
+  it.server.Control(R"({"save":"old"})");
+  const StoreReply second =
+      it.Ask(StoreCompareAndSwap{"k", first.entry->revision, "2"});
+  it.Ask(StoreCompareAndSwap{"other", 0, "x"});
+  it.server.Control(R"({"compact":true})");
+  const StoreReply moved =
+      it.Ask(StoreWatch{"k", first.entry->revision, Seconds(5)});
+  REQUIRE(moved.status == StoreStatus::kOk);
+  CHECK(moved.entry->value == "2");
+  const StoreReply still =
+      it.Ask(StoreWatch{"k", second.entry->revision, Milliseconds(200)});
+  CHECK(still.status == StoreStatus::kOk);
+  CHECK_FALSE(still.entry);
+
+  it.server.Control(R"({"restore":"old"})");
+  const StoreReply older =
+      it.Ask(StoreWatch{"k", second.entry->revision, Seconds(5)});
+  CHECK(older.status == StoreStatus::kUnavailable);
+}
+
+TEST_CASE("a reading is dated before it was sent") {
+  Fixture it;
+  const SystemClock clock;
+  const MonoTime before = clock.Now().mono;
+  it.server.Control(R"({"slow_ms":100})");
+  const StoreReply reply = it.Ask(StoreGet{"k"});
+  CHECK(reply.sent_at >= before);
+  CHECK(reply.sent_at <= clock.Now().mono - Milliseconds(100));
+}
+
+TEST_CASE("closing answers every call that is under way") {
+  Fixture it;
+  it.server.Control(R"({"slow_ms":250})");
+  it.Start(StoreCompareAndSwap{"k", 0, "v"});
+  it.Start(StoreWatch{"k", 1, Seconds(10)});
+  it.RunFor(Milliseconds(50));
+  it.client.Close();
+  it.Start(StoreGet{"k"});
+  it.RunUntil(3);
+  for (const StoreReplied& reply : it.sink.replies) {
+    const bool write = reply.id.sequence == 1;
+    CHECK(reply.reply.status ==
+          (write ? StoreStatus::kUnknown : StoreStatus::kUnavailable));
+  }
+}
+
+}  // namespace
+}  // namespace cassiabend
