Add the JSON form of the model

Operators write apply files and read listings as JSON. Reading is strict: keys that are not known, wrong types and values out of range are refused with the path of the field.

--- /dev/null
+++ b/src/cassiabend/model/json.cc
@@ -0,0 +1,179 @@
+#include "cassiabend/model/json.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+#include <utility>
+
+#include "cassiabend/model/json_names.h"
+#include "cassiabend/model/time_text.h"
+
+namespace cassiabend {
+namespace {
+
+void SetText(std::string_view key,
+             const std::string& text,
+             boost::json::object* out) {
+  if (!text.empty()) {
+    (*out)[key] = text;
+  }
+}
+
+template <typename Item>
+boost::json::array ListToJson(const std::vector<Item>& items) {
+  boost::json::array out;
+  for (const Item& it : items) {
+    out.push_back(ToJson(it));
+  }
+  return out;
+}
+
+boost::json::value ToJson(const OnceSchedule& once) {
+  return {{"begin", FormatWallTime(once.begin)},
+          {"end", FormatWallTime(once.end)}};
+}
+
+boost::json::value ToJson(const WeeklySchedule& weekly) {
+  boost::json::array days;
+  for (std::size_t i = 0; i < kWeekdays.size(); ++i) {
+    if (((weekly.weekdays >> i) & 1U) != 0) {
+      days.emplace_back(kWeekdays.at(i).substr(0, kShortWeekday));
+    }
+  }
+  return {{"days", std::move(days)},
+          {"from", FormatMinutes(weekly.from)},
+          {"to", FormatMinutes(weekly.to)}};
+}
+
+}  // namespace
+
+boost::json::value ToJson(const Site& site) {
+  boost::json::object out{{"name", site.name}};
+  SetText("tenant", site.tenant, &out);
+  SetText("time_zone", site.time_zone, &out);
+  out["revision"] = site.revision;
+  return out;
+}
+
+boost::json::value ToJson(const Service& service) {
+  boost::json::object out{{"name", service.name}};
+  SetText("tenant", service.tenant, &out);
+  out["revision"] = service.revision;
+  return out;
+}
+
+boost::json::value ToJson(const Route& route) {
+  boost::json::object out{{"name", route.name}};
+  SetText("tenant", route.tenant, &out);
+  SetText("host", route.host, &out);
+  SetText("path_prefix", route.path_prefix, &out);
+  SetText("method", route.method, &out);
+  SetText("service", route.service, &out);
+  SetText("request_class", route.request_class, &out);
+  out["repeat"] =
+      route.repeat == RepeatPolicy::kRepeatable ? "repeatable" : "once";
+  out["timeout_ms"] = route.timeout.count();
+  if (route.noisy) {
+    out["noisy"] = true;
+  }
+  SetText("site", route.site, &out);
+  SetText("site_header", route.site_header, &out);
+  if (route.longest_job != Seconds(0)) {
+    out["longest_job_s"] = route.longest_job.count();
+  }
+  out["revision"] = route.revision;
+  return out;
+}
+
+boost::json::value ToJson(const QuietWindow& window) {
+  boost::json::object out{{"name", window.name}};
+  SetText("tenant", window.tenant, &out);
+  SetText("site", window.site, &out);
+  if (const auto* once = std::get_if<OnceSchedule>(&window.schedule)) {
+    out["once"] = ToJson(*once);
+  } else {
+    out["weekly"] = ToJson(std::get<WeeklySchedule>(window.schedule));
+  }
+  out["revision"] = window.revision;
+  return out;
+}
+
+boost::json::value ToJson(const Config& config) {
+  return {{"number", config.number},
+          {"parent", config.parent},
+          {"change_id", ToHex(config.change_id)},
+          {"author", config.author},
+          {"sites", ListToJson(config.sites)},
+          {"services", ListToJson(config.services)},
+          {"routes", ListToJson(config.routes)},
+          {"windows", ListToJson(config.windows)}};
+}
+
+boost::json::value ToJson(const HistoryEntry& entry) {
+  return {{"number", entry.mark.number},
+          {"hash", ToHex(entry.mark.hash)},
+          {"change_id", ToHex(entry.change_id)},
+          {"author", entry.author},
+          {"committed_at", FormatWallTime(entry.committed_at)}};
+}
+
+namespace {
+
+constexpr std::size_t kIndent = 2;
+
+void AppendPretty(const boost::json::value& value,
+                  std::size_t indent,
+                  std::string* out);
+
+void AppendLineStart(bool first, std::size_t indent, std::string* out) {
+  out->append(first ? "\n" : ",\n");
+  out->append(indent, ' ');
+}
+
+void AppendPrettyObject(const boost::json::object& object,
+                        std::size_t indent,
+                        std::string* out) {
+  out->push_back('{');
+  bool first = true;
+  for (const auto& it : object) {
+    AppendLineStart(first, indent + kIndent, out);
+    out->append(boost::json::serialize(it.key())).append(": ");
+    AppendPretty(it.value(), indent + kIndent, out);
+    first = false;
+  }
+  out->append("\n").append(indent, ' ').append("}");
+}
+
+void AppendPrettyArray(const boost::json::array& array,
+                       std::size_t indent,
+                       std::string* out) {
+  out->push_back('[');
+  bool first = true;
+  for (const boost::json::value& it : array) {
+    AppendLineStart(first, indent + kIndent, out);
+    AppendPretty(it, indent + kIndent, out);
+    first = false;
+  }
+  out->append("\n").append(indent, ' ').append("]");
+}
+
+void AppendPretty(const boost::json::value& value,
+                  std::size_t indent,
+                  std::string* out) {
+  if (value.is_object() && !value.as_object().empty()) {
+    AppendPrettyObject(value.as_object(), indent, out);
+  } else if (value.is_array() && !value.as_array().empty()) {
+    AppendPrettyArray(value.as_array(), indent, out);
+  } else {
+    out->append(boost::json::serialize(value));
+  }
+}
+
+}  // namespace
+
+std::string PrettyJson(const boost::json::value& value) {
+  std::string out;
+  AppendPretty(value, 0, &out);
+  return out + "\n";
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/model/json_names.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <string_view>
+
+namespace cassiabend {
+
+/// \brief Weekdays by the bits of `WeeklySchedule::weekdays`.
+inline constexpr std::array<std::string_view, 7> kWeekdays = {
+    "sunday",   "monday", "tuesday", "wednesday",
+    "thursday", "friday", "saturday"};
+/// Characters of the short form of a weekday, such as "mon".
+inline constexpr std::size_t kShortWeekday = 3;
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/model/json_read.cc
@@ -0,0 +1,302 @@
+#include <algorithm>
+#include <boost/json/array.hpp>
+#include <optional>
+#include <utility>
+
+#include "cassiabend/base/error.h"
+#include "cassiabend/model/json.h"
+#include "cassiabend/model/json_names.h"
+#include "cassiabend/model/json_object.h"
+#include "cassiabend/model/time_text.h"
+
+namespace cassiabend {
+namespace {
+
+constexpr std::uint64_t kMaxUint32 = std::numeric_limits<std::uint32_t>::max();
+
+WallTime ReadTime(JsonObjectReader* in, std::string_view key) {
+  const boost::json::value* value = in->Field(key);
+  if (value != nullptr && value->is_int64()) {
+    return WallTime(Milliseconds(value->as_int64()));
+  }
+  if (value != nullptr && value->is_string()) {
+    const auto time =
+        ParseWallTime({value->as_string().data(), value->as_string().size()});
+    if (time) {
+      return *time;
+    }
+  }
+  in->Fail(key,
+           "it must be a time in UTC, such as \"2026-03-08T10:00:00Z\", or "
+           "milliseconds since the Unix epoch");
+}
+
+std::chrono::minutes ReadMinutes(JsonObjectReader* in, std::string_view key) {
+  const auto minutes = ParseMinutes(in->Text(key));
+  if (!minutes) {
+    in->Fail(key, "it must be a time of day, such as \"22:00\"");
+  }
+  return *minutes;
+}
+
+std::optional<unsigned> WeekdayIndex(std::string_view name) {
+  for (unsigned i = 0; i < kWeekdays.size(); ++i) {
+    if (name == kWeekdays.at(i) ||
+        name == kWeekdays.at(i).substr(0, kShortWeekday)) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
+std::uint8_t ReadWeekdays(JsonObjectReader* in, std::string_view key) {
+  const boost::json::array* days = in->Array(key);
+  if (days == nullptr || days->empty()) {
+    in->Fail(key, "it must name at least one weekday");
+  }
+  unsigned out = 0;
+  for (const boost::json::value& it : *days) {
+    const boost::json::string* name = it.if_string();
+    const auto index = name == nullptr
+                           ? std::nullopt
+                           : WeekdayIndex({name->data(), name->size()});
+    if (!index) {
+      in->Fail(key, "it must hold names of weekdays, such as \"monday\"");
+    }
+    out |= 1U << *index;
+  }
+  return static_cast<std::uint8_t>(out);
+}
+
+OnceSchedule ReadOnce(const boost::json::object& object,
+                      const std::string& path) {
+  JsonObjectReader in(object, path);
+  const OnceSchedule out{.begin = ReadTime(&in, "begin"),
+                         .end = ReadTime(&in, "end")};
+  in.CheckAllRead();
+  return out;
+}
+
+WeeklySchedule ReadWeekly(const boost::json::object& object,
+                          const std::string& path) {
+  JsonObjectReader in(object, path);
+  const WeeklySchedule out{.weekdays = ReadWeekdays(&in, "days"),
+                           .from = ReadMinutes(&in, "from"),
+                           .to = ReadMinutes(&in, "to")};
+  in.CheckAllRead();
+  return out;
+}
+
+RepeatPolicy ReadRepeat(JsonObjectReader* in) {
+  const std::string text = in->Text("repeat");
+  if (text.empty() || text == "once") {
+    return RepeatPolicy::kOnce;
+  }
+  if (text != "repeatable") {
+    in->Fail("repeat", "it must be \"repeatable\" or \"once\"");
+  }
+  return RepeatPolicy::kRepeatable;
+}
+
+Id128 ReadId(JsonObjectReader* in, std::string_view key) {
+  const std::string text = in->Text(key);
+  Id128 out;
+  if (!text.empty() && !FromHex(text, &out)) {
+    in->Fail(key, "it must have 32 hexadecimal digits");
+  }
+  return out;
+}
+
+Site Parse(const boost::json::object& in, const std::string& path, Site*) {
+  return ParseSite(in, path);
+}
+Service Parse(const boost::json::object& in,
+              const std::string& path,
+              Service*) {
+  return ParseService(in, path);
+}
+Route Parse(const boost::json::object& in, const std::string& path, Route*) {
+  return ParseRoute(in, path);
+}
+QuietWindow Parse(const boost::json::object& in,
+                  const std::string& path,
+                  QuietWindow*) {
+  return ParseWindow(in, path);
+}
+
+/// \returns The path of one entry of a list: by its name where it has one.
+std::string PathOfEntry(std::string_view key,
+                        std::size_t index,
+                        const boost::json::value& entry) {
+  std::string out(key);
+  const boost::json::object* object = entry.if_object();
+  const boost::json::value* name =
+      object == nullptr ? nullptr : object->if_contains("name");
+  out += '[';
+  if (name != nullptr && name->is_string()) {
+    out.append(name->as_string().data(), name->as_string().size());
+  } else {
+    out += std::to_string(index);
+  }
+  return out + ']';
+}
+
+template <typename Item>
+std::vector<Item> ReadItems(JsonObjectReader* in, std::string_view key) {
+  std::vector<Item> out;
+  const boost::json::array* entries = in->Array(key);
+  if (entries == nullptr) {
+    return out;
+  }
+  for (std::size_t i = 0; i < entries->size(); ++i) {
+    const boost::json::value& it = (*entries)[i];
+    const std::string path = PathOfEntry(key, i, it);
+    out.push_back(Parse(AsObject(it, path), path, static_cast<Item*>(nullptr)));
+  }
+  return out;
+}
+
+template <typename Item>
+std::vector<Item> ReadSorted(JsonObjectReader* in, std::string_view key) {
+  std::vector<Item> out = ReadItems<Item>(in, key);
+  std::ranges::stable_sort(out, {}, &Item::name);
+  return out;
+}
+
+template <typename Item>
+void ReadPuts(JsonObjectReader* in,
+              std::string_view key,
+              std::vector<Edit>* out) {
+  for (Item& it : ReadItems<Item>(in, key)) {
+    Edit& edit = out->emplace_back();
+    if (it.revision != 0) {
+      edit.expected_revision = it.revision;
+    }
+    it.revision = 0;
+    edit.action = std::move(it);
+  }
+}
+
+void ReadRemovals(JsonObjectReader* in,
+                  std::string_view key,
+                  ItemKind kind,
+                  std::vector<Edit>* out) {
+  const boost::json::array* names = in->Array(key);
+  if (names == nullptr) {
+    return;
+  }
+  for (const boost::json::value& it : *names) {
+    if (!it.is_string()) {
+      in->Fail(key, "it must hold names");
+    }
+    const boost::json::string& name = it.as_string();
+    out->push_back(
+        {.action = ItemRef{kind, std::string(name.data(), name.size())}});
+  }
+}
+
+void ReadAllRemovals(JsonObjectReader* parent, std::vector<Edit>* out) {
+  const boost::json::object* object = parent->Object("remove");
+  if (object == nullptr) {
+    return;
+  }
+  JsonObjectReader in(*object, "remove");
+  ReadRemovals(&in, "windows", ItemKind::kWindow, out);
+  ReadRemovals(&in, "routes", ItemKind::kRoute, out);
+  ReadRemovals(&in, "services", ItemKind::kService, out);
+  ReadRemovals(&in, "sites", ItemKind::kSite, out);
+  in.CheckAllRead();
+}
+
+}  // namespace
+
+Site ParseSite(const boost::json::object& object, const std::string& path) {
+  JsonObjectReader in(object, path);
+  Site out{.name = in.RequiredText("name"),
+           .tenant = in.Text("tenant"),
+           .time_zone = in.RequiredText("time_zone"),
+           .revision = in.Number("revision")};
+  in.CheckAllRead();
+  return out;
+}
+
+Service ParseService(const boost::json::object& object,
+                     const std::string& path) {
+  JsonObjectReader in(object, path);
+  Service out{.name = in.RequiredText("name"),
+              .tenant = in.Text("tenant"),
+              .revision = in.Number("revision")};
+  in.CheckAllRead();
+  return out;
+}
+
+Route ParseRoute(const boost::json::object& object, const std::string& path) {
+  JsonObjectReader in(object, path);
+  Route out{.name = in.RequiredText("name"),
+            .tenant = in.Text("tenant"),
+            .host = in.Text("host"),
+            .path_prefix = in.RequiredText("path_prefix"),
+            .method = in.Text("method"),
+            .service = in.RequiredText("service"),
+            .request_class = in.Text("request_class"),
+            .repeat = ReadRepeat(&in),
+            .timeout = Milliseconds(in.Number("timeout_ms", kMaxUint32)),
+            .noisy = in.Bool("noisy"),
+            .site = in.Text("site"),
+            .site_header = in.Text("site_header"),
+            .longest_job = Seconds(in.Number("longest_job_s", kMaxUint32)),
+            .revision = in.Number("revision")};
+  in.CheckAllRead();
+  return out;
+}
+
+QuietWindow ParseWindow(const boost::json::object& object,
+                        const std::string& path) {
+  JsonObjectReader in(object, path);
+  QuietWindow out{.name = in.RequiredText("name"),
+                  .tenant = in.Text("tenant"),
+                  .site = in.RequiredText("site"),
+                  .revision = in.Number("revision")};
+  const boost::json::object* once = in.Object("once");
+  const boost::json::object* weekly = in.Object("weekly");
+  if ((once == nullptr) == (weekly == nullptr)) {
+    in.Fail("once", "either this or \"weekly\" must be present");
+  }
+  if (once != nullptr) {
+    out.schedule = ReadOnce(*once, in.PathOf("once"));
+  } else {
+    out.schedule = ReadWeekly(*weekly, in.PathOf("weekly"));
+  }
+  in.CheckAllRead();
+  return out;
+}
+
+Config ParseConfigJson(std::string_view text) {
+  const boost::json::value value = ParseJsonText(text);
+  JsonObjectReader in(AsObject(value, "configuration"), "");
+  Config out{.number = in.Number("number"),
+             .parent = in.Number("parent"),
+             .change_id = ReadId(&in, "change_id"),
+             .author = in.Text("author"),
+             .sites = ReadSorted<Site>(&in, "sites"),
+             .services = ReadSorted<Service>(&in, "services"),
+             .routes = ReadSorted<Route>(&in, "routes"),
+             .windows = ReadSorted<QuietWindow>(&in, "windows")};
+  in.CheckAllRead();
+  return out;
+}
+
+std::vector<Edit> ParseEditsJson(std::string_view text) {
+  const boost::json::value value = ParseJsonText(text);
+  JsonObjectReader in(AsObject(value, "edits"), "");
+  std::vector<Edit> out;
+  ReadPuts<Site>(&in, "sites", &out);
+  ReadPuts<Service>(&in, "services", &out);
+  ReadPuts<Route>(&in, "routes", &out);
+  ReadPuts<QuietWindow>(&in, "windows", &out);
+  ReadAllRemovals(&in, &out);
+  in.CheckAllRead();
+  return out;
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/model/time_text.cc
@@ -0,0 +1,124 @@
+#include "cassiabend/model/time_text.h"
+
+#include <charconv>
+#include <cstdio>
+
+namespace cassiabend {
+namespace {
+
+constexpr int kMinutesPerHour = 60;
+
+/// \brief Reads a text of fixed fields from the left.
+class FieldReader {
+ public:
+  explicit FieldReader(std::string_view text) : rest_(text) {}
+
+  /// \returns The number in the next `digits` characters, at most `max`; -1
+  /// when there is none.
+  int Number(std::size_t digits, int max) {
+    if (rest_.size() < digits) {
+      return -1;
+    }
+    int value = -1;
+    const char* end = rest_.data() + digits;
+    const auto [it, ec] = std::from_chars(rest_.data(), end, value);
+    if (ec != std::errc() || it != end || value < 0 || value > max) {
+      return -1;
+    }
+    rest_.remove_prefix(digits);
+    return value;
+  }
+
+  bool Literal(char c) {
+    if (!rest_.starts_with(c)) {
+      return false;
+    }
+    rest_.remove_prefix(1);
+    return true;
+  }
+
+  [[nodiscard]] bool AtEnd() const noexcept { return rest_.empty(); }
+
+ private:
+  std::string_view rest_;
+};
+
+/// \returns Milliseconds of ".mmm", 0 when there are none, -1 when malformed.
+int ReadFraction(FieldReader* in) {
+  return in->Literal('.') ? in->Number(3, 999) : 0;
+}
+
+}  // namespace
+
+std::string FormatWallTime(WallTime time) {
+  const auto day = std::chrono::floor<std::chrono::days>(time);
+  const std::chrono::year_month_day date(day);
+  const std::chrono::hh_mm_ss clock(time - day);
+  char buf[64];
+  std::snprintf(buf, sizeof(buf), "%04d-%02u-%02uT%02d:%02d:%02d",
+                static_cast<int>(date.year()),
+                static_cast<unsigned>(date.month()),
+                static_cast<unsigned>(date.day()),
+                static_cast<int>(clock.hours().count()),
+                static_cast<int>(clock.minutes().count()),
+                static_cast<int>(clock.seconds().count()));
+  std::string out = buf;
+  if (clock.subseconds().count() != 0) {
+    std::snprintf(buf, sizeof(buf), ".%03d",
+                  static_cast<int>(clock.subseconds().count()));
+    out += buf;
+  }
+  return out + "Z";
+}
+
+std::optional<WallTime> ParseWallTime(std::string_view text) {
+  FieldReader in(text);
+  const int year = in.Number(4, 9999);
+  const bool dash = in.Literal('-');
+  const int month = in.Number(2, 12);
+  const bool dash2 = in.Literal('-');
+  const int day = in.Number(2, 31);
+  const bool separator = in.Literal('T');
+  const int hour = in.Number(2, 23);
+  const bool colon = in.Literal(':');
+  const int minute = in.Number(2, 59);
+  const bool colon2 = in.Literal(':');
+  const int second = in.Number(2, 59);
+  const int fraction = ReadFraction(&in);
+  const bool zone = in.Literal('Z');
+  if (!dash || !dash2 || !separator || !colon || !colon2 || !zone ||
+      !in.AtEnd() || year < 0 || month < 1 || day < 1 || hour < 0 ||
+      minute < 0 || second < 0 || fraction < 0) {
+    return std::nullopt;
+  }
+  const std::chrono::year_month_day date(
+      std::chrono::year{year}, std::chrono::month(static_cast<unsigned>(month)),
+      std::chrono::day(static_cast<unsigned>(day)));
+  if (!date.ok()) {
+    return std::nullopt;
+  }
+  return std::chrono::sys_days(date) + std::chrono::hours(hour) +
+         std::chrono::minutes(minute) + Seconds(second) +
+         Milliseconds(fraction);
+}
+
+std::string FormatMinutes(std::chrono::minutes minutes) {
+  char buf[32];
+  std::snprintf(buf, sizeof(buf), "%02d:%02d",
+                static_cast<int>(minutes.count()) / kMinutesPerHour,
+                static_cast<int>(minutes.count()) % kMinutesPerHour);
+  return buf;
+}
+
+std::optional<std::chrono::minutes> ParseMinutes(std::string_view text) {
+  FieldReader in(text);
+  const int hour = in.Number(2, 23);
+  const bool colon = in.Literal(':');
+  const int minute = in.Number(2, 59);
+  if (hour < 0 || !colon || minute < 0 || !in.AtEnd()) {
+    return std::nullopt;
+  }
+  return std::chrono::minutes(hour * kMinutesPerHour + minute);
+}
+
+}  // namespace cassiabend
