Record fresh keys before writing them, and clean up by that record

The store cannot list keys, so values of commits that died or lost a race would stay for ever. Each attempt records its keys, bound to the revision of the head that it replaces, before it writes them. A key is deleted only when the head has passed that revision and does not reach the key: then no paused committer can make it reachable any more, whatever its clock says.

--- /dev/null
+++ b/src/cassiabend/core/cleanup.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cassiabend/core/cleanup_inventory.h"
+#include "cassiabend/core/config_store_caller.h"
+#include "cassiabend/model/head.h"
+
+namespace cassiabend {
+
+/// \returns Every key that a head and its history need.
+[[nodiscard]] std::set<std::string> ReachableKeys(const Head& head);
+
+/// \brief Whether nothing reaches `entry`, now or ever: the attempt that wrote
+/// it can only move a head of its own revision, which is gone.
+[[nodiscard]] bool IsDead(const InventoryEntry& entry,
+                          const std::set<std::string>& reachable,
+                          StoreRevision head_revision) noexcept;
+
+/// \brief Deletes the values that nothing reaches, a few at a time, on nodes
+/// that committed lately.
+class Cleaner {
+ public:
+  explicit Cleaner(ConfigEnv* env);
+  Cleaner(const Cleaner&) = delete;
+  Cleaner& operator=(const Cleaner&) = delete;
+
+  /// \brief Plans one pass over each part of the inventory.
+  void Request(const ReduceContext& ctx);
+
+  bool OnReply(const ReduceContext& ctx, const StoreReplied& event);
+  void Tick(const ReduceContext& ctx);
+
+ private:
+  void StartPass(const ReduceContext& ctx);
+  void OnInventory(const ReduceContext& ctx, const StoreReply& reply);
+  void OnHead(const ReduceContext& ctx, const StoreReply& reply);
+  void DeleteNext(const ReduceContext& ctx);
+  void OnValue(const ReduceContext& ctx, const StoreReply& reply);
+  void OnHeadAgain(const ReduceContext& ctx,
+                   StoreRevision value_revision,
+                   const StoreReply& reply);
+  void OnDeleted(const ReduceContext& ctx, const StoreReply& reply);
+  void WriteInventory(const ReduceContext& ctx);
+  void EndPass(const ReduceContext& ctx);
+
+  void Read(const ReduceContext& ctx,
+            const std::string& key,
+            StoreCaller::Handler handler);
+  [[nodiscard]] bool TakeHead(const StoreReply& reply);
+
+  ConfigEnv* env_;
+  StoreCaller calls_;
+  InventoryEditor editor_;
+  /// Passes left; each goes over one part of the inventory.
+  std::uint32_t passes_ = 0;
+  std::uint32_t slot_ = 0;
+  MonoTime next_pass_{};
+  bool running_ = false;
+
+  // State of one pass.
+  MonoTime deadline_{};
+  Inventory inventory_;
+  std::set<std::string> reachable_;
+  StoreRevision head_revision_ = 0;
+  /// Entries to delete; the last is in hand.
+  std::vector<InventoryEntry> due_;
+  std::set<std::string> gone_;
+  std::set<std::string> newly_dead_;
+};
+
+}  // namespace cassiabend
--- a/src/cassiabend/core/commit_job.cc
+++ b/src/cassiabend/core/commit_job.cc
@@ -41,7 +41,8 @@
       change_id_(ChangeOf(request_)),
       deadline_(deadline),
       calls_(StoreClientRole::kCommit, env),
-      loader_(&calls_) {}
+      loader_(&calls_),
+      inventory_(&calls_) {}
 
 bool CommitJob::OnReply(const ReduceContext& ctx, const StoreReplied& event) {
   return calls_.OnReply(ctx, event);
@@ -85,8 +86,8 @@
   if (!TakeHead(ctx, reply)) {
     return;
   }
-  if (const auto mark = FindChange(head_, change_id_)) {
-    Accept(ctx, *mark);
+  if (FindChange(head_, change_id_)) {
+    OnHeadMoved(ctx);
     return;
   }
   if (in_doubt_ && head_revision_ == attempt_->expected) {
@@ -163,6 +164,12 @@
   }
   base_ = loaded.snapshot;
   Publish(ctx, {.snapshot = base_}, head_sent_at_);
+  if (!env_->newest) {
+    // Whether the store is behind the fleet cannot be told here yet.
+    Finish(ctx, Refusal(CommitCode::kBusy, kHeadKey,
+                        "no version was in force on this node; ask again"));
+    return;
+  }
   MakePlan(ctx);
 }
 
@@ -251,10 +258,39 @@
     Finish(ctx, result);
     return;
   }
-  WriteValues(ctx);
+  RecordKeys(ctx);
+}
+
+void CommitJob::RecordKeys(const ReduceContext& ctx) {
+  const auto record = [this](Inventory* inventory) {
+    bool changed = false;
+    for (const FreshValue& it : attempt_->values) {
+      if (std::ranges::find(*inventory, it.key, &InventoryEntry::key) !=
+          inventory->end()) {
+        continue;
+      }
+      inventory->push_back(
+          {.key = it.key, .head_revision = attempt_->expected});
+      changed = true;
+    }
+    return changed;
+  };
+  const auto slot =
+      static_cast<std::uint32_t>(env_->random.Below(kInventorySlots));
+  inventory_.Edit(ctx, slot, deadline_, record,
+                  [this](const ReduceContext& at, bool done) {
+                    if (done) {
+                      WriteValues(at);
+                    } else {
+                      Fail(at, "the inventory cannot be written to the store");
+                    }
+                  });
 }
 
 void CommitJob::WriteValues(const ReduceContext& ctx) {
+  if (OutOfTime(ctx)) {
+    return;
+  }
   values_missing_ = attempt_->values.size();
   values_sent_at_ = ctx.now.mono;
   for (const FreshValue& it : attempt_->values) {
@@ -308,7 +344,7 @@
     case StoreStatus::kOk:
       head_ = attempt_->head;
       head_sent_at_ = reply.sent_at;
-      Accept(ctx, head_.mark);
+      OnHeadMoved(ctx);
       return;
     case StoreStatus::kConflict:
       OnHead(ctx, reply);
@@ -325,12 +361,65 @@
   }
 }
 
-void CommitJob::Accept(const ReduceContext& ctx, const VersionMark& mark) {
-  if (attempt_ && attempt_->head.mark == head_.mark) {
+void CommitJob::OnHeadMoved(const ReduceContext& ctx) {
+  if (TrustsValues(ctx)) {
+    Accept(ctx);
+    return;
+  }
+  values_missing_ = attempt_->values.size();
+  for (const FreshValue& it : attempt_->values) {
+    CheckValue(ctx, it);
+  }
+}
+
+bool CommitJob::TrustsValues(const ReduceContext& ctx) const {
+  if (!attempt_ || attempt_->head.mark != head_.mark) {
+    return true;
+  }
+  return !calls_.disturbed() && ctx.now.mono - values_sent_at_ < kTrustValues;
+}
+
+void CommitJob::CheckValue(const ReduceContext& ctx, const FreshValue& value) {
+  calls_.Send(
+      ctx, StoreGet{value.key}, {.deadline = deadline_},
+      [this, &value](const ReduceContext& at, const StoreReply& reply) {
+        if (reply.status != StoreStatus::kOk || reply.entry) {
+          OnValueChecked(at);
+          return;
+        }
+        calls_.Send(
+            at, StoreCompareAndSwap{.key = value.key, .value = value.value},
+            {.deadline = deadline_, .repeatable = true},
+            [this](const ReduceContext& then, const StoreReply& /*written*/) {
+              OnValueChecked(then);
+            });
+      });
+}
+
+void CommitJob::OnValueChecked(const ReduceContext& ctx) {
+  if (--values_missing_ == 0) {
+    Accept(ctx);
+  }
+}
+
+void CommitJob::Accept(const ReduceContext& ctx) {
+  const bool own = attempt_ && attempt_->head.mark == head_.mark;
+  if (own) {
     Publish(ctx, attempt_->next, head_sent_at_);
   }
-  CommitResult result{.mark = mark};
-  Finish(ctx, std::move(result));
+  CommitResult result{.mark = *FindChange(head_, change_id_)};
+  if (own || head_.mark.number <= env_->newest_mark().number) {
+    Finish(ctx, std::move(result));
+    return;
+  }
+  Answer(ctx, std::move(result));
+  loader_.Load(ctx, head_.mark, head_.value_keys, deadline_,
+               [this](const ReduceContext& at, const LoadedVersion& loaded) {
+                 if (loaded.snapshot) {
+                   Publish(at, {.snapshot = loaded.snapshot}, head_sent_at_);
+                 }
+                 done_ = true;
+               });
 }
 
 void CommitJob::Publish(const ReduceContext& ctx,
@@ -359,6 +448,10 @@
 void CommitJob::Finish(const ReduceContext& ctx, CommitResult result) {
   done_ = true;
   calls_.Clear();
+  Answer(ctx, std::move(result));
+}
+
+void CommitJob::Answer(const ReduceContext& ctx, CommitResult result) const {
   result.change_id = change_id_;
   ctx.out->emplace_back(CommitFinished{RequestOf(request_), std::move(result)});
 }
--- a/src/cassiabend/core/commit_job.h
+++ b/src/cassiabend/core/commit_job.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <variant>
 
+#include "cassiabend/core/cleanup_inventory.h"
 #include "cassiabend/core/commit_attempt.h"
 #include "cassiabend/core/commit_plan.h"
 #include "cassiabend/core/config_loader.h"
@@ -28,6 +29,10 @@
   CommitJob& operator=(const CommitJob&) = delete;
 
   [[nodiscard]] bool done() const noexcept { return done_; }
+  /// \returns Whether the job wrote values that may need cleaning up.
+  [[nodiscard]] bool wrote_values() const noexcept {
+    return values_sent_at_ != MonoTime();
+  }
   [[nodiscard]] MonoTime deadline() const noexcept { return deadline_; }
 
   void Start(const ReduceContext& ctx);
@@ -53,18 +58,24 @@
   void PlanRecoveryOver(const ReduceContext& ctx, const RecoverRequested& wish);
   void OnPlan(const ReduceContext& ctx, const Plan& plan);
 
+  void RecordKeys(const ReduceContext& ctx);
   void WriteValues(const ReduceContext& ctx);
   void OnValueWritten(const ReduceContext& ctx,
                       const std::string& value,
                       const StoreReply& reply);
   void SendHead(const ReduceContext& ctx);
   void OnHeadSent(const ReduceContext& ctx, const StoreReply& reply);
-  void CheckValues(const ReduceContext& ctx);
 
-  void Accept(const ReduceContext& ctx, const VersionMark& mark);
+  void OnHeadMoved(const ReduceContext& ctx);
+  [[nodiscard]] bool TrustsValues(const ReduceContext& ctx) const;
+  void CheckValue(const ReduceContext& ctx, const FreshValue& value);
+  void OnValueChecked(const ReduceContext& ctx);
+
+  void Accept(const ReduceContext& ctx);
   void Publish(const ReduceContext& ctx,
                const NextVersion& version,
                MonoTime confirmed_at) const;
+  void Answer(const ReduceContext& ctx, CommitResult result) const;
   void Fail(const ReduceContext& ctx, const std::string& reason);
   [[nodiscard]] bool OutOfTime(const ReduceContext& ctx);
 
@@ -74,6 +85,7 @@
   MonoTime deadline_;
   StoreCaller calls_;
   VersionLoader loader_;
+  InventoryEditor inventory_;
 
   /// The head as last read, with its revision (0 when it is absent).
   Head head_;
--- a/src/cassiabend/core/config_reducer.cc
+++ b/src/cassiabend/core/config_reducer.cc
@@ -5,6 +5,7 @@
 #include <type_traits>
 #include <utility>
 
+#include "cassiabend/core/cleanup.h"
 #include "cassiabend/core/commit_job.h"
 #include "cassiabend/core/config_reads.h"
 
@@ -14,7 +15,7 @@
 class ConfigReducer::Impl {
  public:
   Impl(const ConfigOptions& options, std::uint64_t seed)
-      : env_{.options = options, .random = Random(seed)} {}
+      : env_{.options = options, .random = Random(seed)}, cleaner_(&env_) {}
 
   void Reduce(const ReduceContext& ctx, const ConfigEvent& event) {
     std::visit(
@@ -40,6 +41,7 @@
     for (const auto& it : reads_) {
       it->Tick(ctx);
     }
+    cleaner_.Tick(ctx);
     ExpireWaiting(ctx);
     RemoveDone(ctx);
   }
@@ -78,6 +80,9 @@
   }
 
   void OnReply(const ReduceContext& ctx, const StoreReplied& event) {
+    if (cleaner_.OnReply(ctx, event)) {
+      return;
+    }
     if (!changes_.empty() && changes_.front()->OnReply(ctx, event)) {
       return;
     }
@@ -102,6 +107,10 @@
   void RemoveDone(const ReduceContext& ctx) {
     std::erase_if(reads_, [](const auto& it) { return it->done(); });
     for (;;) {
+      if (!changes_.empty() && changes_[0]->done() &&
+          changes_[0]->wrote_values()) {
+        cleaner_.Request(ctx);
+      }
       const CommitJob* first = changes_.empty() ? nullptr : changes_[0].get();
       std::erase_if(changes_, [](const auto& it) { return it->done(); });
       if (changes_.empty() || changes_[0].get() == first) {
@@ -112,6 +121,7 @@
   }
 
   ConfigEnv env_;
+  Cleaner cleaner_;
   /// The first is being carried out; the others wait.
   std::deque<std::unique_ptr<CommitJob>> changes_;
   std::vector<std::unique_ptr<ReadJob>> reads_;
