Add the stand-in for an upstream

Cause: tests and measurements need an upstream whose faults can be switched and that counts what it ran. Change: cassiabend-fake-upstream: slots, latency, cold start, shedding, lagging or lying health, silence, broken answers, cancellation; POST /control switches behaviour, GET /control/executions counts by key and by attempt.

--- a/src/cassiabend/http/server_session.cc
+++ b/src/cassiabend/http/server_session.cc
@@ -216,7 +216,9 @@
   state_ = State::kAnswering;
   connection_->SetTimeout(options_.idle_timeout);
   MessageHead head = answer_->head();
-  head.Add(kOutcomeHeader, kOutcomeAnswered);
+  if (options_.states_outcome) {
+    head.Add(kOutcomeHeader, kOutcomeAnswered);
+  }
   framing_ = FramingOf(head, is_head_request_, is_http_1_0_);
   keep_alive_ = keep_alive_ && framing_ != BodyFraming::kUntilClose;
   AppendResponseHead(head, framing_, keep_alive_, connection_->output());
--- a/src/cassiabend/http/server_session.h
+++ b/src/cassiabend/http/server_session.h
@@ -40,6 +40,8 @@
   Milliseconds progress_timeout{2'000};
   Milliseconds idle_timeout{30'000};
   std::uint64_t max_held_bytes = 64 * 1024 * 1024;
+  /// Whether relayed answers carry `kOutcomeHeader`.
+  bool states_outcome = true;
 };
 
 /// \brief One incoming connection: reads requests whole, one at a time, and
--- /dev/null
+++ b/tools/fake_upstream_ledger.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <boost/json/object.hpp>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace cassiabend {
+
+/// \brief Counts what an upstream ran, so that a test can check that nothing
+/// ran twice and that nothing ran that was said not to have run.
+class ExecutionLedger {
+ public:
+  /// \brief Counts one start of work.
+  /// \param key The order's idempotency key; may be empty.
+  /// \param attempt The request id; may be empty.
+  void Count(const std::string& key, const std::string& attempt);
+  void CountCancelled() noexcept { ++cancelled_; }
+  void CountShed() noexcept { ++shed_; }
+
+  [[nodiscard]] std::uint64_t total() const noexcept { return total_; }
+  [[nodiscard]] std::uint64_t duplicates() const noexcept {
+    return duplicates_;
+  }
+  [[nodiscard]] std::uint64_t cancelled() const noexcept { return cancelled_; }
+  [[nodiscard]] std::uint64_t shed() const noexcept { return shed_; }
+  [[nodiscard]] std::uint64_t CountOfKey(const std::string& key) const;
+  [[nodiscard]] std::uint64_t CountOfAttempt(const std::string& attempt) const;
+  [[nodiscard]] boost::json::object ToJson() const;
+
+ private:
+  using Counts = std::map<std::string, std::uint64_t>;
+
+  Counts by_key_;
+  Counts by_attempt_;
+  std::uint64_t total_ = 0;
+  /// Starts of a key beyond its first.
+  std::uint64_t duplicates_ = 0;
+  std::uint64_t cancelled_ = 0;
+  std::uint64_t shed_ = 0;
+};
+
+}  // namespace cassiabend
--- /dev/null
+++ b/tools/fake_upstream_server.cc
@@ -0,0 +1,372 @@
+#include "tools/fake_upstream_server.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <charconv>
+#include <string_view>
+#include <utility>
+
+#include "cassiabend/base/error.h"
+#include "cassiabend/http/headers.h"
+
+namespace cassiabend {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::string_view kControlPath = "/control";
+constexpr std::string_view kExecutionsPath = "/control/executions";
+constexpr std::string_view kHealthPath = "/healthz";
+constexpr std::string_view kBytesPath = "/bytes/";
+constexpr std::string_view kStatusPath = "/status/";
+constexpr std::string_view kEchoPath = "/echo";
+constexpr Milliseconds kHealthLag{2'000};
+constexpr Milliseconds kLoadSamplePeriod{100};
+constexpr std::size_t kMaxAnswerBytes = std::size_t{64} * 1024 * 1024;
+constexpr std::size_t kMaxRequestBytes = std::size_t{8} * 1024 * 1024;
+constexpr Seconds kIdleTimeout{60};
+
+template <typename Number>
+Number NumberAfter(std::string_view target,
+                   std::string_view prefix,
+                   Number otherwise) {
+  if (!target.starts_with(prefix)) {
+    return otherwise;
+  }
+  target.remove_prefix(prefix.size());
+  Number n{};
+  const auto [it, ec] =
+      std::from_chars(target.data(), target.data() + target.size(), n);
+  return ec == std::errc() ? n : otherwise;
+}
+
+MessageHead HeadWithStatus(std::uint16_t status) {
+  MessageHead head;
+  head.status = status;
+  head.reason = status < 400 ? "OK" : "Error";
+  return head;
+}
+
+bool FlagOf(const boost::json::object& object,
+            std::string_view name,
+            bool otherwise) {
+  const boost::json::value* value = object.if_contains(name);
+  return value != nullptr && value->is_bool() ? value->get_bool() : otherwise;
+}
+
+std::int64_t NumberOf(const boost::json::object& object,
+                      std::string_view name,
+                      std::int64_t otherwise) {
+  const boost::json::value* value = object.if_contains(name);
+  const bool is_count =
+      value != nullptr && value->is_int64() && value->get_int64() >= 0;
+  return is_count ? value->get_int64() : otherwise;
+}
+
+}  // namespace
+
+/// \brief One request that waits or runs.
+struct FakeUpstream::Work {
+  Work(boost::asio::io_context& io,
+       ServerSession& owner,
+       RefPtr<HeldRequest> held)
+      : session(&owner), request(std::move(held)), timer(io) {}
+
+  /// Null once the connection has closed.
+  RefPtr<ServerSession> session;
+  RefPtr<HeldRequest> request;
+  boost::asio::steady_timer timer;
+  bool is_running = false;
+};
+
+FakeUpstream::FakeUpstream(boost::asio::io_context& io,
+                           const FakeUpstreamOptions& options)
+    : io_(io),
+      options_(options),
+      random_(options.seed),
+      held_bytes_(new HeldBytes),
+      ticks_(io),
+      acceptor_(io),
+      warm_timer_(io),
+      load_timer_(io) {
+  Listen();
+  ticks_.Start();
+  WarmUp();
+  SampleLoad();
+  Accept();
+}
+
+FakeUpstream::~FakeUpstream() {
+  CloseConnections();
+  ticks_.Stop();
+}
+
+void FakeUpstream::Listen() {
+  const std::string where = options_.ip + ":" + std::to_string(options_.port);
+  try {
+    const tcp::endpoint endpoint(boost::asio::ip::make_address(options_.ip),
+                                 options_.port);
+    acceptor_.open(endpoint.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(endpoint);
+    acceptor_.listen();
+    port_ = acceptor_.local_endpoint().port();
+  } catch (const boost::system::system_error& error) {
+    throw HttpError("open the port", where, error.code().message());
+  }
+}
+
+void FakeUpstream::Accept() {
+  acceptor_.async_accept([this](const error_code& ec, tcp::socket socket) {
+    if (ec) {
+      return;
+    }
+    const SessionOptions options{
+        .limits = {.body_bytes = kMaxRequestBytes},
+        .progress_timeout = kIdleTimeout,
+        .idle_timeout = kIdleTimeout,
+        .states_outcome = false,
+    };
+    const RefPtr<ServerSession> session(new ServerSession(
+        std::move(socket), &ticks_, options, held_bytes_, this));
+    sessions_.emplace(session.get(), session);
+    session->Start();
+    Accept();
+  });
+}
+
+void FakeUpstream::WarmUp() {
+  is_warm_ = options_.cold_start == Milliseconds(0);
+  if (is_warm_) {
+    return;
+  }
+  warm_timer_.expires_after(options_.cold_start);
+  warm_timer_.async_wait([this](const error_code& ec) {
+    if (!ec) {
+      is_warm_ = true;
+      RunWaiting();
+    }
+  });
+}
+
+void FakeUpstream::CloseConnections() {
+  const auto sessions = std::exchange(sessions_, {});
+  work_.clear();
+  waiting_.clear();
+  running_ = 0;
+  for (const auto& [session, owner] : sessions) {
+    session->Close();
+  }
+}
+
+void FakeUpstream::OnRequest(ServerSession& session,
+                             RefPtr<HeldRequest> request) {
+  session.set_exchange(next_id_++);
+  if (TakeOwnPath(session, *request)) {
+    return;
+  }
+  if (faults_.shed || Overloaded()) {
+    ledger_.CountShed();
+    MessageHead head = HeadWithStatus(503);
+    head.Add(kUpstreamShedHeader, "1");
+    head.Add(kRetryAfterHeader, "1");
+    session.Reply(std::move(head), "shed\n");
+    return;
+  }
+  Enqueue(session, std::move(request));
+}
+
+/// \brief Answers the stand-in's own paths.
+/// \returns Whether the request was for one of these.
+bool FakeUpstream::TakeOwnPath(ServerSession& session,
+                               const HeldRequest& request) {
+  const std::string& target = request.head().target;
+  if (target == kExecutionsPath) {
+    AnswerJson(session, ledger_.ToJson());
+    return true;
+  }
+  if (target == kControlPath) {
+    const bool is_valid = ApplyControl(request.body());
+    session.Reply(HeadWithStatus(is_valid ? 200 : 400), "");
+    return true;
+  }
+  if (target == kHealthPath && !faults_.silent) {
+    AnswerHealth(session);
+    return true;
+  }
+  return false;
+}
+
+bool FakeUpstream::Overloaded() const noexcept {
+  return options_.shed_above != 0 && work_.size() >= options_.shed_above;
+}
+
+void FakeUpstream::Enqueue(ServerSession& session,
+                           RefPtr<HeldRequest> request) {
+  const std::uint64_t id = session.exchange();
+  work_[id] = std::make_unique<Work>(io_, session, std::move(request));
+  waiting_.push_back(id);
+  RunWaiting();
+}
+
+void FakeUpstream::RunWaiting() {
+  while (is_warm_ && running_ < options_.slots && !waiting_.empty()) {
+    const std::uint64_t id = waiting_.front();
+    waiting_.pop_front();
+    Run(id);
+  }
+}
+
+void FakeUpstream::Run(std::uint64_t id) {
+  Work& work = *work_.at(id);
+  const MessageHead& head = work.request->head();
+  ledger_.Count(std::string(head.Get(kOrderKeyHeader)),
+                std::string(head.Get(kRequestIdHeader)));
+  if (faults_.silent) {
+    return;
+  }
+  work.is_running = true;
+  ++running_;
+  const auto jitter = Microseconds(
+      random_.Below(static_cast<std::uint64_t>(options_.jitter.count())));
+  const Microseconds latency = options_.latency + jitter;
+  if (latency == Microseconds(0)) {
+    Finish(id);
+    return;
+  }
+  work.timer.expires_after(latency);
+  work.timer.async_wait([this, id](const error_code& ec) {
+    if (!ec) {
+      Finish(id);
+      RunWaiting();
+    }
+  });
+}
+
+void FakeUpstream::Finish(std::uint64_t id) {
+  const auto found = work_.find(id);
+  if (found == work_.end()) {
+    return;
+  }
+  const std::unique_ptr<Work> work = std::move(found->second);
+  work_.erase(found);
+  --running_;
+  if (work->session != nullptr) {
+    Answer(*work);
+  }
+}
+
+void FakeUpstream::Answer(Work& work) {
+  const std::string& target = work.request->head().target;
+  const std::size_t n = NumberAfter(target, kBytesPath, options_.answer_bytes);
+  const auto status =
+      NumberAfter<std::uint16_t>(target, kStatusPath, std::uint16_t{200});
+  std::string body = target == kEchoPath
+                         ? work.request->body()
+                         : std::string(std::min(n, kMaxAnswerBytes), 'x');
+  MessageHead head = HeadWithStatus(status);
+  head.Add(kRequestIdHeader, work.request->head().Get(kRequestIdHeader));
+  if (!faults_.break_answers) {
+    work.session->Reply(std::move(head), body);
+    return;
+  }
+  head.content_length = body.size() + 1;
+  const RefPtr<AnswerStream> answer(new AnswerStream({}, held_bytes_));
+  answer->Begin(std::move(head));
+  answer->Append(std::string_view(body).substr(0, body.size() / 2));
+  work.session->Relay(answer);
+  boost::asio::post(io_, [answer] { answer->Finish(false); });
+}
+
+void FakeUpstream::AnswerJson(ServerSession& session,
+                              const boost::json::object& body) {
+  MessageHead head = HeadWithStatus(200);
+  head.Add("Content-Type", "application/json");
+  session.Reply(std::move(head), boost::json::serialize(body) + "\n");
+}
+
+void FakeUpstream::AnswerHealth(ServerSession& session) {
+  const bool lies = options_.health == FakeHealth::kLying;
+  const bool lags = options_.health == FakeHealth::kLagging;
+  std::int64_t load = lags ? load_samples_.front() : LoadPermille();
+  load = lies ? 0 : load;
+  AnswerJson(session, {{"healthy", lies || (is_warm_ && !faults_.unhealthy)},
+                       {"load_permille", load}});
+}
+
+void FakeUpstream::OnAnswerEnd(ServerSession& /*session*/, bool /*complete*/) {}
+
+void FakeUpstream::OnPeerGone(ServerSession& session) {
+  Cancel(session.exchange());
+}
+
+void FakeUpstream::OnSessionEnd(ServerSession& session) {
+  sessions_.erase(&session);
+}
+
+void FakeUpstream::Cancel(std::uint64_t id) {
+  const auto found = work_.find(id);
+  if (found == work_.end()) {
+    return;
+  }
+  if (found->second->is_running && options_.refuse_cancel) {
+    found->second->session = nullptr;
+    return;
+  }
+  if (found->second->is_running) {
+    ledger_.CountCancelled();
+    --running_;
+  }
+  std::erase(waiting_, id);
+  work_.erase(found);
+  RunWaiting();
+}
+
+bool FakeUpstream::ApplyControl(const std::string& text) {
+  error_code ec;
+  const boost::json::value value = boost::json::parse(text, ec);
+  if (ec || !value.is_object()) {
+    return false;
+  }
+  const boost::json::object& control = value.get_object();
+  faults_.silent = FlagOf(control, "silent", faults_.silent);
+  faults_.break_answers = FlagOf(control, "break", faults_.break_answers);
+  faults_.shed = FlagOf(control, "shed", faults_.shed);
+  faults_.unhealthy = FlagOf(control, "unhealthy", faults_.unhealthy);
+  if (control.contains("lie")) {
+    options_.health = FlagOf(control, "lie", false) ? FakeHealth::kLying
+                                                    : FakeHealth::kTruthful;
+  }
+  options_.latency =
+      Microseconds(NumberOf(control, "latency_us", options_.latency.count()));
+  options_.jitter =
+      Microseconds(NumberOf(control, "jitter_us", options_.jitter.count()));
+  options_.shed_above = static_cast<std::uint32_t>(
+      NumberOf(control, "shed_above", options_.shed_above));
+  return true;
+}
+
+std::int64_t FakeUpstream::LoadPermille() const noexcept {
+  constexpr std::int64_t kThousand = 1'000;
+  return kThousand * running_ / std::max<std::int64_t>(options_.slots, 1);
+}
+
+void FakeUpstream::SampleLoad() {
+  load_samples_.push_back(LoadPermille());
+  if (load_samples_.size() >
+      static_cast<std::size_t>(kHealthLag / kLoadSamplePeriod)) {
+    load_samples_.pop_front();
+  }
+  load_timer_.expires_after(kLoadSamplePeriod);
+  load_timer_.async_wait([this](const error_code& ec) {
+    if (!ec) {
+      SampleLoad();
+    }
+  });
+}
+
+}  // namespace cassiabend
