Prove the call path's connections in process

Cause: the call path needs tests against real sockets. Change: tests drive call servers under a script in place of the decision core: whole path over two nodes and in process, pipelining, a slow reader, answers without a body, request bodies, refusals, graceful stop. A fetch or cancel replaces its attempt's connection; a released answer on its way still goes out whole; delivered answers are freed early when too much is held.

--- a/src/cassiabend/http/answer_stream.cc
+++ b/src/cassiabend/http/answer_stream.cc
@@ -45,7 +45,7 @@
 
 void AnswerStream::Consume(std::uint64_t position) {
   const bool is_kept = discarded_ == 0 && end_position() <= limits_.kept_bytes;
-  if (is_kept) {
+  if (is_kept || position <= discarded_) {
     return;
   }
   const bool had_room = HasRoom();
--- a/src/cassiabend/http/answer_stream.h
+++ b/src/cassiabend/http/answer_stream.h
@@ -43,7 +43,7 @@
 };
 
 /// \brief An answer on its way from one writer to one reader, with back
-/// pressure.
+/// pressure. Once it has ended, others may read it beside the first.
 class AnswerStream final : public RefCounted<AnswerStream> {
  public:
   /// \param held_bytes Counter to which held bytes are added.
@@ -60,7 +60,11 @@
   [[nodiscard]] bool HasRoom() const noexcept;
   [[nodiscard]] bool HasReader() const noexcept { return reader_ != nullptr; }
 
-  /// \returns Held bytes from offset `position` on.
+  /// \brief Whether the byte at offset `position` is held or yet to come.
+  [[nodiscard]] bool Reaches(std::uint64_t position) const noexcept {
+    return position >= discarded_;
+  }
+  /// \returns Held bytes from offset `position` on, which must be reached.
   [[nodiscard]] std::string_view Peek(std::uint64_t position) const noexcept;
   /// \returns Offset of the next byte to arrive.
   [[nodiscard]] std::uint64_t end_position() const noexcept {
--- a/src/cassiabend/http/call_server.cc
+++ b/src/cassiabend/http/call_server.cc
@@ -52,7 +52,8 @@
 
 DestinationOptions DestinationOptionsOf(const CallServerOptions& options) {
   DestinationOptions out{.progress_timeout = options.progress_timeout,
-                         .held_answer_bytes = options.held_answer_bytes};
+                         .held_answer_bytes = options.held_answer_bytes,
+                         .delivered_limit_bytes = options.max_held_bytes / 2};
   if (options.upstream_port != 0) {
     out.upstream = EndpointOf(options.upstream_ip, options.upstream_port);
   }
@@ -293,6 +294,7 @@
   void Dispatch(const DropAttempt& effect) { calls_.Execute(effect); }
   void Dispatch(const AnswerNotRun& effect) { calls_.Execute(effect); }
   void Dispatch(const AnswerUnknown& effect) { calls_.Execute(effect); }
+  void Dispatch(const CallEnded& effect) { calls_.Execute(effect); }
   void Dispatch(const StartUpstream& effect) { destination_.Execute(effect); }
   void Dispatch(const CancelUpstream& effect) { destination_.Execute(effect); }
   void Dispatch(const BindAnswer& effect) { destination_.Execute(effect); }
--- a/src/cassiabend/http/call_server.h
+++ b/src/cassiabend/http/call_server.h
@@ -64,8 +64,8 @@
   [[nodiscard]] std::uint16_t call_port() const noexcept;
   [[nodiscard]] CallServerCounts counts() const noexcept;
 
-  /// \brief Carries out one effect of the call reducer. `CallEnded`,
-  /// `StoreCall` and `DrainFinished` are not for this class and do nothing.
+  /// \brief Carries out one effect of the call reducer. Those for other parts
+  /// of the node, such as `StoreCall` and `DrainFinished`, do nothing.
   void Execute(const CallEffect& effect);
 
   /// \brief Accepts no more connections; open ones end after their request.
--- a/src/cassiabend/http/call_table.cc
+++ b/src/cassiabend/http/call_table.cc
@@ -34,7 +34,10 @@
     if (!answer_->has_head()) {
       return;
     }
-    table_->attempts_[attempt_].local_answer = answer_;
+    const auto found = table_->attempts_.find(attempt_);
+    if (found != table_->attempts_.end()) {
+      found->second.local_answer = answer_;
+    }
     Post(AttemptAnswering{call_, attempt_, answer_->head().status});
     StopWaiting();
   }
@@ -96,9 +99,7 @@
   }
   const auto sent = attempts_.find(attempt);
   if (complete && sent != attempts_.end()) {
-    for (const LinkId it : std::exchange(sent->second.links, {})) {
-      destination_->LinkDone(it);
-    }
+    destination_->LinkDone(std::exchange(sent->second.link, 0));
   }
   sink_->Post(CallEvent(AnswerRelayed{id, attempt, complete}));
 }
@@ -118,15 +119,17 @@
     SendLocally(effect, std::move(held));
     return;
   }
-  Attempt& attempt = attempts_[effect.request.id];
-  attempt.clients.push_back(std::make_unique<AttemptClient>(
-      pool_, effect, std::move(held), held_bytes_, progress_timeout_, sink_));
+  Attempt& attempt = AttemptOf(effect.call, effect.request.id);
+  attempt.client = std::make_unique<AttemptClient>(
+      pool_, effect, std::move(held), held_bytes_, progress_timeout_, sink_);
 }
 
 void CallTable::SendLocally(const SendAttempt& effect,
                             RefPtr<HeldRequest> held) {
   const LinkId link = (*next_id_)++;
-  attempts_[effect.request.id].links.push_back(link);
+  Attempt& attempt = AttemptOf(effect.call, effect.request.id);
+  const LinkId old_link = std::exchange(attempt.link, link);
+  destination_->LinkGone(old_link);
   destination_->Arrive(
       link, {effect.verb, effect.request}, std::move(held),
       std::make_unique<LocalLink>(this, effect.call, effect.request.id));
@@ -137,12 +140,9 @@
   if (found == attempts_.end()) {
     return nullptr;
   }
-  for (const auto& it : found->second.clients) {
-    if (it->answer() != nullptr) {
-      return it->answer();
-    }
-  }
-  return found->second.local_answer;
+  const Attempt& attempt = found->second;
+  return attempt.client != nullptr ? attempt.client->answer()
+                                   : attempt.local_answer;
 }
 
 void CallTable::Execute(const RelayAnswer& effect) {
@@ -161,15 +161,37 @@
 }
 
 void CallTable::Execute(const DropAttempt& effect) {
-  const auto found = attempts_.find(effect.attempt);
+  Drop(effect.attempt);
+}
+
+void CallTable::Execute(const CallEnded& effect) {
+  const auto found = attempts_of_.find(effect.call);
+  if (found == attempts_of_.end()) {
+    return;
+  }
+  const std::vector<AttemptId> attempts = std::move(found->second);
+  attempts_of_.erase(found);
+  for (const AttemptId& it : attempts) {
+    Drop(it);
+  }
+}
+
+CallTable::Attempt& CallTable::AttemptOf(CallId call, const AttemptId& id) {
+  const auto [found, is_new] = attempts_.try_emplace(id);
+  if (is_new) {
+    attempts_of_[call].push_back(id);
+  }
+  return found->second;
+}
+
+void CallTable::Drop(const AttemptId& id) {
+  const auto found = attempts_.find(id);
   if (found == attempts_.end()) {
     return;
   }
   const Attempt attempt = std::move(found->second);
   attempts_.erase(found);
-  for (const LinkId it : attempt.links) {
-    destination_->LinkGone(it);
-  }
+  destination_->LinkGone(attempt.link);
 }
 
 void CallTable::Execute(const AnswerNotRun& effect) {
@@ -195,6 +217,7 @@
 
 void CallTable::Close() {
   attempts_.clear();
+  attempts_of_.clear();
   calls_.clear();
 }
 
--- a/src/cassiabend/http/call_table.h
+++ b/src/cassiabend/http/call_table.h
@@ -19,7 +19,7 @@
 class CallTable {
  public:
   /// \param self This node; attempts to it need no connection.
-  /// \param next_link Gives out the numbers of links.
+  /// \param next_id Gives out the numbers of calls and links.
   CallTable(NodeId self,
             ConnectionPool* pool,
             Milliseconds progress_timeout,
@@ -44,6 +44,8 @@
   void Execute(const DropAttempt& effect);
   void Execute(const AnswerNotRun& effect);
   void Execute(const AnswerUnknown& effect);
+  /// \brief Drops every attempt of the call.
+  void Execute(const CallEnded& effect);
   void Close();
 
  private:
@@ -56,12 +58,15 @@
     AttemptId relayed;
   };
   struct Attempt {
-    std::vector<std::unique_ptr<AttemptClient>> clients;
-    /// Links within this process.
-    std::vector<LinkId> links;
+    /// Null for an attempt at this node's own upstream.
+    std::unique_ptr<AttemptClient> client;
+    /// Link within this process; 0 for none.
+    LinkId link = 0;
     RefPtr<AnswerStream> local_answer;
   };
 
+  [[nodiscard]] Attempt& AttemptOf(CallId call, const AttemptId& id);
+  void Drop(const AttemptId& id);
   void SendLocally(const SendAttempt& effect, RefPtr<HeldRequest> held);
   [[nodiscard]] RefPtr<AnswerStream> AnswerOf(const AttemptId& id) const;
 
@@ -74,6 +79,8 @@
   EventSink* sink_;
   std::unordered_map<CallId, Call> calls_;
   std::unordered_map<AttemptId, Attempt, Id128Hasher> attempts_;
+  /// Attempts of calls that have not ended.
+  std::unordered_map<CallId, std::vector<AttemptId>> attempts_of_;
 };
 
 }  // namespace cassiabend
--- a/src/cassiabend/http/destination_table.cc
+++ b/src/cassiabend/http/destination_table.cc
@@ -38,6 +38,15 @@
   sink_->Post(CallEvent(AttemptArrived{id, attempt}));
 }
 
+void DestinationTable::LinkDone(LinkId id) {
+  const auto found = links_.find(id);
+  if (found == links_.end()) {
+    return;
+  }
+  delivered_.push_back(found->second.attempt);
+  (void)TakeLink(id);
+}
+
 void DestinationTable::LinkGone(LinkId id) {
   if (TakeLink(id) != nullptr) {
     sink_->Post(CallEvent(LinkLost{id}));
@@ -60,6 +69,9 @@
   }
   if (attempt->second.bound_link == id) {
     attempt->second.bound_link = 0;
+    if (attempt->second.is_released) {
+      attempts_.erase(attempt);
+    }
   }
   return std::move(link.way);
 }
@@ -82,6 +94,7 @@
                           .deadline = effect.deadline,
                           .progress_timeout = options_.progress_timeout},
       attempt.request, attempt.held, attempt.answer, sink_);
+  FreeDelivered();
   pool_->Prepare(options_.upstream, options_.prepared_connections);
 }
 
@@ -98,24 +111,26 @@
   if (link == links_.end()) {
     return;
   }
-  if (found == attempts_.end() ||
-      (found->second.answer != nullptr && !found->second.answer->whole())) {
-    TakeLink(effect.link)->Unknown();
+  if (found == attempts_.end() || found->second.answer == nullptr ||
+      !found->second.answer->whole()) {
+    CloseLink(effect.link);
     return;
   }
   Attempt& attempt = found->second;
+  attempt.held = nullptr;
+  const RefPtr<AnswerStream> answer = attempt.answer;
   const LinkId old_link = std::exchange(attempt.bound_link, effect.link);
-  if (old_link != 0 && old_link != effect.link) {
-    if (const auto old = TakeLink(old_link)) {
-      old->Close();
-      sink_->Post(CallEvent(LinkLost{old_link}));
-    }
+  if (old_link != 0 && old_link != effect.link && !answer->ended()) {
+    CloseLink(old_link);
   }
-  if (attempt.answer == nullptr) {
-    attempt.answer = new AnswerStream(
-        {.kept_bytes = options_.held_answer_bytes}, held_bytes_);
+  link->second.way->Answer(answer);
+}
+
+void DestinationTable::CloseLink(LinkId id) {
+  if (const auto link = TakeLink(id)) {
+    link->Close();
+    sink_->Post(CallEvent(LinkLost{id}));
   }
-  link->second.way->Answer(attempt.answer);
 }
 
 void DestinationTable::Execute(const ReplyNotRun& effect) {
@@ -138,7 +153,19 @@
 }
 
 void DestinationTable::Execute(const ReleaseAttempt& effect) {
-  attempts_.erase(effect.attempt);
+  const auto found = attempts_.find(effect.attempt);
+  if (found == attempts_.end()) {
+    return;
+  }
+  Attempt& attempt = found->second;
+  const bool is_on_its_way = attempt.bound_link != 0 &&
+                             attempt.answer != nullptr &&
+                             !attempt.answer->ended();
+  if (is_on_its_way) {
+    attempt.is_released = true;
+    return;
+  }
+  attempts_.erase(found);
 }
 
 void DestinationTable::Close() {
@@ -146,6 +173,18 @@
   attempts_.clear();
 }
 
+void DestinationTable::FreeDelivered() {
+  while (!delivered_.empty() &&
+         (held_bytes_->n > options_.delivered_limit_bytes ||
+          !attempts_.contains(delivered_.front()))) {
+    const auto found = attempts_.find(delivered_.front());
+    delivered_.pop_front();
+    if (found != attempts_.end() && found->second.bound_link == 0) {
+      found->second.answer = nullptr;
+    }
+  }
+}
+
 void DestinationTable::ForgetIfRefused(const AttemptId& id) {
   const auto found = attempts_.find(id);
   if (found != attempts_.end() && !found->second.started &&
--- a/src/cassiabend/http/destination_table.h
+++ b/src/cassiabend/http/destination_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <unordered_map>
 
@@ -19,6 +20,8 @@
   ConnectionPool::Endpoint upstream;
   Milliseconds progress_timeout{2'000};
   std::size_t held_answer_bytes = std::size_t{256} * 1024;
+  /// Bytes held in all above which delivered answers are freed early.
+  std::uint64_t delivered_limit_bytes = 32 * 1024 * 1024;
   /// Connections to the upstream that are opened ahead.
   std::uint32_t prepared_connections = 2;
 };
@@ -38,7 +41,7 @@
               RefPtr<HeldRequest> held,
               std::unique_ptr<AttemptLink> link);
   /// \brief Forgets a link whose answer was handed over.
-  void LinkDone(LinkId id) { (void)TakeLink(id); }
+  void LinkDone(LinkId id);
   /// \brief Forgets a link that was lost and says so.
   void LinkGone(LinkId id);
 
@@ -64,20 +67,30 @@
     std::unique_ptr<UpstreamCall> call;
     /// Open links that brought the attempt.
     std::uint32_t run_links = 0;
+    /// Link that takes the answer while it is not whole; 0 for none.
     LinkId bound_link = 0;
     bool started = false;
+    /// Whether it goes once its bound link has the answer.
+    bool is_released = false;
   };
   using LinkMap = std::unordered_map<LinkId, Link>;
   using AttemptMap = std::unordered_map<AttemptId, Attempt, Id128Hasher>;
 
   [[nodiscard]] std::unique_ptr<AttemptLink> TakeLink(LinkId id);
+  /// \brief Closes a link that cannot get the answer, and says so.
+  void CloseLink(LinkId id);
   void ForgetIfRefused(const AttemptId& id);
+  /// \brief Frees delivered answers, oldest first, while too much is held.
+  void FreeDelivered();
 
   ConnectionPool* pool_;
   DestinationOptions options_;
   RefPtr<HeldBytes> held_bytes_;
   EventSink* sink_;
   LinkMap links_;
+  /// Attempts whose answer was handed over, oldest first. They are kept only
+  /// for an entry node that lost the connection within the answer.
+  std::deque<AttemptId> delivered_;
   AttemptMap attempts_;
 };
 
--- a/src/cassiabend/http/headers.h
+++ b/src/cassiabend/http/headers.h
@@ -32,6 +32,8 @@
 inline constexpr std::string_view kLongestJobHeader =
     "X-Cassiabend-Longest-Job-S";
 inline constexpr std::string_view kConfigHeader = "X-Cassiabend-Config";
+/// Milliseconds since the Unix epoch.
+inline constexpr std::string_view kExpiresHeader = "X-Cassiabend-Expires-Ms";
 /// Every header that starts so belongs to the system.
 inline constexpr std::string_view kSystemHeaderPrefix = "X-Cassiabend-";
 
--- a/src/cassiabend/http/message_rules.cc
+++ b/src/cassiabend/http/message_rules.cc
@@ -15,6 +15,8 @@
 
 /// Longest time that a header may state.
 constexpr std::uint64_t kMaxHeaderMs = 24ULL * 3600 * 1000;
+/// Latest wall-clock time that a header may state.
+constexpr std::uint64_t kMaxWallMs = 1ULL << 53;
 
 constexpr std::array<std::string_view, 11> kConnectionHeaders = {
     "Connection",
@@ -115,6 +117,11 @@
       std::min(ParseNumber<unsigned>(text).value_or(kMax), kMax));
 }
 
+bool IsRetry(const MessageHead& head) noexcept {
+  const std::string_view text = head.Get(kRetryHeader);
+  return !text.empty() && text != "0";
+}
+
 std::string_view NameOfVerb(AttemptVerb verb) noexcept {
   switch (verb) {
     case AttemptVerb::kFetch:
@@ -238,7 +245,7 @@
   facts.order_key = head.Get(kOrderKeyHeader);
   facts.deadline = ParseMilliseconds(head.Get(kDeadlineHeader));
   facts.depth = ParseDepth(head.Get(kDepthHeader));
-  facts.is_retry = head.Has(kRetryHeader) && head.Get(kRetryHeader) != "0";
+  facts.is_retry = IsRetry(head);
   for (const HeaderField& it : head.fields) {
     if (StartsWithIgnoreCase(it.name, "x-")) {
       facts.headers.emplace_back(ToLower(it.name), it.value);
@@ -268,7 +275,9 @@
   const auto deadline = ParseMilliseconds(head.Get(kDeadlineHeader));
   const auto number = ParseNumber<std::uint64_t>(head.Get(kConfigHeader));
   const auto longest = ParseNumber<std::uint32_t>(head.Get(kLongestJobHeader));
-  if (!deadline.has_value() || !number.has_value() || !longest.has_value()) {
+  const auto expires = ParseNumber<std::uint64_t>(head.Get(kExpiresHeader));
+  if (!deadline.has_value() || !number.has_value() || !longest.has_value() ||
+      !expires.has_value() || *expires > kMaxWallMs) {
     return std::nullopt;
   }
   attempt.deadline = *deadline;
@@ -283,6 +292,8 @@
   attempt.noisy = head.Get(kNoisyHeader) == "1";
   attempt.once = head.Get(kOnceHeader) == "1";
   attempt.depth = ParseDepth(head.Get(kDepthHeader));
+  attempt.is_retry = IsRetry(head);
+  attempt.expires_at = WallTime(Milliseconds(*expires));
   return request;
 }
 
@@ -305,6 +316,9 @@
   head->Add(kNoisyHeader, attempt.noisy ? "1" : "0");
   head->Add(kOnceHeader, attempt.once ? "1" : "0");
   head->Add(kDepthHeader, std::to_string(attempt.depth));
+  head->Add(kRetryHeader, attempt.is_retry ? "1" : "0");
+  head->Add(kExpiresHeader,
+            std::to_string(attempt.expires_at.time_since_epoch().count()));
 }
 
 void WriteUpstreamHeaders(const AttemptRequest& attempt,
@@ -316,6 +330,9 @@
   head->Add(kRequestIdHeader, ToHex(attempt.id));
   head->Add(kDeadlineHeader, std::to_string(deadline.count()));
   head->Add(kDepthHeader, std::to_string(attempt.depth + 1));
+  if (attempt.is_retry) {
+    head->Add(kRetryHeader, "1");
+  }
   if (!attempt.tenant.empty()) {
     head->Add(kTenantHeader, attempt.tenant);
   }
--- a/src/cassiabend/http/server_session.cc
+++ b/src/cassiabend/http/server_session.cc
@@ -199,6 +199,10 @@
   if (state_ != State::kAnswering) {
     return;
   }
+  if (!answer_->Reaches(position_)) {
+    CutAnswer();
+    return;
+  }
   PumpBody();
   const bool is_taken = position_ == answer_->end_position();
   if (answer_->ended() && !answer_->complete()) {
--- /dev/null
+++ b/tests/shell/http_call_server_test.cc
@@ -0,0 +1,243 @@
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+
+#include "tests/support/raw_peer.h"
+#include "tests/support/scripted_node.h"
+#include "tools/fake_upstream_server.h"
+
+namespace cassiabend {
+namespace {
+
+constexpr Milliseconds kDeadline{5'000};
+
+CallServerOptions OptionsFor(std::uint16_t upstream_port) {
+  return {.upstream_ip = "127.0.0.1",
+          .upstream_port = upstream_port,
+          .health_path = ""};
+}
+
+std::string Get(const std::string& target) {
+  return "GET " + target + " HTTP/1.1\r\nHost: shop.example\r\n\r\n";
+}
+
+/// \brief An entry node, a destination node and its upstream on one thread.
+struct TwoNodes {
+  explicit TwoNodes(const FakeUpstreamOptions& upstream_options = {},
+                    CallServerOptions options = OptionsFor(0))
+      : upstream(io, upstream_options) {
+    entry = std::make_unique<ScriptedNode>(io, options);
+    options.upstream_port = upstream.port();
+    destination = std::make_unique<ScriptedNode>(io, options);
+    ScriptEntry(entry.get(), destination.get());
+    ScriptDestination(destination.get());
+  }
+
+  [[nodiscard]] std::shared_ptr<RawPeer> Caller() {
+    return RawPeer::Connect(io, entry->port());
+  }
+  [[nodiscard]] bool Until(const std::function<bool()>& holds) {
+    return RunUntil(io, holds);
+  }
+
+  boost::asio::io_context io;
+  FakeUpstream upstream;
+  std::unique_ptr<ScriptedNode> entry;
+  std::unique_ptr<ScriptedNode> destination;
+};
+
+TEST_CASE("a call passes two nodes and keeps what it says") {
+  TwoNodes nodes;
+  const auto caller = nodes.Caller();
+  caller->Send(
+      "POST /echo?x=1 HTTP/1.1\r\nHost: Shop.Example:81\r\n"
+      "X-Cassiabend-Tenant: silfur\r\nX-Cassiabend-Deadline-Ms: 700\r\n"
+      "X-Cassiabend-Depth: 3\r\nX-Cassiabend-Retry: 1\r\n"
+      "Idempotency-Key: k1\r\nX-Site: workshop\r\nConnection: x-hop\r\n"
+      "X-Hop: 1\r\nContent-Length: 5\r\n\r\nhello");
+  const CallFacts facts = nodes.entry->Await<CallArrived>().facts;
+  CHECK(facts.tenant == "silfur");
+  CHECK(facts.host == "shop.example");
+  CHECK(facts.path == "/echo");
+  CHECK(facts.method == "POST");
+  CHECK(facts.order_key == "k1");
+  CHECK(facts.deadline == Milliseconds(700));
+  CHECK(facts.depth == 3);
+  CHECK(facts.is_retry);
+  const AttemptArrived arrived = nodes.destination->Await<AttemptArrived>();
+  const AttemptRequest sent = ExampleAttempt(1);
+  CHECK(arrived.request.id == sent.id);
+  CHECK(arrived.request.route == sent.route);
+  CHECK(arrived.request.service == sent.service);
+  CHECK(arrived.request.tenant == sent.tenant);
+  CHECK(arrived.request.request_class == sent.request_class);
+  CHECK(arrived.request.order_key == sent.order_key);
+  CHECK(arrived.request.site == sent.site);
+  CHECK(arrived.request.noisy);
+  CHECK(arrived.request.once);
+  CHECK(arrived.request.longest_job == sent.longest_job);
+  CHECK(arrived.request.config_number == sent.config_number);
+  CHECK(arrived.request.deadline == sent.deadline);
+  CHECK(arrived.request.depth == sent.depth);
+  CHECK(arrived.request.is_retry);
+  CHECK(arrived.request.expires_at == sent.expires_at);
+  CHECK(nodes.entry->Await<AnswerRelayed>().complete);
+  CHECK(nodes.upstream.ledger().CountOfAttempt(ToHex(sent.id)) == 1);
+  CHECK(nodes.upstream.ledger().CountOfKey("k1") == 1);
+  CHECK(nodes.Until([&] { return caller->Has("HTTP/1.1 200 OK"); }));
+  CHECK(caller->Has("X-Cassiabend-Outcome: answered"));
+}
+
+TEST_CASE("a call to this node's own upstream needs no connection") {
+  boost::asio::io_context io;
+  FakeUpstream upstream(io, {});
+  ScriptedNode node(io, OptionsFor(upstream.port()));
+  ScriptBoth(&node, kDeadline);
+  const auto caller = RawPeer::Connect(io, node.port());
+  caller->Send(Get("/bytes/10"));
+  CHECK(node.Await<AnswerRelayed>().complete);
+  CHECK(RunUntil(io, [&] { return caller->Has("\r\n\r\nxxxxxxxxxx"); }));
+  CHECK(node.server().counts().connections == 1);
+  CHECK(node.Count<LinkLost>() == 0);
+}
+
+TEST_CASE("pipelined requests are answered in order") {
+  TwoNodes nodes;
+  const auto caller = nodes.Caller();
+  caller->Send(Get("/bytes/11") + Get("/bytes/22") + Get("/bytes/33"));
+  (void)nodes.entry->Await<AnswerRelayed>(3);
+  CHECK(nodes.Until([&] { return caller->Has("Content-Length: 33"); }));
+  const std::string& all = caller->received();
+  CHECK(all.find("Content-Length: 11") < all.find("Content-Length: 22"));
+  CHECK(all.find("Content-Length: 22") < all.find("Content-Length: 33"));
+}
+
+TEST_CASE("a large answer goes to a slow reader whole and in bounded memory") {
+  constexpr std::size_t kBytes = std::size_t{16} * 1024 * 1024;
+  constexpr std::size_t kMostHeld = std::size_t{2} * 1024 * 1024;
+  TwoNodes nodes;
+  const auto caller = nodes.Caller();
+  caller->Pause();
+  caller->Send(Get("/bytes/" + std::to_string(kBytes)));
+  std::uint64_t most = 0;
+  const auto held = [&] {
+    return nodes.entry->server().counts().held_bytes +
+           nodes.destination->server().counts().held_bytes;
+  };
+  REQUIRE(nodes.Until([&] { return !caller->received().empty(); }));
+  std::size_t taken = 0;
+  bool is_reading = false;
+  REQUIRE(nodes.Until([&] {
+    most = std::max(most, held());
+    if (caller->received().size() != taken || !is_reading) {
+      taken = caller->received().size();
+      is_reading = true;
+      caller->Read();
+    }
+    return taken >= kBytes || caller->closed();
+  }));
+  CHECK(nodes.entry->Await<AnswerRelayed>().complete);
+  CHECK(most < kMostHeld);
+  const std::size_t body = caller->received().find("\r\n\r\n") + 4;
+  CHECK(
+      nodes.Until([&] { return caller->received().size() == body + kBytes; }));
+}
+
+TEST_CASE("answers without a body leave the connection usable") {
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {"HEAD /bytes/9 HTTP/1.1\r\nHost: h\r\n\r\n", "HTTP/1.1 200"},
+      {Get("/answer-status/204"), "HTTP/1.1 204"},
+      {Get("/answer-status/304"), "HTTP/1.1 304"},
+  };
+  for (const auto& [request, status] : cases) {
+    CAPTURE(request);
+    TwoNodes nodes;
+    const auto caller = nodes.Caller();
+    caller->Send(request);
+    CHECK(nodes.entry->Await<AnswerRelayed>().complete);
+    REQUIRE(nodes.Until([&] { return caller->Has("\r\n\r\n"); }));
+    CHECK(caller->received().starts_with(status));
+    CHECK(caller->received().ends_with("\r\n\r\n"));
+    caller->Clear();
+    caller->Send(Get("/bytes/3"));
+    CHECK(nodes.Until([&] { return caller->Has("\r\n\r\nxxx"); }));
+  }
+}
+
+TEST_CASE("request bodies arrive whole, chunked or awaited") {
+  const std::vector<std::string> heads = {
+      "POST /echo HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+      "POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+      "Expect: 100-continue\r\n\r\n",
+  };
+  for (const std::string& it : heads) {
+    CAPTURE(it);
+    TwoNodes nodes;
+    const auto caller = nodes.Caller();
+    caller->Send(it);
+    if (it.ends_with("continue\r\n\r\n")) {
+      REQUIRE(nodes.Until([&] { return caller->Has("100 Continue"); }));
+      caller->Send("abcde");
+    }
+    CHECK(nodes.entry->Await<AnswerRelayed>().complete);
+    CHECK(nodes.Until([&] { return caller->Has("\r\n\r\nabcde"); }));
+  }
+}
+
+TEST_CASE("refusals say why and when to come back") {
+  struct Case {
+    NotRunReason reason;
+    std::string status;
+  };
+  const std::vector<Case> cases = {
+      {NotRunReason::kNoRoute, "404"},
+      {NotRunReason::kBadRequest, "400"},
+      {NotRunReason::kDeadline, "504"},
+      {NotRunReason::kShareExceeded, "429"},
+      {NotRunReason::kDepthExceeded, "508"},
+      {NotRunReason::kQuietWindow, "503"},
+      {NotRunReason::kStoreUnavailable, "503"},
+  };
+  boost::asio::io_context io;
+  ScriptedNode node(io, OptionsFor(0));
+  const auto caller = RawPeer::Connect(io, node.port());
+  std::size_t n = 0;
+  for (const Case& it : cases) {
+    CAPTURE(it.status);
+    caller->Clear();
+    caller->Send(Get("/"));
+    const CallId call = node.Await<CallArrived>(++n).call;
+    node.Execute(AnswerNotRun{call, it.reason, Milliseconds(1'200), "why"});
+    REQUIRE(RunUntil(io, [&] { return caller->Has("}\n"); }));
+    CHECK(caller->received().starts_with("HTTP/1.1 " + it.status));
+    CHECK(caller->Has("X-Cassiabend-Outcome: not-run"));
+    CHECK(
+        caller->Has("X-Cassiabend-Reason: " + std::string(NameOf(it.reason))));
+    CHECK(caller->Has("Retry-After: 2\r\n"));
+    CHECK(caller->Has("X-Cassiabend-Retry-After-Ms: 1200\r\n"));
+  }
+  caller->Clear();
+  caller->Send(Get("/"));
+  node.Execute(AnswerUnknown{node.Await<CallArrived>(++n).call, "why"});
+  REQUIRE(RunUntil(io, [&] { return caller->Has("}\n"); }));
+  CHECK(caller->received().starts_with("HTTP/1.1 502"));
+  CHECK(caller->Has("X-Cassiabend-Outcome: unknown"));
+}
+
+TEST_CASE("stopping to accept lets the request in flight end") {
+  TwoNodes nodes({.latency = Milliseconds(30)});
+  const auto caller = nodes.Caller();
+  const auto idle = nodes.Caller();
+  caller->Send(Get("/bytes/5"));
+  (void)nodes.destination->Await<AttemptArrived>();
+  nodes.entry->server().StopAccepting();
+  CHECK(nodes.entry->Await<AnswerRelayed>().complete);
+  CHECK(nodes.Until([&] { return caller->closed() && idle->closed(); }));
+  CHECK(caller->Has("Connection: close"));
+  CHECK(caller->Has("\r\n\r\nxxxxx"));
+}
+
+}  // namespace
+}  // namespace cassiabend
--- /dev/null
+++ b/tests/support/scripted_node.h
@@ -0,0 +1,179 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <functional>
+#include <optional>
+#include <type_traits>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "cassiabend/base/error.h"
+#include "cassiabend/core/event_sink.h"
+#include "cassiabend/http/call_server.h"
+#include "tests/support/raw_peer.h"
+
+namespace cassiabend {
+
+/// \brief A `CallServer` under a script in place of the decision core: each
+/// event may be answered with effects, and all events are recorded.
+class ScriptedNode final : public EventSink {
+ public:
+  ScriptedNode(boost::asio::io_context& io, CallServerOptions options)
+      : io_(io), options_(std::move(options)) {
+    options_.self = {"127.0.0.1", next_peer_port_++};
+    options_.start_id = 1;
+    server_ = std::make_unique<CallServer>(io_, options_, this);
+  }
+
+  [[nodiscard]] CallServer& server() { return *server_; }
+  [[nodiscard]] const CallServerOptions& options() const { return options_; }
+  [[nodiscard]] std::uint16_t port() const { return server_->call_port(); }
+
+  void Execute(const CallEffect& effect) { server_->Execute(effect); }
+
+  /// \brief Effects for an event; empty by default.
+  std::function<std::vector<CallEffect>(const CallEvent&)> script;
+
+  void Post(Body body) override {
+    const CallEvent event = std::get<CallEvent>(std::move(body));
+    events_.push_back(event);
+    boost::asio::post(io_, [this, event] {
+      if (!script) {
+        return;
+      }
+      for (const CallEffect& it : script(event)) {
+        server_->Execute(it);
+      }
+    });
+  }
+
+  template <typename T>
+  [[nodiscard]] std::size_t Count() const {
+    std::size_t n = 0;
+    for (const CallEvent& it : events_) {
+      n += std::holds_alternative<T>(it) ? 1 : 0;
+    }
+    return n;
+  }
+
+  /// \returns The newest event of a type, waited for until there are `n`.
+  template <typename T>
+  [[nodiscard]] T Await(std::size_t n = 1) {
+    if (!RunUntil(io_, [this, n] { return Count<T>() >= n; })) {
+      throw Error("wait for an event", typeid(T).name(), "it did not come");
+    }
+    T out;
+    for (const CallEvent& it : events_) {
+      if (const T* event = std::get_if<T>(&it)) {
+        out = *event;
+      }
+    }
+    return out;
+  }
+
+ private:
+  static inline std::uint16_t next_peer_port_ = 1;
+
+  boost::asio::io_context& io_;
+  CallServerOptions options_;
+  std::vector<CallEvent> events_;
+  std::unique_ptr<CallServer> server_;
+};
+
+/// \returns An attempt that names every field.
+[[nodiscard]] inline AttemptRequest ExampleAttempt(std::uint64_t n) {
+  return {.id = {n, 1},
+          .destination_start_id = 1,
+          .route = "status",
+          .service = "tracker",
+          .tenant = "silfur",
+          .request_class = "read",
+          .order_key = "k1",
+          .site = "workshop",
+          .noisy = true,
+          .once = true,
+          .longest_job = Seconds(90),
+          .config_number = 12,
+          .deadline = Milliseconds(5'000),
+          .depth = 3,
+          .is_retry = true,
+          .expires_at = WallTime(Milliseconds(1'700'000'000'123))};
+}
+
+/// \brief Script of an entry node that sends each call to `destination` once
+/// and hands its answer over.
+inline void ScriptEntry(ScriptedNode* entry, const ScriptedNode* destination) {
+  entry->script = [destination](const CallEvent& event) {
+    std::vector<CallEffect> out;
+    if (const auto* call = std::get_if<CallArrived>(&event)) {
+      out.emplace_back(SendAttempt{.call = call->call,
+                                   .destination = destination->options().self,
+                                   .call_port = destination->port(),
+                                   .request = ExampleAttempt(call->call)});
+    } else if (const auto* answer = std::get_if<AttemptAnswering>(&event)) {
+      out.emplace_back(RelayAnswer{answer->call, answer->attempt});
+    } else if (const auto* refused = std::get_if<AttemptNotRun>(&event)) {
+      out.emplace_back(
+          AnswerNotRun{refused->call, refused->reason, refused->retry_after});
+    } else if (const auto* unknown = std::get_if<AttemptUnknown>(&event)) {
+      out.emplace_back(AnswerUnknown{unknown->call, "scripted"});
+    } else if (const auto* end = std::get_if<AnswerRelayed>(&event)) {
+      out.emplace_back(CallEnded{.call = end->call});
+    } else if (const auto* gone = std::get_if<CallerGone>(&event)) {
+      out.emplace_back(CallEnded{.call = gone->call});
+    }
+    return out;
+  };
+}
+
+/// \brief Script of a destination node that runs each attempt at once and gives
+/// its answer to the newest link.
+inline void ScriptDestination(ScriptedNode* destination,
+                              Milliseconds deadline = Milliseconds(5'000)) {
+  auto links = std::make_shared<std::vector<std::pair<AttemptId, LinkId>>>();
+  destination->script = [links, deadline](const CallEvent& event) {
+    std::vector<CallEffect> out;
+    const auto link_of = [&links](const AttemptId& id) {
+      LinkId link = 0;
+      for (const auto& [attempt, it] : *links) {
+        link = attempt == id ? it : link;
+      }
+      return link;
+    };
+    if (const auto* run = std::get_if<AttemptArrived>(&event)) {
+      links->emplace_back(run->request.id, run->link);
+      out.emplace_back(StartUpstream{run->request.id, deadline});
+    } else if (const auto* answer = std::get_if<UpstreamAnswering>(&event)) {
+      out.emplace_back(BindAnswer{link_of(answer->attempt), answer->attempt});
+    } else if (const auto* shed = std::get_if<UpstreamShed>(&event)) {
+      out.emplace_back(ReplyNotRun{link_of(shed->attempt), shed->attempt,
+                                   NotRunReason::kOverloaded,
+                                   shed->retry_after});
+    } else if (const auto* none = std::get_if<UpstreamUnreached>(&event)) {
+      out.emplace_back(ReplyNotRun{link_of(none->attempt), none->attempt,
+                                   NotRunReason::kUnreachable});
+    } else if (const auto* broken = std::get_if<UpstreamBroken>(&event)) {
+      out.emplace_back(ReplyUnknown{link_of(broken->attempt), broken->attempt});
+    }
+    return out;
+  };
+}
+
+/// \brief Joins two scripts: events go to both.
+inline void ScriptBoth(ScriptedNode* node, Milliseconds deadline) {
+  ScriptEntry(node, node);
+  const auto entry = node->script;
+  ScriptDestination(node, deadline);
+  const auto destination = node->script;
+  node->script = [entry, destination](const CallEvent& event) {
+    std::vector<CallEffect> out = entry(event);
+    for (CallEffect& it : destination(event)) {
+      out.push_back(std::move(it));
+    }
+    return out;
+  };
+}
+
+}  // namespace cassiabend
--- a/tools/fake_upstream_main.cc
+++ b/tools/fake_upstream_main.cc
@@ -1,14 +1,12 @@
-#include <popt.h>
-
-#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <cstdint>
 #include <cstdlib>
 #include <iostream>
-#include <memory>
 #include <string>
 
+#include "cassiabend/base/command_line.h"
 #include "cassiabend/base/error.h"
 #include "cassiabend/base/log.h"
 #include "tools/fake_upstream_server.h"
@@ -16,61 +14,57 @@
 namespace cassiabend {
 namespace {
 
-constexpr const char* kVersion = "cassiabend-fake-upstream 0.1.0";
+constexpr char kEpilogue[] =
+    "\nPrints {\"port\":N} once it listens. POST /control with JSON such as\n"
+    "{\"latency_us\":500,\"silent\":true} switches latency_us, jitter_us,\n"
+    "shed_above, silent, break, shed, unhealthy and lie; GET\n"
+    "/control/executions counts what ran. GET /bytes/N answers N bytes,\n"
+    "/answer-status/N answers with that status, /echo answers the request's\n"
+    "body.\n";
 
-/// \brief The command line in the types that popt writes.
+/// \brief What the command line says.
 struct Arguments {
-  char* ip = nullptr;
-  int port = 0;
-  int slots = 12;
-  long latency_us = 0;
-  long jitter_us = 0;
-  long cold_start_ms = 0;
-  int shed_above = 0;
-  long answer_bytes = 64;
-  char* health = nullptr;
-  int refuse_cancel = 0;
-  long seed = 1;
-  int show_version = 0;
+  std::string ip = "127.0.0.1";
+  std::int64_t port = 0;
+  std::int64_t slots = 12;
+  std::int64_t latency_us = 0;
+  std::int64_t jitter_us = 0;
+  std::int64_t cold_start_ms = 0;
+  std::int64_t shed_above = 0;
+  std::int64_t answer_bytes = 64;
+  std::string health = "ok";
+  bool refuse_cancel = false;
+  std::int64_t seed = 1;
 };
 
+/// \returns Whether the program should go on.
 /// \throws SettingsError on an option that is unknown or not well formed.
-void ReadArguments(int argc, const char** argv, Arguments* args) {
-  const std::array<poptOption, 14> options{{
-      {"ip", 0, POPT_ARG_STRING, &args->ip, 0, "address to listen on", "IP"},
-      {"port", 0, POPT_ARG_INT, &args->port, 0, "port; 0 for any", "PORT"},
-      {"slots", 0, POPT_ARG_INT, &args->slots, 0,
-       "requests that run at the same time", "N"},
-      {"latency-us", 0, POPT_ARG_LONG, &args->latency_us, 0,
-       "time that a request takes, in microseconds", "N"},
-      {"jitter-us", 0, POPT_ARG_LONG, &args->jitter_us, 0,
-       "largest time added to it at random", "N"},
-      {"cold-start-ms", 0, POPT_ARG_LONG, &args->cold_start_ms, 0,
-       "time after the start before which nothing runs", "N"},
-      {"shed-above", 0, POPT_ARG_INT, &args->shed_above, 0,
-       "requests in hand above which more are shed; 0 for no limit", "N"},
-      {"answer-bytes", 0, POPT_ARG_LONG, &args->answer_bytes, 0,
-       "size of an answer's body", "N"},
-      {"health", 0, POPT_ARG_STRING, &args->health, 0,
-       "whether the health endpoint tells the truth", "ok|lag|lie"},
-      {"refuse-cancel", 0, POPT_ARG_NONE, &args->refuse_cancel, 0,
-       "go on with work whose connection has closed", nullptr},
-      {"seed", 0, POPT_ARG_LONG, &args->seed, 0, "seed of the jitter", "N"},
-      {"version", 0, POPT_ARG_NONE, &args->show_version, 0,
-       "print the version and exit", nullptr},
-      POPT_AUTOHELP POPT_TABLEEND,
-  }};
-  const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
-      poptGetContext(nullptr, argc, argv, options.data(), 0), &poptFreeContext);
-  const int rc = poptGetNextOpt(context.get());
-  if (rc < -1) {
-    throw SettingsError("read the command line",
-                        poptBadOption(context.get(), 0), poptStrerror(rc));
-  }
-  if (poptPeekArg(context.get()) != nullptr) {
-    throw SettingsError("read the command line", poptPeekArg(context.get()),
-                        "unexpected argument");
+bool ReadArguments(int argc, const char** argv, Arguments* args) {
+  CommandLine line("cassiabend-fake-upstream", "", kEpilogue);
+  line.AddText("ip", &args->ip, "Address to listen on");
+  line.AddNumber("port", &args->port, "Port; 0 for any free one");
+  line.AddNumber("slots", &args->slots, "Requests that run at the same time");
+  line.AddNumber("latency-us", &args->latency_us,
+                 "Time that a request takes, in microseconds");
+  line.AddNumber("jitter-us", &args->jitter_us,
+                 "Largest time added to it at random");
+  line.AddNumber("cold-start-ms", &args->cold_start_ms,
+                 "Time after the start before which nothing runs");
+  line.AddNumber("shed-above", &args->shed_above,
+                 "Requests in hand above which more are shed; 0 for no limit");
+  line.AddNumber("answer-bytes", &args->answer_bytes,
+                 "Size of an answer's body");
+  line.AddText("health", &args->health,
+               "What the health endpoint does: ok, lag or lie");
+  line.AddFlag("refuse-cancel", &args->refuse_cancel,
+               "Go on with work whose connection has closed");
+  line.AddNumber("seed", &args->seed, "Seed of the jitter");
+  bool finished = false;
+  if (!line.Parse(argc, argv, &finished).empty()) {
+    throw SettingsError("read the command line", "arguments",
+                        "there must be none besides options");
   }
+  return !finished;
 }
 
 FakeHealth HealthOf(const std::string& name) {
@@ -88,7 +82,7 @@
 }
 
 template <typename Number>
-Number Count(const char* name, long value, long limit) {
+Number Count(const char* name, std::int64_t value, std::int64_t limit) {
   if (value < 0 || value > limit) {
     throw SettingsError("read the command line", name,
                         "must be from 0 to " + std::to_string(limit));
@@ -97,35 +91,33 @@
 }
 
 FakeUpstreamOptions OptionsOf(const Arguments& args) {
-  constexpr long kMaxPort = 65'535;
-  constexpr long kMaxCount = 1'000'000;
-  constexpr long kMaxTime = 1'000'000'000;
-  constexpr long kMaxBytes = 64L * 1024 * 1024;
+  constexpr std::int64_t kMaxPort = 65'535;
+  constexpr std::int64_t kMaxCount = 1'000'000;
+  constexpr std::int64_t kMaxTime = 1'000'000'000;
+  constexpr std::int64_t kMaxBytes = std::int64_t{64} * 1024 * 1024;
   FakeUpstreamOptions options;
-  options.ip = args.ip == nullptr ? "127.0.0.1" : args.ip;
+  options.ip = args.ip;
   options.port = Count<std::uint16_t>("--port", args.port, kMaxPort);
   options.slots = Count<std::uint32_t>("--slots", args.slots, kMaxCount);
-  options.latency =
-      Microseconds(Count<long>("--latency-us", args.latency_us, kMaxTime));
-  options.jitter =
-      Microseconds(Count<long>("--jitter-us", args.jitter_us, kMaxTime));
+  options.latency = Microseconds(
+      Count<std::int64_t>("--latency-us", args.latency_us, kMaxTime));
+  options.jitter = Microseconds(
+      Count<std::int64_t>("--jitter-us", args.jitter_us, kMaxTime));
   options.cold_start = Milliseconds(
-      Count<long>("--cold-start-ms", args.cold_start_ms, kMaxTime));
+      Count<std::int64_t>("--cold-start-ms", args.cold_start_ms, kMaxTime));
   options.shed_above =
       Count<std::uint32_t>("--shed-above", args.shed_above, kMaxCount);
   options.answer_bytes =
       Count<std::size_t>("--answer-bytes", args.answer_bytes, kMaxBytes);
-  options.health = HealthOf(args.health == nullptr ? "ok" : args.health);
-  options.refuse_cancel = args.refuse_cancel != 0;
+  options.health = HealthOf(args.health);
+  options.refuse_cancel = args.refuse_cancel;
   options.seed = static_cast<std::uint64_t>(args.seed);
   return options;
 }
 
 int Run(int argc, const char** argv) {
   Arguments args;
-  ReadArguments(argc, argv, &args);
-  if (args.show_version != 0) {
-    std::cout << kVersion << '\n';
+  if (!ReadArguments(argc, argv, &args)) {
     return EXIT_SUCCESS;
   }
   boost::asio::io_context io(1);
--- a/tools/fake_upstream_server.cc
+++ b/tools/fake_upstream_server.cc
@@ -22,7 +22,7 @@
 constexpr std::string_view kExecutionsPath = "/control/executions";
 constexpr std::string_view kHealthPath = "/healthz";
 constexpr std::string_view kBytesPath = "/bytes/";
-constexpr std::string_view kStatusPath = "/status/";
+constexpr std::string_view kStatusPath = "/answer-status/";
 constexpr std::string_view kEchoPath = "/echo";
 constexpr Milliseconds kHealthLag{2'000};
 constexpr Milliseconds kLoadSamplePeriod{100};
