Add the peer transport: datagrams over UDP and Cap'n Proto RPC over TCP

Cause: nodes exchange probes, beats, versions and member lists. Change: DatagramSocket (Asio) carries packed datagrams of at most 1,400 bytes; PeerLinks and RpcListener carry push, pull, members and drain on a KJ loop of its own thread (KjThread). A connection on which a call fails or times out is never used again. Malformed datagrams and datagrams that state another sender are counted and dropped.

--- /dev/null
+++ b/src/cassiabend/rpc/datagram_socket.cc
@@ -0,0 +1,103 @@
+#include "cassiabend/rpc/datagram_socket.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <utility>
+
+#include "cassiabend/base/error.h"
+#include "cassiabend/base/log.h"
+#include "cassiabend/rpc/mesh_codec.h"
+
+namespace cassiabend {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using boost::system::error_code;
+
+constexpr std::uint64_t kUdpHeaderBytes = 28;
+
+bool IsBeat(const Datagram& datagram) noexcept {
+  return std::holds_alternative<BeatBody>(datagram.body) ||
+         std::holds_alternative<AttachBody>(datagram.body);
+}
+
+}  // namespace
+
+DatagramSocket::DatagramSocket(asio::io_context& io, const NodeId& self)
+    : socket_(io) {
+  try {
+    const udp::endpoint endpoint(asio::ip::make_address(self.ip),
+                                 self.peer_port);
+    socket_.open(endpoint.protocol());
+    socket_.bind(endpoint);
+    socket_.non_blocking(true);
+  } catch (const boost::system::system_error& ex) {
+    throw RpcError("open the UDP port", ToString(self), ex.what());
+  }
+}
+
+void DatagramSocket::Start(Handler handler) {
+  handler_ = std::move(handler);
+  Receive();
+}
+
+void DatagramSocket::Send(const NodeId& to, const Datagram& datagram) {
+  error_code ec;
+  const auto address = asio::ip::make_address(to.ip, ec);
+  if (ec || !socket_.is_open()) {
+    return;
+  }
+  const std::string bytes = EncodeDatagram(datagram);
+  socket_.send_to(asio::buffer(bytes), udp::endpoint(address, to.peer_port), 0,
+                  ec);
+  if (ec) {
+    // Probes, beats and gossip are repeated, so a lost one needs no retry.
+    return;
+  }
+  ++counts_.sent;
+  (IsBeat(datagram) ? counts_.beat_bytes_sent
+                    : counts_.membership_bytes_sent) +=
+      bytes.size() + kUdpHeaderBytes;
+}
+
+void DatagramSocket::Close() {
+  error_code ec;
+  socket_.close(ec);
+}
+
+void DatagramSocket::Receive() {
+  socket_.async_receive_from(
+      asio::buffer(buf_), sender_,
+      [self = shared_from_this()](error_code ec, std::size_t n) {
+        if (!self->socket_.is_open() || ec == asio::error::operation_aborted) {
+          return;
+        }
+        // An error here tells of an earlier send, such as a closed port.
+        if (!ec) {
+          self->Take(n);
+        }
+        self->Receive();
+      });
+}
+
+void DatagramSocket::Take(std::size_t n) {
+  try {
+    Datagram datagram = DecodeDatagram({buf_.data(), n});
+    const NodeId sender{sender_.address().to_string(), sender_.port()};
+    if (datagram.from != sender) {
+      throw RpcError("take a datagram", ToString(sender),
+                     "it states another sender, " + ToString(datagram.from));
+    }
+    ++counts_.received;
+    (IsBeat(datagram) ? counts_.beat_bytes_received
+                      : counts_.membership_bytes_received) +=
+        n + kUdpHeaderBytes;
+    handler_(std::move(datagram));
+  } catch (const Error& ex) {
+    ++counts_.rejected;
+    Log(LogLevel::kWarning, "datagram_rejected", {{"why", ex.what()}});
+  }
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/rpc/datagram_socket.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include "cassiabend/core/fleet_events.h"
+
+namespace cassiabend {
+
+/// \brief Counts of datagrams and their bytes by purpose, headers of IP and
+/// UDP included as estimates.
+struct DatagramCounts {
+  std::uint64_t sent = 0;
+  std::uint64_t received = 0;
+  std::uint64_t membership_bytes_sent = 0;
+  std::uint64_t membership_bytes_received = 0;
+  std::uint64_t beat_bytes_sent = 0;
+  std::uint64_t beat_bytes_received = 0;
+  std::uint64_t rejected = 0;
+};
+
+/// \brief The UDP socket of a node. Used on the thread of its Asio context.
+class DatagramSocket : public std::enable_shared_from_this<DatagramSocket> {
+ public:
+  using Handler = std::function<void(Datagram datagram)>;
+
+  /// \throws RpcError when the port cannot be opened.
+  DatagramSocket(boost::asio::io_context& io, const NodeId& self);
+
+  [[nodiscard]] const DatagramCounts& counts() const noexcept {
+    return counts_;
+  }
+
+  /// \brief Begins to receive. Messages that are malformed, or whose sender's
+  /// address is not the one that they state, are counted and dropped.
+  void Start(Handler handler);
+  /// \brief Sends at once or, when the socket is full, not at all.
+  void Send(const NodeId& to, const Datagram& datagram);
+  void Close();
+
+ private:
+  void Receive();
+  void Take(std::size_t n);
+
+  boost::asio::ip::udp::socket socket_;
+  boost::asio::ip::udp::endpoint sender_;
+  std::array<char, 2'048> buf_{};
+  Handler handler_;
+  DatagramCounts counts_;
+};
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/rpc/mesh_codec.cc
@@ -0,0 +1,238 @@
+#include "cassiabend/rpc/mesh_codec.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "cassiabend/base/error.h"
+#include "cassiabend/model/codec.h"
+
+namespace cassiabend {
+namespace {
+
+constexpr std::uint32_t kNoAge = std::numeric_limits<std::uint32_t>::max();
+// Zero bytes pack well, so the unpacked size needs a limit of its own.
+constexpr std::uint64_t kMaxDatagramWords = 8 * 1024;
+constexpr int kMaxDatagramNesting = 8;
+
+template <typename Enum>
+Enum CheckedEnum(std::uint16_t value, Enum last, const char* field) {
+  if (value > static_cast<std::uint16_t>(last)) {
+    throw RpcError("read a message", field,
+                   "unknown value " + std::to_string(value));
+  }
+  return static_cast<Enum>(value);
+}
+
+std::string ToText(capnp::Text::Reader text) {
+  return {text.cStr(), text.size()};
+}
+
+/// \brief Writes the body of each kind of datagram.
+struct BodyWriter {
+  schema::Datagram::Body::Builder out;
+
+  void operator()(const PingBody& it) { out.setPing(it.sequence); }
+  void operator()(const AckBody& it) { out.setAck(it.sequence); }
+  void operator()(const PingRequestBody& it) {
+    auto request = out.initPingRequest();
+    request.setSequence(it.sequence);
+    request.setTargetIp(it.target.ip);
+    request.setTargetPort(it.target.peer_port);
+  }
+  void operator()(const BeatBody& /*it*/) { out.setBeat(); }
+  void operator()(const JoinBody& /*it*/) { out.setJoin(); }
+  void operator()(const AttachBody& /*it*/) { out.setAttach(); }
+};
+
+decltype(Datagram::body) ReadBody(schema::Datagram::Body::Reader in) {
+  switch (in.which()) {
+    case schema::Datagram::Body::PING:
+      return PingBody{in.getPing()};
+    case schema::Datagram::Body::ACK:
+      return AckBody{in.getAck()};
+    case schema::Datagram::Body::PING_REQUEST: {
+      const auto request = in.getPingRequest();
+      return PingRequestBody{
+          request.getSequence(),
+          {ToText(request.getTargetIp()), request.getTargetPort()}};
+    }
+    case schema::Datagram::Body::BEAT:
+      return BeatBody{};
+    case schema::Datagram::Body::JOIN:
+      return JoinBody{};
+    case schema::Datagram::Body::ATTACH:
+      return AttachBody{};
+  }
+  throw RpcError("read a datagram", "body", "unknown kind");
+}
+
+/// \brief Writes the body of each kind of update.
+struct UpdateWriter {
+  schema::ConfigUpdate::Builder out;
+
+  void operator()(const NoUpdate& /*it*/) { out.setNone(); }
+  void operator()(const ConfigDelta& it) { ToWire(it, out.initDelta()); }
+  void operator()(const RefPtr<const Snapshot>& it) {
+    ToWire(it->config(), out.initFull());
+  }
+  void operator()(const BusyUpdate& it) {
+    out.setBusy(ToWireAge(it.retry_after));
+  }
+};
+
+decltype(ConfigUpdate::body) ReadUpdateBody(schema::ConfigUpdate::Reader in) {
+  switch (in.which()) {
+    case schema::ConfigUpdate::NONE:
+      return NoUpdate{};
+    case schema::ConfigUpdate::DELTA:
+      return FromWire(in.getDelta());
+    case schema::ConfigUpdate::FULL:
+      return RefPtr<const Snapshot>(new Snapshot(FromWire(in.getFull())));
+    case schema::ConfigUpdate::BUSY:
+      return BusyUpdate{Milliseconds(in.getBusy())};
+  }
+  throw RpcError("read an update", "body", "unknown kind");
+}
+
+std::string Pack(capnp::MessageBuilder& message) {
+  kj::VectorOutputStream out;
+  capnp::writePackedMessage(out, message);
+  const auto bytes = out.getArray().asChars();
+  return {bytes.begin(), bytes.size()};
+}
+
+}  // namespace
+
+std::uint32_t ToWireAge(std::optional<Milliseconds> age) noexcept {
+  if (!age) {
+    return kNoAge;
+  }
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(age->count(), 0, kNoAge - 1));
+}
+
+std::optional<Milliseconds> FromWireAge(std::uint32_t age) noexcept {
+  return age == kNoAge ? std::nullopt : std::optional(Milliseconds(age));
+}
+
+void ToWire(const VersionMark& mark, schema::VersionMark::Builder out) {
+  out.setNumber(mark.number);
+  ToWire(mark.hash, out.initHash());
+}
+
+VersionMark FromWire(schema::VersionMark::Reader in) {
+  return {in.getNumber(), FromWire(in.getHash())};
+}
+
+void ToWire(const Member& member, schema::Member::Builder out) {
+  out.setIp(member.id.ip);
+  out.setPeerPort(member.id.peer_port);
+  out.setCallPort(member.call_port);
+  out.setRegion(member.region);
+  out.setZone(member.zone);
+  out.setStartId(member.start_id);
+  out.setRevision(member.revision);
+  out.setStatus(static_cast<schema::MemberStatus>(member.status));
+  out.setService(member.service);
+  out.setSlots(member.slots);
+  out.setUpstreamState(
+      static_cast<schema::UpstreamState>(member.upstream_state));
+}
+
+Member FromWire(schema::Member::Reader in) {
+  Member out;
+  out.id = {ToText(in.getIp()), in.getPeerPort()};
+  out.call_port = in.getCallPort();
+  out.region = ToText(in.getRegion());
+  out.zone = ToText(in.getZone());
+  out.start_id = in.getStartId();
+  out.revision = in.getRevision();
+  out.status = CheckedEnum(static_cast<std::uint16_t>(in.getStatus()),
+                           MemberStatus::kLeft, "member.status");
+  out.service = ToText(in.getService());
+  out.slots = in.getSlots();
+  out.upstream_state =
+      CheckedEnum(static_cast<std::uint16_t>(in.getUpstreamState()),
+                  UpstreamState::kDraining, "member.upstreamState");
+  return out;
+}
+
+void ToWire(const Datagram& datagram, schema::Datagram::Builder out) {
+  out.setFromIp(datagram.from.ip);
+  out.setFromPort(datagram.from.peer_port);
+  out.setFromStartId(datagram.from_start_id);
+  ToWire(datagram.mark, out.initMark());
+  out.setConfirmedAgeMs(ToWireAge(datagram.confirmed_age));
+  out.setLoadPermille(datagram.load_permille);
+  auto updates =
+      out.initUpdates(static_cast<unsigned>(datagram.updates.size()));
+  unsigned i = 0;
+  for (const Member& it : datagram.updates) {
+    ToWire(it, updates[i++]);
+  }
+  std::visit(BodyWriter{out.initBody()}, datagram.body);
+}
+
+Datagram FromWire(schema::Datagram::Reader in) {
+  Datagram out;
+  out.from = {ToText(in.getFromIp()), in.getFromPort()};
+  out.from_start_id = in.getFromStartId();
+  out.mark = FromWire(in.getMark());
+  out.confirmed_age = FromWireAge(in.getConfirmedAgeMs());
+  out.load_permille = in.getLoadPermille();
+  for (const auto it : in.getUpdates()) {
+    out.updates.push_back(FromWire(it));
+  }
+  out.body = ReadBody(in.getBody());
+  return out;
+}
+
+void ToWire(const ConfigUpdate& update, schema::ConfigUpdate::Builder out) {
+  ToWire(update.mark, out.initMark());
+  out.setConfirmedAgeMs(ToWireAge(update.confirmed_age));
+  std::visit(UpdateWriter{out}, update.body);
+}
+
+ConfigUpdate FromWire(schema::ConfigUpdate::Reader in) {
+  ConfigUpdate out;
+  out.mark = FromWire(in.getMark());
+  out.confirmed_age = FromWireAge(in.getConfirmedAgeMs());
+  out.body = ReadUpdateBody(in);
+  return out;
+}
+
+std::string EncodeDatagram(const Datagram& datagram) {
+  Datagram trimmed = datagram;
+  while (true) {
+    capnp::MallocMessageBuilder message;
+    ToWire(trimmed, message.initRoot<schema::Datagram>());
+    std::string bytes = Pack(message);
+    if (bytes.size() <= kMaxDatagramBytes || trimmed.updates.empty()) {
+      return bytes;
+    }
+    const std::size_t n = trimmed.updates.size();
+    trimmed.updates.resize(n - std::max<std::size_t>(1, n / 8));
+  }
+}
+
+Datagram DecodeDatagram(std::string_view bytes) {
+  try {
+    kj::ArrayInputStream in(kj::arrayPtr(
+        reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = kMaxDatagramWords;
+    options.nestingLimit = kMaxDatagramNesting;
+    capnp::PackedMessageReader message(in, options);
+    return FromWire(message.getRoot<schema::Datagram>());
+  } catch (const kj::Exception& ex) {
+    throw RpcError("read a datagram", "message", ex.getDescription().cStr());
+  }
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/rpc/peer_links.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <capnp/rpc-twoparty.h>
+#include <capnp/rpc.h>
+#include <kj/async-io.h>
+#include <kj/refcount.h>
+#include <kj/timer.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <utility>
+
+#include "cassiabend/core/member.h"
+#include "cassiabend/rpc/counted_stream.h"
+#include "cassiabend/rpc/peer_transport.h"
+#include "mesh.capnp.h"
+
+namespace cassiabend {
+
+/// \brief One outgoing connection to a peer.
+class PeerLink final : public kj::Refcounted {
+ public:
+  PeerLink(kj::AsyncIoContext& io,
+           const NodeId& to,
+           std::uint32_t max_message_bytes,
+           ByteCounters* counters);
+
+  /// \brief Resolves when `peer()` may be used.
+  [[nodiscard]] kj::Promise<void> WhenConnected() {
+    return connected_.addBranch();
+  }
+  [[nodiscard]] schema::Peer::Client& peer() {
+    return KJ_ASSERT_NONNULL(peer_);
+  }
+  [[nodiscard]] kj::TimePoint last_used() const noexcept { return last_used_; }
+  void MarkUsed(kj::TimePoint now) noexcept { last_used_ = now; }
+
+ private:
+  void Start(kj::Own<kj::AsyncIoStream> stream);
+
+  std::uint32_t max_message_bytes_;
+  ByteCounters* counters_;
+  kj::Own<CountedStream> stream_;
+  kj::Own<capnp::TwoPartyVatNetwork> network_;
+  kj::Maybe<capnp::RpcSystem<capnp::rpc::twoparty::VatId>> system_;
+  kj::Maybe<schema::Peer::Client> peer_;
+  kj::TimePoint last_used_ = kj::origin<kj::TimePoint>();
+  kj::ForkedPromise<void> connected_;
+};
+
+/// \brief Outgoing connections, one per peer. A connection on which a call
+/// fails or times out is never used again: the next call opens a new one.
+/// Lives on the thread of a KJ event loop.
+class PeerLinks {
+ public:
+  /// \param counters Outlives this object.
+  PeerLinks(kj::AsyncIoContext& io,
+            const PeerTransportOptions& options,
+            ByteCounters* counters);
+
+  /// \brief Calls a peer.
+  /// \param func Makes the call: takes a `schema::Peer::Client&`, returns a
+  /// promise.
+  /// \returns The promise of `func`; fails when the call takes too long.
+  template <typename Func>
+  auto Call(const NodeId& to, Func func) {
+    kj::Own<PeerLink> link = LinkTo(to);
+    PeerLink* const used = link.get();
+    auto call = link->WhenConnected().then(
+        [used, func = kj::mv(func)]() mutable { return func(used->peer()); });
+    using Promise = decltype(call);
+    return timer_
+        .timeoutAfter(timeout_.count() * kj::MILLISECONDS, kj::mv(call))
+        .catch_([this, to, used](kj::Exception&& ex) -> Promise {
+          Drop(to, used);
+          return kj::mv(ex);
+        })
+        .attach(kj::mv(link));
+  }
+
+  /// \brief Closes connections that have not been used for long.
+  void CloseIdle();
+
+ private:
+  kj::Own<PeerLink> LinkTo(const NodeId& to);
+  void Drop(const NodeId& to, const PeerLink* link);
+  void DropLeastRecentlyUsed();
+
+  kj::AsyncIoContext& io_;
+  kj::Timer& timer_;
+  Milliseconds timeout_;
+  std::uint32_t max_links_;
+  std::uint32_t max_message_bytes_;
+  ByteCounters* counters_;
+  std::map<NodeId, kj::Own<PeerLink>> links_;
+};
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/rpc/pending_replies.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <kj/async.h>
+#include <kj/memory.h>
+#include <kj/timer.h>
+
+#include <cstdint>
+#include <unordered_map>
+#include <utility>
+
+#include "cassiabend/base/time.h"
+
+namespace cassiabend {
+
+/// \brief Requests from other processes that wait for the core's answer. Lives
+/// on the thread of a KJ event loop.
+template <typename Reply>
+class PendingReplies {
+ public:
+  PendingReplies(kj::Timer& timer, std::size_t limit, Milliseconds timeout)
+      : timer_(timer), limit_(limit), timeout_(timeout) {}
+
+  [[nodiscard]] bool IsFull() const noexcept {
+    return waiting_.size() >= limit_;
+  }
+
+  /// \brief Waits for `Answer(id, …)`; fails when none comes in time.
+  [[nodiscard]] kj::Promise<kj::Own<Reply>> Wait(std::uint64_t id) {
+    auto pair = kj::newPromiseAndFulfiller<kj::Own<Reply>>();
+    waiting_.emplace(id, kj::mv(pair.fulfiller));
+    return timer_
+        .timeoutAfter(timeout_.count() * kj::MILLISECONDS, kj::mv(pair.promise))
+        .attach(kj::defer([this, id] { waiting_.erase(id); }));
+  }
+
+  /// \brief Answers a request; does nothing when it waits no more.
+  void Answer(std::uint64_t id, Reply reply) {
+    const auto it = waiting_.find(id);
+    if (it != waiting_.end()) {
+      it->second->fulfill(kj::heap<Reply>(std::move(reply)));
+    }
+  }
+
+ private:
+  kj::Timer& timer_;
+  std::size_t limit_;
+  Milliseconds timeout_;
+  std::unordered_map<std::uint64_t,
+                     kj::Own<kj::PromiseFulfiller<kj::Own<Reply>>>>
+      waiting_;
+};
+
+}  // namespace cassiabend
--- /dev/null
+++ b/tests/shell/peer_transport_test.cc
@@ -0,0 +1,338 @@
+#include <doctest/doctest.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cassiabend/base/clock.h"
+#include "cassiabend/base/error.h"
+#include "cassiabend/model/codec.h"
+#include "cassiabend/rpc/mesh_codec.h"
+#include "cassiabend/rpc/peer_transport.h"
+
+namespace cassiabend {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using asio::ip::udp;
+
+constexpr Seconds kPatience{20};
+constexpr char kIp[] = "127.0.0.1";
+
+/// \brief Keeps the events of one node.
+class FleetSink final : public EventSink {
+ public:
+  void Post(Body body) override {
+    events.push_back(std::get<FleetEvent>(std::move(body)));
+  }
+
+  /// \returns The newest event of type `T`; null when there is none.
+  template <typename T>
+  [[nodiscard]] const T* Last() const {
+    for (auto it = events.rbegin(); it != events.rend(); ++it) {
+      if (const T* event = std::get_if<T>(&*it)) {
+        return event;
+      }
+    }
+    return nullptr;
+  }
+
+  std::vector<FleetEvent> events;
+};
+
+/// \returns A port that is free for both UDP and TCP.
+std::uint16_t FreePort(asio::io_context& io) {
+  tcp::acceptor acceptor(io, {asio::ip::make_address(kIp), 0});
+  const std::uint16_t port = acceptor.local_endpoint().port();
+  const udp::socket socket(io, {asio::ip::make_address(kIp), port});
+  return port;
+}
+
+struct Node {
+  explicit Node(asio::io_context& io,
+                Milliseconds timeout = Milliseconds(2'000))
+      : id{kIp, FreePort(io)}, transport(io, Options(timeout), &sink) {}
+
+  [[nodiscard]] PeerTransportOptions Options(Milliseconds timeout) const {
+    PeerTransportOptions options;
+    options.self = id;
+    options.rpc_timeout = timeout;
+    options.max_connections = 4;
+    return options;
+  }
+
+  NodeId id;
+  FleetSink sink;
+  PeerTransport transport;
+};
+
+void RunUntil(asio::io_context& io, const std::function<bool()>& condition) {
+  const SystemClock clock;
+  const MonoTime end = clock.Now().mono + kPatience;
+  io.restart();
+  while (!condition() && clock.Now().mono < end) {
+    io.run_one_for(Milliseconds(20));
+    io.restart();
+  }
+  REQUIRE(condition());
+}
+
+template <typename T>
+const T& Await(asio::io_context& io, Node& node) {
+  RunUntil(io, [&] { return node.sink.Last<T>() != nullptr; });
+  return *node.sink.Last<T>();
+}
+
+Member SampleMember(const NodeId& id) {
+  Member out;
+  out.id = id;
+  out.call_port = 8000;
+  out.region = "puget";
+  out.zone = "puget-a";
+  out.start_id = 77;
+  out.revision = 3;
+  out.status = MemberStatus::kSuspect;
+  out.service = "orders";
+  out.slots = 12;
+  out.upstream_state = UpstreamState::kServing;
+  return out;
+}
+
+Datagram SampleDatagram(const NodeId& from) {
+  Datagram out;
+  out.from = from;
+  out.from_start_id = 5;
+  out.mark = {9, {1, 2}};
+  out.confirmed_age = Milliseconds(1'500);
+  out.load_permille = 250;
+  out.updates = {SampleMember({kIp, 7001})};
+  out.body = PingRequestBody{11, {kIp, 7002}};
+  return out;
+}
+
+RefPtr<const Snapshot> SampleSnapshot() {
+  Config config;
+  config.number = 4;
+  config.parent = 3;
+  config.change_id = {5, 6};
+  config.author = "ann";
+  config.services = {{"orders", "cascadia", 4}};
+  return new Snapshot(config);
+}
+
+TEST_CASE("every kind of datagram arrives as it was sent") {
+  const decltype(Datagram::body) bodies[] = {
+      PingBody{1}, AckBody{2}, PingRequestBody{3, {kIp, 7002}},
+      BeatBody{},  JoinBody{}, AttachBody{}};
+  asio::io_context io;
+  Node a(io);
+  Node b(io);
+  for (const auto& body : bodies) {
+    CAPTURE(body.index());
+    b.sink.events.clear();
+    Datagram sent = SampleDatagram(a.id);
+    sent.body = body;
+    a.transport.Execute(SendDatagram{b.id, sent});
+    const Datagram& got = Await<DatagramReceived>(io, b).datagram;
+    CHECK(got.from == a.id);
+    CHECK(got.from_start_id == sent.from_start_id);
+    CHECK(got.mark == sent.mark);
+    CHECK(got.confirmed_age == sent.confirmed_age);
+    CHECK(got.load_permille == sent.load_permille);
+    CHECK(got.updates == sent.updates);
+    CHECK(got.body.index() == body.index());
+  }
+  const PeerTraffic sent = a.transport.traffic();
+  const PeerTraffic received = b.transport.traffic();
+  CHECK(sent.datagrams_sent == 6);
+  CHECK(received.datagrams_received == 6);
+  CHECK(sent.beat_bytes_sent == received.beat_bytes_received);
+  CHECK(sent.membership_bytes_sent == received.membership_bytes_received);
+  CHECK(sent.beat_bytes_sent > 0);
+}
+
+TEST_CASE("a datagram keeps its limit by leaving out the last updates") {
+  Datagram datagram = SampleDatagram({kIp, 7000});
+  datagram.updates.assign(200, SampleMember({kIp, 7001}));
+  datagram.confirmed_age.reset();
+  const std::string bytes = EncodeDatagram(datagram);
+  CHECK(bytes.size() <= kMaxDatagramBytes);
+  const Datagram got = DecodeDatagram(bytes);
+  CHECK(got.updates.size() > 5);
+  CHECK_FALSE(got.confirmed_age);
+}
+
+TEST_CASE("cut and altered datagrams are refused, never worse") {
+  const std::string bytes = EncodeDatagram(SampleDatagram({kIp, 7000}));
+  for (std::size_t n = 0; n < bytes.size(); ++n) {
+    std::string altered = bytes;
+    altered[n] = static_cast<char>(altered[n] ^ 0xFF);
+    for (const std::string& it : {bytes.substr(0, n), altered}) {
+      try {
+        const Datagram ignored = DecodeDatagram(it);
+      } catch (const Error& ex) {
+        CHECK(std::string(ex.what()).size() > 0);
+      }
+    }
+  }
+  // Zero runs of the packed form must not expand without limit.
+  CHECK_THROWS_AS((void)DecodeDatagram(std::string(1'400, '\xFF')), Error);
+}
+
+TEST_CASE("a push returns the receiver's mark") {
+  asio::io_context io;
+  Node a(io);
+  Node b(io);
+  const RefPtr<const Snapshot> snapshot = SampleSnapshot();
+  ConfigUpdate update{snapshot->mark(), snapshot, Milliseconds(40)};
+  a.transport.Execute(SendPush{b.id, update});
+  const PushReceived got = Await<PushReceived>(io, b);
+  CHECK(got.update.mark == snapshot->mark());
+  CHECK(got.update.confirmed_age == update.confirmed_age);
+  const auto& full = std::get<RefPtr<const Snapshot>>(got.update.body);
+  CHECK(full->config() == snapshot->config());
+  b.transport.Execute(ReplyPush{got.request, {8, {1, 1}}});
+  const PushAnswered& answer = Await<PushAnswered>(io, a);
+  CHECK(answer.peer == b.id);
+  CHECK(answer.mark == VersionMark{8, {1, 1}});
+  CHECK(a.transport.traffic().config_bytes_sent > 0);
+  CHECK(b.transport.traffic().config_bytes_received > 0);
+}
+
+TEST_CASE("a pull brings each kind of update") {
+  asio::io_context io;
+  Node a(io);
+  Node b(io);
+  ConfigDelta delta;
+  delta.base = {3, {1, 1}};
+  delta.mark = {4, {2, 2}};
+  delta.edits = {{Service{"orders", "cascadia", 4}, 0}};
+  const decltype(ConfigUpdate::body) bodies[] = {
+      NoUpdate{}, delta, SampleSnapshot(), BusyUpdate{Milliseconds(75)}};
+  for (const auto& body : bodies) {
+    CAPTURE(body.index());
+    a.sink.events.clear();
+    b.sink.events.clear();
+    a.transport.Execute(SendPull{b.id, {3, {1, 1}}});
+    const PullReceived got = Await<PullReceived>(io, b);
+    CHECK(got.have == VersionMark{3, {1, 1}});
+    b.transport.Execute(ReplyPull{got.request, {{4, {2, 2}}, body, {}}});
+    const PullAnswered& answer = Await<PullAnswered>(io, a);
+    REQUIRE(answer.update);
+    CHECK(answer.update->body.index() == body.index());
+    CHECK_FALSE(answer.update->confirmed_age);
+    if (const auto* it = std::get_if<ConfigDelta>(&answer.update->body)) {
+      CHECK(*it == delta);
+    }
+  }
+}
+
+TEST_CASE("members are asked for and drain requests arrive") {
+  asio::io_context io;
+  Node a(io);
+  Node b(io);
+  a.transport.Execute(SendMembersRequest{b.id});
+  const MembersRequested got = Await<MembersRequested>(io, b);
+  const std::vector<Member> members = {SampleMember(a.id), SampleMember(b.id)};
+  b.transport.Execute(ReplyMembers{got.request, members});
+  CHECK(Await<MembersAnswered>(io, a).members == members);
+
+  bool drained = false;
+  b.transport.OnDrain([&] { drained = true; });
+  a.transport.SendDrain(b.id);
+  RunUntil(io, [&] { return drained; });
+}
+
+TEST_CASE("a peer that does not listen fails at once") {
+  asio::io_context io;
+  Node a(io);
+  const NodeId nobody{kIp, FreePort(io)};
+  a.transport.Execute(SendPush{nobody, {}});
+  CHECK_FALSE(Await<PushAnswered>(io, a).mark);
+  a.transport.Execute(SendPull{nobody, {}});
+  CHECK_FALSE(Await<PullAnswered>(io, a).update);
+  a.transport.Execute(SendMembersRequest{nobody});
+  CHECK_FALSE(Await<MembersAnswered>(io, a).members);
+}
+
+TEST_CASE("a silent peer fails after the timeout, on a new connection next") {
+  asio::io_context io;
+  Node a(io, Milliseconds(150));
+  auto b = std::make_unique<Node>(io);
+  a.transport.Execute(SendPull{b->id, {}});
+  CHECK(Await<PullReceived>(io, *b).request != 0);
+  // No answer comes.
+  CHECK_FALSE(Await<PullAnswered>(io, a).update);
+  a.sink.events.clear();
+  b->sink.events.clear();
+  a.transport.Execute(SendPull{b->id, {}});
+  const PullReceived got = Await<PullReceived>(io, *b);
+  b->transport.Execute(ReplyPull{got.request, {}});
+  CHECK(Await<PullAnswered>(io, a).update);
+
+  tcp::acceptor mute(io, {asio::ip::make_address(kIp), 0});
+  a.sink.events.clear();
+  a.transport.Execute(SendPush{{kIp, mute.local_endpoint().port()}, {}});
+  CHECK_FALSE(Await<PushAnswered>(io, a).mark);
+}
+
+TEST_CASE("a peer killed in the middle of a call fails the call") {
+  asio::io_context io;
+  Node a(io);
+  auto b = std::make_unique<Node>(io);
+  a.transport.Execute(SendPull{b->id, {}});
+  CHECK(Await<PullReceived>(io, *b).request != 0);
+  b.reset();
+  CHECK_FALSE(Await<PullAnswered>(io, a).update);
+}
+
+TEST_CASE("garbage on both ports is dropped and the node goes on") {
+  asio::io_context io;
+  Node a(io);
+  Node b(io);
+  const std::string garbage[] = {"GET / HTTP/1.1\r\n\r\n",
+                                 std::string(4'000, '\xFF'),
+                                 std::string(4'000, '\0'), "x"};
+  udp::socket from(io, {asio::ip::make_address(kIp), 0});
+  for (const std::string& it : garbage) {
+    from.send_to(asio::buffer(it),
+                 udp::endpoint(asio::ip::make_address(kIp), b.id.peer_port));
+    tcp::socket socket(io);
+    socket.connect({asio::ip::make_address(kIp), b.id.peer_port});
+    boost::system::error_code ec;
+    asio::write(socket, asio::buffer(it), ec);
+    socket.shutdown(tcp::socket::shutdown_send, ec);
+    std::string answer;
+    asio::read(socket, asio::dynamic_buffer(answer), ec);
+    CHECK(ec);
+  }
+  const std::string forged = EncodeDatagram(SampleDatagram(a.id));
+  from.send_to(asio::buffer(forged),
+               udp::endpoint(asio::ip::make_address(kIp), b.id.peer_port));
+  RunUntil(io, [&] { return b.transport.traffic().rejected_messages >= 5; });
+  CHECK(b.sink.Last<DatagramReceived>() == nullptr);
+
+  a.transport.Execute(SendMembersRequest{b.id});
+  const MembersRequested got = Await<MembersRequested>(io, b);
+  b.transport.Execute(ReplyMembers{got.request, {}});
+  CHECK(Await<MembersAnswered>(io, a).members);
+}
+
+TEST_CASE("a port in use is refused with its address") {
+  asio::io_context io;
+  Node a(io);
+  FleetSink sink;
+  CHECK_THROWS_AS(PeerTransport(io, a.Options(Milliseconds(100)), &sink),
+                  RpcError);
+}
+
+}  // namespace
+}  // namespace cassiabend
