--- /dev/null
+++ b/src/cassiabend/rpc/admin_tokens.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <string_view>
+#include <vector>
+
+#include "cassiabend/rpc/admin_types.h"
+
+namespace cassiabend {
+
+/// \brief Finds the operator of a token. The time taken does not depend on
+/// which operator it is, or on how much of the token is right.
+/// \returns Null when there is none.
+[[nodiscard]] const OperatorToken* FindOperator(
+    const std::vector<OperatorToken>& operators,
+    std::string_view token);
+
+/// \brief Whether an operator may change items of `tenant`. Shared items, whose
+/// tenant is empty, need the tenant "*".
+[[nodiscard]] bool MayChangeTenant(const OperatorToken& who,
+                                   std::string_view tenant);
+
+}  // namespace cassiabend
