--- a/src/cassiabend/node/settings.cc
+++ b/src/cassiabend/node/settings.cc
@@ -16,6 +16,7 @@
 namespace json = boost::json;
 
 constexpr std::size_t kHashHexDigits = 64;
+constexpr std::uint64_t kMaxAddressLength = 64;
 
 [[noreturn]] void Fail(const std::string& where, const std::string& why) {
   throw SettingsError("use the settings", where, why);
@@ -133,7 +134,7 @@
 
 NodeId NodeIdAt(const json::value& value, const std::string& path) {
   NodeId id;
-  if (!ParseNodeId(TextAt(value, 3, 64, path), &id)) {
+  if (!ParseNodeId(TextAt(value, 1, kMaxAddressLength, path), &id)) {
     Fail(path, "must have the form \"IP:PORT\"");
   }
   return id;
--- a/src/cassiabend/rpc/rpc_listener.cc
+++ b/src/cassiabend/rpc/rpc_listener.cc
@@ -89,8 +89,7 @@
       ++rejected_;
       Log(LogLevel::kWarning, "rpc_connection_rejected",
           {{"why", "connection limit reached"},
-           {"limit",
-            LogField::Value(std::uint64_t{options_.max_connections})}});
+           {"limit", std::uint64_t{options_.max_connections}}});
       return;
     }
     ++open_;
--- a/tests/shell/settings_test.cc
+++ b/tests/shell/settings_test.cc
@@ -76,8 +76,8 @@
        "IPv4"},
       {R"({"node": {"ip": "127.0.0.1", "region": "r", "zone": "a"}})",
        "store.endpoints", "missing"},
-      {With(R"("node": {"log_level": "loud", "ip": "127.0.0.1",
-                        "region": "r", "zone": "a"})"),
+      {R"({"node": {"log_level": "loud", "ip": "127.0.0.1", "region": "r",
+                    "zone": "a"}})",
        "node.log_level", "debug, info"},
   };
   for (const auto& it : cases) {
