--- a/tests/shell/settings_test.cc
+++ b/tests/shell/settings_test.cc
@@ -1,5 +1,8 @@
 #include <doctest/doctest.h>
 
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
 #include <string>
 
 #include "cassiabend/base/error.h"
@@ -105,5 +108,24 @@
   }
 }
 
+TEST_CASE("docs/SETTINGS.md is the page that the program prints") {
+  const char* root = std::getenv("CASSIABEND_ROOT");
+  REQUIRE(root != nullptr);
+  std::ifstream in(std::string(root) + "/docs/SETTINGS.md");
+  std::ostringstream text;
+  text << in.rdbuf();
+  CHECK(text.str() == DescribeSettings());
+}
+
+TEST_CASE("the example settings are valid") {
+  const char* root = std::getenv("CASSIABEND_ROOT");
+  REQUIRE(root != nullptr);
+  for (const char* it : {"cascadia", "silfurhud"}) {
+    const std::string file =
+        std::string(root) + "/examples/" + it + "/node.json";
+    CHECK_NOTHROW((void)LoadSettings(file));
+  }
+}
+
 }  // namespace
 }  // namespace cassiabend
