--- a/src/cassiabend/core/commit_job.cc
+++ b/src/cassiabend/core/commit_job.cc
@@ -11,9 +11,6 @@
 
 /// Reads of a head whose value is missing before the job gives up.
 constexpr int kMaxUnreadable = 3;
-/// Time from the first value's write to the head's within which the values are
-/// taken to be there still. Restoring a store takes longer.
-constexpr Milliseconds kTrustValues{1'000};
 
 AdminRequestId RequestOf(const CommitRequest& request) {
   return std::visit([](const auto& it) { return it.request; }, request);
@@ -362,38 +359,56 @@
 }
 
 void CommitJob::OnHeadMoved(const ReduceContext& ctx) {
-  if (TrustsValues(ctx)) {
+  if (!OwnsHead()) {
     Accept(ctx);
     return;
   }
-  values_missing_ = attempt_->values.size();
-  for (const FreshValue& it : attempt_->values) {
-    CheckValue(ctx, it);
-  }
+  Publish(ctx, attempt_->next, head_sent_at_);
+  CheckValues(ctx);
+}
+
+bool CommitJob::OwnsHead() const {
+  return attempt_ && attempt_->head.mark == head_.mark;
 }
 
-bool CommitJob::TrustsValues(const ReduceContext& ctx) const {
-  if (!attempt_ || attempt_->head.mark != head_.mark) {
-    return true;
+void CommitJob::CheckValues(const ReduceContext& ctx) {
+  // A store that was restored from a copy between the writes of the values and
+  // that of the head has lost the values. They were written side by side, so
+  // that the smallest tells, unless a call failed.
+  std::vector<const FreshValue*> values;
+  for (const FreshValue& it : attempt_->values) {
+    values.push_back(&it);
+  }
+  if (!calls_.disturbed()) {
+    values = {&attempt_->values.back()};
+  }
+  values_missing_ = values.size();
+  for (const FreshValue* it : values) {
+    CheckValue(ctx, *it);
   }
-  return !calls_.disturbed() && ctx.now.mono - values_sent_at_ < kTrustValues;
 }
 
 void CommitJob::CheckValue(const ReduceContext& ctx, const FreshValue& value) {
-  calls_.Send(
-      ctx, StoreGet{value.key}, {.deadline = deadline_},
-      [this, &value](const ReduceContext& at, const StoreReply& reply) {
-        if (reply.status != StoreStatus::kOk || reply.entry) {
-          OnValueChecked(at);
-          return;
-        }
-        calls_.Send(
-            at, StoreCompareAndSwap{.key = value.key, .value = value.value},
-            {.deadline = deadline_, .repeatable = true},
-            [this](const ReduceContext& then, const StoreReply& /*written*/) {
-              OnValueChecked(then);
-            });
-      });
+  calls_.Send(ctx, StoreGet{value.key}, {.deadline = deadline_},
+              [this](const ReduceContext& at, const StoreReply& reply) {
+                if (reply.status != StoreStatus::kOk || reply.entry) {
+                  OnValueChecked(at);
+                  return;
+                }
+                calls_.Clear();
+                RewriteValues(at);
+              });
+}
+
+void CommitJob::RewriteValues(const ReduceContext& ctx) {
+  values_missing_ = attempt_->values.size();
+  for (const FreshValue& it : attempt_->values) {
+    calls_.Send(ctx, StoreCompareAndSwap{.key = it.key, .value = it.value},
+                {.deadline = deadline_, .repeatable = true},
+                [this](const ReduceContext& at, const StoreReply& /*reply*/) {
+                  OnValueChecked(at);
+                });
+  }
 }
 
 void CommitJob::OnValueChecked(const ReduceContext& ctx) {
@@ -403,12 +418,8 @@
 }
 
 void CommitJob::Accept(const ReduceContext& ctx) {
-  const bool own = attempt_ && attempt_->head.mark == head_.mark;
-  if (own) {
-    Publish(ctx, attempt_->next, head_sent_at_);
-  }
   CommitResult result{.mark = *FindChange(head_, change_id_)};
-  if (own || head_.mark.number <= env_->newest_mark().number) {
+  if (OwnsHead() || head_.mark.number <= env_->newest_mark().number) {
     Finish(ctx, std::move(result));
     return;
   }
--- a/src/cassiabend/core/commit_job.h
+++ b/src/cassiabend/core/commit_job.h
@@ -67,8 +67,9 @@
   void OnHeadSent(const ReduceContext& ctx, const StoreReply& reply);
 
   void OnHeadMoved(const ReduceContext& ctx);
-  [[nodiscard]] bool TrustsValues(const ReduceContext& ctx) const;
+  void CheckValues(const ReduceContext& ctx);
   void CheckValue(const ReduceContext& ctx, const FreshValue& value);
+  void RewriteValues(const ReduceContext& ctx);
   void OnValueChecked(const ReduceContext& ctx);
 
   void Accept(const ReduceContext& ctx);
@@ -77,6 +78,7 @@
                MonoTime confirmed_at) const;
   void Answer(const ReduceContext& ctx, CommitResult result) const;
   void Fail(const ReduceContext& ctx, const std::string& reason);
+  [[nodiscard]] bool OwnsHead() const;
   [[nodiscard]] bool OutOfTime(const ReduceContext& ctx);
 
   ConfigEnv* env_;
