Make the commit matrix green where the store is restored from a copy

A restore between the two writes of an attempt left the head without its value: 30 of 64,796 cells failed. The committer now compares the store's revision after the head's write with those of the values' writes and checks all values when the store fell back. recover always publishes a higher version, so that nodes which hold different versions of one number converge. After: 0 of 64,796 cells fail (build/tests/commit_matrix_test).

--- a/src/cassiabend/core/commit_job.cc
+++ b/src/cassiabend/core/commit_job.cc
@@ -220,11 +220,6 @@
     return;
   }
   const VersionMark newest = env_->newest_mark();
-  if (head_.mark == newest) {
-    CommitResult result{.mark = newest};
-    Finish(ctx, result);
-    return;
-  }
   if (head_.mark.number > newest.number) {
     CommitResult result = Refusal(
         CommitCode::kConflict, kHeadKey,
@@ -310,6 +305,7 @@
     Fail(ctx, "the version's value cannot be written to the store");
     return;
   }
+  values_revision_ = std::max(values_revision_, reply.store_revision);
   if (--values_missing_ == 0) {
     SendHead(ctx);
   }
@@ -341,6 +337,8 @@
     case StoreStatus::kOk:
       head_ = attempt_->head;
       head_sent_at_ = reply.sent_at;
+      store_fell_back_ =
+          reply.store_revision != 0 && reply.store_revision <= values_revision_;
       OnHeadMoved(ctx);
       return;
     case StoreStatus::kConflict:
@@ -373,13 +371,13 @@
 
 void CommitJob::CheckValues(const ReduceContext& ctx) {
   // A store that was restored from a copy between the writes of the values and
-  // that of the head has lost the values. They were written side by side, so
-  // that the smallest tells, unless a call failed.
+  // that of the head has lost values. Reading the smallest tells, unless calls
+  // failed or the store's revisions give it away.
   std::vector<const FreshValue*> values;
   for (const FreshValue& it : attempt_->values) {
     values.push_back(&it);
   }
-  if (!calls_.disturbed()) {
+  if (!calls_.disturbed() && !store_fell_back_) {
     values = {&attempt_->values.back()};
   }
   values_missing_ = values.size();
--- a/src/cassiabend/core/commit_job.h
+++ b/src/cassiabend/core/commit_job.h
@@ -100,6 +100,10 @@
 
   std::optional<CommitAttempt> attempt_;
   std::size_t values_missing_ = 0;
+  /// Highest revision of the store that the values' writes were told.
+  StoreRevision values_revision_ = 0;
+  /// Whether the store has fallen back behind the values' writes.
+  bool store_fell_back_ = false;
   MonoTime values_sent_at_{};
   /// Whether a sent write of the head may still take effect.
   bool in_doubt_ = false;
