--- a/src/cassiabend/core/commit_job.h
+++ b/src/cassiabend/core/commit_job.h
@@ -67,8 +67,9 @@
   void OnHeadSent(const ReduceContext& ctx, const StoreReply& reply);
 
   void OnHeadMoved(const ReduceContext& ctx);
-  [[nodiscard]] bool TrustsValues(const ReduceContext& ctx) const;
+  void CheckValues(const ReduceContext& ctx);
   void CheckValue(const ReduceContext& ctx, const FreshValue& value);
+  void RewriteValues(const ReduceContext& ctx);
   void OnValueChecked(const ReduceContext& ctx);
 
   void Accept(const ReduceContext& ctx);
@@ -77,6 +78,7 @@
                MonoTime confirmed_at) const;
   void Answer(const ReduceContext& ctx, CommitResult result) const;
   void Fail(const ReduceContext& ctx, const std::string& reason);
+  [[nodiscard]] bool OwnsHead() const;
   [[nodiscard]] bool OutOfTime(const ReduceContext& ctx);
 
   ConfigEnv* env_;
@@ -98,6 +100,10 @@
 
   std::optional<CommitAttempt> attempt_;
   std::size_t values_missing_ = 0;
+  /// Highest revision of the store that the values' writes were told.
+  StoreRevision values_revision_ = 0;
+  /// Whether the store has fallen back behind the values' writes.
+  bool store_fell_back_ = false;
   MonoTime values_sent_at_{};
   /// Whether a sent write of the head may still take effect.
   bool in_doubt_ = false;
