--- /dev/null
+++ b/tests/shell/http_faults_test.cc
@@ -0,0 +1,467 @@
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "tests/support/raw_peer.h"
+#include "tests/support/scripted_node.h"
+
+namespace cassiabend {
+namespace {
+
+constexpr Milliseconds kShortTimeout{150};
+constexpr const char* kAnsweredHead =
+    "HTTP/1.1 200 OK\r\nX-Cassiabend-Outcome: answered\r\n";
+
+CallServerOptions ShortOptions(std::uint16_t upstream_port = 0) {
+  return {.upstream_ip = "127.0.0.1",
+          .upstream_port = upstream_port,
+          .progress_timeout = kShortTimeout,
+          .health_path = ""};
+}
+
+std::string Get(const std::string& target) {
+  return "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
+}
+
+std::string Reply(const std::string& outcome, const std::string& more = {}) {
+  return "HTTP/1.1 200 OK\r\nX-Cassiabend-Outcome: " + outcome + "\r\n" + more +
+         "Content-Length: 0\r\n\r\n";
+}
+
+/// \brief An entry node whose destination is a script of bytes.
+struct EntryToRaw {
+  EntryToRaw() : destination(io), entry(io, ShortOptions()) {}
+
+  SendAttempt Send(CallId call, std::uint64_t n) const {
+    return {.call = call,
+            .destination = {"127.0.0.1", 60'000},
+            .call_port = destination.port(),
+            .request = ExampleAttempt(n)};
+  }
+  /// \brief A caller's request has arrived `n` times.
+  CallId Call(std::size_t n = 1) {
+    if (caller == nullptr) {
+      caller = RawPeer::Connect(io, entry.port());
+    }
+    caller->Send(Get("/x"));
+    return entry.Await<CallArrived>(n).call;
+  }
+  bool Until(const std::function<bool()>& holds) { return RunUntil(io, holds); }
+  /// \returns Connection `i` of the destination, once a whole head is there.
+  std::shared_ptr<RawPeer> Peer(std::size_t i) {
+    if (!Until([&] {
+          return destination.peers().size() > i &&
+                 destination.peers()[i]->Has("\r\n\r\n");
+        })) {
+      throw Error("wait for a connection", std::to_string(i), "none came");
+    }
+    return destination.peers()[i];
+  }
+
+  boost::asio::io_context io;
+  RawServer destination;
+  ScriptedNode entry;
+  std::shared_ptr<RawPeer> caller;
+};
+
+TEST_CASE("a lost connection is told apart by what was sent") {
+  SUBCASE("refused: nothing was sent") {
+    EntryToRaw t;
+    const SendAttempt send = t.Send(t.Call(), 1);
+    t.destination.Stop();
+    t.entry.Execute(send);
+    CHECK(t.entry.Await<AttemptLost>().loss == LinkLoss::kNeverSent);
+  }
+  SUBCASE("an address that cannot be read: nothing was sent") {
+    EntryToRaw t;
+    SendAttempt send = t.Send(t.Call(), 1);
+    send.destination.ip = "nowhere";
+    t.entry.Execute(send);
+    CHECK(t.entry.Await<AttemptLost>().loss == LinkLoss::kNeverSent);
+  }
+  SUBCASE("closed after the request: broken") {
+    EntryToRaw t;
+    t.entry.Execute(t.Send(t.Call(), 1));
+    t.Peer(0)->Close();
+    CHECK(t.entry.Await<AttemptLost>().loss == LinkLoss::kBroken);
+  }
+  SUBCASE("a used connection closed after the request: broken") {
+    EntryToRaw t;
+    const CallId call = t.Call();
+    t.entry.Execute(t.Send(call, 1));
+    t.Peer(0)->Send(Reply("not-run"));
+    (void)t.entry.Await<AttemptNotRun>();
+    t.Peer(0)->Clear();
+    t.entry.Execute(t.Send(call, 2));
+    t.Peer(0)->Close();
+    CHECK(t.entry.Await<AttemptLost>().loss == LinkLoss::kBroken);
+    CHECK(t.destination.peers().size() == 1);
+  }
+  SUBCASE("an answer that is not HTTP: broken") {
+    EntryToRaw t;
+    t.entry.Execute(t.Send(t.Call(), 1));
+    t.Peer(0)->Send("what?\r\n\r\n");
+    CHECK(t.entry.Await<AttemptLost>().loss == LinkLoss::kBroken);
+  }
+  SUBCASE("no answer: silent, and the connection is closed") {
+    EntryToRaw t;
+    t.entry.Execute(t.Send(t.Call(), 1));
+    const auto peer = t.Peer(0);
+    CHECK(t.entry.Await<AttemptLost>().loss == LinkLoss::kSilent);
+    CHECK(t.Until([&] { return peer->closed(); }));
+  }
+}
+
+TEST_CASE("each answer of a node becomes its event") {
+  EntryToRaw t;
+  t.entry.Execute(t.Send(t.Call(), 1));
+  t.Peer(0)->Send(Reply("not-run",
+                        "X-Cassiabend-Reason: quiet_window\r\n"
+                        "X-Cassiabend-Retry-After-Ms: 70\r\n"));
+  const AttemptNotRun refused = t.entry.Await<AttemptNotRun>();
+  CHECK(refused.reason == NotRunReason::kQuietWindow);
+  CHECK(refused.retry_after == Milliseconds(70));
+  const CallId call = refused.call;
+  SendAttempt fetch = t.Send(call, 1);
+  fetch.verb = AttemptVerb::kFetch;
+  t.entry.Execute(fetch);
+  CHECK(t.Peer(1)->Has("X-Cassiabend-Verb: fetch"));
+  t.Peer(1)->Send(Reply("still-running"));
+  CHECK(t.entry.Await<AttemptStillRunning>().call == call);
+  fetch.verb = AttemptVerb::kCancel;
+  t.entry.Execute(fetch);
+  CHECK(t.Peer(2)->Has("X-Cassiabend-Verb: cancel"));
+  t.Peer(2)->Send(Reply("unknown"));
+  CHECK(t.entry.Await<AttemptUnknown>().call == call);
+  CHECK(t.entry.Count<AttemptLost>() == 0);
+}
+
+TEST_CASE("a silent connection is left, and a fetch takes the answer") {
+  EntryToRaw t;
+  const CallId call = t.Call();
+  t.entry.Execute(t.Send(call, 1));
+  (void)t.Peer(0);
+  CHECK(t.entry.Await<AttemptLost>().loss == LinkLoss::kSilent);
+  SendAttempt fetch = t.Send(call, 1);
+  fetch.verb = AttemptVerb::kFetch;
+  t.entry.Execute(fetch);
+  t.Peer(1)->Send(std::string(kAnsweredHead) + "Content-Length: 4\r\n\r\nlate");
+  CHECK(t.entry.Await<AttemptAnswering>().status == 200);
+  t.entry.Execute(RelayAnswer{call, ExampleAttempt(1).id});
+  CHECK(t.entry.Await<AnswerRelayed>().complete);
+  CHECK(t.Until([&] { return t.caller->Has("\r\n\r\nlate"); }));
+}
+
+TEST_CASE("an idle connection is used again unless the other end closed it") {
+  for (const bool closes : {false, true}) {
+    CAPTURE(closes);
+    EntryToRaw t;
+    const CallId call = t.Call();
+    t.entry.Execute(t.Send(call, 1));
+    const auto first = t.Peer(0);
+    first->Send(Reply("not-run", "X-Cassiabend-Reason: draining\r\n"));
+    (void)t.entry.Await<AttemptNotRun>();
+    if (closes) {
+      // Closed without a chance for the entry node to take notice before it
+      // sends again.
+      first->Close();
+    } else {
+      first->Clear();
+    }
+    t.entry.Execute(t.Send(call, 2));
+    const auto second = t.Peer(closes ? 1 : 0);
+    CHECK(second->Has("X-Cassiabend-Attempt: " + ToHex(ExampleAttempt(2).id)));
+    second->Send(Reply("not-run", "X-Cassiabend-Reason: draining\r\n"));
+    (void)t.entry.Await<AttemptNotRun>(2);
+    CHECK(t.entry.Count<AttemptLost>() == 0);
+  }
+}
+
+TEST_CASE("an answer that breaks off is seen cut by the caller") {
+  const std::vector<std::string> heads = {
+      "Content-Length: 10\r\n\r\nhalf",
+      "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+  };
+  for (const std::string& it : heads) {
+    CAPTURE(it);
+    EntryToRaw t;
+    const CallId call = t.Call();
+    t.entry.Execute(t.Send(call, 1));
+    t.Peer(0)->Send(kAnsweredHead + it);
+    (void)t.entry.Await<AttemptAnswering>();
+    t.entry.Execute(RelayAnswer{call, ExampleAttempt(1).id});
+    REQUIRE(t.Until([&] { return t.caller->Has("half"); }));
+    t.Peer(0)->Close();
+    CHECK_FALSE(t.entry.Await<AnswerRelayed>().complete);
+    CHECK(t.Until([&] { return t.caller->closed(); }));
+    CHECK_FALSE(t.caller->received().ends_with("\r\n0\r\n\r\n"));
+  }
+}
+
+TEST_CASE("an answer that ends with its connection is whole") {
+  EntryToRaw t;
+  const CallId call = t.Call();
+  t.entry.Execute(t.Send(call, 1));
+  t.Peer(0)->Send(std::string(kAnsweredHead) + "\r\nall of it");
+  (void)t.entry.Await<AttemptAnswering>();
+  t.entry.Execute(RelayAnswer{call, ExampleAttempt(1).id});
+  t.Peer(0)->Close();
+  CHECK(t.entry.Await<AnswerRelayed>().complete);
+  CHECK(t.Until([&] { return t.caller->Has("all of it\r\n0\r\n\r\n"); }));
+}
+
+TEST_CASE("a caller that leaves is noticed before and within its answer") {
+  SUBCASE("while it waits") {
+    EntryToRaw t;
+    const CallId call = t.Call();
+    t.entry.Execute(t.Send(call, 1));
+    const auto peer = t.Peer(0);
+    t.caller->Close();
+    CHECK(t.entry.Await<CallerGone>().call == call);
+    t.entry.Execute(DropAttempt{call, ExampleAttempt(1).id});
+    CHECK(t.Until([&] { return peer->closed(); }));
+    CHECK(t.entry.server().counts().held_bytes == 0);
+  }
+  SUBCASE("within the answer") {
+    EntryToRaw t;
+    const CallId call = t.Call();
+    t.entry.Execute(t.Send(call, 1));
+    const auto peer = t.Peer(0);
+    peer->Send(std::string(kAnsweredHead) + "Content-Length: 9\r\n\r\nhalf");
+    (void)t.entry.Await<AttemptAnswering>();
+    t.entry.Execute(RelayAnswer{call, ExampleAttempt(1).id});
+    REQUIRE(t.Until([&] { return t.caller->Has("half"); }));
+    t.caller->Close();
+    CHECK_FALSE(t.entry.Await<AnswerRelayed>().complete);
+    t.entry.Execute(CallEnded{.call = call});
+    CHECK(t.Until([&] { return peer->closed(); }));
+    CHECK(t.entry.Count<CallerGone>() == 0);
+  }
+}
+
+TEST_CASE("no event of an attempt follows once it is dropped") {
+  EntryToRaw t;
+  const CallId call = t.Call();
+  t.entry.Execute(t.Send(call, 1));
+  const auto peer = t.Peer(0);
+  t.entry.Execute(DropAttempt{call, ExampleAttempt(1).id});
+  REQUIRE(t.Until([&] { return peer->closed(); }));
+  t.entry.Execute(AnswerUnknown{call, ""});
+  REQUIRE(t.Until([&] { return t.caller->Has("502"); }));
+  CHECK(t.entry.Count<AttemptLost>() == 0);
+}
+
+/// \brief A destination node whose upstream is a script of bytes, and an entry
+/// node before it.
+struct RawUpstream {
+  RawUpstream()
+      : upstream(io),
+        entry(io, ShortOptions()),
+        destination(io, Options(upstream.port())) {
+    ScriptEntry(&entry, &destination);
+    ScriptDestination(&destination, kShortTimeout * 2);
+    caller = RawPeer::Connect(io, entry.port());
+    caller->Send(Get("/x"));
+  }
+  static CallServerOptions Options(std::uint16_t port) {
+    CallServerOptions options = ShortOptions(port);
+    options.held_answer_bytes = 1'000;
+    return options;
+  }
+  bool Until(const std::function<bool()>& holds) { return RunUntil(io, holds); }
+  /// \returns The connection that carries the request.
+  std::shared_ptr<RawPeer> Peer() {
+    std::shared_ptr<RawPeer> out;
+    const bool came = Until([&] {
+      for (const auto& it : upstream.peers()) {
+        out = it->Has("\r\n\r\n") ? it : out;
+      }
+      return out != nullptr;
+    });
+    if (!came) {
+      throw Error("wait for a request", "upstream", "none came");
+    }
+    return out;
+  }
+  /// \brief Asks the destination for the attempt's answer as a new entry node.
+  std::shared_ptr<RawPeer> Fetch() {
+    auto peer = RawPeer::Connect(io, destination.port());
+    peer->Send("POST / HTTP/1.1\r\nHost: h\r\nX-Cassiabend-Verb: fetch\r\n" +
+               ("X-Cassiabend-Attempt: " + ToHex(ExampleAttempt(1).id)) +
+               "\r\nX-Cassiabend-Start-Id: 1\r\n\r\n");
+    const std::size_t n = destination.Count<FetchArrived>() + 1;
+    const FetchArrived fetch = destination.Await<FetchArrived>(n);
+    destination.Execute(BindAnswer{fetch.link, fetch.attempt});
+    return peer;
+  }
+
+  boost::asio::io_context io;
+  RawServer upstream;
+  ScriptedNode entry;
+  ScriptedNode destination;
+  std::shared_ptr<RawPeer> caller;
+};
+
+TEST_CASE("the upstream is told of the attempt and of no more") {
+  RawUpstream t;
+  const auto peer = t.Peer();
+  CHECK(peer->Has("X-Request-Id: " + ToHex(ExampleAttempt(1).id) + "\r\n"));
+  CHECK(peer->Has("X-Cassiabend-Depth: 4\r\n"));
+  CHECK(peer->Has("X-Cassiabend-Retry: 1\r\n"));
+  CHECK(peer->Has("X-Cassiabend-Deadline-Ms: 300\r\n"));
+  for (const char* it : {"Attempt", "Verb", "Start-Id", "Route", "Config"}) {
+    CHECK_FALSE(peer->Has(std::string("X-Cassiabend-") + it));
+  }
+  peer->Send(
+      "HTTP/1.1 200 OK\r\nX-Cassiabend-Outcome: not-run\r\n"
+      "X-Upstream-Shed: 1\r\nContent-Length: 2\r\n\r\nok");
+  CHECK(t.entry.Await<AnswerRelayed>().complete);
+  CHECK(t.Until([&] { return t.caller->Has("\r\n\r\nok"); }));
+  CHECK(t.caller->Has("X-Cassiabend-Outcome: answered"));
+  CHECK_FALSE(t.caller->Has("not-run"));
+}
+
+TEST_CASE("an upstream's fault reaches the caller as what it is") {
+  SUBCASE("shed before running: not run") {
+    RawUpstream t;
+    t.Peer()->Send(
+        "HTTP/1.1 503 Busy\r\nX-Upstream-Shed: 1\r\nRetry-After: 3\r\n"
+        "Content-Length: 0\r\n\r\n");
+    CHECK(t.destination.Await<UpstreamShed>().retry_after == Seconds(3));
+    REQUIRE(t.Until([&] { return t.caller->Has("}\n"); }));
+    CHECK(t.caller->Has("X-Cassiabend-Outcome: not-run"));
+    CHECK(t.caller->Has("Retry-After: 3\r\n"));
+  }
+  SUBCASE("a plain 503 is an answer") {
+    RawUpstream t;
+    t.Peer()->Send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+    CHECK(t.entry.Await<AnswerRelayed>().complete);
+    CHECK(t.Until([&] { return t.caller->Has("Outcome: answered"); }));
+  }
+  SUBCASE("closed after the request: unknown") {
+    RawUpstream t;
+    t.Peer()->Close();
+    (void)t.destination.Await<UpstreamBroken>();
+    CHECK(t.Until([&] { return t.caller->Has("Outcome: unknown"); }));
+  }
+  SUBCASE("silent until the deadline: unknown") {
+    RawUpstream t;
+    (void)t.Peer();
+    (void)t.destination.Await<UpstreamBroken>();
+    CHECK(t.destination.Count<UpstreamUnreached>() == 0);
+  }
+  SUBCASE("refused: not run") {
+    RawUpstream t;
+    t.upstream.Stop();
+    (void)t.destination.Await<UpstreamUnreached>();
+    CHECK(t.Until([&] { return t.caller->Has("Reason: unreachable"); }));
+  }
+  SUBCASE("broken off within the answer: cut") {
+    RawUpstream t;
+    const auto peer = t.Peer();
+    peer->Send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf");
+    REQUIRE(t.Until([&] { return t.caller->Has("half"); }));
+    peer->Close();
+    CHECK_FALSE(t.entry.Await<AnswerRelayed>().complete);
+    CHECK(t.Until([&] { return t.caller->closed(); }));
+  }
+  SUBCASE("paused too long within the answer: cut") {
+    RawUpstream t;
+    t.Peer()->Send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf");
+    CHECK_FALSE(t.entry.Await<AnswerRelayed>().complete);
+    CHECK(t.Until([&] { return t.caller->closed(); }));
+  }
+}
+
+TEST_CASE("a fetch takes the whole answer from its start, while it is held") {
+  for (const std::size_t bytes : {std::size_t{500}, std::size_t{100'000}}) {
+    CAPTURE(bytes);
+    RawUpstream t;
+    t.Peer()->Send(
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(bytes) +
+        "\r\n\r\n" + std::string(bytes, 'a'));
+    CHECK(t.entry.Await<AnswerRelayed>().complete);
+    const auto peer = t.Fetch();
+    if (bytes < t.destination.options().held_answer_bytes) {
+      CHECK(t.Until([&] { return peer->Has(std::string(bytes, 'a')); }));
+      // The answer stays for another until it is released.
+      const auto other = t.Fetch();
+      CHECK(t.Until([&] { return other->Has(std::string(bytes, 'a')); }));
+    } else {
+      CHECK(t.Until([&] { return peer->closed(); }));
+      CHECK(peer->received().empty());
+    }
+    t.destination.Execute(ReleaseAttempt{ExampleAttempt(1).id});
+    CHECK(t.destination.server().counts().held_bytes == 0);
+  }
+}
+
+TEST_CASE("a fetch within the answer replaces the connection it had") {
+  RawUpstream t;
+  const auto upstream = t.Peer();
+  upstream->Send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf");
+  REQUIRE(t.Until([&] { return t.caller->Has("half"); }));
+  const auto peer = t.Fetch();
+  upstream->Send("rest");
+  CHECK(t.Until([&] { return peer->Has("\r\n\r\nhalfrest"); }));
+  CHECK(t.destination.Await<LinkLost>().link != 0);
+  CHECK_FALSE(t.entry.Await<AnswerRelayed>().complete);
+}
+
+TEST_CASE("a released answer on its way still arrives whole") {
+  RawUpstream t;
+  const auto upstream = t.Peer();
+  upstream->Send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf");
+  REQUIRE(t.Until([&] { return t.caller->Has("half"); }));
+  t.destination.Execute(ReleaseAttempt{ExampleAttempt(1).id});
+  upstream->Send("rest");
+  CHECK(t.entry.Await<AnswerRelayed>().complete);
+  CHECK(t.Until([&] { return t.caller->Has("\r\n\r\nhalfrest"); }));
+  CHECK(t.destination.server().counts().held_bytes == 0);
+}
+
+TEST_CASE("a cancelled attempt closes its upstream connection") {
+  RawUpstream t;
+  const auto upstream = t.Peer();
+  t.destination.Execute(CancelUpstream{ExampleAttempt(1).id});
+  CHECK(t.Until([&] { return upstream->closed(); }));
+  CHECK(t.destination.Count<UpstreamBroken>() == 0);
+}
+
+TEST_CASE("the upstream's health is asked for and read") {
+  struct Case {
+    std::string answer;
+    bool healthy;
+    std::uint16_t load;
+  };
+  const std::vector<Case> cases = {
+      {"200 OK\r\nContent-Length: 38\r\n\r\n"
+       R"({"healthy": true,"load_permille": 250})",
+       true, 250},
+      {"200 OK\r\nContent-Length: 18\r\n\r\n{\"healthy\": false}", false, 0},
+      {"200 OK\r\nContent-Length: 2\r\n\r\nok", true, 0},
+      {"503 No\r\nContent-Length: 0\r\n\r\n", false, 0},
+      {"what", false, 0},
+  };
+  for (const Case& it : cases) {
+    CAPTURE(it.answer);
+    boost::asio::io_context io;
+    RawServer upstream(io);
+    CallServerOptions options = ShortOptions(upstream.port());
+    options.health_path = "/healthz";
+    ScriptedNode node(io, options);
+    REQUIRE(RunUntil(io, [&] {
+      return !upstream.peers().empty() &&
+             upstream.peers()[0]->Has("GET /healthz");
+    }));
+    upstream.peers()[0]->Send("HTTP/1.1 " + it.answer);
+    const UpstreamProbed probed = node.Await<UpstreamProbed>();
+    CHECK(probed.healthy == it.healthy);
+    CHECK(probed.load_permille == it.load);
+  }
+}
+
+}  // namespace
+}  // namespace cassiabend
