--- /dev/null
+++ b/src/cassiabend/ctl/commands.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <boost/json/value.hpp>
+#include <functional>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cassiabend/ctl/command_line.h"
+#include "cassiabend/ctl/ctl.h"
+#include "cassiabend/ctl/exit_code.h"
+#include "cassiabend/ctl/item_kinds.h"
+#include "cassiabend/ctl/node_caller.h"
+#include "cassiabend/model/change.h"
+
+namespace cassiabend {
+
+/// \brief Carries out the commands of cassiabend-ctl.
+class Commands {
+ public:
+  /// \brief One command; items have theirs in `kItemRows`.
+  struct Row {
+    std::string_view word;
+    std::string_view arguments;
+    std::string_view help;
+    std::size_t min_arguments;
+    std::size_t max_arguments;
+    ExitCode (Commands::*run)();
+  };
+  struct ItemRow {
+    std::string_view word;
+    std::string_view arguments;
+    std::string_view help;
+    std::size_t min_arguments;
+    std::size_t max_arguments;
+    ExitCode (Commands::*run)(const ItemCommands& kind);
+  };
+
+  [[nodiscard]] static std::span<const Row> rows();
+  [[nodiscard]] static std::span<const ItemRow> item_rows();
+
+  Commands(CommandLine line, const CtlStreams& streams);
+
+  /// \throws SettingsError when the command cannot be used as given.
+  [[nodiscard]] ExitCode Run();
+
+ private:
+  static const Row kRows[];
+  static const ItemRow kItemRows[];
+
+  ExitCode PutItem(const ItemCommands& kind);
+  ExitCode RemoveItem(const ItemCommands& kind);
+  ExitCode ListItems(const ItemCommands& kind);
+  ExitCode Apply();
+  ExitCode ShowConfig();
+  ExitCode ShowStatus();
+  ExitCode Wait();
+  ExitCode ShowHistory();
+  ExitCode Rollback();
+  ExitCode Drain();
+  ExitCode Recover();
+  ExitCode PrintTokenHash();
+
+  /// \brief The node caller, made when the first command needs it.
+  NodeCaller& caller();
+  [[nodiscard]] std::string ReadToken() const;
+  [[nodiscard]] VersionNumber NumberArgument(std::size_t index) const;
+
+  /// \brief Sets expected revisions by the version in force, leaves out what
+  /// would change nothing, shows the rest and commits it.
+  ExitCode CommitEdits(std::vector<Edit> edits);
+  /// \brief Sends a change, reports its outcome and waits where asked.
+  ExitCode Submit(const NodeCaller::Ask& ask);
+  ExitCode WaitFor(VersionNumber number);
+  ExitCode ReportWait(VersionNumber number, const FleetStatus& status);
+  ExitCode ReportFailure(const CommitResult& result);
+  void ShowDifference(const Config& present, const std::vector<Edit>& edits);
+  void PrintJson(const boost::json::value& value);
+
+  CommandLine line_;
+  CtlStreams streams_;
+  ChangeId change_id_;
+  std::optional<NodeCaller> caller_;
+};
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/ctl/item_kinds.cc
@@ -0,0 +1,87 @@
+#include "cassiabend/ctl/item_kinds.h"
+
+#include <utility>
+
+#include "cassiabend/model/items.h"
+#include "cassiabend/model/json.h"
+
+namespace cassiabend {
+namespace {
+
+constexpr std::string_view kSiteColumns[] = {"name", "tenant", "time_zone",
+                                             "revision"};
+constexpr std::string_view kServiceColumns[] = {"name", "tenant", "revision"};
+constexpr std::string_view kRouteColumns[] = {
+    "name",       "tenant",  "host",          "path_prefix",
+    "method",     "service", "request_class", "repeat",
+    "timeout_ms", "noisy",   "site",          "revision"};
+constexpr std::string_view kWindowColumns[] = {"name",   "tenant", "site",
+                                               "weekly", "once",   "revision"};
+
+template <typename Item, auto parse>
+Edit Put(const boost::json::object& object) {
+  Item item = parse(object, std::string(object.if_contains("name") != nullptr
+                                            ? "item"
+                                            : "item without a name"));
+  Edit out;
+  if (item.revision != 0) {
+    out.expected_revision = item.revision;
+  }
+  item.revision = 0;
+  out.action = std::move(item);
+  return out;
+}
+
+template <typename Item>
+boost::json::array List(const Config& config) {
+  boost::json::array out;
+  for (const Item& it : ItemsOf<Item>(config)) {
+    out.push_back(ToJson(it));
+  }
+  return out;
+}
+
+constexpr ItemCommands kItemCommands[] = {
+    {"site", ItemKind::kSite, kSiteColumns, &Put<Site, &ParseSite>,
+     &List<Site>},
+    {"service", ItemKind::kService, kServiceColumns,
+     &Put<Service, &ParseService>, &List<Service>},
+    {"route", ItemKind::kRoute, kRouteColumns, &Put<Route, &ParseRoute>,
+     &List<Route>},
+    {"window", ItemKind::kWindow, kWindowColumns,
+     &Put<QuietWindow, &ParseWindow>, &List<QuietWindow>},
+};
+
+struct ToJsonVisitor {
+  boost::json::value operator()(const ItemRef& /*it*/) const { return nullptr; }
+  template <typename Item>
+  boost::json::value operator()(const Item& it) const {
+    return ToJson(it);
+  }
+};
+
+}  // namespace
+
+std::span<const ItemCommands> AllItemCommands() {
+  return kItemCommands;
+}
+
+boost::json::value PresentItem(const Config& config, const ItemRef& ref) {
+  for (const ItemCommands& kind : kItemCommands) {
+    if (kind.kind != ref.kind) {
+      continue;
+    }
+    for (boost::json::value& it : kind.list(config)) {
+      if (std::string_view(it.at("name").as_string()) == ref.name) {
+        return std::move(it);
+      }
+    }
+  }
+  return nullptr;
+}
+
+boost::json::value PutItem(const Edit& edit) {
+  return std::visit(ToJsonVisitor{}, edit.action);
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/ctl/text_table.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <boost/json/array.hpp>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cassiabend {
+
+/// \brief Rows of text under headings, columns aligned.
+class TextTable {
+ public:
+  explicit TextTable(std::vector<std::string> headings)
+      : rows_{std::move(headings)} {}
+
+  [[nodiscard]] std::string ToString() const;
+
+  void AddRow(std::vector<std::string> cells) {
+    rows_.push_back(std::move(cells));
+  }
+
+ private:
+  std::vector<std::vector<std::string>> rows_;
+};
+
+/// \returns A table of JSON objects, one column per key.
+[[nodiscard]] std::string TableOf(const boost::json::array& objects,
+                                  std::span<const std::string_view> columns);
+
+}  // namespace cassiabend
