Run each administration client on a loop of its own, and test the API

Cause: two clients on one thread failed (KJ allows one event loop a thread), and a KJ exception that crossed threads aborted the process when it was destroyed. Change: AdminClient owns a KjThread; KjThread::Run turns KJ exceptions into RpcError on the thread that threw them. The server's limit of waiting requests and its longest wait are options.

--- a/src/cassiabend/rpc/admin_client.cc
+++ b/src/cassiabend/rpc/admin_client.cc
@@ -11,6 +11,7 @@
 #include "cassiabend/base/error.h"
 #include "cassiabend/model/codec.h"
 #include "cassiabend/rpc/admin_codec.h"
+#include "cassiabend/rpc/kj_thread.h"
 #include "cassiabend/rpc/mesh_codec.h"
 #include "cassiabend/rpc/rpc_listener.h"
 
@@ -19,69 +20,30 @@
 
 constexpr std::uint32_t kMaxMessageBytes = 64 * 1024 * 1024;
 
-}  // namespace
+/// \brief Waits for a promise on its own thread, at most for the timeout.
+template <typename T>
+T Wait(kj::AsyncIoContext& io, Milliseconds timeout, kj::Promise<T> promise) {
+  return io.provider->getTimer()
+      .timeoutAfter(timeout.count() * kj::MILLISECONDS, kj::mv(promise))
+      .wait(io.waitScope);
+}
 
-class AdminClient::Impl {
+/// \brief The connection to a node; lives on a KJ thread. Its functions wait
+/// for their results there.
+class Channel {
  public:
-  Impl(const std::string& ip,
-       std::uint16_t port,
-       std::string token,
-       Milliseconds timeout)
-      : io_(kj::setupAsyncIo()),
-        timer_(io_.provider->getTimer()),
-        address_(ip + ":" + std::to_string(port)),
-        token_(std::move(token)),
-        timeout_(timeout) {
-    try {
-      Connect(ip, port);
-    } catch (const kj::Exception& ex) {
-      throw RpcError("connect to the node", address_,
-                     ex.getDescription().cStr());
-    }
-  }
-
-  /// \brief Sends a request and waits for its answer.
-  /// \param request A request of the Admin interface.
-  /// \param read Called with the answer when its error code is "ok".
-  template <typename Request, typename Read>
-  CommitResult Ask(Request request, const Read& read) {
-    try {
-      auto answer = Limit(request.send()).wait(io_.waitScope);
-      CommitResult result = FromWire(answer.getError());
-      if (result.code == CommitCode::kOk) {
-        read(answer, &result);
-      }
-      return result;
-    } catch (const kj::Exception& ex) {
-      throw RpcError("ask the node", address_, ex.getDescription().cStr());
-    }
-  }
-
-  template <typename Request>
-  Request WithToken(Request request) {
-    request.setToken(token_);
-    return request;
-  }
-
-  [[nodiscard]] schema::Admin::Client& admin() {
-    return KJ_ASSERT_NONNULL(admin_);
-  }
-
- private:
-  template <typename Promise>
-  auto Limit(Promise&& promise) {
-    return timer_.timeoutAfter(timeout_.count() * kj::MILLISECONDS,
-                               kj::mv(promise));
-  }
-
-  void Connect(const std::string& ip, std::uint16_t port) {
+  Channel(kj::AsyncIoContext& io,
+          const NodeId& node,
+          std::string token,
+          Milliseconds timeout)
+      : io_(io), token_(std::move(token)), timeout_(timeout) {
     auto connecting = io_.provider->getNetwork()
-                          .parseAddress(ip.c_str(), port)
+                          .parseAddress(node.ip.c_str(), node.peer_port)
                           .then([](kj::Own<kj::NetworkAddress>&& address) {
                             auto connected = address->connect();
                             return connected.attach(kj::mv(address));
                           });
-    stream_ = Limit(kj::mv(connecting)).wait(io_.waitScope);
+    stream_ = Wait(io_, timeout_, kj::mv(connecting));
     network_ = kj::heap<capnp::TwoPartyVatNetwork>(
         *stream_, capnp::rpc::twoparty::Side::CLIENT,
         ReaderLimits(kMaxMessageBytes));
@@ -92,9 +54,29 @@
     admin_ = system.bootstrap(server).castAs<schema::Admin>();
   }
 
-  kj::AsyncIoContext io_;
-  kj::Timer& timer_;
-  std::string address_;
+  /// \returns A request of the method, with the operator's token.
+  template <typename Request>
+  [[nodiscard]] Request NewRequest(Request (schema::Admin::Client::*method)(
+      kj::Maybe<capnp::MessageSize> size_hint)) {
+    Request request = (KJ_ASSERT_NONNULL(admin_).*method)(nullptr);
+    request.setToken(token_);
+    return request;
+  }
+
+  /// \brief Sends a request and waits for its answer.
+  /// \param read Called with the answer where its error code is "ok".
+  template <typename Request, typename Read>
+  CommitResult Ask(Request request, const Read& read) {
+    auto answer = Wait(io_, timeout_, request.send().dropPipeline());
+    CommitResult result = FromWire(answer.getError());
+    if (result.code == CommitCode::kOk) {
+      read(answer, &result);
+    }
+    return result;
+  }
+
+ private:
+  kj::AsyncIoContext& io_;
   std::string token_;
   Milliseconds timeout_;
   kj::Own<kj::AsyncIoStream> stream_;
@@ -103,85 +85,136 @@
   kj::Maybe<schema::Admin::Client> admin_;
 };
 
-namespace {
-
 /// \brief Reads the version that a change became.
 constexpr auto kReadMark = [](auto& answer, CommitResult* result) {
   result->mark = FromWire(answer.getMark());
 };
 
+constexpr auto kReadNothing = [](auto& /*answer*/, CommitResult* /*result*/) {};
+
 }  // namespace
 
+class AdminClient::Impl {
+ public:
+  Impl(const NodeId& node, std::string token, Milliseconds timeout)
+      : address_(ToString(node)) {
+    Run("connect to the node", [&] {
+      channel_ =
+          std::make_unique<Channel>(kj_.io(), node, std::move(token), timeout);
+    });
+  }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+  ~Impl() {
+    kj_.Run([this] { channel_.reset(); });
+  }
+
+  /// \brief Asks on the KJ thread and waits for the answer.
+  /// \param ask Takes the `Channel`, returns the result.
+  template <typename Ask>
+  CommitResult Call(const Ask& ask) {
+    CommitResult result;
+    Run("ask the node", [&] { result = ask(*channel_); });
+    return result;
+  }
+
+ private:
+  /// \brief Runs `task` on the KJ thread; its failures become `RpcError`.
+  void Run(const std::string& what, const KjThread::Task& task) {
+    try {
+      kj_.Run(task);
+    } catch (const Error& ex) {
+      throw RpcError(what, address_, ex.why());
+    }
+  }
+
+  std::string address_;
+  /// Lives on the thread of `kj_`.
+  std::unique_ptr<Channel> channel_;
+  KjThread kj_;
+};
+
 AdminClient::AdminClient(const std::string& ip,
                          std::uint16_t port,
                          std::string token,
                          Milliseconds timeout)
-    : impl_(std::make_unique<Impl>(ip, port, std::move(token), timeout)) {}
+    : impl_(
+          std::make_unique<Impl>(NodeId{ip, port}, std::move(token), timeout)) {
+}
 
 AdminClient::~AdminClient() = default;
 
 CommitResult AdminClient::Commit(const Change& change, bool dry_run) {
-  auto request = impl_->WithToken(impl_->admin().commitRequest());
-  auto wire = request.initChange();
-  ToWire(change, wire);
-  wire.setDryRun(dry_run);
-  return impl_->Ask(std::move(request), kReadMark);
+  return impl_->Call([&](Channel& channel) {
+    auto request = channel.NewRequest(&schema::Admin::Client::commitRequest);
+    ToWire(change, request.initChange());
+    request.getChange().setDryRun(dry_run);
+    return channel.Ask(kj::mv(request), kReadMark);
+  });
 }
 
 CommitResult AdminClient::Rollback(VersionNumber number,
                                    const ChangeId& change_id) {
-  auto request = impl_->WithToken(impl_->admin().rollbackRequest());
-  request.setNumber(number);
-  ToWire(change_id, request.initChangeId());
-  return impl_->Ask(std::move(request), kReadMark);
+  return impl_->Call([&](Channel& channel) {
+    auto request = channel.NewRequest(&schema::Admin::Client::rollbackRequest);
+    request.setNumber(number);
+    ToWire(change_id, request.initChangeId());
+    return channel.Ask(kj::mv(request), kReadMark);
+  });
 }
 
 CommitResult AdminClient::Recover(const ChangeId& change_id) {
-  auto request = impl_->WithToken(impl_->admin().recoverRequest());
-  ToWire(change_id, request.initChangeId());
-  return impl_->Ask(std::move(request), kReadMark);
+  return impl_->Call([&](Channel& channel) {
+    auto request = channel.NewRequest(&schema::Admin::Client::recoverRequest);
+    ToWire(change_id, request.initChangeId());
+    return channel.Ask(kj::mv(request), kReadMark);
+  });
 }
 
 CommitResult AdminClient::Drain(const NodeId& id) {
-  auto request = impl_->WithToken(impl_->admin().drainRequest());
-  request.setIp(id.ip);
-  request.setPeerPort(id.peer_port);
-  return impl_->Ask(std::move(request),
-                    [](auto& /*answer*/, CommitResult* /*result*/) {});
+  return impl_->Call([&](Channel& channel) {
+    auto request = channel.NewRequest(&schema::Admin::Client::drainRequest);
+    request.setIp(id.ip);
+    request.setPeerPort(id.peer_port);
+    return channel.Ask(kj::mv(request), kReadNothing);
+  });
 }
 
 CommitResult AdminClient::GetConfig(VersionNumber number, Config* config) {
-  auto request = impl_->WithToken(impl_->admin().configRequest());
-  request.setNumber(number);
-  return impl_->Ask(std::move(request),
-                    [config](auto& answer, CommitResult* result) {
-                      *config = FromWire(answer.getConfig());
-                      result->mark = MarkOf(*config);
-                    });
+  return impl_->Call([&](Channel& channel) {
+    auto request = channel.NewRequest(&schema::Admin::Client::configRequest);
+    request.setNumber(number);
+    return channel.Ask(kj::mv(request), [&](auto& answer, auto* result) {
+      *config = FromWire(answer.getConfig());
+      result->mark = MarkOf(*config);
+    });
+  });
 }
 
 CommitResult AdminClient::GetStatus(FleetStatus* status) {
-  auto request = impl_->WithToken(impl_->admin().statusRequest());
-  return impl_->Ask(std::move(request),
-                    [status](auto& answer, CommitResult* result) {
-                      status->mark = FromWire(answer.getMark());
-                      status->members.clear();
-                      for (const auto it : answer.getNodes()) {
-                        status->members.push_back(FromWire(it));
-                      }
-                      result->mark = status->mark;
-                    });
+  return impl_->Call([&](Channel& channel) {
+    auto request = channel.NewRequest(&schema::Admin::Client::statusRequest);
+    return channel.Ask(kj::mv(request), [&](auto& answer, auto* result) {
+      status->mark = FromWire(answer.getMark());
+      status->members.clear();
+      for (const auto it : answer.getNodes()) {
+        status->members.push_back(FromWire(it));
+      }
+      result->mark = status->mark;
+    });
+  });
 }
 
 CommitResult AdminClient::GetHistory(std::vector<HistoryEntry>* entries) {
-  auto request = impl_->WithToken(impl_->admin().historyRequest());
-  return impl_->Ask(std::move(request),
-                    [entries](auto& answer, CommitResult* /*result*/) {
-                      entries->clear();
-                      for (const auto it : answer.getEntries()) {
-                        entries->push_back(FromWire(it));
-                      }
-                    });
+  return impl_->Call([&](Channel& channel) {
+    auto request = channel.NewRequest(&schema::Admin::Client::historyRequest);
+    return channel.Ask(kj::mv(request), [&](auto& answer, auto* /*result*/) {
+      entries->clear();
+      for (const auto it : answer.getEntries()) {
+        entries->push_back(FromWire(it));
+      }
+    });
+  });
 }
 
 }  // namespace cassiabend
--- a/src/cassiabend/rpc/admin_server.cc
+++ b/src/cassiabend/rpc/admin_server.cc
@@ -21,10 +21,6 @@
 namespace cassiabend {
 namespace {
 
-constexpr std::size_t kMaxWaitingRequests = 256;
-// Above the longest time that the core takes to answer a change.
-constexpr Milliseconds kRequestTimeout{20'000};
-
 struct StatusFinished {
   FleetStatus status;
 };
@@ -263,7 +259,9 @@
           Bridge* bridge,
           ByteCounters* counters)
       : operators(options.operators),
-        replies(io.provider->getTimer(), kMaxWaitingRequests, kRequestTimeout),
+        replies(io.provider->getTimer(),
+                options.max_waiting,
+                options.request_timeout),
         listener(io,
                  {.ip = options.ip,
                   .port = options.port,
--- a/src/cassiabend/rpc/admin_server.h
+++ b/src/cassiabend/rpc/admin_server.h
@@ -18,6 +18,11 @@
   std::vector<OperatorToken> operators;
   std::uint32_t max_connections = 32;
   std::uint32_t max_message_bytes = 16 * 1024 * 1024;
+  /// Requests that may wait for the core; further ones are told "busy".
+  std::uint32_t max_waiting = 256;
+  /// Longest wait for the core. It is above the core's own limit, so that the
+  /// core's answer, which says more, comes first.
+  Milliseconds request_timeout{20'000};
 };
 
 /// \brief Reads of the node's state; called on the thread of `io`.
--- a/src/cassiabend/rpc/kj_thread.cc
+++ b/src/cassiabend/rpc/kj_thread.cc
@@ -4,6 +4,7 @@
 #include <future>
 #include <utility>
 
+#include "cassiabend/base/error.h"
 #include "cassiabend/base/log.h"
 
 namespace cassiabend {
@@ -30,7 +31,14 @@
 }
 
 void KjThread::Run(const Task& task) {
-  std::packaged_task<void()> packaged(task);
+  std::packaged_task<void()> packaged([&task] {
+    try {
+      task();
+    } catch (const kj::Exception& ex) {
+      // KJ's exceptions must not leave the thread that threw them.
+      throw RpcError("run a task", "RPC thread", ex.getDescription().cStr());
+    }
+  });
   Post([&packaged] { packaged(); });
   packaged.get_future().get();
 }
--- a/src/cassiabend/rpc/kj_thread.h
+++ b/src/cassiabend/rpc/kj_thread.h
@@ -27,7 +27,7 @@
   /// \brief Runs `task` on the thread soon. Never blocks on the loop.
   void Post(Task task);
   /// \brief Runs `task` on the thread and waits for its end.
-  /// \throws What `task` throws.
+  /// \throws What `task` throws; `RpcError` in place of `kj::Exception`.
   void Run(const Task& task);
 
  private:
--- /dev/null
+++ b/tests/shell/admin_test.cc
@@ -0,0 +1,273 @@
+#include <doctest/doctest.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <future>
+#include <memory>
+
+#include "cassiabend/base/error.h"
+#include "cassiabend/rpc/admin_client.h"
+#include "tests/shell/scripted_node.h"
+
+namespace cassiabend {
+namespace {
+
+constexpr Seconds kPatience{20};
+
+std::unique_ptr<AdminClient> Connect(const ScriptedNode& node,
+                                     const std::string& token = kAllToken) {
+  return std::make_unique<AdminClient>(kTestIp, node.port(), token, kPatience);
+}
+
+Change PutService(const std::string& name, const std::string& tenant) {
+  return {{7, 8}, "nobody", {{Service{name, tenant, 0}, 0}}};
+}
+
+Change RemoveService(const std::string& name) {
+  return {{7, 8}, "", {{ItemRef{ItemKind::kService, name}, {}}}};
+}
+
+CommitResult Accepted(VersionNumber number) {
+  CommitResult out;
+  out.mark = {number, {1, 2}};
+  return out;
+}
+
+TEST_CASE("tokens are kept as BLAKE2b-256") {
+  CHECK(HashToken("abc") ==
+        "bddd813c634239723171ef3fee98579b94964e3bb1cb3e427262c8c068d52319");
+}
+
+TEST_CASE("a wrong, missing or withdrawn token is not authorised anywhere") {
+  ScriptedNode node;
+  node.newest = SampleVersion();
+  node.script = {Accepted(6)};
+  node.Start();
+  for (const char* token : {"", "wrong", "token-of-an", "token-of-ann "}) {
+    CAPTURE(token);
+    const auto client = Connect(node, token);
+    Config config;
+    FleetStatus status;
+    std::vector<HistoryEntry> history;
+    const CommitResult results[] = {client->Commit(PutService("a", ""), false),
+                                    client->Rollback(1, {}),
+                                    client->Recover({}),
+                                    client->Drain({kTestIp, 1}),
+                                    client->GetConfig(0, &config),
+                                    client->GetStatus(&status),
+                                    client->GetHistory(&history)};
+    for (const CommitResult& it : results) {
+      CHECK(it.code == CommitCode::kNotAuthorised);
+    }
+  }
+  const auto client = Connect(node);
+  CHECK(client->Commit(PutService("a", ""), false).code == CommitCode::kOk);
+  node.server().SetOperators({});
+  CHECK(client->Commit(PutService("a", ""), false).code ==
+        CommitCode::kNotAuthorised);
+  node.Run([&] {
+    CHECK(node.events.size() == 1);
+    CHECK(node.drained.empty());
+  });
+}
+
+struct ScopeRow {
+  const char* what;
+  Change change;
+  bool allowed;
+};
+
+TEST_CASE("an operator changes only items of its tenants") {
+  ScriptedNode node;
+  node.newest = SampleVersion();
+  node.script = {Accepted(6)};
+  node.Start();
+  const ScopeRow rows[] = {
+      {"new item of the tenant", PutService("new", "cascadia"), true},
+      {"new item of another tenant", PutService("new", "silfur"), false},
+      {"new shared item", PutService("new", ""), false},
+      {"item of the tenant again", PutService("catalog", "cascadia"), true},
+      {"item of the tenant given away", PutService("catalog", "silfur"), false},
+      {"item of another tenant taken", PutService("tracker", "cascadia"),
+       false},
+      {"shared item taken", PutService("shared", "cascadia"), false},
+      {"item of the tenant removed", RemoveService("catalog"), true},
+      {"item of another tenant removed", RemoveService("tracker"), false},
+      {"shared item removed", RemoveService("shared"), false},
+  };
+  const auto bob = Connect(node, kTenantToken);
+  const auto ann = Connect(node);
+  for (const ScopeRow& row : rows) {
+    CAPTURE(row.what);
+    const CommitResult result = bob->Commit(row.change, false);
+    CHECK((result.code == CommitCode::kOk) == row.allowed);
+    if (!row.allowed) {
+      CHECK(result.code == CommitCode::kNotAuthorised);
+      CHECK(result.path.starts_with("services["));
+      CHECK(result.change_id == row.change.id);
+    }
+    CHECK(ann->Commit(row.change, false).code == CommitCode::kOk);
+  }
+  CHECK(bob->Rollback(1, {}).code == CommitCode::kNotAuthorised);
+  CHECK(bob->Recover({}).code == CommitCode::kNotAuthorised);
+  CHECK(bob->Drain({kTestIp, 1}).code == CommitCode::kNotAuthorised);
+}
+
+TEST_CASE("a change reaches the core whole, under the operator's own name") {
+  ScriptedNode node;
+  node.script = {Accepted(6)};
+  node.Start();
+  Change change = PutService("new", "cascadia");
+  const CommitResult result = Connect(node, kTenantToken)->Commit(change, true);
+  CHECK(result == Accepted(6));
+  node.Run([&] {
+    const auto& event = std::get<CommitRequested>(node.events.at(0));
+    change.author = "bob";
+    CHECK(event.change == change);
+    CHECK(event.dry_run);
+  });
+}
+
+TEST_CASE("each outcome of the core reaches the operator as it is") {
+  ScriptedNode node;
+  node.script = {{}};
+  node.Start();
+  const auto client = Connect(node);
+  for (int code = 0; code <= static_cast<int>(CommitCode::kBusy); ++code) {
+    CAPTURE(code);
+    CommitResult expected;
+    expected.code = static_cast<CommitCode>(code);
+    expected.path = "routes[a].service";
+    expected.reason = "a reason";
+    expected.conflict_number = 9;
+    expected.change_id = {7, 8};
+    node.Run([&] { node.script = {expected}; });
+    CHECK(client->Commit(PutService("a", ""), false) == expected);
+    CHECK(client->Rollback(3, {7, 8}) == expected);
+    CHECK(client->Recover({7, 8}) == expected);
+  }
+  node.Run([&] {
+    const auto& rollback = std::get<RollbackRequested>(node.events.at(1));
+    CHECK(rollback.number == 3);
+    CHECK(rollback.author == "ann");
+    CHECK(std::get<RecoverRequested>(node.events.at(2)).change_id ==
+          ChangeId{7, 8});
+  });
+}
+
+TEST_CASE("reads give the version, the fleet and the history") {
+  ScriptedNode node;
+  MemberView view;
+  view.member.id = {kTestIp, 7001};
+  view.member.zone = "puget-a";
+  view.mark = {5, {1, 1}};
+  view.confirmed_age = Milliseconds(70);
+  node.status = {{5, {1, 1}}, {view}};
+  node.history = {{{5, {1, 1}}, {2, 3}, "ann", WallTime(Seconds(9)), {}}};
+  node.Start();
+  const auto client = Connect(node, kTenantToken);
+  Config config;
+  CHECK(client->GetConfig(0, &config).code == CommitCode::kNotFound);
+  node.Run([&] { node.newest = SampleVersion(); });
+  CHECK(client->GetConfig(0, &config).code == CommitCode::kOk);
+  CHECK(config == SampleVersion()->config());
+  CHECK(client->GetConfig(5, &config).mark == SampleVersion()->mark());
+  CHECK(client->GetConfig(4, &config).code == CommitCode::kNotFound);
+
+  FleetStatus status;
+  CHECK(client->GetStatus(&status).code == CommitCode::kOk);
+  CHECK(status.mark == node.status.mark);
+  REQUIRE(status.members.size() == 1);
+  CHECK(status.members[0].member == view.member);
+  CHECK(status.members[0].confirmed_age == view.confirmed_age);
+  CHECK_FALSE(status.members[0].mark_age);
+
+  std::vector<HistoryEntry> history;
+  CHECK(client->GetHistory(&history).code == CommitCode::kOk);
+  CHECK(history == node.history);
+}
+
+TEST_CASE("a drain request names its node") {
+  ScriptedNode node;
+  node.Start();
+  CHECK(Connect(node)->Drain({"127.0.0.9", 7009}).code == CommitCode::kOk);
+  node.Run([&] {
+    CHECK(node.drained == std::vector<NodeId>{{"127.0.0.9", 7009}});
+  });
+}
+
+TEST_CASE("a core that gives no answer leaves the outcome unknown") {
+  ScriptedNode node;
+  node.options.request_timeout = Milliseconds(100);
+  node.Start();
+  const CommitResult result = Connect(node)->Commit(PutService("a", ""), false);
+  CHECK(result.code == CommitCode::kOutcomeUnknown);
+  CHECK(result.change_id == ChangeId{7, 8});
+}
+
+TEST_CASE("more requests than may wait are told so") {
+  ScriptedNode node;
+  node.options.max_waiting = 1;
+  node.options.request_timeout = Milliseconds(1'500);
+  node.Start();
+  auto first = std::async(std::launch::async, [&] {
+    return Connect(node)->Commit(PutService("a", ""), false);
+  });
+  const auto client = Connect(node);
+  bool waiting = false;
+  while (!waiting) {
+    node.Run([&] { waiting = !node.events.empty(); });
+  }
+  CHECK(client->Commit(PutService("b", ""), false).code == CommitCode::kBusy);
+  CHECK(first.get().code == CommitCode::kOutcomeUnknown);
+}
+
+TEST_CASE("a node that dies, or is silent, fails the request") {
+  auto node = std::make_unique<ScriptedNode>();
+  node->Start();
+  AdminClient hurried(kTestIp, node->port(), kAllToken, Milliseconds(100));
+  CHECK_THROWS_AS((void)hurried.Commit(PutService("a", ""), false), RpcError);
+  const auto client = Connect(*node);
+  node.reset();
+  CHECK_THROWS_AS((void)client->Commit(PutService("a", ""), false), RpcError);
+}
+
+TEST_CASE("garbage and surplus connections do not stop the server") {
+  ScriptedNode node;
+  node.options.max_connections = 2;
+  node.options.max_message_bytes = 64 * 1024;
+  node.newest = SampleVersion();
+  node.Start();
+  boost::asio::io_context io;
+  using boost::asio::ip::tcp;
+  const tcp::endpoint endpoint(boost::asio::ip::make_address(kTestIp),
+                               node.port());
+  for (const std::string& it :
+       {std::string("GET / HTTP/1.1\r\n\r\n"), std::string(100'000, '\xFF'),
+        std::string("\0\0\0\0\xFF\xFF\xFF\x0F", 8)}) {
+    tcp::socket socket(io);
+    socket.connect(endpoint);
+    boost::system::error_code ec;
+    boost::asio::write(socket, boost::asio::buffer(it), ec);
+    socket.shutdown(tcp::socket::shutdown_send, ec);
+    std::string answer;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), ec);
+    CHECK(ec);
+  }
+  Config config;
+  const auto first = Connect(node);
+  const auto second = Connect(node);
+  CHECK(first->GetConfig(0, &config).code == CommitCode::kOk);
+  CHECK(second->GetConfig(0, &config).code == CommitCode::kOk);
+  const auto third = Connect(node);
+  CHECK_THROWS_AS((void)third->GetConfig(0, &config), RpcError);
+
+  const std::string large(100'000, 'x');
+  CHECK_THROWS_AS((void)first->Commit(PutService(large, ""), false), RpcError);
+  CHECK(second->GetConfig(0, &config).code == CommitCode::kOk);
+}
+
+}  // namespace
+}  // namespace cassiabend
