Claim orders with a key in the store before they run

Cause: rendezvous alone keeps an order with a key to one run only while no node joins, leaves, dies or restarts, and while all nodes agree on the members. Change: the destination creates one store key for each order by compare-and-swap, under a lease that outlives order_memory, before the attempt queues for a slot. Repeats at the same node wait for the first run and get its answer; a claim of another attempt makes the outcome unknown; a claim whose attempt is proved not run is deleted, or taken over by the same node. With the store out of reach the order is not run (store_unavailable). Options: CallOptions gains order_claims_per_second (50).

--- a/src/cassiabend/core/admission.cc
+++ b/src/cassiabend/core/admission.cc
@@ -88,13 +88,6 @@
   }
 }
 
-Attempt* AdmissionQueue::TakeAny() {
-  if (flows_.empty()) {
-    return nullptr;
-  }
-  return TakeFront(flows_.begin());
-}
-
 Attempt* AdmissionQueue::TakeFront(FlowTable::iterator it) {
   Attempt* attempt = &it->second.waiting.front();
   last_served_ = it->first;
--- a/src/cassiabend/core/admission.h
+++ b/src/cassiabend/core/admission.h
@@ -42,8 +42,6 @@
   /// \brief Gives back the slot of an attempt.
   /// \param held How long it ran; 0 when it did not.
   void Release(const Attempt& attempt, Nanoseconds held);
-  /// \returns Any attempt that waits, taken out; null when none does.
-  [[nodiscard]] Attempt* TakeAny();
 
  private:
   using FlowKey = std::pair<std::string, std::string>;
--- a/src/cassiabend/core/attempt.h
+++ b/src/cassiabend/core/attempt.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include <boost/container/static_vector.hpp>
 #include <boost/intrusive/list.hpp>
 #include <optional>
-#include <utility>
+#include <vector>
 
 #include "cassiabend/core/call_events.h"
 #include "cassiabend/core/call_timer.h"
@@ -11,10 +12,10 @@
 
 /// \brief States of an attempt at its destination node.
 enum class AttemptState : std::uint8_t {
+  /// Its order key is being claimed.
+  kClaiming,
   /// It waits for a slot.
   kQueued,
-  /// It holds a slot while its order key is claimed; not yet handed over.
-  kClaiming,
   /// It was handed to the upstream.
   kRunning,
   /// The upstream answers.
@@ -23,6 +24,28 @@
   kHeld,
 };
 
+/// \brief A connection that waits for an attempt's answer.
+struct AttemptLink {
+  LinkId link = 0;
+  /// The attempt that the connection asked for: the attempt itself, or one
+  /// that repeats its order.
+  AttemptId asked;
+  /// When a fetch is told "still running"; the maximum for none.
+  MonoTime fetch_due = MonoTime::max();
+  /// Whether the answer goes there.
+  bool bound = false;
+};
+
+/// \brief Another attempt at the same order, which waits for this one.
+struct AttemptAlias {
+  AttemptId id;
+  WallTime expires_at{};
+};
+
+/// Connections and repeats that one attempt serves.
+inline constexpr std::size_t kMaxLinksPerAttempt = 4;
+inline constexpr std::size_t kMaxAliasesPerAttempt = 16;
+
 /// \brief Base of attempts that wait in the admission queue.
 using AdmissionHook = boost::intrusive::list_base_hook<
     boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
@@ -31,14 +54,12 @@
 struct Attempt : TimerEntry, AdmissionHook {
   AttemptRequest request;
   AttemptState state = AttemptState::kQueued;
-  /// The connection that waits for the answer; unset when it was lost.
-  std::optional<LinkId> link;
-  /// When a link that fetches is told "still running"; the maximum for none.
-  MonoTime fetch_due = MonoTime::max();
+  /// Whether it holds one of the slots.
+  bool holds_slot = false;
+  boost::container::static_vector<AttemptLink, kMaxLinksPerAttempt> links;
+  std::vector<AttemptAlias> aliases;
   /// When a started, repeatable attempt without a link is cancelled.
   MonoTime orphan_due = MonoTime::max();
-  /// Whether the answer goes to `link`.
-  bool bound = false;
   /// Whether a whole answer went to a connection.
   bool taken = false;
   MonoTime arrived_at{};
@@ -53,9 +74,13 @@
   [[nodiscard]] bool is_started() const noexcept {
     return state == AttemptState::kRunning || state == AttemptState::kAnswering;
   }
-  /// \returns Whether the attempt holds one of the slots.
-  [[nodiscard]] bool holds_slot() const noexcept {
-    return state == AttemptState::kClaiming || is_started();
+  /// \returns When the first fetch is told "still running".
+  [[nodiscard]] MonoTime fetch_due() const noexcept {
+    MonoTime due = MonoTime::max();
+    for (const AttemptLink& it : links) {
+      due = it.fetch_due < due ? it.fetch_due : due;
+    }
+    return due;
   }
 };
 
--- a/src/cassiabend/core/call_destination.cc
+++ b/src/cassiabend/core/call_destination.cc
@@ -16,6 +16,7 @@
 /// Added to the time for which a fate is remembered.
 constexpr Milliseconds kMemoryMargin{1'000};
 constexpr Milliseconds kUnreachedPause{100};
+constexpr Milliseconds kStorePause{1'000};
 
 }  // namespace
 
@@ -24,11 +25,8 @@
     : context_(context),
       health_(health),
       admission_(context->options),
-      tombstones_(kMaxTombstones) {}
-
-std::size_t CallDestination::held() const noexcept {
-  return attempts_.size() - admission_.queued() - admission_.running();
-}
+      tombstones_(kMaxTombstones),
+      orders_(context) {}
 
 bool CallDestination::has_work() const noexcept {
   return std::ranges::any_of(attempts_, [](const auto& it) {
@@ -41,36 +39,51 @@
 void CallDestination::Reduce(const AttemptArrived& event) {
   const AttemptRequest& request = event.request;
   if (Attempt* known = Find(request.id)) {
-    Join(known, event.link, false);
+    Join(known, request.id, event.link, false);
     return;
   }
   if (tombstones_.Find(request.id)) {
     ReplyToAbsent(event.link, request.id, request.destination_start_id);
     return;
   }
-  if (const auto refusal = CheckArrival(request)) {
-    context_->Emit(ReplyNotRun{event.link, request.id, refusal->reason,
-                               refusal->retry_after});
-    Remember(request, AttemptFate::kNotRun);
+  if (const auto refusal = CheckIdentity(request)) {
+    RefuseArrival(event, *refusal);
+    return;
+  }
+  if (JoinOrder(event)) {
+    return;
+  }
+  if (const auto refusal = CheckCapacity(request)) {
+    RefuseArrival(event, *refusal);
     return;
   }
   Admit(event);
   StartWaiting();
 }
 
-std::optional<Refusal> CallDestination::CheckArrival(
+bool CallDestination::IsExpired(const AttemptRequest& request) const {
+  return request.expires_at != WallTime{} &&
+         context_->now.wall >
+             request.expires_at + context_->options.clock_error;
+}
+
+std::optional<Refusal> CallDestination::CheckIdentity(
     const AttemptRequest& request) const {
   if (request.destination_start_id != context_->self.start_id) {
     return Refusal{NotRunReason::kRestarted};
   }
-  const bool expires = request.expires_at != WallTime{};
-  if (expires &&
-      context_->now.wall > request.expires_at + context_->options.clock_error) {
+  if (IsExpired(request)) {
     return Refusal{NotRunReason::kDeadline};
   }
+  const bool expires = request.expires_at != WallTime{};
   if (expires && tombstones_.MayBeForgotten(request.expires_at)) {
     return Refusal{NotRunReason::kOverloaded};
   }
+  return std::nullopt;
+}
+
+std::optional<Refusal> CallDestination::CheckCapacity(
+    const AttemptRequest& request) const {
   if (context_->draining) {
     return Refusal{NotRunReason::kDraining};
   }
@@ -83,18 +96,95 @@
     return Refusal{NotRunReason::kOverloaded,
                    std::chrono::ceil<Milliseconds>(wait)};
   }
+  if (OrderOf(request) && !orders_.is_available()) {
+    return Refusal{NotRunReason::kStoreUnavailable, kStorePause};
+  }
   return std::nullopt;
 }
 
+void CallDestination::RefuseArrival(const AttemptArrived& event,
+                                    const Refusal& refusal) {
+  context_->Emit(ReplyNotRun{event.link, event.request.id, refusal.reason,
+                             refusal.retry_after});
+  Remember(event.request.id, event.request.expires_at, AttemptFate::kNotRun);
+}
+
+bool CallDestination::JoinOrder(const AttemptArrived& event) {
+  const AttemptRequest& request = event.request;
+  const std::optional<OrderId> order = OrderOf(request);
+  const auto owner_id = order ? orders_.OwnerOf(*order) : std::nullopt;
+  if (!owner_id) {
+    return false;
+  }
+  Attempt* owner = Find(*owner_id);
+  if (owner == nullptr || owner->aliases.size() == kMaxAliasesPerAttempt) {
+    context_->Emit(ReplyUnknown{event.link, request.id});
+    Remember(request.id, request.expires_at, AttemptFate::kRan);
+    return true;
+  }
+  owner->aliases.push_back({request.id, request.expires_at});
+  aliases_[request.id] = owner->request.id;
+  Join(owner, request.id, event.link, false);
+  return true;
+}
+
 void CallDestination::Admit(const AttemptArrived& event) {
   auto& slot = attempts_[event.request.id];
   slot = std::make_unique<Attempt>();
   Attempt* attempt = slot.get();
   attempt->request = event.request;
   attempt->arrived_at = context_->now.mono;
-  attempt->deadline = context_->now.mono + event.request.deadline;
-  SetLink(attempt, event.link, false);
-  timers_.Schedule(attempt, attempt->deadline);
+  attempt->deadline =
+      context_->now.mono +
+      std::min(event.request.deadline, LongestDeadline(context_->options));
+  (void)links_.Add(attempt, {event.link, event.request.id});
+  Schedule(attempt);
+  if (const auto order = OrderOf(event.request)) {
+    Claim(*order, attempt);
+    return;
+  }
+  Enqueue(attempt);
+}
+
+void CallDestination::Claim(const OrderId& order, Attempt* attempt) {
+  attempt->state = AttemptState::kClaiming;
+  Schedule(attempt);
+  orders_.Claim(order, attempt->request.id);
+  TakeClaims();
+}
+
+void CallDestination::TakeClaims() {
+  for (const ClaimOutcome& it : orders_.TakeOutcomes()) {
+    Attempt* attempt = Find(it.attempt);
+    if (attempt == nullptr || attempt->state != AttemptState::kClaiming) {
+      continue;
+    }
+    switch (it.result) {
+      case ClaimResult::kClaimed:
+        Enqueue(attempt);
+        continue;
+      case ClaimResult::kTaken:
+        EndUnknown(attempt);
+        continue;
+      case ClaimResult::kUnavailable:
+        Refuse(attempt, {NotRunReason::kStoreUnavailable, kStorePause});
+        continue;
+    }
+  }
+}
+
+void CallDestination::Reduce(const StoreReplied& event) {
+  orders_.Reduce(event);
+  TakeClaims();
+  StartWaiting();
+}
+
+void CallDestination::Enqueue(Attempt* attempt) {
+  attempt->state = AttemptState::kQueued;
+  if (context_->draining) {
+    Refuse(attempt, {NotRunReason::kDraining});
+    return;
+  }
   Attempt* refused = admission_.Enqueue(attempt);
   if (refused == nullptr) {
     return;
@@ -109,27 +199,19 @@
 
 void CallDestination::StartWaiting() {
   while (Attempt* attempt = admission_.TakeNext(health_->slots())) {
-    Dispatch(attempt);
-  }
-}
-
-void CallDestination::Dispatch(Attempt* attempt) {
-  attempt->state = AttemptState::kClaiming;
-  attempt->started_at = context_->now.mono;
-  if (const auto refusal = CheckDispatch(*attempt)) {
-    Refuse(attempt, *refusal);
-    return;
+    attempt->holds_slot = true;
+    if (const auto refusal = CheckDispatch(*attempt)) {
+      Refuse(attempt, *refusal);
+      continue;
+    }
+    Start(attempt);
   }
-  Start(attempt);
 }
 
 std::optional<Refusal> CallDestination::CheckDispatch(
     const Attempt& attempt) const {
   const AttemptRequest& request = attempt.request;
-  const bool expired =
-      request.expires_at != WallTime{} &&
-      context_->now.wall > request.expires_at + context_->options.clock_error;
-  if (context_->now.mono >= attempt.deadline || expired) {
+  if (context_->now.mono >= attempt.deadline || IsExpired(request)) {
     return Refusal{NotRunReason::kDeadline};
   }
   if (context_->draining) {
@@ -144,17 +226,18 @@
 
 void CallDestination::Start(Attempt* attempt) {
   attempt->state = AttemptState::kRunning;
+  attempt->started_at = context_->now.mono;
   const auto left = attempt->deadline - context_->now.mono;
   context_->Emit(StartUpstream{attempt->request.id,
                                std::chrono::ceil<Milliseconds>(left)});
-  ScheduleRunning(attempt);
+  Schedule(attempt);
 }
 
 // Connections.
 
 void CallDestination::Reduce(const FetchArrived& event) {
   if (Attempt* attempt = Find(event.attempt)) {
-    Join(attempt, event.link, true);
+    Join(attempt, event.attempt, event.link, true);
     return;
   }
   ReplyToAbsent(event.link, event.attempt, event.destination_start_id);
@@ -166,37 +249,35 @@
     ReplyToAbsent(event.link, event.attempt, event.destination_start_id);
     return;
   }
-  if (attempt->state == AttemptState::kQueued) {
-    SetLink(attempt, event.link, true);
-    Refuse(attempt, {NotRunReason::kCancelled});
+  Join(attempt, event.attempt, event.link, true);
+  if (attempt->request.id != event.attempt) {
+    // The order runs for another caller too.
     return;
   }
-  if (attempt->state != AttemptState::kRunning || attempt->request.once) {
-    Join(attempt, event.link, true);
+  if (attempt->state == AttemptState::kQueued ||
+      attempt->state == AttemptState::kClaiming) {
+    Refuse(attempt, {NotRunReason::kCancelled});
     return;
   }
-  SetLink(attempt, event.link, true);
-  context_->Emit(CancelUpstream{attempt->request.id});
-  EndUnknown(attempt);
-  StartWaiting();
+  if (attempt->state == AttemptState::kRunning && !attempt->request.once) {
+    context_->Emit(CancelUpstream{attempt->request.id});
+    EndUnknown(attempt);
+    StartWaiting();
+  }
 }
 
-void CallDestination::Join(Attempt* attempt, LinkId link, bool fetches) {
-  SetLink(attempt, link, fetches);
-  switch (attempt->state) {
-    case AttemptState::kQueued:
-      timers_.Schedule(attempt,
-                       std::min(attempt->deadline, attempt->fetch_due));
-      return;
-    case AttemptState::kClaiming:
-    case AttemptState::kRunning:
-      ScheduleRunning(attempt);
-      return;
-    case AttemptState::kAnswering:
-    case AttemptState::kHeld:
-      Bind(attempt);
-      return;
+void CallDestination::Join(Attempt* attempt,
+                           const AttemptId& asked,
+                           LinkId link,
+                           bool fetches) {
+  const MonoTime fetch_due =
+      fetches ? context_->now.mono + kFetchWait : MonoTime::max();
+  if (!links_.Add(attempt, {link, asked, fetch_due})) {
+    context_->Emit(ReplyUnknown{link, asked});
+    return;
   }
+  Bind(attempt);
+  Schedule(attempt);
 }
 
 void CallDestination::ReplyToAbsent(LinkId link,
@@ -219,53 +300,49 @@
       ReplyNotRun{link, id, NotRunReason::kCancelled, Milliseconds(0)});
 }
 
-void CallDestination::SetLink(Attempt* attempt, LinkId link, bool fetches) {
-  ClearLink(attempt);
-  attempt->link = link;
-  attempt->orphan_due = MonoTime::max();
-  attempt->fetch_due =
-      fetches ? context_->now.mono + kFetchWait : MonoTime::max();
-  links_[link] = attempt->request.id;
-}
-
-void CallDestination::ClearLink(Attempt* attempt) {
-  if (attempt->link) {
-    links_.erase(*attempt->link);
-  }
-  attempt->link.reset();
-  attempt->fetch_due = MonoTime::max();
-  attempt->bound = false;
-  attempt->taken = false;
-}
-
 void CallDestination::Bind(Attempt* attempt) {
-  if (!attempt->link || attempt->bound) {
+  const bool whole = attempt->state == AttemptState::kHeld;
+  if (!whole && attempt->state != AttemptState::kAnswering) {
     return;
   }
-  attempt->bound = true;
-  attempt->fetch_due = MonoTime::max();
-  attempt->taken = attempt->state == AttemptState::kHeld;
-  context_->Emit(BindAnswer{*attempt->link, attempt->request.id});
+  for (AttemptLink& it : attempt->links) {
+    // Repeats of an order get the answer once it is whole.
+    if (it.bound || (!whole && it.asked != attempt->request.id)) {
+      continue;
+    }
+    it.bound = true;
+    it.fetch_due = MonoTime::max();
+    attempt->taken = attempt->taken || whole;
+    context_->Emit(BindAnswer{it.link, attempt->request.id});
+  }
 }
 
 void CallDestination::Reduce(const LinkLost& event) {
-  const auto it = links_.find(event.link);
-  if (it == links_.end()) {
+  const auto id = links_.Find(event.link);
+  if (!id) {
+    return;
+  }
+  Attempt* attempt = Find(*id);
+  links_.Remove(attempt, event.link);
+  if (!attempt->links.empty()) {
     return;
   }
-  Attempt* attempt = Find(it->second);
-  ClearLink(attempt);
+  CancelOrphan(attempt);
+}
+
+void CallDestination::CancelOrphan(Attempt* attempt) {
   switch (attempt->state) {
     case AttemptState::kQueued:
+    case AttemptState::kClaiming:
       Refuse(attempt, {NotRunReason::kCancelled});
       return;
-    case AttemptState::kClaiming:
     case AttemptState::kRunning:
     case AttemptState::kAnswering:
       attempt->orphan_due = context_->now.mono + kOrphanGrace;
-      ScheduleRunning(attempt);
+      Schedule(attempt);
       return;
     case AttemptState::kHeld:
+      attempt->taken = false;
       timers_.Schedule(attempt,
                        context_->now.mono + context_->options.answer_hold);
       return;
@@ -299,7 +376,7 @@
   }
   attempt->state = AttemptState::kAnswering;
   Bind(attempt);
-  ScheduleRunning(attempt);
+  Schedule(attempt);
 }
 
 void CallDestination::Reduce(const UpstreamFinished& event) {
@@ -310,7 +387,9 @@
   }
   ReleaseSlot(attempt);
   attempt->state = AttemptState::kHeld;
-  attempt->taken = attempt->bound;
+  ++held_;
+  attempt->taken = std::ranges::any_of(attempt->links, &AttemptLink::bound);
+  Bind(attempt);
   const bool brief = attempt->taken && !attempt->request.once;
   timers_.Schedule(attempt,
                    context_->now.mono +
@@ -330,59 +409,74 @@
 // Ends.
 
 void CallDestination::Refuse(Attempt* attempt, const Refusal& refusal) {
-  if (attempt->link) {
-    context_->Emit(ReplyNotRun{*attempt->link, attempt->request.id,
-                               refusal.reason, refusal.retry_after});
+  for (const AttemptLink& it : attempt->links) {
+    context_->Emit(
+        ReplyNotRun{it.link, it.asked, refusal.reason, refusal.retry_after});
   }
   if (attempt->is_waiting()) {
     admission_.Remove(attempt);
   }
-  ReleaseSlot(attempt);
+  if (const auto order = OrderOf(attempt->request)) {
+    orders_.Release(*order);
+  }
   Forget(attempt, AttemptFate::kNotRun);
 }
 
 void CallDestination::EndUnknown(Attempt* attempt) {
-  if (attempt->link) {
-    context_->Emit(ReplyUnknown{*attempt->link, attempt->request.id});
+  for (const AttemptLink& it : attempt->links) {
+    context_->Emit(ReplyUnknown{it.link, it.asked});
   }
-  ReleaseSlot(attempt);
   Forget(attempt, AttemptFate::kRan);
 }
 
 void CallDestination::ReleaseSlot(Attempt* attempt) {
-  if (!attempt->holds_slot()) {
+  if (!attempt->holds_slot) {
     return;
   }
+  attempt->holds_slot = false;
   const bool ran = attempt->state == AttemptState::kAnswering;
   admission_.Release(*attempt, ran ? context_->now.mono - attempt->started_at
                                    : Nanoseconds(0));
 }
 
 void CallDestination::Forget(Attempt* attempt, AttemptFate fate) {
-  ClearLink(attempt);
-  Remember(attempt->request, fate);
+  ReleaseSlot(attempt);
+  links_.RemoveAll(attempt);
+  held_ -= attempt->state == AttemptState::kHeld ? 1 : 0;
+  Remember(attempt->request.id, attempt->request.expires_at, fate);
+  for (const AttemptAlias& it : attempt->aliases) {
+    aliases_.erase(it.id);
+    Remember(it.id, it.expires_at, fate);
+  }
   context_->Emit(ReleaseAttempt{attempt->request.id});
   attempts_.erase(AttemptId(attempt->request.id));
 }
 
-void CallDestination::Remember(const AttemptRequest& request,
+void CallDestination::Remember(const AttemptId& id,
+                               WallTime expires_at,
                                AttemptFate fate) {
   const Milliseconds memory = context_->options.order_memory;
-  if (request.expires_at == WallTime{}) {
-    tombstones_.Add(request.id, fate, std::nullopt,
-                    context_->now.mono + memory);
+  if (expires_at == WallTime{}) {
+    tombstones_.Add(id, fate, std::nullopt, context_->now.mono + memory);
     return;
   }
-  const Milliseconds left = std::clamp(request.expires_at - context_->now.wall,
-                                       Milliseconds(0), memory);
+  const Milliseconds left =
+      std::clamp(expires_at - context_->now.wall, Milliseconds(0), memory);
   const Milliseconds errors = 3 * context_->options.clock_error;
-  tombstones_.Add(request.id, fate, request.expires_at,
+  tombstones_.Add(id, fate, expires_at,
                   context_->now.mono + left + errors + kMemoryMargin);
 }
 
 void CallDestination::Drain() {
-  while (Attempt* attempt = admission_.TakeAny()) {
-    Refuse(attempt, {NotRunReason::kDraining});
+  std::vector<Attempt*> waiting;
+  for (const auto& [id, attempt] : attempts_) {
+    if (attempt->state == AttemptState::kQueued ||
+        attempt->state == AttemptState::kClaiming) {
+      waiting.push_back(attempt.get());
+    }
+  }
+  for (Attempt* it : waiting) {
+    Refuse(it, {NotRunReason::kDraining});
   }
 }
 
@@ -390,6 +484,8 @@
 
 void CallDestination::Tick() {
   tombstones_.Expire(context_->now.mono);
+  orders_.Tick();
+  TakeClaims();
   while (Attempt* attempt = timers_.PopDue(context_->now.mono)) {
     Expire(attempt);
   }
@@ -402,36 +498,43 @@
     Forget(attempt, AttemptFate::kRan);
     return;
   }
-  if (attempt->link && now >= attempt->fetch_due) {
-    context_->Emit(ReplyStillRunning{*attempt->link, attempt->request.id});
-    ClearLink(attempt);
-  }
-  if (attempt->state != AttemptState::kQueued) {
-    ExpireRunning(attempt);
-    return;
-  }
-  if (now >= attempt->deadline) {
+  TellStillRunning(attempt);
+  const bool started = attempt->is_started();
+  if (!started && now >= attempt->deadline) {
     Refuse(attempt, {NotRunReason::kDeadline});
     return;
   }
-  timers_.Schedule(attempt, attempt->deadline);
-}
-
-void CallDestination::ExpireRunning(Attempt* attempt) {
-  const MonoTime now = context_->now.mono;
   const bool over = now >= std::min(attempt->deadline, attempt->orphan_due);
-  if (over && !attempt->request.once &&
-      attempt->state == AttemptState::kRunning) {
+  if (attempt->state == AttemptState::kRunning && over &&
+      !attempt->request.once) {
     context_->Emit(CancelUpstream{attempt->request.id});
     EndUnknown(attempt);
     return;
   }
-  ScheduleRunning(attempt);
+  Schedule(attempt);
 }
 
-void CallDestination::ScheduleRunning(Attempt* attempt) {
-  MonoTime due = attempt->fetch_due;
-  if (!attempt->request.once && attempt->state == AttemptState::kRunning) {
+void CallDestination::TellStillRunning(Attempt* attempt) {
+  std::vector<AttemptLink> due;
+  for (const AttemptLink& it : attempt->links) {
+    if (context_->now.mono >= it.fetch_due) {
+      due.push_back(it);
+    }
+  }
+  for (const AttemptLink& it : due) {
+    context_->Emit(ReplyStillRunning{it.link, it.asked});
+    links_.Remove(attempt, it.link);
+  }
+}
+
+void CallDestination::Schedule(Attempt* attempt) {
+  if (attempt->state == AttemptState::kHeld) {
+    return;
+  }
+  MonoTime due = attempt->fetch_due();
+  const bool cancellable =
+      attempt->state == AttemptState::kRunning && !attempt->request.once;
+  if (!attempt->is_started() || cancellable) {
     due = std::min({due, attempt->deadline, attempt->orphan_due});
   }
   if (due == MonoTime::max()) {
@@ -442,7 +545,8 @@
 }
 
 Attempt* CallDestination::Find(const AttemptId& id) const {
-  const auto it = attempts_.find(id);
+  const auto alias = aliases_.find(id);
+  const auto it = attempts_.find(alias == aliases_.end() ? id : alias->second);
   return it == attempts_.end() ? nullptr : it->second.get();
 }
 
--- a/src/cassiabend/core/call_destination.h
+++ b/src/cassiabend/core/call_destination.h
@@ -5,10 +5,12 @@
 
 #include "cassiabend/core/admission.h"
 #include "cassiabend/core/attempt.h"
+#include "cassiabend/core/attempt_links.h"
 #include "cassiabend/core/attempt_tombstones.h"
 #include "cassiabend/core/call_context.h"
 #include "cassiabend/core/call_upstream_health.h"
 #include "cassiabend/core/dispatch_gate.h"
+#include "cassiabend/core/orders.h"
 
 namespace cassiabend {
 
@@ -25,7 +27,7 @@
   [[nodiscard]] std::uint32_t running() const noexcept {
     return admission_.running();
   }
-  [[nodiscard]] std::size_t held() const noexcept;
+  [[nodiscard]] std::size_t held() const noexcept { return held_; }
   /// \returns Whether an attempt waits, runs, or has an answer to be fetched.
   [[nodiscard]] bool has_work() const noexcept;
 
@@ -38,6 +40,7 @@
   void Reduce(const UpstreamAnswering& event);
   void Reduce(const UpstreamFinished& event);
   void Reduce(const UpstreamBroken& event);
+  void Reduce(const StoreReplied& event);
   /// \brief Answers the time that has passed.
   void Tick();
   /// \brief Refuses everything that waits.
@@ -47,21 +50,32 @@
   using AttemptTable =
       std::unordered_map<AttemptId, std::unique_ptr<Attempt>, Id128Hasher>;
 
-  [[nodiscard]] std::optional<Refusal> CheckArrival(
+  [[nodiscard]] bool IsExpired(const AttemptRequest& request) const;
+  [[nodiscard]] std::optional<Refusal> CheckIdentity(
       const AttemptRequest& request) const;
+  [[nodiscard]] std::optional<Refusal> CheckCapacity(
+      const AttemptRequest& request) const;
+  void RefuseArrival(const AttemptArrived& event, const Refusal& refusal);
+  /// \brief Joins an attempt to the one that has its order already.
+  /// \returns Whether there is one.
+  [[nodiscard]] bool JoinOrder(const AttemptArrived& event);
   void Admit(const AttemptArrived& event);
+  void Claim(const OrderId& order, Attempt* attempt);
+  void TakeClaims();
+  void Enqueue(Attempt* attempt);
   void StartWaiting();
-  void Dispatch(Attempt* attempt);
   [[nodiscard]] std::optional<Refusal> CheckDispatch(
       const Attempt& attempt) const;
   void Start(Attempt* attempt);
 
   /// \brief Answers a connection that asks for a known attempt.
-  void Join(Attempt* attempt, LinkId link, bool fetches);
+  void Join(Attempt* attempt,
+            const AttemptId& asked,
+            LinkId link,
+            bool fetches);
   void ReplyToAbsent(LinkId link, const AttemptId& id, std::uint64_t start_id);
-  void SetLink(Attempt* attempt, LinkId link, bool fetches);
-  void ClearLink(Attempt* attempt);
   void Bind(Attempt* attempt);
+  void CancelOrphan(Attempt* attempt);
 
   /// \brief Ends an attempt that the upstream does not have.
   void Refuse(Attempt* attempt, const Refusal& refusal);
@@ -69,10 +83,10 @@
   void EndUnknown(Attempt* attempt);
   void ReleaseSlot(Attempt* attempt);
   void Forget(Attempt* attempt, AttemptFate fate);
-  void Remember(const AttemptRequest& request, AttemptFate fate);
+  void Remember(const AttemptId& id, WallTime expires_at, AttemptFate fate);
   void Expire(Attempt* attempt);
-  void ExpireRunning(Attempt* attempt);
-  void ScheduleRunning(Attempt* attempt);
+  void TellStillRunning(Attempt* attempt);
+  void Schedule(Attempt* attempt);
 
   [[nodiscard]] Attempt* Find(const AttemptId& id) const;
 
@@ -80,9 +94,13 @@
   const CallUpstreamHealth* health_;
   AdmissionQueue admission_;
   AttemptTombstones tombstones_;
+  OrderLedger orders_;
   AttemptTable attempts_;
-  std::unordered_map<LinkId, AttemptId> links_;
+  /// Attempts that repeat an order, with the attempt that has it.
+  std::unordered_map<AttemptId, AttemptId, Id128Hasher> aliases_;
+  AttemptLinks links_;
   TimerQueue<Attempt> timers_;
+  std::size_t held_ = 0;
 };
 
 }  // namespace cassiabend
--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -31,6 +31,7 @@
     case NotRunReason::kUnreachable:
     case NotRunReason::kNoUpstream:
     case NotRunReason::kNotReady:
+    case NotRunReason::kStoreUnavailable:
       return true;
     default:
       return false;
--- a/src/cassiabend/core/call_reducer.cc
+++ b/src/cassiabend/core/call_reducer.cc
@@ -111,7 +111,6 @@
   }
 
   void Handle(const ReadinessChanged& event) { context_.ready = event.ready; }
-  void Handle(const StoreReplied& /*event*/) {}
 
   /// \brief Lets the balancer know this host's own upstream.
   void UpdateSelf() {
--- a/src/cassiabend/core/options.h
+++ b/src/cassiabend/core/options.h
@@ -77,6 +77,8 @@
   Milliseconds ejection_time{5'000};
   /// Most of a service's upstreams that may be ejected, in thousandths.
   std::uint32_t ejection_permille = 340;
+  /// Most orders with a key that this node claims in the store each second.
+  std::uint32_t order_claims_per_second = 50;
 };
 
 /// \brief All settings of one node's decision core.
--- /dev/null
+++ b/src/cassiabend/core/orders.cc
@@ -0,0 +1,375 @@
+#include "cassiabend/core/orders.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiabend {
+namespace {
+
+/// Most orders that one node remembers.
+constexpr std::size_t kMaxOrders = 65'536;
+/// Time for which one lease is given to new claims.
+constexpr Milliseconds kLeaseRotation{60'000};
+/// A store call without an answer for so long counts as lost.
+constexpr Milliseconds kStoreCallTimeout{5'000};
+/// Unanswered tries of one claim before it is given up.
+constexpr std::uint32_t kMaxClaimFailures = 3;
+/// Conflicts with another's claim before that claim is believed: it may be one
+/// that is being deleted.
+constexpr std::uint32_t kMaxConflicts = 3;
+constexpr Milliseconds kConflictPause{30};
+/// Pause between tries to delete a claim.
+constexpr Milliseconds kReleasePause{1'000};
+/// How long no claim is tried after the store refused one.
+constexpr Milliseconds kUnavailablePause{200};
+
+std::string KeyOf(const OrderId& id) {
+  return kOrderPrefix + ToHex(id);
+}
+
+/// \returns The value of a claim: the attempt, and for operators its node.
+std::string ValueOf(const AttemptId& attempt, const Member& self) {
+  return ToHex(attempt) + " " + ToString(self.id) + " " +
+         std::to_string(self.start_id);
+}
+
+std::optional<AttemptId> OwnerIn(const std::string& value) {
+  AttemptId id;
+  if (!FromHex(std::string_view(value).substr(0, value.find(' ')), &id)) {
+    return std::nullopt;
+  }
+  return id;
+}
+
+}  // namespace
+
+std::optional<OrderId> OrderOf(const AttemptRequest& request) {
+  if (!request.once || request.order_key.empty()) {
+    return std::nullopt;
+  }
+  // Lengths keep ("ab", "c") and ("a", "bc") apart.
+  const std::string text = std::to_string(request.tenant.size()) + ":" +
+                           request.tenant +
+                           std::to_string(request.service.size()) + ":" +
+                           request.service + request.order_key;
+  return HashText(text);
+}
+
+std::optional<AttemptId> OrderLedger::OwnerOf(const OrderId& order) const {
+  const auto it = orders_.find(order);
+  return it == orders_.end() ? std::nullopt : it->second.owner;
+}
+
+bool OrderLedger::is_available() const noexcept {
+  return context_->now.mono >= unavailable_until_ &&
+         orders_.size() < kMaxOrders && tokens_ >= 1.0;
+}
+
+std::vector<ClaimOutcome> OrderLedger::TakeOutcomes() {
+  return std::exchange(outcomes_, {});
+}
+
+void OrderLedger::Claim(const OrderId& id, const AttemptId& attempt) {
+  tokens_ -= 1.0;
+  Order& order = orders_[id];
+  order.id = id;
+  order.owner = attempt;
+  order.claimed = false;
+  order.failures = 0;
+  order.conflicts = 0;
+  order.forget_at = context_->now.mono + context_->options.order_memory +
+                    LongestDeadline(context_->options);
+  timers_.Schedule(&order, order.forget_at);
+  Advance(&order);
+}
+
+void OrderLedger::Release(const OrderId& id) {
+  const auto it = orders_.find(id);
+  if (it == orders_.end() || !it->second.owner) {
+    return;
+  }
+  Order* order = &it->second;
+  order->released.push_back(*order->owner);
+  order->owner.reset();
+  order->claimed = false;
+  Advance(order);
+}
+
+// The lease.
+
+Milliseconds OrderLedger::LeaseTtl() const {
+  const CallOptions& options = context_->options;
+  return options.order_memory + LongestDeadline(options) + 2 * kLeaseRotation;
+}
+
+bool OrderLedger::HasLease() const {
+  return lease_ != 0 && context_->now.mono - lease_at_ < kLeaseRotation;
+}
+
+void OrderLedger::AskLease() {
+  if (lease_sequence_ != 0) {
+    return;
+  }
+  lease_sequence_ = next_sequence_++;
+  lease_asked_at_ = context_->now.mono;
+  const Seconds ttl = std::chrono::ceil<Seconds>(LeaseTtl());
+  context_->Emit(StoreCall{{StoreClientRole::kCalls, lease_sequence_},
+                           StoreLeaseGrant{ttl}});
+}
+
+void OrderLedger::TakeLease(const StoreReply& reply) {
+  lease_sequence_ = 0;
+  const bool granted = reply.status == StoreStatus::kOk && reply.lease != 0;
+  if (granted) {
+    lease_ = reply.lease;
+    lease_at_ = lease_asked_at_;
+  } else {
+    unavailable_until_ = context_->now.mono + kUnavailablePause;
+  }
+  const std::vector<OrderId> waiting = std::exchange(waiting_for_lease_, {});
+  for (const OrderId& it : waiting) {
+    const auto found = orders_.find(it);
+    if (found == orders_.end()) {
+      continue;
+    }
+    Order* order = &found->second;
+    if (!granted && order->owner && !order->claimed) {
+      Fail(order, ClaimResult::kUnavailable);
+      continue;
+    }
+    Advance(order);
+  }
+}
+
+// One order's way to its claim, or to the claim's end.
+
+bool OrderLedger::IsOwn(const Order& order, const AttemptId& id) const {
+  return std::ranges::find(order.released, id) != order.released.end();
+}
+
+void OrderLedger::Advance(Order* order) {
+  if (order->step != Step::kIdle) {
+    return;
+  }
+  if (!order->owner) {
+    AdvanceRelease(order);
+  } else if (!order->claimed) {
+    AdvanceClaim(order);
+  }
+}
+
+void OrderLedger::AdvanceClaim(Order* order) {
+  const bool foreign = order->revision != 0 && order->stored_owner &&
+                       *order->stored_owner != *order->owner &&
+                       !IsOwn(*order, *order->stored_owner);
+  if (foreign && order->conflicts >= kMaxConflicts) {
+    Fail(order, ClaimResult::kTaken);
+    return;
+  }
+  if (foreign) {
+    Send(order, Step::kGet, StoreGet{KeyOf(order->id)});
+    return;
+  }
+  if (!HasLease()) {
+    waiting_for_lease_.push_back(order->id);
+    AskLease();
+    return;
+  }
+  order->lease_at = lease_at_;
+  order->written_owner = order->owner;
+  Send(order, Step::kSwap,
+       StoreCompareAndSwap{KeyOf(order->id), order->revision,
+                           ValueOf(*order->owner, context_->self), lease_});
+}
+
+void OrderLedger::AdvanceRelease(Order* order) {
+  if (!order->maybe_stored) {
+    Erase(order);
+    return;
+  }
+  if (order->revision != 0 && order->stored_owner &&
+      IsOwn(*order, *order->stored_owner)) {
+    Send(order, Step::kDelete,
+         StoreCompareAndDelete{KeyOf(order->id), order->revision});
+    return;
+  }
+  Send(order, Step::kGet, StoreGet{KeyOf(order->id)});
+}
+
+void OrderLedger::Send(Order* order, Step step, StoreRequest request) {
+  order->step = step;
+  order->sequence = next_sequence_++;
+  by_sequence_[order->sequence] = order->id;
+  timers_.Schedule(order, context_->now.mono + kStoreCallTimeout);
+  context_->Emit(StoreCall{{StoreClientRole::kCalls, order->sequence},
+                           std::move(request)});
+}
+
+void OrderLedger::Reduce(const StoreReplied& event) {
+  if (event.id.role != StoreClientRole::kCalls) {
+    return;
+  }
+  if (event.id.sequence == lease_sequence_) {
+    TakeLease(event.reply);
+    return;
+  }
+  const auto it = by_sequence_.find(event.id.sequence);
+  if (it == by_sequence_.end()) {
+    return;
+  }
+  Order* order = &orders_.at(it->second);
+  by_sequence_.erase(it);
+  const Step step = std::exchange(order->step, Step::kIdle);
+  timers_.Schedule(order, order->forget_at);
+  TakeReply(order, step, event.reply);
+}
+
+void OrderLedger::TakeReply(Order* order, Step step, const StoreReply& reply) {
+  switch (reply.status) {
+    case StoreStatus::kConflict:
+      TakeEntry(order, reply);
+      return;
+    case StoreStatus::kOk:
+      if (step == Step::kSwap) {
+        TakeSwapped(order, reply);
+      } else if (step == Step::kDelete) {
+        TakeDeleted(order);
+      } else {
+        TakeEntry(order, reply);
+      }
+      return;
+    case StoreStatus::kLeaseLost:
+      lease_ = 0;
+      Advance(order);
+      return;
+    case StoreStatus::kUnavailable:
+    case StoreStatus::kUnknown:
+      TakeFailure(order, reply.status);
+      return;
+  }
+}
+
+void OrderLedger::TakeEntry(Order* order, const StoreReply& reply) {
+  order->failures = 0;
+  order->revision = reply.entry ? reply.entry->revision : 0;
+  order->stored_owner =
+      reply.entry ? OwnerIn(reply.entry->value) : std::nullopt;
+  const bool stored = order->stored_owner.has_value();
+  if (order->owner && stored && *order->stored_owner == *order->owner) {
+    // An earlier try took effect though its answer was lost. It is written
+    // again, so that its lease is known to be young.
+    Advance(order);
+    return;
+  }
+  if (!order->owner && (!stored || !IsOwn(*order, *order->stored_owner))) {
+    Erase(order);
+    return;
+  }
+  const bool foreign = stored && !IsOwn(*order, *order->stored_owner);
+  if (!order->owner || !foreign) {
+    Advance(order);
+    return;
+  }
+  ++order->conflicts;
+  timers_.Schedule(order, context_->now.mono + kConflictPause);
+}
+
+void OrderLedger::TakeDeleted(Order* order) {
+  if (!order->owner) {
+    Erase(order);
+    return;
+  }
+  order->revision = 0;
+  order->stored_owner.reset();
+  Advance(order);
+}
+
+void OrderLedger::TakeSwapped(Order* order, const StoreReply& reply) {
+  order->failures = 0;
+  order->maybe_stored = true;
+  order->revision = reply.entry ? reply.entry->revision : reply.store_revision;
+  order->stored_owner = order->written_owner;
+  if (!order->owner || order->stored_owner != order->owner) {
+    Advance(order);
+    return;
+  }
+  if (context_->now.mono - order->lease_at >= 2 * kLeaseRotation) {
+    // The reply was so late that the lease is too old.
+    Advance(order);
+    return;
+  }
+  order->claimed = true;
+  outcomes_.push_back({*order->owner, ClaimResult::kClaimed});
+}
+
+void OrderLedger::TakeFailure(Order* order, StoreStatus status) {
+  unavailable_until_ = context_->now.mono + kUnavailablePause;
+  if (status == StoreStatus::kUnknown) {
+    order->maybe_stored = true;
+  }
+  if (!order->owner && !order->maybe_stored) {
+    Erase(order);
+    return;
+  }
+  if (!order->owner) {
+    timers_.Schedule(order, context_->now.mono + kReleasePause);
+    return;
+  }
+  ++order->failures;
+  if (status == StoreStatus::kUnavailable ||
+      order->failures >= kMaxClaimFailures) {
+    Fail(order, ClaimResult::kUnavailable);
+    return;
+  }
+  Advance(order);
+}
+
+void OrderLedger::Fail(Order* order, ClaimResult result) {
+  outcomes_.push_back({*order->owner, result});
+  if (result == ClaimResult::kTaken) {
+    Erase(order);
+  }
+}
+
+// Time.
+
+void OrderLedger::Tick() {
+  const MonoTime now = context_->now.mono;
+  Refill();
+  if (lease_sequence_ != 0 && now - lease_asked_at_ >= kStoreCallTimeout) {
+    TakeLease(StoreReply{.status = StoreStatus::kUnknown});
+  }
+  while (Order* order = timers_.PopDue(now)) {
+    Expire(order);
+  }
+}
+
+void OrderLedger::Refill() {
+  const double rate = context_->options.order_claims_per_second;
+  const std::chrono::duration<double> passed =
+      context_->now.mono - refilled_at_;
+  refilled_at_ = context_->now.mono;
+  tokens_ = std::min(rate, tokens_ + rate * passed.count());
+}
+
+void OrderLedger::Expire(Order* order) {
+  if (context_->now.mono >= order->forget_at) {
+    Erase(order);
+    return;
+  }
+  timers_.Schedule(order, order->forget_at);
+  if (order->step == Step::kIdle) {
+    Advance(order);
+    return;
+  }
+  by_sequence_.erase(order->sequence);
+  order->step = Step::kIdle;
+  TakeFailure(order, StoreStatus::kUnknown);
+}
+
+void OrderLedger::Erase(Order* order) {
+  by_sequence_.erase(order->sequence);
+  orders_.erase(OrderId(order->id));
+}
+
+}  // namespace cassiabend
