--- /dev/null
+++ b/tests/call_world.h
@@ -0,0 +1,863 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cassiabend/base/random.h"
+#include "tests/call_support.h"
+
+namespace cassiabend::testing {
+
+/// \brief What befalls one step of a run.
+enum class Fault : std::uint8_t {
+  kNone,
+  kLose,
+  kSilent,
+  kDouble,
+  kLate,
+  kReorder,
+  kKill,
+  kKillZone,
+  kPause,
+  kDrain,
+  kDrainTwice,
+  kCutOneWay,
+  kShed,
+  kUnreached,
+  kBrokenBefore,
+  kBrokenAfter,
+  kUpstreamSilent,
+  kStoreDown,
+  kClockBack,
+  kClockForward,
+  kForgetHome,
+  kSuspectAll,
+  kCallerGone,
+};
+inline constexpr std::array<const char*, 23> kFaultNames = {"none",
+                                                            "lose",
+                                                            "silent",
+                                                            "double",
+                                                            "late",
+                                                            "reorder",
+                                                            "kill",
+                                                            "kill_zone",
+                                                            "pause",
+                                                            "drain",
+                                                            "drain_twice",
+                                                            "cut_one_way",
+                                                            "shed",
+                                                            "unreached",
+                                                            "broken_before",
+                                                            "broken_after",
+                                                            "upstream_silent",
+                                                            "store_down",
+                                                            "clock_back",
+                                                            "clock_forward",
+                                                            "forget_home",
+                                                            "suspect_all",
+                                                            "caller_gone"};
+
+/// \brief A few nodes with a network, upstreams and a store of their own, in
+/// virtual time. Every message is a step at which a fault can happen.
+class CallWorld {
+ public:
+  struct CallRecord {
+    std::size_t node = 0;
+    std::uint64_t start = 0;
+    std::string key;
+    bool once = false;
+    bool noisy = false;
+    MonoTime deadline{};
+    int finals = 0;
+    bool told_not_run = false;
+    bool excused = false;
+    int executions = 0;
+    std::string outcome;
+  };
+
+  static constexpr Milliseconds kTimeout{4'000};
+
+  explicit CallWorld(std::size_t nodes, std::uint64_t seed = 1)
+      : random_(seed) {
+    options_.order_memory = Milliseconds(60'000);
+    options_.answer_hold = Milliseconds(3'000);
+    for (std::size_t n = 0; n < nodes; ++n) {
+      Node node;
+      node.member = MakeMember(static_cast<int>(n + 1), n % 2 ? "b" : "a");
+      nodes_.push_back(std::move(node));
+    }
+    for (std::size_t n = 0; n < nodes; ++n) {
+      StartNode(n);
+    }
+  }
+
+  /// Chooses the fault of each step.
+  std::function<Fault(std::size_t step)> plan;
+
+  [[nodiscard]] std::size_t steps() const noexcept { return steps_; }
+  [[nodiscard]] const std::vector<std::string>& violations() const noexcept {
+    return violations_;
+  }
+  [[nodiscard]] const std::map<CallId, CallRecord>& calls() const noexcept {
+    return calls_;
+  }
+
+  /// \brief Lets a caller send a request to a node.
+  CallId Call(std::size_t node,
+              const std::string& route,
+              std::string key = "") {
+    const CallId id = ++last_call_;
+    CallRecord& record = calls_[id];
+    record.node = node;
+    record.start = nodes_[node].member.start_id;
+    record.key = key;
+    record.once = route != "status";
+    record.noisy = route == "print";
+    record.deadline = now_.mono + kTimeout;
+    RestartDue();
+    record.excused = nodes_[node].down;
+    if (now_.mono < nodes_[node].paused_until) {
+      record.deadline = MonoTime::max();
+    }
+    CallFacts facts = MakeFacts(route);
+    facts.order_key = std::move(key);
+    facts.deadline = kTimeout;
+    Post(node, Milliseconds(0), [this, node, id, facts] {
+      Do(node, CallArrived{id, facts});
+    });
+    return id;
+  }
+  void Drain(std::size_t node) {
+    RestartDue();
+    if (nodes_[node].down) {
+      return;
+    }
+    nodes_[node].draining = true;
+    Do(node, DrainRequested{});
+  }
+  /// \brief Passes time, with ticks, until `duration` from now.
+  void Run(Milliseconds duration) {
+    const MonoTime end = now_.mono + duration;
+    while (now_.mono < end) {
+      const MonoTime tick = std::min(end, now_.mono + TickStep());
+      RunEvents(tick);
+      SetTime(tick);
+      for (std::size_t n = 0; n < nodes_.size(); ++n) {
+        Tick(n);
+      }
+    }
+  }
+  /// \brief Passes time until nothing is left, then checks the last invariants.
+  void Finish() {
+    Run(Milliseconds(30'000));
+    for (std::size_t n = 0; n < nodes_.size(); ++n) {
+      const CallCounts counts = nodes_[n].reducer->counts();
+      Check(counts.calls == 0, "calls are left at node", n);
+      Check(counts.attempts_queued == 0, "attempts wait at node", n);
+      Check(counts.attempts_held == 0, "answers are held at node", n);
+      Check(counts.attempts_running == 0, "attempts run at node", n);
+      Check(!nodes_[n].draining || nodes_[n].drained, "no drain end at node",
+            n);
+    }
+    for (const auto& [id, it] : calls_) {
+      Check(it.finals == 1 || it.excused, "not one final answer to call", id);
+    }
+  }
+
+ private:
+  struct Link {
+    std::size_t entry = 0;
+    std::uint64_t entry_start = 0;
+    std::size_t destination = 0;
+    std::uint64_t destination_start = 0;
+    CallId call = 0;
+    AttemptId attempt;
+    bool open = true;
+    bool silent = false;
+    bool arrived = false;
+    bool answering = false;
+    bool end_sent = false;
+    AttemptId bound;
+  };
+  struct Answer {
+    bool begun = false;
+    bool whole = false;
+    Fault fault = Fault::kNone;
+  };
+  struct Node {
+    Member member;
+    std::unique_ptr<CallReducer> reducer;
+    bool down = false;
+    bool draining = false;
+    bool drained = false;
+    MonoTime restart_at{};
+    MonoTime paused_until{};
+    MonoTime cut_until{};
+    Milliseconds clock_offset{0};
+    Fault upstream_fault = Fault::kNone;
+    std::map<AttemptId, Answer> answers;
+    std::deque<std::function<void()>> deferred;
+  };
+  struct StoredClaim {
+    std::string value;
+    StoreRevision revision = 0;
+    MonoTime ends{};
+  };
+  enum class StepKind : std::uint8_t {
+    kInternal,
+    kToDestination,
+    kToEntry,
+    kUpstream,
+    kStoreRequest,
+    kStoreReply
+  };
+  struct Delivery {
+    StepKind kind = StepKind::kInternal;
+    std::size_t node = 0;
+    std::uint64_t start = 0;
+    LinkId link = 0;
+    std::function<void()> act;
+    bool faulted = false;
+  };
+
+  static constexpr Milliseconds kHop{1};
+  static constexpr Milliseconds kProgress{1'200};
+
+  // Time and delivery.
+
+  [[nodiscard]] Milliseconds TickStep() const {
+    const bool waits = std::ranges::any_of(calls_, [](const auto& it) {
+      return it.second.finals == 0 && !it.second.excused;
+    });
+    return queue_.empty() && !waits ? Milliseconds(400) : kCallTickPeriod;
+  }
+  void SetTime(MonoTime time) {
+    now_.wall += std::chrono::duration_cast<Milliseconds>(time - now_.mono);
+    now_.mono = time;
+  }
+  void Push(Milliseconds delay, Delivery delivery) {
+    queue_.emplace(now_.mono + delay, std::move(delivery));
+  }
+  void Post(std::size_t node, Milliseconds delay, std::function<void()> act) {
+    Push(delay, {StepKind::kInternal, node, nodes_[node].member.start_id, 0,
+                 std::move(act)});
+  }
+  void RunEvents(MonoTime end) {
+    while (!queue_.empty() && queue_.begin()->first <= end) {
+      SetTime(std::max(now_.mono, queue_.begin()->first));
+      Delivery delivery = std::move(queue_.begin()->second);
+      queue_.erase(queue_.begin());
+      Deliver(std::move(delivery));
+    }
+  }
+  void Deliver(Delivery delivery) {
+    if (delivery.kind != StepKind::kInternal && !delivery.faulted) {
+      const Fault fault = plan ? plan(steps_) : Fault::kNone;
+      ++steps_;
+      delivery.faulted = true;
+      if (fault != Fault::kNone && !Apply(fault, &delivery)) {
+        return;
+      }
+    }
+    Node& node = nodes_[delivery.node];
+    if (node.member.start_id != delivery.start || node.down) {
+      return;
+    }
+    if (now_.mono < node.paused_until) {
+      node.deferred.push_back(delivery.act);
+      return;
+    }
+    delivery.act();
+  }
+  void Tick(std::size_t n) {
+    RestartDue();
+    Node& node = nodes_[n];
+    if (node.down || now_.mono < node.paused_until) {
+      return;
+    }
+    while (!node.deferred.empty()) {
+      const auto act = std::move(node.deferred.front());
+      node.deferred.pop_front();
+      act();
+    }
+    Do(n, HeadConfirmed{now_.mono});
+    Do(n, CallTick{});
+  }
+
+  // Faults.
+
+  /// \returns Whether the delivery still happens now.
+  bool Apply(Fault fault, Delivery* delivery) {
+    Node& node = nodes_[delivery->node];
+    switch (fault) {
+      case Fault::kNone:
+        return true;
+      case Fault::kLose:
+        return Lose(*delivery);
+      case Fault::kSilent:
+        if (delivery->link != 0) {
+          links_[delivery->link].silent = true;
+        }
+        return delivery->link == 0;
+      case Fault::kDouble:
+        Push(Milliseconds(3), *delivery);
+        return true;
+      case Fault::kLate:
+        return Delay(*delivery, Milliseconds(1'500));
+      case Fault::kReorder:
+        return Delay(*delivery, Milliseconds(7));
+      case Fault::kKill:
+        Kill(delivery->node);
+        return false;
+      case Fault::kKillZone:
+        KillZone(node.member.zone);
+        return false;
+      case Fault::kPause:
+        node.paused_until = now_.mono + kTimeout + Milliseconds(500);
+        ExcuseCallsOf(delivery->node, false);
+        return true;
+      case Fault::kDrainTwice:
+        Drain(delivery->node);
+        [[fallthrough]];
+      case Fault::kDrain:
+        Drain(delivery->node);
+        return true;
+      case Fault::kCutOneWay:
+        node.cut_until = now_.mono + Milliseconds(2'000);
+        return true;
+      case Fault::kShed:
+      case Fault::kUnreached:
+      case Fault::kBrokenBefore:
+      case Fault::kBrokenAfter:
+      case Fault::kUpstreamSilent:
+        node.upstream_fault = fault;
+        return true;
+      case Fault::kStoreDown:
+        store_down_until_ = now_.mono + Milliseconds(1'000);
+        return true;
+      case Fault::kClockBack:
+        node.clock_offset = -options_.clock_error;
+        return true;
+      case Fault::kClockForward:
+        node.clock_offset = options_.clock_error;
+        return true;
+      case Fault::kForgetHome:
+        TellStatus(0, nodes_.size() - 1, MemberStatus::kDead);
+        return true;
+      case Fault::kSuspectAll:
+        for (std::size_t n = 0; n < nodes_.size(); ++n) {
+          TellStatus(delivery->node, n, MemberStatus::kSuspect);
+        }
+        return true;
+      case Fault::kCallerGone:
+        for (auto& [id, it] : calls_) {
+          if (it.finals == 0) {
+            it.excused = true;
+            Do(it.node, CallerGone{id});
+          }
+        }
+        return true;
+    }
+    return true;
+  }
+  bool Lose(const Delivery& delivery) {
+    if (delivery.link != 0) {
+      BreakLink(delivery.link, LinkLoss::kBroken);
+      return false;
+    }
+    // The store's messages: an answer lost, with or without effect.
+    return delivery.kind == StepKind::kUpstream;
+  }
+  bool Delay(Delivery delivery, Milliseconds by) {
+    Push(by, std::move(delivery));
+    return false;
+  }
+  void TellStatus(std::size_t to, std::size_t about, MemberStatus status) {
+    Member member = nodes_[about].member;
+    member.status = status;
+    if (to != about) {
+      Do(to, MembersChanged{{member}});
+    }
+  }
+  void KillZone(const std::string& zone) {
+    for (std::size_t n = 0; n < nodes_.size(); ++n) {
+      if (nodes_[n].member.zone == zone) {
+        Kill(n);
+      }
+    }
+  }
+  void Kill(std::size_t n) {
+    Node& node = nodes_[n];
+    ExcuseCallsOf(n, true);
+    node.member.start_id += 1;
+    node.down = true;
+    node.draining = false;
+    node.deferred.clear();
+    node.answers.clear();
+    for (auto& [id, link] : links_) {
+      if (link.destination == n || link.entry == n) {
+        BreakLink(id, LinkLoss::kBroken);
+      }
+    }
+    node.restart_at = now_.mono + Milliseconds(30);
+  }
+  void StartNode(std::size_t n) {
+    Node& node = nodes_[n];
+    node.down = false;
+    node.draining = false;
+    node.drained = false;
+    node.upstream_fault = Fault::kNone;
+    node.reducer =
+        std::make_unique<CallReducer>(options_, node.member, random_.Next());
+    Do(n, ApplyVersion{MakeSnapshot()});
+    Do(n, HeadConfirmed{now_.mono});
+    std::vector<Member> members;
+    for (std::size_t m = 0; m < nodes_.size(); ++m) {
+      members.push_back(nodes_[m].member);
+      if (m != n && nodes_[m].reducer && !nodes_[m].down) {
+        Do(m, MembersChanged{{node.member}});
+      }
+    }
+    Do(n, MembersChanged{members});
+    Do(n, ReadinessChanged{true, ""});
+  }
+  void RestartDue() {
+    for (std::size_t n = 0; n < nodes_.size(); ++n) {
+      if (nodes_[n].down && now_.mono >= nodes_[n].restart_at) {
+        StartNode(n);
+      }
+    }
+  }
+  /// \param gone Whether the calls died with their node, or are only late.
+  void ExcuseCallsOf(std::size_t n, bool gone) {
+    for (auto& [id, it] : calls_) {
+      if (it.node != n || it.start != nodes_[n].member.start_id) {
+        continue;
+      }
+      it.excused = it.excused || gone;
+      it.deadline = MonoTime::max();
+    }
+  }
+
+  // One event at one node, and its effects.
+
+  void Do(std::size_t n, const CallEvent& event) {
+    RestartDue();
+    Node& node = nodes_[n];
+    if (node.down) {
+      return;
+    }
+    Instant now = now_;
+    now.wall += node.clock_offset;
+    std::vector<CallEffect> effects;
+    node.reducer->Reduce(now, event, &effects);
+    for (const CallEffect& it : effects) {
+      std::visit([this, n](const auto& effect) { Execute(n, effect); }, it);
+    }
+  }
+  template <typename T>
+  void Execute(std::size_t /*n*/, const T& /*effect*/) {}
+
+  void Execute(std::size_t n, const SendAttempt& effect) {
+    CloseLinks(n, effect.call, effect.request.id);
+    const LinkId id = ++last_link_;
+    Link& link = links_[id];
+    link.entry = n;
+    link.entry_start = nodes_[n].member.start_id;
+    link.destination = IndexOf(effect.destination);
+    link.destination_start = nodes_[link.destination].member.start_id;
+    link.call = effect.call;
+    link.attempt = effect.request.id;
+    attempt_calls_[effect.request.id] = effect.call;
+    if (nodes_[link.destination].down) {
+      Post(n, kHop, [this, id] { LoseLink(id, LinkLoss::kNeverSent); });
+      return;
+    }
+    const std::size_t to = link.destination;
+    Push(kHop, {StepKind::kToDestination, to, link.destination_start, id,
+                [this, id, to, effect] { Arrive(id, to, effect); }});
+    Post(n, kProgress, [this, id] {
+      if (!links_[id].answering) {
+        LoseLink(id, LinkLoss::kSilent);
+      }
+    });
+  }
+  void Arrive(LinkId id, std::size_t to, const SendAttempt& effect) {
+    Link& link = links_[id];
+    if (link.silent) {
+      return;
+    }
+    link.arrived = true;
+    const AttemptRequest& request = effect.request;
+    switch (effect.verb) {
+      case AttemptVerb::kRun:
+        Do(to, AttemptArrived{id, request});
+        break;
+      case AttemptVerb::kFetch:
+        Do(to, FetchArrived{id, request.id, request.destination_start_id});
+        break;
+      case AttemptVerb::kCancel:
+        Do(to, CancelArrived{id, request.id, request.destination_start_id});
+        break;
+    }
+    if (!links_[id].open) {
+      Do(to, LinkLost{id});
+    }
+  }
+  void Execute(std::size_t n, const DropAttempt& effect) {
+    CloseLinks(n, effect.call, effect.attempt);
+  }
+  void CloseLinks(std::size_t n, CallId call, const AttemptId& attempt) {
+    for (auto& [id, link] : links_) {
+      if (link.open && link.entry == n && link.call == call &&
+          link.attempt == attempt) {
+        CloseLink(id);
+      }
+    }
+  }
+  void CloseLink(LinkId id) {
+    Link& link = links_[id];
+    link.open = false;
+    if (!link.arrived || link.silent) {
+      return;
+    }
+    Push(kHop, {StepKind::kInternal, link.destination, link.destination_start,
+                0, [this, id] { Do(links_[id].destination, LinkLost{id}); }});
+  }
+  /// \brief Both ends learn that the link is lost.
+  void BreakLink(LinkId id, LinkLoss loss) {
+    const Link& link = links_[id];
+    if (!link.open) {
+      return;
+    }
+    Push(kHop, {StepKind::kInternal, link.entry, link.entry_start, 0,
+                [this, id, loss] { LoseLink(id, loss); }});
+  }
+  /// \brief The entry node sees the loss of the link.
+  void LoseLink(LinkId id, LinkLoss loss) {
+    if (!links_[id].open) {
+      return;
+    }
+    CloseLink(id);
+    const Link link = links_[id];
+    if (link.answering) {
+      Do(link.entry, AnswerRelayed{link.call, link.attempt, false});
+      return;
+    }
+    Do(link.entry, AttemptLost{link.call, link.attempt, loss});
+  }
+
+  /// \brief Sends a message back over a link; `act` runs at the entry node.
+  void Reply(LinkId id, std::function<void()> act) {
+    const Link& link = links_[id];
+    if (now_.mono < nodes_[link.destination].cut_until) {
+      links_[id].silent = true;
+      return;
+    }
+    Push(kHop, {StepKind::kToEntry, link.entry, link.entry_start, id,
+                [this, id, act = std::move(act)] {
+                  if (links_[id].open && !links_[id].silent) {
+                    act();
+                  }
+                }});
+  }
+  void Execute(std::size_t /*n*/, const ReplyNotRun& effect) {
+    Reply(effect.link, [this, effect] {
+      const Link link = links_[effect.link];
+      links_[effect.link].open = false;
+      Check(link.attempt == effect.attempt, "reply of another attempt",
+            effect.link);
+      Do(link.entry, AttemptNotRun{link.call, link.attempt, effect.reason,
+                                   effect.retry_after});
+    });
+  }
+  void Execute(std::size_t /*n*/, const ReplyStillRunning& effect) {
+    Reply(effect.link, [this, effect] {
+      const Link link = links_[effect.link];
+      links_[effect.link].open = false;
+      Do(link.entry, AttemptStillRunning{link.call, link.attempt});
+    });
+  }
+  void Execute(std::size_t /*n*/, const ReplyUnknown& effect) {
+    Reply(effect.link, [this, effect] {
+      const Link link = links_[effect.link];
+      if (link.answering) {
+        LoseLink(effect.link, LinkLoss::kBroken);
+        return;
+      }
+      links_[effect.link].open = false;
+      Do(link.entry, AttemptUnknown{link.call, link.attempt});
+    });
+  }
+  void Execute(std::size_t n, const BindAnswer& effect) {
+    Check(nodes_[n].answers[effect.attempt].begun, "bind before the answer",
+          effect.link);
+    links_[effect.link].bound = effect.attempt;
+    Reply(effect.link, [this, effect] {
+      Link& link = links_[effect.link];
+      link.answering = true;
+      Post(link.entry, kProgress,
+           [this, effect] { LoseLink(effect.link, LinkLoss::kSilent); });
+      Do(link.entry, AttemptAnswering{link.call, link.attempt, 200});
+    });
+    SendEnds(n, effect.attempt);
+  }
+  void SendEnds(std::size_t n, const AttemptId& attempt) {
+    if (!nodes_[n].answers[attempt].whole) {
+      return;
+    }
+    for (auto& [id, link] : links_) {
+      if (link.destination != n || link.bound != attempt || link.end_sent) {
+        continue;
+      }
+      link.end_sent = true;
+      const LinkId link_id = id;
+      Reply(id, [this, link_id] { EndRelay(link_id); });
+    }
+  }
+  void EndRelay(LinkId id) {
+    const Link link = links_[id];
+    if (!link.answering) {
+      // A connection keeps the order of its beginning and end.
+      Post(link.entry, Milliseconds(5), [this, id] {
+        if (links_[id].open && !links_[id].silent) {
+          EndRelay(id);
+        }
+      });
+      return;
+    }
+    links_[id].open = false;
+    Do(link.entry, AnswerRelayed{link.call, link.attempt, true});
+  }
+
+  // The upstream.
+
+  void Execute(std::size_t n, const StartUpstream& effect) {
+    Node& node = nodes_[n];
+    Check(!node.draining, "start after the drain at node", n);
+    CallRecord& call = calls_[attempt_calls_[effect.attempt]];
+    const Fault fault = node.upstream_fault;
+    node.upstream_fault = Fault::kNone;
+    const bool executes = fault != Fault::kShed && fault != Fault::kUnreached &&
+                          fault != Fault::kBrokenBefore;
+    if (executes) {
+      CountExecution(&call);
+    }
+    node.answers[effect.attempt].fault = fault;
+    const AttemptId id = effect.attempt;
+    if (fault == Fault::kShed) {
+      PushUpstream(n, id, Milliseconds(1), UpstreamShed{id, Milliseconds(50)});
+    } else if (fault == Fault::kUnreached) {
+      PushUpstream(n, id, Milliseconds(1), UpstreamUnreached{id});
+    } else if (fault == Fault::kUpstreamSilent) {
+      PushUpstream(n, id, Milliseconds(2'000), UpstreamBroken{id});
+    } else if (fault == Fault::kNone) {
+      PushUpstream(n, id, Milliseconds(5), UpstreamAnswering{id, 200});
+      PushUpstream(n, id, Milliseconds(8), UpstreamFinished{id});
+    } else {
+      PushUpstream(n, id, Milliseconds(3), UpstreamBroken{id});
+    }
+  }
+  void CountExecution(CallRecord* call) {
+    ++call->executions;
+    Check(!call->told_not_run, "run after it was told not run, node",
+          call->node);
+    Check(!call->once || call->executions <= 1, "once call ran twice, node",
+          call->node);
+    if (call->once && !call->key.empty()) {
+      const int n = ++executions_by_key_[call->key];
+      Check(n <= 1, "order ran twice, node", call->node);
+    }
+    const bool quiet = now_.wall >= WallTime(Seconds(1'000)) &&
+                       now_.wall < WallTime(Seconds(2'000));
+    Check(!call->noisy || !quiet, "noisy start in a window, node", call->node);
+  }
+  template <typename T>
+  void PushUpstream(std::size_t n,
+                    const AttemptId& id,
+                    Milliseconds delay,
+                    T event) {
+    Push(delay, {StepKind::kUpstream, n, nodes_[n].member.start_id, 0,
+                 [this, n, id, event] {
+                   Node& node = nodes_[n];
+                   const auto it = node.answers.find(id);
+                   if (it == node.answers.end()) {
+                     return;
+                   }
+                   it->second.begun = it->second.begun ||
+                                      std::is_same_v<T, UpstreamAnswering> ||
+                                      std::is_same_v<T, UpstreamFinished>;
+                   it->second.whole =
+                       it->second.whole || std::is_same_v<T, UpstreamFinished>;
+                   Do(n, event);
+                   if (nodes_[n].answers.contains(id)) {
+                     SendEnds(n, id);
+                   }
+                 }});
+  }
+  void Execute(std::size_t n, const CancelUpstream& effect) {
+    nodes_[n].answers.erase(effect.attempt);
+  }
+
+  // The callers.
+
+  void Execute(std::size_t /*n*/, const AnswerNotRun& effect) {
+    CallRecord& call = calls_[effect.call];
+    call.told_not_run = true;
+    Check(call.executions == 0, "told not run but ran, call", effect.call);
+    End(effect.call, &call);
+  }
+  void Execute(std::size_t /*n*/, const AnswerUnknown& effect) {
+    End(effect.call, &calls_[effect.call]);
+  }
+  void Execute(std::size_t n, const RelayAnswer& effect) {
+    for (const auto& [id, link] : links_) {
+      if (!link.open || link.entry != n || link.call != effect.call ||
+          link.attempt != effect.attempt) {
+        continue;
+      }
+      const CallId source = attempt_calls_[link.bound];
+      const CallRecord& mine = calls_[effect.call];
+      const bool same_order =
+          !mine.key.empty() && calls_[source].key == mine.key;
+      Check(source == effect.call || same_order, "answer of another call",
+            effect.call);
+      Check(calls_[source].executions > 0, "answer without run", effect.call);
+    }
+    End(effect.call, &calls_[effect.call]);
+  }
+  void End(CallId id, CallRecord* call) {
+    ++call->finals;
+    Check(call->finals == 1, "two final answers to call", id);
+    Check(call->deadline == MonoTime::max() ||
+              now_.mono <= call->deadline + 2 * kCallTickPeriod,
+          "late final answer to call", id);
+  }
+  void Execute(std::size_t /*n*/, const CallEnded& effect) {
+    calls_[effect.call].outcome = effect.outcome;
+  }
+  void Execute(std::size_t n, const DrainFinished& /*effect*/) {
+    nodes_[n].drained = true;
+  }
+  void Execute(std::size_t n, const LocalUpstreamChanged& effect) {
+    nodes_[n].member.upstream_state = effect.state;
+    ++nodes_[n].member.revision;
+    for (std::size_t m = 0; m < nodes_.size(); ++m) {
+      if (m != n) {
+        const Member member = nodes_[n].member;
+        Post(m, Milliseconds(100),
+             [this, m, member] { Do(m, MembersChanged{{member}}); });
+      }
+    }
+  }
+
+  // The store.
+
+  void Execute(std::size_t n, const StoreCall& effect) {
+    const MonoTime sent = now_.mono;
+    Push(kHop, {StepKind::kStoreRequest, n, nodes_[n].member.start_id, 0,
+                [this, n, effect, sent] {
+                  StoreReply reply = Store(effect.request);
+                  reply.sent_at = sent;
+                  Push(kHop,
+                       {StepKind::kStoreReply, n, nodes_[n].member.start_id, 0,
+                        [this, n, effect, reply] {
+                          Do(n, StoreReplied{effect.id, reply});
+                        }});
+                }});
+    Post(n, Milliseconds(300), [this, n, effect] {
+      StoreReply reply;
+      reply.status = StoreStatus::kUnknown;
+      Do(n, StoreReplied{effect.id, reply});
+    });
+  }
+  StoreReply Store(const StoreRequest& request) {
+    StoreReply reply;
+    if (now_.mono < store_down_until_) {
+      reply.status = StoreStatus::kUnavailable;
+      return reply;
+    }
+    std::erase_if(
+        store_, [this](const auto& it) { return now_.mono >= it.second.ends; });
+    reply.status = StoreStatus::kOk;
+    if (const auto* grant = std::get_if<StoreLeaseGrant>(&request)) {
+      reply.lease = ++last_lease_;
+      leases_[reply.lease] = now_.mono + grant->ttl;
+    } else if (const auto* get = std::get_if<StoreGet>(&request)) {
+      reply.entry = EntryOf(get->key);
+    } else if (const auto* swap = std::get_if<StoreCompareAndSwap>(&request)) {
+      Swap(*swap, &reply);
+    } else if (const auto* gone =
+                   std::get_if<StoreCompareAndDelete>(&request)) {
+      const auto entry = EntryOf(gone->key);
+      const bool same = entry && entry->revision == gone->expected;
+      reply.status = same ? StoreStatus::kOk : StoreStatus::kConflict;
+      reply.entry = same ? std::nullopt : entry;
+      if (same) {
+        store_.erase(gone->key);
+      }
+    }
+    reply.store_revision = store_revision_;
+    return reply;
+  }
+  void Swap(const StoreCompareAndSwap& swap, StoreReply* reply) {
+    const auto entry = EntryOf(swap.key);
+    if ((entry ? entry->revision : 0) != swap.expected) {
+      reply->status = StoreStatus::kConflict;
+      reply->entry = entry;
+      return;
+    }
+    store_[swap.key] = {swap.value, ++store_revision_, leases_[swap.lease]};
+  }
+  [[nodiscard]] std::optional<StoreEntry> EntryOf(const std::string& key) {
+    const auto it = store_.find(key);
+    if (it == store_.end()) {
+      return std::nullopt;
+    }
+    return StoreEntry{key, it->second.value, it->second.revision};
+  }
+
+  // Checks.
+
+  void Check(bool held, const char* what, std::uint64_t which) {
+    if (!held) {
+      violations_.push_back(std::string(what) + " " + std::to_string(which));
+    }
+  }
+  [[nodiscard]] std::size_t IndexOf(const NodeId& id) const {
+    for (std::size_t n = 0; n < nodes_.size(); ++n) {
+      if (nodes_[n].member.id == id) {
+        return n;
+      }
+    }
+    return 0;
+  }
+
+  CallOptions options_;
+  Random random_;
+  Instant now_{MonoTime(Seconds(100)), WallTime(Seconds(100))};
+  std::multimap<MonoTime, Delivery> queue_;
+  std::size_t steps_ = 0;
+  std::vector<std::string> violations_;
+  std::vector<Node> nodes_;
+  std::map<LinkId, Link> links_;
+  LinkId last_link_ = 0;
+  CallId last_call_ = 0;
+  std::map<CallId, CallRecord> calls_;
+  std::map<AttemptId, CallId> attempt_calls_;
+  std::map<std::string, int> executions_by_key_;
+  std::map<std::string, StoredClaim> store_;
+  StoreRevision store_revision_ = 0;
+  LeaseId last_lease_ = 0;
+  std::map<LeaseId, MonoTime> leases_;
+  MonoTime store_down_until_{};
+};
+
+}  // namespace cassiabend::testing
