--- /dev/null
+++ b/src/cassiabend/core/call_destination.cc
@@ -0,0 +1,553 @@
+#include "cassiabend/core/call_destination.h"
+
+#include <algorithm>
+
+namespace cassiabend {
+namespace {
+
+/// Most attempts whose fate is remembered.
+constexpr std::size_t kMaxTombstones = 65'536;
+/// How long a fetch waits before it is told that the attempt still runs.
+constexpr Milliseconds kFetchWait{1'000};
+/// How long a repeatable attempt runs on without a connection.
+constexpr Milliseconds kOrphanGrace{250};
+/// How long the answer of a repeatable attempt is held once it was taken.
+constexpr Milliseconds kTakenHold{1'000};
+/// Added to the time for which a fate is remembered.
+constexpr Milliseconds kMemoryMargin{1'000};
+constexpr Milliseconds kUnreachedPause{100};
+constexpr Milliseconds kStorePause{1'000};
+
+}  // namespace
+
+CallDestination::CallDestination(CallContext* context,
+                                 const CallUpstreamHealth* health)
+    : context_(context),
+      health_(health),
+      admission_(context->options),
+      tombstones_(kMaxTombstones),
+      orders_(context) {}
+
+bool CallDestination::has_work() const noexcept {
+  return std::ranges::any_of(attempts_, [](const auto& it) {
+    return it.second->state != AttemptState::kHeld || !it.second->taken;
+  });
+}
+
+// Arrival and admission.
+
+void CallDestination::Reduce(const AttemptArrived& event) {
+  const AttemptRequest& request = event.request;
+  if (Attempt* known = Find(request.id)) {
+    Join(known, request.id, event.link, false);
+    return;
+  }
+  if (tombstones_.Find(request.id)) {
+    ReplyToAbsent(event.link, request.id, request.destination_start_id);
+    return;
+  }
+  if (const auto refusal = CheckIdentity(request)) {
+    RefuseArrival(event, *refusal);
+    return;
+  }
+  if (JoinOrder(event)) {
+    return;
+  }
+  if (const auto refusal = CheckCapacity(request)) {
+    RefuseArrival(event, *refusal);
+    return;
+  }
+  Admit(event);
+  StartWaiting();
+}
+
+bool CallDestination::IsExpired(const AttemptRequest& request) const {
+  return request.expires_at != WallTime{} &&
+         context_->now.wall >
+             request.expires_at + context_->options.clock_error;
+}
+
+std::optional<Refusal> CallDestination::CheckIdentity(
+    const AttemptRequest& request) const {
+  if (request.destination_start_id != context_->self.start_id) {
+    return Refusal{NotRunReason::kRestarted};
+  }
+  if (IsExpired(request)) {
+    return Refusal{NotRunReason::kDeadline};
+  }
+  const bool expires = request.expires_at != WallTime{};
+  if (expires && tombstones_.MayBeForgotten(request.expires_at)) {
+    return Refusal{NotRunReason::kOverloaded};
+  }
+  return std::nullopt;
+}
+
+std::optional<Refusal> CallDestination::CheckCapacity(
+    const AttemptRequest& request) const {
+  if (context_->draining) {
+    return Refusal{NotRunReason::kDraining};
+  }
+  if (request.service != context_->self.service || health_->slots() == 0 ||
+      health_->state() != UpstreamState::kServing) {
+    return Refusal{NotRunReason::kNoUpstream};
+  }
+  const Nanoseconds wait = admission_.ExpectedWait(request, health_->slots());
+  if (wait >= request.deadline) {
+    return Refusal{NotRunReason::kOverloaded,
+                   std::chrono::ceil<Milliseconds>(wait)};
+  }
+  if (OrderOf(request) && !orders_.is_available()) {
+    return Refusal{NotRunReason::kStoreUnavailable, kStorePause};
+  }
+  return std::nullopt;
+}
+
+void CallDestination::RefuseArrival(const AttemptArrived& event,
+                                    const Refusal& refusal) {
+  context_->Emit(ReplyNotRun{event.link, event.request.id, refusal.reason,
+                             refusal.retry_after});
+  Remember(event.request.id, event.request.expires_at, AttemptFate::kNotRun);
+}
+
+bool CallDestination::JoinOrder(const AttemptArrived& event) {
+  const AttemptRequest& request = event.request;
+  const std::optional<OrderId> order = OrderOf(request);
+  const auto owner_id = order ? orders_.OwnerOf(*order) : std::nullopt;
+  if (!owner_id) {
+    return false;
+  }
+  Attempt* owner = Find(*owner_id);
+  if (owner == nullptr || owner->aliases.size() == kMaxAliasesPerAttempt) {
+    context_->Emit(ReplyUnknown{event.link, request.id});
+    Remember(request.id, request.expires_at, AttemptFate::kRan);
+    return true;
+  }
+  owner->aliases.push_back({request.id, request.expires_at});
+  aliases_[request.id] = owner->request.id;
+  Join(owner, request.id, event.link, false);
+  return true;
+}
+
+void CallDestination::Admit(const AttemptArrived& event) {
+  auto& slot = attempts_[event.request.id];
+  slot = std::make_unique<Attempt>();
+  Attempt* attempt = slot.get();
+  attempt->request = event.request;
+  attempt->arrived_at = context_->now.mono;
+  attempt->deadline =
+      context_->now.mono +
+      std::min(event.request.deadline, LongestDeadline(context_->options));
+  (void)links_.Add(attempt, {event.link, event.request.id});
+  Schedule(attempt);
+  if (const auto order = OrderOf(event.request)) {
+    Claim(*order, attempt);
+    return;
+  }
+  Enqueue(attempt);
+}
+
+void CallDestination::Claim(const OrderId& order, Attempt* attempt) {
+  attempt->state = AttemptState::kClaiming;
+  Schedule(attempt);
+  orders_.Claim(order, attempt->request.id);
+  TakeClaims();
+}
+
+void CallDestination::TakeClaims() {
+  for (const ClaimOutcome& it : orders_.TakeOutcomes()) {
+    Attempt* attempt = Find(it.attempt);
+    if (attempt == nullptr || attempt->state != AttemptState::kClaiming) {
+      continue;
+    }
+    switch (it.result) {
+      case ClaimResult::kClaimed:
+        Enqueue(attempt);
+        continue;
+      case ClaimResult::kTaken:
+        EndUnknown(attempt);
+        continue;
+      case ClaimResult::kUnavailable:
+        Refuse(attempt, {NotRunReason::kStoreUnavailable, kStorePause});
+        continue;
+    }
+  }
+}
+
+void CallDestination::Reduce(const StoreReplied& event) {
+  orders_.Reduce(event);
+  TakeClaims();
+  StartWaiting();
+}
+
+void CallDestination::Enqueue(Attempt* attempt) {
+  attempt->state = AttemptState::kQueued;
+  if (context_->draining) {
+    Refuse(attempt, {NotRunReason::kDraining});
+    return;
+  }
+  Attempt* refused = admission_.Enqueue(attempt);
+  if (refused == nullptr) {
+    return;
+  }
+  const bool pushed_out = refused != attempt;
+  const Nanoseconds wait =
+      admission_.ExpectedWait(refused->request, health_->slots());
+  Refuse(refused,
+         {pushed_out ? NotRunReason::kShareExceeded : NotRunReason::kOverloaded,
+          std::chrono::ceil<Milliseconds>(wait)});
+}
+
+void CallDestination::StartWaiting() {
+  while (Attempt* attempt = admission_.TakeNext(health_->slots())) {
+    attempt->holds_slot = true;
+    if (const auto refusal = CheckDispatch(*attempt)) {
+      Refuse(attempt, *refusal);
+      continue;
+    }
+    Start(attempt);
+  }
+}
+
+std::optional<Refusal> CallDestination::CheckDispatch(
+    const Attempt& attempt) const {
+  const AttemptRequest& request = attempt.request;
+  if (context_->now.mono >= attempt.deadline || IsExpired(request)) {
+    return Refusal{NotRunReason::kDeadline};
+  }
+  if (context_->draining) {
+    return Refusal{NotRunReason::kDraining};
+  }
+  if (!request.noisy) {
+    return std::nullopt;
+  }
+  return CheckNoisyWork(
+      *context_, {request.site, request.longest_job, request.config_number});
+}
+
+void CallDestination::Start(Attempt* attempt) {
+  attempt->state = AttemptState::kRunning;
+  attempt->started_at = context_->now.mono;
+  const auto left = attempt->deadline - context_->now.mono;
+  context_->Emit(StartUpstream{attempt->request.id,
+                               std::chrono::ceil<Milliseconds>(left)});
+  Schedule(attempt);
+}
+
+// Connections.
+
+void CallDestination::Reduce(const FetchArrived& event) {
+  if (Attempt* attempt = Find(event.attempt)) {
+    Join(attempt, event.attempt, event.link, true);
+    return;
+  }
+  ReplyToAbsent(event.link, event.attempt, event.destination_start_id);
+}
+
+void CallDestination::Reduce(const CancelArrived& event) {
+  Attempt* attempt = Find(event.attempt);
+  if (attempt == nullptr) {
+    ReplyToAbsent(event.link, event.attempt, event.destination_start_id);
+    return;
+  }
+  Join(attempt, event.attempt, event.link, true);
+  if (attempt->request.id != event.attempt) {
+    // The order runs for another caller too.
+    return;
+  }
+  if (attempt->state == AttemptState::kQueued ||
+      attempt->state == AttemptState::kClaiming) {
+    Refuse(attempt, {NotRunReason::kCancelled});
+    return;
+  }
+  if (attempt->state == AttemptState::kRunning && !attempt->request.once) {
+    context_->Emit(CancelUpstream{attempt->request.id});
+    EndUnknown(attempt);
+    StartWaiting();
+  }
+}
+
+void CallDestination::Join(Attempt* attempt,
+                           const AttemptId& asked,
+                           LinkId link,
+                           bool fetches) {
+  const MonoTime fetch_due =
+      fetches ? context_->now.mono + kFetchWait : MonoTime::max();
+  if (!links_.Add(attempt, {link, asked, fetch_due})) {
+    context_->Emit(ReplyUnknown{link, asked});
+    return;
+  }
+  Bind(attempt);
+  Schedule(attempt);
+}
+
+void CallDestination::ReplyToAbsent(LinkId link,
+                                    const AttemptId& id,
+                                    std::uint64_t start_id) {
+  if (start_id != context_->self.start_id) {
+    // The start that was meant may have run it.
+    context_->Emit(ReplyUnknown{link, id});
+    return;
+  }
+  const MonoTime keep_until =
+      context_->now.mono + context_->options.order_memory;
+  const bool remembered =
+      tombstones_.Add(id, AttemptFate::kNotRun, std::nullopt, keep_until);
+  if (!remembered) {
+    context_->Emit(ReplyUnknown{link, id});
+    return;
+  }
+  context_->Emit(
+      ReplyNotRun{link, id, NotRunReason::kCancelled, Milliseconds(0)});
+}
+
+void CallDestination::Bind(Attempt* attempt) {
+  const bool whole = attempt->state == AttemptState::kHeld;
+  if (!whole && attempt->state != AttemptState::kAnswering) {
+    return;
+  }
+  for (AttemptLink& it : attempt->links) {
+    // Repeats of an order get the answer once it is whole.
+    if (it.bound || (!whole && it.asked != attempt->request.id)) {
+      continue;
+    }
+    it.bound = true;
+    it.fetch_due = MonoTime::max();
+    attempt->taken = attempt->taken || whole;
+    context_->Emit(BindAnswer{it.link, attempt->request.id});
+  }
+}
+
+void CallDestination::Reduce(const LinkLost& event) {
+  const auto id = links_.Find(event.link);
+  if (!id) {
+    return;
+  }
+  Attempt* attempt = Find(*id);
+  links_.Remove(attempt, event.link);
+  if (!attempt->links.empty()) {
+    return;
+  }
+  CancelOrphan(attempt);
+}
+
+void CallDestination::CancelOrphan(Attempt* attempt) {
+  switch (attempt->state) {
+    case AttemptState::kQueued:
+    case AttemptState::kClaiming:
+      Refuse(attempt, {NotRunReason::kCancelled});
+      return;
+    case AttemptState::kRunning:
+    case AttemptState::kAnswering:
+      attempt->orphan_due = context_->now.mono + kOrphanGrace;
+      Schedule(attempt);
+      return;
+    case AttemptState::kHeld:
+      attempt->taken = false;
+      timers_.Schedule(attempt,
+                       context_->now.mono + context_->options.answer_hold);
+      return;
+  }
+}
+
+// The upstream.
+
+void CallDestination::Reduce(const UpstreamShed& event) {
+  Attempt* attempt = Find(event.attempt);
+  if (attempt == nullptr || attempt->state != AttemptState::kRunning) {
+    return;
+  }
+  Refuse(attempt, {NotRunReason::kOverloaded, event.retry_after});
+  StartWaiting();
+}
+
+void CallDestination::Reduce(const UpstreamUnreached& event) {
+  Attempt* attempt = Find(event.attempt);
+  if (attempt == nullptr || attempt->state != AttemptState::kRunning) {
+    return;
+  }
+  Refuse(attempt, {NotRunReason::kUnreachable, kUnreachedPause});
+  StartWaiting();
+}
+
+void CallDestination::Reduce(const UpstreamAnswering& event) {
+  Attempt* attempt = Find(event.attempt);
+  if (attempt == nullptr || attempt->state != AttemptState::kRunning) {
+    return;
+  }
+  attempt->state = AttemptState::kAnswering;
+  Bind(attempt);
+  Schedule(attempt);
+}
+
+void CallDestination::Reduce(const UpstreamFinished& event) {
+  Reduce(UpstreamAnswering{event.attempt, 0});
+  Attempt* attempt = Find(event.attempt);
+  if (attempt == nullptr || attempt->state != AttemptState::kAnswering) {
+    return;
+  }
+  ReleaseSlot(attempt);
+  attempt->state = AttemptState::kHeld;
+  ++held_;
+  attempt->taken = std::ranges::any_of(attempt->links, &AttemptLink::bound);
+  Bind(attempt);
+  const bool brief = attempt->taken && !attempt->request.once;
+  timers_.Schedule(attempt,
+                   context_->now.mono +
+                       (brief ? kTakenHold : context_->options.answer_hold));
+  StartWaiting();
+}
+
+void CallDestination::Reduce(const UpstreamBroken& event) {
+  Attempt* attempt = Find(event.attempt);
+  if (attempt == nullptr || !attempt->is_started()) {
+    return;
+  }
+  EndUnknown(attempt);
+  StartWaiting();
+}
+
+// Ends.
+
+void CallDestination::Refuse(Attempt* attempt, const Refusal& refusal) {
+  for (const AttemptLink& it : attempt->links) {
+    context_->Emit(
+        ReplyNotRun{it.link, it.asked, refusal.reason, refusal.retry_after});
+  }
+  if (attempt->is_waiting()) {
+    admission_.Remove(attempt);
+  }
+  if (const auto order = OrderOf(attempt->request)) {
+    orders_.Release(*order);
+  }
+  Forget(attempt, AttemptFate::kNotRun);
+}
+
+void CallDestination::EndUnknown(Attempt* attempt) {
+  for (const AttemptLink& it : attempt->links) {
+    context_->Emit(ReplyUnknown{it.link, it.asked});
+  }
+  Forget(attempt, AttemptFate::kRan);
+}
+
+void CallDestination::ReleaseSlot(Attempt* attempt) {
+  if (!attempt->holds_slot) {
+    return;
+  }
+  attempt->holds_slot = false;
+  const bool ran = attempt->state == AttemptState::kAnswering;
+  admission_.Release(*attempt, ran ? context_->now.mono - attempt->started_at
+                                   : Nanoseconds(0));
+}
+
+void CallDestination::Forget(Attempt* attempt, AttemptFate fate) {
+  ReleaseSlot(attempt);
+  links_.RemoveAll(attempt);
+  held_ -= attempt->state == AttemptState::kHeld ? 1 : 0;
+  Remember(attempt->request.id, attempt->request.expires_at, fate);
+  for (const AttemptAlias& it : attempt->aliases) {
+    aliases_.erase(it.id);
+    Remember(it.id, it.expires_at, fate);
+  }
+  context_->Emit(ReleaseAttempt{attempt->request.id});
+  attempts_.erase(AttemptId(attempt->request.id));
+}
+
+void CallDestination::Remember(const AttemptId& id,
+                               WallTime expires_at,
+                               AttemptFate fate) {
+  const Milliseconds memory = context_->options.order_memory;
+  if (expires_at == WallTime{}) {
+    tombstones_.Add(id, fate, std::nullopt, context_->now.mono + memory);
+    return;
+  }
+  const Milliseconds left =
+      std::clamp(expires_at - context_->now.wall, Milliseconds(0), memory);
+  const Milliseconds errors = 3 * context_->options.clock_error;
+  tombstones_.Add(id, fate, expires_at,
+                  context_->now.mono + left + errors + kMemoryMargin);
+}
+
+void CallDestination::Drain() {
+  std::vector<Attempt*> waiting;
+  for (const auto& [id, attempt] : attempts_) {
+    if (attempt->state == AttemptState::kQueued ||
+        attempt->state == AttemptState::kClaiming) {
+      waiting.push_back(attempt.get());
+    }
+  }
+  for (Attempt* it : waiting) {
+    Refuse(it, {NotRunReason::kDraining});
+  }
+}
+
+// Time.
+
+void CallDestination::Tick() {
+  tombstones_.Expire(context_->now.mono);
+  orders_.Tick();
+  TakeClaims();
+  while (Attempt* attempt = timers_.PopDue(context_->now.mono)) {
+    Expire(attempt);
+  }
+  StartWaiting();
+}
+
+void CallDestination::Expire(Attempt* attempt) {
+  const MonoTime now = context_->now.mono;
+  if (attempt->state == AttemptState::kHeld) {
+    Forget(attempt, AttemptFate::kRan);
+    return;
+  }
+  TellStillRunning(attempt);
+  const bool started = attempt->is_started();
+  if (!started && now >= attempt->deadline) {
+    Refuse(attempt, {NotRunReason::kDeadline});
+    return;
+  }
+  const bool over = now >= std::min(attempt->deadline, attempt->orphan_due);
+  if (attempt->state == AttemptState::kRunning && over &&
+      !attempt->request.once) {
+    context_->Emit(CancelUpstream{attempt->request.id});
+    EndUnknown(attempt);
+    return;
+  }
+  Schedule(attempt);
+}
+
+void CallDestination::TellStillRunning(Attempt* attempt) {
+  std::vector<AttemptLink> due;
+  for (const AttemptLink& it : attempt->links) {
+    if (context_->now.mono >= it.fetch_due) {
+      due.push_back(it);
+    }
+  }
+  for (const AttemptLink& it : due) {
+    context_->Emit(ReplyStillRunning{it.link, it.asked});
+    links_.Remove(attempt, it.link);
+  }
+}
+
+void CallDestination::Schedule(Attempt* attempt) {
+  if (attempt->state == AttemptState::kHeld) {
+    return;
+  }
+  MonoTime due = attempt->fetch_due();
+  const bool cancellable =
+      attempt->state == AttemptState::kRunning && !attempt->request.once;
+  if (!attempt->is_started() || cancellable) {
+    due = std::min({due, attempt->deadline, attempt->orphan_due});
+  }
+  if (due == MonoTime::max()) {
+    timers_.Cancel(attempt);
+    return;
+  }
+  timers_.Schedule(attempt, due);
+}
+
+Attempt* CallDestination::Find(const AttemptId& id) const {
+  const auto alias = aliases_.find(id);
+  const auto it = attempts_.find(alias == aliases_.end() ? id : alias->second);
+  return it == attempts_.end() ? nullptr : it->second.get();
+}
+
+}  // namespace cassiabend
--- a/tests/support/fleet_driver.h
+++ b/tests/support/fleet_driver.h
@@ -15,7 +15,7 @@
 #include "cassiabend/core/fleet_reducer.h"
 #include "cassiabend/core/membership_updates.h"
 #include "cassiabend/model/codec.h"
-#include "tests/support/fake_store.h"
+#include "tests/support/fleet_fake_store.h"
 
 namespace cassiabend::testing {
 
--- /dev/null
+++ b/tools/bench_calls.cc
@@ -0,0 +1,324 @@
+#include "tools/bench_calls.h"
+
+#include <algorithm>
+#include <chrono>
+#include <filesystem>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "tools/bench_load.h"
+#include "tools/harness/fleet.h"
+
+namespace cassiabend::bench {
+namespace {
+
+namespace json = boost::json;
+using std::chrono::steady_clock;
+
+constexpr std::chrono::seconds kSettleWait{60};
+constexpr std::chrono::milliseconds kConnectTimeout{5'000};
+constexpr std::size_t kHosts = 6;
+
+/// \brief A fleet that is ready for calls.
+class CallFleet {
+ public:
+  CallFleet(const Options& options,
+            const std::string& name,
+            std::size_t hosts,
+            std::vector<std::string> upstream_arguments)
+      : deployment_(harness::DeploymentByName(options.deployment)) {
+    const std::string folder = options.work + "/" + name;
+    std::filesystem::create_directories(folder);
+    harness::FleetOptions fleet_options;
+    fleet_options.deployment = deployment_;
+    fleet_options.hosts = hosts;
+    fleet_options.bin = options.bin;
+    fleet_options.work = folder;
+    fleet_options.upstream_arguments = std::move(upstream_arguments);
+    fleet_ = std::make_unique<harness::Fleet>(std::move(fleet_options));
+    fleet_->Start();
+    Commit(options);
+  }
+
+  [[nodiscard]] harness::Fleet& fleet() { return *fleet_; }
+  [[nodiscard]] const harness::Deployment& deployment() const {
+    return deployment_;
+  }
+
+  /// \returns The hosts whose upstream serves `service`.
+  [[nodiscard]] std::vector<std::size_t> HostsOf(
+      const std::string& service) const {
+    std::vector<std::size_t> out;
+    for (std::size_t i = 0; i < fleet_->hosts().size(); ++i) {
+      if (fleet_->hosts().at(i).service == service) {
+        out.push_back(i);
+      }
+    }
+    return out;
+  }
+
+ private:
+  void Commit(const Options& options) {
+    if (!fleet_->WaitMembers(fleet_->hosts().size(), kSettleWait)) {
+      throw std::runtime_error("the members did not find each other");
+    }
+    Change change =
+        harness::ExampleChange(deployment_, {options.seed, 0xBE7C4});
+    // A second class on the service of "status", for the flooding test.
+    Route confirm;
+    confirm.name = "confirm";
+    confirm.tenant = deployment_.tenant;
+    confirm.path_prefix = "/confirm";
+    confirm.service = deployment_.services.front();
+    confirm.request_class = "confirm";
+    confirm.repeat = RepeatPolicy::kOnce;
+    confirm.timeout = Milliseconds(2'000);
+    change.edits.push_back({confirm, {}});
+    const CommitResult result = fleet_->Admin(0)->Commit(change, false);
+    if (result.code != CommitCode::kOk ||
+        !fleet_->WaitVersion(result.mark.number, kSettleWait) ||
+        !fleet_->WaitReady(kSettleWait)) {
+      throw std::runtime_error("the example was not in force: " +
+                               result.reason);
+    }
+  }
+
+  harness::Deployment deployment_;
+  std::unique_ptr<harness::Fleet> fleet_;
+};
+
+/// \brief One way to reach the upstream, timed.
+struct Path {
+  std::string ip;
+  std::uint16_t port = 0;
+  Samples samples;
+  std::unique_ptr<harness::HttpConnection> connection;
+
+  void Time(const std::string& target) {
+    if (!connection) {
+      connection =
+          std::make_unique<harness::HttpConnection>(ip, port, kConnectTimeout);
+    }
+    const auto start = steady_clock::now();
+    const harness::Response response = connection->Send({.target = target});
+    const std::chrono::duration<double, std::micro> elapsed =
+        steady_clock::now() - start;
+    if (response.status != 200 || !response.complete) {
+      throw std::runtime_error("a call of the latency run failed: " +
+                               std::to_string(response.status) + " " +
+                               response.body);
+    }
+    samples.Add(elapsed.count());
+  }
+};
+
+/// \brief Times the paths in turn, so that noise falls on all alike.
+void TimeInTurn(std::vector<Path*> paths, const std::string& target, int n) {
+  constexpr int kWarmUps = 50;
+  for (Path* it : paths) {
+    for (int i = 0; i < kWarmUps; ++i) {
+      it->Time(target);
+    }
+    it->samples = {};
+  }
+  for (int i = 0; i < n; ++i) {
+    for (Path* it : paths) {
+      it->Time(target);
+    }
+  }
+}
+
+void EmitAdded(const Path& path,
+               const Path& direct,
+               int hops,
+               const std::string& target,
+               Report* report) {
+  const json::object extra{{"hops", hops},
+                           {"target", target},
+                           {"samples", path.samples.size()},
+                           {"direct_p50_us", direct.samples.Quantile(0.5)},
+                           {"direct_p99_us", direct.samples.Quantile(0.99)},
+                           {"nodes", kHosts}};
+  for (const auto& [name, q] : {std::pair("added_latency_p50_us", 0.5),
+                                std::pair("added_latency_p99_us", 0.99)}) {
+    report->Emit(name, path.samples.Quantile(q) - direct.samples.Quantile(q),
+                 "us", extra);
+  }
+}
+
+std::size_t CountTold(const std::vector<CallRecord>& records, Told told) {
+  return static_cast<std::size_t>(std::ranges::count(
+      records, told, [](const CallRecord& it) { return it.told; }));
+}
+
+}  // namespace
+
+void MeasureLatency(const Options& options, Report* report) {
+  CallFleet run(options, "latency", kHosts, {"--latency-us", "500"});
+  harness::Fleet& fleet = run.fleet();
+  const std::string& files = run.deployment().services.at(2);
+  const std::size_t host = run.HostsOf(files).front();
+  const harness::HostPlan& serving = fleet.hosts().at(host);
+  // A node without the service sends the call on to a second node.
+  const std::size_t other = (host + 1) % kHosts;
+  const harness::HostPlan& entry = fleet.hosts().at(other);
+  for (const char* target : {"/bytes/200", "/bytes/1048576"}) {
+    Path direct{.ip = serving.ip, .port = serving.upstream_port};
+    Path one{.ip = serving.ip, .port = serving.call_port};
+    Path two{.ip = entry.ip, .port = entry.call_port};
+    const int n = options.quick ? 400 : 3'000;
+    TimeInTurn({&direct, &one, &two}, target, n);
+    EmitAdded(one, direct, 1, target, report);
+    EmitAdded(two, direct, 2, target, report);
+  }
+  const auto calls = std::chrono::milliseconds(options.quick ? 2'000 : 8'000);
+  const LoadPlan load{.entries = {other},
+                      .threads = 8,
+                      .calls_per_s = 400,
+                      .duration = calls,
+                      .target = "/bytes/200",
+                      .key_prefix = "latency"};
+  const std::vector<CallRecord> records = RunLoad(fleet, load);
+  Samples samples;
+  for (const CallRecord& it : records) {
+    samples.Add(it.latency_us);
+  }
+  report->Emit("loaded_latency_p99_us", samples.Quantile(0.99), "us",
+               {{"calls_per_s", load.calls_per_s},
+                {"nodes", kHosts},
+                {"answered", CountTold(records, Told::kAnswered)},
+                {"calls", records.size()}});
+  CheckExecutions(fleet, records, report);
+}
+
+void MeasureOverload(const Options& options, Report* report) {
+  constexpr std::chrono::milliseconds kLatency{20};
+  CallFleet run(options, "overload", kHosts,
+                {"--latency-us", std::to_string(kLatency.count() * 1'000)});
+  harness::Fleet& fleet = run.fleet();
+  const std::string& service = run.deployment().services.front();
+  const auto upstreams = static_cast<double>(run.HostsOf(service).size());
+  const double slots = run.deployment().slots;
+  const double capacity =
+      upstreams * slots / std::chrono::duration<double>(kLatency).count();
+  const std::chrono::milliseconds duration(options.quick ? 2'000 : 8'000);
+  std::vector<std::size_t> entries;
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    entries.push_back(i);
+  }
+  for (const int overload : {1, 2, 5}) {
+    const std::string name = "overload-" + std::to_string(overload);
+    const double paid = capacity * 0.2;
+    LoadPlan flood{.entries = entries,
+                   .threads = static_cast<std::size_t>(60 * overload),
+                   .calls_per_s = capacity * overload - paid,
+                   .duration = duration,
+                   .target = "/status",
+                   .key_prefix = name + "-flood"};
+    LoadPlan confirm{.entries = entries,
+                     .threads = 24,
+                     .calls_per_s = paid,
+                     .duration = duration,
+                     .target = "/confirm",
+                     .method = "POST",
+                     .once = true,
+                     .key_prefix = name + "-confirm"};
+    std::vector<CallRecord> confirms;
+    std::thread second([&] { confirms = RunLoad(fleet, confirm); });
+    std::vector<CallRecord> records = RunLoad(fleet, flood);
+    second.join();
+    const double seconds = std::chrono::duration<double>(duration).count();
+    const auto good = static_cast<double>(CountTold(records, Told::kAnswered) +
+                                          CountTold(confirms, Told::kAnswered));
+    const json::object extra{
+        {"overload", overload},
+        {"nodes", kHosts},
+        {"capacity_calls_per_s", capacity},
+        {"calls", records.size() + confirms.size()},
+        {"unknown", CountTold(records, Told::kUnknown) +
+                        CountTold(confirms, Told::kUnknown)}};
+    report->Emit("goodput_ratio", good / seconds / capacity, "ratio", extra);
+    report->Emit("quiet_class_goodput_ratio",
+                 static_cast<double>(CountTold(confirms, Told::kAnswered)) /
+                     static_cast<double>(confirms.size()),
+                 "ratio", extra);
+    records.insert(records.end(), confirms.begin(), confirms.end());
+    CheckExecutions(fleet, records, report);
+  }
+}
+
+void MeasureRetries(const Options& options, Report* report) {
+  constexpr std::size_t kRetryHosts = 9;
+  CallFleet run(options, "retries", kRetryHosts, {"--latency-us", "1000"});
+  harness::Fleet& fleet = run.fleet();
+  const std::vector<std::size_t> serving =
+      run.HostsOf(run.deployment().services.front());
+  // The upstream answers nothing and closes: every call to it breaks off.
+  fleet.ControlUpstream(serving.front(), R"({"break": true})");
+  LoadPlan load{
+      .entries = {},
+      .threads = 12,
+      .calls_per_s = 300,
+      .duration = std::chrono::milliseconds(options.quick ? 3'000 : 10'000),
+      .target = "/status",
+      .key_prefix = "retries"};
+  for (std::size_t i = 0; i < kRetryHosts; ++i) {
+    load.entries.push_back(i);
+  }
+  const std::uint64_t before = TotalExecutions(fleet);
+  const std::vector<CallRecord> records = RunLoad(fleet, load);
+  const auto executions = static_cast<double>(TotalExecutions(fleet) - before);
+  report->Emit("retry_amplification",
+               executions / static_cast<double>(records.size()), "ratio",
+               {{"nodes", kRetryHosts},
+                {"failing_upstreams", 1},
+                {"upstreams", serving.size()},
+                {"calls", records.size()},
+                {"answered", CountTold(records, Told::kAnswered)}});
+  CheckExecutions(fleet, records, report);
+}
+
+void MeasureDrain(const Options& options, Report* report) {
+  constexpr std::size_t kDrainHosts = 12;
+  CallFleet run(options, "drain", kDrainHosts, {"--latency-us", "20000"});
+  harness::Fleet& fleet = run.fleet();
+  const std::vector<std::size_t> serving =
+      run.HostsOf(run.deployment().services.at(1));
+  LoadPlan load{.entries = {},
+                .threads = 24,
+                .calls_per_s = 240,
+                .duration = std::chrono::milliseconds(5'000),
+                .target = "/orders",
+                .method = "POST",
+                .once = true,
+                .key_prefix = "drain"};
+  for (std::size_t i = 0; i < kDrainHosts; ++i) {
+    if (i != serving.at(0) && i != serving.at(1)) {
+      load.entries.push_back(i);
+    }
+  }
+  std::vector<CallRecord> records;
+  std::thread callers([&] { records = RunLoad(fleet, load); });
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  fleet.StopNode(serving.at(0));
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  const auto code = fleet.node(serving.at(0))->Wait(kSettleWait);
+  if (code != 0) {
+    report->Violation("a draining node did not end cleanly");
+  }
+  callers.join();
+  report->Emit(
+      "drain_lost_calls",
+      static_cast<double>(records.size() - CountTold(records, Told::kAnswered)),
+      "calls",
+      {{"nodes", kDrainHosts},
+       {"calls", records.size()},
+       {"not_run", CountTold(records, Told::kNotRun)},
+       {"unknown", CountTold(records, Told::kUnknown)}});
+  CheckExecutions(fleet, records, report);
+}
+
+}  // namespace cassiabend::bench
