Carry attach sequences, held times, reader flags and zones out of reach on the wire

Cause: the mesh codec left out the fields that the fleet reducer had added, so beats between processes confirmed nothing and no node knew the readers.

Change: the codec copies Datagram.attachSequence, .heldMs, .unreachableZones and Member.isReader.

Tests: peer_transport_test compares them for every kind of datagram.

--- a/src/cassiabend/rpc/mesh_codec.cc
+++ b/src/cassiabend/rpc/mesh_codec.cc
@@ -35,6 +35,7 @@
 
 /// \brief Writes the body of each kind of datagram.
 struct BodyWriter {
+  schema::Datagram::Builder datagram;
   schema::Datagram::Body::Builder out;
 
   void operator()(const PingBody& it) { out.setPing(it.sequence); }
@@ -45,12 +46,20 @@
     request.setTargetIp(it.target.ip);
     request.setTargetPort(it.target.peer_port);
   }
-  void operator()(const BeatBody& /*it*/) { out.setBeat(); }
+  void operator()(const BeatBody& it) {
+    out.setBeat();
+    datagram.setAttachSequence(it.sequence);
+    datagram.setHeldMs(ToWireAge(it.held));
+  }
   void operator()(const JoinBody& /*it*/) { out.setJoin(); }
-  void operator()(const AttachBody& /*it*/) { out.setAttach(); }
+  void operator()(const AttachBody& it) {
+    out.setAttach();
+    datagram.setAttachSequence(it.sequence);
+  }
 };
 
-decltype(Datagram::body) ReadBody(schema::Datagram::Body::Reader in) {
+decltype(Datagram::body) ReadBody(schema::Datagram::Reader datagram) {
+  const schema::Datagram::Body::Reader in = datagram.getBody();
   switch (in.which()) {
     case schema::Datagram::Body::PING:
       return PingBody{in.getPing()};
@@ -63,11 +72,12 @@
           {ToText(request.getTargetIp()), request.getTargetPort()}};
     }
     case schema::Datagram::Body::BEAT:
-      return BeatBody{};
+      return BeatBody{datagram.getAttachSequence(),
+                      Milliseconds(datagram.getHeldMs())};
     case schema::Datagram::Body::JOIN:
       return JoinBody{};
     case schema::Datagram::Body::ATTACH:
-      return AttachBody{};
+      return AttachBody{datagram.getAttachSequence()};
   }
   throw RpcError("read a datagram", "body", "unknown kind");
 }
@@ -143,6 +153,7 @@
   out.setSlots(member.slots);
   out.setUpstreamState(
       static_cast<schema::UpstreamState>(member.upstream_state));
+  out.setIsReader(member.is_reader);
 }
 
 Member FromWire(schema::Member::Reader in) {
@@ -160,6 +171,7 @@
   out.upstream_state =
       CheckedEnum(static_cast<std::uint16_t>(in.getUpstreamState()),
                   UpstreamState::kDraining, "member.upstreamState");
+  out.is_reader = in.getIsReader();
   return out;
 }
 
@@ -176,7 +188,13 @@
   for (const Member& it : datagram.updates) {
     ToWire(it, updates[i++]);
   }
-  std::visit(BodyWriter{out.initBody()}, datagram.body);
+  std::visit(BodyWriter{out, out.initBody()}, datagram.body);
+  auto zones = out.initUnreachableZones(
+      static_cast<unsigned>(datagram.unreachable_zones.size()));
+  i = 0;
+  for (const std::string& it : datagram.unreachable_zones) {
+    zones.set(i++, it);
+  }
 }
 
 Datagram FromWire(schema::Datagram::Reader in) {
@@ -189,7 +207,10 @@
   for (const auto it : in.getUpdates()) {
     out.updates.push_back(FromWire(it));
   }
-  out.body = ReadBody(in.getBody());
+  out.body = ReadBody(in);
+  for (const auto it : in.getUnreachableZones()) {
+    out.unreachable_zones.push_back(ToText(it));
+  }
   return out;
 }
 
--- a/tests/shell/peer_transport_test.cc
+++ b/tests/shell/peer_transport_test.cc
@@ -103,6 +103,7 @@
   out.service = "orders";
   out.slots = 12;
   out.upstream_state = UpstreamState::kServing;
+  out.is_reader = true;
   return out;
 }
 
@@ -114,6 +115,7 @@
   out.confirmed_age = Milliseconds(1'500);
   out.load_permille = 250;
   out.updates = {SampleMember({kIp, 7001})};
+  out.unreachable_zones = {"puget-b"};
   out.body = PingRequestBody{11, {kIp, 7002}};
   return out;
 }
@@ -129,9 +131,12 @@
 }
 
 TEST_CASE("every kind of datagram arrives as it was sent") {
-  const decltype(Datagram::body) bodies[] = {
-      PingBody{1}, AckBody{2}, PingRequestBody{3, {kIp, 7002}},
-      BeatBody{},  JoinBody{}, AttachBody{}};
+  const decltype(Datagram::body) bodies[] = {PingBody{1},
+                                             AckBody{2},
+                                             PingRequestBody{3, {kIp, 7002}},
+                                             BeatBody{4, Milliseconds(250)},
+                                             JoinBody{},
+                                             AttachBody{5}};
   asio::io_context io;
   Node a(io);
   Node b(io);
@@ -148,7 +153,15 @@
     CHECK(got.confirmed_age == sent.confirmed_age);
     CHECK(got.load_permille == sent.load_permille);
     CHECK(got.updates == sent.updates);
-    CHECK(got.body.index() == body.index());
+    CHECK(got.unreachable_zones == sent.unreachable_zones);
+    REQUIRE(got.body.index() == body.index());
+    if (const auto* beat = std::get_if<BeatBody>(&got.body)) {
+      CHECK(beat->sequence == 4);
+      CHECK(beat->held == Milliseconds(250));
+    }
+    if (const auto* attach = std::get_if<AttachBody>(&got.body)) {
+      CHECK(attach->sequence == 5);
+    }
   }
   const PeerTraffic sent = a.transport.traffic();
   const PeerTraffic received = b.transport.traffic();
