Test membership, spread, readers, joining and freshness; bound gossip

Cause: with 500 nodes in two zones the news of so many starts made a root send 6.5 KB/s for minutes, because beats carried full sets of updates.

Change: beats carry the three newest updates while these are fresh; an update is sent by each node log2(zone) + 2 times.

--- a/src/cassiabend/core/fleet_reducer_impl.cc
+++ b/src/cassiabend/core/fleet_reducer_impl.cc
@@ -32,7 +32,6 @@
 
 void FleetReducer::Impl::Finish(const FleetContext& context,
                                 const VersionMark& mark_before) {
-  tree_.Refresh(options_, membership_);
   if (versions_.mark() != mark_before) {
     spread_.PushNewest(context, tree_, membership_, versions_, freshness_,
                        committed_here_);
@@ -61,8 +60,14 @@
   const bool introduces = std::holds_alternative<JoinBody>(datagram.body) ||
                           (ack != nullptr && ack->sequence == 0) ||
                           receiver == nullptr || !receiver->heard_at;
-  datagram.updates = membership_.TakeUpdates(send->to, introduces);
-  if (std::holds_alternative<BeatBody>(datagram.body)) {
+  const bool beats = std::holds_alternative<BeatBody>(datagram.body);
+  if (!beats || introduces) {
+    datagram.updates = membership_.TakeUpdates(send->to, introduces);
+  }
+  if (beats) {
+    if (datagram.updates.empty()) {
+      datagram.updates = membership_.News(context);
+    }
     const auto& zones = membership_.unreachable_zones();
     datagram.unreachable_zones.assign(zones.begin(), zones.end());
   }
--- a/src/cassiabend/core/membership.cc
+++ b/src/cassiabend/core/membership.cc
@@ -6,8 +6,11 @@
 namespace cassiabend {
 namespace {
 
-/// Sends of one update, as a multiple of the logarithm of the zone's size.
-constexpr std::uint32_t kSendsPerLogOfZone = 2;
+/// Sends of one update beyond the logarithm of the zone's size.
+constexpr std::uint32_t kExtraSends = 2;
+/// Newest updates that beats carry, and for how many beat periods.
+constexpr std::size_t kNewsPerBeat = 3;
+constexpr std::int64_t kNewsBeats = 2;
 /// Sends of one update to each other zone.
 constexpr std::uint32_t kSendsToOuterZone = 4;
 
@@ -64,7 +67,7 @@
   ++statement.revision;
   view_version_ += ChangesView(self_, statement) ? 1 : 0;
   self_ = std::move(statement);
-  QueueUpdate(self_);
+  QueueUpdate(context, self_);
   context.Emit(MembersChanged{{self_}});
 }
 
@@ -86,7 +89,7 @@
     const MemberEntry& entry = entries_.at(it.id);
     changed.push_back(Shown(entry));
     if (relay == Relay::kYes) {
-      QueueUpdate(entry.member);
+      QueueUpdate(context, entry.member);
     }
   }
   if (!changed.empty()) {
@@ -102,7 +105,7 @@
     self_.start_id = statement.start_id + 1;
     self_.revision = 0;
   } else if (statement.start_id < own.start_id) {
-    QueueUpdate(self_);
+    QueueUpdate(context, self_);
     return;
   } else if (Supersedes(statement, own)) {
     self_.revision = statement.revision + 1;
@@ -110,7 +113,7 @@
     return;
   }
   ++view_version_;
-  QueueUpdate(self_);
+  QueueUpdate(context, self_);
   context.Emit(MembersChanged{{self_}});
 }
 
@@ -155,6 +158,7 @@
     CountLive(entry.member, -1);
   }
   CountLive(statement, 1);
+  zone_size_ += inserted && statement.zone == self_.zone ? 1 : 0;
   entry.member = statement;
   const bool first_of_zone = statement.zone != self_.zone &&
                              outer_updates_.try_emplace(statement.zone).second;
@@ -173,8 +177,15 @@
   }
 }
 
-void Membership::QueueUpdate(const Member& statement) {
+void Membership::QueueUpdate(const FleetContext& context,
+                             const Member& statement) {
   zone_updates_.Add(statement.id);
+  std::erase(news_, statement.id);
+  news_.push_front(statement.id);
+  if (news_.size() > kNewsPerBeat) {
+    news_.pop_back();
+  }
+  news_until_ = context.now() + context.options().beat_period * kNewsBeats;
   if (statement.zone != self_.zone) {
     return;
   }
@@ -250,6 +261,7 @@
       for (auto& [zone, queue] : outer_updates_) {
         queue.Remove(it->first);
       }
+      zone_size_ -= entry.member.zone == self_.zone ? 1 : 0;
       it = entries_.erase(it);
       continue;
     }
@@ -297,6 +309,20 @@
   }
 }
 
+std::vector<Member> Membership::News(const FleetContext& context) const {
+  std::vector<Member> news;
+  if (context.now() > news_until_) {
+    return news;
+  }
+  for (const NodeId& id : news_) {
+    const MemberEntry* entry = Find(id);
+    if (entry != nullptr || id == self_.id) {
+      news.push_back(entry == nullptr ? self_ : entry->member);
+    }
+  }
+  return news;
+}
+
 std::vector<Member> Membership::TakeUpdates(const NodeId& to, bool with_self) {
   std::vector<Member> updates;
   std::size_t bytes = kDatagramBaseBytes;
@@ -318,11 +344,10 @@
   }
   UpdateQueue* queue = QueueFor(to);
   const bool outer = queue != &zone_updates_;
-  const auto zone_size = static_cast<std::uint32_t>(entries_.size() + 2);
   const std::uint32_t max_sends =
       outer ? kSendsToOuterZone
-            : kSendsPerLogOfZone *
-                  static_cast<std::uint32_t>(std::bit_width(zone_size));
+            : kExtraSends +
+                  static_cast<std::uint32_t>(std::bit_width(zone_size_));
   queue->Take(max_sends, [&](const NodeId& id) {
     const MemberEntry* entry = Find(id);
     return add(entry == nullptr ? self_ : entry->member);
--- a/src/cassiabend/core/membership.h
+++ b/src/cassiabend/core/membership.h
@@ -66,6 +66,10 @@
     return unreachable_zones_;
   }
 
+  /// \returns The newest updates while they are fresh, for beats: these reach
+  /// the whole zone in a few beat periods.
+  [[nodiscard]] std::vector<Member> News(const FleetContext& context) const;
+
   /// \brief Changes this node's statement about itself.
   void StateSelf(const FleetContext& context, Member statement);
   /// \brief Takes statements from peers.
@@ -97,7 +101,7 @@
   bool MergeOther(const FleetContext& context, Member statement);
   void Put(const FleetContext& context, const Member& statement);
   void CountLive(const Member& member, int step);
-  void QueueUpdate(const Member& statement);
+  void QueueUpdate(const FleetContext& context, const Member& statement);
   [[nodiscard]] UpdateQueue* QueueFor(const NodeId& to);
   [[nodiscard]] bool MayRemove(const FleetContext& context,
                                const Member& member);
@@ -106,6 +110,11 @@
   Member self_;
   std::map<NodeId, MemberEntry> entries_;
   std::uint64_t view_version_ = 1;
+  /// Members of this zone, those that are gone included.
+  std::uint32_t zone_size_ = 1;
+  /// Members with the newest updates, for the beats.
+  std::deque<NodeId> news_;
+  MonoTime news_until_{};
   /// Updates for members of this zone.
   UpdateQueue zone_updates_;
   /// Updates about members of this zone for each other zone.
--- /dev/null
+++ b/tests/reader_test.cc
@@ -0,0 +1,194 @@
+#include <doctest/doctest.h>
+
+#include "tests/support/fleet_driver.h"
+
+namespace cassiabend::testing {
+namespace {
+
+const std::vector<std::string> kZones{"puget-a", "puget-b", "inland-a"};
+/// The stated target: an accepted change is in force everywhere within this.
+constexpr Seconds kConvergenceTarget{4};
+
+void Warm(FleetDriver& driver) {
+  driver.Commit();
+  driver.StartAll();
+  driver.RunFor(Seconds(20));
+  driver.Commit();
+  driver.RunFor(Seconds(5));
+  REQUIRE(driver.Converged());
+}
+
+std::vector<std::size_t> ReadersOf(FleetDriver& driver,
+                                   const std::string& zone) {
+  std::vector<std::size_t> readers;
+  for (std::size_t i = 0; i < driver.size(); ++i) {
+    const FleetDriver::Node& node = driver.node(i);
+    if (node.up && node.self.zone == zone && node.reducer->is_reader()) {
+      readers.push_back(i);
+    }
+  }
+  return readers;
+}
+
+bool TwoReadersEverywhere(FleetDriver& driver) {
+  for (const std::string& it : kZones) {
+    if (ReadersOf(driver, it).size() != 2) {
+      return false;
+    }
+  }
+  return true;
+}
+
+TEST_CASE("two members of each zone hold a reader lease, and are replaced") {
+  FleetDriver driver(18, kZones, {}, 12);
+  Warm(driver);
+  REQUIRE(TwoReadersEverywhere(driver));
+  SUBCASE("after a crash") {
+    driver.Kill(ReadersOf(driver, kZones[0]).front());
+    CHECK(driver.RunUntil([&] { return TwoReadersEverywhere(driver); },
+                          Seconds(60)) < Seconds(25));
+  }
+  SUBCASE("after both crashed") {
+    for (const std::size_t it : ReadersOf(driver, kZones[0])) {
+      driver.Kill(it);
+    }
+    CHECK(driver.RunUntil([&] { return TwoReadersEverywhere(driver); },
+                          Seconds(60)) < Seconds(50));
+  }
+  SUBCASE("after one left") {
+    driver.Leave(ReadersOf(driver, kZones[0]).front());
+    CHECK(driver.RunUntil([&] { return TwoReadersEverywhere(driver); },
+                          Seconds(60)) < Seconds(10));
+  }
+  SUBCASE("after all leases lapsed while their holders believed in them") {
+    driver.store().DropLeases();
+    driver.RunFor(Seconds(4));
+    CHECK(driver.RunUntil([&] { return TwoReadersEverywhere(driver); },
+                          Seconds(60)) < Seconds(20));
+  }
+  CHECK(driver.violations.empty());
+}
+
+TEST_CASE("a watch that is silently dead is noticed by the reads") {
+  FleetDriver driver(9, kZones, {}, 13);
+  Warm(driver);
+  driver.store_faults.watches_dead = true;
+  driver.RunFor(Seconds(1));
+  driver.Commit();
+  CHECK(driver.RunUntil([&] { return driver.Converged(); }, Seconds(60)) <=
+        kConvergenceTarget);
+}
+
+TEST_CASE("a store that came back older neither reverts nor confirms") {
+  FleetDriver driver(9, kZones, {}, 14);
+  Warm(driver);
+  const VersionNumber newest = driver.head_number();
+  driver.RestoreOldestHead();
+  const MonoTime restored_at = driver.now();
+  driver.RunFor(Seconds(30));
+  for (std::size_t i = 0; i < driver.size(); ++i) {
+    const FleetDriver::Node& node = driver.node(i);
+    CHECK(node.applied == newest);
+    CHECK(node.ready);
+    // A watch or read that was under way may still have seen the newer head.
+    CHECK(*node.reducer->confirmed_at() - node.clock_offset <=
+          restored_at + Milliseconds(10));
+  }
+  driver.Commit();
+  CHECK(driver.RunUntil([&] { return driver.Converged(); }, Seconds(60)) <=
+        kConvergenceTarget);
+  driver.RunFor(Seconds(8));
+  CHECK(*driver.node(0).reducer->confirmed_at() - driver.node(0).clock_offset >
+        restored_at + Seconds(30));
+  CHECK(driver.violations.empty());
+}
+
+TEST_CASE("a fork of the number in force is kept out and then overtaken") {
+  FleetDriver driver(6, kZones, {}, 15);
+  Warm(driver);
+  const VersionMark own = driver.node(0).reducer->newest()->mark();
+  Head fork = DecodeHead(driver.store().Find(kHeadKey)->value);
+  fork.mark.hash.low ^= 1;
+  driver.store().Put(kHeadKey, EncodeHead(fork));
+  driver.RunFor(Seconds(20));
+  for (std::size_t i = 0; i < driver.size(); ++i) {
+    CHECK(driver.node(i).reducer->newest()->mark() == own);
+  }
+  driver.Commit();
+  CHECK(driver.RunUntil([&] { return driver.Converged(); }, Seconds(60)) <=
+        kConvergenceTarget);
+  CHECK(driver.violations.empty());
+}
+
+TEST_CASE("values that are missing or damaged are not applied") {
+  FleetDriver driver(6, kZones, {}, 16);
+  Warm(driver);
+  const VersionNumber before = driver.head_number();
+  driver.store_faults.down = true;
+  driver.Commit();
+  const std::string number = std::to_string(driver.head_number());
+  const std::string keys[] = {kDeltaPrefix + number,
+                              kValuePrefix + number + "/0"};
+  std::string saved[2];
+  for (int i = 0; i < 2; ++i) {
+    saved[i] = driver.store().Find(keys[i])->value;
+    driver.store().Put(keys[i], saved[i].substr(0, saved[i].size() / 2));
+  }
+  driver.store_faults.down = false;
+  driver.RunFor(Seconds(10));
+  for (std::size_t i = 0; i < driver.size(); ++i) {
+    CHECK(driver.node(i).applied == before);
+  }
+  for (int i = 0; i < 2; ++i) {
+    driver.store().Put(keys[i], saved[i]);
+  }
+  CHECK(driver.RunUntil([&] { return driver.Converged(); }, Seconds(60)) <
+        Seconds(10));
+  CHECK(driver.violations.empty());
+}
+
+double CallRate(FleetDriver& driver, Seconds time) {
+  const std::uint64_t before = driver.traffic().store_calls;
+  driver.RunFor(time);
+  return static_cast<double>(driver.traffic().store_calls - before) /
+         static_cast<double>(time.count());
+}
+
+TEST_CASE("the rate of store calls depends on the zones, not on the nodes") {
+  // Per zone: two readers, or in an outage the candidates that retry.
+  constexpr double kCallsPerZone = 2.5;
+  constexpr double kOutageCallsPerZone = 4.0;
+  for (const std::size_t count : {12, 60}) {
+    CAPTURE(count);
+    FleetDriver driver(count, kZones, {}, 17);
+    Warm(driver);
+    CHECK(CallRate(driver, Seconds(60)) < kCallsPerZone * 3);
+    driver.store_faults.down = true;
+    CHECK(CallRate(driver, Seconds(120)) < kOutageCallsPerZone * 3);
+    driver.store_faults.down = false;
+    driver.store_faults.answers_lost = true;
+    CHECK(CallRate(driver, Seconds(120)) < kOutageCallsPerZone * 3);
+    driver.Heal();
+    driver.Commit();
+    CHECK(driver.RunUntil([&] { return driver.Converged(); }, Seconds(60)) <=
+          kConvergenceTarget);
+  }
+}
+
+TEST_CASE("every node's confirmation stays within the freshness limit") {
+  FleetDriver driver(24, kZones, {}, 18);
+  Warm(driver);
+  Nanoseconds oldest{0};
+  for (int n = 0; n < 300; ++n) {
+    driver.RunFor(Milliseconds(200));
+    for (std::size_t i = 0; i < driver.size(); ++i) {
+      const FleetDriver::Node& node = driver.node(i);
+      oldest = std::max(oldest, driver.now() + node.clock_offset -
+                                    *node.reducer->confirmed_at());
+    }
+  }
+  CHECK(oldest < CallOptions{}.freshness_limit);
+}
+
+}  // namespace
+}  // namespace cassiabend::testing
--- /dev/null
+++ b/tests/spread_test.cc
@@ -0,0 +1,151 @@
+#include <doctest/doctest.h>
+
+#include "cassiabend/core/freshness.h"
+#include "cassiabend/core/spread_pull.h"
+#include "cassiabend/core/spread_versions.h"
+#include "cassiabend/model/change.h"
+
+namespace cassiabend {
+namespace {
+
+using Whole = RefPtr<const Snapshot>;
+
+/// \returns The version after `base` (null for the first) with one more site.
+Whole Next(const Whole& base, const std::string& site, ConfigDelta* delta) {
+  const Config before = base ? base->config() : Config{};
+  delta->base = base ? base->mark() : VersionMark{};
+  delta->change_id = {before.number + 1, 7};
+  delta->author = "ann";
+  delta->edits = {{Site{site, "cascadia", "GMT+00", 0}, std::nullopt}};
+  const Whole next(new Snapshot(
+      ApplyEdits(before, delta->edits, delta->change_id, delta->author)));
+  delta->mark = next->mark();
+  return next;
+}
+
+struct Fixture {
+  Fixture() {
+    first = Next({}, "a", &to_first);
+    second = Next(first, "b", &to_second);
+    third = Next(second, "c", &to_third);
+    other_second = Next(first, "x", &to_other_second);
+  }
+
+  FleetOptions options;
+  Instant now{MonoTime(Seconds(100)), {}};
+  Random random{1};
+  std::uint64_t sequence = 0;
+  std::vector<FleetEffect> effects;
+  FleetContext context{options, now, &random, &sequence, &effects};
+  SpreadVersions versions;
+  Freshness freshness;
+  Whole first, second, third, other_second;
+  ConfigDelta to_first, to_second, to_third, to_other_second;
+
+  OfferResult Offer(const Whole& it) {
+    return versions.OfferWhole(context, it->mark(), it);
+  }
+};
+
+TEST_CASE("only whole, undamaged, higher versions are applied") {
+  Fixture fixture;
+  SpreadVersions& versions = fixture.versions;
+  CHECK(fixture.Offer(fixture.second) == OfferResult::kApplied);
+  CHECK(fixture.Offer(fixture.second) == OfferResult::kSame);
+  CHECK(fixture.Offer(fixture.first) == OfferResult::kOlder);
+  CHECK(fixture.Offer(fixture.other_second) == OfferResult::kFork);
+  CHECK(versions.newest() == fixture.second);
+  // A value under another version's mark.
+  CHECK(versions.OfferWhole(fixture.context, fixture.third->mark(),
+                            fixture.second) == OfferResult::kDamaged);
+  CHECK(versions.OfferWhole(fixture.context, fixture.third->mark(), nullptr) ==
+        OfferResult::kDamaged);
+  CHECK(fixture.Offer(fixture.third) == OfferResult::kApplied);
+  CHECK(versions.refusals().forks == 1);
+  CHECK(versions.refusals().damaged == 2);
+  CHECK(fixture.effects.size() == 2);
+}
+
+TEST_CASE("a delta is applied to its own base alone, whole or not at all") {
+  Fixture fixture;
+  SpreadVersions& versions = fixture.versions;
+  const auto offer = [&](const ConfigDelta& it) {
+    return versions.OfferDelta(fixture.context, it.mark, it);
+  };
+  CHECK(offer(fixture.to_second) == OfferResult::kNoBase);
+  CHECK(fixture.Offer(fixture.first) == OfferResult::kApplied);
+  CHECK(offer(fixture.to_third) == OfferResult::kNoBase);
+  ConfigDelta damaged = fixture.to_second;
+  std::get<Site>(damaged.edits[0].action).tenant = "other";
+  CHECK(offer(damaged) == OfferResult::kDamaged);
+  CHECK(versions.mark() == fixture.first->mark());
+  CHECK(offer(fixture.to_second) == OfferResult::kApplied);
+  CHECK(versions.newest()->config() == fixture.second->config());
+  // After a fork, the other branch's successor has no base here.
+  ConfigDelta on_other = fixture.to_third;
+  on_other.base = fixture.other_second->mark();
+  CHECK(offer(on_other) == OfferResult::kNoBase);
+  CHECK(offer(fixture.to_third) == OfferResult::kApplied);
+}
+
+TEST_CASE("a pull gets a delta where one is held, else a paced whole value") {
+  Fixture fixture;
+  SpreadPullServer server;
+  REQUIRE(fixture.Offer(fixture.first) == OfferResult::kApplied);
+  REQUIRE(fixture.versions.OfferDelta(fixture.context, fixture.to_second.mark,
+                                      fixture.to_second) ==
+          OfferResult::kApplied);
+  const auto pull = [&](const VersionMark& have) {
+    return server
+        .Answer(fixture.context, fixture.versions, fixture.freshness, have)
+        .body;
+  };
+  CHECK(std::holds_alternative<NoUpdate>(pull(fixture.second->mark())));
+  CHECK(std::holds_alternative<NoUpdate>(pull(fixture.other_second->mark())));
+  CHECK(std::holds_alternative<ConfigDelta>(pull(fixture.first->mark())));
+  for (std::uint32_t i = 0; i < fixture.options.full_value_limit; ++i) {
+    CHECK(std::holds_alternative<Whole>(pull({})));
+  }
+  const auto busy = pull({});
+  REQUIRE(std::holds_alternative<BusyUpdate>(busy));
+  CHECK(std::get<BusyUpdate>(busy).retry_after > Milliseconds(0));
+  CHECK(std::holds_alternative<ConfigDelta>(pull(fixture.first->mark())));
+  fixture.now.mono += fixture.options.full_value_pause;
+  CHECK(std::holds_alternative<Whole>(pull({})));
+}
+
+TEST_CASE("one pull at a time, and another peer after a failure") {
+  Fixture fixture;
+  SpreadPull pull;
+  const NodeId a{"10.0.0.1", 7000};
+  const NodeId b{"10.0.0.2", 7000};
+  const auto run = [&](Nanoseconds time) {
+    std::vector<NodeId> asked;
+    for (Nanoseconds n{0}; n < time; n += kFleetTickPeriod) {
+      fixture.now.mono += kFleetTickPeriod;
+      fixture.effects.clear();
+      pull.Tick(fixture.context, fixture.versions);
+      for (const FleetEffect& it : fixture.effects) {
+        asked.push_back(std::get<SendPull>(it).to);
+      }
+    }
+    return asked;
+  };
+  for (const NodeId& peer : {a, b, a}) {
+    pull.Notice(fixture.context, fixture.versions, peer,
+                fixture.second->mark());
+  }
+  CHECK(run(Milliseconds(600)) == std::vector{a});
+  pull.OnAnswer(fixture.context, {a, std::nullopt}, &fixture.versions,
+                &fixture.freshness);
+  CHECK(run(Milliseconds(1'000)) == std::vector{b});
+  ConfigUpdate update{fixture.second->mark(), fixture.second, Milliseconds(10)};
+  pull.OnAnswer(fixture.context, {b, update}, &fixture.versions,
+                &fixture.freshness);
+  CHECK(fixture.versions.newest() == fixture.second);
+  CHECK(fixture.freshness.confirmed_at().has_value());
+  CHECK(run(Seconds(5)).empty());
+}
+
+}  // namespace
+}  // namespace cassiabend
--- a/tests/support/fleet_driver.h
+++ b/tests/support/fleet_driver.h
@@ -108,6 +108,9 @@
   std::vector<std::string> violations;
   /// Whether started nodes know the addresses of their settings.
   bool seeds_from_settings = true;
+  /// For comparisons: versions and confirmations pass by pulls and pings alone.
+  bool drop_pushes = false;
+  bool drop_beats = false;
   /// Called before each effect is carried out, with the node's index.
   std::function<void(std::size_t, const FleetEffect&)> on_effect;
 
@@ -374,6 +377,11 @@
   }
 
   void Do(std::size_t i, const SendDatagram& effect) {
+    const Datagram& sent = effect.datagram;
+    if (drop_beats && (std::holds_alternative<BeatBody>(sent.body) ||
+                       std::holds_alternative<AttachBody>(sent.body))) {
+      return;
+    }
     constexpr std::uint64_t kHeaderBytes = 28 + 96;
     std::uint64_t bytes = kHeaderBytes;
     for (const Member& it : effect.datagram.updates) {
@@ -456,6 +464,9 @@
     CountBytes(i, to, bytes);
   }
   void Do(std::size_t i, const SendPush& effect) {
+    if (drop_pushes) {
+      return;
+    }
     CountConfig(i, effect.to, BytesOf(effect.update));
     CallPeer(
         i, effect.to,
