--- a/src/cassiabend/core/fleet_reducer_impl.cc
+++ b/src/cassiabend/core/fleet_reducer_impl.cc
@@ -79,7 +79,7 @@
   prober_.Tick(context, tree_, &membership_);
   lease_.Tick(context, tree_);
   watch_.Tick(context, lease_.ShouldRead(context, tree_));
-  seeds_.Tick(context, tree_, membership_, lease_.holds());
+  seeds_.Tick(context, membership_, lease_.holds());
   spread_.Tick(context, tree_, membership_, watch_.ReadsAt(context));
   pull_.Tick(context, versions_);
   join_.Tick(context, tree_, membership_);
--- a/src/cassiabend/core/join_seeds.cc
+++ b/src/cassiabend/core/join_seeds.cc
@@ -41,10 +41,8 @@
 }
 
 void SeedDirectory::Tick(const FleetContext& context,
-                         const SpreadTree& tree,
                          const Membership& membership,
                          bool enabled) {
-  (void)tree;
   if (enabled != enabled_) {
     enabled_ = enabled;
     pending_.GiveUp();
--- a/src/cassiabend/core/join_seeds.h
+++ b/src/cassiabend/core/join_seeds.h
@@ -25,7 +25,6 @@
 class SeedDirectory {
  public:
   void Tick(const FleetContext& context,
-            const SpreadTree& tree,
             const Membership& membership,
             bool enabled);
   /// \brief Takes an answer of the store.
--- a/src/cassiabend/core/spread_tree.cc
+++ b/src/cassiabend/core/spread_tree.cc
@@ -63,9 +63,9 @@
 
 const std::vector<NodeId>& SpreadTree::RootsOf(
     const std::string& zone) const noexcept {
-  static const std::vector<NodeId> kNone;
+  static const std::vector<NodeId> none;
   const auto it = roots_.find(zone);
-  return it == roots_.end() ? kNone : it->second;
+  return it == roots_.end() ? none : it->second;
 }
 
 void SpreadTree::ComputeOwnPlace(const FleetOptions& options,
