--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -6,7 +6,7 @@
   libboost1.81-dev libboost-json1.81-dev
   capnproto libcapnp-dev prometheus-cpp-dev libpopt-dev libeasyloggingpp-dev
   doctest-dev librapidcheck-dev libxxhash-dev libsodium-dev
-  libcurl4-openssl-dev
+  libcurl4-openssl-dev curl
 )
 missing=()
 for it in "${packages[@]}"; do
