--- a/tests/support/commit_world.h
+++ b/tests/support/commit_world.h
@@ -293,8 +293,7 @@
         ReplyUnknown(index, generation, call);
         return;
       case Fault::kLateEffect:
-        Execute(call, kStoreTimeout + Milliseconds(random_.Below(4'000)),
-                [](const StoreReply&) {});
+        ExecuteLate(call);
         ReplyUnknown(index, generation, call);
         return;
       case Fault::kUnavailable:
@@ -374,6 +373,17 @@
     });
   }
 
+  /// \brief Lets the call arrive late, even while others do not get through.
+  void ExecuteLate(const StoreCall& call) {
+    const Milliseconds delay =
+        kStoreTimeout + Milliseconds(random_.Below(16'000));
+    Post(delay, [this, call](CommitWorld*) {
+      if (store_.Execute(call.request, now_.mono).status == StoreStatus::kOk) {
+        OnStoreChanged();
+      }
+    });
+  }
+
   void Reply(int index,
              int generation,
              Milliseconds delay,
