--- /dev/null
+++ b/src/cassiabend/core/attempt.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <boost/container/static_vector.hpp>
+#include <boost/intrusive/list.hpp>
+#include <optional>
+#include <vector>
+
+#include "cassiabend/core/call_events.h"
+#include "cassiabend/core/call_timer.h"
+
+namespace cassiabend {
+
+/// \brief States of an attempt at its destination node.
+enum class AttemptState : std::uint8_t {
+  /// Its order key is being claimed.
+  kClaiming,
+  /// It waits for a slot.
+  kQueued,
+  /// It was handed to the upstream.
+  kRunning,
+  /// The upstream answers.
+  kAnswering,
+  /// The answer is whole and held.
+  kHeld,
+};
+
+/// \brief A connection that waits for an attempt's answer.
+struct AttemptLink {
+  LinkId link = 0;
+  /// The attempt that the connection asked for: the attempt itself, or one
+  /// that repeats its order.
+  AttemptId asked;
+  /// When a fetch is told "still running"; the maximum for none.
+  MonoTime fetch_due = MonoTime::max();
+  /// Whether the answer goes there.
+  bool bound = false;
+};
+
+/// \brief Another attempt at the same order, which waits for this one.
+struct AttemptAlias {
+  AttemptId id;
+  WallTime expires_at{};
+};
+
+/// Connections and repeats that one attempt serves.
+inline constexpr std::size_t kMaxLinksPerAttempt = 4;
+inline constexpr std::size_t kMaxAliasesPerAttempt = 16;
+
+/// \brief Base of attempts that wait in the admission queue.
+using AdmissionHook = boost::intrusive::list_base_hook<
+    boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+
+/// \brief One attempt at its destination node.
+struct Attempt : TimerEntry, AdmissionHook {
+  AttemptRequest request;
+  AttemptState state = AttemptState::kQueued;
+  /// Whether it holds one of the slots.
+  bool holds_slot = false;
+  boost::container::static_vector<AttemptLink, kMaxLinksPerAttempt> links;
+  std::vector<AttemptAlias> aliases;
+  /// When a started, repeatable attempt without a link is cancelled.
+  MonoTime orphan_due = MonoTime::max();
+  /// Whether a whole answer went to a connection.
+  bool taken = false;
+  MonoTime arrived_at{};
+  MonoTime deadline{};
+  MonoTime started_at{};
+
+  /// \returns Whether the attempt stands in the admission queue.
+  [[nodiscard]] bool is_waiting() const noexcept {
+    return AdmissionHook::is_linked();
+  }
+  /// \returns Whether the upstream has the attempt.
+  [[nodiscard]] bool is_started() const noexcept {
+    return state == AttemptState::kRunning || state == AttemptState::kAnswering;
+  }
+  /// \returns When the first fetch is told "still running".
+  [[nodiscard]] MonoTime fetch_due() const noexcept {
+    MonoTime due = MonoTime::max();
+    for (const AttemptLink& it : links) {
+      due = it.fetch_due < due ? it.fetch_due : due;
+    }
+    return due;
+  }
+};
+
+}  // namespace cassiabend
--- /dev/null
+++ b/tools/bench_load.cc
@@ -0,0 +1,137 @@
+#include "tools/bench_load.h"
+
+#include <memory>
+#include <thread>
+#include <utility>
+
+namespace cassiabend::bench {
+namespace {
+
+using std::chrono::steady_clock;
+
+constexpr std::chrono::milliseconds kCallTimeout{10'000};
+
+Told ToldBy(const harness::Response& response) {
+  const std::string outcome = response.Header("x-cassiabend-outcome");
+  if (outcome == "not-run") {
+    return Told::kNotRun;
+  }
+  if (outcome != "answered") {
+    return Told::kUnknown;
+  }
+  return response.complete ? Told::kAnswered : Told::kCut;
+}
+
+/// \brief The calls of one thread.
+void RunThread(const harness::Fleet& fleet,
+               const LoadPlan& plan,
+               std::size_t thread,
+               std::vector<CallRecord>* out) {
+  const auto& entry =
+      fleet.hosts().at(plan.entries.at(thread % plan.entries.size()));
+  const std::chrono::duration<double> period(static_cast<double>(plan.threads) /
+                                             plan.calls_per_s);
+  const auto start = steady_clock::now();
+  std::unique_ptr<harness::HttpConnection> connection;
+  for (std::uint64_t n = 0;; ++n) {
+    const auto at =
+        start + std::chrono::duration_cast<steady_clock::duration>(
+                    period * (static_cast<double>(n) +
+                              static_cast<double>(thread) /
+                                  static_cast<double>(plan.threads)));
+    if (at >= start + plan.duration ||
+        steady_clock::now() >= start + plan.duration) {
+      return;
+    }
+    std::this_thread::sleep_until(at);
+    const std::string key = plan.key_prefix + "-" + std::to_string(thread) +
+                            "-" + std::to_string(n);
+    out->push_back(SendCall(entry, plan, key, &connection));
+  }
+}
+
+}  // namespace
+
+std::vector<CallRecord> RunLoad(const harness::Fleet& fleet,
+                                const LoadPlan& plan) {
+  std::vector<std::vector<CallRecord>> results(plan.threads);
+  std::vector<std::thread> threads;
+  threads.reserve(plan.threads);
+  for (std::size_t i = 0; i < plan.threads; ++i) {
+    threads.emplace_back([&fleet, &plan, i, &results] {
+      RunThread(fleet, plan, i, &results.at(i));
+    });
+  }
+  for (std::thread& it : threads) {
+    it.join();
+  }
+  std::vector<CallRecord> out;
+  for (const auto& it : results) {
+    out.insert(out.end(), it.begin(), it.end());
+  }
+  return out;
+}
+
+CallRecord SendCall(const harness::HostPlan& entry,
+                    const LoadPlan& plan,
+                    const std::string& key,
+                    std::unique_ptr<harness::HttpConnection>* connection) {
+  CallRecord record{.key = key, .told = Told::kUnknown, .once = plan.once};
+  const harness::Request request{.method = plan.method,
+                                 .target = plan.target,
+                                 .headers = {{"Idempotency-Key", key}},
+                                 .body = {}};
+  try {
+    if (!*connection) {
+      *connection = std::make_unique<harness::HttpConnection>(
+          entry.ip, entry.call_port, kCallTimeout);
+    }
+    const auto start = steady_clock::now();
+    const harness::Response response = (*connection)->Send(request);
+    record.latency_us =
+        std::chrono::duration<double, std::micro>(steady_clock::now() - start)
+            .count();
+    record.told = ToldBy(response);
+    if (!response.complete || response.Header("connection") == "close") {
+      connection->reset();
+    }
+  } catch (const std::exception&) {
+    connection->reset();
+  }
+  return record;
+}
+
+void CheckExecutions(const harness::Fleet& fleet,
+                     const std::vector<CallRecord>& records,
+                     Report* report) {
+  std::unordered_map<std::string, std::uint64_t> executions;
+  for (std::size_t i = 0; i < fleet.hosts().size(); ++i) {
+    const boost::json::value page = fleet.Executions(i);
+    for (const auto& it : page.at("by_key").as_object()) {
+      executions[it.key()] += it.value().to_number<std::uint64_t>();
+    }
+  }
+  for (const CallRecord& it : records) {
+    const auto found = executions.find(it.key);
+    const std::uint64_t n = found == executions.end() ? 0 : found->second;
+    if (it.told == Told::kNotRun && n != 0) {
+      report->Violation("told not run, but run: " + it.key);
+    }
+    if (it.told == Told::kAnswered && n == 0) {
+      report->Violation("answered, but not run: " + it.key);
+    }
+    if (it.once && n > 1) {
+      report->Violation("run " + std::to_string(n) + " times: " + it.key);
+    }
+  }
+}
+
+std::uint64_t TotalExecutions(const harness::Fleet& fleet) {
+  std::uint64_t total = 0;
+  for (std::size_t i = 0; i < fleet.hosts().size(); ++i) {
+    total += fleet.Executions(i).at("total").to_number<std::uint64_t>();
+  }
+  return total;
+}
+
+}  // namespace cassiabend::bench
