Mend what clang-tidy reports in the control path

Cause: names of static tables, copies of parameters and widening multiplications failed the linter. Change: command and fault tables are constexpr members of a table struct; no behaviour changes.

--- a/src/cassiabend/ctl/commands.cc
+++ b/src/cassiabend/ctl/commands.cc
@@ -78,40 +78,44 @@
 
 }  // namespace
 
-const Commands::Row Commands::kRows[] = {
-    {"apply", "FILE", "put and remove the items that a file names; - for input",
-     1, 1, &Commands::Apply},
-    {"config", "[NUMBER]", "show the version in force, or an earlier one", 0, 1,
-     &Commands::ShowConfig},
-    {"status", "", "show the versions of the nodes", 0, 0,
-     &Commands::ShowStatus},
-    {"wait", "[NUMBER]", "wait until a version is in force everywhere", 0, 1,
-     &Commands::Wait},
-    {"history", "", "show the versions that can still be read", 0, 0,
-     &Commands::ShowHistory},
-    {"rollback", "NUMBER", "accept an earlier version's content as a new one",
-     1, 1, &Commands::Rollback},
-    {"drain", "IP:PEERPORT", "start a graceful shutdown of a node", 1, 1,
-     &Commands::Drain},
-    {"recover", "", "publish the fleet's newest version over an older store", 0,
-     0, &Commands::Recover},
-    {"hash-token", "", "read a token from input and print its hash", 0, 0,
-     &Commands::PrintTokenHash},
-};
+/// \brief All commands, in the order of the help.
+struct CommandTable {
+  static constexpr Commands::Row kRows[] = {
+      {"apply", "FILE",
+       "put and remove the items that a file names; - for input", 1, 1,
+       &Commands::Apply},
+      {"config", "[NUMBER]", "show the version in force, or an earlier one", 0,
+       1, &Commands::ShowConfig},
+      {"status", "", "show the versions of the nodes", 0, 0,
+       &Commands::ShowStatus},
+      {"wait", "[NUMBER]", "wait until a version is in force everywhere", 0, 1,
+       &Commands::Wait},
+      {"history", "", "show the versions that can still be read", 0, 0,
+       &Commands::ShowHistory},
+      {"rollback", "NUMBER", "accept an earlier version's content as a new one",
+       1, 1, &Commands::Rollback},
+      {"drain", "IP:PEERPORT", "start a graceful shutdown of a node", 1, 1,
+       &Commands::Drain},
+      {"recover", "", "publish the fleet's newest version over an older store",
+       0, 0, &Commands::Recover},
+      {"hash-token", "", "read a token from input and print its hash", 0, 0,
+       &Commands::PrintTokenHash},
+  };
 
-const Commands::ItemRow Commands::kItemRows[] = {
-    {"put", "NAME [FIELD OPTIONS] | JSON", "add or replace an item", 1, 1,
-     &Commands::PutItem},
-    {"remove", "NAME", "remove an item", 1, 1, &Commands::RemoveItem},
-    {"list", "", "show the items in force", 0, 0, &Commands::ListItems},
+  static constexpr Commands::ItemRow kItemRows[] = {
+      {"put", "NAME [FIELD OPTIONS] | JSON", "add or replace an item", 1, 1,
+       &Commands::PutItem},
+      {"remove", "NAME", "remove an item", 1, 1, &Commands::RemoveItem},
+      {"list", "", "show the items in force", 0, 0, &Commands::ListItems},
+  };
 };
 
 std::span<const Commands::Row> Commands::rows() {
-  return kRows;
+  return CommandTable::kRows;
 }
 
 std::span<const Commands::ItemRow> Commands::item_rows() {
-  return kItemRows;
+  return CommandTable::kItemRows;
 }
 
 Commands::Commands(CommandLine line, const CtlStreams& streams)
--- a/src/cassiabend/ctl/commands.h
+++ b/src/cassiabend/ctl/commands.h
@@ -20,7 +20,7 @@
 /// \brief Carries out the commands of cassiabend-ctl.
 class Commands {
  public:
-  /// \brief One command; items have theirs in `kItemRows`.
+  /// \brief One command that is not about one kind of item.
   struct Row {
     std::string_view word;
     std::string_view arguments;
@@ -29,6 +29,7 @@
     std::size_t max_arguments;
     ExitCode (Commands::*run)();
   };
+  /// \brief One command that each kind of item has.
   struct ItemRow {
     std::string_view word;
     std::string_view arguments;
@@ -47,8 +48,7 @@
   [[nodiscard]] ExitCode Run();
 
  private:
-  static const Row kRows[];
-  static const ItemRow kItemRows[];
+  friend struct CommandTable;
 
   ExitCode PutItem(const ItemCommands& kind);
   ExitCode RemoveItem(const ItemCommands& kind);
--- a/src/cassiabend/ctl/node_caller.cc
+++ b/src/cassiabend/ctl/node_caller.cc
@@ -64,7 +64,7 @@
         continue;
       }
       try {
-        const CommitResult result = ask(*client);
+        CommitResult result = ask(*client);
         if (TellsOutcome(result.code) ||
             (!sent && result.code != CommitCode::kOutcomeUnknown)) {
           return result;
--- a/src/cassiabend/rpc/kj_thread.cc
+++ b/src/cassiabend/rpc/kj_thread.cc
@@ -43,7 +43,7 @@
   packaged.get_future().get();
 }
 
-void KjThread::Loop(std::function<void()> on_started) {
+void KjThread::Loop(const std::function<void()>& on_started) {
   kj::AsyncIoContext io = kj::setupAsyncIo();
   io_ = &io;
   on_started();
--- a/src/cassiabend/rpc/kj_thread.h
+++ b/src/cassiabend/rpc/kj_thread.h
@@ -31,7 +31,7 @@
   void Run(const Task& task);
 
  private:
-  void Loop(std::function<void()> on_started);
+  void Loop(const std::function<void()>& on_started);
   void RunWaitingTasks();
 
   kj::AsyncIoContext* io_ = nullptr;
--- a/src/cassiabend/rpc/mesh_codec.cc
+++ b/src/cassiabend/rpc/mesh_codec.cc
@@ -17,7 +17,7 @@
 
 constexpr std::uint32_t kNoAge = std::numeric_limits<std::uint32_t>::max();
 // Zero bytes pack well, so the unpacked size needs a limit of its own.
-constexpr std::uint64_t kMaxDatagramWords = 8 * 1024;
+constexpr std::uint64_t kMaxDatagramWords = 8'192;
 constexpr int kMaxDatagramNesting = 8;
 
 template <typename Enum>
--- a/src/cassiabend/rpc/rpc_listener.cc
+++ b/src/cassiabend/rpc/rpc_listener.cc
@@ -42,7 +42,7 @@
   return options;
 }
 
-class RpcListener::Impl : private kj::TaskSet::ErrorHandler {
+class RpcListener::Impl final : private kj::TaskSet::ErrorHandler {
  public:
   Impl(kj::AsyncIoContext& io,
        const RpcListenerOptions& options,
--- a/src/cassiabend/store/gateway_connection.cc
+++ b/src/cassiabend/store/gateway_connection.cc
@@ -21,7 +21,7 @@
 using boost::system::error_code;
 
 // A value of the limit in base64, twice, with room for the rest.
-constexpr std::size_t kMaxAnswerBytes = 4 * 1024 * 1024;
+constexpr std::size_t kMaxAnswerBytes = std::size_t{4} * 1024 * 1024;
 constexpr unsigned kHttpVersion = 11;
 
 class BeastConnection final
@@ -183,7 +183,7 @@
     }
     on_chunk_ = nullptr;
     const Handler handler = std::exchange(handler_, nullptr);
-    handler(std::move(result_));
+    handler(result_);
   }
 
   beast::tcp_stream stream_;
--- a/src/cassiabend/store/gateway_connection.h
+++ b/src/cassiabend/store/gateway_connection.h
@@ -35,7 +35,7 @@
 /// \brief One TCP connection to the store. Carries one exchange at a time.
 class GatewayConnection {
  public:
-  using Handler = std::function<void(ExchangeResult result)>;
+  using Handler = std::function<void(const ExchangeResult& result)>;
   /// \returns Whether to go on reading the stream.
   using ChunkHandler = std::function<bool(std::string_view chunk)>;
 
--- a/src/cassiabend/store/store_client.cc
+++ b/src/cassiabend/store/store_client.cc
@@ -152,11 +152,12 @@
     }
     op->sent_at = clock_.Now().mono;
     const ConnectionPtr connection = TakeConnection(endpoints_[op->endpoint]);
-    connection->Exchange(
-        EncodeGatewayRequest(op->call.request), kConnectTimeout, left,
-        [self = shared_from_this(), op, connection](ExchangeResult result) {
-          self->OnExchanged(op, connection, result);
-        });
+    connection->Exchange(EncodeGatewayRequest(op->call.request),
+                         kConnectTimeout, left,
+                         [self = shared_from_this(), op,
+                          connection](const ExchangeResult& result) {
+                           self->OnExchanged(op, connection, result);
+                         });
   }
 
   void OnExchanged(const OperationPtr& op,
--- a/src/cassiabend/store/watch_reader.cc
+++ b/src/cassiabend/store/watch_reader.cc
@@ -4,7 +4,7 @@
 namespace {
 
 // An entry of the value limit in base64, with room for the rest.
-constexpr std::size_t kMaxMessageBytes = 2 * 1024 * 1024;
+constexpr std::size_t kMaxMessageBytes = std::size_t{2} * 1024 * 1024;
 
 }  // namespace
 
--- a/tests/shell/ctl_test.cc
+++ b/tests/shell/ctl_test.cc
@@ -202,9 +202,10 @@
   ScriptedNode node;
   node.newest = SampleVersion();
   node.Start();
-  for (const auto& [code, expected] : rows) {
-    CAPTURE(static_cast<int>(code));
-    node.Run([&] { node.script = {Result(code)}; });
+  for (const auto& row : rows) {
+    const ExitCode expected = row.second;
+    CAPTURE(static_cast<int>(row.first));
+    node.Run([&] { node.script = {Result(row.first)}; });
     for (const std::vector<std::string>& command :
          {std::vector<std::string>{"service", "put", "new"},
           {"rollback", "3"},
--- a/tests/shell/store_client_test.cc
+++ b/tests/shell/store_client_test.cc
@@ -43,7 +43,8 @@
 
 /// \brief A client and a stand-in on one thread.
 struct Fixture {
-  explicit Fixture(FakeStoreOptions store = {}, StoreClientOptions base = {})
+  explicit Fixture(const FakeStoreOptions& store = {},
+                   StoreClientOptions base = {})
       : server(io, store), client(io, Options(std::move(base)), &sink) {}
 
   StoreClientOptions Options(StoreClientOptions base) {
@@ -83,7 +84,7 @@
   std::uint64_t sequence = 0;
 };
 
-const std::string kBytes("a\0b\xff\n\"", 6);
+constexpr std::string_view kBytes("a\0b\xff\n\"", 6);
 
 TEST_CASE("values are created, swapped and deleted by revision") {
   Fixture it;
@@ -92,10 +93,12 @@
   CHECK_FALSE(absent.entry);
   CHECK(absent.store_revision > 0);
 
-  const StoreReply created = it.Ask(StoreCompareAndSwap{"k", 0, kBytes});
+  const StoreReply created =
+      it.Ask(StoreCompareAndSwap{"k", 0, std::string(kBytes)});
   REQUIRE(created.status == StoreStatus::kOk);
   const StoreReply read = it.Ask(StoreGet{"k"});
-  CHECK(read.entry == StoreEntry{"k", kBytes, created.entry->revision});
+  CHECK(read.entry ==
+        StoreEntry{"k", std::string(kBytes), created.entry->revision});
 
   const StoreReply lost = it.Ask(StoreCompareAndSwap{"k", 0, "other"});
   CHECK(lost.status == StoreStatus::kConflict);
--- a/tools/fake_store_gateway.cc
+++ b/tools/fake_store_gateway.cc
@@ -60,27 +60,30 @@
           {"mod_revision", std::to_string(entry.revision)}};
 }
 
-const FakeStoreGateway::Row FakeStoreGateway::kRows[] = {
-    {"/v3/kv/range", &FakeStoreGateway::Range},
-    {"/v3/kv/txn", &FakeStoreGateway::Transaction},
-    {"/v3/lease/grant", &FakeStoreGateway::Grant},
-    {"/v3/lease/keepalive", &FakeStoreGateway::KeepAlive},
-    {"/v3/lease/revoke", &FakeStoreGateway::Revoke},
-    {"/v3/kv/lease/revoke", &FakeStoreGateway::Revoke},
-};
+/// \brief Calls and faults by name.
+struct FakeStoreTable {
+  static constexpr FakeStoreGateway::Row kRows[] = {
+      {"/v3/kv/range", &FakeStoreGateway::Range},
+      {"/v3/kv/txn", &FakeStoreGateway::Transaction},
+      {"/v3/lease/grant", &FakeStoreGateway::Grant},
+      {"/v3/lease/keepalive", &FakeStoreGateway::KeepAlive},
+      {"/v3/lease/revoke", &FakeStoreGateway::Revoke},
+      {"/v3/kv/lease/revoke", &FakeStoreGateway::Revoke},
+  };
 
-const FakeStoreGateway::ControlRow FakeStoreGateway::kControlRows[] = {
-    {"down", &FakeStoreGateway::SetDown},
-    {"slow_ms", &FakeStoreGateway::SetSlow},
-    {"lose_next_answers", &FakeStoreGateway::SetLoseNext},
-    {"drop_next", &FakeStoreGateway::SetDropNext},
-    {"reject_next", &FakeStoreGateway::SetRejectNext},
-    {"dead_watches", &FakeStoreGateway::SetDeadWatches},
-    {"expire_lease", &FakeStoreGateway::ExpireLease},
-    {"save", &FakeStoreGateway::Save},
-    {"restore", &FakeStoreGateway::Restore},
-    {"compact", &FakeStoreGateway::Compact},
-    {"reset", &FakeStoreGateway::Reset},
+  static constexpr FakeStoreGateway::ControlRow kControlRows[] = {
+      {"down", &FakeStoreGateway::SetDown},
+      {"slow_ms", &FakeStoreGateway::SetSlow},
+      {"lose_next_answers", &FakeStoreGateway::SetLoseNext},
+      {"drop_next", &FakeStoreGateway::SetDropNext},
+      {"reject_next", &FakeStoreGateway::SetRejectNext},
+      {"dead_watches", &FakeStoreGateway::SetDeadWatches},
+      {"expire_lease", &FakeStoreGateway::ExpireLease},
+      {"save", &FakeStoreGateway::Save},
+      {"restore", &FakeStoreGateway::Restore},
+      {"compact", &FakeStoreGateway::Compact},
+      {"reset", &FakeStoreGateway::Reset},
+  };
 };
 
 FakeStoreGateway::FakeStoreGateway(std::uint32_t writes_per_second,
@@ -123,7 +126,7 @@
                                         const json::object& body,
                                         MonoTime now) {
   state_.ExpireLeases(now);
-  for (const Row& it : kRows) {
+  for (const Row& it : FakeStoreTable::kRows) {
     if (path != it.path) {
       continue;
     }
@@ -230,7 +233,7 @@
 GatewayAnswer FakeStoreGateway::Control(const json::object& body) {
   for (const auto& [name, value] : body) {
     const ControlRow* row = nullptr;
-    for (const ControlRow& it : kControlRows) {
+    for (const ControlRow& it : FakeStoreTable::kControlRows) {
       row = name == it.name ? &it : row;
     }
     if (row == nullptr) {
--- a/tools/fake_store_gateway.h
+++ b/tools/fake_store_gateway.h
@@ -81,13 +81,12 @@
     const char* path;
     Call call;
   };
-  static const Row kRows[];
   using ControlCall = void (FakeStoreGateway::*)(const boost::json::value&);
   struct ControlRow {
     const char* name;
     ControlCall call;
   };
-  static const ControlRow kControlRows[];
+  friend struct FakeStoreTable;
 
   GatewayAnswer Range(const boost::json::object& body, MonoTime now);
   GatewayAnswer Transaction(const boost::json::object& body, MonoTime now);
--- a/tools/fake_store_server.cc
+++ b/tools/fake_store_server.cc
@@ -34,7 +34,7 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr std::size_t kMaxRequestBytes = 4 * 1024 * 1024;
+constexpr std::size_t kMaxRequestBytes = std::size_t{4} * 1024 * 1024;
 constexpr Milliseconds kLeaseTick{100};
 constexpr unsigned kHttpVersion = 11;
 
