Leave alone upstreams that say they take no work, and retry only into room

Change: no_upstream, draining and not_ready keep an upstream out of the choice for a second; after overloaded a retry goes only to an upstream with room.

--- a/src/cassiabend/core/balancer.cc
+++ b/src/cassiabend/core/balancer.cc
@@ -16,6 +16,8 @@
 /// Shortest and longest time that a shedding upstream is left alone.
 constexpr Milliseconds kMinShedPause{20};
 constexpr Milliseconds kMaxShedPause{1'000};
+/// How long an upstream is left alone that says that it takes no work.
+constexpr Milliseconds kUnavailablePause{1'000};
 /// Score of an idle upstream, in thousandths of its slots.
 constexpr double kIdleScore = 200.0;
 /// Bounds of an upstream's latency against its service's average.
@@ -111,6 +113,15 @@
   return best;
 }
 
+bool Balancer::IsSaturated(MonoTime now,
+                           const Upstream& upstream) const noexcept {
+  const std::uint64_t slots = std::max(upstream.member_.slots, 1U);
+  const bool reported_full = now - upstream.reported_at_ < kReportLifetime &&
+                             upstream.reported_permille_ >= kSaturatedPermille;
+  return now < upstream.shed_until_ || reported_full ||
+         upstream.outstanding_ * 1000ULL >= slots * kSaturatedPermille;
+}
+
 void Balancer::Update(MonoTime now, const Member& member) {
   RefPtr<Upstream>& slot = upstreams_[member.id];
   if (slot && slot->member_.start_id != member.start_id) {
@@ -174,6 +185,9 @@
       upstream->shed_until_ =
           now + std::clamp(retry_after, kMinShedPause, kMaxShedPause);
       return;
+    case AttemptOutcome::kUnavailable:
+      upstream->unavailable_until_ = now + kUnavailablePause;
+      return;
     case AttemptOutcome::kNeutral:
       return;
     case AttemptOutcome::kSilent:
@@ -232,6 +246,7 @@
                         Service* service,
                         Upstream* upstream) {
   return upstream->member_.status == MemberStatus::kAlive &&
+         now >= upstream->unavailable_until_ &&
          !service->ejection.IsAvoided(now, &upstream->ejection_) &&
          !WasTried(query, upstream);
 }
@@ -308,15 +323,6 @@
   return random->Unit() < std::max(share, kMinShare);
 }
 
-bool Balancer::IsSaturated(MonoTime now,
-                           const Upstream& upstream) const noexcept {
-  const std::uint64_t slots = std::max(upstream.member_.slots, 1U);
-  const bool reported_full = now - upstream.reported_at_ < kReportLifetime &&
-                             upstream.reported_permille_ >= kSaturatedPermille;
-  return now < upstream.shed_until_ || reported_full ||
-         upstream.outstanding_ * 1000ULL >= slots * kSaturatedPermille;
-}
-
 double Balancer::Score(MonoTime now,
                        const Service& service,
                        const Upstream& upstream) const noexcept {
--- a/src/cassiabend/core/balancer.h
+++ b/src/cassiabend/core/balancer.h
@@ -27,6 +27,8 @@
   kAnswered,
   /// Refused for lack of capacity.
   kShed,
+  /// Refused because the node or its upstream takes no work at present.
+  kUnavailable,
   /// Refused for a reason that says nothing about the upstream.
   kNeutral,
   /// The node or upstream was not reached, or broke off.
@@ -59,6 +61,8 @@
   std::optional<MonoTime> serving_since_;
   /// It refused for lack of capacity and asked to be left alone until then.
   MonoTime shed_until_{};
+  /// It takes no work, by its own word; its statement is still on the way.
+  MonoTime unavailable_until_{};
   Nanoseconds latency_{0};
   EjectionRecord ejection_;
 };
@@ -89,6 +93,10 @@
                                           const UpstreamQuery& query,
                                           std::string_view key);
 
+  /// \returns Whether more work would only wait or be refused there.
+  [[nodiscard]] bool IsSaturated(MonoTime now,
+                                 const Upstream& upstream) const noexcept;
+
   /// \brief Takes over a member's statement.
   void Update(MonoTime now, const Member& member);
   void UpdateLoad(MonoTime now, const NodeId& id, std::uint16_t load_permille);
@@ -136,8 +144,6 @@
   [[nodiscard]] bool IsWarm(MonoTime now,
                             const Upstream& upstream,
                             Random* random) const;
-  [[nodiscard]] bool IsSaturated(MonoTime now,
-                                 const Upstream& upstream) const noexcept;
   [[nodiscard]] double Score(MonoTime now,
                              const Service& service,
                              const Upstream& upstream) const noexcept;
--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -40,6 +40,10 @@
 
 AttemptOutcome OutcomeOf(NotRunReason reason) noexcept {
   switch (reason) {
+    case NotRunReason::kNoUpstream:
+    case NotRunReason::kDraining:
+    case NotRunReason::kNotReady:
+      return AttemptOutcome::kUnavailable;
     case NotRunReason::kOverloaded:
       return AttemptOutcome::kShed;
     case NotRunReason::kUnreachable:
@@ -209,7 +213,8 @@
     return;
   }
   EndAttempt(call, OutcomeOf(event.reason), event.retry_after);
-  if (IsRetriable(event.reason) && Retry(call)) {
+  const bool needs_room = event.reason == NotRunReason::kOverloaded;
+  if (IsRetriable(event.reason) && Retry(call, needs_room)) {
     return;
   }
   if (call->may_have_run) {
@@ -306,7 +311,7 @@
              Milliseconds(0));
   call->may_have_run = true;
   context_->Emit(DropAttempt{call->id, call->request.id});
-  if (!call->request.once && Retry(call)) {
+  if (!call->request.once && Retry(call, false)) {
     return;
   }
   FinishUnknown(call, "the answer of the upstream was lost");
@@ -380,12 +385,13 @@
          Remaining(call) > kReturnMargin + kMinAttemptTime;
 }
 
-bool CallEntry::Retry(Call* call) {
+bool CallEntry::Retry(Call* call, bool needs_room) {
   if (!MayRetry(*call)) {
     return false;
   }
   RefPtr<Upstream> upstream = Choose(*call);
   if (!upstream ||
+      (needs_room && balancer_->IsSaturated(context_->now.mono, *upstream)) ||
       !budget_.Spend(call->facts.tenant, call->route->request_class)) {
     return false;
   }
--- a/src/cassiabend/core/call_entry.h
+++ b/src/cassiabend/core/call_entry.h
@@ -85,8 +85,9 @@
   [[nodiscard]] Milliseconds Remaining(const Call& call) const;
   [[nodiscard]] bool MayRetry(const Call& call) const;
   /// \brief Sends the next attempt if the limits allow one.
+  /// \param needs_room Whether only an upstream with room will do.
   /// \returns Whether it was sent.
-  [[nodiscard]] bool Retry(Call* call);
+  [[nodiscard]] bool Retry(Call* call, bool needs_room);
   void Recover(Call* call);
   void FetchFailed(Call* call);
   void GiveUpAttempt(Call* call);
--- /dev/null
+++ b/tests/call_load.h
@@ -0,0 +1,260 @@
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "cassiabend/base/random.h"
+#include "tests/call_support.h"
+
+namespace cassiabend::testing {
+
+/// \brief How one upstream of a load run behaves.
+struct UpstreamBehaviour {
+  Microseconds service_time{10'000};
+  /// The host refuses connections.
+  bool refuses = false;
+  /// It breaks each call off after it was handed over.
+  bool breaks = false;
+  /// Load that its node reports instead of the true one.
+  std::optional<std::uint16_t> claimed_load;
+};
+
+/// \brief What a load run counted for one class.
+struct LoadResult {
+  std::uint64_t calls = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t not_run = 0;
+  std::uint64_t unknown = 0;
+  std::uint64_t attempts = 0;
+  std::vector<Nanoseconds> latencies;
+
+  /// \returns The latency that `permille` of the answered calls stay within.
+  [[nodiscard]] Nanoseconds Percentile(std::size_t permille) const {
+    std::vector<Nanoseconds> sorted = latencies;
+    std::ranges::sort(sorted);
+    return sorted.empty() ? Nanoseconds(0)
+                          : sorted[(sorted.size() - 1) * permille / 1000];
+  }
+};
+
+/// \brief Call reducers under a Poisson load, in virtual time and without
+/// faults of the network.
+class LoadWorld {
+ public:
+  LoadWorld(const std::vector<UpstreamBehaviour>& upstreams,
+            std::uint32_t slots,
+            std::uint64_t seed)
+      : random_(seed) {
+    std::vector<Member> members;
+    for (std::size_t n = 0; n < upstreams.size(); ++n) {
+      Member member = MakeMember(static_cast<int>(n + 1));
+      member.slots = slots;
+      members.push_back(member);
+    }
+    for (std::size_t n = 0; n < upstreams.size(); ++n) {
+      Node node;
+      node.member = members[n];
+      node.behaviour = upstreams[n];
+      node.reducer = std::make_unique<CallReducer>(CallOptions{}, members[n],
+                                                   random_.Next());
+      index_[members[n].id] = n;
+      nodes_.push_back(std::move(node));
+    }
+    for (std::size_t n = 0; n < nodes_.size(); ++n) {
+      Do(n, ApplyVersion{MakeSnapshot()});
+      Do(n, HeadConfirmed{now_.mono});
+      Do(n, MembersChanged{members});
+      Do(n, ReadinessChanged{true, ""});
+    }
+  }
+
+  /// \brief Adds a Poisson stream of calls to `route`, at `rate` a second.
+  void AddStream(const std::string& route, double rate, Milliseconds length) {
+    Arrive(route, rate, now_.mono + length);
+  }
+  void Run(Milliseconds duration) {
+    const MonoTime end = now_.mono + duration;
+    After(kCallTickPeriod, [this, end] { TickAll(end); });
+    After(Milliseconds(1'000), [this, end] { ReportAll(end); });
+    while (!queue_.empty() && queue_.top().due <= end) {
+      Item item = queue_.top();
+      queue_.pop();
+      now_.wall = WallTime(
+          std::chrono::floor<Milliseconds>(item.due.time_since_epoch()));
+      now_.mono = item.due;
+      item.act();
+    }
+  }
+
+  [[nodiscard]] const std::map<std::string, LoadResult>& results() const {
+    return results_;
+  }
+  /// \returns Calls that one upstream was handed.
+  [[nodiscard]] std::uint64_t started(std::size_t n) const {
+    return nodes_[n].started;
+  }
+
+ private:
+  struct Node {
+    Member member;
+    UpstreamBehaviour behaviour;
+    std::unique_ptr<CallReducer> reducer;
+    std::uint16_t load = 0;
+    std::uint64_t started = 0;
+  };
+  struct Link {
+    std::size_t entry = 0;
+    std::size_t destination = 0;
+    CallId call = 0;
+    AttemptId attempt;
+  };
+  struct Item {
+    MonoTime due;
+    std::uint64_t sequence = 0;
+    std::function<void()> act;
+    bool operator<(const Item& other) const {
+      return std::tie(due, sequence) > std::tie(other.due, other.sequence);
+    }
+  };
+
+  static constexpr Microseconds kHop{250};
+
+  void After(Nanoseconds delay, std::function<void()> act) {
+    queue_.push({now_.mono + delay, ++sequence_, std::move(act)});
+  }
+  [[nodiscard]] Nanoseconds Exponential(double mean_ns) {
+    return Nanoseconds(
+        static_cast<std::int64_t>(-std::log(1.0 - random_.Unit()) * mean_ns));
+  }
+  void Arrive(const std::string& route, double rate, MonoTime end) {
+    After(Exponential(1e9 / rate), [this, route, rate, end] {
+      if (now_.mono >= end) {
+        return;
+      }
+      const std::size_t n = random_.Below(nodes_.size());
+      ++results_[route].calls;
+      Do(n, CallArrived{++last_call_, MakeFacts(route)});
+      Arrive(route, rate, end);
+    });
+  }
+  void TickAll(MonoTime end) {
+    for (std::size_t n = 0; n < nodes_.size(); ++n) {
+      Do(n, CallTick{});
+    }
+    if (now_.mono < end) {
+      After(kCallTickPeriod, [this, end] { TickAll(end); });
+    }
+  }
+  void ReportAll(MonoTime end) {
+    for (const Node& from : nodes_) {
+      const std::uint16_t load =
+          from.behaviour.claimed_load.value_or(from.load);
+      for (std::size_t n = 0; n < nodes_.size(); ++n) {
+        Do(n, MemberLoadReported{from.member.id, load});
+      }
+    }
+    if (now_.mono < end) {
+      After(Milliseconds(1'000), [this, end] { ReportAll(end); });
+    }
+  }
+
+  void Do(std::size_t n, const CallEvent& event) {
+    std::vector<CallEffect> effects;
+    nodes_[n].reducer->Reduce(now_, event, &effects);
+    for (const CallEffect& it : effects) {
+      std::visit([this, n](const auto& effect) { Execute(n, effect); }, it);
+    }
+  }
+  template <typename T>
+  void Execute(std::size_t /*n*/, const T& /*effect*/) {}
+
+  void Execute(std::size_t n, const SendAttempt& effect) {
+    const std::size_t to = index_.at(effect.destination);
+    if (nodes_[to].behaviour.refuses && to != n) {
+      After(2 * kHop, [this, n, effect] {
+        Do(n,
+           AttemptLost{effect.call, effect.request.id, LinkLoss::kNeverSent});
+      });
+      return;
+    }
+    const LinkId id = ++last_link_;
+    links_[id] = {n, to, effect.call, effect.request.id};
+    After(kHop, [this, id, to, effect] {
+      Do(to, AttemptArrived{id, effect.request});
+    });
+  }
+  template <typename T>
+  void Reply(LinkId id, T event) {
+    After(kHop, [this, id, event] {
+      const auto it = links_.find(id);
+      if (it == links_.end()) {
+        return;
+      }
+      T reply = event;
+      reply.call = it->second.call;
+      reply.attempt = it->second.attempt;
+      Do(it->second.entry, reply);
+    });
+  }
+  void Execute(std::size_t /*n*/, const ReplyNotRun& effect) {
+    Reply(effect.link, AttemptNotRun{.reason = effect.reason,
+                                     .retry_after = effect.retry_after});
+  }
+  void Execute(std::size_t /*n*/, const ReplyUnknown& effect) {
+    Reply(effect.link, AttemptUnknown{});
+  }
+  void Execute(std::size_t /*n*/, const BindAnswer& effect) {
+    Reply(effect.link, AttemptAnswering{.status = 200});
+    Reply(effect.link, AnswerRelayed{.complete = true});
+  }
+  void Execute(std::size_t n, const StartUpstream& effect) {
+    Node& node = nodes_[n];
+    ++node.started;
+    const AttemptId id = effect.attempt;
+    if (node.behaviour.breaks) {
+      After(kHop, [this, n, id] { Do(n, UpstreamBroken{id}); });
+      return;
+    }
+    const double mean =
+        static_cast<double>(Nanoseconds(node.behaviour.service_time).count());
+    After(Exponential(mean), [this, n, id] {
+      Do(n, UpstreamAnswering{id, 200});
+      Do(n, UpstreamFinished{id});
+    });
+  }
+  void Execute(std::size_t n, const LocalLoadChanged& effect) {
+    nodes_[n].load = effect.load_permille;
+  }
+  void Execute(std::size_t /*n*/, const CallEnded& effect) {
+    LoadResult& result = results_[effect.route];
+    result.attempts += effect.attempts;
+    if (effect.outcome == "answered") {
+      ++result.answered;
+      result.latencies.push_back(effect.elapsed);
+    } else if (effect.outcome == "unknown") {
+      ++result.unknown;
+    } else {
+      ++result.not_run;
+    }
+  }
+
+  Random random_;
+  Instant now_{MonoTime(Seconds(100)), WallTime(Seconds(100))};
+  std::priority_queue<Item> queue_;
+  std::uint64_t sequence_ = 0;
+  std::vector<Node> nodes_;
+  std::unordered_map<NodeId, std::size_t, NodeIdHasher> index_;
+  std::unordered_map<LinkId, Link> links_;
+  LinkId last_link_ = 0;
+  CallId last_call_ = 0;
+  std::map<std::string, LoadResult> results_;
+};
+
+}  // namespace cassiabend::testing
--- a/tests/call_world.h
+++ b/tests/call_world.h
@@ -39,8 +39,10 @@
   kForgetHome,
   kSuspectAll,
   kCallerGone,
+  kVeryLate,
+  kDoubleVeryLate,
 };
-inline constexpr std::array<const char*, 23> kFaultNames = {"none",
+inline constexpr std::array<const char*, 25> kFaultNames = {"none",
                                                             "lose",
                                                             "silent",
                                                             "double",
@@ -62,7 +64,9 @@
                                                             "clock_forward",
                                                             "forget_home",
                                                             "suspect_all",
-                                                            "caller_gone"};
+                                                            "caller_gone",
+                                                            "very_late",
+                                                            "double_very_late"};
 
 /// \brief A few nodes with a network, upstreams and a store of their own, in
 /// virtual time. Every message is a step at which a fault can happen.
@@ -228,6 +232,8 @@
   };
 
   static constexpr Milliseconds kHop{1};
+  /// Longer than an ended attempt is remembered.
+  static constexpr Milliseconds kLongDelay{9'000};
   static constexpr Milliseconds kProgress{1'200};
 
   // Time and delivery.
@@ -311,6 +317,11 @@
         return true;
       case Fault::kLate:
         return Delay(*delivery, Milliseconds(1'500));
+      case Fault::kVeryLate:
+        return Delay(*delivery, kLongDelay);
+      case Fault::kDoubleVeryLate:
+        Push(kLongDelay, *delivery);
+        return true;
       case Fault::kReorder:
         return Delay(*delivery, Milliseconds(7));
       case Fault::kKill:
