Test attempts and order claims, and distrust a store that went back

Cause: claims vanish when the store is restored from a copy; a health endpoint that lies let an upstream that fails its calls return every two seconds.

--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -212,7 +212,12 @@
     GiveUpAttempt(call);
     return;
   }
-  EndAttempt(call, OutcomeOf(event.reason), event.retry_after);
+  // A node that calls an attempt late long before its deadline has a wrong
+  // clock or does not keep up.
+  const bool early = event.reason == NotRunReason::kDeadline &&
+                     Remaining(*call) > call->request.deadline / 2;
+  EndAttempt(call, early ? AttemptOutcome::kFailed : OutcomeOf(event.reason),
+             event.retry_after);
   const bool needs_room = event.reason == NotRunReason::kOverloaded;
   if (IsRetriable(event.reason) && Retry(call, needs_room)) {
     return;
--- a/src/cassiabend/core/call_reducer.cc
+++ b/src/cassiabend/core/call_reducer.cc
@@ -56,11 +56,11 @@
 
   void Handle(const UpstreamProbed& event) { health_.Reduce(event); }
   void Handle(const UpstreamUnreached& event) {
-    health_.RecordFailure();
+    health_.RecordCallFailure();
     destination_.Reduce(event);
   }
   void Handle(const UpstreamBroken& event) {
-    health_.RecordFailure();
+    health_.RecordCallFailure();
     destination_.Reduce(event);
   }
   void Handle(const UpstreamAnswering& event) {
--- a/src/cassiabend/core/call_upstream_health.cc
+++ b/src/cassiabend/core/call_upstream_health.cc
@@ -7,6 +7,7 @@
 
 /// Healthy probes in a row after which a warming upstream serves.
 constexpr std::uint32_t kProbesToServe = 2;
+constexpr std::uint32_t kMaxProbesToServe = 64;
 /// Failures in a row, of probes and calls, after which it serves no more.
 constexpr std::uint32_t kFailuresToStop = 3;
 /// Age up to which an answered call outweighs failed probes.
@@ -19,7 +20,9 @@
 }  // namespace
 
 CallUpstreamHealth::CallUpstreamHealth(CallContext* context)
-    : context_(context), state_(context->self.upstream_state) {
+    : context_(context),
+      state_(context->self.upstream_state),
+      probes_to_serve_(kProbesToServe) {
   if (state_ == UpstreamState::kNone && !context->self.service.empty()) {
     state_ = UpstreamState::kWarming;
   }
@@ -32,7 +35,7 @@
     failures_ = 0;
     ++healthy_probes_;
     if (state_ == UpstreamState::kWarming &&
-        healthy_probes_ >= kProbesToServe) {
+        healthy_probes_ >= probes_to_serve_) {
       SetState(UpstreamState::kServing);
     }
     return;
@@ -44,16 +47,25 @@
 }
 
 void CallUpstreamHealth::RecordAnswer() noexcept {
+  probes_to_serve_ = kProbesToServe;
   failures_ = 0;
   answered_at_ = context_->now.mono;
 }
 
-void CallUpstreamHealth::RecordFailure() {
+void CallUpstreamHealth::RecordCallFailure() {
+  if (RecordFailure()) {
+    probes_to_serve_ = std::min(2 * probes_to_serve_, kMaxProbesToServe);
+  }
+}
+
+bool CallUpstreamHealth::RecordFailure() {
   healthy_probes_ = 0;
   ++failures_;
-  if (state_ == UpstreamState::kServing && failures_ >= kFailuresToStop) {
-    SetState(UpstreamState::kWarming);
+  if (state_ != UpstreamState::kServing || failures_ < kFailuresToStop) {
+    return false;
   }
+  SetState(UpstreamState::kWarming);
+  return true;
 }
 
 void CallUpstreamHealth::ReportLoad(std::size_t outstanding) {
--- a/src/cassiabend/core/call_upstream_health.h
+++ b/src/cassiabend/core/call_upstream_health.h
@@ -18,7 +18,7 @@
   /// \brief Notes that the upstream answered a call.
   void RecordAnswer() noexcept;
   /// \brief Notes that the upstream was not reached, or broke off.
-  void RecordFailure();
+  void RecordCallFailure();
   /// \brief Tells the load to the fleet when it has changed enough.
   /// \param outstanding Calls that the upstream has and that wait for it.
   void ReportLoad(std::size_t outstanding);
@@ -26,12 +26,17 @@
   void Drain();
 
  private:
+  /// \returns Whether the upstream stopped serving by it.
+  bool RecordFailure();
   void SetState(UpstreamState state);
 
   CallContext* context_;
   UpstreamState state_ = UpstreamState::kNone;
   std::uint32_t slots_ = 0;
   std::uint32_t healthy_probes_ = 0;
+  /// Healthy probes in a row after which a warming upstream serves. Calls that
+  /// fail against the word of the probes double it.
+  std::uint32_t probes_to_serve_;
   std::uint32_t failures_ = 0;
   std::optional<MonoTime> answered_at_;
   std::uint16_t reported_permille_ = 0;
--- a/src/cassiabend/core/orders.cc
+++ b/src/cassiabend/core/orders.cc
@@ -62,7 +62,8 @@
 
 bool OrderLedger::is_available() const noexcept {
   return context_->now.mono >= unavailable_until_ &&
-         orders_.size() < kMaxOrders && tokens_ >= 1.0;
+         context_->now.mono >= restored_until_ && orders_.size() < kMaxOrders &&
+         tokens_ >= 1.0;
 }
 
 std::vector<ClaimOutcome> OrderLedger::TakeOutcomes() {
@@ -199,6 +200,7 @@
 void OrderLedger::Send(Order* order, Step step, StoreRequest request) {
   order->step = step;
   order->sequence = next_sequence_++;
+  order->sent_at = context_->now.mono;
   by_sequence_[order->sequence] = order->id;
   timers_.Schedule(order, context_->now.mono + kStoreCallTimeout);
   context_->Emit(StoreCall{{StoreClientRole::kCalls, order->sequence},
@@ -219,11 +221,27 @@
   }
   Order* order = &orders_.at(it->second);
   by_sequence_.erase(it);
+  WatchRevision(*order, event.reply);
   const Step step = std::exchange(order->step, Step::kIdle);
   timers_.Schedule(order, order->forget_at);
   TakeReply(order, step, event.reply);
 }
 
+void OrderLedger::WatchRevision(const Order& order, const StoreReply& reply) {
+  if (reply.store_revision >= store_revision_) {
+    store_revision_ = reply.store_revision;
+    store_revision_at_ = context_->now.mono;
+    return;
+  }
+  const bool older = order.sent_at > store_revision_at_;
+  if (reply.store_revision == 0 || !older) {
+    return;
+  }
+  store_revision_ = reply.store_revision;
+  store_revision_at_ = context_->now.mono;
+  restored_until_ = context_->now.mono + context_->options.order_memory;
+}
+
 void OrderLedger::TakeReply(Order* order, Step step, const StoreReply& reply) {
   switch (reply.status) {
     case StoreStatus::kConflict:
@@ -293,6 +311,10 @@
     Advance(order);
     return;
   }
+  if (context_->now.mono < restored_until_) {
+    Fail(order, ClaimResult::kUnavailable);
+    return;
+  }
   if (context_->now.mono - order->lease_at >= 2 * kLeaseRotation) {
     // The reply was so late that the lease is too old.
     Advance(order);
--- a/src/cassiabend/core/orders.h
+++ b/src/cassiabend/core/orders.h
@@ -38,6 +38,8 @@
 /// created by compare-and-swap. A claim names the attempt and ends by a lease
 /// that outlives `order_memory` from the latest start. The claim of an attempt
 /// that was proved not run is deleted; until it is, this node may take it over.
+/// Once the store is seen to have gone back, as after it was restored from a
+/// copy, claims may be missing, and none is made for `order_memory`.
 class OrderLedger {
  public:
   explicit OrderLedger(CallContext* context)
@@ -80,8 +82,9 @@
     /// Whether a write of this node may have taken effect.
     bool maybe_stored = false;
     Step step = Step::kIdle;
-    /// Sequence of the call that is under way.
+    /// Sequence of the call that is under way, and when it was sent.
     std::uint64_t sequence = 0;
+    MonoTime sent_at{};
     /// When the lease of the call under way was asked for.
     MonoTime lease_at{};
     std::uint32_t failures = 0;
@@ -95,6 +98,8 @@
   void AskLease();
   void TakeLease(const StoreReply& reply);
 
+  void WatchRevision(const Order& order, const StoreReply& reply);
+
   [[nodiscard]] bool IsOwn(const Order& order, const AttemptId& id) const;
   void Advance(Order* order);
   void AdvanceClaim(Order* order);
@@ -124,6 +129,11 @@
   std::vector<OrderId> waiting_for_lease_;
   /// The store refused or did not answer; claims wait until then.
   MonoTime unavailable_until_{};
+  /// The store went back; claims may be missing until then.
+  MonoTime restored_until_{};
+  /// Highest revision of the store that was seen, and when.
+  StoreRevision store_revision_ = 0;
+  MonoTime store_revision_at_{};
   /// Claims that may be begun at once.
   double tokens_;
   MonoTime refilled_at_{};
--- /dev/null
+++ b/tests/attempt_test.cc
@@ -0,0 +1,218 @@
+#include "cassiabend/core/attempt_tombstones.h"
+
+#include <doctest/doctest.h>
+
+#include "tests/call_support.h"
+
+namespace cassiabend::testing {
+namespace {
+
+constexpr AttemptId kId{0, 7};
+
+AttemptRequest MakeAttempt(bool once) {
+  AttemptRequest request;
+  request.id = kId;
+  request.destination_start_id = 100;
+  request.service = "svc";
+  request.once = once;
+  request.deadline = Milliseconds(4'000);
+  request.expires_at = WallTime(Seconds(104));
+  return request;
+}
+
+/// \brief A destination node that has been handed one attempt on link 1.
+class Destination : public CallNode {
+ public:
+  explicit Destination(bool once) : CallNode(MakeMember(2)) {
+    MakeReady({});
+    Do(AttemptArrived{1, MakeAttempt(once)});
+  }
+};
+
+/// \brief An entry node with call 1 under way.
+struct EntryCall {
+  explicit EntryCall(const std::string& route) : node(MakeMember(1)) {
+    node.MakeReady({MakeMember(2), MakeMember(3)});
+    node.Do(CallArrived{1, MakeFacts(route)});
+    id = node.Only<SendAttempt>()->request.id;
+  }
+  CallNode node;
+  AttemptId id;
+};
+
+TEST_CASE("a lost connection is followed by a fetch, a cancel, then unknown") {
+  EntryCall call("orders");
+  call.node.Do(AttemptLost{1, call.id, LinkLoss::kSilent});
+  REQUIRE(call.node.Only<SendAttempt>());
+  CHECK(call.node.Only<SendAttempt>()->verb == AttemptVerb::kFetch);
+  call.node.Do(AttemptLost{1, call.id, LinkLoss::kNeverSent});
+  CHECK(!call.node.Only<SendAttempt>());
+  call.node.Tick(Milliseconds(60));
+  CHECK(call.node.Only<SendAttempt>()->verb == AttemptVerb::kFetch);
+  call.node.Do(AttemptLost{1, call.id, LinkLoss::kBroken});
+  CHECK(call.node.Only<SendAttempt>()->verb == AttemptVerb::kCancel);
+  call.node.Do(AttemptLost{1, call.id, LinkLoss::kNeverSent});
+  CHECK(call.node.Only<AnswerUnknown>());
+  CHECK(call.node.counts().calls == 0);
+}
+
+TEST_CASE("what is proved not run, or may be repeated, is tried elsewhere") {
+  struct Row {
+    const char* route;
+    CallEvent event;
+    bool retried;
+    bool not_run;
+  };
+  const auto rows = [](const AttemptId& id) {
+    return std::vector<Row>{
+        {"orders", AttemptLost{1, id, LinkLoss::kNeverSent}, true, true},
+        {"orders", AttemptNotRun{1, id, NotRunReason::kDraining}, true, true},
+        {"orders", AttemptNotRun{1, id, NotRunReason::kQuietWindow}, false,
+         true},
+        {"orders", AttemptNotRun{1, id, NotRunReason::kShareExceeded}, false,
+         true},
+        {"orders", AttemptUnknown{1, id}, false, false},
+        {"status", AttemptUnknown{1, id}, true, false},
+    };
+  };
+  for (std::size_t i = 0; i < rows(kId).size(); ++i) {
+    CAPTURE(i);
+    EntryCall call(rows(kId)[i].route);
+    const Row row = rows(call.id)[i];
+    call.node.Do(row.event);
+    const auto send = call.node.Only<SendAttempt>();
+    CHECK(send.has_value() == row.retried);
+    if (send) {
+      CHECK(send->request.id != call.id);
+      CHECK(send->request.is_retry);
+      call.node.Do(AttemptNotRun{1, send->request.id, NotRunReason::kDraining});
+      const auto third = call.node.Only<SendAttempt>();
+      REQUIRE(third);
+      call.node.Do(
+          AttemptNotRun{1, third->request.id, NotRunReason::kDraining});
+    }
+    CHECK(call.node.Only<AnswerNotRun>().has_value() == row.not_run);
+    CHECK(call.node.Only<AnswerUnknown>().has_value() == !row.not_run);
+  }
+}
+
+TEST_CASE("a call below a retry is not retried") {
+  CallNode node(MakeMember(1));
+  node.MakeReady({MakeMember(2)});
+  CallFacts facts = MakeFacts("status");
+  facts.is_retry = true;
+  node.Do(CallArrived{1, facts});
+  const AttemptId id = node.Only<SendAttempt>()->request.id;
+  CHECK(node.Only<SendAttempt>()->request.is_retry);
+  node.Do(AttemptNotRun{1, id, NotRunReason::kDraining});
+  CHECK(node.Only<AnswerNotRun>());
+}
+
+TEST_CASE("after the deadline a fetch proves nothing") {
+  EntryCall call("orders");
+  call.node.Do(AttemptLost{1, call.id, LinkLoss::kBroken});
+  call.node.Advance(Milliseconds(4'001));
+  call.node.Do(AttemptNotRun{1, call.id, NotRunReason::kCancelled});
+  CHECK(call.node.Only<AnswerUnknown>());
+}
+
+TEST_CASE("a silent order is cancelled before its deadline, then unknown") {
+  EntryCall call("orders");
+  call.node.Tick(Milliseconds(3'939));
+  CHECK(call.node.effects().empty());
+  call.node.Tick(Milliseconds(1));
+  REQUIRE(call.node.Only<SendAttempt>());
+  CHECK(call.node.Only<SendAttempt>()->verb == AttemptVerb::kCancel);
+  call.node.Tick(Milliseconds(60));
+  CHECK(call.node.Only<AnswerUnknown>());
+}
+
+TEST_CASE("a destination answers fetches by what it knows") {
+  Destination running(true);
+  running.Do(FetchArrived{2, kId, 100});
+  CHECK(running.effects().empty());
+  running.Tick(Milliseconds(1'000));
+  REQUIRE(running.Only<ReplyStillRunning>());
+  CHECK(running.Only<ReplyStillRunning>()->link == 2);
+  running.Do(UpstreamFinished{kId});
+  CHECK(!running.Only<BindAnswer>());
+  running.Do(FetchArrived{3, kId, 100});
+  REQUIRE(running.Only<BindAnswer>());
+  CHECK(running.Only<BindAnswer>()->link == 3);
+  running.Tick(Milliseconds(10'000));
+  CHECK(running.Only<ReleaseAttempt>());
+  running.Do(FetchArrived{4, kId, 100});
+  CHECK(running.Only<ReplyUnknown>());
+
+  CallNode absent(MakeMember(2));
+  absent.MakeReady({});
+  absent.Do(FetchArrived{1, kId, 99});
+  CHECK(absent.Only<ReplyUnknown>());
+  absent.Do(FetchArrived{2, kId, 100});
+  CHECK(absent.Only<ReplyNotRun>());
+  absent.Do(AttemptArrived{3, MakeAttempt(true)});
+  CHECK(absent.Only<ReplyNotRun>());
+  CHECK(!absent.Only<StartUpstream>());
+}
+
+TEST_CASE("copies of an attempt do not start it again") {
+  Destination node(true);
+  node.Do(AttemptArrived{1, MakeAttempt(true)});
+  CHECK(!node.Only<StartUpstream>());
+  node.Do(UpstreamFinished{kId});
+  node.Tick(Milliseconds(10'000));
+  node.Do(AttemptArrived{2, MakeAttempt(true)});
+  CHECK(node.Only<ReplyUnknown>());
+  // Its fate is forgotten, and the copy is past its time.
+  node.Tick(Milliseconds(600'000));
+  node.Do(AttemptArrived{3, MakeAttempt(true)});
+  REQUIRE(node.Only<ReplyNotRun>());
+  CHECK(node.Only<ReplyNotRun>()->reason == NotRunReason::kDeadline);
+}
+
+TEST_CASE("cancel stops what has not started and what may be repeated") {
+  Destination status(false);
+  status.Do(CancelArrived{2, kId, 100});
+  CHECK(status.Only<CancelUpstream>());
+  CHECK(status.Only<ReplyUnknown>());
+  Destination order(true);
+  order.Do(CancelArrived{2, kId, 100});
+  CHECK(order.effects().empty());
+  order.Do(UpstreamFinished{kId});
+  REQUIRE(order.Only<BindAnswer>());
+  CHECK(order.Only<BindAnswer>()->link == 2);
+}
+
+TEST_CASE("work without a connection is cancelled only if repeatable") {
+  for (const bool once : {false, true}) {
+    Destination node(once);
+    node.Do(LinkLost{1});
+    node.Tick(Milliseconds(300));
+    CHECK(node.Only<CancelUpstream>().has_value() == !once);
+    CHECK(node.counts().attempts_running == (once ? 1 : 0));
+  }
+}
+
+TEST_CASE("tombstones are bounded and what they forget is refused") {
+  AttemptTombstones tombstones(4);
+  const MonoTime start{};
+  for (std::uint64_t n = 1; n <= 5; ++n) {
+    CHECK(tombstones.Add({0, n}, AttemptFate::kRan, WallTime(Seconds(n)),
+                         start + Seconds(n)));
+  }
+  CHECK(tombstones.size() == 4);
+  CHECK(!tombstones.Find({0, 1}));
+  CHECK(tombstones.MayBeForgotten(WallTime(Seconds(1))));
+  CHECK(!tombstones.MayBeForgotten(WallTime(Seconds(2))));
+  CHECK(tombstones.Add({1, 1}, AttemptFate::kNotRun, std::nullopt,
+                       start + Seconds(9)));
+  CHECK(tombstones.Add({1, 2}, AttemptFate::kNotRun, std::nullopt,
+                       start + Seconds(9)));
+  CHECK(!tombstones.Add({1, 3}, AttemptFate::kNotRun, std::nullopt,
+                        start + Seconds(9)));
+  tombstones.Expire(start + Seconds(9));
+  CHECK(tombstones.size() == 0);
+}
+
+}  // namespace
+}  // namespace cassiabend::testing
--- /dev/null
+++ b/tests/orders_test.cc
@@ -0,0 +1,265 @@
+#include "cassiabend/core/orders.h"
+
+#include <doctest/doctest.h>
+
+#include "tests/call_support.h"
+
+namespace cassiabend::testing {
+namespace {
+
+constexpr AttemptId kFirst{0, 1};
+constexpr AttemptId kSecond{0, 2};
+constexpr OrderId kOrder{9, 9};
+constexpr LeaseId kLease = 5;
+
+/// \brief A ledger whose store calls are answered by hand.
+class LedgerDriver {
+ public:
+  LedgerDriver()
+      : context_{.options = {}, .self = MakeMember(1), .random = Random(1)},
+        ledger_(&context_) {
+    context_.out = &effects_;
+    context_.now.mono = MonoTime(Seconds(100));
+    Tick(Milliseconds(0));
+  }
+
+  OrderLedger& ledger() { return ledger_; }
+
+  void Advance(Milliseconds step) { context_.now.mono += step; }
+  void Tick(Milliseconds step) {
+    Advance(step);
+    ledger_.Tick();
+  }
+  /// \returns The oldest store call without an answer, of type `T`.
+  template <typename T>
+  T Take() {
+    REQUIRE(!effects_.empty());
+    const StoreCall call = std::get<StoreCall>(effects_.front());
+    effects_.erase(effects_.begin());
+    REQUIRE(std::holds_alternative<T>(call.request));
+    last_ = call.id;
+    return std::get<T>(call.request);
+  }
+  /// \brief Answers the call that was taken last.
+  void Answer(StoreStatus status,
+              std::optional<StoreEntry> entry = std::nullopt,
+              StoreRevision revision = 0) {
+    StoreReply reply;
+    reply.status = status;
+    reply.entry = std::move(entry);
+    reply.store_revision = revision;
+    reply.lease = kLease;
+    ledger_.Reduce(StoreReplied{last_, reply});
+  }
+  void GrantLease() {
+    Take<StoreLeaseGrant>();
+    Answer(StoreStatus::kOk);
+  }
+  /// \returns The only outcome since the last time.
+  std::optional<ClaimOutcome> Outcome() {
+    const auto outcomes = ledger_.TakeOutcomes();
+    return outcomes.size() == 1 ? std::optional(outcomes[0]) : std::nullopt;
+  }
+
+ private:
+  std::vector<CallEffect> effects_;
+  CallContext context_;
+  OrderLedger ledger_;
+  StoreCallId last_;
+};
+
+StoreEntry EntryOf(const AttemptId& owner, StoreRevision revision) {
+  return {"", ToHex(owner) + " 10.0.0.9:7000 100", revision};
+}
+
+TEST_CASE("an order is claimed once the store has written it") {
+  LedgerDriver driver;
+  driver.ledger().Claim(kOrder, kFirst);
+  const auto grant = driver.Take<StoreLeaseGrant>();
+  CHECK(grant.ttl >= Seconds(600));
+  driver.Answer(StoreStatus::kOk);
+  const auto swap = driver.Take<StoreCompareAndSwap>();
+  CHECK(swap.expected == 0);
+  CHECK(swap.lease == kLease);
+  CHECK(!driver.Outcome());
+  driver.Answer(StoreStatus::kOk, std::nullopt, 3);
+  CHECK(driver.Outcome() == ClaimOutcome{kFirst, ClaimResult::kClaimed});
+  CHECK(driver.ledger().OwnerOf(kOrder) == kFirst);
+}
+
+TEST_CASE("a claim whose answer was lost is found to be this node's own") {
+  LedgerDriver driver;
+  driver.ledger().Claim(kOrder, kFirst);
+  driver.GrantLease();
+  driver.Take<StoreCompareAndSwap>();
+  driver.Answer(StoreStatus::kUnknown);
+  driver.Take<StoreCompareAndSwap>();
+  driver.Answer(StoreStatus::kConflict, EntryOf(kFirst, 3));
+  CHECK(driver.Take<StoreCompareAndSwap>().expected == 3);
+  driver.Answer(StoreStatus::kOk, std::nullopt, 4);
+  CHECK(driver.Outcome() == ClaimOutcome{kFirst, ClaimResult::kClaimed});
+}
+
+TEST_CASE("a claim of another attempt is believed after it stays") {
+  for (const bool goes : {false, true}) {
+    LedgerDriver driver;
+    driver.ledger().Claim(kOrder, kFirst);
+    driver.GrantLease();
+    driver.Take<StoreCompareAndSwap>();
+    driver.Answer(StoreStatus::kConflict, EntryOf(kSecond, 3));
+    driver.Tick(Milliseconds(30));
+    driver.Take<StoreGet>();
+    if (goes) {
+      driver.Answer(StoreStatus::kOk);
+      CHECK(driver.Take<StoreCompareAndSwap>().expected == 0);
+      continue;
+    }
+    driver.Answer(StoreStatus::kOk, EntryOf(kSecond, 3));
+    driver.Tick(Milliseconds(30));
+    driver.Take<StoreGet>();
+    driver.Answer(StoreStatus::kOk, EntryOf(kSecond, 3));
+    driver.Tick(Milliseconds(30));
+    CHECK(driver.Outcome() == ClaimOutcome{kFirst, ClaimResult::kTaken});
+    CHECK(driver.ledger().size() == 0);
+  }
+}
+
+TEST_CASE("the claim of an attempt that was not run is deleted") {
+  LedgerDriver driver;
+  driver.ledger().Claim(kOrder, kFirst);
+  driver.GrantLease();
+  driver.Take<StoreCompareAndSwap>();
+  driver.Answer(StoreStatus::kOk, std::nullopt, 3);
+  driver.ledger().Release(kOrder);
+  CHECK(!driver.ledger().OwnerOf(kOrder));
+  CHECK(driver.Take<StoreCompareAndDelete>().expected == 3);
+  driver.Answer(StoreStatus::kUnknown);
+  driver.Tick(Milliseconds(1'000));
+  CHECK(driver.Take<StoreCompareAndDelete>().expected == 3);
+  driver.Answer(StoreStatus::kConflict);
+  CHECK(driver.ledger().size() == 0);
+}
+
+TEST_CASE("a claim that is being deleted is taken over by the same node") {
+  LedgerDriver driver;
+  driver.ledger().Claim(kOrder, kFirst);
+  driver.GrantLease();
+  driver.Take<StoreCompareAndSwap>();
+  driver.ledger().Release(kOrder);
+  driver.ledger().Claim(kOrder, kSecond);
+  driver.Answer(StoreStatus::kOk, std::nullopt, 3);
+  CHECK(driver.Take<StoreCompareAndSwap>().expected == 3);
+  driver.Answer(StoreStatus::kOk, std::nullopt, 4);
+  CHECK(driver.Outcome() == ClaimOutcome{kSecond, ClaimResult::kClaimed});
+}
+
+TEST_CASE("without the store nothing is claimed") {
+  struct Row {
+    StoreStatus status;
+    int answers;
+  };
+  for (const Row& row :
+       {Row{StoreStatus::kUnavailable, 1}, Row{StoreStatus::kUnknown, 3}}) {
+    LedgerDriver driver;
+    driver.ledger().Claim(kOrder, kFirst);
+    driver.GrantLease();
+    for (int n = 0; n < row.answers; ++n) {
+      CHECK(!driver.Outcome());
+      driver.Take<StoreCompareAndSwap>();
+      driver.Answer(row.status);
+    }
+    CHECK(driver.Outcome() == ClaimOutcome{kFirst, ClaimResult::kUnavailable});
+    CHECK(!driver.ledger().is_available());
+    driver.Tick(Milliseconds(200));
+    CHECK(driver.ledger().is_available());
+  }
+}
+
+TEST_CASE("a reply later than the lease allows does not claim") {
+  LedgerDriver driver;
+  driver.ledger().Claim(kOrder, kFirst);
+  driver.GrantLease();
+  driver.Take<StoreCompareAndSwap>();
+  driver.Tick(Milliseconds(4'999));
+  driver.Answer(StoreStatus::kOk, std::nullopt, 3);
+  CHECK(driver.Outcome());
+
+  LedgerDriver paused;
+  paused.ledger().Claim(kOrder, kFirst);
+  paused.GrantLease();
+  paused.Take<StoreCompareAndSwap>();
+  paused.Advance(Milliseconds(120'000));
+  paused.Answer(StoreStatus::kOk, std::nullopt, 3);
+  CHECK(!paused.Outcome());
+  paused.GrantLease();
+  CHECK(paused.Take<StoreCompareAndSwap>().expected == 3);
+}
+
+TEST_CASE("no order is claimed in a store that went back") {
+  LedgerDriver driver;
+  driver.ledger().Claim(kOrder, kFirst);
+  driver.GrantLease();
+  driver.Take<StoreCompareAndSwap>();
+  driver.Answer(StoreStatus::kOk, std::nullopt, 30);
+  CHECK(driver.Outcome());
+  driver.Tick(Milliseconds(10));
+  driver.ledger().Claim({9, 8}, kSecond);
+  driver.Take<StoreCompareAndSwap>();
+  driver.Answer(StoreStatus::kOk, std::nullopt, 20);
+  CHECK(driver.Outcome() == ClaimOutcome{kSecond, ClaimResult::kUnavailable});
+  driver.Tick(Milliseconds(599'000));
+  CHECK(!driver.ledger().is_available());
+  driver.Tick(Milliseconds(1'000));
+  CHECK(driver.ledger().is_available());
+}
+
+TEST_CASE("the rate of claims is bounded") {
+  LedgerDriver driver;
+  int claims = 0;
+  while (driver.ledger().is_available()) {
+    driver.ledger().Claim({1, static_cast<std::uint64_t>(++claims)},
+                          {2, static_cast<std::uint64_t>(claims)});
+  }
+  CHECK(claims == 50);
+  driver.Tick(Milliseconds(20));
+  CHECK(driver.ledger().is_available());
+}
+
+TEST_CASE("a repeat at the same node gets the first run's answer") {
+  CallNode node(MakeMember(2));
+  node.MakeReady({});
+  AttemptRequest request;
+  request.id = kFirst;
+  request.destination_start_id = 100;
+  request.service = "svc";
+  request.once = true;
+  request.order_key = "k";
+  request.deadline = Milliseconds(4'000);
+  node.Do(AttemptArrived{1, request});
+  REQUIRE(node.Only<StoreCall>());
+  StoreReply reply;
+  reply.status = StoreStatus::kOk;
+  reply.lease = kLease;
+  reply.store_revision = 3;
+  node.Do(StoreReplied{node.Only<StoreCall>()->id, reply});
+  CHECK(!node.Only<StartUpstream>());
+  node.Do(StoreReplied{node.Only<StoreCall>()->id, reply});
+  CHECK(node.Only<StartUpstream>());
+  request.id = kSecond;
+  node.Do(AttemptArrived{2, request});
+  CHECK(node.effects().empty());
+  node.Do(UpstreamFinished{kFirst});
+  int bound = 0;
+  for (const CallEffect& it : node.effects()) {
+    const auto* bind = std::get_if<BindAnswer>(&it);
+    bound += bind != nullptr && bind->attempt == kFirst ? 1 : 0;
+  }
+  CHECK(bound == 2);
+  node.Tick(Milliseconds(10'000));
+  request.id = {0, 3};
+  node.Do(AttemptArrived{3, request});
+  CHECK(node.Only<ReplyUnknown>());
+}
+
+}  // namespace
+}  // namespace cassiabend::testing
