--- /dev/null
+++ b/tests/call_leave_test.cc
@@ -0,0 +1,136 @@
+#include <doctest/doctest.h>
+
+#include "tests/call_support.h"
+
+namespace cassiabend::testing {
+namespace {
+
+AttemptRequest MakeAttempt(std::uint64_t n) {
+  AttemptRequest request;
+  request.id = {0, n};
+  request.destination_start_id = 100;
+  request.service = "svc";
+  request.deadline = Milliseconds(4'000);
+  return request;
+}
+
+TEST_CASE("a node that drains finishes what runs and refuses the rest") {
+  CallNode node(MakeMember(2));
+  node.MakeReady({MakeMember(1)});
+  for (std::uint64_t n = 1; n <= 3; ++n) {
+    node.Do(AttemptArrived{n, MakeAttempt(n)});
+  }
+  node.Do(CallArrived{1, MakeFacts("status")});
+  const auto own = node.Only<SendAttempt>();
+  REQUIRE(own);
+  node.Do(DrainRequested{});
+  REQUIRE(node.Only<LocalUpstreamChanged>());
+  CHECK(node.Only<LocalUpstreamChanged>()->state == UpstreamState::kDraining);
+  REQUIRE(node.Only<ReplyNotRun>());
+  CHECK(node.Only<ReplyNotRun>()->attempt == AttemptId{0, 3});
+  CHECK(node.Only<ReplyNotRun>()->reason == NotRunReason::kDraining);
+  node.Do(DrainRequested{});
+  CHECK(node.effects().empty());
+
+  node.Do(AttemptArrived{4, MakeAttempt(4)});
+  CHECK(node.Only<ReplyNotRun>()->reason == NotRunReason::kDraining);
+  node.Do(CallArrived{2, MakeFacts("status")});
+  CHECK(node.Only<AnswerNotRun>()->reason == NotRunReason::kDraining);
+  node.Do(UpstreamProbed{true, 0});
+  CHECK(!node.Only<LocalUpstreamChanged>());
+
+  node.Do(UpstreamFinished{{0, 1}});
+  CHECK(node.Only<BindAnswer>());
+  node.Do(UpstreamFinished{{0, 2}});
+  CHECK(node.Only<BindAnswer>());
+  CHECK(!node.Only<DrainFinished>());
+  node.Do(AttemptAnswering{1, own->request.id, 200});
+  CHECK(!node.Only<DrainFinished>());
+  node.Do(AnswerRelayed{1, own->request.id, true});
+  CHECK(node.Only<DrainFinished>());
+  node.Tick(Milliseconds(20));
+  CHECK(!node.Only<DrainFinished>());
+}
+
+TEST_CASE("a drain waits for an answer whose connection was lost") {
+  CallNode node(MakeMember(2));
+  node.MakeReady({});
+  AttemptRequest request = MakeAttempt(1);
+  request.once = true;
+  node.Do(AttemptArrived{1, request});
+  node.Do(LinkLost{1});
+  node.Do(DrainRequested{});
+  node.Do(UpstreamFinished{request.id});
+  CHECK(!node.Only<DrainFinished>());
+  node.Do(FetchArrived{2, request.id, 100});
+  CHECK(node.Only<BindAnswer>());
+  CHECK(node.Only<DrainFinished>());
+}
+
+TEST_CASE("an upstream serves by its probes, and what is seen goes first") {
+  Member self = MakeMember(2);
+  self.upstream_state = UpstreamState::kWarming;
+  CallNode node(self);
+  node.MakeReady({});
+  node.Do(AttemptArrived{1, MakeAttempt(1)});
+  CHECK(node.Only<ReplyNotRun>()->reason == NotRunReason::kNoUpstream);
+  node.Do(UpstreamProbed{true, 0});
+  CHECK(!node.Only<LocalUpstreamChanged>());
+  node.Do(UpstreamProbed{true, 0});
+  REQUIRE(node.Only<LocalUpstreamChanged>());
+  CHECK(node.Only<LocalUpstreamChanged>()->state == UpstreamState::kServing);
+  CHECK(node.Only<LocalUpstreamChanged>()->slots == 2);
+
+  // Answered calls outweigh probes that fail.
+  node.Do(AttemptArrived{2, MakeAttempt(2)});
+  node.Do(UpstreamAnswering{{0, 2}, 200});
+  for (int n = 0; n < 5; ++n) {
+    node.Do(UpstreamProbed{false, 0});
+    CHECK(!node.Only<LocalUpstreamChanged>());
+  }
+  node.Advance(Milliseconds(3'000));
+  node.Do(UpstreamProbed{false, 0});
+  node.Do(UpstreamProbed{false, 0});
+  CHECK(!node.Only<LocalUpstreamChanged>());
+  node.Do(UpstreamProbed{false, 0});
+  REQUIRE(node.Only<LocalUpstreamChanged>());
+  CHECK(node.Only<LocalUpstreamChanged>()->state == UpstreamState::kWarming);
+}
+
+TEST_CASE("an upstream that fails calls against its probes waits longer") {
+  CallNode node(MakeMember(2));
+  node.MakeReady({});
+  std::uint64_t id = 0;
+  for (int needed = 4; needed <= 16; needed *= 2) {
+    CAPTURE(needed);
+    for (int n = 0; n < 3; ++n) {
+      ++id;
+      node.Do(AttemptArrived{id, MakeAttempt(id)});
+      REQUIRE(node.Only<StartUpstream>());
+      node.Do(UpstreamUnreached{{0, id}});
+    }
+    CHECK(node.Only<LocalUpstreamChanged>().has_value());
+    for (int n = 1; n <= needed; ++n) {
+      node.Do(UpstreamProbed{true, 0});
+      CHECK(node.Only<LocalUpstreamChanged>().has_value() == (n == needed));
+    }
+  }
+}
+
+TEST_CASE("the load is told when it changes") {
+  CallNode node(MakeMember(2));
+  node.MakeReady({});
+  node.Tick(Milliseconds(20));
+  CHECK(!node.Only<LocalLoadChanged>());
+  for (std::uint64_t n = 1; n <= 3; ++n) {
+    node.Do(AttemptArrived{n, MakeAttempt(n)});
+  }
+  node.Tick(Milliseconds(100));
+  REQUIRE(node.Only<LocalLoadChanged>());
+  CHECK(node.Only<LocalLoadChanged>()->load_permille == 1'500);
+  node.Tick(Milliseconds(100));
+  CHECK(!node.Only<LocalLoadChanged>());
+}
+
+}  // namespace
+}  // namespace cassiabend::testing
