--- a/tests/call_world.h
+++ b/tests/call_world.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "cassiabend/base/random.h"
@@ -39,8 +40,10 @@
   kForgetHome,
   kSuspectAll,
   kCallerGone,
+  kVeryLate,
+  kDoubleVeryLate,
 };
-inline constexpr std::array<const char*, 23> kFaultNames = {"none",
+inline constexpr std::array<const char*, 25> kFaultNames = {"none",
                                                             "lose",
                                                             "silent",
                                                             "double",
@@ -62,7 +65,9 @@
                                                             "clock_forward",
                                                             "forget_home",
                                                             "suspect_all",
-                                                            "caller_gone"};
+                                                            "caller_gone",
+                                                            "very_late",
+                                                            "double_very_late"};
 
 /// \brief A few nodes with a network, upstreams and a store of their own, in
 /// virtual time. Every message is a step at which a fault can happen.
@@ -202,7 +207,7 @@
     MonoTime cut_until{};
     Milliseconds clock_offset{0};
     Fault upstream_fault = Fault::kNone;
-    std::map<AttemptId, Answer> answers;
+    std::unordered_map<AttemptId, Answer, Id128Hasher> answers;
     std::deque<std::function<void()>> deferred;
   };
   struct StoredClaim {
@@ -228,6 +233,8 @@
   };
 
   static constexpr Milliseconds kHop{1};
+  /// Longer than an ended attempt is remembered.
+  static constexpr Milliseconds kLongDelay{9'000};
   static constexpr Milliseconds kProgress{1'200};
 
   // Time and delivery.
@@ -311,6 +318,11 @@
         return true;
       case Fault::kLate:
         return Delay(*delivery, Milliseconds(1'500));
+      case Fault::kVeryLate:
+        return Delay(*delivery, kLongDelay);
+      case Fault::kDoubleVeryLate:
+        Push(kLongDelay, *delivery);
+        return true;
       case Fault::kReorder:
         return Delay(*delivery, Milliseconds(7));
       case Fault::kKill:
@@ -851,7 +863,7 @@
   LinkId last_link_ = 0;
   CallId last_call_ = 0;
   std::map<CallId, CallRecord> calls_;
-  std::map<AttemptId, CallId> attempt_calls_;
+  std::unordered_map<AttemptId, CallId, Id128Hasher> attempt_calls_;
   std::map<std::string, int> executions_by_key_;
   std::map<std::string, StoredClaim> store_;
   StoreRevision store_revision_ = 0;
