Ask members for their versions while an operator looks

Cause: the demo's wait ended with 13 of 18 nodes although all had applied the version within 200 ms: the answering node hears of versions only from members that probe it or are probed by it, hardly ever from other zones. Ruled out: the spread itself; each node's /version showed the new version. Change: a request for the fleet's status starts a survey that pings members that seem behind, 64 a tick, for 2 s; status asks again after 250 ms. Conclusion: convergence is seen from any node at a bounded cost.

--- a/src/cassiabend/core/fleet_events.h
+++ b/src/cassiabend/core/fleet_events.h
@@ -124,6 +124,9 @@
 /// \brief Event: this node leaves; it states so to its peers.
 struct LeaveRequested {};
 
+/// \brief Event: an operator wants to know the members' versions.
+struct MarksRequested {};
+
 using FleetEvent = std::variant<FleetTick,
                                 DatagramReceived,
                                 PushReceived,
@@ -136,7 +139,8 @@
                                 LocalLoadChanged,
                                 LeaveRequested,
                                 VersionCommitted,
-                                StoreReplied>;
+                                StoreReplied,
+                                MarksRequested>;
 
 // Effects.
 
--- a/src/cassiabend/core/fleet_reducer_impl.cc
+++ b/src/cassiabend/core/fleet_reducer_impl.cc
@@ -78,6 +78,7 @@
   spread_.Tick(context, tree_, membership_, watch_.ReadsAt(context));
   pull_.Tick(context, versions_);
   join_.Tick(context, tree_, membership_);
+  survey_.Tick(context, membership_, versions_.mark());
 }
 
 bool FleetReducer::Impl::IsFromOlderProcess(const Datagram& datagram) const {
@@ -296,6 +297,11 @@
   }
 }
 
+void FleetReducer::Impl::On(const FleetContext& context,
+                            const MarksRequested&) {
+  survey_.Start(context);
+}
+
 std::vector<MemberView> FleetReducer::Impl::Members(const Instant& now) const {
   std::vector<MemberView> views;
   MemberView own{membership_.self(), versions_.mark(),
--- a/src/cassiabend/core/fleet_reducer_impl.h
+++ b/src/cassiabend/core/fleet_reducer_impl.h
@@ -10,6 +10,7 @@
 #include "cassiabend/core/join.h"
 #include "cassiabend/core/join_readiness.h"
 #include "cassiabend/core/join_seeds.h"
+#include "cassiabend/core/mark_survey.h"
 #include "cassiabend/core/membership.h"
 #include "cassiabend/core/membership_prober.h"
 #include "cassiabend/core/membership_server.h"
@@ -55,6 +56,7 @@
   void On(const FleetContext& context, const LeaveRequested& event);
   void On(const FleetContext& context, const VersionCommitted& event);
   void On(const FleetContext& context, const StoreReplied& event);
+  void On(const FleetContext& context, const MarksRequested& event);
 
   void OnBody(const FleetContext& context,
               const Datagram& datagram,
@@ -100,6 +102,7 @@
   Join join_;
   SeedDirectory seeds_;
   JoinReadiness readiness_;
+  MarkSurvey survey_;
   std::uint16_t load_permille_ = 0;
   std::optional<bool> store_answers_;
   /// Whether the version applied in this event was committed here.
--- a/src/cassiabend/ctl/commands.cc
+++ b/src/cassiabend/ctl/commands.cc
@@ -224,8 +224,16 @@
 
 ExitCode Commands::ShowStatus() {
   FleetStatus status;
-  const CommitResult result = caller().Read(
-      [&](AdminClient& client) { return client.GetStatus(&status); });
+  const auto read = [&](AdminClient& client) {
+    return client.GetStatus(&status);
+  };
+  CommitResult result = caller().Read(read);
+  if (result.code == CommitCode::kOk &&
+      !ConvergenceOf(status, status.mark.number).behind.empty()) {
+    // The first request made the node ask the members that seem behind.
+    std::this_thread::sleep_for(kStatusPeriod);
+    result = caller().Read(read);
+  }
   if (result.code != CommitCode::kOk) {
     return ReportFailure(result);
   }
--- a/src/cassiabend/node/node.cc
+++ b/src/cassiabend/node/node.cc
@@ -69,7 +69,11 @@
                                .port = place.admin_port,
                                .operators = settings_.operators};
     AdminCallbacks callbacks{
-        .status = [this] { return Status(); },
+        .status =
+            [this] {
+              Post(FleetEvent(MarksRequested{}));
+              return Status();
+            },
         .newest = [this] { return reducer_.fleet().newest(); },
         .drain = [this](const NodeId& id) { DrainMember(id); }};
     admin_ =
