Check work against the newest route, and give a shedding upstream less

Cause: an entry node behind the newest version could send work of a route that had become noisy as quiet work; a node kept filling the slots of an upstream that sheds; nodes with equal seeds would have drawn equal attempt ids; the margin for the way back was below one link between regions. Change: the destination compares the attempt with the route of its own version and refuses it as stale_configuration where they differ; a shed lowers the slots until its retry-after; the seed takes in the node and its start; the margin is 30 ms or a tenth of the time left.

--- a/src/cassiabend/core/call_destination.cc
+++ b/src/cassiabend/core/call_destination.cc
@@ -217,11 +217,7 @@
   if (context_->draining) {
     return Refusal{NotRunReason::kDraining};
   }
-  if (!request.noisy) {
-    return std::nullopt;
-  }
-  return CheckNoisyWork(
-      *context_, {request.site, request.longest_job, request.config_number});
+  return CheckSite(*context_, request);
 }
 
 void CallDestination::Start(Attempt* attempt) {
--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -9,13 +9,14 @@
 /// Fetches of one attempt that may fail before it is cancelled.
 constexpr std::uint8_t kMaxFailedFetches = 2;
 constexpr Milliseconds kFetchPause{40};
-/// Taken off the deadline that is passed on, so that a refusal at the far end
-/// comes back in time.
-constexpr Milliseconds kReturnMargin{10};
+/// Most that is taken off the deadline that is passed on, so that a refusal at
+/// the far end comes back in time, and its share of the time left.
+constexpr Milliseconds kReturnMargin{30};
+constexpr int kReturnShare = 10;
 /// Shortest time left with which an attempt is sent.
 constexpr Milliseconds kMinAttemptTime{2};
 /// Time before the deadline at which an attempt in doubt is cancelled.
-constexpr Milliseconds kCancelMargin{60};
+constexpr Milliseconds kCancelMargin{80};
 /// When to come back after a refusal that names no time.
 constexpr Milliseconds kDefaultRetryAfter{100};
 
@@ -182,8 +183,9 @@
   request.config_number = call->snapshot->mark().number;
   request.depth = call->facts.depth;
   request.is_retry = call->facts.is_retry || !call->tried.empty();
-  request.deadline =
-      std::max(Remaining(*call) - kReturnMargin, kMinAttemptTime);
+  const Milliseconds left = Remaining(*call);
+  const Milliseconds margin = std::min(kReturnMargin, left / kReturnShare);
+  request.deadline = std::max(left - margin, kMinAttemptTime);
   request.expires_at = context_->now.wall + request.deadline;
   balancer_->RecordStart(upstream.get());
   call->tried.push_back(std::move(upstream));
@@ -387,7 +389,7 @@
   const std::size_t limit =
       std::min<std::size_t>(context_->options.max_attempts, kMaxAttemptsLimit);
   return !call.facts.is_retry && call.tried.size() < limit &&
-         Remaining(call) > kReturnMargin + kMinAttemptTime;
+         Remaining(call) > 2 * kMinAttemptTime;
 }
 
 bool CallEntry::Retry(Call* call, bool needs_room) {
--- a/src/cassiabend/core/call_reducer.cc
+++ b/src/cassiabend/core/call_reducer.cc
@@ -11,11 +11,24 @@
 
 namespace cassiabend {
 
+namespace {
+
+/// \returns A seed of this start of this node, so that the attempt ids of nodes
+/// with equal settings differ.
+std::uint64_t MixSeed(const Member& self, std::uint64_t seed) {
+  return Hash64(ToString(self.id), self.start_id) ^
+         (seed * 0x9E3779B97F4A7C15ULL);
+}
+
+}  // namespace
+
 /// \brief Hands each event to the part that it concerns.
 class CallReducer::Impl {
  public:
   Impl(const CallOptions& options, const Member& self, std::uint64_t seed)
-      : context_{.options = options, .self = self, .random = Random(seed)},
+      : context_{.options = options,
+                 .self = self,
+                 .random = Random(MixSeed(self, seed))},
         balancer_(options, self),
         health_(&context_),
         entry_(&context_, &balancer_),
@@ -55,6 +68,10 @@
   }
 
   void Handle(const UpstreamProbed& event) { health_.Reduce(event); }
+  void Handle(const UpstreamShed& event) {
+    health_.RecordShed(destination_.running(), event.retry_after);
+    destination_.Reduce(event);
+  }
   void Handle(const UpstreamUnreached& event) {
     health_.RecordCallFailure();
     destination_.Reduce(event);
--- a/src/cassiabend/core/call_upstream_health.cc
+++ b/src/cassiabend/core/call_upstream_health.cc
@@ -12,6 +12,9 @@
 constexpr std::uint32_t kFailuresToStop = 3;
 /// Age up to which an answered call outweighs failed probes.
 constexpr Milliseconds kAnswerWeighs{3'000};
+/// Shortest and longest time for which a shedding upstream is given less.
+constexpr Milliseconds kMinShedPause{20};
+constexpr Milliseconds kMaxShedPause{1'000};
 /// Shortest time between two reports of the load.
 constexpr Milliseconds kLoadReportPeriod{100};
 /// Change of the load that is reported, in thousandths.
@@ -52,6 +55,19 @@
   answered_at_ = context_->now.mono;
 }
 
+std::uint32_t CallUpstreamHealth::slots() const noexcept {
+  return context_->now.mono < shed_until_ ? std::min(slots_, shed_slots_)
+                                          : slots_;
+}
+
+void CallUpstreamHealth::RecordShed(std::uint32_t running,
+                                    Milliseconds retry_after) noexcept {
+  constexpr std::uint32_t kMinSlots = 1;
+  shed_slots_ = running > kMinSlots ? running - 1 : kMinSlots;
+  shed_until_ = context_->now.mono +
+                std::clamp(retry_after, kMinShedPause, kMaxShedPause);
+}
+
 void CallUpstreamHealth::RecordCallFailure() {
   if (RecordFailure()) {
     probes_to_serve_ = std::min(2 * probes_to_serve_, kMaxProbesToServe);
--- a/src/cassiabend/core/call_upstream_health.h
+++ b/src/cassiabend/core/call_upstream_health.h
@@ -11,12 +11,15 @@
   explicit CallUpstreamHealth(CallContext* context);
 
   [[nodiscard]] UpstreamState state() const noexcept { return state_; }
-  /// \returns Calls that the upstream runs at the same time.
-  [[nodiscard]] std::uint32_t slots() const noexcept { return slots_; }
+  /// \returns Calls that the upstream may be given at the same time.
+  [[nodiscard]] std::uint32_t slots() const noexcept;
 
   void Reduce(const UpstreamProbed& event);
   /// \brief Notes that the upstream answered a call.
   void RecordAnswer() noexcept;
+  /// \brief Notes that the upstream refused one of `running` calls for lack of
+  /// capacity. It is given fewer until `retry_after` is over.
+  void RecordShed(std::uint32_t running, Milliseconds retry_after) noexcept;
   /// \brief Notes that the upstream was not reached, or broke off.
   void RecordCallFailure();
   /// \brief Tells the load to the fleet when it has changed enough.
@@ -33,6 +36,9 @@
   CallContext* context_;
   UpstreamState state_ = UpstreamState::kNone;
   std::uint32_t slots_ = 0;
+  /// Fewer slots for the time after the upstream shed a call.
+  std::uint32_t shed_slots_ = 0;
+  MonoTime shed_until_{};
   std::uint32_t healthy_probes_ = 0;
   /// Healthy probes in a row after which a warming upstream serves. Calls that
   /// fail against the word of the probes double it.
--- a/src/cassiabend/core/dispatch_gate.cc
+++ b/src/cassiabend/core/dispatch_gate.cc
@@ -40,4 +40,22 @@
   return Refusal{NotRunReason::kQuietWindow, std::max(wait, Milliseconds(1))};
 }
 
+std::optional<Refusal> CheckSite(const CallContext& context,
+                                 const AttemptRequest& request) {
+  NoisyWork work{request.site, request.longest_job, request.config_number};
+  const Route* route =
+      context.snapshot ? context.snapshot->RouteByName(request.route) : nullptr;
+  if (route != nullptr && route->noisy) {
+    const bool moved = !route->site.empty() && route->site != request.site;
+    if (!request.noisy || moved) {
+      return Refusal{NotRunReason::kStaleConfiguration, kConfirmationPause};
+    }
+    work.longest_job = std::max(work.longest_job, route->longest_job);
+  }
+  if (!request.noisy) {
+    return std::nullopt;
+  }
+  return CheckNoisyWork(context, work);
+}
+
 }  // namespace cassiabend
--- a/src/cassiabend/core/dispatch_gate.h
+++ b/src/cassiabend/core/dispatch_gate.h
@@ -29,4 +29,11 @@
 [[nodiscard]] std::optional<Refusal> CheckNoisyWork(const CallContext& context,
                                                     const NoisyWork& work);
 
+/// \brief Checks an attempt at the moment of its dispatch against the route of
+/// the version in force here, which may be newer than the one that the attempt
+/// was routed by.
+/// \returns Why it must not start; unset when it may.
+[[nodiscard]] std::optional<Refusal> CheckSite(const CallContext& context,
+                                               const AttemptRequest& request);
+
 }  // namespace cassiabend
--- a/tests/call_leave_test.cc
+++ b/tests/call_leave_test.cc
@@ -117,6 +117,21 @@
   }
 }
 
+TEST_CASE("an upstream that sheds is given less for a time") {
+  CallNode node(MakeMember(2));
+  node.MakeReady({});
+  node.Do(AttemptArrived{1, MakeAttempt(1)});
+  node.Do(AttemptArrived{2, MakeAttempt(2)});
+  node.Do(UpstreamShed{{0, 2}, Milliseconds(300)});
+  CHECK(node.Only<ReplyNotRun>()->reason == NotRunReason::kOverloaded);
+  node.Do(AttemptArrived{3, MakeAttempt(3)});
+  CHECK(!node.Only<StartUpstream>());
+  node.Tick(Milliseconds(299));
+  CHECK(!node.Only<StartUpstream>());
+  node.Tick(Milliseconds(1));
+  CHECK(node.Only<StartUpstream>());
+}
+
 TEST_CASE("the load is told when it changes") {
   CallNode node(MakeMember(2));
   node.MakeReady({});
--- a/tests/call_path_test.cc
+++ b/tests/call_path_test.cc
@@ -96,6 +96,43 @@
   }
 }
 
+TEST_CASE("noisy work follows the newest route at the destination") {
+  struct Row {
+    bool noisy;
+    std::string site;
+    VersionNumber config_number;
+    std::optional<NotRunReason> reason;
+  };
+  const Row rows[] = {
+      {true, "works", 1, std::nullopt},
+      // The entry node does not know yet that the route is noisy, or moved.
+      {false, "", 1, NotRunReason::kStaleConfiguration},
+      {true, "elsewhere", 1, NotRunReason::kStaleConfiguration},
+      // The entry node knows a version that this node does not.
+      {true, "works", 2, NotRunReason::kStaleConfiguration},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.site);
+    CAPTURE(row.config_number);
+    CallNode home(MakeMember(2));
+    home.MakeReady({});
+    AttemptRequest request;
+    request.id = {0, 1};
+    request.destination_start_id = 100;
+    request.service = "svc";
+    request.route = "print";
+    request.deadline = Milliseconds(1'000);
+    request.noisy = row.noisy;
+    request.site = row.site;
+    request.config_number = row.config_number;
+    home.Do(AttemptArrived{1, request});
+    CHECK(home.Only<StartUpstream>().has_value() == !row.reason);
+    if (row.reason) {
+      CHECK(home.Only<ReplyNotRun>()->reason == *row.reason);
+    }
+  }
+}
+
 TEST_CASE("attempts beyond the slots wait in order") {
   CallNode home(MakeMember(2));
   home.MakeReady({});
