--- a/tests/orders_test.cc
+++ b/tests/orders_test.cc
@@ -217,8 +217,9 @@
   LedgerDriver driver;
   int claims = 0;
   while (driver.ledger().is_available()) {
-    driver.ledger().Claim({1, static_cast<std::uint64_t>(++claims)},
-                          {2, static_cast<std::uint64_t>(claims)});
+    ++claims;
+    const auto n = static_cast<std::uint64_t>(claims);
+    driver.ledger().Claim({1, n}, {2, n});
   }
   CHECK(claims == 50);
   driver.Tick(Milliseconds(20));
