--- a/src/cassiabend/core/attempt.h
+++ b/src/cassiabend/core/attempt.h
@@ -62,7 +62,6 @@
   MonoTime orphan_due = MonoTime::max();
   /// Whether a whole answer went to a connection.
   bool taken = false;
-  MonoTime arrived_at{};
   MonoTime deadline{};
   MonoTime started_at{};
 
--- /dev/null
+++ b/src/cassiabend/core/attempt_table.cc
@@ -0,0 +1,105 @@
+#include "cassiabend/core/attempt_table.h"
+
+#include <algorithm>
+
+namespace cassiabend {
+namespace {
+
+/// Most attempts whose fate is remembered.
+constexpr std::size_t kMaxTombstones = 65'536;
+/// Added to the time for which a fate is remembered.
+constexpr Milliseconds kMemoryMargin{1'000};
+
+}  // namespace
+
+AttemptTable::AttemptTable(const CallContext* context)
+    : context_(context), tombstones_(kMaxTombstones) {}
+
+Attempt* AttemptTable::Find(const AttemptId& id) const {
+  const auto alias = aliases_.find(id);
+  const auto it = attempts_.find(alias == aliases_.end() ? id : alias->second);
+  return it == attempts_.end() ? nullptr : it->second.get();
+}
+
+Attempt* AttemptTable::FindByLink(LinkId link) const {
+  const auto id = links_.Find(link);
+  return id ? Find(*id) : nullptr;
+}
+
+bool AttemptTable::HasEnded(const AttemptId& id) const {
+  return tombstones_.Find(id).has_value();
+}
+
+bool AttemptTable::MayBeForgotten(const AttemptRequest& request) const {
+  return request.expires_at != WallTime{} &&
+         tombstones_.MayBeForgotten(request.expires_at);
+}
+
+Attempt* AttemptTable::Add(const AttemptRequest& request) {
+  auto& slot = attempts_[request.id];
+  slot = std::make_unique<Attempt>();
+  slot->request = request;
+  slot->deadline =
+      context_->now.mono +
+      std::min(request.deadline, LongestDeadline(context_->options));
+  return slot.get();
+}
+
+bool AttemptTable::AddAlias(Attempt* owner, const AttemptRequest& request) {
+  if (owner->aliases.size() == kMaxAliasesPerAttempt) {
+    return false;
+  }
+  owner->aliases.push_back({request.id, request.expires_at});
+  aliases_[request.id] = owner->request.id;
+  return true;
+}
+
+bool AttemptTable::AddLink(Attempt* attempt, const AttemptLink& link) {
+  return links_.Add(attempt, link);
+}
+
+void AttemptTable::RemoveLink(Attempt* attempt, LinkId link) {
+  links_.Remove(attempt, link);
+}
+
+bool AttemptTable::RefuseAbsent(const AttemptId& id) {
+  return tombstones_.Add(id, AttemptFate::kNotRun, std::nullopt,
+                         context_->now.mono + context_->options.order_memory);
+}
+
+void AttemptTable::Remember(const AttemptRequest& request, AttemptFate fate) {
+  Remember(request.id, request.expires_at, fate);
+}
+
+void AttemptTable::Remember(const AttemptId& id,
+                            WallTime expires_at,
+                            AttemptFate fate) {
+  const MonoTime now = context_->now.mono;
+  const Milliseconds memory = context_->options.order_memory;
+  if (expires_at == WallTime{}) {
+    tombstones_.Add(id, fate, std::nullopt, now + memory);
+    return;
+  }
+  const Milliseconds left =
+      std::clamp(expires_at - context_->now.wall, Milliseconds(0), memory);
+  // Errors of the clocks of the sender, at this moment, and at the last moment
+  // at which a copy may start.
+  const Milliseconds errors = 3 * context_->options.clock_error;
+  tombstones_.Add(id, fate, expires_at, now + left + errors + kMemoryMargin);
+}
+
+void AttemptTable::Erase(Attempt* attempt, AttemptFate fate) {
+  links_.RemoveAll(attempt);
+  Remember(attempt->request, fate);
+  for (const AttemptAlias& it : attempt->aliases) {
+    aliases_.erase(it.id);
+    Remember(it.id, it.expires_at, fate);
+  }
+  attempts_.erase(AttemptId(attempt->request.id));
+}
+
+void AttemptTable::Expire() {
+  tombstones_.Expire(context_->now.mono);
+}
+
+}  // namespace cassiabend
--- a/src/cassiabend/core/call_destination.cc
+++ b/src/cassiabend/core/call_destination.cc
@@ -5,16 +5,12 @@
 namespace cassiabend {
 namespace {
 
-/// Most attempts whose fate is remembered.
-constexpr std::size_t kMaxTombstones = 65'536;
 /// How long a fetch waits before it is told that the attempt still runs.
 constexpr Milliseconds kFetchWait{1'000};
 /// How long a repeatable attempt runs on without a connection.
 constexpr Milliseconds kOrphanGrace{250};
 /// How long the answer of a repeatable attempt is held once it was taken.
 constexpr Milliseconds kTakenHold{1'000};
-/// Added to the time for which a fate is remembered.
-constexpr Milliseconds kMemoryMargin{1'000};
 constexpr Milliseconds kUnreachedPause{100};
 constexpr Milliseconds kStorePause{1'000};
 
@@ -25,11 +21,11 @@
     : context_(context),
       health_(health),
       admission_(context->options),
-      tombstones_(kMaxTombstones),
-      orders_(context) {}
+      orders_(context),
+      table_(context) {}
 
 bool CallDestination::has_work() const noexcept {
-  return std::ranges::any_of(attempts_, [](const auto& it) {
+  return std::ranges::any_of(table_.attempts(), [](const auto& it) {
     return it.second->state != AttemptState::kHeld || !it.second->taken;
   });
 }
@@ -38,11 +34,11 @@
 
 void CallDestination::Reduce(const AttemptArrived& event) {
   const AttemptRequest& request = event.request;
-  if (Attempt* known = Find(request.id)) {
+  if (Attempt* known = table_.Find(request.id)) {
     Join(known, request.id, event.link, false);
     return;
   }
-  if (tombstones_.Find(request.id)) {
+  if (table_.HasEnded(request.id)) {
     ReplyToAbsent(event.link, request.id, request.destination_start_id);
     return;
   }
@@ -75,8 +71,7 @@
   if (IsExpired(request)) {
     return Refusal{NotRunReason::kDeadline};
   }
-  const bool expires = request.expires_at != WallTime{};
-  if (expires && tombstones_.MayBeForgotten(request.expires_at)) {
+  if (table_.MayBeForgotten(request)) {
     return Refusal{NotRunReason::kOverloaded};
   }
   return std::nullopt;
@@ -106,7 +101,7 @@
                                     const Refusal& refusal) {
   context_->Emit(ReplyNotRun{event.link, event.request.id, refusal.reason,
                              refusal.retry_after});
-  Remember(event.request.id, event.request.expires_at, AttemptFate::kNotRun);
+  table_.Remember(event.request, AttemptFate::kNotRun);
 }
 
 bool CallDestination::JoinOrder(const AttemptArrived& event) {
@@ -116,28 +111,19 @@
   if (!owner_id) {
     return false;
   }
-  Attempt* owner = Find(*owner_id);
-  if (owner == nullptr || owner->aliases.size() == kMaxAliasesPerAttempt) {
+  Attempt* owner = table_.Find(*owner_id);
+  if (owner == nullptr || !table_.AddAlias(owner, request)) {
     context_->Emit(ReplyUnknown{event.link, request.id});
-    Remember(request.id, request.expires_at, AttemptFate::kRan);
+    table_.Remember(request, AttemptFate::kRan);
     return true;
   }
-  owner->aliases.push_back({request.id, request.expires_at});
-  aliases_[request.id] = owner->request.id;
   Join(owner, request.id, event.link, false);
   return true;
 }
 
 void CallDestination::Admit(const AttemptArrived& event) {
-  auto& slot = attempts_[event.request.id];
-  slot = std::make_unique<Attempt>();
-  Attempt* attempt = slot.get();
-  attempt->request = event.request;
-  attempt->arrived_at = context_->now.mono;
-  attempt->deadline =
-      context_->now.mono +
-      std::min(event.request.deadline, LongestDeadline(context_->options));
-  (void)links_.Add(attempt, {event.link, event.request.id});
+  Attempt* attempt = table_.Add(event.request);
+  (void)table_.AddLink(attempt, {event.link, event.request.id});
   Schedule(attempt);
   if (const auto order = OrderOf(event.request)) {
     Claim(*order, attempt);
@@ -155,7 +141,7 @@
 
 void CallDestination::TakeClaims() {
   for (const ClaimOutcome& it : orders_.TakeOutcomes()) {
-    Attempt* attempt = Find(it.attempt);
+    Attempt* attempt = table_.Find(it.attempt);
     if (attempt == nullptr || attempt->state != AttemptState::kClaiming) {
       continue;
     }
@@ -232,7 +218,7 @@
 // Connections.
 
 void CallDestination::Reduce(const FetchArrived& event) {
-  if (Attempt* attempt = Find(event.attempt)) {
+  if (Attempt* attempt = table_.Find(event.attempt)) {
     Join(attempt, event.attempt, event.link, true);
     return;
   }
@@ -240,7 +226,7 @@
 }
 
 void CallDestination::Reduce(const CancelArrived& event) {
-  Attempt* attempt = Find(event.attempt);
+  Attempt* attempt = table_.Find(event.attempt);
   if (attempt == nullptr) {
     ReplyToAbsent(event.link, event.attempt, event.destination_start_id);
     return;
@@ -268,7 +254,7 @@
                            bool fetches) {
   const MonoTime fetch_due =
       fetches ? context_->now.mono + kFetchWait : MonoTime::max();
-  if (!links_.Add(attempt, {link, asked, fetch_due})) {
+  if (!table_.AddLink(attempt, {link, asked, fetch_due})) {
     context_->Emit(ReplyUnknown{link, asked});
     return;
   }
@@ -284,11 +270,7 @@
     context_->Emit(ReplyUnknown{link, id});
     return;
   }
-  const MonoTime keep_until =
-      context_->now.mono + context_->options.order_memory;
-  const bool remembered =
-      tombstones_.Add(id, AttemptFate::kNotRun, std::nullopt, keep_until);
-  if (!remembered) {
+  if (!table_.RefuseAbsent(id)) {
     context_->Emit(ReplyUnknown{link, id});
     return;
   }
@@ -314,16 +296,14 @@
 }
 
 void CallDestination::Reduce(const LinkLost& event) {
-  const auto id = links_.Find(event.link);
-  if (!id) {
+  Attempt* attempt = table_.FindByLink(event.link);
+  if (attempt == nullptr) {
     return;
   }
-  Attempt* attempt = Find(*id);
-  links_.Remove(attempt, event.link);
-  if (!attempt->links.empty()) {
-    return;
+  table_.RemoveLink(attempt, event.link);
+  if (attempt->links.empty()) {
+    CancelOrphan(attempt);
   }
-  CancelOrphan(attempt);
 }
 
 void CallDestination::CancelOrphan(Attempt* attempt) {
@@ -348,7 +328,7 @@
 // The upstream.
 
 void CallDestination::Reduce(const UpstreamShed& event) {
-  Attempt* attempt = Find(event.attempt);
+  Attempt* attempt = table_.Find(event.attempt);
   if (attempt == nullptr || attempt->state != AttemptState::kRunning) {
     return;
   }
@@ -357,7 +337,7 @@
 }
 
 void CallDestination::Reduce(const UpstreamUnreached& event) {
-  Attempt* attempt = Find(event.attempt);
+  Attempt* attempt = table_.Find(event.attempt);
   if (attempt == nullptr || attempt->state != AttemptState::kRunning) {
     return;
   }
@@ -366,7 +346,7 @@
 }
 
 void CallDestination::Reduce(const UpstreamAnswering& event) {
-  Attempt* attempt = Find(event.attempt);
+  Attempt* attempt = table_.Find(event.attempt);
   if (attempt == nullptr || attempt->state != AttemptState::kRunning) {
     return;
   }
@@ -377,7 +357,7 @@
 
 void CallDestination::Reduce(const UpstreamFinished& event) {
   Reduce(UpstreamAnswering{event.attempt, 0});
-  Attempt* attempt = Find(event.attempt);
+  Attempt* attempt = table_.Find(event.attempt);
   if (attempt == nullptr || attempt->state != AttemptState::kAnswering) {
     return;
   }
@@ -394,7 +374,7 @@
 }
 
 void CallDestination::Reduce(const UpstreamBroken& event) {
-  Attempt* attempt = Find(event.attempt);
+  Attempt* attempt = table_.Find(event.attempt);
   if (attempt == nullptr || !attempt->is_started()) {
     return;
   }
@@ -437,35 +417,14 @@
 
 void CallDestination::Forget(Attempt* attempt, AttemptFate fate) {
   ReleaseSlot(attempt);
-  links_.RemoveAll(attempt);
   held_ -= attempt->state == AttemptState::kHeld ? 1 : 0;
-  Remember(attempt->request.id, attempt->request.expires_at, fate);
-  for (const AttemptAlias& it : attempt->aliases) {
-    aliases_.erase(it.id);
-    Remember(it.id, it.expires_at, fate);
-  }
   context_->Emit(ReleaseAttempt{attempt->request.id});
-  attempts_.erase(AttemptId(attempt->request.id));
-}
-
-void CallDestination::Remember(const AttemptId& id,
-                               WallTime expires_at,
-                               AttemptFate fate) {
-  const Milliseconds memory = context_->options.order_memory;
-  if (expires_at == WallTime{}) {
-    tombstones_.Add(id, fate, std::nullopt, context_->now.mono + memory);
-    return;
-  }
-  const Milliseconds left =
-      std::clamp(expires_at - context_->now.wall, Milliseconds(0), memory);
-  const Milliseconds errors = 3 * context_->options.clock_error;
-  tombstones_.Add(id, fate, expires_at,
-                  context_->now.mono + left + errors + kMemoryMargin);
+  table_.Erase(attempt, fate);
 }
 
 void CallDestination::Drain() {
   std::vector<Attempt*> waiting;
-  for (const auto& [id, attempt] : attempts_) {
+  for (const auto& [id, attempt] : table_.attempts()) {
     if (attempt->state == AttemptState::kQueued ||
         attempt->state == AttemptState::kClaiming) {
       waiting.push_back(attempt.get());
@@ -479,7 +438,7 @@
 // Time.
 
 void CallDestination::Tick() {
-  tombstones_.Expire(context_->now.mono);
+  table_.Expire();
   orders_.Tick();
   TakeClaims();
   while (Attempt* attempt = timers_.PopDue(context_->now.mono)) {
@@ -519,7 +478,7 @@
   }
   for (const AttemptLink& it : due) {
     context_->Emit(ReplyStillRunning{it.link, it.asked});
-    links_.Remove(attempt, it.link);
+    table_.RemoveLink(attempt, it.link);
   }
 }
 
@@ -540,10 +499,4 @@
   timers_.Schedule(attempt, due);
 }
 
-Attempt* CallDestination::Find(const AttemptId& id) const {
-  const auto alias = aliases_.find(id);
-  const auto it = attempts_.find(alias == aliases_.end() ? id : alias->second);
-  return it == attempts_.end() ? nullptr : it->second.get();
-}
-
 }  // namespace cassiabend
--- a/src/cassiabend/core/call_destination.h
+++ b/src/cassiabend/core/call_destination.h
@@ -1,12 +1,8 @@
 #pragma once
 
-#include <memory>
-#include <unordered_map>
-
 #include "cassiabend/core/admission.h"
 #include "cassiabend/core/attempt.h"
-#include "cassiabend/core/attempt_links.h"
-#include "cassiabend/core/attempt_tombstones.h"
+#include "cassiabend/core/attempt_table.h"
 #include "cassiabend/core/call_context.h"
 #include "cassiabend/core/call_upstream_health.h"
 #include "cassiabend/core/dispatch_gate.h"
@@ -47,9 +43,6 @@
   void Drain();
 
  private:
-  using AttemptTable =
-      std::unordered_map<AttemptId, std::unique_ptr<Attempt>, Id128Hasher>;
-
   [[nodiscard]] bool IsExpired(const AttemptRequest& request) const;
   [[nodiscard]] std::optional<Refusal> CheckIdentity(
       const AttemptRequest& request) const;
@@ -83,22 +76,15 @@
   void EndUnknown(Attempt* attempt);
   void ReleaseSlot(Attempt* attempt);
   void Forget(Attempt* attempt, AttemptFate fate);
-  void Remember(const AttemptId& id, WallTime expires_at, AttemptFate fate);
   void Expire(Attempt* attempt);
   void TellStillRunning(Attempt* attempt);
   void Schedule(Attempt* attempt);
 
-  [[nodiscard]] Attempt* Find(const AttemptId& id) const;
-
   CallContext* context_;
   const CallUpstreamHealth* health_;
   AdmissionQueue admission_;
-  AttemptTombstones tombstones_;
   OrderLedger orders_;
-  AttemptTable attempts_;
-  /// Attempts that repeat an order, with the attempt that has it.
-  std::unordered_map<AttemptId, AttemptId, Id128Hasher> aliases_;
-  AttemptLinks links_;
+  AttemptTable table_;
   TimerQueue<Attempt> timers_;
   std::size_t held_ = 0;
 };
