Read in growing pieces, watch vanished ends, keep idle callers at the stop

Cause: reads of a fixed 16 KB cleared and copied their buffer each time; an idle connection could be closed while a request was on its way to it; a vanished peer kept its connection; the system's own headers could push a caller's largest header over the next node's limit. Change: reads grow from 4 to 64 KB while they come back full; TCP keep-alive finds vanished ends; StopAccepting answers one more request on idle connections; nodes take 4 KB of header more from each other than from callers; connections to the upstream are opened after each good probe; a request being written is not silent.

--- a/src/cassiabend/http/call_server.cc
+++ b/src/cassiabend/http/call_server.cc
@@ -25,6 +25,12 @@
 /// are closed by the end that would reuse them.
 constexpr int kIncomingIdleFactor = 2;
 constexpr Milliseconds kAcceptPause{50};
+/// What the system's own headers may add to a caller's.
+constexpr std::uint32_t kPeerHeaderBytes = 4 * 1024;
+/// Connections to the upstream that are opened ahead.
+constexpr std::uint32_t kPreparedConnections = 2;
+constexpr std::uint16_t kBadRequest = 400;
+constexpr std::uint16_t kHeaderTooLarge = 431;
 
 tcp::endpoint EndpointOf(const std::string& ip, std::uint16_t port) {
   error_code ec;
@@ -36,23 +42,25 @@
 }
 
 SessionOptions SessionOptionsOf(const CallServerOptions& options) {
-  return {.limits = {.header_bytes = options.max_header_bytes,
-                     .body_bytes = options.max_request_body_bytes},
-          .progress_timeout = options.progress_timeout,
-          .idle_timeout = options.idle_timeout * kIncomingIdleFactor,
-          .max_held_bytes = options.max_held_bytes};
+  return {
+      .limits = {.header_bytes = options.max_header_bytes + kPeerHeaderBytes,
+                 .body_bytes = options.max_request_body_bytes},
+      .progress_timeout = options.progress_timeout,
+      .idle_timeout = options.idle_timeout * kIncomingIdleFactor,
+      .max_held_bytes = options.max_held_bytes};
 }
 
 PoolOptions PoolOptionsOf(const CallServerOptions& options) {
   return {.connect_timeout = options.connect_timeout,
           .idle_timeout = options.idle_timeout,
           .idle_connections = options.idle_connections,
-          .max_header_bytes = options.max_header_bytes};
+          .max_header_bytes = options.max_header_bytes + kPeerHeaderBytes};
 }
 
 DestinationOptions DestinationOptionsOf(const CallServerOptions& options) {
   DestinationOptions out{.progress_timeout = options.progress_timeout,
                          .held_answer_bytes = options.held_answer_bytes,
+                         .prepared_connections = kPreparedConnections,
                          .delivered_limit_bytes = options.max_held_bytes / 2};
   if (options.upstream_port != 0) {
     out.upstream = EndpointOf(options.upstream_ip, options.upstream_port);
@@ -115,6 +123,7 @@
           ProbeOptions{.endpoint = EndpointOf(options.upstream_ip,
                                               options.upstream_port),
                        .path = options.health_path,
+                       .prepared_connections = kPreparedConnections,
                        .period = options.probe_period},
           sink);
     }
@@ -230,13 +239,17 @@
     session.set_exchange(next_id_++);
     const std::string wrong = NormalizeTarget(&request->head());
     if (!wrong.empty()) {
-      RefuseRequest(session, wrong);
+      RefuseRequest(session, kBadRequest, wrong);
       return;
     }
     if (IsPeerRequest(request->head())) {
       TakePeerRequest(session, std::move(request));
       return;
     }
+    if (request->head().wire_bytes > options_.max_header_bytes) {
+      RefuseRequest(session, kHeaderTooLarge, "the header is too large");
+      return;
+    }
     CallFacts facts = ReadCallFacts(request->head());
     StripConnectionHeaders(&request->head());
     StripSystemHeaders(&request->head());
@@ -247,7 +260,8 @@
   void TakePeerRequest(ServerSession& session, RefPtr<HeldRequest> request) {
     const auto peer = ReadPeerRequest(request->head());
     if (!peer.has_value()) {
-      RefuseRequest(session, "the headers of the attempt are not well formed");
+      RefuseRequest(session, kBadRequest,
+                    "the headers of the attempt are not well formed");
       return;
     }
     StripConnectionHeaders(&request->head());
@@ -256,15 +270,18 @@
                         std::make_unique<SessionLink>(session));
   }
 
-  void RefuseRequest(ServerSession& session, std::string_view why) {
+  void RefuseRequest(ServerSession& session,
+                     std::uint16_t status,
+                     std::string_view why) {
     ++counts_.rejected_requests;
-    session.Reply(RefusalHead(kBadRequestStatus),
+    session.Reply(RefusalHead(status),
                   ExplanationBody(kOutcomeNotRun,
                                   NameOf(NotRunReason::kBadRequest), why));
   }
 
   void OnAnswerEnd(ServerSession& session, bool complete) override {
     const std::uint64_t id = session.exchange();
+    counts_.relayed_bytes += session.relayed_bytes();
     if (calls_.Has(id)) {
       calls_.AnswerEnded(id, complete);
     } else if (complete) {
@@ -308,8 +325,6 @@
   template <typename Other>
   void Dispatch(const Other& /*effect*/) {}
 
-  static constexpr std::uint16_t kBadRequestStatus = 400;
-
   boost::asio::io_context& io_;
   CallServerOptions options_;
   RefPtr<HeldBytes> held_bytes_;
--- a/src/cassiabend/http/call_server.h
+++ b/src/cassiabend/http/call_server.h
@@ -68,7 +68,8 @@
   /// of the node, such as `StoreCall` and `DrainFinished`, do nothing.
   void Execute(const CallEffect& effect);
 
-  /// \brief Accepts no more connections; open ones end after their request.
+  /// \brief Accepts no more connections; open ones end after the request in
+  /// progress, or the next one.
   void StopAccepting();
   /// \brief Closes everything.
   void Close();
--- a/src/cassiabend/http/client_exchange.cc
+++ b/src/cassiabend/http/client_exchange.cc
@@ -56,6 +56,16 @@
   connection_->Flush();
 }
 
+void ClientExchange::OnWriteProgress() {
+  if (!has_head_) {
+    connection_->SetTimeout(request_.head_timeout);
+  }
+}
+
+void ClientExchange::OnDrained() {
+  OnWriteProgress();
+}
+
 void ClientExchange::OnHead(MessageHead& head) {
   is_interim_ = head.status < kFirstFinalStatus;
   if (is_interim_) {
--- a/src/cassiabend/http/client_exchange.h
+++ b/src/cassiabend/http/client_exchange.h
@@ -70,7 +70,8 @@
   void OnHead(MessageHead& head) override;
   void OnBody(std::string_view bytes) override;
   void OnMessageEnd() override;
-  void OnDrained() override {}
+  void OnWriteProgress() override;
+  void OnDrained() override;
   void OnEnd(ConnectionEnd end) override;
 
   void Open(bool may_reuse);
--- a/src/cassiabend/http/connection.cc
+++ b/src/cassiabend/http/connection.cc
@@ -1,10 +1,14 @@
 #include "cassiabend/http/connection.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <cerrno>
+#include <cstring>
 #include <utility>
 
 namespace cassiabend {
@@ -12,12 +16,38 @@
 
 using boost::system::error_code;
 
-/// Bytes asked for by one read.
-constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
+/// Bytes asked for by the first read of a message; reads that come back full
+/// double it up to the limit.
+constexpr std::size_t kFirstReadBytes = std::size_t{4} * 1024;
+constexpr std::size_t kMostReadBytes = std::size_t{64} * 1024;
 /// An output buffer that grew beyond this is given back when it is empty.
 constexpr std::size_t kKeptOutputBytes = std::size_t{64} * 1024;
 /// How long a refused sender may go on sending.
 constexpr Milliseconds kLingerTimeout{1'000};
+/// A connection whose other end has vanished is found by the operating system
+/// after `kKeepAliveIdle` and `kKeepAliveProbes` times `kKeepAliveInterval`.
+constexpr Seconds kKeepAliveIdle{10};
+constexpr Seconds kKeepAliveInterval{1};
+constexpr int kKeepAliveProbes = 3;
+
+void SetOption(int socket, int level, int name, int value) noexcept {
+  // An option that the system does not take leaves its default.
+  (void)::setsockopt(socket, level, name, &value, sizeof(value));
+}
+
+/// \brief Sends small messages at once, and finds vanished ends.
+void SetOptions(boost::asio::ip::tcp::socket* socket) {
+  error_code ignored;
+  socket->non_blocking(true, ignored);
+  const int n = socket->native_handle();
+  SetOption(n, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(n, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(n, IPPROTO_TCP, TCP_KEEPIDLE,
+            static_cast<int>(kKeepAliveIdle.count()));
+  SetOption(n, IPPROTO_TCP, TCP_KEEPINTVL,
+            static_cast<int>(kKeepAliveInterval.count()));
+  SetOption(n, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+}
 
 }  // namespace
 
@@ -28,12 +58,11 @@
     : socket_(std::move(socket)),
       ticks_(ticks),
       parser_(reads, limits),
-      max_unread_(limits.header_bytes + kReadBytes) {
+      max_unread_(limits.header_bytes + kFirstReadBytes),
+      read_bytes_(kFirstReadBytes) {
   ticks_->Add(this);
   if (socket_.is_open()) {
-    error_code ec;
-    socket_.set_option(boost::asio::ip::tcp::no_delay(true), ec);
-    socket_.non_blocking(true, ec);
+    SetOptions(&socket_);
   }
 }
 
@@ -71,9 +100,7 @@
         }
         self->is_connected_ = true;
         self->ClearTimeout();
-        error_code ignored;
-        self->socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-        self->socket_.non_blocking(true, ignored);
+        SetOptions(&self->socket_);
         self->listener_->OnConnected();
         self->Start();
       });
@@ -86,6 +113,7 @@
 void Connection::NextMessage(bool skip_body) {
   parser_.Reset(skip_body);
   is_message_done_ = false;
+  read_bytes_ = kFirstReadBytes;
   Parse();
   Read();
 }
@@ -105,19 +133,36 @@
     return;
   }
   is_reading_ = true;
-  input_.erase(0, parsed_);
-  filled_ -= parsed_;
-  parsed_ = 0;
-  input_.resize(filled_ + kReadBytes);
+  MakeRoom();
   socket_.async_read_some(
-      boost::asio::buffer(input_.data() + filled_, kReadBytes),
-      [self = RefPtr<Connection>(this)](const error_code& ec, std::size_t n) {
+      boost::asio::buffer(input_.data() + filled_, read_bytes_),
+      [self = RefPtr<Connection>(this), wanted = read_bytes_](
+          const error_code& ec, std::size_t n) {
         self->is_reading_ = false;
         self->filled_ += n;
+        if (n == wanted) {
+          self->read_bytes_ = std::min(wanted * 2, kMostReadBytes);
+        }
         self->OnRead(ec);
       });
 }
 
+/// \brief Makes room for one read behind the unread bytes, and gives back
+/// what a larger message needed.
+void Connection::MakeRoom() {
+  const std::size_t unread = filled_ - parsed_;
+  std::memmove(input_.data(), input_.data() + parsed_, unread);
+  filled_ = unread;
+  parsed_ = 0;
+  const std::size_t wanted = filled_ + read_bytes_;
+  if (input_.size() < wanted) {
+    input_.resize(wanted);
+  } else if (input_.size() > wanted + kMostReadBytes / 2) {
+    input_.resize(wanted);
+    input_.shrink_to_fit();
+  }
+}
+
 void Connection::OnRead(const error_code& ec) {
   if (!socket_.is_open()) {
     return;
@@ -227,6 +272,9 @@
     return;
   }
   if (written_ < writing_.size()) {
+    if (listener_ != nullptr) {
+      listener_->OnWriteProgress();
+    }
     Write();
     return;
   }
--- a/src/cassiabend/http/connection.h
+++ b/src/cassiabend/http/connection.h
@@ -42,6 +42,8 @@
   virtual void OnBody(std::string_view bytes) = 0;
   /// \brief The message is whole; `NextMessage` starts the next one.
   virtual void OnMessageEnd() = 0;
+  /// \brief Some of the bytes handed over were written to the socket.
+  virtual void OnWriteProgress() {}
   /// \brief All bytes handed over were written to the socket.
   virtual void OnDrained() = 0;
   virtual void OnEnd(ConnectionEnd end) = 0;
@@ -106,6 +108,7 @@
  private:
   void OnTimeout() override { End(ConnectionEnd::kTimeout); }
   void Read();
+  void MakeRoom();
   void OnRead(const boost::system::error_code& ec);
   void OnReadError(const boost::system::error_code& ec);
   void Parse();
@@ -120,6 +123,7 @@
   ConnectionListener* listener_ = nullptr;
   MessageParser parser_;
   std::size_t max_unread_;
+  std::size_t read_bytes_;
   /// Bytes read from the socket: those before `parsed_` are used, and those
   /// from `filled_` on are room for the read that is outstanding.
   std::string input_;
--- a/src/cassiabend/http/destination_table.h
+++ b/src/cassiabend/http/destination_table.h
@@ -20,10 +20,10 @@
   ConnectionPool::Endpoint upstream;
   Milliseconds progress_timeout{2'000};
   std::size_t held_answer_bytes = std::size_t{256} * 1024;
-  /// Bytes held in all above which delivered answers are freed early.
-  std::uint64_t delivered_limit_bytes = 32 * 1024 * 1024;
   /// Connections to the upstream that are opened ahead.
   std::uint32_t prepared_connections = 2;
+  /// Bytes held in all above which delivered answers are freed early.
+  std::uint64_t delivered_limit_bytes = 32 * 1024 * 1024;
 };
 
 /// \brief Attempts at this node's upstream and the links that wait for them.
--- a/src/cassiabend/http/message.h
+++ b/src/cassiabend/http/message.h
@@ -30,6 +30,8 @@
   std::vector<HeaderField> fields;
   /// Length of the body, where the message states it.
   std::optional<std::uint64_t> content_length;
+  /// Size of the head as it arrived.
+  std::size_t wire_bytes = 0;
   bool is_http_1_0 = false;
   /// Whether the connection may carry another message after this one.
   bool keep_alive = true;
--- a/src/cassiabend/http/message_parser.cc
+++ b/src/cassiabend/http/message_parser.cc
@@ -81,6 +81,7 @@
     beast::error_code ec;
     const std::size_t n =
         parser_->put(boost::asio::buffer(bytes.data(), bytes.size()), ec);
+    head.wire_bytes += head_done ? 0 : n;
     TakeState(ec);
     return n;
   }
--- a/src/cassiabend/http/prober.cc
+++ b/src/cassiabend/http/prober.cc
@@ -85,6 +85,7 @@
 
 void Prober::OnResponseEnd() {
   sink_->Post(CallEvent(ReadHealth(status_, body_)));
+  pool_->Prepare(options_.endpoint, options_.prepared_connections);
   Wait();
 }
 
--- a/src/cassiabend/http/prober.h
+++ b/src/cassiabend/http/prober.h
@@ -13,6 +13,8 @@
 struct ProbeOptions {
   ConnectionPool::Endpoint endpoint;
   std::string path;
+  /// Connections to the upstream that are kept open ahead of their use.
+  std::uint32_t prepared_connections = 2;
   Milliseconds period{1'000};
 };
 
--- a/src/cassiabend/http/server_session.cc
+++ b/src/cassiabend/http/server_session.cc
@@ -117,6 +117,7 @@
     return;
   }
   state_ = State::kWaiting;
+  position_ = 0;
   connection_->ClearTimeout();
   handler_->OnRequest(*this, std::move(request_));
 }
@@ -287,15 +288,6 @@
   connection_->NextMessage(false);
 }
 
-void ServerSession::EndAfterRequest() {
-  keep_alive_ = false;
-  if (state_ == State::kIdle) {
-    const RefPtr<ServerSession> keep(this);
-    connection_->Close();
-    EndSession();
-  }
-}
-
 void ServerSession::Abort() {
   const RefPtr<ServerSession> keep(this);
   connection_->Close();
--- a/src/cassiabend/http/server_session.h
+++ b/src/cassiabend/http/server_session.h
@@ -61,15 +61,20 @@
   [[nodiscard]] std::uint64_t exchange() const noexcept { return exchange_; }
   void set_exchange(std::uint64_t exchange) noexcept { exchange_ = exchange; }
 
+  /// \brief Bytes of the body that were relayed for the newest request.
+  [[nodiscard]] std::uint64_t relayed_bytes() const noexcept {
+    return position_;
+  }
+
   void Start();
   /// \brief Answers with a short message of the system's own. An answer that
   /// has already begun is cut instead.
   void Reply(MessageHead head, std::string_view body);
   /// \brief Answers with what arrives on `answer`, once it has begun.
   void Relay(RefPtr<AnswerStream> answer);
-  /// \brief Ends the connection after the request in progress, or now when
-  /// there is none.
-  void EndAfterRequest();
+  /// \brief Ends the connection after the request in progress, or the next one
+  /// when there is none: its sender may have sent it already.
+  void EndAfterRequest() noexcept { keep_alive_ = false; }
   /// \brief Closes at once, with a request or answer in progress.
   void Abort();
   /// \brief Closes at once; the handler hears nothing more.
