Bind the tenant scope to the revision that was checked

Cause: the scope was checked on the node's version, which may be older than the store's head, so an edit without an expected revision could touch an item that had moved to another tenant meanwhile. Change: for operators without the scope of all tenants each edit holds only for the checked revision, and an edit made from a version that the node lacks is answered storeUnavailable. cassiabend-ctl polls the status from 25 ms on, with growing pauses. Conclusion: admin_test has the five cases of stated and held revisions.

--- a/src/cassiabend/ctl/commands.cc
+++ b/src/cassiabend/ctl/commands.cc
@@ -20,7 +20,8 @@
 namespace cassiabend {
 namespace {
 
-constexpr Milliseconds kStatusPeriod{250};
+constexpr Milliseconds kFirstStatusPeriod{25};
+constexpr Milliseconds kLongestStatusPeriod{400};
 constexpr char kTokenVariable[] = "CASSIABEND_TOKEN";
 
 constexpr std::string_view kHistoryColumns[] = {"number", "committed_at",
@@ -383,6 +384,7 @@
 
 ExitCode Commands::WaitFor(VersionNumber number) {
   FleetStatus status;
+  Milliseconds period = kFirstStatusPeriod;
   while (true) {
     const CommitResult result = caller().Read(
         [&](AdminClient& client) { return client.GetStatus(&status); });
@@ -393,10 +395,11 @@
     if (now.behind.empty() && now.unreachable.empty() && now.in_force > 0) {
       break;
     }
-    if (caller().time_left() <= kStatusPeriod) {
+    if (caller().time_left() <= period) {
       break;
     }
-    std::this_thread::sleep_for(kStatusPeriod);
+    std::this_thread::sleep_for(period);
+    period = std::min(2 * period, kLongestStatusPeriod);
   }
   return ReportWait(number, status);
 }
--- a/src/cassiabend/ctl/node_caller.cc
+++ b/src/cassiabend/ctl/node_caller.cc
@@ -18,7 +18,7 @@
 /// request may have brought about.
 bool TellsOutcome(CommitCode code) noexcept {
   return code == CommitCode::kOk || code == CommitCode::kConflict ||
-         code == CommitCode::kInvalid;
+         code == CommitCode::kInvalid || code == CommitCode::kNotFound;
 }
 
 }  // namespace
--- a/src/cassiabend/rpc/admin_scope.cc
+++ b/src/cassiabend/rpc/admin_scope.cc
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "cassiabend/model/items.h"
 #include "cassiabend/rpc/admin_tokens.h"
 
 namespace cassiabend {
@@ -22,28 +23,33 @@
   return out;
 }
 
+/// \brief What the scope depends on of a present item.
+struct PresentItem {
+  std::string tenant;
+  VersionNumber revision = 0;
+};
+
 template <typename Item>
-std::optional<std::string> TenantIn(const std::vector<Item>& items,
-                                    const std::string& name) {
-  for (const Item& it : items) {
-    if (it.name == name) {
-      return it.tenant;
-    }
+std::optional<PresentItem> FindIn(const Config& config,
+                                  const std::string& name) {
+  const Item* item = FindItem(ItemsOf<Item>(config), name);
+  if (item == nullptr) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  return PresentItem{item->tenant, item->revision};
 }
 
-std::optional<std::string> PresentTenant(const Config& config,
-                                         const ItemRef& item) {
+std::optional<PresentItem> FindPresent(const Config& config,
+                                       const ItemRef& item) {
   switch (item.kind) {
     case ItemKind::kSite:
-      return TenantIn(config.sites, item.name);
+      return FindIn<Site>(config, item.name);
     case ItemKind::kService:
-      return TenantIn(config.services, item.name);
+      return FindIn<Service>(config, item.name);
     case ItemKind::kRoute:
-      return TenantIn(config.routes, item.name);
+      return FindIn<Route>(config, item.name);
     case ItemKind::kWindow:
-      return TenantIn(config.windows, item.name);
+      return FindIn<QuietWindow>(config, item.name);
   }
   return std::nullopt;
 }
@@ -59,20 +65,52 @@
   }
 };
 
+/// \brief Checks one edit; sets the revision that it holds for.
+std::optional<CommitResult> ApplyScope(const OperatorToken& who,
+                                       const Config& present,
+                                       const ChangeId& change_id,
+                                       Edit* edit) {
+  const ItemRef target = TargetOf(*edit);
+  const std::optional<PresentItem> item = FindPresent(present, target);
+  const std::optional<std::string> tenants[] = {
+      std::visit(NewTenant{}, edit->action),
+      item ? std::optional(item->tenant) : std::nullopt};
+  for (const auto& tenant : tenants) {
+    if (tenant && !MayChangeTenant(who, *tenant)) {
+      return Refusal(who, change_id, PathOf(target), *tenant);
+    }
+  }
+  const VersionNumber revision = item ? item->revision : 0;
+  if (edit->expected_revision.value_or(0) > present.number) {
+    CommitResult out;
+    out.code = CommitCode::kStoreUnavailable;
+    out.path = PathOf(target);
+    out.reason =
+        "this node does not have the version yet that the change was made "
+        "from; ask again";
+    out.change_id = change_id;
+    return out;
+  }
+  // An older revision that the author saw stays: it can only be a conflict,
+  // or a repeat of a change that was accepted before.
+  edit->expected_revision = edit->expected_revision.value_or(revision);
+  return std::nullopt;
+}
+
 }  // namespace
 
-std::optional<CommitResult> CheckScope(const OperatorToken& who,
-                                       const Change& change,
-                                       const Config* present) {
-  for (const Edit& it : change.edits) {
-    const ItemRef target = TargetOf(it);
-    const std::optional<std::string> tenants[] = {
-        std::visit(NewTenant{}, it.action),
-        present == nullptr ? std::nullopt : PresentTenant(*present, target)};
-    for (const auto& tenant : tenants) {
-      if (tenant && !MayChangeTenant(who, *tenant)) {
-        return Refusal(who, change.id, PathOf(target), *tenant);
-      }
+std::optional<CommitResult> ApplyScope(const OperatorToken& who,
+                                       const Config* present,
+                                       Change* change) {
+  if (MayChangeTenant(who, "")) {
+    return std::nullopt;
+  }
+  const Config empty;
+  for (Edit& it : change->edits) {
+    auto refusal =
+        ApplyScope(who, present == nullptr ? empty : *present, change->id, &it);
+    if (refusal) {
+      return refusal;
     }
   }
   return std::nullopt;
--- a/src/cassiabend/rpc/admin_server.cc
+++ b/src/cassiabend/rpc/admin_server.cc
@@ -69,10 +69,12 @@
         context, change_id, [&](const OperatorToken& who, AdminRequestId id) {
           change.author = who.name;
           return [bridge = bridge_, who,
-                  event = CommitRequested{id, std::move(change), dry_run}] {
+                  event = CommitRequested{id, std::move(change),
+                                          dry_run}]() mutable {
             const RefPtr<const Snapshot> present = bridge->callbacks.newest();
             const Config* config = present ? &present->config() : nullptr;
-            Start(bridge, event, CheckScope(who, event.change, config));
+            const auto refusal = ApplyScope(who, config, &event.change);
+            Start(bridge, event, refusal);
           };
         });
   }
--- a/tests/shell/admin_test.cc
+++ b/tests/shell/admin_test.cc
@@ -115,6 +115,34 @@
   CHECK(bob->Drain({kTestIp, 1}).code == CommitCode::kNotAuthorised);
 }
 
+TEST_CASE("an edit within a tenant's scope holds for the checked revision") {
+  // The node's version is 5; the catalog has the revision 3.
+  ScriptedNode node;
+  node.newest = SampleVersion();
+  node.script = {Accepted(6)};
+  node.Start();
+  const auto bob = Connect(node, kTenantToken);
+  const std::pair<std::optional<VersionNumber>, std::optional<VersionNumber>>
+      rows[] = {{std::nullopt, 3}, {3, 3}, {2, 2}, {5, 5}, {6, std::nullopt}};
+  for (const auto& [stated, passed_on] : rows) {
+    CAPTURE(stated.value_or(0));
+    Change change = PutService("catalog", "cascadia");
+    change.edits[0].expected_revision = stated;
+    node.Run([&] { node.events.clear(); });
+    const CommitResult result = bob->Commit(change, false);
+    // A version that this node does not have yet cannot be checked.
+    CHECK(result.code ==
+          (passed_on ? CommitCode::kOk : CommitCode::kStoreUnavailable));
+    std::vector<ConfigEvent> events;
+    node.Run([&] { events = node.events; });
+    REQUIRE(events.size() == (passed_on ? 1 : 0));
+    if (passed_on) {
+      const auto& event = std::get<CommitRequested>(events[0]);
+      CHECK(event.change.edits[0].expected_revision == passed_on);
+    }
+  }
+}
+
 TEST_CASE("a change reaches the core whole, under the operator's own name") {
   ScriptedNode node;
   node.script = {Accepted(6)};
