Take a refusal as final only when earlier requests have settled

Cause: after a lost answer a refusal by another node was taken as the outcome, while the first node could still be writing the change. Change: with a request in doubt, conflict, invalid and notFound decide only after 12 s, the longest time that a node spends on a change; a change id from an earlier run counts as in doubt from the start. A dry run is a read. Conclusion: ctl_test has each refusal before and after the time has passed.

--- a/src/cassiabend/ctl/commands.cc
+++ b/src/cassiabend/ctl/commands.cc
@@ -349,7 +349,8 @@
 }
 
 ExitCode Commands::Submit(const NodeCaller::Ask& ask) {
-  CommitResult result = caller().Change(ask);
+  CommitResult result =
+      line_.dry_run ? caller().Read(ask) : caller().Change(ask);
   result.change_id = change_id_;
   if (result.code != CommitCode::kOk) {
     return ReportFailure(result);
@@ -464,7 +465,10 @@
     if (line_.nodes.empty()) {
       FailUsage("--node", "no node is named");
     }
-    caller_.emplace(line_.nodes, ReadToken(), line_.timeout);
+    caller_.emplace(NodeCallerOptions{.nodes = line_.nodes,
+                                      .token = ReadToken(),
+                                      .timeout = line_.timeout,
+                                      .repeats = !line_.change_id.IsZero()});
   }
   return *caller_;
 }
--- a/src/cassiabend/ctl/node_caller.h
+++ b/src/cassiabend/ctl/node_caller.h
@@ -1,45 +1,69 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "cassiabend/base/clock.h"
+#include "cassiabend/base/error.h"
 #include "cassiabend/core/member.h"
 #include "cassiabend/rpc/admin_client.h"
 
 namespace cassiabend {
 
+/// \brief Whom `NodeCaller` asks, and for how long.
+struct NodeCallerOptions {
+  /// Administration addresses, asked in this order.
+  std::vector<NodeId> nodes;
+  std::string token;
+  /// Longest time for everything that one caller asks.
+  Milliseconds timeout{30'000};
+  /// Longest time for one request to one node.
+  Milliseconds attempt_timeout{12'000};
+  /// Time after which a request whose answer was lost has no effect any more.
+  /// It is above the longest time that a node spends on one change.
+  Milliseconds settle_time{12'000};
+  /// Whether an earlier caller may have sent the same change.
+  bool repeats = false;
+  /// Pause before the nodes are asked again.
+  Milliseconds repeat_pause{200};
+};
+
 /// \brief Asks the nodes that the user named, one after the other.
 class NodeCaller {
  public:
   using Ask = std::function<CommitResult(AdminClient& client)>;
 
-  /// \param timeout Longest time for everything that this object asks.
-  NodeCaller(std::vector<NodeId> nodes,
-             std::string token,
-             Milliseconds timeout);
+  explicit NodeCaller(NodeCallerOptions options);
+
+  [[nodiscard]] Milliseconds time_left() const;
 
   /// \brief Asks for something that changes nothing: the first node that
   /// answers decides.
   /// \throws RpcError when none answers.
   [[nodiscard]] CommitResult Read(const Ask& ask);
 
-  /// \brief Asks for a change. Once a request may have reached a node, the
-  /// same request is sent again until an answer tells the outcome or the time
-  /// is over: then the result is `kOutcomeUnknown`.
+  /// \brief Asks for a change. Once a request may have had an effect that no
+  /// answer tells, the same request is sent again until an answer tells it or
+  /// the time is over; then the result is `kOutcomeUnknown`.
   /// \throws RpcError when no node could be reached, so nothing was changed.
   [[nodiscard]] CommitResult Change(const Ask& ask);
 
-  [[nodiscard]] Milliseconds time_left() const;
-
  private:
+  /// \brief Sends a change to one node.
+  /// \returns The outcome; unset when the node's answer does not tell it.
+  std::optional<CommitResult> ChangeAt(const NodeId& node, const Ask& ask);
+  [[nodiscard]] bool IsFinal(CommitCode code) const;
   [[nodiscard]] Milliseconds AttemptTimeout() const;
 
-  std::vector<NodeId> nodes_;
-  std::string token_;
+  NodeCallerOptions options_;
   SystemClock clock_;
   MonoTime end_;
+  /// When the last request ended whose effect is not known; unset for none.
+  std::optional<MonoTime> in_doubt_at_;
+  /// The newest failure.
+  std::optional<RpcError> failure_;
 };
 
 }  // namespace cassiabend
--- a/tests/shell/ctl_test.cc
+++ b/tests/shell/ctl_test.cc
@@ -9,6 +9,7 @@
 #include "cassiabend/ctl/command_line.h"
 #include "cassiabend/ctl/ctl.h"
 #include "cassiabend/ctl/exit_code.h"
+#include "cassiabend/ctl/node_caller.h"
 #include "tests/shell/scripted_node.h"
 
 namespace cassiabend {
@@ -263,6 +264,34 @@
   CHECK(next.code == 0);
 }
 
+TEST_CASE(
+    "after a doubt a refusal tells the outcome only when it has settled") {
+  const CommitCode refusals[] = {CommitCode::kConflict, CommitCode::kInvalid,
+                                 CommitCode::kNotFound,
+                                 CommitCode::kStoreUnavailable};
+  ScriptedNode node;
+  node.Start();
+  for (const CommitCode code : refusals) {
+    for (const bool settles : {false, true}) {
+      CAPTURE(static_cast<int>(code));
+      CAPTURE(settles);
+      node.Run([&] {
+        node.script = {Result(CommitCode::kOutcomeUnknown), Result(code)};
+      });
+      NodeCaller caller({.nodes = {{kTestIp, node.port()}},
+                         .token = kAllToken,
+                         .timeout = Milliseconds(400),
+                         .settle_time = Milliseconds(settles ? 50 : 10'000),
+                         .repeat_pause = Milliseconds(60)});
+      const CommitResult result = caller.Change([](AdminClient& client) {
+        return client.Recover({1, 2});
+      });
+      const bool told = settles && code != CommitCode::kStoreUnavailable;
+      CHECK(result.code == (told ? code : CommitCode::kOutcomeUnknown));
+    }
+  }
+}
+
 TEST_CASE("a named change id is sent as it is") {
   ScriptedNode node;
   node.newest = SampleVersion();
@@ -276,7 +305,12 @@
     REQUIRE(node.events.size() == 1);
     CHECK(std::get<CommitRequested>(node.events[0]).change.id ==
           ChangeId{3, 4});
+    node.script = {Result(CommitCode::kConflict)};
   });
+  // The earlier run's request may still be under way.
+  const Run refused =
+      CtlOn(node, {"--change-id", id, "service", "remove", "catalog"});
+  CHECK(refused.code == Code(ExitCode::kOutcomeUnknown));
 }
 
 TEST_CASE("apply sends what differs, with the revisions that it saw") {
