Count member lists as membership traffic, and surplus connections

Cause: all RPC bytes were counted as configuration, and connections closed at the limit were not counted. Change: the content of member lists moves to the membership counters; surplus connections add to rejected messages. Conclusion: peer_transport_test compares both ends' counters, and has surplus and idle connections closed.

--- a/src/cassiabend/rpc/admin_server.cc
+++ b/src/cassiabend/rpc/admin_server.cc
@@ -259,7 +259,7 @@
   RpcSide(kj::AsyncIoContext& io,
           const AdminServerOptions& options,
           Bridge* bridge,
-          ByteCounters* counters)
+          TcpCounters* counters)
       : operators(options.operators),
         replies(io.provider->getTimer(),
                 options.max_waiting,
@@ -340,7 +340,7 @@
   void Carry(const Other& /*it*/) {}
 
   Bridge bridge_;
-  ByteCounters bytes_;
+  TcpCounters bytes_;
   std::uint16_t port_ = 0;
   /// Lives on the thread of `kj_`.
   std::unique_ptr<RpcSide> rpc_;
--- a/src/cassiabend/rpc/counted_stream.h
+++ b/src/cassiabend/rpc/counted_stream.h
@@ -8,11 +8,13 @@
 
 namespace cassiabend {
 
-/// \brief Bytes of TCP traffic, headers included as estimates. Any thread may
-/// read it.
-struct ByteCounters {
+/// \brief Bytes of TCP traffic, headers included as estimates, and connections
+/// refused. Any thread may read them.
+struct TcpCounters {
   std::atomic<std::uint64_t> sent{0};
   std::atomic<std::uint64_t> received{0};
+  /// Connections closed at once because the limit was reached.
+  std::atomic<std::uint64_t> rejected{0};
 };
 
 /// \brief Estimated headers of IPv4 and TCP for one read or write.
@@ -21,7 +23,7 @@
 /// \brief A stream that counts what passes through it.
 class CountedStream final : public kj::AsyncIoStream {
  public:
-  CountedStream(kj::Own<kj::AsyncIoStream> inner, ByteCounters* counters)
+  CountedStream(kj::Own<kj::AsyncIoStream> inner, TcpCounters* counters)
       : inner_(kj::mv(inner)), counters_(counters) {}
 
   /// \returns Reads and writes so far; unchanged while the stream is idle.
@@ -71,7 +73,7 @@
   }
 
   kj::Own<kj::AsyncIoStream> inner_;
-  ByteCounters* counters_;
+  TcpCounters* counters_;
   std::uint64_t operations_ = 0;
 };
 
--- a/src/cassiabend/rpc/peer_links.cc
+++ b/src/cassiabend/rpc/peer_links.cc
@@ -14,7 +14,7 @@
 PeerLink::PeerLink(kj::AsyncIoContext& io,
                    const NodeId& to,
                    std::uint32_t max_message_bytes,
-                   ByteCounters* counters)
+                   TcpCounters* counters)
     : max_message_bytes_(max_message_bytes),
       counters_(counters),
       connected_(io.provider->getNetwork()
@@ -42,7 +42,7 @@
 
 PeerLinks::PeerLinks(kj::AsyncIoContext& io,
                      const PeerTransportOptions& options,
-                     ByteCounters* counters)
+                     TcpCounters* counters)
     : io_(io),
       timer_(io.provider->getTimer()),
       timeout_(options.rpc_timeout),
--- a/src/cassiabend/rpc/peer_links.h
+++ b/src/cassiabend/rpc/peer_links.h
@@ -24,7 +24,7 @@
   PeerLink(kj::AsyncIoContext& io,
            const NodeId& to,
            std::uint32_t max_message_bytes,
-           ByteCounters* counters);
+           TcpCounters* counters);
 
   /// \brief Resolves when `peer()` may be used.
   [[nodiscard]] kj::Promise<void> WhenConnected() {
@@ -40,7 +40,7 @@
   void Start(kj::Own<kj::AsyncIoStream> stream);
 
   std::uint32_t max_message_bytes_;
-  ByteCounters* counters_;
+  TcpCounters* counters_;
   kj::Own<CountedStream> stream_;
   kj::Own<capnp::TwoPartyVatNetwork> network_;
   kj::Maybe<capnp::RpcSystem<capnp::rpc::twoparty::VatId>> system_;
@@ -57,7 +57,7 @@
   /// \param counters Outlives this object.
   PeerLinks(kj::AsyncIoContext& io,
             const PeerTransportOptions& options,
-            ByteCounters* counters);
+            TcpCounters* counters);
 
   /// \brief Calls a peer.
   /// \param func Makes the call: takes a `schema::Peer::Client&`, returns a
@@ -92,7 +92,7 @@
   Milliseconds timeout_;
   std::uint32_t max_links_;
   std::uint32_t max_message_bytes_;
-  ByteCounters* counters_;
+  TcpCounters* counters_;
   std::map<NodeId, kj::Own<PeerLink>> links_;
 };
 
--- a/src/cassiabend/rpc/peer_transport.cc
+++ b/src/cassiabend/rpc/peer_transport.cc
@@ -2,6 +2,7 @@
 
 #include <kj/timer.h>
 
+#include <atomic>
 #include <optional>
 #include <utility>
 #include <variant>
@@ -26,15 +27,36 @@
 using PeerReply = std::variant<VersionMark, ConfigUpdate, std::vector<Member>>;
 using PeerReplies = PendingReplies<PeerReply>;
 
+/// \brief TCP traffic of the transport.
+struct RpcCounters {
+  TcpCounters all;
+  /// Part of `all`: the lists of members.
+  std::atomic<std::uint64_t> members_sent{0};
+  std::atomic<std::uint64_t> members_received{0};
+};
+
+/// \returns The size of a message's content, in bytes.
+template <typename Reader>
+std::uint64_t BytesOf(const Reader& reader) {
+  return reader.totalSize().wordCount * sizeof(capnp::word);
+}
+
+/// \returns `all` without `part`, which may be counted a moment earlier.
+std::uint64_t Rest(std::uint64_t all, std::uint64_t part) noexcept {
+  return all > part ? all - part : 0;
+}
+
 /// \brief Answers the calls of peers with what the core decides.
 class PeerServer final : public schema::Peer::Server {
  public:
   PeerServer(PeerReplies* replies,
              std::shared_ptr<EventPoster> poster,
-             std::function<void()> on_drain)
+             std::function<void()> on_drain,
+             std::atomic<std::uint64_t>* members_sent)
       : replies_(replies),
         poster_(std::move(poster)),
-        on_drain_(std::move(on_drain)) {}
+        on_drain_(std::move(on_drain)),
+        members_sent_(members_sent) {}
 
   kj::Promise<void> push(PushContext context) override {
     PushReceived event{NextId(), FromWire(context.getParams().getUpdate())};
@@ -56,14 +78,15 @@
   kj::Promise<void> members(MembersContext context) override {
     const MembersRequested event{NextId()};
     return Ask(event.request, event)
-        .then([context](kj::Own<PeerReply>&& it) mutable {
+        .then([context, sent = members_sent_](kj::Own<PeerReply>&& it) mutable {
           const auto& members = std::get<std::vector<Member>>(*it);
-          auto out = context.getResults().initMembers(
-              static_cast<unsigned>(members.size()));
+          auto results = context.getResults();
+          auto out = results.initMembers(static_cast<unsigned>(members.size()));
           unsigned i = 0;
           for (const Member& member : members) {
             ToWire(member, out[i++]);
           }
+          *sent += BytesOf(results.asReader());
         });
   }
 
@@ -86,6 +109,7 @@
   PeerReplies* replies_;
   std::shared_ptr<EventPoster> poster_;
   std::function<void()> on_drain_;
+  std::atomic<std::uint64_t>* members_sent_;
   PeerRequestId last_id_ = 0;
 };
 
@@ -104,26 +128,26 @@
           const PeerTransportOptions& options,
           std::shared_ptr<EventPoster> poster,
           std::function<void()> on_drain,
-          ByteCounters* counters)
+          RpcCounters* counters)
       : timer_(io.provider->getTimer()),
+        counters_(counters),
         poster_(poster),
         replies_(timer_, kMaxWaitingRequests, options.rpc_timeout),
-        links_(io, options, counters),
+        links_(io, options, &counters->all),
         listener_(io,
                   {.ip = options.self.ip,
                    .port = options.self.peer_port,
                    .max_connections = options.max_connections,
                    .max_message_bytes = options.max_message_bytes},
-                  kj::heap<PeerServer>(&replies_, poster, std::move(on_drain)),
-                  counters),
+                  kj::heap<PeerServer>(&replies_,
+                                       poster,
+                                       std::move(on_drain),
+                                       &counters->members_sent),
+                  &counters->all),
         tasks_(*this) {
     tasks_.add(SweepIdle());
   }
 
-  [[nodiscard]] std::uint64_t rejected() const noexcept {
-    return listener_.rejected();
-  }
-
   void Answer(PeerRequestId id, PeerReply reply) {
     replies_.Answer(id, std::move(reply));
   }
@@ -155,9 +179,11 @@
   void AskMembers(const SendMembersRequest& ask) {
     Call(
         ask.to,
-        [](schema::Peer::Client& peer) {
-          return peer.membersRequest().send().then(
-              [](auto&& it) { return ReadMembers(it.getMembers()); });
+        [received = &counters_->members_received](schema::Peer::Client& peer) {
+          return peer.membersRequest().send().then([received](auto&& it) {
+            *received += BytesOf(it);
+            return ReadMembers(it.getMembers());
+          });
         },
         &MembersAnswered::members);
   }
@@ -212,6 +238,7 @@
   }
 
   kj::Timer& timer_;
+  RpcCounters* counters_;
   std::shared_ptr<EventPoster> poster_;
   PeerReplies replies_;
   PeerLinks links_;
@@ -236,7 +263,7 @@
     };
     kj_.Run([&] {
       rpc_ = std::make_unique<RpcSide>(kj_.io(), options, poster_, on_drain,
-                                       &config_bytes_);
+                                       &rpc_counters_);
     });
     datagrams_->Start([sink](Datagram datagram) {
       sink->Post(FleetEvent(DatagramReceived{std::move(datagram)}));
@@ -255,9 +282,14 @@
     out.beat_bytes_received = counts.beat_bytes_received;
     out.membership_bytes_sent = counts.membership_bytes_sent;
     out.membership_bytes_received = counts.membership_bytes_received;
-    out.config_bytes_sent = config_bytes_.sent;
-    out.config_bytes_received = config_bytes_.received;
-    out.rejected_messages = counts.rejected;
+    const std::uint64_t members_sent = rpc_counters_.members_sent;
+    const std::uint64_t members_received = rpc_counters_.members_received;
+    out.membership_bytes_sent += members_sent;
+    out.membership_bytes_received += members_received;
+    out.config_bytes_sent = Rest(rpc_counters_.all.sent, members_sent);
+    out.config_bytes_received =
+        Rest(rpc_counters_.all.received, members_received);
+    out.rejected_messages = counts.rejected + rpc_counters_.all.rejected;
     return out;
   }
 
@@ -315,7 +347,7 @@
   std::shared_ptr<EventPoster> poster_;
   std::shared_ptr<DatagramSocket> datagrams_;
   std::function<void()> on_drain_;
-  ByteCounters config_bytes_;
+  RpcCounters rpc_counters_;
   /// Lives on the thread of `kj_`.
   std::unique_ptr<RpcSide> rpc_;
   KjThread kj_;
--- a/src/cassiabend/rpc/rpc_listener.cc
+++ b/src/cassiabend/rpc/rpc_listener.cc
@@ -19,7 +19,7 @@
 /// \brief One accepted connection.
 struct Connection {
   Connection(kj::Own<kj::AsyncIoStream> inner,
-             ByteCounters* counters,
+             TcpCounters* counters,
              std::uint32_t max_message_bytes,
              capnp::Capability::Client bootstrap)
       : stream(kj::mv(inner), counters),
@@ -47,7 +47,7 @@
   Impl(kj::AsyncIoContext& io,
        const RpcListenerOptions& options,
        capnp::Capability::Client bootstrap,
-       ByteCounters* counters)
+       TcpCounters* counters)
       : timer_(io.provider->getTimer()),
         options_(options),
         bootstrap_(kj::mv(bootstrap)),
@@ -67,7 +67,6 @@
   }
 
   [[nodiscard]] std::uint16_t port() { return receiver_->getPort(); }
-  [[nodiscard]] std::uint64_t rejected() const noexcept { return rejected_; }
 
  private:
   kj::Promise<void> AcceptAll() {
@@ -86,7 +85,7 @@
 
   void Accept(kj::Own<kj::AsyncIoStream> stream) {
     if (open_ >= options_.max_connections) {
-      ++rejected_;
+      ++counters_->rejected;
       Log(LogLevel::kWarning, "rpc_connection_rejected",
           {{"why", "connection limit reached"},
            {"limit", std::uint64_t{options_.max_connections}}});
@@ -113,7 +112,6 @@
   }
 
   void taskFailed(kj::Exception&& ex) override {
-    ++rejected_;
     Log(LogLevel::kDebug, "rpc_connection_failed",
         {{"why", ex.getDescription().cStr()}});
   }
@@ -121,17 +119,16 @@
   kj::Timer& timer_;
   RpcListenerOptions options_;
   capnp::Capability::Client bootstrap_;
-  ByteCounters* counters_;
+  TcpCounters* counters_;
   kj::Own<kj::ConnectionReceiver> receiver_;
   std::uint32_t open_ = 0;
-  std::uint64_t rejected_ = 0;
   kj::TaskSet tasks_;
 };
 
 RpcListener::RpcListener(kj::AsyncIoContext& io,
                          const RpcListenerOptions& options,
                          capnp::Capability::Client bootstrap,
-                         ByteCounters* counters)
+                         TcpCounters* counters)
     : impl_(std::make_unique<Impl>(io, options, kj::mv(bootstrap), counters)) {}
 
 RpcListener::~RpcListener() = default;
@@ -140,8 +137,4 @@
   return impl_->port();
 }
 
-std::uint64_t RpcListener::rejected() const noexcept {
-  return impl_->rejected();
-}
-
 }  // namespace cassiabend
--- a/src/cassiabend/rpc/rpc_listener.h
+++ b/src/cassiabend/rpc/rpc_listener.h
@@ -33,14 +33,12 @@
   RpcListener(kj::AsyncIoContext& io,
               const RpcListenerOptions& options,
               capnp::Capability::Client bootstrap,
-              ByteCounters* counters);
+              TcpCounters* counters);
   RpcListener(const RpcListener&) = delete;
   RpcListener& operator=(const RpcListener&) = delete;
   ~RpcListener();
 
   [[nodiscard]] std::uint16_t port() const noexcept;
-  /// \returns Connections closed for what they sent, or at the limit.
-  [[nodiscard]] std::uint64_t rejected() const noexcept;
 
  private:
   class Impl;
--- a/tests/shell/peer_transport_test.cc
+++ b/tests/shell/peer_transport_test.cc
@@ -14,8 +14,10 @@
 #include "cassiabend/base/clock.h"
 #include "cassiabend/base/error.h"
 #include "cassiabend/model/codec.h"
+#include "cassiabend/rpc/kj_thread.h"
 #include "cassiabend/rpc/mesh_codec.h"
 #include "cassiabend/rpc/peer_transport.h"
+#include "cassiabend/rpc/rpc_listener.h"
 
 namespace cassiabend {
 namespace {
@@ -244,6 +246,9 @@
   const std::vector<Member> members = {SampleMember(a.id), SampleMember(b.id)};
   b.transport.Execute(ReplyMembers{got.request, members});
   CHECK(Await<MembersAnswered>(io, a).members == members);
+  CHECK(b.transport.traffic().membership_bytes_sent > 100);
+  CHECK(b.transport.traffic().membership_bytes_sent ==
+        a.transport.traffic().membership_bytes_received);
 
   bool drained = false;
   b.transport.OnDrain([&] { drained = true; });
@@ -326,6 +331,36 @@
   CHECK(Await<MembersAnswered>(io, a).members);
 }
 
+TEST_CASE("surplus and idle connections are closed") {
+  asio::io_context io;
+  KjThread kj;
+  TcpCounters counters;
+  std::unique_ptr<RpcListener> listener;
+  kj.Run([&] {
+    listener = std::make_unique<RpcListener>(
+        kj.io(),
+        RpcListenerOptions{.ip = kIp,
+                           .max_connections = 1,
+                           .max_message_bytes = 1'000,
+                           .idle_timeout = Milliseconds(100)},
+        nullptr, &counters);
+  });
+  for (int i = 0; i < 2; ++i) {
+    tcp::socket idle(io);
+    idle.connect({asio::ip::make_address(kIp), listener->port()});
+    tcp::socket surplus(io);
+    surplus.connect({asio::ip::make_address(kIp), listener->port()});
+    for (tcp::socket* it : {&surplus, &idle}) {
+      char byte = 0;
+      boost::system::error_code ec;
+      it->receive(asio::buffer(&byte, 1), 0, ec);
+      CHECK(ec);
+    }
+  }
+  CHECK(counters.rejected == 2);
+  kj.Run([&] { listener.reset(); });
+}
+
 TEST_CASE("a port in use is refused with its address") {
   asio::io_context io;
   Node a(io);
