Leave silent connections to the store for new ones

Cause: when the way to the store loses track of open connections, each pooled one cost a call its whole timeout: 4 calls in turn failed though new connections worked. Change: a failure closes the idle connections to the endpoint; a read on a used connection keeps half of its time for a new one. The stand-in has the fault silence_open. Conclusion: store_client_test: with 4 silent pooled connections the first read and the second write succeed.

--- a/src/cassiabend/store/store_client.cc
+++ b/src/cassiabend/store/store_client.cc
@@ -32,6 +32,8 @@
   /// Endpoints that may still be tried.
   std::size_t endpoints_left = 0;
   std::size_t endpoint = 0;
+  /// Whether the present attempt uses a connection that carried others before.
+  bool reused = false;
 };
 using OperationPtr = std::shared_ptr<Operation>;
 
@@ -119,7 +121,8 @@
     return connection;
   }
 
-  ConnectionPtr TakeConnection(const tcp::endpoint& endpoint) {
+  ConnectionPtr TakeConnection(Operation* op) {
+    const tcp::endpoint& endpoint = endpoints_[op->endpoint];
     for (auto it = idle_.begin(); it != idle_.end();) {
       ConnectionPtr connection = *it;
       if (!connection->IsReusable()) {
@@ -129,13 +132,27 @@
       }
       if (connection->endpoint() == endpoint) {
         idle_.erase(it);
+        op->reused = true;
         return connection;
       }
       ++it;
     }
+    op->reused = false;
     return Connect(endpoint);
   }
 
+  /// \brief Closes idle connections to an endpoint where one has failed: the
+  /// others are likely to have been lost with it.
+  void CloseIdle(const tcp::endpoint& endpoint) {
+    std::erase_if(idle_, [&](const ConnectionPtr& it) {
+      if (it->endpoint() != endpoint) {
+        return false;
+      }
+      it->Close();
+      return true;
+    });
+  }
+
   Milliseconds TimeLeft(const Operation& op) const {
     return std::chrono::duration_cast<Milliseconds>(op.give_up_at -
                                                     clock_.Now().mono);
@@ -151,9 +168,12 @@
       return;
     }
     op->sent_at = clock_.Now().mono;
-    const ConnectionPtr connection = TakeConnection(endpoints_[op->endpoint]);
+    const ConnectionPtr connection = TakeConnection(op.get());
+    // A reused connection may have gone silent, so a read keeps half of its
+    // time for a new one.
+    const bool keep_half = op->reused && !IsWrite(op->call.request);
     connection->Exchange(EncodeGatewayRequest(op->call.request),
-                         kConnectTimeout, left,
+                         kConnectTimeout, keep_half ? left / 2 : left,
                          [self = shared_from_this(), op,
                           connection](const ExchangeResult& result) {
                            self->OnExchanged(op, connection, result);
@@ -174,9 +194,10 @@
       Release();
       return;
     }
+    CloseIdle(connection->endpoint());
     const bool may_repeat = result.end == ExchangeResult::End::kNotSent ||
                             !IsWrite(op->call.request);
-    if (may_repeat && MoveToNextEndpoint(op.get())) {
+    if (may_repeat && (op->reused || MoveToNextEndpoint(op.get()))) {
       Attempt(op);
       return;
     }
--- a/tools/fake_store_gateway.cc
+++ b/tools/fake_store_gateway.cc
@@ -78,6 +78,7 @@
       {"drop_next", &FakeStoreGateway::SetDropNext},
       {"reject_next", &FakeStoreGateway::SetRejectNext},
       {"dead_watches", &FakeStoreGateway::SetDeadWatches},
+      {"silence_open", &FakeStoreGateway::SilenceOpen},
       {"expire_lease", &FakeStoreGateway::ExpireLease},
       {"save", &FakeStoreGateway::Save},
       {"restore", &FakeStoreGateway::Restore},
@@ -282,6 +283,9 @@
 void FakeStoreGateway::SetDeadWatches(const json::value& value) {
   faults_.dead_watches = value.as_bool();
 }
+void FakeStoreGateway::SilenceOpen(const json::value& value) {
+  faults_.silent_before = value.as_bool() ? next_connection_ : 0;
+}
 void FakeStoreGateway::ExpireLease(const json::value& value) {
   state_.EndLease(value.to_number<LeaseId>());
 }
--- a/tools/fake_store_gateway.h
+++ b/tools/fake_store_gateway.h
@@ -20,6 +20,8 @@
 struct FakeStoreFaults {
   bool down = false;
   bool dead_watches = false;
+  /// Connections accepted before this one never answer again.
+  std::uint64_t silent_before = 0;
   Milliseconds slow{0};
   /// Answers that are lost after the call took effect.
   std::uint64_t lose_next_answers = 0;
@@ -51,6 +53,10 @@
   }
   [[nodiscard]] FakeStoreFaults& faults() noexcept { return faults_; }
   [[nodiscard]] FakeStoreCounts& counts() noexcept { return counts_; }
+  /// \returns The number of a new connection.
+  [[nodiscard]] std::uint64_t NextConnection() noexcept {
+    return next_connection_++;
+  }
 
   /// \brief Admits one call under the faults and rate limits.
   /// \returns The refusal; unset when the call may be executed.
@@ -104,6 +110,7 @@
   void SetDropNext(const boost::json::value& value);
   void SetRejectNext(const boost::json::value& value);
   void SetDeadWatches(const boost::json::value& value);
+  void SilenceOpen(const boost::json::value& value);
   void ExpireLease(const boost::json::value& value);
   void Save(const boost::json::value& value);
   void Restore(const boost::json::value& value);
@@ -114,6 +121,7 @@
   std::map<std::string, FakeStoreState> saved_;
   FakeStoreFaults faults_;
   FakeStoreCounts counts_;
+  std::uint64_t next_connection_ = 0;
   Budget writes_;
   Budget reads_;
 };
--- a/tools/fake_store_server.cc
+++ b/tools/fake_store_server.cc
@@ -57,7 +57,8 @@
   Session(tcp::socket socket, std::shared_ptr<Shared> shared)
       : stream_(std::move(socket)),
         timer_(stream_.get_executor()),
-        shared_(std::move(shared)) {
+        shared_(std::move(shared)),
+        number_(shared_->gateway.NextConnection()) {
     shared_->sessions.insert(this);
   }
   Session(const Session&) = delete;
@@ -75,7 +76,9 @@
 
   /// \brief Sends the events that a watch of this session has not sent yet.
   void SendEvents() {
-    if (!watch_ || writing_ || shared_->gateway.faults().dead_watches) {
+    const FakeStoreFaults& faults = shared_->gateway.faults();
+    if (!watch_ || writing_ || faults.dead_watches ||
+        number_ < faults.silent_before) {
       return;
     }
     const FakeStoreState& state = shared_->gateway.state();
@@ -109,6 +112,10 @@
       Send(Control(path));
       return;
     }
+    if (number_ < shared_->gateway.faults().silent_before) {
+      WaitForEnd();
+      return;
+    }
     if (std::optional<GatewayAnswer> refusal =
             shared_->gateway.Refusal(path, shared_->clock.Now().mono)) {
       Send(*refusal);
@@ -317,6 +324,7 @@
   beast::tcp_stream stream_;
   asio::steady_timer timer_;
   std::shared_ptr<Shared> shared_;
+  std::uint64_t number_;
   beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
   http::request<http::string_body> request_;
