Do not send reads twice to a slow store

Cause: a read on a used connection gave up early, so a store that was slow but alive would have got every read twice. Change: the wait is at least twice the time of the store's newest answer. Conclusion: store_client_test counts the reads of a store that takes 1.3 s.

--- a/src/cassiabend/store/store_client.cc
+++ b/src/cassiabend/store/store_client.cc
@@ -1,5 +1,6 @@
 #include "cassiabend/store/store_client.h"
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 #include <deque>
@@ -169,23 +170,31 @@
     }
     op->sent_at = clock_.Now().mono;
     const ConnectionPtr connection = TakeConnection(op.get());
-    // A reused connection may have gone silent, so a read keeps half of its
-    // time for a new one.
-    const bool keep_half = op->reused && !IsWrite(op->call.request);
     connection->Exchange(EncodeGatewayRequest(op->call.request),
-                         kConnectTimeout, keep_half ? left / 2 : left,
+                         kConnectTimeout, Patience(*op, left),
                          [self = shared_from_this(), op,
                           connection](const ExchangeResult& result) {
                            self->OnExchanged(op, connection, result);
                          });
   }
 
+  /// \returns How long an attempt may take. A reused connection may have gone
+  /// silent, so a read keeps time for a new one, unless the store is slow.
+  Milliseconds Patience(const Operation& op, Milliseconds left) const {
+    if (!op.reused || IsWrite(op.call.request)) {
+      return left;
+    }
+    return std::clamp(2 * last_answer_time_, left / 4, left);
+  }
+
   void OnExchanged(const OperationPtr& op,
                    const ConnectionPtr& connection,
                    const ExchangeResult& result) {
     Count(result);
     if (result.end == ExchangeResult::End::kAnswered) {
       preferred_ = op->endpoint;
+      last_answer_time_ = std::chrono::duration_cast<Milliseconds>(
+          clock_.Now().mono - op->sent_at);
       if (!closed_ && idle_.size() < options_.max_connections) {
         idle_.push_back(connection);
       }
@@ -381,6 +390,8 @@
   StoreClientCounts counts_;
   /// Index of the endpoint that answered last.
   std::size_t preferred_ = 0;
+  /// Time that the newest answer took.
+  Milliseconds last_answer_time_{0};
   std::uint32_t active_ = 0;
   std::uint32_t watches_ = 0;
   std::deque<OperationPtr> waiting_;
--- a/tests/shell/store_client_test.cc
+++ b/tests/shell/store_client_test.cc
@@ -2,7 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <deque>
+#include <boost/json/parse.hpp>
 #include <string>
 #include <vector>
 
@@ -48,7 +48,9 @@
       : server(io, store), client(io, Options(std::move(base)), &sink) {}
 
   StoreClientOptions Options(StoreClientOptions base) {
-    base.request_timeout = kRequestTimeout;
+    if (base.request_timeout == StoreClientOptions().request_timeout) {
+      base.request_timeout = kRequestTimeout;
+    }
     base.endpoints.push_back({"127.0.0.1", server.port()});
     return base;
   }
@@ -211,6 +213,21 @@
   CHECK(it.Ask(StoreCompareAndSwap{"k", 0, "v"}).status == StoreStatus::kOk);
 }
 
+TEST_CASE("a slow store does not get every read twice") {
+  StoreClientOptions options;
+  options.request_timeout = Milliseconds(4'000);
+  Fixture it({}, options);
+  REQUIRE(it.Ask(StoreGet{"k"}).status == StoreStatus::kOk);
+  it.server.Control(R"({"slow_ms":1300})");
+  const auto reads = [&] {
+    return boost::json::parse(it.server.Stats()).at("reads").to_number<int>();
+  };
+  CHECK(it.Ask(StoreGet{"k"}).status == StoreStatus::kOk);
+  const int before = reads();
+  CHECK(it.Ask(StoreGet{"k"}).status == StoreStatus::kOk);
+  CHECK(reads() == before + 1);
+}
+
 TEST_CASE("calls over the rate are refused without effect") {
   FakeStoreOptions store;
   store.writes_per_second = 1;
