--- a/src/cassiabend/ctl/commands.cc
+++ b/src/cassiabend/ctl/commands.cc
@@ -1,82 +1,24 @@
 #include "cassiabend/ctl/commands.h"
 
-#include <algorithm>
+#include <boost/json/array.hpp>
 #include <charconv>
 #include <cstdlib>
-#include <fstream>
-#include <istream>
-#include <iterator>
 #include <ostream>
-#include <random>
-#include <thread>
 #include <utility>
 
-#include "cassiabend/base/error.h"
 #include "cassiabend/ctl/convergence.h"
+#include "cassiabend/ctl/input.h"
 #include "cassiabend/ctl/text_table.h"
 #include "cassiabend/model/json.h"
-#include "cassiabend/model/json_object.h"
 
 namespace cassiabend {
 namespace {
 
-constexpr Milliseconds kFirstStatusPeriod{25};
-constexpr Milliseconds kLongestStatusPeriod{400};
 constexpr char kTokenVariable[] = "CASSIABEND_TOKEN";
 
 constexpr std::string_view kHistoryColumns[] = {"number", "committed_at",
                                                 "author", "change_id", "hash"};
 
-[[noreturn]] void FailUsage(const std::string& where, const std::string& why) {
-  throw SettingsError("run the command", where, why);
-}
-
-std::string ReadAll(std::istream& in) {
-  return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
-}
-
-std::string ReadFile(const std::string& name, std::istream& standard_input) {
-  if (name == "-") {
-    return ReadAll(standard_input);
-  }
-  std::ifstream in(name);
-  if (!in) {
-    FailUsage(name, "the file cannot be read");
-  }
-  return ReadAll(in);
-}
-
-std::string WithoutLineEnd(std::string text) {
-  while (!text.empty() && (text.back() == '\n' || text.back() == '\r')) {
-    text.pop_back();
-  }
-  return text;
-}
-
-ChangeId NewChangeId() {
-  std::random_device device;
-  const auto word = [&device] {
-    return (std::uint64_t{device()} << 32U) | device();
-  };
-  return {word(), word() | 1};
-}
-
-VersionNumber RevisionOf(const boost::json::value& item) {
-  return item.is_null() ? 0 : item.at("revision").to_number<VersionNumber>();
-}
-
-boost::json::value WithoutRevision(boost::json::value item) {
-  if (item.is_object()) {
-    item.get_object().erase("revision");
-  }
-  return item;
-}
-
-/// \brief Whether the edit leaves `present` as it is.
-bool ChangesNothing(const Edit& edit, const boost::json::value& present) {
-  return WithoutRevision(present) == WithoutRevision(PutItem(edit));
-}
-
 }  // namespace
 
 /// \brief All commands, in the order of the help.
@@ -166,28 +108,6 @@
   return (this->*row.run)();
 }
 
-// Items.
-
-ExitCode Commands::PutItem(const ItemCommands& kind) {
-  const std::string& word = line_.words.front();
-  boost::json::object item = line_.fields;
-  if (word.starts_with('{')) {
-    if (!item.empty()) {
-      FailUsage("put", "give either a JSON object or field options");
-    }
-    item = AsObject(ParseJsonText(word), "item");
-  } else {
-    item["name"] = word;
-  }
-  return CommitEdits({kind.put(item)});
-}
-
-ExitCode Commands::RemoveItem(const ItemCommands& kind) {
-  Edit edit;
-  edit.action = ItemRef{kind.kind, line_.words.front()};
-  return CommitEdits({edit});
-}
-
 ExitCode Commands::ListItems(const ItemCommands& kind) {
   Config config;
   const CommitResult result = caller().Read(
@@ -204,13 +124,6 @@
   return ExitCode::kOk;
 }
 
-ExitCode Commands::Apply() {
-  return CommitEdits(
-      ParseEditsJson(ReadFile(line_.words.front(), streams_.in)));
-}
-
-// Reads.
-
 ExitCode Commands::ShowConfig() {
   const VersionNumber number = line_.words.empty() ? 0 : NumberArgument(0);
   Config config;
@@ -266,176 +179,6 @@
   return ExitCode::kOk;
 }
 
-// Changes.
-
-ExitCode Commands::Rollback() {
-  const VersionNumber number = NumberArgument(0);
-  return Submit([this, number](AdminClient& client) {
-    return client.Rollback(number, change_id_);
-  });
-}
-
-ExitCode Commands::Recover() {
-  return Submit(
-      [this](AdminClient& client) { return client.Recover(change_id_); });
-}
-
-ExitCode Commands::Drain() {
-  NodeId node;
-  if (!ParseNodeId(line_.words.front(), &node)) {
-    FailUsage("drain", "\"" + line_.words.front() + "\" is not IP:PORT");
-  }
-  const CommitResult result =
-      caller().Change([&](AdminClient& client) { return client.Drain(node); });
-  if (result.code != CommitCode::kOk) {
-    return ReportFailure(result);
-  }
-  if (line_.json) {
-    PrintJson({{"node", ToString(node)}, {"draining", true}});
-  } else {
-    streams_.out << "asked " << ToString(node) << " to drain\n";
-  }
-  return ExitCode::kOk;
-}
-
-ExitCode Commands::CommitEdits(std::vector<Edit> edits) {
-  Config present;
-  const CommitResult result = caller().Read(
-      [&](AdminClient& client) { return client.GetConfig(0, &present); });
-  // Before the first version there is nothing to compare with.
-  if (result.code != CommitCode::kOk && result.code != CommitCode::kNotFound) {
-    return ReportFailure(result);
-  }
-  // A change that an earlier run began must be sent as it was.
-  const bool repeated = !line_.change_id.IsZero();
-  std::erase_if(edits, [&](const Edit& it) {
-    return !repeated && ChangesNothing(it, PresentItem(present, TargetOf(it)));
-  });
-  for (Edit& it : edits) {
-    if (!it.expected_revision) {
-      it.expected_revision = RevisionOf(PresentItem(present, TargetOf(it)));
-    }
-  }
-  ShowDifference(present, edits);
-  if (edits.empty()) {
-    return ExitCode::kOk;
-  }
-  const Change change{change_id_, {}, std::move(edits)};
-  return Submit([this, change](AdminClient& client) {
-    return client.Commit(change, line_.dry_run);
-  });
-}
-
-void Commands::ShowDifference(const Config& present,
-                              const std::vector<Edit>& edits) {
-  if (line_.json) {
-    return;
-  }
-  if (edits.empty()) {
-    streams_.out << "nothing to change\n";
-  }
-  for (const Edit& it : edits) {
-    const ItemRef target = TargetOf(it);
-    const boost::json::value before =
-        WithoutRevision(PresentItem(present, target));
-    const boost::json::value after = WithoutRevision(cassiabend::PutItem(it));
-    if (!before.is_null()) {
-      streams_.out << "- " << PathOf(target) << " " << before << "\n";
-    }
-    if (!after.is_null()) {
-      streams_.out << "+ " << PathOf(target) << " " << after << "\n";
-    }
-  }
-}
-
-ExitCode Commands::Submit(const NodeCaller::Ask& ask) {
-  CommitResult result =
-      line_.dry_run ? caller().Read(ask) : caller().Change(ask);
-  result.change_id = change_id_;
-  if (result.code != CommitCode::kOk) {
-    return ReportFailure(result);
-  }
-  if (line_.json && !line_.wait) {
-    PrintJson({{"accepted", !line_.dry_run},
-               {"version", result.mark.number},
-               {"hash", ToHex(result.mark.hash)},
-               {"change_id", ToHex(change_id_)}});
-  } else if (!line_.json) {
-    streams_.out << (line_.dry_run ? "valid: it would become version "
-                                   : "accepted as version ")
-                 << result.mark.number << ", change id " << ToHex(change_id_)
-                 << "\n";
-  }
-  return line_.wait && !line_.dry_run ? WaitFor(result.mark.number)
-                                      : ExitCode::kOk;
-}
-
-// Waiting.
-
-ExitCode Commands::Wait() {
-  if (!line_.words.empty()) {
-    return WaitFor(NumberArgument(0));
-  }
-  FleetStatus status;
-  const CommitResult result = caller().Read(
-      [&](AdminClient& client) { return client.GetStatus(&status); });
-  return result.code == CommitCode::kOk ? WaitFor(status.mark.number)
-                                        : ReportFailure(result);
-}
-
-ExitCode Commands::WaitFor(VersionNumber number) {
-  FleetStatus status;
-  Milliseconds period = kFirstStatusPeriod;
-  while (true) {
-    const CommitResult result = caller().Read(
-        [&](AdminClient& client) { return client.GetStatus(&status); });
-    if (result.code != CommitCode::kOk) {
-      return ReportFailure(result);
-    }
-    const Convergence now = ConvergenceOf(status, number);
-    if (now.behind.empty() && now.unreachable.empty() && now.in_force > 0) {
-      break;
-    }
-    if (caller().time_left() <= period) {
-      break;
-    }
-    std::this_thread::sleep_for(period);
-    period = std::min(2 * period, kLongestStatusPeriod);
-  }
-  return ReportWait(number, status);
-}
-
-ExitCode Commands::ReportWait(VersionNumber number, const FleetStatus& status) {
-  const Convergence now = ConvergenceOf(status, number);
-  ExitCode code = ExitCode::kOk;
-  if (!now.behind.empty() || now.in_force == 0) {
-    code = ExitCode::kWaitTimedOut;
-  } else if (!now.unreachable.empty()) {
-    code = ExitCode::kUnreachableNodes;
-  }
-  if (line_.json) {
-    boost::json::object out = StatusToJson(status);
-    out["waited_for"] = number;
-    out["in_force_everywhere"] = code == ExitCode::kOk;
-    out["change_id"] = ToHex(change_id_);
-    PrintJson(out);
-  } else {
-    streams_.out << "version " << number << " is in force on " << now.in_force
-                 << " of "
-                 << now.in_force + now.behind.size() + now.unreachable.size()
-                 << " nodes\n";
-  }
-  if (!now.behind.empty()) {
-    streams_.err << "cassiabend-ctl: behind: " << NamesOf(now.behind) << "\n";
-  }
-  if (!now.unreachable.empty()) {
-    streams_.err << "cassiabend-ctl: unreachable: " << NamesOf(now.unreachable)
-                 << "; until they return they refuse noisy work after the "
-                    "freshness limit\n";
-  }
-  return code;
-}
-
 // Helpers.
 
 ExitCode Commands::ReportFailure(const CommitResult& result) {
--- /dev/null
+++ b/src/cassiabend/ctl/commands_change.cc
@@ -0,0 +1,158 @@
+#include "cassiabend/ctl/commands.h"
+
+#include <ostream>
+#include <utility>
+
+#include "cassiabend/ctl/input.h"
+#include "cassiabend/model/json.h"
+#include "cassiabend/model/json_object.h"
+
+namespace cassiabend {
+namespace {
+
+VersionNumber RevisionOf(const boost::json::value& item) {
+  return item.is_null() ? 0 : item.at("revision").to_number<VersionNumber>();
+}
+
+boost::json::value WithoutRevision(boost::json::value item) {
+  if (item.is_object()) {
+    item.get_object().erase("revision");
+  }
+  return item;
+}
+
+/// \brief Whether the edit leaves `present` as it is.
+bool ChangesNothing(const Edit& edit, const boost::json::value& present) {
+  return WithoutRevision(present) == WithoutRevision(PutItem(edit));
+}
+
+}  // namespace
+
+ExitCode Commands::PutItem(const ItemCommands& kind) {
+  const std::string& word = line_.words.front();
+  boost::json::object item = line_.fields;
+  if (word.starts_with('{')) {
+    if (!item.empty()) {
+      FailUsage("put", "give either a JSON object or field options");
+    }
+    item = AsObject(ParseJsonText(word), "item");
+  } else {
+    item["name"] = word;
+  }
+  return CommitEdits({kind.put(item)});
+}
+
+ExitCode Commands::RemoveItem(const ItemCommands& kind) {
+  Edit edit;
+  edit.action = ItemRef{kind.kind, line_.words.front()};
+  return CommitEdits({edit});
+}
+
+ExitCode Commands::Apply() {
+  return CommitEdits(
+      ParseEditsJson(ReadFile(line_.words.front(), streams_.in)));
+}
+
+ExitCode Commands::Rollback() {
+  const VersionNumber number = NumberArgument(0);
+  return Submit([this, number](AdminClient& client) {
+    return client.Rollback(number, change_id_);
+  });
+}
+
+ExitCode Commands::Recover() {
+  return Submit(
+      [this](AdminClient& client) { return client.Recover(change_id_); });
+}
+
+ExitCode Commands::Drain() {
+  NodeId node;
+  if (!ParseNodeId(line_.words.front(), &node)) {
+    FailUsage("drain", "\"" + line_.words.front() + "\" is not IP:PORT");
+  }
+  const CommitResult result =
+      caller().Change([&](AdminClient& client) { return client.Drain(node); });
+  if (result.code != CommitCode::kOk) {
+    return ReportFailure(result);
+  }
+  if (line_.json) {
+    PrintJson({{"node", ToString(node)}, {"draining", true}});
+  } else {
+    streams_.out << "asked " << ToString(node) << " to drain\n";
+  }
+  return ExitCode::kOk;
+}
+
+ExitCode Commands::CommitEdits(std::vector<Edit> edits) {
+  Config present;
+  const CommitResult result = caller().Read(
+      [&](AdminClient& client) { return client.GetConfig(0, &present); });
+  // Before the first version there is nothing to compare with.
+  if (result.code != CommitCode::kOk && result.code != CommitCode::kNotFound) {
+    return ReportFailure(result);
+  }
+  // A change that an earlier run began must be sent as it was.
+  const bool repeated = !line_.change_id.IsZero();
+  std::erase_if(edits, [&](const Edit& it) {
+    return !repeated && ChangesNothing(it, PresentItem(present, TargetOf(it)));
+  });
+  for (Edit& it : edits) {
+    if (!it.expected_revision) {
+      it.expected_revision = RevisionOf(PresentItem(present, TargetOf(it)));
+    }
+  }
+  ShowDifference(present, edits);
+  if (edits.empty()) {
+    return ExitCode::kOk;
+  }
+  const Change change{change_id_, {}, std::move(edits)};
+  return Submit([this, change](AdminClient& client) {
+    return client.Commit(change, line_.dry_run);
+  });
+}
+
+void Commands::ShowDifference(const Config& present,
+                              const std::vector<Edit>& edits) {
+  if (line_.json) {
+    return;
+  }
+  if (edits.empty()) {
+    streams_.out << "nothing to change\n";
+  }
+  for (const Edit& it : edits) {
+    const ItemRef target = TargetOf(it);
+    const boost::json::value before =
+        WithoutRevision(PresentItem(present, target));
+    const boost::json::value after = WithoutRevision(cassiabend::PutItem(it));
+    if (!before.is_null()) {
+      streams_.out << "- " << PathOf(target) << " " << before << "\n";
+    }
+    if (!after.is_null()) {
+      streams_.out << "+ " << PathOf(target) << " " << after << "\n";
+    }
+  }
+}
+
+ExitCode Commands::Submit(const NodeCaller::Ask& ask) {
+  CommitResult result =
+      line_.dry_run ? caller().Read(ask) : caller().Change(ask);
+  result.change_id = change_id_;
+  if (result.code != CommitCode::kOk) {
+    return ReportFailure(result);
+  }
+  if (line_.json && !line_.wait) {
+    PrintJson({{"accepted", !line_.dry_run},
+               {"version", result.mark.number},
+               {"hash", ToHex(result.mark.hash)},
+               {"change_id", ToHex(change_id_)}});
+  } else if (!line_.json) {
+    streams_.out << (line_.dry_run ? "valid: it would become version "
+                                   : "accepted as version ")
+                 << result.mark.number << ", change id " << ToHex(change_id_)
+                 << "\n";
+  }
+  return line_.wait && !line_.dry_run ? WaitFor(result.mark.number)
+                                      : ExitCode::kOk;
+}
+
+}  // namespace cassiabend
