--- a/src/cassiabend/rpc/peer_links.cc
+++ b/src/cassiabend/rpc/peer_links.cc
@@ -2,6 +2,8 @@
 
 #include <capnp/message.h>
 
+#include <boost/asio/ip/address.hpp>
+
 #include "cassiabend/rpc/rpc_listener.h"
 
 namespace cassiabend {
@@ -9,6 +11,18 @@
 
 constexpr auto kIdleLimit = 30 * kj::SECONDS;
 
+/// \brief Turns the address of a peer into KJ's form. Names are refused: they
+/// would be looked up.
+kj::Promise<kj::Own<kj::NetworkAddress>> ParseAddress(kj::AsyncIoContext& io,
+                                                      const NodeId& to) {
+  boost::system::error_code ec;
+  boost::asio::ip::make_address(to.ip, ec);
+  if (ec) {
+    return KJ_EXCEPTION(FAILED, "not an IP number", to.ip.c_str());
+  }
+  return io.provider->getNetwork().parseAddress(to.ip.c_str(), to.peer_port);
+}
+
 }  // namespace
 
 PeerLink::PeerLink(kj::AsyncIoContext& io,
@@ -17,8 +31,7 @@
                    TcpCounters* counters)
     : max_message_bytes_(max_message_bytes),
       counters_(counters),
-      connected_(io.provider->getNetwork()
-                     .parseAddress(to.ip.c_str(), to.peer_port)
+      connected_(ParseAddress(io, to)
                      .then([](kj::Own<kj::NetworkAddress>&& address) {
                        auto connected = address->connect();
                        return connected.attach(kj::mv(address));
--- /dev/null
+++ b/src/cassiabend/rpc/peer_rpc.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <kj/async-io.h>
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "cassiabend/core/fleet_events.h"
+#include "cassiabend/rpc/counted_stream.h"
+#include "cassiabend/rpc/event_poster.h"
+#include "cassiabend/rpc/peer_links.h"
+#include "cassiabend/rpc/peer_server.h"
+#include "cassiabend/rpc/rpc_listener.h"
+
+namespace cassiabend {
+
+/// \brief TCP traffic between nodes.
+struct PeerRpcCounters {
+  TcpCounters all;
+  /// Part of `all`: the lists of members.
+  std::atomic<std::uint64_t> members_sent{0};
+  std::atomic<std::uint64_t> members_received{0};
+};
+
+/// \brief Cap'n Proto RPC between nodes, in both directions. Lives on the
+/// thread of a KJ event loop.
+class PeerRpc final : private kj::TaskSet::ErrorHandler {
+ public:
+  /// \param counters Outlives this object.
+  /// \throws RpcError when the port cannot be opened.
+  PeerRpc(kj::AsyncIoContext& io,
+          const PeerTransportOptions& options,
+          const std::shared_ptr<EventPoster>& poster,
+          std::function<void()> on_drain,
+          PeerRpcCounters* counters);
+  PeerRpc(const PeerRpc&) = delete;
+  PeerRpc& operator=(const PeerRpc&) = delete;
+  ~PeerRpc() = default;
+
+  /// \brief Answers a peer's request.
+  void Answer(PeerRequestId id, PeerReply reply);
+
+  void Push(const SendPush& push);
+  void Pull(const SendPull& pull);
+  void AskMembers(const SendMembersRequest& ask);
+  /// \brief Asks a peer to drain. Failures are logged.
+  void AskDrain(const NodeId& to);
+
+ private:
+  template <typename Func, typename Answered, typename T>
+  void Call(const NodeId& to, Func func, std::optional<T> Answered::*field);
+  kj::Promise<void> SweepIdle();
+  void taskFailed(kj::Exception&& ex) override;
+
+  kj::Timer& timer_;
+  PeerRpcCounters* counters_;
+  std::shared_ptr<EventPoster> poster_;
+  PeerReplies replies_;
+  PeerLinks links_;
+  RpcListener listener_;
+  std::uint32_t calls_in_flight_ = 0;
+  kj::TaskSet tasks_;
+};
+
+}  // namespace cassiabend
--- a/src/cassiabend/rpc/peer_transport.cc
+++ b/src/cassiabend/rpc/peer_transport.cc
@@ -1,252 +1,21 @@
 #include "cassiabend/rpc/peer_transport.h"
 
-#include <kj/timer.h>
-
-#include <atomic>
-#include <optional>
 #include <utility>
 #include <variant>
 
-#include "cassiabend/base/error.h"
-#include "cassiabend/base/log.h"
 #include "cassiabend/rpc/datagram_socket.h"
 #include "cassiabend/rpc/event_poster.h"
 #include "cassiabend/rpc/kj_thread.h"
-#include "cassiabend/rpc/mesh_codec.h"
-#include "cassiabend/rpc/peer_links.h"
-#include "cassiabend/rpc/pending_replies.h"
-#include "cassiabend/rpc/rpc_listener.h"
+#include "cassiabend/rpc/peer_rpc.h"
 
 namespace cassiabend {
 namespace {
 
-constexpr std::size_t kMaxWaitingRequests = 1'024;
-constexpr std::uint32_t kMaxCallsInFlight = 1'024;
-constexpr auto kIdleSweepPeriod = 10 * kj::SECONDS;
-
-using PeerReply = std::variant<VersionMark, ConfigUpdate, std::vector<Member>>;
-using PeerReplies = PendingReplies<PeerReply>;
-
-/// \brief TCP traffic of the transport.
-struct RpcCounters {
-  TcpCounters all;
-  /// Part of `all`: the lists of members.
-  std::atomic<std::uint64_t> members_sent{0};
-  std::atomic<std::uint64_t> members_received{0};
-};
-
-/// \returns The size of a message's content, in bytes.
-template <typename Reader>
-std::uint64_t BytesOf(const Reader& reader) {
-  return reader.totalSize().wordCount * sizeof(capnp::word);
-}
-
 /// \returns `all` without `part`, which may be counted a moment earlier.
 std::uint64_t Rest(std::uint64_t all, std::uint64_t part) noexcept {
   return all > part ? all - part : 0;
 }
 
-/// \brief Answers the calls of peers with what the core decides.
-class PeerServer final : public schema::Peer::Server {
- public:
-  PeerServer(PeerReplies* replies,
-             std::shared_ptr<EventPoster> poster,
-             std::function<void()> on_drain,
-             std::atomic<std::uint64_t>* members_sent)
-      : replies_(replies),
-        poster_(std::move(poster)),
-        on_drain_(std::move(on_drain)),
-        members_sent_(members_sent) {}
-
-  kj::Promise<void> push(PushContext context) override {
-    PushReceived event{NextId(), FromWire(context.getParams().getUpdate())};
-    return Ask(event.request, event)
-        .then([context](kj::Own<PeerReply>&& it) mutable {
-          ToWire(std::get<VersionMark>(*it), context.getResults().initMark());
-        });
-  }
-
-  kj::Promise<void> pull(PullContext context) override {
-    const PullReceived event{NextId(), FromWire(context.getParams().getHave())};
-    return Ask(event.request, event)
-        .then([context](kj::Own<PeerReply>&& it) mutable {
-          ToWire(std::get<ConfigUpdate>(*it),
-                 context.getResults().initUpdate());
-        });
-  }
-
-  kj::Promise<void> members(MembersContext context) override {
-    const MembersRequested event{NextId()};
-    return Ask(event.request, event)
-        .then([context, sent = members_sent_](kj::Own<PeerReply>&& it) mutable {
-          const auto& members = std::get<std::vector<Member>>(*it);
-          auto results = context.getResults();
-          auto out = results.initMembers(static_cast<unsigned>(members.size()));
-          unsigned i = 0;
-          for (const Member& member : members) {
-            ToWire(member, out[i++]);
-          }
-          *sent += BytesOf(results.asReader());
-        });
-  }
-
-  kj::Promise<void> drain(DrainContext /*context*/) override {
-    poster_->PostTask(on_drain_);
-    return kj::READY_NOW;
-  }
-
- private:
-  PeerRequestId NextId() {
-    KJ_REQUIRE(!replies_->IsFull(), "too many requests are waiting");
-    return ++last_id_;
-  }
-
-  kj::Promise<kj::Own<PeerReply>> Ask(PeerRequestId id, FleetEvent event) {
-    poster_->Post(std::move(event));
-    return replies_->Wait(id);
-  }
-
-  PeerReplies* replies_;
-  std::shared_ptr<EventPoster> poster_;
-  std::function<void()> on_drain_;
-  std::atomic<std::uint64_t>* members_sent_;
-  PeerRequestId last_id_ = 0;
-};
-
-std::vector<Member> ReadMembers(capnp::List<schema::Member>::Reader members) {
-  std::vector<Member> out;
-  for (const auto it : members) {
-    out.push_back(FromWire(it));
-  }
-  return out;
-}
-
-/// \brief The part of the transport that lives on the KJ thread.
-class RpcSide final : private kj::TaskSet::ErrorHandler {
- public:
-  RpcSide(kj::AsyncIoContext& io,
-          const PeerTransportOptions& options,
-          std::shared_ptr<EventPoster> poster,
-          std::function<void()> on_drain,
-          RpcCounters* counters)
-      : timer_(io.provider->getTimer()),
-        counters_(counters),
-        poster_(poster),
-        replies_(timer_, kMaxWaitingRequests, options.rpc_timeout),
-        links_(io, options, &counters->all),
-        listener_(io,
-                  {.ip = options.self.ip,
-                   .port = options.self.peer_port,
-                   .max_connections = options.max_connections,
-                   .max_message_bytes = options.max_message_bytes},
-                  kj::heap<PeerServer>(&replies_,
-                                       poster,
-                                       std::move(on_drain),
-                                       &counters->members_sent),
-                  &counters->all),
-        tasks_(*this) {
-    tasks_.add(SweepIdle());
-  }
-
-  void Answer(PeerRequestId id, PeerReply reply) {
-    replies_.Answer(id, std::move(reply));
-  }
-
-  void Push(const SendPush& push) {
-    Call(
-        push.to,
-        [update = push.update](schema::Peer::Client& peer) {
-          auto request = peer.pushRequest();
-          ToWire(update, request.initUpdate());
-          return request.send().then(
-              [](auto&& it) { return FromWire(it.getMark()); });
-        },
-        &PushAnswered::mark);
-  }
-
-  void Pull(const SendPull& pull) {
-    Call(
-        pull.to,
-        [have = pull.have](schema::Peer::Client& peer) {
-          auto request = peer.pullRequest();
-          ToWire(have, request.initHave());
-          return request.send().then(
-              [](auto&& it) { return FromWire(it.getUpdate()); });
-        },
-        &PullAnswered::update);
-  }
-
-  void AskMembers(const SendMembersRequest& ask) {
-    Call(
-        ask.to,
-        [received = &counters_->members_received](schema::Peer::Client& peer) {
-          return peer.membersRequest().send().then([received](auto&& it) {
-            *received += BytesOf(it);
-            return ReadMembers(it.getMembers());
-          });
-        },
-        &MembersAnswered::members);
-  }
-
-  void AskDrain(const NodeId& to) {
-    auto call = links_.Call(to, [](schema::Peer::Client& peer) {
-      return peer.drainRequest().send().ignoreResult();
-    });
-    tasks_.add(call.catch_([to](kj::Exception&& ex) {
-      Log(LogLevel::kWarning, "drain_request_failed",
-          {{"peer", ToString(to)}, {"why", ex.getDescription().cStr()}});
-    }));
-  }
-
- private:
-  /// \brief Calls a peer and posts the event `Answered` with the answer in
-  /// `field`, or with the field unset when the peer failed.
-  template <typename Func, typename Answered, typename T>
-  void Call(const NodeId& to, Func func, std::optional<T> Answered::*field) {
-    const auto post = [this, to, field](std::optional<T> answer) {
-      --calls_in_flight_;
-      Answered event;
-      event.peer = to;
-      event.*field = std::move(answer);
-      poster_->Post(FleetEvent(std::move(event)));
-    };
-    ++calls_in_flight_;
-    if (calls_in_flight_ > kMaxCallsInFlight) {
-      post(std::nullopt);
-      return;
-    }
-    tasks_.add(links_.Call(to, std::move(func))
-                   .then([post](T&& answer) { post(std::move(answer)); },
-                         [post, to](kj::Exception&& ex) {
-                           Log(LogLevel::kInfo, "peer_call_failed",
-                               {{"peer", ToString(to)},
-                                {"why", ex.getDescription().cStr()}});
-                           post(std::nullopt);
-                         }));
-  }
-
-  kj::Promise<void> SweepIdle() {
-    return timer_.afterDelay(kIdleSweepPeriod).then([this] {
-      links_.CloseIdle();
-      return SweepIdle();
-    });
-  }
-
-  void taskFailed(kj::Exception&& ex) override {
-    Log(LogLevel::kError, "peer_task_failed",
-        {{"why", ex.getDescription().cStr()}});
-  }
-
-  kj::Timer& timer_;
-  RpcCounters* counters_;
-  std::shared_ptr<EventPoster> poster_;
-  PeerReplies replies_;
-  PeerLinks links_;
-  RpcListener listener_;
-  std::uint32_t calls_in_flight_ = 0;
-  kj::TaskSet tasks_;
-};
-
 }  // namespace
 
 class PeerTransport::Impl {
@@ -262,7 +31,7 @@
       }
     };
     kj_.Run([&] {
-      rpc_ = std::make_unique<RpcSide>(kj_.io(), options, poster_, on_drain,
+      rpc_ = std::make_unique<PeerRpc>(kj_.io(), options, poster_, on_drain,
                                        &rpc_counters_);
     });
     datagrams_->Start([sink](Datagram datagram) {
@@ -298,7 +67,7 @@
   }
 
   void SendDrain(const NodeId& to) {
-    Post([to](RpcSide& rpc) { rpc.AskDrain(to); });
+    Post([to](PeerRpc& rpc) { rpc.AskDrain(to); });
   }
 
   void OnDrain(std::function<void()> handler) {
@@ -313,7 +82,7 @@
 
  private:
   /// \brief Runs `task` on the KJ thread unless the transport is closed.
-  void Post(std::function<void(RpcSide& rpc)> task) {
+  void Post(std::function<void(PeerRpc& rpc)> task) {
     kj_.Post([this, task = std::move(task)] {
       if (rpc_) {
         task(*rpc_);
@@ -322,20 +91,20 @@
   }
 
   void Answer(PeerRequestId id, PeerReply reply) {
-    Post([id, reply = std::move(reply)](RpcSide& rpc) {
+    Post([id, reply = std::move(reply)](PeerRpc& rpc) {
       rpc.Answer(id, reply);
     });
   }
 
   void Carry(const SendDatagram& it) { datagrams_->Send(it.to, it.datagram); }
   void Carry(const SendPush& it) {
-    Post([it](RpcSide& rpc) { rpc.Push(it); });
+    Post([it](PeerRpc& rpc) { rpc.Push(it); });
   }
   void Carry(const SendPull& it) {
-    Post([it](RpcSide& rpc) { rpc.Pull(it); });
+    Post([it](PeerRpc& rpc) { rpc.Pull(it); });
   }
   void Carry(const SendMembersRequest& it) {
-    Post([it](RpcSide& rpc) { rpc.AskMembers(it); });
+    Post([it](PeerRpc& rpc) { rpc.AskMembers(it); });
   }
   void Carry(const ReplyPush& it) { Answer(it.request, it.mark); }
   void Carry(const ReplyPull& it) { Answer(it.request, it.update); }
@@ -347,9 +116,9 @@
   std::shared_ptr<EventPoster> poster_;
   std::shared_ptr<DatagramSocket> datagrams_;
   std::function<void()> on_drain_;
-  RpcCounters rpc_counters_;
+  PeerRpcCounters rpc_counters_;
   /// Lives on the thread of `kj_`.
-  std::unique_ptr<RpcSide> rpc_;
+  std::unique_ptr<PeerRpc> rpc_;
   KjThread kj_;
 };
 
--- a/tests/shell/peer_transport_test.cc
+++ b/tests/shell/peer_transport_test.cc
@@ -279,6 +279,9 @@
   CHECK_FALSE(Await<PullAnswered>(io, a).update);
   a.transport.Execute(SendMembersRequest{nobody});
   CHECK_FALSE(Await<MembersAnswered>(io, a).members);
+  a.sink.events.clear();
+  a.transport.Execute(SendPush{{"localhost", nobody.peer_port}, {}});
+  CHECK_FALSE(Await<PushAnswered>(io, a).mark);
 }
 
 TEST_CASE("a silent peer fails after the timeout, on a new connection next") {
