--- a/src/cassiabend/store/store_client.cc
+++ b/src/cassiabend/store/store_client.cc
@@ -1,5 +1,6 @@
 #include "cassiabend/store/store_client.h"
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 #include <deque>
@@ -32,6 +33,8 @@
   /// Endpoints that may still be tried.
   std::size_t endpoints_left = 0;
   std::size_t endpoint = 0;
+  /// Whether the present attempt uses a connection that carried others before.
+  bool reused = false;
 };
 using OperationPtr = std::shared_ptr<Operation>;
 
@@ -119,7 +122,8 @@
     return connection;
   }
 
-  ConnectionPtr TakeConnection(const tcp::endpoint& endpoint) {
+  ConnectionPtr TakeConnection(Operation* op) {
+    const tcp::endpoint& endpoint = endpoints_[op->endpoint];
     for (auto it = idle_.begin(); it != idle_.end();) {
       ConnectionPtr connection = *it;
       if (!connection->IsReusable()) {
@@ -129,13 +133,27 @@
       }
       if (connection->endpoint() == endpoint) {
         idle_.erase(it);
+        op->reused = true;
         return connection;
       }
       ++it;
     }
+    op->reused = false;
     return Connect(endpoint);
   }
 
+  /// \brief Closes idle connections to an endpoint where one has failed: the
+  /// others are likely to have been lost with it.
+  void CloseIdle(const tcp::endpoint& endpoint) {
+    std::erase_if(idle_, [&](const ConnectionPtr& it) {
+      if (it->endpoint() != endpoint) {
+        return false;
+      }
+      it->Close();
+      return true;
+    });
+  }
+
   Milliseconds TimeLeft(const Operation& op) const {
     return std::chrono::duration_cast<Milliseconds>(op.give_up_at -
                                                     clock_.Now().mono);
@@ -151,21 +169,32 @@
       return;
     }
     op->sent_at = clock_.Now().mono;
-    const ConnectionPtr connection = TakeConnection(endpoints_[op->endpoint]);
+    const ConnectionPtr connection = TakeConnection(op.get());
     connection->Exchange(EncodeGatewayRequest(op->call.request),
-                         kConnectTimeout, left,
+                         kConnectTimeout, Patience(*op, left),
                          [self = shared_from_this(), op,
                           connection](const ExchangeResult& result) {
                            self->OnExchanged(op, connection, result);
                          });
   }
 
+  /// \returns How long an attempt may take. A reused connection may have gone
+  /// silent, so a read keeps time for a new one, unless the store is slow.
+  Milliseconds Patience(const Operation& op, Milliseconds left) const {
+    if (!op.reused || IsWrite(op.call.request)) {
+      return left;
+    }
+    return std::clamp(2 * last_answer_time_, left / 4, left);
+  }
+
   void OnExchanged(const OperationPtr& op,
                    const ConnectionPtr& connection,
                    const ExchangeResult& result) {
     Count(result);
     if (result.end == ExchangeResult::End::kAnswered) {
       preferred_ = op->endpoint;
+      last_answer_time_ = std::chrono::duration_cast<Milliseconds>(
+          clock_.Now().mono - op->sent_at);
       if (!closed_ && idle_.size() < options_.max_connections) {
         idle_.push_back(connection);
       }
@@ -174,9 +203,10 @@
       Release();
       return;
     }
+    CloseIdle(connection->endpoint());
     const bool may_repeat = result.end == ExchangeResult::End::kNotSent ||
                             !IsWrite(op->call.request);
-    if (may_repeat && MoveToNextEndpoint(op.get())) {
+    if (may_repeat && (op->reused || MoveToNextEndpoint(op.get()))) {
       Attempt(op);
       return;
     }
@@ -360,6 +390,8 @@
   StoreClientCounts counts_;
   /// Index of the endpoint that answered last.
   std::size_t preferred_ = 0;
+  /// Time that the newest answer took.
+  Milliseconds last_answer_time_{0};
   std::uint32_t active_ = 0;
   std::uint32_t watches_ = 0;
   std::deque<OperationPtr> waiting_;
