Show how the store's head compares with the version in force

Cause: operators could not tell a store that came back older, a fork or damaged values from an outage. Change: FleetReducer::counts() gives the head's state, refused versions, members by status, zones out of reach and children. The matrix now also checks that confirmations are fresh again after the faults and that store calls stay bounded.

--- a/src/cassiabend/core/fleet_reducer_impl.cc
+++ b/src/cassiabend/core/fleet_reducer_impl.cc
@@ -307,6 +307,30 @@
   survey_.Start(context);
 }
 
+FleetCounts FleetReducer::Impl::counts() const noexcept {
+  FleetCounts counts;
+  for (const auto& [id, entry] : membership_.entries()) {
+    switch (entry.member.status) {
+      case MemberStatus::kAlive:
+        ++counts.members_alive;
+        break;
+      case MemberStatus::kSuspect:
+        ++counts.members_suspect;
+        break;
+      case MemberStatus::kDead:
+      case MemberStatus::kLeft:
+        ++counts.members_gone;
+        break;
+    }
+  }
+  counts.unreachable_zones = membership_.unreachable_zones().size();
+  counts.children = spread_.child_count();
+  counts.head_state = watch_.head_state();
+  counts.forks = versions_.refusals().forks;
+  counts.damaged = versions_.refusals().damaged;
+  return counts;
+}
+
 std::vector<MemberView> FleetReducer::Impl::Members(const Instant& now) const {
   std::vector<MemberView> views;
   MemberView own{membership_.self(), versions_.mark(),
--- a/src/cassiabend/core/fleet_reducer_impl.h
+++ b/src/cassiabend/core/fleet_reducer_impl.h
@@ -36,6 +36,7 @@
     return freshness_;
   }
   [[nodiscard]] bool is_reader() const noexcept { return lease_.holds(); }
+  [[nodiscard]] FleetCounts counts() const noexcept;
   [[nodiscard]] std::vector<MemberView> Members(const Instant& now) const;
 
   void Reduce(const Instant& now,
--- a/src/cassiabend/core/reader_watch.h
+++ b/src/cassiabend/core/reader_watch.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "cassiabend/core/fleet_context.h"
+#include "cassiabend/core/fleet_reducer.h"
 #include "cassiabend/core/fleet_store.h"
 #include "cassiabend/core/freshness.h"
 #include "cassiabend/core/spread_versions.h"
@@ -13,22 +14,6 @@
 
 namespace cassiabend {
 
-/// \brief How the head in the store compares with the version in force.
-enum class HeadState : std::uint8_t {
-  /// Not read yet, or not for a while.
-  kUnknown,
-  /// The store holds no configuration.
-  kAbsent,
-  /// The version in force, or one that is being fetched.
-  kCurrent,
-  /// An older version, as after a restore from a copy.
-  kOlder,
-  /// The number in force with another content.
-  kFork,
-  /// The value cannot be read.
-  kDamaged,
-};
-
 /// \brief Follows the head key for as long as this node is a reader: a watch
 /// tells of changes, a plain read per confirmation period confirms the head and
 /// shows when the watch is silently dead, and the version that the head names
--- a/tests/matrix/fleet_matrix_test.cc
+++ b/tests/matrix/fleet_matrix_test.cc
@@ -16,6 +16,10 @@
 /// The stated target: an accepted change is in force everywhere within this.
 constexpr Seconds kConvergenceTarget{4};
 constexpr std::uint64_t kSeed = 11;
+/// Two readers or a few candidates in each of three zones.
+constexpr double kStoreCallsPerSecond = 12;
+/// A few for each node that may have to start again.
+constexpr double kStoreCallsOfRestarts = 5 * kNodes;
 
 // Steps: the fault begins when the first effect of this kind appears.
 
@@ -276,6 +280,8 @@
     return "the step was not reached";
   }
   driver.on_effect = nullptr;
+  const MonoTime struck_at = driver.now();
+  const std::uint64_t calls_before = driver.traffic().store_calls;
   Milliseconds lasts = cell.faults.front()->lasts;
   if (cell.faults.size() > 1) {
     driver.RunFor(Milliseconds(700));
@@ -301,9 +307,24 @@
     if (node.left && node.applied_after_leave != 0) {
       return "a member that left applied a version";
     }
-    if (!node.left && !node.ready) {
+    if (node.left) {
+      continue;
+    }
+    if (!node.ready) {
       return "not ready after the faults: " + node.reason;
     }
+    const auto confirmed = node.reducer->confirmed_at();
+    if (!confirmed || driver.now() + node.clock_offset - *confirmed >
+                          CallOptions{}.freshness_limit) {
+      return "the confirmation is too old after the faults";
+    }
+  }
+  const double seconds = static_cast<double>(
+      std::chrono::duration_cast<Seconds>(driver.now() - struck_at).count());
+  const auto calls =
+      static_cast<double>(driver.traffic().store_calls - calls_before);
+  if (calls > seconds * kStoreCallsPerSecond + kStoreCallsOfRestarts) {
+    return std::to_string(calls / seconds) + " store calls a second";
   }
   return driver.violations.empty() ? "" : driver.violations.front();
 }
--- a/tests/reader_test.cc
+++ b/tests/reader_test.cc
@@ -89,6 +89,9 @@
     const FleetDriver::Node& node = driver.node(i);
     CHECK(node.applied == newest);
     CHECK(node.ready);
+    if (node.reducer->is_reader()) {
+      CHECK(NameOf(node.reducer->counts().head_state) == "older");
+    }
     // A watch or read that was under way may still have seen the newer head.
     CHECK(*node.reducer->confirmed_at() - node.clock_offset <=
           restored_at + Milliseconds(10));
@@ -111,7 +114,11 @@
   driver.store().Put(kHeadKey, EncodeHead(fork));
   driver.RunFor(Seconds(20));
   for (std::size_t i = 0; i < driver.size(); ++i) {
-    CHECK(driver.node(i).reducer->newest()->mark() == own);
+    const FleetReducer& reducer = *driver.node(i).reducer;
+    CHECK(reducer.newest()->mark() == own);
+    if (reducer.is_reader()) {
+      CHECK(reducer.counts().head_state == HeadState::kFork);
+    }
   }
   driver.Commit();
   CHECK(driver.RunUntil([&] { return driver.Converged(); }, Seconds(60)) <=
