Compare digests of the live members and ask for a whole list when they differ

Cause: with 18 hosts one or two nodes missed one member for good: gossip sends a statement a bounded number of times and only zone roots compared lists. Ruled out: slowness; after 25 s nodes 6 and 9 of 18 still had 17 members. Change: each datagram carries a 64-bit digest of the sender's live members; a node whose digest differs from twelve datagrams in a row asks the last sender for its list, at pauses from 5 s to 60 s. Conclusion: lists become equal again whatever gossip lost.

--- a/schema/gen/mesh.capnp.h
+++ b/schema/gen/mesh.capnp.h
@@ -101,7 +101,7 @@
   struct Body;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bd47d51d261602f1, 4, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(bd47d51d261602f1, 5, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -125,7 +125,7 @@
   struct PingRequest;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c29a73bbcf70fdd7, 4, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(c29a73bbcf70fdd7, 5, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -140,7 +140,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f3403346a1dd913b, 4, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(f3403346a1dd913b, 5, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -596,6 +596,8 @@
   inline bool hasUnreachableZones() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getUnreachableZones() const;
 
+  inline  ::uint64_t getMembersDigest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -674,6 +676,9 @@
   inline void adoptUnreachableZones(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownUnreachableZones();
 
+  inline  ::uint64_t getMembersDigest();
+  inline void setMembersDigest( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2278,6 +2283,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Datagram::Reader::getMembersDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Datagram::Builder::getMembersDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setMembersDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::cassiabend::schema::Datagram::Body::Which Datagram::Body::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<10>() * ::capnp::ELEMENTS);
--- a/schema/mesh.capnp
+++ b/schema/mesh.capnp
@@ -79,6 +79,8 @@
   # With `beat`: time since that attach was received.
   unreachableZones @17 :List(Text);
   # With `beat`: zones that the sender's zone cannot reach.
+  membersDigest @18 :UInt64;
+  # Digest of the live members that the sender knows; 0 for none stated.
 }
 
 struct ConfigUpdate {
--- a/src/cassiabend/core/fleet_events.h
+++ b/src/cassiabend/core/fleet_events.h
@@ -55,6 +55,8 @@
       body;
   /// With a beat: zones that the sender's zone cannot reach.
   std::vector<std::string> unreachable_zones;
+  /// Digest of the live members that the sender knows; 0 for none stated.
+  std::uint64_t members_digest = 0;
 };
 
 /// \brief The sender has nothing newer.
--- a/src/cassiabend/core/fleet_reducer_impl.cc
+++ b/src/cassiabend/core/fleet_reducer_impl.cc
@@ -55,6 +55,7 @@
   datagram.mark = versions_.mark();
   datagram.confirmed_age = freshness_.AgeAt(context.now());
   datagram.load_permille = load_permille_;
+  datagram.members_digest = membership_.live_digest();
   const MemberEntry* receiver = membership_.Find(send->to);
   const auto* ack = std::get_if<AckBody>(&datagram.body);
   const bool introduces = std::holds_alternative<JoinBody>(datagram.body) ||
@@ -105,6 +106,10 @@
   std::visit([&](const auto& it) { OnBody(context, datagram, it); },
              datagram.body);
   NoticeMark(context, datagram.from, datagram.mark);
+  if (datagram.members_digest != 0) {
+    member_sync_.OnDigest(context, datagram.from,
+                          datagram.members_digest == membership_.live_digest());
+  }
 }
 
 void FleetReducer::Impl::TakeSender(const FleetContext& context,
--- a/src/cassiabend/core/fleet_reducer_impl.h
+++ b/src/cassiabend/core/fleet_reducer_impl.h
@@ -11,6 +11,7 @@
 #include "cassiabend/core/join_readiness.h"
 #include "cassiabend/core/join_seeds.h"
 #include "cassiabend/core/mark_survey.h"
+#include "cassiabend/core/member_sync.h"
 #include "cassiabend/core/membership.h"
 #include "cassiabend/core/membership_prober.h"
 #include "cassiabend/core/membership_server.h"
@@ -103,6 +104,7 @@
   SeedDirectory seeds_;
   JoinReadiness readiness_;
   MarkSurvey survey_;
+  MemberSync member_sync_;
   std::uint16_t load_permille_ = 0;
   std::optional<bool> store_answers_;
   /// Whether the version applied in this event was committed here.
--- a/src/cassiabend/core/membership.cc
+++ b/src/cassiabend/core/membership.cc
@@ -20,9 +20,16 @@
          a.zone != b.zone || a.start_id != b.start_id;
 }
 
+/// \returns What a member adds to the digest of the live members.
+std::uint64_t DigestOf(const Member& member) {
+  return IsLive(member.status) ? Hash64(ToString(member.id), member.start_id)
+                               : 0;
+}
+
 }  // namespace
 
-Membership::Membership(const Member& self) : self_(self) {
+Membership::Membership(const Member& self)
+    : self_(self), live_digest_(DigestOf(self)) {
   zone_updates_.Add(self.id);
 }
 
@@ -66,6 +73,7 @@
   }
   ++statement.revision;
   view_version_ += ChangesView(self_, statement) ? 1 : 0;
+  ReplaceInDigest(&self_, statement);
   self_ = std::move(statement);
   QueueUpdate(context, self_);
   context.Emit(MembersChanged{{self_}});
@@ -113,6 +121,7 @@
     return;
   }
   ++view_version_;
+  ReplaceInDigest(&own, self_);
   QueueUpdate(context, self_);
   context.Emit(MembersChanged{{self_}});
 }
@@ -158,6 +167,7 @@
     CountLive(entry.member, -1);
   }
   CountLive(statement, 1);
+  ReplaceInDigest(inserted ? nullptr : &entry.member, statement);
   zone_size_ += inserted && statement.zone == self_.zone ? 1 : 0;
   entry.member = statement;
   const bool first_of_zone = statement.zone != self_.zone &&
@@ -171,6 +181,13 @@
   }
 }
 
+void Membership::ReplaceInDigest(const Member* before, const Member& after) {
+  if (before != nullptr) {
+    live_digest_ ^= DigestOf(*before);
+  }
+  live_digest_ ^= DigestOf(after);
+}
+
 void Membership::CountLive(const Member& member, int step) {
   if (!member.service.empty() && IsLive(member.status)) {
     live_counts_[{member.service, member.zone}] += step;
--- a/src/cassiabend/core/membership.h
+++ b/src/cassiabend/core/membership.h
@@ -58,6 +58,11 @@
   [[nodiscard]] std::uint64_t view_version() const noexcept {
     return view_version_;
   }
+  /// \returns A digest of the live members and their starts, this node's
+  /// included: equal for equal sets.
+  [[nodiscard]] std::uint64_t live_digest() const noexcept {
+    return live_digest_;
+  }
   /// \returns All statements, this node's first.
   [[nodiscard]] std::vector<Member> Statements() const;
   [[nodiscard]] std::vector<NodeId> LiveInZone() const;
@@ -101,6 +106,7 @@
   bool MergeOther(const FleetContext& context, Member statement);
   void Put(const FleetContext& context, const Member& statement);
   void CountLive(const Member& member, int step);
+  void ReplaceInDigest(const Member* before, const Member& after);
   void QueueUpdate(const FleetContext& context, const Member& statement);
   [[nodiscard]] UpdateQueue* QueueFor(const NodeId& to);
   [[nodiscard]] bool MayRemove(const FleetContext& context,
@@ -110,6 +116,7 @@
   Member self_;
   std::map<NodeId, MemberEntry> entries_;
   std::uint64_t view_version_ = 1;
+  std::uint64_t live_digest_ = 0;
   /// Members of this zone, those that are gone included.
   std::uint32_t zone_size_ = 1;
   /// Members with the newest updates, for the beats.
--- a/src/cassiabend/ctl/commands.cc
+++ b/src/cassiabend/ctl/commands.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <cstdlib>
 #include <ostream>
+#include <thread>
 #include <utility>
 
 #include "cassiabend/ctl/convergence.h"
@@ -14,6 +15,9 @@
 namespace cassiabend {
 namespace {
 
+/// Time for members to answer the node that was asked for the status.
+constexpr Milliseconds kSurveyTime{250};
+
 constexpr char kTokenVariable[] = "CASSIABEND_TOKEN";
 
 constexpr std::string_view kHistoryColumns[] = {"number", "committed_at",
@@ -145,7 +149,7 @@
   if (result.code == CommitCode::kOk &&
       !ConvergenceOf(status, status.mark.number).behind.empty()) {
     // The first request made the node ask the members that seem behind.
-    std::this_thread::sleep_for(kStatusPeriod);
+    std::this_thread::sleep_for(kSurveyTime);
     result = caller().Read(read);
   }
   if (result.code != CommitCode::kOk) {
--- a/src/cassiabend/rpc/mesh_codec.cc
+++ b/src/cassiabend/rpc/mesh_codec.cc
@@ -189,6 +189,7 @@
     ToWire(it, updates[i++]);
   }
   std::visit(BodyWriter{out, out.initBody()}, datagram.body);
+  out.setMembersDigest(datagram.members_digest);
   auto zones = out.initUnreachableZones(
       static_cast<unsigned>(datagram.unreachable_zones.size()));
   i = 0;
@@ -208,6 +209,7 @@
     out.updates.push_back(FromWire(it));
   }
   out.body = ReadBody(in);
+  out.members_digest = in.getMembersDigest();
   for (const auto it : in.getUnreachableZones()) {
     out.unreachable_zones.push_back(ToText(it));
   }
--- /dev/null
+++ b/tests/member_sync_test.cc
@@ -0,0 +1,94 @@
+#include <doctest/doctest.h>
+
+#include "cassiabend/core/fleet_reducer.h"
+
+namespace cassiabend {
+namespace {
+
+/// \brief One reducer in a zone of its peers.
+class Zone {
+ public:
+  static Member MemberAt(int n) {
+    Member member;
+    member.id = {"10.0.0." + std::to_string(n), 1};
+    member.region = "r";
+    member.zone = "a";
+    member.start_id = 1;
+    member.revision = 1;
+    return member;
+  }
+
+  Zone() : reducer_(FleetOptions{}, MemberAt(1), 7) {
+    MembersAnswered answered{.peer = MemberAt(2).id,
+                             .members = std::vector<Member>()};
+    for (int i = 2; i < 10; ++i) {
+      answered.members->push_back(MemberAt(i));
+    }
+    Send(answered);
+    Datagram greeting{
+        .from = MemberAt(2).id, .from_start_id = 1, .body = PingBody{1}};
+    own_digest_ = Answer(greeting).members_digest;
+  }
+
+  [[nodiscard]] std::uint64_t own_digest() const { return own_digest_; }
+
+  /// \returns Requests for members caused by `n` pings with `digest`, from the
+  /// peers in turn, `pause` apart.
+  int RequestsAfter(int n, std::uint64_t digest, Nanoseconds pause) {
+    int requests = 0;
+    for (int i = 0; i < n; ++i) {
+      now_.mono += pause;
+      Datagram ping{.from = MemberAt(2 + i % 8).id,
+                    .from_start_id = 1,
+                    .body = PingBody{1}};
+      ping.members_digest = digest;
+      for (const FleetEffect& it : Send(DatagramReceived{ping})) {
+        requests += std::holds_alternative<SendMembersRequest>(it) ? 1 : 0;
+      }
+    }
+    return requests;
+  }
+
+ private:
+  std::vector<FleetEffect> Send(const FleetEvent& event) {
+    std::vector<FleetEffect> out;
+    reducer_.Reduce(now_, event, &out);
+    return out;
+  }
+
+  Datagram Answer(const Datagram& datagram) {
+    for (const FleetEffect& it : Send(DatagramReceived{datagram})) {
+      if (const auto* send = std::get_if<SendDatagram>(&it)) {
+        return send->datagram;
+      }
+    }
+    return {};
+  }
+
+  FleetReducer reducer_;
+  Instant now_{MonoTime(Seconds(100)), WallTime(Seconds(1'000'000))};
+  std::uint64_t own_digest_ = 0;
+};
+
+TEST_CASE("equal digests ask nobody, and one differing peer neither") {
+  Zone zone;
+  REQUIRE(zone.own_digest() != 0);
+  CHECK(zone.RequestsAfter(100, zone.own_digest(), Milliseconds(100)) == 0);
+  for (int i = 0; i < 50; ++i) {
+    CHECK(zone.RequestsAfter(2, 1, Milliseconds(100)) == 0);
+    CHECK(zone.RequestsAfter(6, zone.own_digest(), Milliseconds(100)) == 0);
+  }
+}
+
+TEST_CASE("a list that differs from every peer's is asked for, at a pause") {
+  Zone zone;
+  CHECK(zone.RequestsAfter(11, 1, Milliseconds(1)) == 0);
+  CHECK(zone.RequestsAfter(1, 1, Milliseconds(1)) == 1);
+  // Ten minutes of differing digests, ten a second.
+  const int requests = zone.RequestsAfter(6'000, 1, Milliseconds(100));
+  CHECK(requests >= 5);
+  CHECK(requests <= 20);
+}
+
+}  // namespace
+}  // namespace cassiabend
