Let a node adopt the start under which its peers know it

Cause: a host whose clock went back across a restart takes a start above the one that its peers remember, but its call path kept the first one and refused every attempt as meant for another process. Ruled out: the peers' view; they address the adopted start. Change: the call reducer takes over a greater start from the membership. Conclusion: such a host carries calls again at once.

--- a/src/cassiabend/core/call_reducer.cc
+++ b/src/cassiabend/core/call_reducer.cc
@@ -117,12 +117,24 @@
   void Handle(const MembersChanged& event) {
     for (const Member& it : event.members) {
       if (it.id == context_.self.id) {
+        AdoptStart(it.start_id);
         continue;
       }
       balancer_.Update(context_.now.mono, it);
     }
   }
 
+  /// \brief Takes the start under which peers know this process: a greater one
+  /// when an earlier process of the slot had a greater one than the clock gave.
+  void AdoptStart(std::uint64_t start_id) {
+    if (start_id <= context_.self.start_id) {
+      return;
+    }
+    context_.self.start_id = start_id;
+    self_known_ = false;
+    UpdateSelf();
+  }
+
   void Handle(const MemberLoadReported& event) {
     balancer_.UpdateLoad(context_.now.mono, event.id, event.load_permille);
   }
--- /dev/null
+++ b/tests/node_reducer_test.cc
@@ -0,0 +1,87 @@
+#include <doctest/doctest.h>
+
+#include <utility>
+
+#include "cassiabend/core/event_sink.h"
+#include "cassiabend/core/node_reducer.h"
+
+namespace cassiabend {
+namespace {
+
+constexpr std::uint64_t kClockStart = 100;
+constexpr std::uint64_t kEarlierStart = 500;
+
+Member Self() {
+  Member self;
+  self.id = {"10.0.0.1", 1};
+  self.call_port = 2;
+  self.region = "r";
+  self.zone = "a";
+  self.start_id = kClockStart;
+  self.revision = 1;
+  self.service = "orders";
+  self.slots = 2;
+  self.upstream_state = UpstreamState::kWarming;
+  return self;
+}
+
+/// \brief One node that has a configuration and a healthy upstream.
+class OneNode {
+ public:
+  OneNode() : reducer_({.self = Self(), .seed = 7}) {
+    Config config;
+    config.number = 1;
+    config.services.push_back({.name = "orders", .revision = 1});
+    const RefPtr<const Snapshot> snapshot(new Snapshot(config));
+    Send(FleetEvent(
+        VersionCommitted{.snapshot = snapshot, .confirmed_at = now_.mono}));
+    Send(CallEvent(UpstreamProbed{.healthy = true}));
+    Send(CallEvent(UpstreamProbed{.healthy = true}));
+  }
+
+  Effects Send(EventSink::Body body) {
+    return reducer_.Reduce({now_, std::move(body)});
+  }
+
+  /// \returns Whether an attempt for the given start is run.
+  bool Runs(std::uint64_t start_id) {
+    AttemptArrived arrived;
+    arrived.link = ++link_;
+    arrived.request.id = {1, link_};
+    arrived.request.destination_start_id = start_id;
+    arrived.request.service = "orders";
+    arrived.request.deadline = Milliseconds(1'000);
+    for (const Effect& it : Send(CallEvent(arrived))) {
+      const auto* call = std::get_if<CallEffect>(&it);
+      if (call != nullptr && std::holds_alternative<StartUpstream>(*call)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+ private:
+  NodeReducer reducer_;
+  Instant now_{MonoTime(Seconds(100)), WallTime(Seconds(1'000'000))};
+  LinkId link_ = 0;
+};
+
+TEST_CASE("a process whose clock went back is reached under its new start") {
+  OneNode node;
+  CHECK(node.Runs(kClockStart));
+
+  // A peer remembers an earlier process of this slot with a greater start.
+  Datagram ping{
+      .from = {"10.0.0.2", 1}, .from_start_id = 1, .body = PingBody{1}};
+  Member earlier = Self();
+  earlier.start_id = kEarlierStart;
+  ping.updates = {earlier};
+  node.Send(FleetEvent(DatagramReceived{ping}));
+
+  CHECK(node.Runs(kEarlierStart + 1));
+  CHECK_FALSE(node.Runs(kEarlierStart));
+  CHECK_FALSE(node.Runs(kClockStart));
+}
+
+}  // namespace
+}  // namespace cassiabend
