Keep a connection open over the stop when its answer said so

An answer written just before StopAccepting promised to keep the connection, which then closed after it, while the entry node's next attempt was on its way. Connections that the system had accepted already were dropped as well. Change: a connection closes after an answer only where the answer says so; connections that wait to be accepted are taken before the port closes. Conclusion: two tests of the stop, one of which fails before the change.

--- a/src/cassiabend/http/call_server.cc
+++ b/src/cassiabend/http/call_server.cc
@@ -151,10 +151,8 @@
   }
 
   void StopAccepting() {
-    is_accepting_ = false;
-    error_code ignored;
-    acceptor_.close(ignored);
-    accept_timer_.cancel();
+    TakeWaitingConnections();
+    StopListening();
     const auto sessions = sessions_;
     for (const auto& [session, owner] : sessions) {
       session->EndAfterRequest();
@@ -162,10 +160,8 @@
   }
 
   void Close() {
-    is_accepting_ = false;
-    error_code ignored;
-    acceptor_.close(ignored);
-    accept_timer_.cancel();
+    is_closed_ = true;
+    StopListening();
     prober_ = nullptr;
     const auto sessions = std::exchange(sessions_, {});
     for (const auto& [session, owner] : sessions) {
@@ -198,18 +194,45 @@
     acceptor_.async_accept(
         [weak = weak_from_this()](const error_code& ec, tcp::socket socket) {
           const std::shared_ptr<Impl> self = weak.lock();
-          if (self == nullptr || !self->is_accepting_) {
+          if (self == nullptr || self->is_closed_) {
+            return;
+          }
+          // One that was accepted before the stop is still served.
+          if (!ec) {
+            self->TakeConnection(std::move(socket));
+          }
+          if (!self->is_accepting_) {
             return;
           }
           if (ec) {
             self->PauseAccepting(ec);
-            return;
+          } else {
+            self->Accept();
           }
-          self->TakeConnection(std::move(socket));
-          self->Accept();
         });
   }
 
+  /// \brief Takes the connections that the system has accepted already: their
+  /// ends may have sent a request, and must not find it dropped.
+  void TakeWaitingConnections() {
+    error_code ec;
+    acceptor_.non_blocking(true, ec);
+    while (!ec) {
+      tcp::socket socket(io_);
+      acceptor_.accept(socket, ec);
+      if (!ec) {
+        TakeConnection(std::move(socket));
+      }
+    }
+  }
+
+  void StopListening() {
+    is_accepting_ = false;
+    error_code ignored;
+    acceptor_.close(ignored);
+    accept_timer_.cancel();
+  }
+
   /// \brief Waits a little where the process is out of descriptors.
   void PauseAccepting(const error_code& error) {
     Log(LogLevel::kWarning, "accept_failed", {{"why", error.message()}});
@@ -232,6 +255,9 @@
         new ServerSession(std::move(socket), &ticks_,
                           SessionOptionsOf(options_), held_bytes_, this));
     sessions_.emplace(session.get(), session);
+    if (!is_accepting_) {
+      session->EndAfterRequest();
+    }
     session->Start();
   }
 
@@ -341,6 +367,7 @@
   CallServerCounts counts_;
   std::uint16_t call_port_ = 0;
   bool is_accepting_ = true;
+  bool is_closed_ = false;
 };
 
 CallServer::CallServer(boost::asio::io_context& io,
--- a/src/cassiabend/http/server_session.cc
+++ b/src/cassiabend/http/server_session.cc
@@ -169,6 +169,7 @@
   }
   DetachAnswer();
   head.content_length = body.size();
+  says_close_ = !keep_alive_;
   AppendResponseHead(head, BodyFraming::kLength, keep_alive_,
                      connection_->output());
   if (!is_head_request_) {
@@ -226,6 +227,7 @@
   }
   framing_ = FramingOf(head, is_head_request_, is_http_1_0_);
   keep_alive_ = keep_alive_ && framing_ != BodyFraming::kUntilClose;
+  says_close_ = !keep_alive_;
   AppendResponseHead(head, framing_, keep_alive_, connection_->output());
 }
 
@@ -275,7 +277,7 @@
   if (state_ != State::kIdle) {
     return;
   }
-  if (!keep_alive_) {
+  if (says_close_) {
     connection_->CloseAfterWrite();
     EndSession();
     return;
--- a/src/cassiabend/http/server_session.h
+++ b/src/cassiabend/http/server_session.h
@@ -122,7 +122,11 @@
   State state_ = State::kIdle;
   bool is_head_request_ = false;
   bool is_http_1_0_ = false;
+  /// Whether the connection may take another request.
   bool keep_alive_ = true;
+  /// Whether the answer said that the connection ends with it. One that did
+  /// not say so stays open: its other end may send the next request at once.
+  bool says_close_ = false;
   bool is_pumping_ = false;
 };
 
--- a/tests/shell/http_call_server_test.cc
+++ b/tests/shell/http_call_server_test.cc
@@ -246,5 +246,47 @@
   CHECK(caller->Has("\r\n\r\nxxxxx"));
 }
 
+TEST_CASE("an answer that keeps its connection keeps it over the stop") {
+  boost::asio::io_context io;
+  ScriptedNode node(io, OptionsFor(0));
+  const auto caller = RawPeer::Connect(io, node.port());
+  caller->Send(Get("/"));
+  node.Execute(
+      AnswerNotRun{node.Await<CallArrived>().call, NotRunReason::kNoRoute});
+  // The answer is handed to the socket, and its end not yet known of.
+  node.server().StopAccepting();
+  REQUIRE(RunUntil(io, [&] { return caller->Has("}\n"); }));
+  CHECK_FALSE(caller->Has("Connection: close"));
+  caller->Clear();
+  caller->Send(Get("/"));
+  node.Execute(
+      AnswerNotRun{node.Await<CallArrived>(2).call, NotRunReason::kDraining});
+  REQUIRE(RunUntil(io, [&] { return caller->closed(); }));
+  CHECK(caller->Has("Connection: close"));
+}
+
+TEST_CASE("connections that wait to be accepted at the stop are served") {
+  constexpr int kCallers = 5;
+  boost::asio::io_context io;
+  ScriptedNode node(io, OptionsFor(0));
+  node.script = [](const CallEvent& event) {
+    std::vector<CallEffect> out;
+    if (const auto* call = std::get_if<CallArrived>(&event)) {
+      out.emplace_back(AnswerNotRun{call->call, NotRunReason::kDraining});
+    }
+    return out;
+  };
+  std::vector<std::shared_ptr<RawPeer>> callers(kCallers);
+  for (auto& it : callers) {
+    it = RawPeer::Connect(io, node.port());
+    it->Send(Get("/"));
+  }
+  node.server().StopAccepting();
+  for (const auto& it : callers) {
+    CHECK(RunUntil(io, [&] { return it->closed(); }));
+    CHECK(it->Has("X-Cassiabend-Reason: draining"));
+  }
+}
+
 }  // namespace
 }  // namespace cassiabend
