--- a/src/cassiabend/store/store_client.cc
+++ b/src/cassiabend/store/store_client.cc
@@ -10,6 +10,7 @@
 #include "cassiabend/base/clock.h"
 #include "cassiabend/base/error.h"
 #include "cassiabend/base/log.h"
+#include "cassiabend/store/connection_pool.h"
 #include "cassiabend/store/gateway_codec.h"
 #include "cassiabend/store/gateway_connection.h"
 #include "cassiabend/store/watch_reader.h"
@@ -19,7 +20,6 @@
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
-using ConnectionPtr = std::shared_ptr<GatewayConnection>;
 
 constexpr Milliseconds kConnectTimeout{500};
 // Watches hold their connections for long, so they have a limit of their own.
@@ -63,6 +63,7 @@
       : io_(io),
         options_(options),
         endpoints_(ResolveEndpoints(options.endpoints)),
+        pool_(io, options.max_connections),
         sink_(sink) {}
 
   [[nodiscard]] const StoreClientCounts& counts() const noexcept {
@@ -102,58 +103,11 @@
 
   void Close() {
     closed_ = true;
-    for (const ConnectionPtr& it : idle_) {
-      it->Close();
-    }
-    idle_.clear();
     // Closing breaks the exchanges, which answers their calls.
-    for (const std::weak_ptr<GatewayConnection>& it : busy_) {
-      if (const ConnectionPtr connection = it.lock()) {
-        connection->Close();
-      }
-    }
+    pool_.Close();
   }
 
  private:
-  ConnectionPtr Connect(const tcp::endpoint& endpoint) {
-    ConnectionPtr connection = GatewayConnection::Create(io_, endpoint);
-    std::erase_if(busy_, [](const auto& it) { return it.expired(); });
-    busy_.push_back(connection);
-    return connection;
-  }
-
-  ConnectionPtr TakeConnection(Operation* op) {
-    const tcp::endpoint& endpoint = endpoints_[op->endpoint];
-    for (auto it = idle_.begin(); it != idle_.end();) {
-      ConnectionPtr connection = *it;
-      if (!connection->IsReusable()) {
-        connection->Close();
-        it = idle_.erase(it);
-        continue;
-      }
-      if (connection->endpoint() == endpoint) {
-        idle_.erase(it);
-        op->reused = true;
-        return connection;
-      }
-      ++it;
-    }
-    op->reused = false;
-    return Connect(endpoint);
-  }
-
-  /// \brief Closes idle connections to an endpoint where one has failed: the
-  /// others are likely to have been lost with it.
-  void CloseIdle(const tcp::endpoint& endpoint) {
-    std::erase_if(idle_, [&](const ConnectionPtr& it) {
-      if (it->endpoint() != endpoint) {
-        return false;
-      }
-      it->Close();
-      return true;
-    });
-  }
-
   Milliseconds TimeLeft(const Operation& op) const {
     return std::chrono::duration_cast<Milliseconds>(op.give_up_at -
                                                     clock_.Now().mono);
@@ -169,7 +123,8 @@
       return;
     }
     op->sent_at = clock_.Now().mono;
-    const ConnectionPtr connection = TakeConnection(op.get());
+    const ConnectionPtr connection =
+        pool_.Take(endpoints_[op->endpoint], &op->reused);
     connection->Exchange(EncodeGatewayRequest(op->call.request),
                          kConnectTimeout, Patience(*op, left),
                          [self = shared_from_this(), op,
@@ -195,15 +150,13 @@
       preferred_ = op->endpoint;
       last_answer_time_ = std::chrono::duration_cast<Milliseconds>(
           clock_.Now().mono - op->sent_at);
-      if (!closed_ && idle_.size() < options_.max_connections) {
-        idle_.push_back(connection);
-      }
+      pool_.GiveBack(connection);
       Reply(op, DecodeGatewayReply(op->call.request, result.http_status,
                                    result.body));
       Release();
       return;
     }
-    CloseIdle(connection->endpoint());
+    pool_.CloseIdle(connection->endpoint());
     const bool may_repeat = result.end == ExchangeResult::End::kNotSent ||
                             !IsWrite(op->call.request);
     if (may_repeat && (op->reused || MoveToNextEndpoint(op.get()))) {
@@ -265,7 +218,7 @@
     watch.after = after;
     auto reader = std::make_shared<WatchReader>(after);
     op->sent_at = clock_.Now().mono;
-    const ConnectionPtr connection = Connect(endpoints_[op->endpoint]);
+    const ConnectionPtr connection = pool_.New(endpoints_[op->endpoint]);
     connection->Stream(
         EncodeGatewayRequest(watch), kConnectTimeout, left,
         [reader](std::string_view chunk) { return reader->Take(chunk); },
@@ -303,7 +256,7 @@
   void ReadBeforeWatch(const OperationPtr& op) {
     const StoreGet get{std::get<StoreWatch>(op->call.request).key};
     op->sent_at = clock_.Now().mono;
-    const ConnectionPtr connection = Connect(endpoints_[op->endpoint]);
+    const ConnectionPtr connection = pool_.New(endpoints_[op->endpoint]);
     connection->Exchange(EncodeGatewayRequest(get), kConnectTimeout,
                          options_.request_timeout,
                          [self = shared_from_this(), op, get,
@@ -385,6 +338,7 @@
   asio::io_context& io_;
   StoreClientOptions options_;
   std::vector<tcp::endpoint> endpoints_;
+  ConnectionPool pool_;
   EventSink* sink_;
   SystemClock clock_;
   StoreClientCounts counts_;
@@ -395,8 +349,6 @@
   std::uint32_t active_ = 0;
   std::uint32_t watches_ = 0;
   std::deque<OperationPtr> waiting_;
-  std::vector<ConnectionPtr> idle_;
-  std::vector<std::weak_ptr<GatewayConnection>> busy_;
   bool closed_ = false;
 };
 
--- a/tools/fake_store_state.cc
+++ b/tools/fake_store_state.cc
@@ -1,5 +1,6 @@
 #include "tools/fake_store_state.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cassiabend {
@@ -30,11 +31,12 @@
     const std::string& key,
     StoreRevision from) const {
   std::vector<FakeStoreEvent> out;
-  for (const FakeStoreEvent& it : events_) {
-    if (it.revision < from || it.key != key) {
-      continue;
+  auto it = std::ranges::lower_bound(events_, from, std::ranges::less(),
+                                     &FakeStoreEvent::revision);
+  for (; it != events_.end(); ++it) {
+    if (it->key == key) {
+      out.push_back(*it);
     }
-    out.push_back(it);
   }
   return out;
 }
