--- a/src/cassiabend/store/gateway_codec.cc
+++ b/src/cassiabend/store/gateway_codec.cc
@@ -218,14 +218,13 @@
 bool IsRefusal(unsigned http_status, const json::object* answer) {
   constexpr unsigned kRequestTimeout = 408;
   constexpr unsigned kClientClosedRequest = 499;
-  if (http_status >= 400 && http_status < 500) {
-    return http_status != kRequestTimeout &&
-           http_status != kClientClosedRequest;
-  }
-  if (answer == nullptr) {
-    return false;
+  const bool client_error = http_status >= 400 && http_status < 500;
+  if (client_error && http_status != kRequestTimeout &&
+      http_status != kClientClosedRequest) {
+    return true;
   }
-  const json::value* executed = answer->if_contains("executed");
+  const json::value* executed =
+      answer == nullptr ? nullptr : answer->if_contains("executed");
   return executed != nullptr && executed->is_bool() && !executed->get_bool();
 }
 
