--- a/schema/gen/mesh.capnp.h
+++ b/schema/gen/mesh.capnp.h
@@ -596,7 +596,7 @@
   inline bool hasUnreachableZones() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getUnreachableZones() const;
 
-  inline  ::uint64_t getMemberDigest() const;
+  inline  ::uint64_t getMembersDigest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -676,8 +676,8 @@
   inline void adoptUnreachableZones(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownUnreachableZones();
 
-  inline  ::uint64_t getMemberDigest();
-  inline void setMemberDigest( ::uint64_t value);
+  inline  ::uint64_t getMembersDigest();
+  inline void setMembersDigest( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2283,16 +2283,16 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Datagram::Reader::getMemberDigest() const {
+inline  ::uint64_t Datagram::Reader::getMembersDigest() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Datagram::Builder::getMemberDigest() {
+inline  ::uint64_t Datagram::Builder::getMembersDigest() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Builder::setMemberDigest( ::uint64_t value) {
+inline void Datagram::Builder::setMembersDigest( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
--- a/src/cassiabend/core/membership.cc
+++ b/src/cassiabend/core/membership.cc
@@ -18,20 +18,22 @@
 /// Most statements that a comparison of two lists passes on.
 constexpr std::size_t kRelayLimit = 50;
 
-std::uint64_t DigestOf(const Member& member) {
-  const std::uint64_t seed = member.start_id * kDigestFactor + member.revision;
-  return Hash64(member.id.ip, seed ^ member.id.peer_port);
-}
-
 /// \returns Whether a change between the statements concerns the spread tree.
 bool ChangesView(const Member& a, const Member& b) noexcept {
   return IsLive(a.status) != IsLive(b.status) || a.is_reader != b.is_reader ||
          a.zone != b.zone || a.start_id != b.start_id;
 }
 
+/// \returns What a member adds to the digest of the live members.
+std::uint64_t DigestOf(const Member& member) {
+  const std::uint64_t seed = member.start_id * kDigestFactor + member.revision;
+  return IsLive(member.status) ? Hash64(ToString(member.id), seed) : 0;
+}
+
 }  // namespace
 
-Membership::Membership(const Member& self) : self_(self) {
+Membership::Membership(const Member& self)
+    : self_(self), live_digest_(DigestOf(self)) {
   zone_updates_.Add(self.id);
 }
 
@@ -75,6 +77,7 @@
   }
   ++statement.revision;
   view_version_ += ChangesView(self_, statement) ? 1 : 0;
+  ReplaceInDigest(&self_, statement);
   self_ = std::move(statement);
   QueueUpdate(context, self_);
   context.Emit(MembersChanged{{self_}});
@@ -122,6 +125,7 @@
     return;
   }
   ++view_version_;
+  ReplaceInDigest(&own, self_);
   QueueUpdate(context, self_);
   context.Emit(MembersChanged{{self_}});
 }
@@ -167,6 +171,7 @@
     CountLive(entry.member, -1);
   }
   CountLive(statement, 1);
+  ReplaceInDigest(inserted ? nullptr : &entry.member, statement);
   zone_size_ += inserted && statement.zone == self_.zone ? 1 : 0;
   entry.member = statement;
   const bool first_of_zone = statement.zone != self_.zone &&
@@ -180,12 +185,15 @@
   }
 }
 
-void Membership::CountLive(const Member& member, int step) {
-  if (!IsLive(member.status)) {
-    return;
+void Membership::ReplaceInDigest(const Member* before, const Member& after) {
+  if (before != nullptr) {
+    live_digest_ ^= DigestOf(*before);
   }
-  digest_ ^= DigestOf(member);
-  if (!member.service.empty()) {
+  live_digest_ ^= DigestOf(after);
+}
+
+void Membership::CountLive(const Member& member, int step) {
+  if (!member.service.empty() && IsLive(member.status)) {
     live_counts_[{member.service, member.zone}] += step;
   }
 }
@@ -322,10 +330,6 @@
   }
 }
 
-std::uint64_t Membership::digest() const noexcept {
-  return IsLive(self_.status) ? digest_ ^ DigestOf(self_) : digest_;
-}
-
 void Membership::RelayMissing(const FleetContext& context,
                               std::span<const Member> statements) {
   std::map<NodeId, const Member*> theirs;
--- a/src/cassiabend/core/membership.h
+++ b/src/cassiabend/core/membership.h
@@ -58,6 +58,11 @@
   [[nodiscard]] std::uint64_t view_version() const noexcept {
     return view_version_;
   }
+  /// \returns A digest of the newest statements of the live members, this
+  /// node's included: equal for equal sets.
+  [[nodiscard]] std::uint64_t live_digest() const noexcept {
+    return live_digest_;
+  }
   /// \returns All statements, this node's first.
   [[nodiscard]] std::vector<Member> Statements() const;
   [[nodiscard]] std::vector<NodeId> LiveInZone() const;
@@ -66,9 +71,6 @@
     return unreachable_zones_;
   }
 
-  /// \returns A digest of the newest statements of all live members; nodes that
-  /// know the same have the same digest.
-  [[nodiscard]] std::uint64_t digest() const noexcept;
   /// \returns The newest updates while they are fresh, for beats: these reach
   /// the whole zone in a few beat periods.
   [[nodiscard]] std::vector<Member> News(const FleetContext& context) const;
@@ -106,9 +108,8 @@
   void MergeSelf(const FleetContext& context, const Member& statement);
   bool MergeOther(const FleetContext& context, Member statement);
   void Put(const FleetContext& context, const Member& statement);
-  /// \brief Adds a statement to the counts and the digest, or with a `step` of
-  /// -1 takes it out.
   void CountLive(const Member& member, int step);
+  void ReplaceInDigest(const Member* before, const Member& after);
   void QueueUpdate(const FleetContext& context, const Member& statement);
   [[nodiscard]] UpdateQueue* QueueFor(const NodeId& to);
   [[nodiscard]] bool MayRemove(const FleetContext& context,
@@ -118,6 +119,7 @@
   Member self_;
   std::map<NodeId, MemberEntry> entries_;
   std::uint64_t view_version_ = 1;
+  std::uint64_t live_digest_ = 0;
   /// Members of this zone, those that are gone included.
   std::uint32_t zone_size_ = 1;
   /// Members with the newest updates, for the beats.
@@ -127,8 +129,6 @@
   UpdateQueue zone_updates_;
   /// Updates about members of this zone for each other zone.
   std::map<std::string, UpdateQueue> outer_updates_;
-  /// Digest of the live members other than this node.
-  std::uint64_t digest_ = 0;
   std::map<ServiceInZone, int> live_counts_;
   std::map<ServiceInZone, std::deque<MonoTime>> removals_;
   std::set<std::string> unreachable_zones_;
