Split the fleet driver of the tests: history, faults

Change: the accepted versions and the truth about the head are a class of their own, the settings of the faults a small header. No change of behaviour.

--- a/tests/support/fleet_driver.h
+++ b/tests/support/fleet_driver.h
@@ -16,46 +16,11 @@
 #include "cassiabend/core/membership_updates.h"
 #include "cassiabend/model/codec.h"
 #include "tests/support/fleet_fake_store.h"
+#include "tests/support/fleet_faults.h"
+#include "tests/support/fleet_history.h"
 
 namespace cassiabend::testing {
 
-/// \returns Names of three zones in two regions.
-[[nodiscard]] inline std::vector<std::string> ThreeZones() {
-  return {"puget-a", "puget-b", "inland-a"};
-}
-
-/// \brief Faults of the fake network, each per message in thousandths.
-struct NetworkFaults {
-  std::uint32_t lost_permille = 0;
-  std::uint32_t doubled_permille = 0;
-  /// Delayed by up to `late_by`, which also puts messages out of order.
-  std::uint32_t late_permille = 0;
-  Milliseconds late_by{1'500};
-};
-
-/// \brief Faults of the fake store.
-struct StoreFaults {
-  /// Calls fail at once.
-  bool down = false;
-  /// Calls are carried out and their answers are lost.
-  bool answers_lost = false;
-  /// Watches never return.
-  bool watches_dead = false;
-  Milliseconds slow_by{0};
-  /// Zones that cannot reach the store.
-  std::set<std::string> cut_zones;
-};
-
-/// \brief What the fleet sent, counted as the shell would send it.
-struct FleetTraffic {
-  std::uint64_t datagrams = 0;
-  std::uint64_t datagram_bytes = 0;
-  std::uint64_t config_messages = 0;
-  std::uint64_t config_bytes = 0;
-  std::uint64_t zone_crossing_bytes = 0;
-  std::uint64_t store_calls = 0;
-};
-
 /// \brief Drives a few fleet reducers over a fake network and a fake store by
 /// virtual time, and checks the invariants at every effect.
 class FleetDriver {
@@ -127,7 +92,7 @@
   }
   [[nodiscard]] FakeStore& store() noexcept { return store_; }
   [[nodiscard]] VersionNumber head_number() const {
-    return newest_ ? newest_->mark().number : 0;
+    return history_.newest_number();
   }
   /// \returns Whether every node that is up has the newest version.
   [[nodiscard]] bool Converged() const {
@@ -205,38 +170,17 @@
   /// \brief Accepts a new version in the store.
   /// \param committer Node whose commit path learns it; -1 for none.
   void Commit(int committer = -1) {
-    const RefPtr<const Snapshot> before = newest_;
-    Config config = before ? before->config() : Config{};
-    const VersionNumber number = config.number + 1;
-    const std::string name = "site-" + std::to_string(number % 5);
-    const std::vector<Edit> edits{
-        {Site{name, "tenant-" + std::to_string(number), "GMT+00", 0},
-         std::nullopt}};
-    ConfigDelta delta;
-    delta.base = before ? before->mark() : VersionMark{};
-    delta.change_id = {number, random_.Next()};
-    delta.author = "operator";
-    delta.edits = edits;
-    config = ApplyEdits(config, edits, delta.change_id, delta.author);
-    newest_ = RefPtr<const Snapshot>(new Snapshot(config));
-    delta.mark = newest_->mark();
-    WriteVersion(delta, before != nullptr);
+    const ConfigDelta delta = history_.Commit(now_, random_, &store_);
     if (committer >= 0) {
       Node& node = nodes_[static_cast<std::size_t>(committer)];
-      Deliver(static_cast<std::size_t>(committer), node.epoch,
-              VersionCommitted{newest_, delta, now_ + node.clock_offset});
+      Deliver(
+          static_cast<std::size_t>(committer), node.epoch,
+          VersionCommitted{history_.newest(), delta, now_ + node.clock_offset});
     }
   }
   /// \brief Puts the head back to the first one, as from an old copy.
-  void RestoreOldestHead() {
-    if (!oldest_head_.empty()) {
-      store_.Put(kHeadKey, oldest_head_);
-      heads_.emplace_back(now_, DecodeHead(oldest_head_).mark.number);
-    }
-  }
-  [[nodiscard]] bool IsRestored() const {
-    return !heads_.empty() && heads_.back().second != head_number();
-  }
+  void RestoreOldestHead() { history_.Restore(now_, &store_); }
+  [[nodiscard]] bool IsRestored() const { return history_.IsRestored(); }
 
   /// \brief Runs one action; the invariants are checked within.
   bool Step() {
@@ -329,9 +273,7 @@
       Fail(i, "applied version " + std::to_string(mark.number) + " after " +
                   std::to_string(node.applied));
     }
-    const auto it = committed_.find(mark.number);
-    if (it == committed_.end() ||
-        it->second->config() != effect.snapshot->config()) {
+    if (!history_.IsCommitted(*effect.snapshot)) {
       Fail(i, "applied a version that was not committed");
     }
     node.applied = mark.number;
@@ -339,10 +281,7 @@
   }
   void Do(std::size_t i, const HeadConfirmed& effect) {
     const MonoTime at = effect.at - nodes_[i].clock_offset;
-    VersionNumber then = 0;
-    for (const auto& [time, number] : heads_) {
-      then = time <= at ? number : then;
-    }
+    const VersionNumber then = history_.HeadAt(at);
     if (at > now_ || then > nodes_[i].applied) {
       Fail(i, "claims confirmation of " + std::to_string(nodes_[i].applied) +
                   " when the head was " + std::to_string(then));
@@ -594,28 +533,6 @@
       PollWatch(i, epoch, id, watch, sent_at, end);
     });
   }
-  void WriteVersion(const ConfigDelta& delta, bool has_base) {
-    const std::string number = std::to_string(newest_->mark().number);
-    Head head;
-    head.mark = newest_->mark();
-    // Two chunks, as a value over the store's limit has.
-    const std::string value = EncodeConfig(newest_->config());
-    head.value_keys = {kValuePrefix + number + "/0",
-                       kValuePrefix + number + "/1"};
-    store_.Put(head.value_keys[0], value.substr(0, value.size() / 2));
-    store_.Put(head.value_keys[1], value.substr(value.size() / 2));
-    if (has_base) {
-      head.delta_key = kDeltaPrefix + number;
-      store_.Put(head.delta_key, EncodeDelta(delta));
-    }
-    store_.Put(kHeadKey, EncodeHead(head));
-    if (oldest_head_.empty()) {
-      oldest_head_ = EncodeHead(head);
-    }
-    committed_[head.mark.number] = newest_;
-    heads_.emplace_back(now_, head.mark.number);
-  }
-
   struct PeerCall {
     std::size_t from = 0;
     std::uint64_t epoch = 0;
@@ -634,11 +551,7 @@
   std::map<PeerRequestId, PeerCall> calls_;
   PeerRequestId last_request_ = 0;
   FakeStore store_;
-  RefPtr<const Snapshot> newest_;
-  std::string oldest_head_;
-  std::map<VersionNumber, RefPtr<const Snapshot>> committed_;
-  /// When each head was written, by the driver's clock.
-  std::vector<std::pair<MonoTime, VersionNumber>> heads_;
+  FleetHistory history_;
   FleetTraffic traffic_;
 };
 
--- /dev/null
+++ b/tests/support/fleet_history.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cassiabend/base/random.h"
+#include "cassiabend/model/change.h"
+#include "cassiabend/model/codec.h"
+#include "cassiabend/model/snapshot.h"
+#include "tests/support/fleet_fake_store.h"
+
+namespace cassiabend::testing {
+
+/// \brief Writes versions to a fake store as the commit path does, and
+/// remembers what was accepted when, as the truth that nodes are checked
+/// against.
+class FleetHistory {
+ public:
+  [[nodiscard]] const RefPtr<const Snapshot>& newest() const noexcept {
+    return newest_;
+  }
+  [[nodiscard]] VersionNumber newest_number() const {
+    return newest_ ? newest_->mark().number : 0;
+  }
+  /// \returns The number that the head had at `at`.
+  [[nodiscard]] VersionNumber HeadAt(MonoTime at) const {
+    VersionNumber then = 0;
+    for (const auto& [time, number] : heads_) {
+      then = time <= at ? number : then;
+    }
+    return then;
+  }
+  [[nodiscard]] bool IsCommitted(const Snapshot& snapshot) const {
+    const auto it = committed_.find(snapshot.mark().number);
+    return it != committed_.end() && it->second->config() == snapshot.config();
+  }
+  /// \returns Whether the store's head is older than the newest version.
+  [[nodiscard]] bool IsRestored() const {
+    return !heads_.empty() && heads_.back().second != newest_number();
+  }
+
+  /// \brief Accepts the next version.
+  /// \returns The delta that leads to it.
+  ConfigDelta Commit(MonoTime now, Random& random, FakeStore* store) {
+    const RefPtr<const Snapshot> before = newest_;
+    const Config base = before ? before->config() : Config{};
+    const VersionNumber number = base.number + 1;
+    ConfigDelta delta;
+    delta.base = before ? before->mark() : VersionMark{};
+    delta.change_id = {number, random.Next()};
+    delta.author = "operator";
+    delta.edits = {{Site{"site-" + std::to_string(number % 5),
+                         "tenant-" + std::to_string(number), "GMT+00", 0},
+                    std::nullopt}};
+    newest_ = RefPtr<const Snapshot>(new Snapshot(
+        ApplyEdits(base, delta.edits, delta.change_id, delta.author)));
+    delta.mark = newest_->mark();
+    Write(delta, before != nullptr, store);
+    committed_[number] = newest_;
+    heads_.emplace_back(now, number);
+    return delta;
+  }
+  /// \brief Puts the head back to the first one, as from an old copy.
+  void Restore(MonoTime now, FakeStore* store) {
+    if (!oldest_head_.empty()) {
+      store->Put(kHeadKey, oldest_head_);
+      heads_.emplace_back(now, DecodeHead(oldest_head_).mark.number);
+    }
+  }
+
+ private:
+  void Write(const ConfigDelta& delta, bool has_base, FakeStore* store) {
+    const std::string number = std::to_string(delta.mark.number);
+    Head head;
+    head.mark = delta.mark;
+    // Two chunks, as a value over the store's limit has.
+    const std::string value = EncodeConfig(newest_->config());
+    head.value_keys = {kValuePrefix + number + "/0",
+                       kValuePrefix + number + "/1"};
+    store->Put(head.value_keys[0], value.substr(0, value.size() / 2));
+    store->Put(head.value_keys[1], value.substr(value.size() / 2));
+    if (has_base) {
+      head.delta_key = kDeltaPrefix + number;
+      store->Put(head.delta_key, EncodeDelta(delta));
+    }
+    const std::string bytes = EncodeHead(head);
+    store->Put(kHeadKey, bytes);
+    oldest_head_ = oldest_head_.empty() ? bytes : oldest_head_;
+  }
+
+  RefPtr<const Snapshot> newest_;
+  std::string oldest_head_;
+  std::map<VersionNumber, RefPtr<const Snapshot>> committed_;
+  /// When each head was written.
+  std::vector<std::pair<MonoTime, VersionNumber>> heads_;
+};
+
+}  // namespace cassiabend::testing
