--- a/src/cassiabend/core/fleet_reducer_impl.cc
+++ b/src/cassiabend/core/fleet_reducer_impl.cc
@@ -245,9 +245,13 @@
 void FleetReducer::Impl::On(const FleetContext& context,
                             const LocalUpstreamChanged& event) {
   Member self = membership_.self();
+  const bool announces = self.upstream_state != event.state;
   self.upstream_state = event.state;
   self.slots = event.slots;
   membership_.StateSelf(context, std::move(self));
+  if (announces) {
+    prober_.Announce(context, tree_, membership_);
+  }
 }
 
 void FleetReducer::Impl::On(const FleetContext&,
--- a/tests/process/whole_path_test.cc
+++ b/tests/process/whole_path_test.cc
@@ -59,6 +59,7 @@
   CHECK(admin->Commit(change, false).mark == first.mark);
   REQUIRE(fleet.WaitVersion(first.mark.number, kWait));
   REQUIRE(fleet.WaitReady(kWait));
+  REQUIRE(fleet.WaitServing(kHosts, kWait));
 
   for (std::size_t i = 0; i < kHosts; ++i) {
     const Response answer = fleet.Call(i, {.target = "/status/42"});
--- a/tools/harness/fleet.cc
+++ b/tools/harness/fleet.cc
@@ -237,6 +237,20 @@
   });
 }
 
+bool Fleet::WaitServing(std::size_t n, std::chrono::milliseconds wait) {
+  return WaitForAll(wait, [this, n](std::size_t host) {
+    const HostPlan& plan = hosts_.at(host);
+    const Request request{.target = "/members"};
+    const json::value page = json::parse(
+        Fetch(plan.ip, plan.metrics_port, request, kFetchTimeout).body);
+    std::size_t serving = 0;
+    for (const json::value& it : page.as_array()) {
+      serving += it.at("upstream") == "serving" && it.at("status") == "alive";
+    }
+    return serving == n;
+  });
+}
+
 bool Fleet::WaitMembers(std::size_t n, std::chrono::milliseconds wait) {
   return WaitForAll(wait, [this, n](std::size_t host) {
     const auto metrics = Metrics(host);
--- a/tools/harness/fleet.h
+++ b/tools/harness/fleet.h
@@ -85,6 +85,9 @@
   /// \brief Waits until every running node has at least version `number`.
   [[nodiscard]] bool WaitVersion(std::uint64_t number,
                                  std::chrono::milliseconds wait);
+  /// \brief Waits until every running node knows `n` members whose upstreams
+  /// serve.
+  [[nodiscard]] bool WaitServing(std::size_t n, std::chrono::milliseconds wait);
   /// \brief Waits until every running node counts `n` members as alive.
   [[nodiscard]] bool WaitMembers(std::size_t n, std::chrono::milliseconds wait);
 
