Tell the refusal that says most, and leave alone a node that restarted

Cause: with the store down, a caller was told restarted or no_upstream when the last of several attempts met a node that had just come back. Change: a refusal that only says that a node comes or goes does not replace an earlier one with a reason; restarted keeps the old statement out of the choice for a second, as draining does.

--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -47,17 +47,32 @@
     case NotRunReason::kNoUpstream:
     case NotRunReason::kDraining:
     case NotRunReason::kNotReady:
+    case NotRunReason::kRestarted:
       return AttemptOutcome::kUnavailable;
     case NotRunReason::kOverloaded:
       return AttemptOutcome::kShed;
     case NotRunReason::kUnreachable:
-    case NotRunReason::kRestarted:
       return AttemptOutcome::kFailed;
     default:
       return AttemptOutcome::kNeutral;
   }
 }
 
+/// \returns Whether a refusal says no more than that one node or upstream comes
+/// or goes.
+bool IsPassing(NotRunReason reason) noexcept {
+  switch (reason) {
+    case NotRunReason::kRestarted:
+    case NotRunReason::kDraining:
+    case NotRunReason::kUnreachable:
+    case NotRunReason::kCancelled:
+    case NotRunReason::kNoUpstream:
+      return true;
+    default:
+      return false;
+  }
+}
+
 /// \returns The time that a caller is told, for a refusal that names none.
 Milliseconds RetryAfterOf(const Refusal& refusal) noexcept {
   if (refusal.retry_after > Milliseconds(0)) {
@@ -238,6 +253,9 @@
                      Remaining(*call) > call->request.deadline / 2;
   EndAttempt(call, early ? AttemptOutcome::kFailed : OutcomeOf(event.reason),
              event.retry_after);
+  if (!call->refusal || !IsPassing(event.reason)) {
+    call->refusal = Refusal{event.reason, event.retry_after};
+  }
   const bool needs_room = event.reason == NotRunReason::kOverloaded;
   if (IsRetriable(event.reason) && Retry(call, needs_room)) {
     return;
@@ -246,7 +264,7 @@
     FinishUnknown(call, "an earlier attempt may have run");
     return;
   }
-  FinishNotRun(call, {event.reason, event.retry_after});
+  FinishNotRun(call, *call->refusal);
 }
 
 void CallEntry::Reduce(const AttemptAnswering& event) {
--- a/src/cassiabend/core/call_entry.h
+++ b/src/cassiabend/core/call_entry.h
@@ -69,6 +69,8 @@
     bool outstanding = false;
     /// Whether an attempt before the newest may have run.
     bool may_have_run = false;
+    /// The refusal that says most of why the call was not run.
+    std::optional<Refusal> refusal;
     /// Whether the newest attempt's connection fell silent.
     bool silent = false;
     std::uint8_t failed_fetches = 0;
--- a/tests/attempt_test.cc
+++ b/tests/attempt_test.cc
@@ -96,6 +96,22 @@
   }
 }
 
+TEST_CASE("of several refusals the one that says most is told") {
+  EntryCall call("status");
+  call.node.Do(AttemptNotRun{1, call.id, NotRunReason::kStoreUnavailable,
+                             Milliseconds(700)});
+  const auto second = call.node.Only<SendAttempt>();
+  REQUIRE(second);
+  call.node.Do(AttemptNotRun{1, second->request.id, NotRunReason::kRestarted});
+  const auto third = call.node.Only<SendAttempt>();
+  REQUIRE(third);
+  call.node.Do(AttemptNotRun{1, third->request.id, NotRunReason::kDraining});
+  REQUIRE(call.node.Only<AnswerNotRun>());
+  CHECK(call.node.Only<AnswerNotRun>()->reason ==
+        NotRunReason::kStoreUnavailable);
+  CHECK(call.node.Only<AnswerNotRun>()->retry_after >= Milliseconds(700));
+}
+
 TEST_CASE("a call below a retry is not retried") {
   CallNode node(MakeMember(1));
   node.MakeReady({MakeMember(2)});
