Take the calls that work in flight makes while a node drains

Cause: an upstream reaches the mesh through its own node. A draining node refused every new call, and so cut the work that it was letting finish. Change: calls of depth 1 and more are taken while the upstream still runs work.

--- a/src/cassiabend/core/call_context.h
+++ b/src/cassiabend/core/call_context.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -29,6 +30,8 @@
   std::optional<MonoTime> confirmed_at;
   bool ready = false;
   bool draining = false;
+  /// Attempts that this host's upstream has.
+  std::uint32_t upstream_calls = 0;
   Instant now;
   std::vector<CallEffect>* out = nullptr;
 
--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -131,7 +131,9 @@
 }
 
 std::optional<Refusal> CallEntry::Route(Call* call) const {
-  if (context_->draining) {
+  // The calls that work in flight makes belong to that work.
+  const bool in_flight = call->facts.depth > 0 && context_->upstream_calls > 0;
+  if (context_->draining && !in_flight) {
     return Refusal{NotRunReason::kDraining};
   }
   if (!context_->ready || !context_->snapshot) {
--- a/src/cassiabend/core/call_reducer.cc
+++ b/src/cassiabend/core/call_reducer.cc
@@ -40,6 +40,7 @@
     context_.now = now;
     context_.out = out;
     std::visit([this](const auto& it) { Handle(it); }, event);
+    context_.upstream_calls = destination_.running();
     UpdateSelf();
     FinishDrain();
     context_.out = nullptr;
--- a/tests/call_leave_test.cc
+++ b/tests/call_leave_test.cc
@@ -52,6 +52,25 @@
   CHECK(!node.Only<DrainFinished>());
 }
 
+TEST_CASE("work in flight makes its own calls while the node drains") {
+  CallNode node(MakeMember(2));
+  node.MakeReady({MakeMember(1)});
+  node.Do(AttemptArrived{1, MakeAttempt(1)});
+  node.Do(DrainRequested{});
+  CallFacts nested = MakeFacts("status");
+  nested.depth = 1;
+  node.Do(CallArrived{1, nested});
+  const auto send = node.Only<SendAttempt>();
+  REQUIRE(send);
+  CHECK(send->destination == MakeMember(1).id);
+  node.Do(UpstreamFinished{{0, 1}});
+  CHECK(!node.Only<DrainFinished>());
+  node.Do(CallArrived{2, nested});
+  CHECK(node.Only<AnswerNotRun>()->reason == NotRunReason::kDraining);
+  node.Do(AttemptNotRun{1, send->request.id, NotRunReason::kQuietWindow});
+  CHECK(node.Only<DrainFinished>());
+}
+
 TEST_CASE("a drain waits for an answer whose connection was lost") {
   CallNode node(MakeMember(2));
   node.MakeReady({});
