Refuse noisy work before its claim, and leave only without claims under way

Cause: a noisy order with a key was claimed in the store and then refused at dispatch, two writes for nothing; a node that drained could leave before the claims of the orders that it refused were deleted, so that their repeats were told unknown. Change: the site is checked on arrival as well as at dispatch; the end of the drain waits for calls to the store that are under way.

--- a/src/cassiabend/core/call_destination.cc
+++ b/src/cassiabend/core/call_destination.cc
@@ -26,9 +26,10 @@
       table_(context) {}
 
 bool CallDestination::has_work() const noexcept {
-  return std::ranges::any_of(table_.attempts(), [](const auto& it) {
-    return it.second->state != AttemptState::kHeld || !it.second->taken;
-  });
+  return !orders_.is_idle() ||
+         std::ranges::any_of(table_.attempts(), [](const auto& it) {
+           return it.second->state != AttemptState::kHeld || !it.second->taken;
+         });
 }
 
 // Arrival and admission.
@@ -87,6 +88,10 @@
       health_->state() != UpstreamState::kServing) {
     return Refusal{NotRunReason::kNoUpstream};
   }
+  // Work that could not start now is not worth a claim or a place.
+  if (const auto refusal = CheckSite(*context_, request)) {
+    return refusal;
+  }
   const Nanoseconds wait = admission_.ExpectedWait(request, health_->slots());
   if (wait >= request.deadline) {
     return Refusal{NotRunReason::kOverloaded,
--- a/src/cassiabend/core/call_destination.h
+++ b/src/cassiabend/core/call_destination.h
@@ -24,7 +24,8 @@
     return admission_.running();
   }
   [[nodiscard]] std::size_t held() const noexcept { return held_; }
-  /// \returns Whether an attempt waits, runs, or has an answer to be fetched.
+  /// \returns Whether an attempt waits, runs, or has an answer to be fetched,
+  /// or a claim is being made or deleted.
   [[nodiscard]] bool has_work() const noexcept;
 
   void Reduce(const AttemptArrived& event);
--- a/src/cassiabend/core/orders.h
+++ b/src/cassiabend/core/orders.h
@@ -53,6 +53,8 @@
   [[nodiscard]] bool is_available() const noexcept;
   /// \returns Whether this node's rate and memory allow one more claim.
   [[nodiscard]] bool has_room() const noexcept;
+  /// \returns Whether no call to the store is under way.
+  [[nodiscard]] bool is_idle() const noexcept { return by_sequence_.empty(); }
   /// \returns Outcomes since the last call of this method.
   [[nodiscard]] std::vector<ClaimOutcome> TakeOutcomes();
 
--- a/tests/orders_test.cc
+++ b/tests/orders_test.cc
@@ -226,6 +226,35 @@
   CHECK(driver.ledger().has_room());
 }
 
+TEST_CASE("a drain waits until the claim of a refused order is deleted") {
+  CallNode node(MakeMember(2));
+  node.MakeReady({});
+  AttemptRequest request;
+  request.id = kFirst;
+  request.destination_start_id = 100;
+  request.service = "svc";
+  request.once = true;
+  request.order_key = "k";
+  request.deadline = Milliseconds(4'000);
+  node.Do(AttemptArrived{1, request});
+  StoreReply reply;
+  reply.status = StoreStatus::kOk;
+  reply.lease = kLease;
+  reply.store_revision = 3;
+  node.Do(StoreReplied{node.Only<StoreCall>()->id, reply});
+  const StoreCallId swap = node.Only<StoreCall>()->id;
+  node.Do(DrainRequested{});
+  CHECK(node.Only<ReplyNotRun>());
+  CHECK(!node.Only<DrainFinished>());
+  node.Do(StoreReplied{swap, reply});
+  const auto call = node.Only<StoreCall>();
+  REQUIRE(call);
+  CHECK(std::holds_alternative<StoreCompareAndDelete>(call->request));
+  CHECK(!node.Only<DrainFinished>());
+  node.Do(StoreReplied{call->id, reply});
+  CHECK(node.Only<DrainFinished>());
+}
+
 TEST_CASE("a repeat at the same node gets the first run's answer") {
   CallNode node(MakeMember(2));
   node.MakeReady({});
