--- a/src/cassiabend/core/call_destination.cc
+++ b/src/cassiabend/core/call_destination.cc
@@ -59,18 +59,12 @@
   StartWaiting();
 }
 
-bool CallDestination::IsExpired(const AttemptRequest& request) const {
-  return request.expires_at != WallTime{} &&
-         context_->now.wall >
-             request.expires_at + context_->options.clock_error;
-}
-
 std::optional<Refusal> CallDestination::CheckIdentity(
     const AttemptRequest& request) const {
   if (request.destination_start_id != context_->self.start_id) {
     return Refusal{NotRunReason::kRestarted};
   }
-  if (IsExpired(request)) {
+  if (IsExpired(*context_, request)) {
     return Refusal{NotRunReason::kDeadline};
   }
   if (table_.MayBeForgotten(request)) {
@@ -198,7 +192,7 @@
 void CallDestination::StartWaiting() {
   while (Attempt* attempt = admission_.TakeNext(health_->slots())) {
     attempt->holds_slot = true;
-    if (const auto refusal = CheckDispatch(*attempt)) {
+    if (const auto refusal = CheckDispatch(*context_, *attempt)) {
       Refuse(attempt, *refusal);
       continue;
     }
@@ -206,18 +200,6 @@
   }
 }
 
-std::optional<Refusal> CallDestination::CheckDispatch(
-    const Attempt& attempt) const {
-  const AttemptRequest& request = attempt.request;
-  if (context_->now.mono >= attempt.deadline || IsExpired(request)) {
-    return Refusal{NotRunReason::kDeadline};
-  }
-  if (context_->draining) {
-    return Refusal{NotRunReason::kDraining};
-  }
-  return CheckSite(*context_, request);
-}
-
 void CallDestination::Start(Attempt* attempt) {
   attempt->state = AttemptState::kRunning;
   attempt->started_at = context_->now.mono;
--- a/src/cassiabend/core/call_destination.h
+++ b/src/cassiabend/core/call_destination.h
@@ -44,7 +44,6 @@
   void Drain();
 
  private:
-  [[nodiscard]] bool IsExpired(const AttemptRequest& request) const;
   [[nodiscard]] std::optional<Refusal> CheckIdentity(
       const AttemptRequest& request) const;
   [[nodiscard]] std::optional<Refusal> CheckCapacity(
@@ -58,8 +57,6 @@
   void TakeClaims();
   void Enqueue(Attempt* attempt);
   void StartWaiting();
-  [[nodiscard]] std::optional<Refusal> CheckDispatch(
-      const Attempt& attempt) const;
   void Start(Attempt* attempt);
 
   /// \brief Answers a connection that asks for a known attempt.
--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "cassiabend/core/call_refusals.h"
+
 namespace cassiabend {
 namespace {
 
@@ -17,93 +19,6 @@
 constexpr Milliseconds kMinAttemptTime{2};
 /// Time before the deadline at which an attempt in doubt is cancelled.
 constexpr Milliseconds kCancelMargin{80};
-/// When to come back after a refusal that names no time.
-constexpr Milliseconds kDefaultRetryAfter{100};
-
-/// Most that is added to the time at which a refused caller may come back.
-constexpr Milliseconds kMaxRetryAfterSpread{1'000};
-
-/// \returns Whether another upstream may take what one refused for `reason`.
-bool IsRetriable(NotRunReason reason) noexcept {
-  switch (reason) {
-    case NotRunReason::kOverloaded:
-    case NotRunReason::kStaleConfiguration:
-    case NotRunReason::kDraining:
-    case NotRunReason::kDeadline:
-    case NotRunReason::kRestarted:
-    case NotRunReason::kCancelled:
-    case NotRunReason::kUnreachable:
-    case NotRunReason::kNoUpstream:
-    case NotRunReason::kNotReady:
-    case NotRunReason::kStoreUnavailable:
-      return true;
-    default:
-      return false;
-  }
-}
-
-AttemptOutcome OutcomeOf(NotRunReason reason) noexcept {
-  switch (reason) {
-    case NotRunReason::kNoUpstream:
-    case NotRunReason::kDraining:
-    case NotRunReason::kNotReady:
-    case NotRunReason::kRestarted:
-      return AttemptOutcome::kUnavailable;
-    case NotRunReason::kOverloaded:
-      return AttemptOutcome::kShed;
-    case NotRunReason::kUnreachable:
-      return AttemptOutcome::kFailed;
-    default:
-      return AttemptOutcome::kNeutral;
-  }
-}
-
-/// \returns Whether a refusal says no more than that one node or upstream comes
-/// or goes.
-bool IsPassing(NotRunReason reason) noexcept {
-  switch (reason) {
-    case NotRunReason::kRestarted:
-    case NotRunReason::kDraining:
-    case NotRunReason::kUnreachable:
-    case NotRunReason::kCancelled:
-    case NotRunReason::kNoUpstream:
-      return true;
-    default:
-      return false;
-  }
-}
-
-/// \returns The time that a caller is told, for a refusal that names none.
-Milliseconds RetryAfterOf(const Refusal& refusal) noexcept {
-  if (refusal.retry_after > Milliseconds(0)) {
-    return refusal.retry_after;
-  }
-  switch (refusal.reason) {
-    case NotRunReason::kNoRoute:
-    case NotRunReason::kUnknownSite:
-    case NotRunReason::kDepthExceeded:
-    case NotRunReason::kBadRequest:
-      return Milliseconds(0);
-    default:
-      return kDefaultRetryAfter;
-  }
-}
-
-/// \returns Whether another attempt is safe though this one may have run. The
-/// claim of an order's key lets no second one run, and the node that ran the
-/// first may hand back its answer.
-bool MayRepeat(const AttemptRequest& request) noexcept {
-  return !request.once || !request.order_key.empty();
-}
-
-/// \returns A time at or after `wait`, so that callers who were refused at the
-/// same time do not all come back at the same time.
-Milliseconds Spread(Milliseconds wait, Random* random) {
-  const auto share = static_cast<std::uint64_t>(
-      std::min(wait / 2, kMaxRetryAfterSpread).count());
-  return wait + Milliseconds(random->Below(share + 1));
-}
-
 }  // namespace
 
 CallEntry::CallEntry(CallContext* context, Balancer* balancer)
@@ -465,7 +380,7 @@
 }
 
 void CallEntry::FinishNotRun(Call* call, const Refusal& refusal) {
-  const Milliseconds wait = Spread(RetryAfterOf(refusal), &context_->random);
+  const Milliseconds wait = RetryAfterOf(refusal, &context_->random);
   context_->Emit(AnswerNotRun{call->id, refusal.reason, wait,
                               std::string(NameOf(refusal.reason))});
   Finish(call, NameOf(refusal.reason));
--- a/src/cassiabend/core/dispatch_gate.cc
+++ b/src/cassiabend/core/dispatch_gate.cc
@@ -58,4 +58,21 @@
   return CheckNoisyWork(context, work);
 }
 
+bool IsExpired(const CallContext& context, const AttemptRequest& request) {
+  return request.expires_at != WallTime{} &&
+         context.now.wall > request.expires_at + context.options.clock_error;
+}
+
+std::optional<Refusal> CheckDispatch(const CallContext& context,
+                                     const Attempt& attempt) {
+  if (context.now.mono >= attempt.deadline ||
+      IsExpired(context, attempt.request)) {
+    return Refusal{NotRunReason::kDeadline};
+  }
+  if (context.draining) {
+    return Refusal{NotRunReason::kDraining};
+  }
+  return CheckSite(context, attempt.request);
+}
+
 }  // namespace cassiabend
--- a/src/cassiabend/core/dispatch_gate.h
+++ b/src/cassiabend/core/dispatch_gate.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 
+#include "cassiabend/core/attempt.h"
 #include "cassiabend/core/call_context.h"
 
 namespace cassiabend {
@@ -29,11 +30,22 @@
 [[nodiscard]] std::optional<Refusal> CheckNoisyWork(const CallContext& context,
                                                     const NoisyWork& work);
 
-/// \brief Checks an attempt at the moment of its dispatch against the route of
+/// \returns Whether the time has passed after which no copy of an attempt may
+/// start.
+[[nodiscard]] bool IsExpired(const CallContext& context,
+                             const AttemptRequest& request);
+
+/// \brief Checks an attempt against the route of
 /// the version in force here, which may be newer than the one that the attempt
 /// was routed by.
 /// \returns Why it must not start; unset when it may.
 [[nodiscard]] std::optional<Refusal> CheckSite(const CallContext& context,
                                                const AttemptRequest& request);
 
+/// \brief Checks all that may keep an attempt from its upstream, at the moment
+/// of its dispatch.
+/// \returns Why it must not start; unset when it may.
+[[nodiscard]] std::optional<Refusal> CheckDispatch(const CallContext& context,
+                                                   const Attempt& attempt);
+
 }  // namespace cassiabend
