--- a/src/cassiabend/core/call_destination.cc
+++ b/src/cassiabend/core/call_destination.cc
@@ -13,6 +13,7 @@
 constexpr Milliseconds kTakenHold{1'000};
 constexpr Milliseconds kUnreachedPause{100};
 constexpr Milliseconds kStorePause{1'000};
+constexpr Milliseconds kClaimPause{100};
 
 }  // namespace
 
@@ -25,9 +26,10 @@
       table_(context) {}
 
 bool CallDestination::has_work() const noexcept {
-  return std::ranges::any_of(table_.attempts(), [](const auto& it) {
-    return it.second->state != AttemptState::kHeld || !it.second->taken;
-  });
+  return !orders_.is_idle() ||
+         std::ranges::any_of(table_.attempts(), [](const auto& it) {
+           return it.second->state != AttemptState::kHeld || !it.second->taken;
+         });
 }
 
 // Arrival and admission.
@@ -57,18 +59,12 @@
   StartWaiting();
 }
 
-bool CallDestination::IsExpired(const AttemptRequest& request) const {
-  return request.expires_at != WallTime{} &&
-         context_->now.wall >
-             request.expires_at + context_->options.clock_error;
-}
-
 std::optional<Refusal> CallDestination::CheckIdentity(
     const AttemptRequest& request) const {
   if (request.destination_start_id != context_->self.start_id) {
     return Refusal{NotRunReason::kRestarted};
   }
-  if (IsExpired(request)) {
+  if (IsExpired(*context_, request)) {
     return Refusal{NotRunReason::kDeadline};
   }
   if (table_.MayBeForgotten(request)) {
@@ -86,14 +82,24 @@
       health_->state() != UpstreamState::kServing) {
     return Refusal{NotRunReason::kNoUpstream};
   }
+  // Work that could not start now is not worth a claim or a place.
+  if (const auto refusal = CheckSite(*context_, request)) {
+    return refusal;
+  }
   const Nanoseconds wait = admission_.ExpectedWait(request, health_->slots());
   if (wait >= request.deadline) {
     return Refusal{NotRunReason::kOverloaded,
                    std::chrono::ceil<Milliseconds>(wait)};
   }
-  if (OrderOf(request) && !orders_.is_available()) {
+  if (!OrderOf(request)) {
+    return std::nullopt;
+  }
+  if (!orders_.is_available()) {
     return Refusal{NotRunReason::kStoreUnavailable, kStorePause};
   }
+  if (!orders_.has_room()) {
+    return Refusal{NotRunReason::kOverloaded, kClaimPause};
+  }
   return std::nullopt;
 }
 
@@ -186,7 +192,7 @@
 void CallDestination::StartWaiting() {
   while (Attempt* attempt = admission_.TakeNext(health_->slots())) {
     attempt->holds_slot = true;
-    if (const auto refusal = CheckDispatch(*attempt)) {
+    if (const auto refusal = CheckDispatch(*context_, *attempt)) {
       Refuse(attempt, *refusal);
       continue;
     }
@@ -194,18 +200,6 @@
   }
 }
 
-std::optional<Refusal> CallDestination::CheckDispatch(
-    const Attempt& attempt) const {
-  const AttemptRequest& request = attempt.request;
-  if (context_->now.mono >= attempt.deadline || IsExpired(request)) {
-    return Refusal{NotRunReason::kDeadline};
-  }
-  if (context_->draining) {
-    return Refusal{NotRunReason::kDraining};
-  }
-  return CheckSite(*context_, request);
-}
-
 void CallDestination::Start(Attempt* attempt) {
   attempt->state = AttemptState::kRunning;
   attempt->started_at = context_->now.mono;
--- a/src/cassiabend/core/call_destination.h
+++ b/src/cassiabend/core/call_destination.h
@@ -24,7 +24,8 @@
     return admission_.running();
   }
   [[nodiscard]] std::size_t held() const noexcept { return held_; }
-  /// \returns Whether an attempt waits, runs, or has an answer to be fetched.
+  /// \returns Whether an attempt waits, runs, or has an answer to be fetched,
+  /// or a claim is being made or deleted.
   [[nodiscard]] bool has_work() const noexcept;
 
   void Reduce(const AttemptArrived& event);
@@ -43,7 +44,6 @@
   void Drain();
 
  private:
-  [[nodiscard]] bool IsExpired(const AttemptRequest& request) const;
   [[nodiscard]] std::optional<Refusal> CheckIdentity(
       const AttemptRequest& request) const;
   [[nodiscard]] std::optional<Refusal> CheckCapacity(
@@ -57,8 +57,6 @@
   void TakeClaims();
   void Enqueue(Attempt* attempt);
   void StartWaiting();
-  [[nodiscard]] std::optional<Refusal> CheckDispatch(
-      const Attempt& attempt) const;
   void Start(Attempt* attempt);
 
   /// \brief Answers a connection that asks for a known attempt.
--- a/src/cassiabend/core/orders.h
+++ b/src/cassiabend/core/orders.h
@@ -49,8 +49,12 @@
   /// \returns The attempt of this node that has the order, or had it and ran;
   /// unset when none.
   [[nodiscard]] std::optional<AttemptId> OwnerOf(const OrderId& order) const;
-  /// \returns Whether a claim made now has a chance.
+  /// \returns Whether a claim made now has a chance in the store.
   [[nodiscard]] bool is_available() const noexcept;
+  /// \returns Whether this node's rate and memory allow one more claim.
+  [[nodiscard]] bool has_room() const noexcept;
+  /// \returns Whether no call to the store is under way.
+  [[nodiscard]] bool is_idle() const noexcept { return by_sequence_.empty(); }
   /// \returns Outcomes since the last call of this method.
   [[nodiscard]] std::vector<ClaimOutcome> TakeOutcomes();
 
