--- a/src/cassiabend/core/fleet_reducer_impl.cc
+++ b/src/cassiabend/core/fleet_reducer_impl.cc
@@ -55,6 +55,7 @@
   datagram.mark = versions_.mark();
   datagram.confirmed_age = freshness_.AgeAt(context.now());
   datagram.load_permille = load_permille_;
+  datagram.members_digest = membership_.live_digest();
   const MemberEntry* receiver = membership_.Find(send->to);
   const auto* ack = std::get_if<AckBody>(&datagram.body);
   const bool introduces = std::holds_alternative<JoinBody>(datagram.body) ||
@@ -79,7 +80,7 @@
   prober_.Tick(context, tree_, &membership_);
   lease_.Tick(context, tree_);
   watch_.Tick(context, lease_.ShouldRead(context, tree_));
-  seeds_.Tick(context, tree_, membership_, lease_.holds());
+  seeds_.Tick(context, membership_, lease_.holds());
   spread_.Tick(context, tree_, membership_, watch_.ReadsAt(context));
   pull_.Tick(context, versions_);
   join_.Tick(context, tree_, membership_);
@@ -105,6 +106,10 @@
   std::visit([&](const auto& it) { OnBody(context, datagram, it); },
              datagram.body);
   NoticeMark(context, datagram.from, datagram.mark);
+  if (datagram.members_digest != 0) {
+    member_sync_.OnDigest(context, datagram.from,
+                          datagram.members_digest == membership_.live_digest());
+  }
 }
 
 void FleetReducer::Impl::TakeSender(const FleetContext& context,
@@ -307,6 +312,30 @@
   survey_.Start(context);
 }
 
+FleetCounts FleetReducer::Impl::counts() const noexcept {
+  FleetCounts counts;
+  for (const auto& [id, entry] : membership_.entries()) {
+    switch (entry.member.status) {
+      case MemberStatus::kAlive:
+        ++counts.members_alive;
+        break;
+      case MemberStatus::kSuspect:
+        ++counts.members_suspect;
+        break;
+      case MemberStatus::kDead:
+      case MemberStatus::kLeft:
+        ++counts.members_gone;
+        break;
+    }
+  }
+  counts.unreachable_zones = membership_.unreachable_zones().size();
+  counts.children = spread_.child_count();
+  counts.head_state = watch_.head_state();
+  counts.forks = versions_.refusals().forks;
+  counts.damaged = versions_.refusals().damaged;
+  return counts;
+}
+
 std::vector<MemberView> FleetReducer::Impl::Members(const Instant& now) const {
   std::vector<MemberView> views;
   MemberView own{membership_.self(), versions_.mark(),
