Split the writing of values from the commit job

Reading it again showed a loop: when the fleet moved on during a commit and the store had not, the job read the head and went back to it until its time was over. It answers store behind at once now (tests/config_reducer_test.cc).

--- a/src/cassiabend/core/commit_job.cc
+++ b/src/cassiabend/core/commit_job.cc
@@ -39,7 +39,8 @@
       deadline_(deadline),
       calls_(StoreClientRole::kCommit, env),
       loader_(&calls_),
-      inventory_(&calls_) {}
+      inventory_(&calls_),
+      values_(&calls_) {}
 
 bool CommitJob::OnReply(const ReduceContext& ctx, const StoreReplied& event) {
   return calls_.OnReply(ctx, event);
@@ -84,11 +85,10 @@
     return;
   }
   if (FindChange(head_, change_id_)) {
-    OnHeadMoved(ctx);
+    OnHeadMoved(ctx, reply.store_revision);
     return;
   }
-  if (attempt_ && head_revision_ == attempt_->expected &&
-      head_.mark == attempt_->base) {
+  if (HeadUnchanged() && (in_doubt_ || NumberIsFree())) {
     SendHead(ctx);
     return;
   }
@@ -299,40 +299,22 @@
   if (OutOfTime(ctx)) {
     return;
   }
-  values_missing_ = attempt_->values.size();
-  values_sent_at_ = ctx.now.mono;
-  for (const FreshValue& it : attempt_->values) {
-    calls_.Send(ctx, StoreCompareAndSwap{.key = it.key, .value = it.value},
-                {.deadline = deadline_, .resend = Resend::kAlways},
-                [this, &it](const ReduceContext& at, const StoreReply& reply) {
-                  OnValueWritten(at, it.value, reply);
+  wrote_values_ = true;
+  values_.Write(ctx, attempt_->values, deadline_,
+                [this](const ReduceContext& at, bool done) {
+                  if (done) {
+                    SendHead(at);
+                  } else {
+                    Fail(at, "the version cannot be written to the store");
+                  }
                 });
-  }
-}
-
-void CommitJob::OnValueWritten(const ReduceContext& ctx,
-                               const std::string& value,
-                               const StoreReply& reply) {
-  // An earlier try of the same write may have taken effect.
-  const bool written = reply.status == StoreStatus::kOk ||
-                       (reply.status == StoreStatus::kConflict && reply.entry &&
-                        reply.entry->value == value);
-  if (!written) {
-    Fail(ctx, "the version's value cannot be written to the store");
-    return;
-  }
-  values_revision_ = std::max(values_revision_, reply.store_revision);
-  if (--values_missing_ == 0) {
-    SendHead(ctx);
-  }
 }
 
 void CommitJob::SendHead(const ReduceContext& ctx) {
   if (OutOfTime(ctx)) {
     return;
   }
-  const VersionNumber number = attempt_->head.mark.number;
-  if (!in_doubt_ && env_->newest_mark().number >= number) {
+  if (!in_doubt_ && !NumberIsFree()) {
     // The fleet moved on while the values were written.
     ReadHead(ctx);
     return;
@@ -353,9 +335,7 @@
     case StoreStatus::kOk:
       head_ = attempt_->head;
       head_sent_at_ = reply.sent_at;
-      store_fell_back_ =
-          reply.store_revision != 0 && reply.store_revision <= values_revision_;
-      OnHeadMoved(ctx);
+      OnHeadMoved(ctx, reply.store_revision);
       return;
     case StoreStatus::kConflict:
       OnHead(ctx, reply);
@@ -375,63 +355,28 @@
   }
 }
 
-void CommitJob::OnHeadMoved(const ReduceContext& ctx) {
+void CommitJob::OnHeadMoved(const ReduceContext& ctx,
+                            StoreRevision store_revision) {
   if (!OwnsHead()) {
     Accept(ctx);
     return;
   }
   Publish(ctx, attempt_->next, head_sent_at_);
-  CheckValues(ctx);
+  values_.Check(ctx, store_revision, deadline_,
+                [this](const ReduceContext& at, bool /*done*/) { Accept(at); });
 }
 
 bool CommitJob::OwnsHead() const {
   return attempt_ && attempt_->head.mark == head_.mark;
 }
 
-void CommitJob::CheckValues(const ReduceContext& ctx) {
-  // A store that was restored from a copy between the writes of the values and
-  // that of the head has lost values. Reading the smallest tells, unless calls
-  // failed or the store's revisions give it away.
-  std::vector<const FreshValue*> values;
-  for (const FreshValue& it : attempt_->values) {
-    values.push_back(&it);
-  }
-  if (!calls_.disturbed() && !store_fell_back_) {
-    values = {&attempt_->values.back()};
-  }
-  values_missing_ = values.size();
-  for (const FreshValue* it : values) {
-    CheckValue(ctx, *it);
-  }
-}
-
-void CommitJob::CheckValue(const ReduceContext& ctx, const FreshValue& value) {
-  calls_.Send(ctx, StoreGet{value.key}, {.deadline = deadline_},
-              [this](const ReduceContext& at, const StoreReply& reply) {
-                if (reply.status != StoreStatus::kOk || reply.entry) {
-                  OnValueChecked(at);
-                  return;
-                }
-                calls_.Clear();
-                RewriteValues(at);
-              });
-}
-
-void CommitJob::RewriteValues(const ReduceContext& ctx) {
-  values_missing_ = attempt_->values.size();
-  for (const FreshValue& it : attempt_->values) {
-    calls_.Send(ctx, StoreCompareAndSwap{.key = it.key, .value = it.value},
-                {.deadline = deadline_, .resend = Resend::kAlways},
-                [this](const ReduceContext& at, const StoreReply& /*reply*/) {
-                  OnValueChecked(at);
-                });
-  }
+bool CommitJob::HeadUnchanged() const {
+  return attempt_ && head_revision_ == attempt_->expected &&
+         head_.mark == attempt_->base;
 }
 
-void CommitJob::OnValueChecked(const ReduceContext& ctx) {
-  if (--values_missing_ == 0) {
-    Accept(ctx);
-  }
+bool CommitJob::NumberIsFree() const {
+  return env_->newest_mark().number < attempt_->head.mark.number;
 }
 
 void CommitJob::Accept(const ReduceContext& ctx) {
--- a/src/cassiabend/core/commit_job.h
+++ b/src/cassiabend/core/commit_job.h
@@ -7,6 +7,7 @@
 #include "cassiabend/core/cleanup_inventory.h"
 #include "cassiabend/core/commit_attempt.h"
 #include "cassiabend/core/commit_plan.h"
+#include "cassiabend/core/commit_values.h"
 #include "cassiabend/core/config_loader.h"
 #include "cassiabend/core/config_store_caller.h"
 
@@ -30,9 +31,7 @@
 
   [[nodiscard]] bool done() const noexcept { return done_; }
   /// \returns Whether the job wrote values that may need cleaning up.
-  [[nodiscard]] bool wrote_values() const noexcept {
-    return values_sent_at_ != MonoTime();
-  }
+  [[nodiscard]] bool wrote_values() const noexcept { return wrote_values_; }
   [[nodiscard]] MonoTime deadline() const noexcept { return deadline_; }
 
   void Start(const ReduceContext& ctx);
@@ -60,17 +59,10 @@
 
   void RecordKeys(const ReduceContext& ctx);
   void WriteValues(const ReduceContext& ctx);
-  void OnValueWritten(const ReduceContext& ctx,
-                      const std::string& value,
-                      const StoreReply& reply);
   void SendHead(const ReduceContext& ctx);
   void OnHeadSent(const ReduceContext& ctx, const StoreReply& reply);
 
-  void OnHeadMoved(const ReduceContext& ctx);
-  void CheckValues(const ReduceContext& ctx);
-  void CheckValue(const ReduceContext& ctx, const FreshValue& value);
-  void RewriteValues(const ReduceContext& ctx);
-  void OnValueChecked(const ReduceContext& ctx);
+  void OnHeadMoved(const ReduceContext& ctx, StoreRevision store_revision);
 
   void Accept(const ReduceContext& ctx);
   void Publish(const ReduceContext& ctx,
@@ -78,7 +70,12 @@
                MonoTime confirmed_at) const;
   void Answer(const ReduceContext& ctx, CommitResult result) const;
   void Fail(const ReduceContext& ctx, const std::string& reason);
+  /// \returns Whether the head as last read is the one of this attempt.
   [[nodiscard]] bool OwnsHead() const;
+  /// \returns Whether the head is the one that the attempt replaces.
+  [[nodiscard]] bool HeadUnchanged() const;
+  /// \returns Whether no version of the attempt's number is in force here.
+  [[nodiscard]] bool NumberIsFree() const;
   [[nodiscard]] bool OutOfTime(const ReduceContext& ctx);
 
   ConfigEnv* env_;
@@ -88,6 +85,7 @@
   StoreCaller calls_;
   VersionLoader loader_;
   InventoryEditor inventory_;
+  ValueWriter values_;
 
   /// The head as last read, with its revision (0 when it is absent).
   Head head_;
@@ -99,12 +97,7 @@
   int unreadable_ = 0;
 
   std::optional<CommitAttempt> attempt_;
-  std::size_t values_missing_ = 0;
-  /// Highest revision of the store that the values' writes were told.
-  StoreRevision values_revision_ = 0;
-  /// Whether the store has fallen back behind the values' writes.
-  bool store_fell_back_ = false;
-  MonoTime values_sent_at_{};
+  bool wrote_values_ = false;
   /// Whether a sent write of the head may still take effect.
   bool in_doubt_ = false;
   std::uint32_t head_failures_ = 0;
--- /dev/null
+++ b/src/cassiabend/core/commit_values.cc
@@ -0,0 +1,100 @@
+#include "cassiabend/core/commit_values.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiabend {
+
+void ValueWriter::Write(const ReduceContext& ctx,
+                        const std::vector<FreshValue>& values,
+                        MonoTime deadline,
+                        Handler handler) {
+  values_ = &values;
+  deadline_ = deadline;
+  handler_ = std::move(handler);
+  missing_ = values.size();
+  written_revision_ = 0;
+  for (const FreshValue& it : values) {
+    calls_->Send(ctx, StoreCompareAndSwap{.key = it.key, .value = it.value},
+                 {.deadline = deadline_, .resend = Resend::kAlways},
+                 [this, &it](const ReduceContext& at, const StoreReply& reply) {
+                   OnWritten(at, it, reply);
+                 });
+  }
+}
+
+void ValueWriter::OnWritten(const ReduceContext& ctx,
+                            const FreshValue& value,
+                            const StoreReply& reply) {
+  // An earlier try of the same write may have taken effect.
+  const bool written = reply.status == StoreStatus::kOk ||
+                       (reply.status == StoreStatus::kConflict && reply.entry &&
+                        reply.entry->value == value.value);
+  if (!written) {
+    Finish(ctx, false);
+    return;
+  }
+  written_revision_ = std::max(written_revision_, reply.store_revision);
+  if (--missing_ == 0) {
+    Finish(ctx, true);
+  }
+}
+
+void ValueWriter::Check(const ReduceContext& ctx,
+                        StoreRevision head_store_revision,
+                        MonoTime deadline,
+                        Handler handler) {
+  deadline_ = deadline;
+  handler_ = std::move(handler);
+  if (Trusted(head_store_revision)) {
+    missing_ = 1;
+    CheckOne(ctx, values_->back());
+    return;
+  }
+  missing_ = values_->size();
+  for (const FreshValue& it : *values_) {
+    CheckOne(ctx, it);
+  }
+}
+
+bool ValueWriter::Trusted(StoreRevision head_store_revision) const {
+  const bool fell_back =
+      head_store_revision != 0 && head_store_revision <= written_revision_;
+  return !calls_->disturbed() && !fell_back;
+}
+
+void ValueWriter::CheckOne(const ReduceContext& ctx, const FreshValue& value) {
+  calls_->Send(ctx, StoreGet{value.key}, {.deadline = deadline_},
+               [this](const ReduceContext& at, const StoreReply& reply) {
+                 if (reply.status != StoreStatus::kOk || reply.entry) {
+                   OnChecked(at);
+                   return;
+                 }
+                 calls_->Clear();
+                 Rewrite(at);
+               });
+}
+
+void ValueWriter::Rewrite(const ReduceContext& ctx) {
+  missing_ = values_->size();
+  for (const FreshValue& it : *values_) {
+    calls_->Send(ctx, StoreCompareAndSwap{.key = it.key, .value = it.value},
+                 {.deadline = deadline_, .resend = Resend::kAlways},
+                 [this](const ReduceContext& at, const StoreReply& /*reply*/) {
+                   OnChecked(at);
+                 });
+  }
+}
+
+void ValueWriter::OnChecked(const ReduceContext& ctx) {
+  if (--missing_ == 0) {
+    Finish(ctx, true);
+  }
+}
+
+void ValueWriter::Finish(const ReduceContext& ctx, bool done) {
+  const Handler handler = std::exchange(handler_, nullptr);
+  handler(ctx, done);
+}
+
+}  // namespace cassiabend
--- a/tests/config_reducer_test.cc
+++ b/tests/config_reducer_test.cc
@@ -403,6 +403,24 @@
   CHECK(node.newest()->config().services.size() == 3);
 }
 
+TEST_CASE("a fleet that moves on during a commit shows a store behind") {
+  FakeStore store;
+  ConfigNode node(&store);
+  node.Commit(PutService(1, "catalog"));
+  const Config next =
+      ApplyEdits(node.newest()->config(), {{.action = ServiceOf("x")}}, {}, "");
+  node.fault = [&](const StoreCall& call) -> std::optional<StoreReply> {
+    if (std::holds_alternative<StoreCompareAndSwap>(call.request)) {
+      node.SetNewest(RefPtr<const Snapshot>(new Snapshot(next)));
+    }
+    return std::nullopt;
+  };
+  const int before = node.calls;
+  const CommitResult result = node.Commit(PutService(2, "orders"));
+  CHECK(result.code == CommitCode::kStoreBehind);
+  CHECK(node.calls - before < 10);
+}
+
 TEST_CASE("a recovery replaces a newer version that nobody can read") {
   FakeStore store;
   ConfigNode node(&store);
