--- a/tests/model_json_test.cc
+++ b/tests/model_json_test.cc
@@ -1,10 +1,14 @@
 #include <doctest/doctest.h>
 
 #include <boost/json/serialize.hpp>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
 
 #include "cassiabend/base/error.h"
 #include "cassiabend/model/json.h"
 #include "cassiabend/model/time_text.h"
+#include "cassiabend/model/validate.h"
 #include "tests/support/configs.h"
 
 namespace cassiabend {
@@ -105,6 +109,25 @@
                   ModelError);
 }
 
+TEST_CASE("the example files are accepted as they are") {
+  const char* root = std::getenv("CASSIABEND_ROOT");
+  if (root == nullptr) {
+    MESSAGE("CASSIABEND_ROOT is not set; ctest sets it");
+    return;
+  }
+  for (const char* const file :
+       {"apply.json", "cascadia/config.json", "silfurhud/config.json"}) {
+    CAPTURE(file);
+    std::ifstream in(std::string(root) + "/examples/" + file);
+    REQUIRE(in.good());
+    std::ostringstream text;
+    text << in.rdbuf();
+    const Config config = ApplyEdits({}, ParseEditsJson(text.str()), {}, "");
+    CHECK(Validate(config).empty());
+    CHECK(config.routes.size() >= 2);
+  }
+}
+
 TEST_CASE("times survive their text form") {
   for (const std::int64_t ms : {0LL, 1'700'000'000'123LL, 951'782'400'000LL}) {
     const WallTime time{Milliseconds(ms)};
