--- a/src/cassiabend/core/membership.h
+++ b/src/cassiabend/core/membership.h
@@ -58,8 +58,8 @@
   [[nodiscard]] std::uint64_t view_version() const noexcept {
     return view_version_;
   }
-  /// \returns A digest of the live members and their starts, this node's
-  /// included: equal for equal sets.
+  /// \returns A digest of the newest statements of the live members, this
+  /// node's included: equal for equal sets.
   [[nodiscard]] std::uint64_t live_digest() const noexcept {
     return live_digest_;
   }
@@ -82,6 +82,9 @@
   void Merge(const FleetContext& context,
              std::span<const Member> statements,
              Relay relay = Relay::kYes);
+  /// \brief Passes on what `statements`, a peer's whole list, does not have.
+  void RelayMissing(const FleetContext& context,
+                    std::span<const Member> statements);
   /// \brief Takes the header of a datagram from a known member.
   void TakeHeader(const FleetContext& context, const Datagram& datagram);
   /// \brief Holds a member of the zone that did not answer as suspect.
