--- a/src/cassiabend/core/fleet_events.h
+++ b/src/cassiabend/core/fleet_events.h
@@ -55,6 +55,8 @@
       body;
   /// With a beat: zones that the sender's zone cannot reach.
   std::vector<std::string> unreachable_zones;
+  /// Digest of the live members that the sender knows; 0 for none stated.
+  std::uint64_t members_digest = 0;
 };
 
 /// \brief The sender has nothing newer.
@@ -124,6 +126,9 @@
 /// \brief Event: this node leaves; it states so to its peers.
 struct LeaveRequested {};
 
+/// \brief Event: an operator wants to know the members' versions.
+struct MarksRequested {};
+
 using FleetEvent = std::variant<FleetTick,
                                 DatagramReceived,
                                 PushReceived,
@@ -136,7 +141,8 @@
                                 LocalLoadChanged,
                                 LeaveRequested,
                                 VersionCommitted,
-                                StoreReplied>;
+                                StoreReplied,
+                                MarksRequested>;
 
 // Effects.
 
--- a/src/cassiabend/core/fleet_reducer_impl.cc
+++ b/src/cassiabend/core/fleet_reducer_impl.cc
@@ -32,7 +32,6 @@
 
 void FleetReducer::Impl::Finish(const FleetContext& context,
                                 const VersionMark& mark_before) {
-  tree_.Refresh(options_, membership_);
   if (versions_.mark() != mark_before) {
     spread_.PushNewest(context, tree_, membership_, versions_, freshness_,
                        committed_here_);
@@ -56,13 +55,20 @@
   datagram.mark = versions_.mark();
   datagram.confirmed_age = freshness_.AgeAt(context.now());
   datagram.load_permille = load_permille_;
+  datagram.members_digest = membership_.live_digest();
   const MemberEntry* receiver = membership_.Find(send->to);
   const auto* ack = std::get_if<AckBody>(&datagram.body);
   const bool introduces = std::holds_alternative<JoinBody>(datagram.body) ||
                           (ack != nullptr && ack->sequence == 0) ||
                           receiver == nullptr || !receiver->heard_at;
-  datagram.updates = membership_.TakeUpdates(send->to, introduces);
-  if (std::holds_alternative<BeatBody>(datagram.body)) {
+  const bool beats = std::holds_alternative<BeatBody>(datagram.body);
+  if (!beats || introduces) {
+    datagram.updates = membership_.TakeUpdates(send->to, introduces);
+  }
+  if (beats) {
+    if (datagram.updates.empty()) {
+      datagram.updates = membership_.News(context);
+    }
     const auto& zones = membership_.unreachable_zones();
     datagram.unreachable_zones.assign(zones.begin(), zones.end());
   }
@@ -73,11 +79,12 @@
   membership_.Tick(context);
   prober_.Tick(context, tree_, &membership_);
   lease_.Tick(context, tree_);
-  watch_.Tick(context, lease_.holds());
-  seeds_.Tick(context, tree_, membership_, lease_.holds());
+  watch_.Tick(context, lease_.ShouldRead(context, tree_));
+  seeds_.Tick(context, membership_, lease_.holds());
   spread_.Tick(context, tree_, membership_, watch_.ReadsAt(context));
   pull_.Tick(context, versions_);
   join_.Tick(context, tree_, membership_);
+  survey_.Tick(context, membership_, versions_.mark());
 }
 
 bool FleetReducer::Impl::IsFromOlderProcess(const Datagram& datagram) const {
@@ -99,6 +106,10 @@
   std::visit([&](const auto& it) { OnBody(context, datagram, it); },
              datagram.body);
   NoticeMark(context, datagram.from, datagram.mark);
+  if (datagram.members_digest != 0) {
+    member_sync_.OnDigest(context, datagram.from,
+                          datagram.members_digest == membership_.live_digest());
+  }
 }
 
 void FleetReducer::Impl::TakeSender(const FleetContext& context,
@@ -296,6 +307,35 @@
   }
 }
 
+void FleetReducer::Impl::On(const FleetContext& context,
+                            const MarksRequested&) {
+  survey_.Start(context);
+}
+
+FleetCounts FleetReducer::Impl::counts() const noexcept {
+  FleetCounts counts;
+  for (const auto& [id, entry] : membership_.entries()) {
+    switch (entry.member.status) {
+      case MemberStatus::kAlive:
+        ++counts.members_alive;
+        break;
+      case MemberStatus::kSuspect:
+        ++counts.members_suspect;
+        break;
+      case MemberStatus::kDead:
+      case MemberStatus::kLeft:
+        ++counts.members_gone;
+        break;
+    }
+  }
+  counts.unreachable_zones = membership_.unreachable_zones().size();
+  counts.children = spread_.child_count();
+  counts.head_state = watch_.head_state();
+  counts.forks = versions_.refusals().forks;
+  counts.damaged = versions_.refusals().damaged;
+  return counts;
+}
+
 std::vector<MemberView> FleetReducer::Impl::Members(const Instant& now) const {
   std::vector<MemberView> views;
   MemberView own{membership_.self(), versions_.mark(),
--- a/src/cassiabend/rpc/peer_links.cc
+++ b/src/cassiabend/rpc/peer_links.cc
@@ -2,6 +2,8 @@
 
 #include <capnp/message.h>
 
+#include <boost/asio/ip/address.hpp>
+
 #include "cassiabend/rpc/rpc_listener.h"
 
 namespace cassiabend {
@@ -9,16 +11,27 @@
 
 constexpr auto kIdleLimit = 30 * kj::SECONDS;
 
+/// \brief Turns the address of a peer into KJ's form. Names are refused: they
+/// would be looked up.
+kj::Promise<kj::Own<kj::NetworkAddress>> ParseAddress(kj::AsyncIoContext& io,
+                                                      const NodeId& to) {
+  boost::system::error_code ec;
+  boost::asio::ip::make_address(to.ip, ec);
+  if (ec) {
+    return KJ_EXCEPTION(FAILED, "not an IP number", to.ip.c_str());
+  }
+  return io.provider->getNetwork().parseAddress(to.ip.c_str(), to.peer_port);
+}
+
 }  // namespace
 
 PeerLink::PeerLink(kj::AsyncIoContext& io,
                    const NodeId& to,
                    std::uint32_t max_message_bytes,
-                   ByteCounters* counters)
+                   TcpCounters* counters)
     : max_message_bytes_(max_message_bytes),
       counters_(counters),
-      connected_(io.provider->getNetwork()
-                     .parseAddress(to.ip.c_str(), to.peer_port)
+      connected_(ParseAddress(io, to)
                      .then([](kj::Own<kj::NetworkAddress>&& address) {
                        auto connected = address->connect();
                        return connected.attach(kj::mv(address));
@@ -42,7 +55,7 @@
 
 PeerLinks::PeerLinks(kj::AsyncIoContext& io,
                      const PeerTransportOptions& options,
-                     ByteCounters* counters)
+                     TcpCounters* counters)
     : io_(io),
       timer_(io.provider->getTimer()),
       timeout_(options.rpc_timeout),
--- a/tests/support/fleet_driver.h
+++ b/tests/support/fleet_driver.h
@@ -19,6 +19,11 @@
 
 namespace cassiabend::testing {
 
+/// \returns Names of three zones in two regions.
+[[nodiscard]] inline std::vector<std::string> ThreeZones() {
+  return {"puget-a", "puget-b", "inland-a"};
+}
+
 /// \brief Faults of the fake network, each per message in thousandths.
 struct NetworkFaults {
   std::uint32_t lost_permille = 0;
@@ -106,6 +111,13 @@
   /// Pairs of zones (from, to) that messages do not pass.
   std::set<std::pair<std::string, std::string>> cuts;
   std::vector<std::string> violations;
+  /// Whether started nodes know the addresses of their settings.
+  bool seeds_from_settings = true;
+  /// For comparisons: versions and confirmations pass by pulls and pings alone.
+  bool drop_pushes = false;
+  bool drop_beats = false;
+  /// Called before each effect is carried out, with the node's index.
+  std::function<void(std::size_t, const FleetEffect&)> on_effect;
 
   [[nodiscard]] MonoTime now() const noexcept { return now_; }
   [[nodiscard]] Node& node(std::size_t i) { return nodes_[i]; }
@@ -115,7 +127,7 @@
   }
   [[nodiscard]] FakeStore& store() noexcept { return store_; }
   [[nodiscard]] VersionNumber head_number() const {
-    return heads_.empty() ? 0 : heads_.back().second;
+    return newest_ ? newest_->mark().number : 0;
   }
   /// \returns Whether every node that is up has the newest version.
   [[nodiscard]] bool Converged() const {
@@ -143,7 +155,11 @@
     node.applied = 0;
     node.paused_until = {};
     node.self.start_id = 1'000 + ++starts_;
-    node.reducer = std::make_unique<FleetReducer>(options_, node.self,
+    FleetOptions options = options_;
+    if (!seeds_from_settings) {
+      options.seeds.clear();
+    }
+    node.reducer = std::make_unique<FleetReducer>(options, node.self,
                                                   seed_ * 1'000'003 + starts_);
     const Nanoseconds phase(random_.Below(100'000'000));
     ScheduleTick(i, node.epoch, now_ + phase);
@@ -211,11 +227,15 @@
               VersionCommitted{newest_, delta, now_ + node.clock_offset});
     }
   }
-  /// \brief Puts the head back to an earlier value, as from an old copy.
-  void RestoreHead(const std::string& value) { store_.Put(kHeadKey, value); }
-  [[nodiscard]] std::string HeadValue() const {
-    const StoreEntry* entry = store_.Find(kHeadKey);
-    return entry == nullptr ? std::string() : entry->value;
+  /// \brief Puts the head back to the first one, as from an old copy.
+  void RestoreOldestHead() {
+    if (!oldest_head_.empty()) {
+      store_.Put(kHeadKey, oldest_head_);
+      heads_.emplace_back(now_, DecodeHead(oldest_head_).mark.number);
+    }
+  }
+  [[nodiscard]] bool IsRestored() const {
+    return !heads_.empty() && heads_.back().second != head_number();
   }
 
   /// \brief Runs one action; the invariants are checked within.
@@ -285,8 +305,13 @@
     const Instant instant{now_ + node.clock_offset, {}};
     std::vector<FleetEffect> effects;
     node.reducer->Reduce(instant, event, &effects);
-    for (FleetEffect& it : effects) {
-      std::visit([&](auto& effect) { Do(i, effect); }, it);
+    for (const FleetEffect& it : effects) {
+      if (on_effect) {
+        on_effect(i, it);
+      }
+      if (node.epoch == epoch) {
+        std::visit([&](const auto& effect) { Do(i, effect); }, it);
+      }
     }
   }
 
@@ -335,6 +360,13 @@
     }
     return random_.Jitter(base, 0.2);
   }
+  [[nodiscard]] Nanoseconds Delay(std::size_t from, std::size_t to) {
+    Nanoseconds delay = Latency(nodes_[from].self, nodes_[to].self);
+    if (Chance(network.late_permille)) {
+      delay += random_.Jitter(network.late_by / 2, 1.0);
+    }
+    return delay;
+  }
   [[nodiscard]] bool IsCut(std::size_t from, std::size_t to) const {
     return cuts.contains({nodes_[from].self.zone, nodes_[to].self.zone});
   }
@@ -350,7 +382,13 @@
   }
 
   void Do(std::size_t i, const SendDatagram& effect) {
-    constexpr std::uint64_t kHeaderBytes = 28 + 96;
+    const Datagram& sent = effect.datagram;
+    if (drop_beats && (std::holds_alternative<BeatBody>(sent.body) ||
+                       std::holds_alternative<AttachBody>(sent.body))) {
+      return;
+    }
+    // Headers of IP and UDP, and the packed message.
+    constexpr std::uint64_t kHeaderBytes = 28 + 84;
     std::uint64_t bytes = kHeaderBytes;
     for (const Member& it : effect.datagram.updates) {
       bytes += EncodedBytesBound(it);
@@ -368,12 +406,8 @@
     }
     const int copies = Chance(network.doubled_permille) ? 2 : 1;
     for (int n = 0; n < copies; ++n) {
-      Nanoseconds delay = Latency(nodes_[i].self, nodes_[it->second].self);
-      if (Chance(network.late_permille)) {
-        delay += random_.Jitter(network.late_by / 2, 1.0);
-      }
       const std::size_t to = it->second;
-      At(now_ + delay, [this, to, datagram = effect.datagram] {
+      At(now_ + Delay(i, to), [this, to, datagram = effect.datagram] {
         Deliver(to, nodes_[to].epoch, DatagramReceived{datagram});
       });
     }
@@ -399,7 +433,7 @@
       return;
     }
     const std::size_t peer = it->second;
-    At(now_ + Latency(nodes_[i].self, nodes_[peer].self),
+    At(now_ + Delay(i, peer),
        [this, peer, request, make_event = std::move(make_event)] {
          Deliver(peer, nodes_[peer].epoch, make_event(request));
        });
@@ -413,7 +447,7 @@
       return;
     }
     const PeerCall call = it->second;
-    At(now_ + Latency(nodes_[i].self, nodes_[call.from].self),
+    At(now_ + Delay(i, call.from),
        [this, request, call, make_event = std::move(make_event)] {
          if (calls_.erase(request) != 0) {
            Deliver(call.from, call.epoch, make_event(call.to));
@@ -436,6 +470,9 @@
     CountBytes(i, to, bytes);
   }
   void Do(std::size_t i, const SendPush& effect) {
+    if (drop_pushes) {
+      return;
+    }
     CountConfig(i, effect.to, BytesOf(effect.update));
     CallPeer(
         i, effect.to,
@@ -542,7 +579,8 @@
                  MonoTime end) {
     StoreReply reply = store_.Execute(watch, now_);
     reply.sent_at = sent_at;
-    const bool lost = store_faults.watches_dead || store_faults.down;
+    const bool lost = store_faults.watches_dead || store_faults.down ||
+                      store_faults.cut_zones.contains(nodes_[i].self.zone);
     if (lost || nodes_[i].epoch != epoch) {
       return;
     }
@@ -571,6 +609,9 @@
       store_.Put(head.delta_key, EncodeDelta(delta));
     }
     store_.Put(kHeadKey, EncodeHead(head));
+    if (oldest_head_.empty()) {
+      oldest_head_ = EncodeHead(head);
+    }
     committed_[head.mark.number] = newest_;
     heads_.emplace_back(now_, head.mark.number);
   }
@@ -594,6 +635,7 @@
   PeerRequestId last_request_ = 0;
   FakeStore store_;
   RefPtr<const Snapshot> newest_;
+  std::string oldest_head_;
   std::map<VersionNumber, RefPtr<const Snapshot>> committed_;
   /// When each head was written, by the driver's clock.
   std::vector<std::pair<MonoTime, VersionNumber>> heads_;
