Rename types that share a name with other parts, and mend lint

Cause: the store's client also has a ConnectionPool and the core an AttemptLink; two types of one name in one program break the one-definition rule, and cassiabend-node no longer linked. Change: OutgoingPool and ReplyLink here; constants widened, parameters by reference as clang-tidy asks. Conclusion: all programs link; clang-tidy is clean on this part.

--- a/src/cassiabend/http/attempt_client.cc
+++ b/src/cassiabend/http/attempt_client.cc
@@ -36,9 +36,9 @@
 
 }  // namespace
 
-AttemptClient::AttemptClient(ConnectionPool* pool,
+AttemptClient::AttemptClient(OutgoingPool* pool,
                              const SendAttempt& send,
-                             RefPtr<HeldRequest> held,
+                             const RefPtr<HeldRequest>& held,
                              RefPtr<HeldBytes> held_bytes,
                              Milliseconds progress_timeout,
                              EventSink* sink)
--- a/src/cassiabend/http/attempt_client.h
+++ b/src/cassiabend/http/attempt_client.h
@@ -15,9 +15,9 @@
 class AttemptClient final : private ExchangeListener, private AnswerWriter {
  public:
   /// \param held The caller's request; null for a fetch or cancel.
-  AttemptClient(ConnectionPool* pool,
+  AttemptClient(OutgoingPool* pool,
                 const SendAttempt& send,
-                RefPtr<HeldRequest> held,
+                const RefPtr<HeldRequest>& held,
                 RefPtr<HeldBytes> held_bytes,
                 Milliseconds progress_timeout,
                 EventSink* sink);
--- a/src/cassiabend/http/call_server.cc
+++ b/src/cassiabend/http/call_server.cc
@@ -69,7 +69,7 @@
 }
 
 /// \brief Way back to an entry node over the connection that it opened.
-class SessionLink final : public AttemptLink {
+class SessionLink final : public ReplyLink {
  public:
   explicit SessionLink(ServerSession& session) : session_(&session) {}
 
@@ -355,7 +355,7 @@
   CallServerOptions options_;
   RefPtr<HeldBytes> held_bytes_;
   TickList ticks_;
-  ConnectionPool pool_;
+  OutgoingPool pool_;
   /// Numbers of calls and links.
   std::uint64_t next_id_ = 1;
   DestinationTable destination_;
--- a/src/cassiabend/http/call_server.h
+++ b/src/cassiabend/http/call_server.h
@@ -26,7 +26,7 @@
   /// Bytes of one answer that are held when its link is lost.
   std::uint32_t held_answer_bytes = 256 * 1024;
   /// Bytes of all held requests and answers.
-  std::uint64_t max_held_bytes = 64 * 1024 * 1024;
+  std::uint64_t max_held_bytes = std::uint64_t{64} * 1024 * 1024;
   Milliseconds connect_timeout{250};
   /// Longest pause within a request, or between bytes of an answer.
   Milliseconds progress_timeout{2'000};
--- a/src/cassiabend/http/call_table.cc
+++ b/src/cassiabend/http/call_table.cc
@@ -8,7 +8,7 @@
 namespace cassiabend {
 
 /// \brief Way back for an attempt at this node's own upstream.
-class CallTable::LocalLink final : public AttemptLink, private AnswerReader {
+class CallTable::LocalLink final : public ReplyLink, private AnswerReader {
  public:
   LocalLink(CallTable* table, CallId call, const AttemptId& attempt)
       : table_(table), call_(call), attempt_(attempt) {}
@@ -58,7 +58,7 @@
 };
 
 CallTable::CallTable(NodeId self,
-                     ConnectionPool* pool,
+                     OutgoingPool* pool,
                      Milliseconds progress_timeout,
                      RefPtr<HeldBytes> held_bytes,
                      DestinationTable* destination,
@@ -121,7 +121,7 @@
   }
   Attempt& attempt = AttemptOf(effect.call, effect.request.id);
   attempt.client = std::make_unique<AttemptClient>(
-      pool_, effect, std::move(held), held_bytes_, progress_timeout_, sink_);
+      pool_, effect, held, held_bytes_, progress_timeout_, sink_);
 }
 
 void CallTable::SendLocally(const SendAttempt& effect,
--- a/src/cassiabend/http/call_table.h
+++ b/src/cassiabend/http/call_table.h
@@ -8,8 +8,8 @@
 #include "cassiabend/core/call_events.h"
 #include "cassiabend/core/event_sink.h"
 #include "cassiabend/http/attempt_client.h"
-#include "cassiabend/http/connection_pool.h"
 #include "cassiabend/http/destination_table.h"
+#include "cassiabend/http/outgoing_pool.h"
 #include "cassiabend/http/server_session.h"
 
 namespace cassiabend {
@@ -21,7 +21,7 @@
   /// \param self This node; attempts to it need no connection.
   /// \param next_id Gives out the numbers of calls and links.
   CallTable(NodeId self,
-            ConnectionPool* pool,
+            OutgoingPool* pool,
             Milliseconds progress_timeout,
             RefPtr<HeldBytes> held_bytes,
             DestinationTable* destination,
@@ -71,7 +71,7 @@
   [[nodiscard]] RefPtr<AnswerStream> AnswerOf(const AttemptId& id) const;
 
   NodeId self_;
-  ConnectionPool* pool_;
+  OutgoingPool* pool_;
   Milliseconds progress_timeout_;
   RefPtr<HeldBytes> held_bytes_;
   DestinationTable* destination_;
--- a/src/cassiabend/http/client_exchange.cc
+++ b/src/cassiabend/http/client_exchange.cc
@@ -19,8 +19,8 @@
 
 }  // namespace
 
-ClientExchange::ClientExchange(ConnectionPool* pool,
-                               const ConnectionPool::Endpoint& endpoint,
+ClientExchange::ClientExchange(OutgoingPool* pool,
+                               const OutgoingPool::Endpoint& endpoint,
                                ExchangeListener* listener)
     : pool_(pool), endpoint_(endpoint), listener_(listener) {}
 
--- a/src/cassiabend/http/client_exchange.h
+++ b/src/cassiabend/http/client_exchange.h
@@ -7,8 +7,8 @@
 #include "cassiabend/base/ref_counted.h"
 #include "cassiabend/base/time.h"
 #include "cassiabend/http/connection.h"
-#include "cassiabend/http/connection_pool.h"
 #include "cassiabend/http/message.h"
+#include "cassiabend/http/outgoing_pool.h"
 
 namespace cassiabend {
 
@@ -54,8 +54,8 @@
 class ClientExchange final : public RefCounted<ClientExchange>,
                              private ConnectionListener {
  public:
-  ClientExchange(ConnectionPool* pool,
-                 const ConnectionPool::Endpoint& endpoint,
+  ClientExchange(OutgoingPool* pool,
+                 const OutgoingPool::Endpoint& endpoint,
                  ExchangeListener* listener);
 
   void Start(ExchangeRequest request);
@@ -78,8 +78,8 @@
   void Send();
   void Finish();
 
-  ConnectionPool* pool_;
-  ConnectionPool::Endpoint endpoint_;
+  OutgoingPool* pool_;
+  OutgoingPool::Endpoint endpoint_;
   ExchangeListener* listener_;
   ExchangeRequest request_;
   RefPtr<Connection> connection_;
--- a/src/cassiabend/http/destination_table.cc
+++ b/src/cassiabend/http/destination_table.cc
@@ -4,7 +4,7 @@
 
 namespace cassiabend {
 
-DestinationTable::DestinationTable(ConnectionPool* pool,
+DestinationTable::DestinationTable(OutgoingPool* pool,
                                    const DestinationOptions& options,
                                    RefPtr<HeldBytes> held_bytes,
                                    EventSink* sink)
@@ -16,7 +16,7 @@
 void DestinationTable::Arrive(LinkId id,
                               const PeerRequest& request,
                               RefPtr<HeldRequest> held,
-                              std::unique_ptr<AttemptLink> link) {
+                              std::unique_ptr<ReplyLink> link) {
   const AttemptRequest& attempt = request.attempt;
   links_[id] = {attempt.id, request.verb, std::move(link)};
   if (request.verb == AttemptVerb::kFetch) {
@@ -53,7 +53,7 @@
   }
 }
 
-std::unique_ptr<AttemptLink> DestinationTable::TakeLink(LinkId id) {
+std::unique_ptr<ReplyLink> DestinationTable::TakeLink(LinkId id) {
   const auto found = links_.find(id);
   if (found == links_.end()) {
     return nullptr;
--- a/src/cassiabend/http/destination_table.h
+++ b/src/cassiabend/http/destination_table.h
@@ -7,9 +7,9 @@
 
 #include "cassiabend/core/call_events.h"
 #include "cassiabend/core/event_sink.h"
-#include "cassiabend/http/attempt_link.h"
-#include "cassiabend/http/connection_pool.h"
 #include "cassiabend/http/message_rules.h"
+#include "cassiabend/http/outgoing_pool.h"
+#include "cassiabend/http/reply_link.h"
 #include "cassiabend/http/upstream_call.h"
 
 namespace cassiabend {
@@ -17,19 +17,19 @@
 /// \brief Settings of the destination's side.
 struct DestinationOptions {
   /// Unset port for a host without an upstream.
-  ConnectionPool::Endpoint upstream;
+  OutgoingPool::Endpoint upstream;
   Milliseconds progress_timeout{2'000};
   std::size_t held_answer_bytes = std::size_t{256} * 1024;
   /// Connections to the upstream that are opened ahead.
   std::uint32_t prepared_connections = 2;
   /// Bytes held in all above which delivered answers are freed early.
-  std::uint64_t delivered_limit_bytes = 32 * 1024 * 1024;
+  std::uint64_t delivered_limit_bytes = std::uint64_t{32} * 1024 * 1024;
 };
 
 /// \brief Attempts at this node's upstream and the links that wait for them.
 class DestinationTable {
  public:
-  DestinationTable(ConnectionPool* pool,
+  DestinationTable(OutgoingPool* pool,
                    const DestinationOptions& options,
                    RefPtr<HeldBytes> held_bytes,
                    EventSink* sink);
@@ -39,7 +39,7 @@
   void Arrive(LinkId id,
               const PeerRequest& request,
               RefPtr<HeldRequest> held,
-              std::unique_ptr<AttemptLink> link);
+              std::unique_ptr<ReplyLink> link);
   /// \brief Forgets a link whose answer was handed over.
   void LinkDone(LinkId id);
   /// \brief Forgets a link that was lost and says so.
@@ -58,7 +58,7 @@
   struct Link {
     AttemptId attempt;
     AttemptVerb verb = AttemptVerb::kRun;
-    std::unique_ptr<AttemptLink> way;
+    std::unique_ptr<ReplyLink> way;
   };
   struct Attempt {
     AttemptRequest request;
@@ -76,14 +76,14 @@
   using LinkMap = std::unordered_map<LinkId, Link>;
   using AttemptMap = std::unordered_map<AttemptId, Attempt, Id128Hasher>;
 
-  [[nodiscard]] std::unique_ptr<AttemptLink> TakeLink(LinkId id);
+  [[nodiscard]] std::unique_ptr<ReplyLink> TakeLink(LinkId id);
   /// \brief Closes a link that cannot get the answer, and says so.
   void CloseLink(LinkId id);
   void ForgetIfRefused(const AttemptId& id);
   /// \brief Frees delivered answers, oldest first, while too much is held.
   void FreeDelivered();
 
-  ConnectionPool* pool_;
+  OutgoingPool* pool_;
   DestinationOptions options_;
   RefPtr<HeldBytes> held_bytes_;
   EventSink* sink_;
--- a/src/cassiabend/http/connection_pool.cc
+++ b/src/cassiabend/http/outgoing_pool.cc
@@ -1,4 +1,4 @@
-#include "cassiabend/http/connection_pool.h"
+#include "cassiabend/http/outgoing_pool.h"
 
 #include <algorithm>
 #include <memory>
@@ -8,9 +8,9 @@
 
 /// \brief A connection that waits in the pool; anything that arrives on it, its
 /// end or its timeout removes it.
-class ConnectionPool::Idle final : public ConnectionListener {
+class OutgoingPool::Idle final : public ConnectionListener {
  public:
-  Idle(ConnectionPool* pool, const Endpoint& endpoint)
+  Idle(OutgoingPool* pool, const Endpoint& endpoint)
       : pool_(pool), endpoint_(endpoint) {}
   Idle(const Idle&) = delete;
   Idle& operator=(const Idle&) = delete;
@@ -49,20 +49,20 @@
   void OnEnd(ConnectionEnd /*end*/) override { pool_->Remove(this); }
 
  private:
-  ConnectionPool* pool_;
+  OutgoingPool* pool_;
   Endpoint endpoint_;
   RefPtr<Connection> connection_;
   bool is_connected_ = false;
 };
 
-ConnectionPool::ConnectionPool(boost::asio::io_context& io,
-                               TickList* ticks,
-                               const PoolOptions& options)
+OutgoingPool::OutgoingPool(boost::asio::io_context& io,
+                           TickList* ticks,
+                           const PoolOptions& options)
     : io_(io), ticks_(ticks), options_(options) {}
 
-ConnectionPool::~ConnectionPool() = default;
+OutgoingPool::~OutgoingPool() = default;
 
-RefPtr<Connection> ConnectionPool::TakeIdle(const Endpoint& endpoint) {
+RefPtr<Connection> OutgoingPool::TakeIdle(const Endpoint& endpoint) {
   const auto found = idle_.find(endpoint);
   if (found == idle_.end()) {
     return nullptr;
@@ -83,16 +83,16 @@
   return nullptr;
 }
 
-RefPtr<Connection> ConnectionPool::Connect(const Endpoint& endpoint,
-                                           ConnectionListener* listener) {
+RefPtr<Connection> OutgoingPool::Connect(const Endpoint& endpoint,
+                                         ConnectionListener* listener) {
   RefPtr<Connection> connection = NewConnection();
   connection->set_listener(listener);
   connection->Connect(endpoint, options_.connect_timeout);
   return connection;
 }
 
-void ConnectionPool::Put(const Endpoint& endpoint,
-                         RefPtr<Connection> connection) {
+void OutgoingPool::Put(const Endpoint& endpoint,
+                       RefPtr<Connection> connection) {
   IdleList& list = idle_[endpoint];
   if (list.size() >= options_.idle_connections) {
     connection->Close();
@@ -103,7 +103,7 @@
   list.push_back(std::move(idle));
 }
 
-void ConnectionPool::Prepare(const Endpoint& endpoint, std::uint32_t n) {
+void OutgoingPool::Prepare(const Endpoint& endpoint, std::uint32_t n) {
   IdleList& list = idle_[endpoint];
   while (list.size() < std::min(n, options_.idle_connections)) {
     auto idle = std::make_unique<Idle>(this, endpoint);
@@ -112,15 +112,15 @@
   }
 }
 
-void ConnectionPool::Drop(const Endpoint& endpoint) {
+void OutgoingPool::Drop(const Endpoint& endpoint) {
   idle_.erase(endpoint);
 }
 
-void ConnectionPool::Close() {
+void OutgoingPool::Close() {
   idle_.clear();
 }
 
-void ConnectionPool::Remove(const Idle* idle) {
+void OutgoingPool::Remove(const Idle* idle) {
   const auto found = idle_.find(idle->endpoint());
   if (found == idle_.end()) {
     return;
@@ -130,7 +130,7 @@
   });
 }
 
-RefPtr<Connection> ConnectionPool::NewConnection() {
+RefPtr<Connection> OutgoingPool::NewConnection() {
   return RefPtr<Connection>(
       new Connection(Connection::Socket(io_), ticks_, MessageKind::kResponse,
                      ParseLimits{.header_bytes = options_.max_header_bytes}));
--- a/src/cassiabend/http/connection_pool.h
+++ b/src/cassiabend/http/outgoing_pool.h
@@ -22,16 +22,16 @@
 
 /// \brief Idle outgoing connections by endpoint. The newest is taken first, so
 /// that spare ones grow old and are closed.
-class ConnectionPool {
+class OutgoingPool {
  public:
   using Endpoint = Connection::Endpoint;
 
-  ConnectionPool(boost::asio::io_context& io,
-                 TickList* ticks,
-                 const PoolOptions& options);
-  ConnectionPool(const ConnectionPool&) = delete;
-  ConnectionPool& operator=(const ConnectionPool&) = delete;
-  ~ConnectionPool();
+  OutgoingPool(boost::asio::io_context& io,
+               TickList* ticks,
+               const PoolOptions& options);
+  OutgoingPool(const OutgoingPool&) = delete;
+  OutgoingPool& operator=(const OutgoingPool&) = delete;
+  ~OutgoingPool();
 
   /// \returns An idle connection that the other end still holds open; null when
   /// there is none.
--- a/src/cassiabend/http/prober.cc
+++ b/src/cassiabend/http/prober.cc
@@ -35,7 +35,7 @@
 }
 
 Prober::Prober(boost::asio::io_context& io,
-               ConnectionPool* pool,
+               OutgoingPool* pool,
                ProbeOptions options,
                EventSink* sink)
     : pool_(pool), options_(std::move(options)), sink_(sink), timer_(io) {}
--- a/src/cassiabend/http/prober.h
+++ b/src/cassiabend/http/prober.h
@@ -11,7 +11,7 @@
 
 /// \brief Where and how often the upstream's health is asked for.
 struct ProbeOptions {
-  ConnectionPool::Endpoint endpoint;
+  OutgoingPool::Endpoint endpoint;
   std::string path;
   /// Connections to the upstream that are kept open ahead of their use.
   std::uint32_t prepared_connections = 2;
@@ -22,7 +22,7 @@
 class Prober final : private ExchangeListener {
  public:
   Prober(boost::asio::io_context& io,
-         ConnectionPool* pool,
+         OutgoingPool* pool,
          ProbeOptions options,
          EventSink* sink);
   ~Prober() override;
@@ -38,7 +38,7 @@
   void Probe();
   void Wait();
 
-  ConnectionPool* pool_;
+  OutgoingPool* pool_;
   ProbeOptions options_;
   EventSink* sink_;
   boost::asio::steady_timer timer_;
--- a/src/cassiabend/http/attempt_link.h
+++ b/src/cassiabend/http/reply_link.h
@@ -7,12 +7,12 @@
 
 /// \brief The way back from a destination node to the entry node of one
 /// attempt, fetch or cancel.
-class AttemptLink {
+class ReplyLink {
  public:
-  AttemptLink() = default;
-  AttemptLink(const AttemptLink&) = delete;
-  AttemptLink& operator=(const AttemptLink&) = delete;
-  virtual ~AttemptLink() = default;
+  ReplyLink() = default;
+  ReplyLink(const ReplyLink&) = delete;
+  ReplyLink& operator=(const ReplyLink&) = delete;
+  virtual ~ReplyLink() = default;
 
   virtual void NotRun(NotRunReason reason, Milliseconds retry_after) = 0;
   virtual void StillRunning() = 0;
--- a/src/cassiabend/http/server_session.h
+++ b/src/cassiabend/http/server_session.h
@@ -39,7 +39,7 @@
   ParseLimits limits;
   Milliseconds progress_timeout{2'000};
   Milliseconds idle_timeout{30'000};
-  std::uint64_t max_held_bytes = 64 * 1024 * 1024;
+  std::uint64_t max_held_bytes = std::uint64_t{64} * 1024 * 1024;
   /// Whether relayed answers carry `kOutcomeHeader`.
   bool states_outcome = true;
 };
--- a/src/cassiabend/http/upstream_call.cc
+++ b/src/cassiabend/http/upstream_call.cc
@@ -18,10 +18,10 @@
 
 }  // namespace
 
-UpstreamCall::UpstreamCall(ConnectionPool* pool,
+UpstreamCall::UpstreamCall(OutgoingPool* pool,
                            const UpstreamCallOptions& options,
                            const AttemptRequest& attempt,
-                           RefPtr<HeldRequest> held,
+                           const RefPtr<HeldRequest>& held,
                            RefPtr<AnswerStream> answer,
                            EventSink* sink)
     : attempt_(attempt.id),
--- a/src/cassiabend/http/upstream_call.h
+++ b/src/cassiabend/http/upstream_call.h
@@ -9,7 +9,7 @@
 
 /// \brief What an upstream call needs besides the attempt.
 struct UpstreamCallOptions {
-  ConnectionPool::Endpoint endpoint;
+  OutgoingPool::Endpoint endpoint;
   /// Time left for the head of the answer.
   Milliseconds deadline{0};
   /// Longest pause within the answer.
@@ -19,10 +19,10 @@
 /// \brief One attempt at this host's upstream.
 class UpstreamCall final : private ExchangeListener, private AnswerWriter {
  public:
-  UpstreamCall(ConnectionPool* pool,
+  UpstreamCall(OutgoingPool* pool,
                const UpstreamCallOptions& options,
                const AttemptRequest& attempt,
-               RefPtr<HeldRequest> held,
+               const RefPtr<HeldRequest>& held,
                RefPtr<AnswerStream> answer,
                EventSink* sink);
   /// \brief Closes the connection when the answer is not whole, by which the
--- a/tests/shell/http_call_server_test.cc
+++ b/tests/shell/http_call_server_test.cc
@@ -150,14 +150,15 @@
       {Get("/answer-status/204"), "HTTP/1.1 204"},
       {Get("/answer-status/304"), "HTTP/1.1 304"},
   };
-  for (const auto& [request, status] : cases) {
+  for (const auto& it : cases) {
+    const std::string& request = it.first;
     CAPTURE(request);
     TwoNodes nodes;
     const auto caller = nodes.Caller();
     caller->Send(request);
     CHECK(nodes.entry->Await<AnswerRelayed>().complete);
     REQUIRE(nodes.Until([&] { return caller->Has("\r\n\r\n"); }));
-    CHECK(caller->received().starts_with(status));
+    CHECK(caller->received().starts_with(it.second));
     CHECK(caller->received().ends_with("\r\n\r\n"));
     caller->Clear();
     caller->Send(Get("/bytes/3"));
--- a/tests/shell/http_input_test.cc
+++ b/tests/shell/http_input_test.cc
@@ -60,6 +60,10 @@
 }
 
 TEST_CASE("a well-formed request that cannot be routed keeps its connection") {
+  const std::string bad_start_id =
+      "GET / HTTP/1.1\r\nHost: h\r\nX-Cassiabend-Verb: run\r\n"
+      "X-Cassiabend-Attempt: 00000000000000010000000000000001\r\n"
+      "X-Cassiabend-Start-Id: x\r\n\r\n";
   const std::vector<std::string> cases = {
       "GET / HTTP/1.1\r\n\r\n",
       "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
@@ -67,9 +71,7 @@
       "GET / HTTP/1.1\r\nHost: h\r\nA: " + std::string(3'000, 'a') + "\r\n\r\n",
       "CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n",
       "GET / HTTP/1.1\r\nHost: h\r\nX-Cassiabend-Attempt: 12\r\n\r\n",
-      "GET / HTTP/1.1\r\nHost: h\r\nX-Cassiabend-Verb: run\r\n"
-      "X-Cassiabend-Attempt: 00000000000000010000000000000001\r\n"
-      "X-Cassiabend-Start-Id: x\r\n\r\n",
+      bad_start_id,
   };
   boost::asio::io_context io;
   ScriptedNode node(io, SmallOptions());
@@ -120,9 +122,9 @@
 TEST_CASE("connections beyond the limit are closed, and room comes back") {
   boost::asio::io_context io;
   ScriptedNode node(io, SmallOptions());
-  std::vector<std::shared_ptr<RawPeer>> callers;
-  for (int i = 0; i < 8; ++i) {
-    callers.push_back(RawPeer::Connect(io, node.port()));
+  std::vector<std::shared_ptr<RawPeer>> callers(8);
+  for (auto& it : callers) {
+    it = RawPeer::Connect(io, node.port());
   }
   REQUIRE(RunUntil(
       io, [&] { return node.server().counts().open_connections == 8; }));
--- a/tests/support/scripted_node.h
+++ b/tests/support/scripted_node.h
@@ -22,7 +22,7 @@
  public:
   ScriptedNode(boost::asio::io_context& io, CallServerOptions options)
       : io_(io), options_(std::move(options)) {
-    options_.self = {"127.0.0.1", next_peer_port_++};
+    options_.self = {"127.0.0.1", next_peer_port++};
     options_.start_id = 1;
     server_ = std::make_unique<CallServer>(io_, options_, this);
   }
@@ -74,7 +74,7 @@
   }
 
  private:
-  static inline std::uint16_t next_peer_port_ = 1;
+  static inline std::uint16_t next_peer_port = 1;
 
   boost::asio::io_context& io_;
   CallServerOptions options_;
