Free delivered answers when too much is held

Cause: a test of many answers of 20 KB under a limit of 200 KB saw the eleventh call refused: freeing an answer left the reference of its upstream call. Change: the finished upstream call goes with its answer. Further tests: a released answer that breaks off, a second copy of an attempt. Conclusion: 40 answers pass under the limit, none refused.

--- a/src/cassiabend/http/destination_table.cc
+++ b/src/cassiabend/http/destination_table.cc
@@ -180,6 +180,8 @@
     const auto found = attempts_.find(delivered_.front());
     delivered_.pop_front();
     if (found != attempts_.end() && found->second.bound_link == 0) {
+      // The call holds the answer too.
+      found->second.call = nullptr;
       found->second.answer = nullptr;
     }
   }
--- a/tests/shell/http_call_server_test.cc
+++ b/tests/shell/http_call_server_test.cc
@@ -187,6 +187,21 @@
   }
 }
 
+TEST_CASE("delivered answers are freed before calls are refused") {
+  constexpr std::size_t kCalls = 40;
+  CallServerOptions options = OptionsFor(0);
+  options.max_held_bytes = 200'000;
+  TwoNodes nodes({}, options);
+  const auto caller = nodes.Caller();
+  for (std::size_t n = 1; n <= kCalls; ++n) {
+    caller->Send(Get("/bytes/20000"));
+    REQUIRE(nodes.entry->Await<AnswerRelayed>(n).complete);
+  }
+  CHECK(nodes.destination->server().counts().held_bytes <
+        options.max_held_bytes);
+  CHECK(nodes.destination->server().counts().rejected_requests == 0);
+}
+
 TEST_CASE("refusals say why and when to come back") {
   struct Case {
     NotRunReason reason;
--- a/tests/shell/http_faults_test.cc
+++ b/tests/shell/http_faults_test.cc
@@ -422,6 +422,42 @@
   CHECK(t.destination.server().counts().held_bytes == 0);
 }
 
+TEST_CASE("a released answer that breaks off is cut") {
+  RawUpstream t;
+  const auto upstream = t.Peer();
+  upstream->Send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf");
+  REQUIRE(t.Until([&] { return t.caller->Has("half"); }));
+  t.destination.Execute(ReleaseAttempt{ExampleAttempt(1).id});
+  upstream->Close();
+  CHECK_FALSE(t.entry.Await<AnswerRelayed>().complete);
+  CHECK(t.Until([&] { return t.caller->closed(); }));
+  CHECK(t.destination.server().counts().held_bytes == 0);
+}
+
+TEST_CASE("a second copy of an attempt runs nothing by itself") {
+  RawUpstream t;
+  const auto upstream = t.Peer();
+  const std::string head =
+      "GET /x HTTP/1.1\r\nHost: h\r\nX-Cassiabend-Verb: run\r\n"
+      "X-Cassiabend-Attempt: " +
+      ToHex(ExampleAttempt(1).id) +
+      "\r\nX-Cassiabend-Start-Id: 1\r\nX-Cassiabend-Deadline-Ms: 9\r\n"
+      "X-Cassiabend-Config: 1\r\nX-Cassiabend-Longest-Job-S: 1\r\n"
+      "X-Cassiabend-Expires-Ms: 0\r\n\r\n";
+  const auto script = std::exchange(t.destination.script, {});
+  const auto copy = RawPeer::Connect(t.io, t.destination.port());
+  copy->Send(head);
+  const AttemptArrived second = t.destination.Await<AttemptArrived>(2);
+  CHECK(second.request.id == ExampleAttempt(1).id);
+  t.destination.Execute(
+      ReplyNotRun{second.link, second.request.id, NotRunReason::kCancelled});
+  CHECK(t.Until([&] { return copy->Has("Reason: cancelled"); }));
+  t.destination.script = script;
+  upstream->Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  CHECK(t.entry.Await<AnswerRelayed>().complete);
+  CHECK(t.Until([&] { return t.caller->Has("\r\n\r\nok"); }));
+}
+
 TEST_CASE("a cancelled attempt closes its upstream connection") {
   RawUpstream t;
   const auto upstream = t.Peer();
