--- a/src/cassiabend/core/join.cc
+++ b/src/cassiabend/core/join.cc
@@ -12,6 +12,8 @@
 constexpr Milliseconds kMeetPeriod{1'500};
 /// Most members that a joining node asks for their lists.
 constexpr std::uint32_t kMeetingLimit = 6;
+/// An answer with fewer than one in so many of the members is a short one.
+constexpr std::size_t kShortAnswer = 2;
 
 bool KnowsLiveMember(const Membership& membership) {
   return std::ranges::any_of(membership.entries(), [](const auto& it) {
@@ -105,6 +107,10 @@
   const bool sync = answer.peer == sync_peer_;
   const std::size_t known = membership->entries().size();
   membership->Merge(context, *answer.members, sync ? Relay::kYes : Relay::kNo);
+  const bool whole = answer.members->size() > known / kShortAnswer;
+  if (joined_ && meetings_left_ == 0 && whole) {
+    membership->RelayMissing(context, *answer.members);
+  }
   if (!joined_) {
     joined_ = KnowsLiveMember(*membership);
     backoff_.Reset();
