Let calls that are cut off outlive the server that took them

Cause: AddressSanitizer found a use after free: a call that waits for the core goes on detached when its connection is closed, and used the list of waiting requests after the server was destroyed. Change: calls share that list and the operators; closing fails all that wait; calls allow cancellation, so that a caller that has gone frees its place; the KJ thread drops detached calls at its end. Conclusion: peer_transport_test and admin_test pass under AddressSanitizer and UBSan; admin_test has a case for the freed place.

--- a/src/cassiabend/rpc/admin_server.cc
+++ b/src/cassiabend/rpc/admin_server.cc
@@ -17,20 +17,29 @@
           const AdminServerOptions& options,
           AdminBridge* bridge,
           TcpCounters* counters)
-      : operators(options.operators),
-        replies(io.provider->getTimer(),
-                options.max_waiting,
-                options.request_timeout),
+      : state(NewState(io, options)),
         listener(io,
                  {.ip = options.ip,
                   .port = options.port,
                   .max_connections = options.max_connections,
                   .max_message_bytes = options.max_message_bytes},
-                 NewAdminService(bridge, &replies, &operators),
+                 NewAdminService(bridge, state),
                  counters) {}
+  RpcSide(const RpcSide&) = delete;
+  RpcSide& operator=(const RpcSide&) = delete;
+  ~RpcSide() { state->replies->Close(); }
+
+  static std::shared_ptr<AdminState> NewState(
+      kj::AsyncIoContext& io,
+      const AdminServerOptions& options) {
+    auto state = std::make_shared<AdminState>();
+    state->operators = options.operators;
+    state->replies = std::make_shared<AdminReplies>(
+        io.provider->getTimer(), options.max_waiting, options.request_timeout);
+    return state;
+  }
 
-  std::vector<OperatorToken> operators;
-  AdminReplies replies;
+  std::shared_ptr<AdminState> state;
   RpcListener listener;
 };
 
@@ -64,7 +73,7 @@
 
   void SetOperators(std::vector<OperatorToken> operators) {
     Post([operators = std::move(operators)](RpcSide& rpc) {
-      rpc.operators = operators;
+      rpc.state->operators = operators;
     });
   }
 
@@ -85,7 +94,7 @@
 
   void Answer(AdminRequestId id, AdminReply reply) {
     Post([id, reply = std::move(reply)](RpcSide& rpc) {
-      rpc.replies.Answer(id, reply);
+      rpc.state->replies->Answer(id, reply);
     });
   }
 
--- a/src/cassiabend/rpc/admin_service.cc
+++ b/src/cassiabend/rpc/admin_service.cc
@@ -27,10 +27,8 @@
 /// \brief Serves the operators' calls on the KJ thread.
 class AdminService final : public schema::Admin::Server {
  public:
-  AdminService(AdminBridge* bridge,
-               AdminReplies* replies,
-               const std::vector<OperatorToken>* operators)
-      : bridge_(bridge), replies_(replies), operators_(operators) {}
+  AdminService(AdminBridge* bridge, std::shared_ptr<AdminState> state)
+      : bridge_(bridge), state_(std::move(state)) {}
 
   kj::Promise<void> commit(CommitContext context) override {
     const auto params = context.getParams();
@@ -161,9 +159,11 @@
   kj::Promise<void> Ask(Context context,
                         const ChangeId& change_id,
                         const MakeTask& make_task) {
+    // A caller that is gone needs no answer; the core goes on all the same.
+    context.allowCancellation();
     const auto token = context.getParams().getToken();
     const OperatorToken* who =
-        FindOperator(*operators_, {token.cStr(), token.size()});
+        FindOperator(state_->operators, {token.cStr(), token.size()});
     if (who == nullptr) {
       Log(LogLevel::kWarning, "admin_not_authorised",
           {{"why", token.size() == 0 ? "no token" : "unknown token"}});
@@ -171,14 +171,14 @@
                     Failure(CommitCode::kNotAuthorised,
                             "the token is missing or unknown", change_id));
     }
-    if (replies_->IsFull()) {
+    if (state_->replies->IsFull()) {
       return Refuse(context,
                     Failure(CommitCode::kBusy, "too many requests are waiting",
                             change_id));
     }
     const AdminRequestId id = ++last_id_;
     bridge_->poster->PostTask(make_task(*who, id));
-    return replies_->Wait(id).then(
+    return state_->replies->Wait(id).then(
         [context](kj::Own<AdminReply>&& reply) mutable {
           Write(std::get<Reply>(*reply), context.getResults());
         },
@@ -226,18 +226,15 @@
   }
 
   AdminBridge* bridge_;
-  AdminReplies* replies_;
-  const std::vector<OperatorToken>* operators_;
+  std::shared_ptr<AdminState> state_;
   AdminRequestId last_id_ = 0;
 };
 
 }  // namespace
 
-schema::Admin::Client NewAdminService(
-    AdminBridge* bridge,
-    AdminReplies* replies,
-    const std::vector<OperatorToken>* operators) {
-  return kj::heap<AdminService>(bridge, replies, operators);
+schema::Admin::Client NewAdminService(AdminBridge* bridge,
+                                      std::shared_ptr<AdminState> state) {
+  return kj::heap<AdminService>(bridge, std::move(state));
 }
 
 }  // namespace cassiabend
--- a/src/cassiabend/rpc/admin_service.h
+++ b/src/cassiabend/rpc/admin_service.h
@@ -32,11 +32,16 @@
   std::function<void(AdminRequestId id, AdminReply reply)> answer;
 };
 
+/// \brief State of the service; calls may outlast the server.
+struct AdminState {
+  std::vector<OperatorToken> operators;
+  std::shared_ptr<AdminReplies> replies;
+};
+
 /// \returns The service of the operators' calls; it lives on the KJ thread.
-/// The arguments outlive it.
+/// \param bridge Outlives the thread.
 [[nodiscard]] schema::Admin::Client NewAdminService(
     AdminBridge* bridge,
-    AdminReplies* replies,
-    const std::vector<OperatorToken>* operators);
+    std::shared_ptr<AdminState> state);
 
 }  // namespace cassiabend
--- a/src/cassiabend/rpc/kj_thread.cc
+++ b/src/cassiabend/rpc/kj_thread.cc
@@ -62,6 +62,8 @@
     // A steady flow of tasks must not keep the loop from its I/O.
     io.waitScope.poll();
   }
+  // Calls that were cut off may still hold objects of the thread's owner.
+  io.waitScope.cancelAllDetached();
 }
 
 void KjThread::RunWaitingTasks() {
--- a/src/cassiabend/rpc/peer_rpc.cc
+++ b/src/cassiabend/rpc/peer_rpc.cc
@@ -31,14 +31,16 @@
     : timer_(io.provider->getTimer()),
       counters_(counters),
       poster_(poster),
-      replies_(timer_, kMaxWaitingRequests, options.rpc_timeout),
+      replies_(std::make_shared<PeerReplies>(timer_,
+                                             kMaxWaitingRequests,
+                                             options.rpc_timeout)),
       links_(io, options, &counters->all),
       listener_(io,
                 {.ip = options.self.ip,
                  .port = options.self.peer_port,
                  .max_connections = options.max_connections,
                  .max_message_bytes = options.max_message_bytes},
-                kj::heap<PeerServer>(&replies_,
+                kj::heap<PeerServer>(replies_,
                                      poster,
                                      std::move(on_drain),
                                      &counters->members_sent),
@@ -47,8 +49,12 @@
   tasks_.add(SweepIdle());
 }
 
+PeerRpc::~PeerRpc() {
+  replies_->Close();
+}
+
 void PeerRpc::Answer(PeerRequestId id, PeerReply reply) {
-  replies_.Answer(id, std::move(reply));
+  replies_->Answer(id, std::move(reply));
 }
 
 void PeerRpc::Push(const SendPush& push) {
--- a/src/cassiabend/rpc/peer_rpc.h
+++ b/src/cassiabend/rpc/peer_rpc.h
@@ -38,7 +38,7 @@
           PeerRpcCounters* counters);
   PeerRpc(const PeerRpc&) = delete;
   PeerRpc& operator=(const PeerRpc&) = delete;
-  ~PeerRpc() = default;
+  ~PeerRpc();
 
   /// \brief Answers a peer's request.
   void Answer(PeerRequestId id, PeerReply reply);
@@ -58,7 +58,7 @@
   kj::Timer& timer_;
   PeerRpcCounters* counters_;
   std::shared_ptr<EventPoster> poster_;
-  PeerReplies replies_;
+  std::shared_ptr<PeerReplies> replies_;
   PeerLinks links_;
   RpcListener listener_;
   std::uint32_t calls_in_flight_ = 0;
--- a/src/cassiabend/rpc/peer_server.cc
+++ b/src/cassiabend/rpc/peer_server.cc
@@ -9,6 +9,7 @@
 namespace cassiabend {
 
 kj::Promise<void> PeerServer::push(PushContext context) {
+  context.allowCancellation();
   PushReceived event{NextId(), FromWire(context.getParams().getUpdate())};
   return Ask(event.request, event)
       .then([context](kj::Own<PeerReply>&& it) mutable {
@@ -17,6 +18,7 @@
 }
 
 kj::Promise<void> PeerServer::pull(PullContext context) {
+  context.allowCancellation();
   const PullReceived event{NextId(), FromWire(context.getParams().getHave())};
   return Ask(event.request, event)
       .then([context](kj::Own<PeerReply>&& it) mutable {
@@ -25,6 +27,7 @@
 }
 
 kj::Promise<void> PeerServer::members(MembersContext context) {
+  context.allowCancellation();
   const MembersRequested event{NextId()};
   return Ask(event.request, event)
       .then([context, sent = members_sent_](kj::Own<PeerReply>&& it) mutable {
--- a/src/cassiabend/rpc/peer_server.h
+++ b/src/cassiabend/rpc/peer_server.h
@@ -27,11 +27,11 @@
 /// \brief Answers the calls of peers with what the core decides.
 class PeerServer final : public schema::Peer::Server {
  public:
-  PeerServer(PeerReplies* replies,
+  PeerServer(std::shared_ptr<PeerReplies> replies,
              std::shared_ptr<EventPoster> poster,
              std::function<void()> on_drain,
              std::atomic<std::uint64_t>* members_sent)
-      : replies_(replies),
+      : replies_(std::move(replies)),
         poster_(std::move(poster)),
         on_drain_(std::move(on_drain)),
         members_sent_(members_sent) {}
@@ -47,7 +47,7 @@
   /// \brief Posts the event and waits for the core's answer to it.
   kj::Promise<kj::Own<PeerReply>> Ask(PeerRequestId id, FleetEvent event);
 
-  PeerReplies* replies_;
+  std::shared_ptr<PeerReplies> replies_;
   std::shared_ptr<EventPoster> poster_;
   std::function<void()> on_drain_;
   std::atomic<std::uint64_t>* members_sent_;
--- a/src/cassiabend/rpc/pending_replies.h
+++ b/src/cassiabend/rpc/pending_replies.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <kj/async.h>
+#include <kj/debug.h>
 #include <kj/memory.h>
 #include <kj/timer.h>
 
 #include <cstdint>
+#include <memory>
 #include <unordered_map>
 #include <utility>
 
@@ -13,9 +15,11 @@
 namespace cassiabend {
 
 /// \brief Requests from other processes that wait for the core's answer. Lives
-/// on the thread of a KJ event loop.
+/// on the thread of a KJ event loop. Calls that wait share it, because they may
+/// outlast the server that took them.
 template <typename Reply>
-class PendingReplies {
+class PendingReplies final
+    : public std::enable_shared_from_this<PendingReplies<Reply>> {
  public:
   PendingReplies(kj::Timer& timer, std::size_t limit, Milliseconds timeout)
       : timer_(timer), limit_(limit), timeout_(timeout) {}
@@ -30,7 +34,9 @@
     waiting_.emplace(id, kj::mv(pair.fulfiller));
     return timer_
         .timeoutAfter(timeout_.count() * kj::MILLISECONDS, kj::mv(pair.promise))
-        .attach(kj::defer([this, id] { waiting_.erase(id); }));
+        .attach(kj::defer([self = this->shared_from_this(), id] {
+          self->waiting_.erase(id);
+        }));
   }
 
   /// \brief Answers a request; does nothing when it waits no more.
@@ -41,6 +47,14 @@
     }
   }
 
+  /// \brief Fails all requests that wait.
+  void Close() {
+    auto waiting = std::exchange(waiting_, {});
+    for (auto& it : waiting) {
+      it.second->reject(KJ_EXCEPTION(DISCONNECTED, "the node is closing"));
+    }
+  }
+
  private:
   kj::Timer& timer_;
   std::size_t limit_;
--- a/tests/shell/admin_test.cc
+++ b/tests/shell/admin_test.cc
@@ -252,6 +252,23 @@
   CHECK(first.get().code == CommitCode::kOutcomeUnknown);
 }
 
+TEST_CASE("a caller that has gone gives its place to the next") {
+  ScriptedNode node;
+  node.options.max_waiting = 1;
+  node.Start();
+  {
+    AdminClient hurried(kTestIp, node.port(), kAllToken, Milliseconds(100));
+    CHECK_THROWS_AS((void)hurried.Recover({1, 1}), RpcError);
+  }
+  node.Run([&] { node.script = {Accepted(6)}; });
+  const auto client = Connect(node);
+  CommitResult result;
+  do {
+    result = client->Recover({1, 2});
+  } while (result.code == CommitCode::kBusy);
+  CHECK(result.code == CommitCode::kOk);
+}
+
 TEST_CASE("a node that dies, or is silent, fails the request") {
   auto node = std::make_unique<ScriptedNode>();
   node->Start();
