--- a/src/cassiabend/ctl/commands.cc
+++ b/src/cassiabend/ctl/commands.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <cstdlib>
 #include <ostream>
+#include <thread>
 #include <utility>
 
 #include "cassiabend/ctl/convergence.h"
@@ -14,6 +15,9 @@
 namespace cassiabend {
 namespace {
 
+/// Time for members to answer the node that was asked for the status.
+constexpr Milliseconds kSurveyTime{250};
+
 constexpr char kTokenVariable[] = "CASSIABEND_TOKEN";
 
 constexpr std::string_view kHistoryColumns[] = {"number", "committed_at",
@@ -138,8 +142,16 @@
 
 ExitCode Commands::ShowStatus() {
   FleetStatus status;
-  const CommitResult result = caller().Read(
-      [&](AdminClient& client) { return client.GetStatus(&status); });
+  const auto read = [&](AdminClient& client) {
+    return client.GetStatus(&status);
+  };
+  CommitResult result = caller().Read(read);
+  if (result.code == CommitCode::kOk &&
+      !ConvergenceOf(status, status.mark.number).behind.empty()) {
+    // The first request made the node ask the members that seem behind.
+    std::this_thread::sleep_for(kSurveyTime);
+    result = caller().Read(read);
+  }
   if (result.code != CommitCode::kOk) {
     return ReportFailure(result);
   }
--- a/src/cassiabend/http/server_session.cc
+++ b/src/cassiabend/http/server_session.cc
@@ -117,6 +117,7 @@
     return;
   }
   state_ = State::kWaiting;
+  position_ = 0;
   connection_->ClearTimeout();
   handler_->OnRequest(*this, std::move(request_));
 }
@@ -168,6 +169,7 @@
   }
   DetachAnswer();
   head.content_length = body.size();
+  says_close_ = !keep_alive_;
   AppendResponseHead(head, BodyFraming::kLength, keep_alive_,
                      connection_->output());
   if (!is_head_request_) {
@@ -225,6 +227,7 @@
   }
   framing_ = FramingOf(head, is_head_request_, is_http_1_0_);
   keep_alive_ = keep_alive_ && framing_ != BodyFraming::kUntilClose;
+  says_close_ = !keep_alive_;
   AppendResponseHead(head, framing_, keep_alive_, connection_->output());
 }
 
@@ -274,7 +277,7 @@
   if (state_ != State::kIdle) {
     return;
   }
-  if (!keep_alive_) {
+  if (says_close_) {
     connection_->CloseAfterWrite();
     EndSession();
     return;
@@ -287,15 +290,6 @@
   connection_->NextMessage(false);
 }
 
-void ServerSession::EndAfterRequest() {
-  keep_alive_ = false;
-  if (state_ == State::kIdle) {
-    const RefPtr<ServerSession> keep(this);
-    connection_->Close();
-    EndSession();
-  }
-}
-
 void ServerSession::Abort() {
   const RefPtr<ServerSession> keep(this);
   connection_->Close();
