--- a/src/cassiabend/store/connection_pool.cc
+++ b/src/cassiabend/store/gateway_pool.cc
@@ -1,4 +1,4 @@
-#include "cassiabend/store/connection_pool.h"
+#include "cassiabend/store/gateway_pool.h"
 
 #include <utility>
 
@@ -6,8 +6,7 @@
 
 using boost::asio::ip::tcp;
 
-ConnectionPtr ConnectionPool::Take(const tcp::endpoint& endpoint,
-                                   bool* reused) {
+ConnectionPtr GatewayPool::Take(const tcp::endpoint& endpoint, bool* reused) {
   std::erase_if(idle_, [](const ConnectionPtr& it) {
     const bool usable = it->IsReusable();
     if (!usable) {
@@ -28,14 +27,14 @@
   return New(endpoint);
 }
 
-ConnectionPtr ConnectionPool::New(const tcp::endpoint& endpoint) {
+ConnectionPtr GatewayPool::New(const tcp::endpoint& endpoint) {
   ConnectionPtr connection = GatewayConnection::Create(io_, endpoint);
   std::erase_if(open_, [](const auto& it) { return it.expired(); });
   open_.push_back(connection);
   return connection;
 }
 
-void ConnectionPool::GiveBack(ConnectionPtr connection) {
+void GatewayPool::GiveBack(ConnectionPtr connection) {
   if (idle_.size() < max_idle_) {
     idle_.push_back(std::move(connection));
     return;
@@ -43,7 +42,7 @@
   connection->Close();
 }
 
-void ConnectionPool::CloseIdle(const tcp::endpoint& endpoint) {
+void GatewayPool::CloseIdle(const tcp::endpoint& endpoint) {
   std::erase_if(idle_, [&](const ConnectionPtr& it) {
     if (it->endpoint() != endpoint) {
       return false;
@@ -53,7 +52,7 @@
   });
 }
 
-void ConnectionPool::Close() {
+void GatewayPool::Close() {
   max_idle_ = 0;
   idle_.clear();
   for (const std::weak_ptr<GatewayConnection>& it : open_) {
--- a/src/cassiabend/store/connection_pool.h
+++ b/src/cassiabend/store/gateway_pool.h
@@ -12,10 +12,10 @@
 using ConnectionPtr = std::shared_ptr<GatewayConnection>;
 
 /// \brief Keeps idle connections to the store for further exchanges.
-class ConnectionPool {
+class GatewayPool {
  public:
   /// \param max_idle Most connections that are kept.
-  ConnectionPool(boost::asio::io_context& io, std::size_t max_idle)
+  GatewayPool(boost::asio::io_context& io, std::size_t max_idle)
       : io_(io), max_idle_(max_idle) {}
 
   /// \brief A connection for one exchange.
--- a/src/cassiabend/store/store_client.cc
+++ b/src/cassiabend/store/store_client.cc
@@ -10,9 +10,9 @@
 #include "cassiabend/base/clock.h"
 #include "cassiabend/base/error.h"
 #include "cassiabend/base/log.h"
-#include "cassiabend/store/connection_pool.h"
 #include "cassiabend/store/gateway_codec.h"
 #include "cassiabend/store/gateway_connection.h"
+#include "cassiabend/store/gateway_pool.h"
 #include "cassiabend/store/watch_reader.h"
 
 namespace cassiabend {
@@ -338,7 +338,7 @@
   asio::io_context& io_;
   StoreClientOptions options_;
   std::vector<tcp::endpoint> endpoints_;
-  ConnectionPool pool_;
+  GatewayPool pool_;
   EventSink* sink_;
   SystemClock clock_;
   StoreClientCounts counts_;
