--- a/src/cassiabend/ctl/commands.h
+++ b/src/cassiabend/ctl/commands.h
@@ -71,6 +71,9 @@
   /// \brief Sets expected revisions by the version in force, leaves out what
   /// would change nothing, shows the rest and commits it.
   ExitCode CommitEdits(std::vector<Edit> edits);
+  /// \brief Reports that the version in force is as wanted already, after the
+  /// store's head has confirmed it.
+  ExitCode ReportNoChange(const Change& change, VersionNumber present);
   /// \brief Sends a change, reports its outcome and waits where asked.
   ExitCode Submit(const NodeCaller::Ask& ask);
   ExitCode WaitFor(VersionNumber number);
--- a/src/cassiabend/ctl/commands_change.cc
+++ b/src/cassiabend/ctl/commands_change.cc
@@ -91,21 +91,23 @@
   if (result.code != CommitCode::kOk && result.code != CommitCode::kNotFound) {
     return ReportFailure(result);
   }
-  // A change that an earlier run began must be sent as it was.
-  const bool repeated = !line_.change_id.IsZero();
-  std::erase_if(edits, [&](const Edit& it) {
-    return !repeated && ChangesNothing(it, PresentItem(present, TargetOf(it)));
-  });
   for (Edit& it : edits) {
     if (!it.expected_revision) {
       it.expected_revision = RevisionOf(PresentItem(present, TargetOf(it)));
     }
   }
-  ShowDifference(present, edits);
-  if (edits.empty()) {
-    return ExitCode::kOk;
+  Change change{change_id_, {}, edits};
+  // A change that an earlier run began must be sent as it was.
+  if (line_.change_id.IsZero()) {
+    std::erase_if(change.edits, [&](const Edit& it) {
+      return ChangesNothing(it, PresentItem(present, TargetOf(it)));
+    });
+  }
+  ShowDifference(present, change.edits);
+  if (change.edits.empty()) {
+    change.edits = std::move(edits);
+    return ReportNoChange(change, present.number);
   }
-  const Change change{change_id_, {}, std::move(edits)};
   return Submit([this, change](AdminClient& client) {
     return client.Commit(change, line_.dry_run);
   });
@@ -116,9 +118,6 @@
   if (line_.json) {
     return;
   }
-  if (edits.empty()) {
-    streams_.out << "nothing to change\n";
-  }
   for (const Edit& it : edits) {
     const ItemRef target = TargetOf(it);
     const boost::json::value before =
@@ -133,6 +132,29 @@
   }
 }
 
+ExitCode Commands::ReportNoChange(const Change& change, VersionNumber present) {
+  // The node's version may be older than the store's head, which a dry run
+  // reads: it is a conflict where an item has changed since.
+  if (!change.edits.empty()) {
+    const CommitResult result = caller().Read(
+        [&](AdminClient& client) { return client.Commit(change, true); });
+    if (result.code != CommitCode::kOk) {
+      return ReportFailure(result);
+    }
+  }
+  if (line_.wait && !line_.dry_run) {
+    return WaitFor(present);
+  }
+  if (line_.json) {
+    PrintJson({{"accepted", false},
+               {"reason", "nothing to change"},
+               {"version", present}});
+  } else {
+    streams_.out << "nothing to change\n";
+  }
+  return ExitCode::kOk;
+}
+
 ExitCode Commands::Submit(const NodeCaller::Ask& ask) {
   CommitResult result =
       line_.dry_run ? caller().Read(ask) : caller().Change(ask);
--- a/tests/shell/ctl_test.cc
+++ b/tests/shell/ctl_test.cc
@@ -348,7 +348,23 @@
                         "--tenant", "cascadia"});
   CHECK(same.code == 0);
   CHECK(same.out == "nothing to change\n");
-  node.Run([&] { CHECK(node.events.size() == 1); });
+  const Run json = CtlOn(
+      node, {"--json", "service", "put", "catalog", "--tenant", "cascadia"});
+  CHECK(boost::json::parse(json.out).at("version") == 5);
+  const Run waiting = CtlOn(
+      node, {"--wait", "service", "put", "catalog", "--tenant", "cascadia"});
+  CHECK(waiting.code == Code(ExitCode::kWaitTimedOut));
+  node.Run([&] {
+    CHECK(node.events.size() == 4);
+    for (const ConfigEvent& it : node.events) {
+      CHECK(std::get<CommitRequested>(it).dry_run);
+    }
+    node.script = {Result(CommitCode::kConflict)};
+  });
+  // The store's head is newer than the version of the node.
+  const Run stale =
+      CtlOn(node, {"service", "put", "catalog", "--tenant", "cascadia"});
+  CHECK(stale.code == Code(ExitCode::kConflict));
 }
 
 TEST_CASE("lists, versions and history are shown as tables and as JSON") {
