--- a/src/cassiabend/http/attempt_client.cc
+++ b/src/cassiabend/http/attempt_client.cc
@@ -2,8 +2,10 @@
 
 #include <utility>
 
+#include "cassiabend/http/call_headers.h"
 #include "cassiabend/http/headers.h"
 #include "cassiabend/http/message_rules.h"
+#include "cassiabend/http/system_answers.h"
 
 namespace cassiabend {
 namespace {
--- /dev/null
+++ b/src/cassiabend/http/call_headers.cc
@@ -0,0 +1,165 @@
+#include "cassiabend/http/call_headers.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "cassiabend/http/header_text.h"
+#include "cassiabend/http/headers.h"
+
+namespace cassiabend {
+namespace {
+
+/// Latest wall-clock time that a header may state.
+constexpr std::uint64_t kMaxWallMs = 1ULL << 53;
+
+std::string HostWithoutPort(std::string_view host) {
+  const std::size_t colon = host.rfind(':');
+  const bool is_ipv6 =
+      host.find(']') != std::string_view::npos && colon < host.rfind(']');
+  if (colon != std::string_view::npos && !is_ipv6) {
+    host = host.substr(0, colon);
+  }
+  return ToLower(host);
+}
+
+std::uint8_t ParseDepth(std::string_view text) noexcept {
+  constexpr unsigned kMax = std::numeric_limits<std::uint8_t>::max();
+  if (text.empty()) {
+    return 0;
+  }
+  // A depth that cannot be read counts as too deep.
+  return static_cast<std::uint8_t>(
+      std::min(ParseNumber<unsigned>(text).value_or(kMax), kMax));
+}
+
+bool IsRetry(const MessageHead& head) noexcept {
+  const std::string_view text = head.Get(kRetryHeader);
+  return !text.empty() && text != "0";
+}
+
+std::string_view NameOfVerb(AttemptVerb verb) noexcept {
+  switch (verb) {
+    case AttemptVerb::kFetch:
+      return "fetch";
+    case AttemptVerb::kCancel:
+      return "cancel";
+    default:
+      return "run";
+  }
+}
+
+std::optional<AttemptVerb> VerbByName(std::string_view name) noexcept {
+  for (const AttemptVerb it :
+       {AttemptVerb::kRun, AttemptVerb::kFetch, AttemptVerb::kCancel}) {
+    if (NameOfVerb(it) == name) {
+      return it;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+CallFacts ReadCallFacts(const MessageHead& head) {
+  CallFacts facts;
+  facts.tenant = head.Get(kTenantHeader);
+  facts.host = HostWithoutPort(head.Get("Host"));
+  facts.path = head.target.substr(0, head.target.find('?'));
+  facts.method = head.method;
+  facts.order_key = head.Get(kOrderKeyHeader);
+  facts.deadline = ParseMilliseconds(head.Get(kDeadlineHeader));
+  facts.depth = ParseDepth(head.Get(kDepthHeader));
+  facts.is_retry = IsRetry(head);
+  for (const HeaderField& it : head.fields) {
+    if (StartsWithIgnoreCase(it.name, "x-")) {
+      facts.headers.emplace_back(ToLower(it.name), it.value);
+    }
+  }
+  return facts;
+}
+
+bool IsPeerRequest(const MessageHead& head) noexcept {
+  return head.Has(kAttemptHeader);
+}
+
+std::optional<PeerRequest> ReadPeerRequest(const MessageHead& head) {
+  PeerRequest request;
+  AttemptRequest& attempt = request.attempt;
+  const auto verb = VerbByName(head.Get(kVerbHeader));
+  const auto start_id = ParseNumber<std::uint64_t>(head.Get(kStartIdHeader));
+  if (!verb.has_value() || !start_id.has_value() ||
+      !FromHex(head.Get(kAttemptHeader), &attempt.id)) {
+    return std::nullopt;
+  }
+  request.verb = *verb;
+  attempt.destination_start_id = *start_id;
+  if (*verb != AttemptVerb::kRun) {
+    return request;
+  }
+  const auto deadline = ParseMilliseconds(head.Get(kDeadlineHeader));
+  const auto number = ParseNumber<std::uint64_t>(head.Get(kConfigHeader));
+  const auto longest = ParseNumber<std::uint32_t>(head.Get(kLongestJobHeader));
+  const auto expires = ParseNumber<std::uint64_t>(head.Get(kExpiresHeader));
+  if (!deadline.has_value() || !number.has_value() || !longest.has_value() ||
+      !expires.has_value() || *expires > kMaxWallMs) {
+    return std::nullopt;
+  }
+  attempt.deadline = *deadline;
+  attempt.config_number = *number;
+  attempt.longest_job = Seconds(*longest);
+  attempt.route = head.Get(kRouteHeader);
+  attempt.service = head.Get(kServiceHeader);
+  attempt.tenant = head.Get(kTenantHeader);
+  attempt.request_class = head.Get(kClassHeader);
+  attempt.order_key = head.Get(kOrderKeyHeader);
+  attempt.site = head.Get(kSiteHeader);
+  attempt.noisy = head.Get(kNoisyHeader) == "1";
+  attempt.once = head.Get(kOnceHeader) == "1";
+  attempt.depth = ParseDepth(head.Get(kDepthHeader));
+  attempt.is_retry = IsRetry(head);
+  attempt.expires_at = WallTime(Milliseconds(*expires));
+  return request;
+}
+
+void WritePeerRequest(const PeerRequest& request, MessageHead* head) {
+  const AttemptRequest& attempt = request.attempt;
+  head->Add(kAttemptHeader, ToHex(attempt.id));
+  head->Add(kVerbHeader, NameOfVerb(request.verb));
+  head->Add(kStartIdHeader, std::to_string(attempt.destination_start_id));
+  if (request.verb != AttemptVerb::kRun) {
+    return;
+  }
+  head->Add(kDeadlineHeader, std::to_string(attempt.deadline.count()));
+  head->Add(kConfigHeader, std::to_string(attempt.config_number));
+  head->Add(kLongestJobHeader, std::to_string(attempt.longest_job.count()));
+  head->Add(kRouteHeader, attempt.route);
+  head->Add(kServiceHeader, attempt.service);
+  head->Add(kTenantHeader, attempt.tenant);
+  head->Add(kClassHeader, attempt.request_class);
+  head->Add(kSiteHeader, attempt.site);
+  head->Add(kNoisyHeader, attempt.noisy ? "1" : "0");
+  head->Add(kOnceHeader, attempt.once ? "1" : "0");
+  head->Add(kDepthHeader, std::to_string(attempt.depth));
+  head->Add(kRetryHeader, attempt.is_retry ? "1" : "0");
+  head->Add(kExpiresHeader,
+            std::to_string(attempt.expires_at.time_since_epoch().count()));
+}
+
+void WriteUpstreamHeaders(const AttemptRequest& attempt,
+                          Milliseconds deadline,
+                          MessageHead* head) {
+  std::erase_if(head->fields, [](const HeaderField& it) {
+    return EqualsIgnoreCase(it.name, kRequestIdHeader);
+  });
+  head->Add(kRequestIdHeader, ToHex(attempt.id));
+  head->Add(kDeadlineHeader, std::to_string(deadline.count()));
+  head->Add(kDepthHeader, std::to_string(attempt.depth + 1));
+  if (attempt.is_retry) {
+    head->Add(kRetryHeader, "1");
+  }
+  if (!attempt.tenant.empty()) {
+    head->Add(kTenantHeader, attempt.tenant);
+  }
+}
+
+}  // namespace cassiabend
--- a/src/cassiabend/http/call_server.cc
+++ b/src/cassiabend/http/call_server.cc
@@ -8,12 +8,15 @@
 
 #include "cassiabend/base/error.h"
 #include "cassiabend/base/log.h"
+#include "cassiabend/http/call_headers.h"
 #include "cassiabend/http/call_table.h"
 #include "cassiabend/http/destination_table.h"
 #include "cassiabend/http/headers.h"
 #include "cassiabend/http/message_rules.h"
 #include "cassiabend/http/prober.h"
 #include "cassiabend/http/server_session.h"
+#include "cassiabend/http/session_link.h"
+#include "cassiabend/http/system_answers.h"
 
 namespace cassiabend {
 namespace {
@@ -68,31 +71,6 @@
   return out;
 }
 
-/// \brief Way back to an entry node over the connection that it opened.
-class SessionLink final : public ReplyLink {
- public:
-  explicit SessionLink(ServerSession& session) : session_(&session) {}
-
-  void NotRun(NotRunReason reason, Milliseconds retry_after) override {
-    session_->Reply(NotRunHead(reason, retry_after),
-                    ExplanationBody(kOutcomeNotRun, NameOf(reason), {}));
-  }
-  void StillRunning() override {
-    session_->Reply(StillRunningHead(),
-                    ExplanationBody(kOutcomeStillRunning, {}, {}));
-  }
-  void Unknown() override {
-    session_->Reply(UnknownHead(), ExplanationBody(kOutcomeUnknown, {}, {}));
-  }
-  void Answer(RefPtr<AnswerStream> answer) override {
-    session_->Relay(std::move(answer));
-  }
-  void Close() override { session_->Abort(); }
-
- private:
-  RefPtr<ServerSession> session_;
-};
-
 }  // namespace
 
 class CallServer::Impl final : public std::enable_shared_from_this<Impl>,
--- a/src/cassiabend/http/call_table.cc
+++ b/src/cassiabend/http/call_table.cc
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "cassiabend/http/headers.h"
-#include "cassiabend/http/message_rules.h"
+#include "cassiabend/http/system_answers.h"
 
 namespace cassiabend {
 
--- a/src/cassiabend/http/destination_table.h
+++ b/src/cassiabend/http/destination_table.h
@@ -7,7 +7,7 @@
 
 #include "cassiabend/core/call_events.h"
 #include "cassiabend/core/event_sink.h"
-#include "cassiabend/http/message_rules.h"
+#include "cassiabend/http/call_headers.h"
 #include "cassiabend/http/outgoing_pool.h"
 #include "cassiabend/http/reply_link.h"
 #include "cassiabend/http/upstream_call.h"
--- a/src/cassiabend/http/server_session.cc
+++ b/src/cassiabend/http/server_session.cc
@@ -4,8 +4,8 @@
 #include <utility>
 
 #include "cassiabend/http/headers.h"
-#include "cassiabend/http/message_rules.h"
 #include "cassiabend/http/message_writer.h"
+#include "cassiabend/http/system_answers.h"
 
 namespace cassiabend {
 namespace {
--- /dev/null
+++ b/src/cassiabend/http/session_link.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "cassiabend/http/reply_link.h"
+#include "cassiabend/http/server_session.h"
+
+namespace cassiabend {
+
+/// \brief Way back to an entry node over the connection that it opened.
+class SessionLink final : public ReplyLink {
+ public:
+  explicit SessionLink(ServerSession& session) : session_(&session) {}
+
+  void NotRun(NotRunReason reason, Milliseconds retry_after) override;
+  void StillRunning() override;
+  void Unknown() override;
+  void Answer(RefPtr<AnswerStream> answer) override;
+  void Close() override;
+
+ private:
+  RefPtr<ServerSession> session_;
+};
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/http/system_answers.cc
@@ -0,0 +1,123 @@
+#include "cassiabend/http/system_answers.h"
+
+#include <algorithm>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "cassiabend/http/header_text.h"
+#include "cassiabend/http/headers.h"
+
+namespace cassiabend {
+namespace {
+
+std::uint16_t StatusOf(NotRunReason reason) noexcept {
+  switch (reason) {
+    case NotRunReason::kNoRoute:
+      return 404;
+    case NotRunReason::kBadRequest:
+      return 400;
+    case NotRunReason::kDeadline:
+      return 504;
+    case NotRunReason::kShareExceeded:
+      return 429;
+    case NotRunReason::kDepthExceeded:
+      return 508;
+    default:
+      return 503;
+  }
+}
+
+std::string_view PhraseOf(std::uint16_t status) noexcept {
+  switch (status) {
+    case 202:
+      return "Accepted";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 413:
+      return "Payload Too Large";
+    case 429:
+      return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 502:
+      return "Bad Gateway";
+    case 504:
+      return "Gateway Timeout";
+    case 508:
+      return "Loop Detected";
+    default:
+      return "Service Unavailable";
+  }
+}
+
+MessageHead SystemHead(std::uint16_t status, std::string_view outcome) {
+  MessageHead head;
+  head.status = status;
+  head.reason = PhraseOf(status);
+  head.Add(kOutcomeHeader, outcome);
+  head.Add("Content-Type", "application/json");
+  return head;
+}
+
+}  // namespace
+
+Outcome ReadOutcome(const MessageHead& head) {
+  Outcome outcome;
+  outcome.name = head.Get(kOutcomeHeader);
+  outcome.reason = NotRunReasonByName(head.Get(kReasonHeader))
+                       .value_or(NotRunReason::kOverloaded);
+  outcome.retry_after = ReadRetryAfter(head);
+  return outcome;
+}
+
+MessageHead NotRunHead(NotRunReason reason, Milliseconds retry_after) {
+  MessageHead head = SystemHead(StatusOf(reason), kOutcomeNotRun);
+  head.Add(kReasonHeader, NameOf(reason));
+  if (retry_after > Milliseconds(0)) {
+    const auto seconds = std::chrono::ceil<Seconds>(retry_after);
+    head.Add(kRetryAfterHeader, std::to_string(seconds.count()));
+    head.Add(kRetryAfterMsHeader, std::to_string(retry_after.count()));
+  }
+  return head;
+}
+
+MessageHead UnknownHead() {
+  return SystemHead(502, kOutcomeUnknown);
+}
+
+MessageHead StillRunningHead() {
+  return SystemHead(202, kOutcomeStillRunning);
+}
+
+MessageHead RefusalHead(std::uint16_t status) {
+  MessageHead head = SystemHead(status, kOutcomeNotRun);
+  head.Add(kReasonHeader, NameOf(NotRunReason::kBadRequest));
+  return head;
+}
+
+std::string ExplanationBody(std::string_view outcome,
+                            std::string_view reason,
+                            std::string_view detail) {
+  boost::json::object body;
+  body["outcome"] = outcome;
+  if (!reason.empty()) {
+    body["reason"] = reason;
+  }
+  if (!detail.empty()) {
+    body["detail"] = detail;
+  }
+  return boost::json::serialize(body) + "\n";
+}
+
+Milliseconds ReadRetryAfter(const MessageHead& head) {
+  const auto exact = ParseMilliseconds(head.Get(kRetryAfterMsHeader));
+  if (exact.has_value()) {
+    return *exact;
+  }
+  const auto seconds = ParseNumber<std::uint32_t>(head.Get(kRetryAfterHeader));
+  return std::min(Milliseconds(Seconds(seconds.value_or(0))), kMaxHeaderTime);
+}
+
+}  // namespace cassiabend
