Keep the results that KjThread waits for alive on both threads

Cause: the waiting thread could destroy a promise or task while the KJ thread was still inside setting its result. Change: both are shared.

--- a/src/cassiabend/rpc/kj_thread.cc
+++ b/src/cassiabend/rpc/kj_thread.cc
@@ -2,6 +2,7 @@
 
 #include <exception>
 #include <future>
+#include <memory>
 #include <utility>
 
 #include "cassiabend/base/error.h"
@@ -10,10 +11,12 @@
 namespace cassiabend {
 
 KjThread::KjThread() {
-  std::promise<void> started;
+  // Shared, because the thread may still be in `set_value` after the wait.
+  const auto started = std::make_shared<std::promise<void>>();
+  std::future<void> done = started->get_future();
   thread_ = std::thread(
-      [this, &started] { Loop([&started] { started.set_value(); }); });
-  started.get_future().wait();
+      [this, started] { Loop([&started] { started->set_value(); }); });
+  done.wait();
 }
 
 KjThread::~KjThread() {
@@ -31,7 +34,7 @@
 }
 
 void KjThread::Run(const Task& task) {
-  std::packaged_task<void()> packaged([&task] {
+  const auto packaged = std::make_shared<std::packaged_task<void()>>([&task] {
     try {
       task();
     } catch (const kj::Exception& ex) {
@@ -39,8 +42,9 @@
       throw RpcError("run a task", "RPC thread", ex.getDescription().cStr());
     }
   });
-  Post([&packaged] { packaged(); });
-  packaged.get_future().get();
+  std::future<void> done = packaged->get_future();
+  Post([packaged] { (*packaged)(); });
+  done.get();
 }
 
 void KjThread::Loop(const std::function<void()>& on_started) {
