--- a/tools/harness/http_client.cc
+++ b/tools/harness/http_client.cc
@@ -15,6 +15,9 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+/// Room for one read, so that large answers arrive in few pieces.
+constexpr std::size_t kReadBytes = 64 * 1024;
+
 class HttpConnection::Impl {
  public:
   Impl(const std::string& ip,
@@ -25,6 +28,7 @@
     Await("connect to " + ip + ":" + std::to_string(port),
           [&](auto handler) { stream_.async_connect(endpoint, handler); });
     stream_.socket().set_option(asio::ip::tcp::no_delay(true));
+    buf_.reserve(kReadBytes);
   }
 
   Response Send(const Request& request) {
