--- a/tests/shell/admin_test.cc
+++ b/tests/shell/admin_test.cc
@@ -124,7 +124,9 @@
   const auto bob = Connect(node, kTenantToken);
   const std::pair<std::optional<VersionNumber>, std::optional<VersionNumber>>
       rows[] = {{std::nullopt, 3}, {3, 3}, {2, 2}, {5, 5}, {6, std::nullopt}};
-  for (const auto& [stated, passed_on] : rows) {
+  for (const auto& row : rows) {
+    const std::optional<VersionNumber> stated = row.first;
+    const std::optional<VersionNumber> passed_on = row.second;
     CAPTURE(stated.value_or(0));
     Change change = PutService("catalog", "cascadia");
     change.edits[0].expected_revision = stated;
