--- a/src/cassiabend/store/store_client.h
+++ b/src/cassiabend/store/store_client.h
@@ -36,6 +36,8 @@
 
 /// \brief Client of the platform's key-value service, by the etcd v3
 /// HTTP/JSON gateway. Each `StoreCall` is answered by one `StoreReplied`.
+/// A watch ends as `kUnavailable`, which asks the caller to read the key again,
+/// also when the key is removed or the store is older than the watch.
 /// Used on the thread of `io` only.
 class StoreClient {
  public:
