Pass on small answers only when they are whole

Ruled out: ejection and retries of the core, which see no failure once the answer has begun. Change: the head of an answer of at most 16 KB is passed on with its end; a break before is reported as broken, which repeatable calls retry.

--- a/src/cassiabend/http/upstream_call.cc
+++ b/src/cassiabend/http/upstream_call.cc
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr std::uint16_t kServiceUnavailable = 503;
+/// Answers up to this size are passed on only when they are whole, so that an
+/// upstream that breaks off within one can still be replaced by another.
+constexpr std::uint64_t kWholeAnswerBytes = 16 * 1024;
 
 /// \returns Whether the upstream says that it refused before running.
 bool IsShed(const MessageHead& head) noexcept {
@@ -54,11 +57,23 @@
     sink_->Post(CallEvent(UpstreamShed{attempt_, ReadRetryAfter(head)}));
     return;
   }
-  const std::uint16_t status = head.status;
+  const bool is_small = head.content_length.has_value() &&
+                        *head.content_length <= kWholeAnswerBytes;
   StripConnectionHeaders(&head);
   StripSystemHeaders(&head);
-  sink_->Post(CallEvent(UpstreamAnswering{attempt_, status}));
-  answer_->Begin(std::move(head));
+  pending_head_ = std::move(head);
+  if (!is_small) {
+    PassOnHead();
+  }
+}
+
+void UpstreamCall::PassOnHead() {
+  if (!pending_head_) {
+    return;
+  }
+  sink_->Post(CallEvent(UpstreamAnswering{attempt_, pending_head_->status}));
+  answer_->Begin(std::move(*pending_head_));
+  pending_head_.reset();
 }
 
 void UpstreamCall::OnResponseBody(std::string_view bytes) {
@@ -76,6 +91,7 @@
   if (is_shed_) {
     return;
   }
+  PassOnHead();
   sink_->Post(CallEvent(UpstreamFinished{attempt_}));
   answer_->Finish(true);
 }
--- a/src/cassiabend/http/upstream_call.h
+++ b/src/cassiabend/http/upstream_call.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "cassiabend/core/call_events.h"
 #include "cassiabend/core/event_sink.h"
 #include "cassiabend/http/answer_stream.h"
@@ -35,12 +37,16 @@
   void OnResponseEnd() override;
   void OnExchangeFailed(ExchangeFailure failure) override;
   void OnRoom() override;
+  /// \brief Tells that the answer begins, unless that is told already.
+  void PassOnHead();
 
   AttemptId attempt_;
   RefPtr<AnswerStream> answer_;
   EventSink* sink_;
   RefPtr<ClientExchange> exchange_;
   bool is_shed_ = false;
+  /// Head of a small answer that is not whole yet.
+  std::optional<MessageHead> pending_head_;
 };
 
 }  // namespace cassiabend
