--- a/src/cassiabend/http/upstream_call.cc
+++ b/src/cassiabend/http/upstream_call.cc
@@ -2,8 +2,10 @@
 
 #include <utility>
 
+#include "cassiabend/http/call_headers.h"
 #include "cassiabend/http/headers.h"
 #include "cassiabend/http/message_rules.h"
+#include "cassiabend/http/system_answers.h"
 
 namespace cassiabend {
 namespace {
@@ -18,10 +20,10 @@
 
 }  // namespace
 
-UpstreamCall::UpstreamCall(ConnectionPool* pool,
+UpstreamCall::UpstreamCall(OutgoingPool* pool,
                            const UpstreamCallOptions& options,
                            const AttemptRequest& attempt,
-                           RefPtr<HeldRequest> held,
+                           const RefPtr<HeldRequest>& held,
                            RefPtr<AnswerStream> answer,
                            EventSink* sink)
     : attempt_(attempt.id),
--- a/tests/shell/admin_test.cc
+++ b/tests/shell/admin_test.cc
@@ -124,7 +124,9 @@
   const auto bob = Connect(node, kTenantToken);
   const std::pair<std::optional<VersionNumber>, std::optional<VersionNumber>>
       rows[] = {{std::nullopt, 3}, {3, 3}, {2, 2}, {5, 5}, {6, std::nullopt}};
-  for (const auto& [stated, passed_on] : rows) {
+  for (const auto& row : rows) {
+    const std::optional<VersionNumber> stated = row.first;
+    const std::optional<VersionNumber> passed_on = row.second;
     CAPTURE(stated.value_or(0));
     Change change = PutService("catalog", "cascadia");
     change.edits[0].expected_revision = stated;
@@ -252,6 +254,23 @@
   CHECK(first.get().code == CommitCode::kOutcomeUnknown);
 }
 
+TEST_CASE("a caller that has gone gives its place to the next") {
+  ScriptedNode node;
+  node.options.max_waiting = 1;
+  node.Start();
+  {
+    AdminClient hurried(kTestIp, node.port(), kAllToken, Milliseconds(100));
+    CHECK_THROWS_AS((void)hurried.Recover({1, 1}), RpcError);
+  }
+  node.Run([&] { node.script = {Accepted(6)}; });
+  const auto client = Connect(node);
+  CommitResult result;
+  do {
+    result = client->Recover({1, 2});
+  } while (result.code == CommitCode::kBusy);
+  CHECK(result.code == CommitCode::kOk);
+}
+
 TEST_CASE("a node that dies, or is silent, fails the request") {
   auto node = std::make_unique<ScriptedNode>();
   node->Start();
