--- a/src/cassiabend/http/prober.cc
+++ b/src/cassiabend/http/prober.cc
@@ -10,6 +10,10 @@
 /// Bytes of a health answer that are read; the rest is dropped.
 constexpr std::size_t kMaxHealthBytes = std::size_t{4} * 1024;
 constexpr std::uint16_t kOk = 200;
+/// The first probes follow each other in a share of the period, so that an
+/// upstream that is up serves soon after its node's start.
+constexpr std::uint32_t kQuickProbes = 3;
+constexpr int kQuickShare = 10;
 
 }  // namespace
 
@@ -51,6 +55,7 @@
 }
 
 void Prober::Probe() {
+  ++probes_;
   status_ = 0;
   body_.clear();
   MessageHead head;
@@ -66,7 +71,9 @@
 
 void Prober::Wait() {
   exchange_ = nullptr;
-  timer_.expires_after(options_.period);
+  const bool is_quick = probes_ < kQuickProbes;
+  timer_.expires_after(is_quick ? options_.period / kQuickShare
+                                : options_.period);
   timer_.async_wait([this](const boost::system::error_code& ec) {
     if (!ec) {
       Probe();
--- a/src/cassiabend/http/prober.h
+++ b/src/cassiabend/http/prober.h
@@ -43,6 +43,7 @@
   EventSink* sink_;
   boost::asio::steady_timer timer_;
   RefPtr<ClientExchange> exchange_;
+  std::uint32_t probes_ = 0;
   std::uint16_t status_ = 0;
   std::string body_;
 };
