--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "cassiabend/core/call_refusals.h"
+
 namespace cassiabend {
 namespace {
 
@@ -17,60 +19,6 @@
 constexpr Milliseconds kMinAttemptTime{2};
 /// Time before the deadline at which an attempt in doubt is cancelled.
 constexpr Milliseconds kCancelMargin{80};
-/// When to come back after a refusal that names no time.
-constexpr Milliseconds kDefaultRetryAfter{100};
-
-/// \returns Whether another upstream may take what one refused for `reason`.
-bool IsRetriable(NotRunReason reason) noexcept {
-  switch (reason) {
-    case NotRunReason::kOverloaded:
-    case NotRunReason::kStaleConfiguration:
-    case NotRunReason::kDraining:
-    case NotRunReason::kDeadline:
-    case NotRunReason::kRestarted:
-    case NotRunReason::kCancelled:
-    case NotRunReason::kUnreachable:
-    case NotRunReason::kNoUpstream:
-    case NotRunReason::kNotReady:
-    case NotRunReason::kStoreUnavailable:
-      return true;
-    default:
-      return false;
-  }
-}
-
-AttemptOutcome OutcomeOf(NotRunReason reason) noexcept {
-  switch (reason) {
-    case NotRunReason::kNoUpstream:
-    case NotRunReason::kDraining:
-    case NotRunReason::kNotReady:
-      return AttemptOutcome::kUnavailable;
-    case NotRunReason::kOverloaded:
-      return AttemptOutcome::kShed;
-    case NotRunReason::kUnreachable:
-    case NotRunReason::kRestarted:
-      return AttemptOutcome::kFailed;
-    default:
-      return AttemptOutcome::kNeutral;
-  }
-}
-
-/// \returns The time that a caller is told, for a refusal that names none.
-Milliseconds RetryAfterOf(const Refusal& refusal) noexcept {
-  if (refusal.retry_after > Milliseconds(0)) {
-    return refusal.retry_after;
-  }
-  switch (refusal.reason) {
-    case NotRunReason::kNoRoute:
-    case NotRunReason::kUnknownSite:
-    case NotRunReason::kDepthExceeded:
-    case NotRunReason::kBadRequest:
-      return Milliseconds(0);
-    default:
-      return kDefaultRetryAfter;
-  }
-}
-
 }  // namespace
 
 CallEntry::CallEntry(CallContext* context, Balancer* balancer)
@@ -98,7 +46,9 @@
 }
 
 std::optional<Refusal> CallEntry::Route(Call* call) const {
-  if (context_->draining) {
+  // The calls that work in flight makes belong to that work.
+  const bool in_flight = call->facts.depth > 0 && context_->upstream_calls > 0;
+  if (context_->draining && !in_flight) {
     return Refusal{NotRunReason::kDraining};
   }
   if (!context_->ready || !context_->snapshot) {
@@ -220,6 +170,9 @@
                      Remaining(*call) > call->request.deadline / 2;
   EndAttempt(call, early ? AttemptOutcome::kFailed : OutcomeOf(event.reason),
              event.retry_after);
+  if (!call->refusal || !IsPassing(event.reason)) {
+    call->refusal = Refusal{event.reason, event.retry_after};
+  }
   const bool needs_room = event.reason == NotRunReason::kOverloaded;
   if (IsRetriable(event.reason) && Retry(call, needs_room)) {
     return;
@@ -228,7 +181,7 @@
     FinishUnknown(call, "an earlier attempt may have run");
     return;
   }
-  FinishNotRun(call, {event.reason, event.retry_after});
+  FinishNotRun(call, *call->refusal);
 }
 
 void CallEntry::Reduce(const AttemptAnswering& event) {
@@ -318,7 +271,7 @@
              Milliseconds(0));
   call->may_have_run = true;
   context_->Emit(DropAttempt{call->id, call->request.id});
-  if (!call->request.once && Retry(call, false)) {
+  if (MayRepeat(call->request) && Retry(call, false)) {
     return;
   }
   FinishUnknown(call, "the answer of the upstream was lost");
@@ -427,7 +380,8 @@
 }
 
 void CallEntry::FinishNotRun(Call* call, const Refusal& refusal) {
-  context_->Emit(AnswerNotRun{call->id, refusal.reason, RetryAfterOf(refusal),
+  const Milliseconds wait = RetryAfterOf(refusal, &context_->random);
+  context_->Emit(AnswerNotRun{call->id, refusal.reason, wait,
                               std::string(NameOf(refusal.reason))});
   Finish(call, NameOf(refusal.reason));
 }
--- a/src/cassiabend/http/attempt_client.cc
+++ b/src/cassiabend/http/attempt_client.cc
@@ -2,8 +2,10 @@
 
 #include <utility>
 
+#include "cassiabend/http/call_headers.h"
 #include "cassiabend/http/headers.h"
 #include "cassiabend/http/message_rules.h"
+#include "cassiabend/http/system_answers.h"
 
 namespace cassiabend {
 namespace {
@@ -36,9 +38,9 @@
 
 }  // namespace
 
-AttemptClient::AttemptClient(ConnectionPool* pool,
+AttemptClient::AttemptClient(OutgoingPool* pool,
                              const SendAttempt& send,
-                             RefPtr<HeldRequest> held,
+                             const RefPtr<HeldRequest>& held,
                              RefPtr<HeldBytes> held_bytes,
                              Milliseconds progress_timeout,
                              EventSink* sink)
--- a/tests/shell/http_call_server_test.cc
+++ b/tests/shell/http_call_server_test.cc
@@ -150,14 +150,15 @@
       {Get("/answer-status/204"), "HTTP/1.1 204"},
       {Get("/answer-status/304"), "HTTP/1.1 304"},
   };
-  for (const auto& [request, status] : cases) {
+  for (const auto& it : cases) {
+    const std::string& request = it.first;
     CAPTURE(request);
     TwoNodes nodes;
     const auto caller = nodes.Caller();
     caller->Send(request);
     CHECK(nodes.entry->Await<AnswerRelayed>().complete);
     REQUIRE(nodes.Until([&] { return caller->Has("\r\n\r\n"); }));
-    CHECK(caller->received().starts_with(status));
+    CHECK(caller->received().starts_with(it.second));
     CHECK(caller->received().ends_with("\r\n\r\n"));
     caller->Clear();
     caller->Send(Get("/bytes/3"));
@@ -186,6 +187,21 @@
   }
 }
 
+TEST_CASE("delivered answers are freed before calls are refused") {
+  constexpr std::size_t kCalls = 40;
+  CallServerOptions options = OptionsFor(0);
+  options.max_held_bytes = 200'000;
+  TwoNodes nodes({}, options);
+  const auto caller = nodes.Caller();
+  for (std::size_t n = 1; n <= kCalls; ++n) {
+    caller->Send(Get("/bytes/20000"));
+    REQUIRE(nodes.entry->Await<AnswerRelayed>(n).complete);
+  }
+  CHECK(nodes.destination->server().counts().held_bytes <
+        options.max_held_bytes);
+  CHECK(nodes.destination->server().counts().rejected_requests == 0);
+}
+
 TEST_CASE("refusals say why and when to come back") {
   struct Case {
     NotRunReason reason;
