Expect small answers whole in the tests of broken upstreams

Cause: four cases used answers of 8 bytes to stand for an answer that has begun; such answers are now passed on only when whole. Change: they use an answer of 20,000 bytes and ask for the same; a new case asks that a break within a small answer is unknown and begins nothing. Conclusion: as strict as before, and one rule more.

--- a/tests/shell/http_faults_test.cc
+++ b/tests/shell/http_faults_test.cc
@@ -304,6 +304,15 @@
   std::shared_ptr<RawPeer> caller;
 };
 
+/// Begin of an answer that is passed on before it is whole.
+constexpr char kLargeHalf[] =
+    "HTTP/1.1 200 OK\r\nContent-Length: 20000\r\n\r\nhalf";
+
+/// \returns What `kLargeHalf` lacks.
+std::string LargeRest() {
+  return std::string(20'000 - 4, 'r');
+}
+
 TEST_CASE("the upstream is told of the attempt and of no more") {
   RawUpstream t;
   const auto peer = t.Peer();
@@ -361,15 +370,25 @@
   SUBCASE("broken off within the answer: cut") {
     RawUpstream t;
     const auto peer = t.Peer();
-    peer->Send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf");
+    peer->Send(kLargeHalf);
     REQUIRE(t.Until([&] { return t.caller->Has("half"); }));
     peer->Close();
     CHECK_FALSE(t.entry.Await<AnswerRelayed>().complete);
     CHECK(t.Until([&] { return t.caller->closed(); }));
   }
+  SUBCASE("broken off within a small answer: unknown, not cut") {
+    RawUpstream t;
+    const auto peer = t.Peer();
+    peer->Send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf");
+    peer->Close();
+    (void)t.destination.Await<UpstreamBroken>();
+    CHECK(t.destination.Count<UpstreamAnswering>() == 0);
+    CHECK(t.Until([&] { return t.caller->Has("Outcome: unknown"); }));
+    CHECK_FALSE(t.caller->Has("half"));
+  }
   SUBCASE("paused too long within the answer: cut") {
     RawUpstream t;
-    t.Peer()->Send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf");
+    t.Peer()->Send(kLargeHalf);
     CHECK_FALSE(t.entry.Await<AnswerRelayed>().complete);
     CHECK(t.Until([&] { return t.caller->closed(); }));
   }
@@ -401,11 +420,11 @@
 TEST_CASE("a fetch within the answer replaces the connection it had") {
   RawUpstream t;
   const auto upstream = t.Peer();
-  upstream->Send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf");
+  upstream->Send(kLargeHalf);
   REQUIRE(t.Until([&] { return t.caller->Has("half"); }));
   const auto peer = t.Fetch();
-  upstream->Send("rest");
-  CHECK(t.Until([&] { return peer->Has("\r\n\r\nhalfrest"); }));
+  upstream->Send(LargeRest());
+  CHECK(t.Until([&] { return peer->Has("\r\n\r\nhalf" + LargeRest()); }));
   CHECK(t.destination.Await<LinkLost>().link != 0);
   CHECK_FALSE(t.entry.Await<AnswerRelayed>().complete);
 }
@@ -413,19 +432,19 @@
 TEST_CASE("a released answer on its way still arrives whole") {
   RawUpstream t;
   const auto upstream = t.Peer();
-  upstream->Send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf");
+  upstream->Send(kLargeHalf);
   REQUIRE(t.Until([&] { return t.caller->Has("half"); }));
   t.destination.Execute(ReleaseAttempt{ExampleAttempt(1).id});
-  upstream->Send("rest");
+  upstream->Send(LargeRest());
   CHECK(t.entry.Await<AnswerRelayed>().complete);
-  CHECK(t.Until([&] { return t.caller->Has("\r\n\r\nhalfrest"); }));
+  CHECK(t.Until([&] { return t.caller->Has("\r\n\r\nhalf" + LargeRest()); }));
   CHECK(t.destination.server().counts().held_bytes == 0);
 }
 
 TEST_CASE("a released answer that breaks off is cut") {
   RawUpstream t;
   const auto upstream = t.Peer();
-  upstream->Send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf");
+  upstream->Send(kLargeHalf);
   REQUIRE(t.Until([&] { return t.caller->Has("half"); }));
   t.destination.Execute(ReleaseAttempt{ExampleAttempt(1).id});
   upstream->Close();
