Compare member lists peer by peer; show settings and counts that were hidden

Also: six settings and four counts were not shown, and waiting took members of a zone that is cut off for slow ones. Conclusion: lists become equal also when several nodes lack the same member.

--- a/src/cassiabend/core/member_sync.cc
+++ b/src/cassiabend/core/member_sync.cc
@@ -8,16 +8,26 @@
                           const NodeId& peer,
                           bool equal) {
   if (equal) {
-    mismatches_ = 0;
-    pause_ = kFirstPause;
+    const bool differed = differing_.erase(peer) != 0;
+    pause_ = differed ? kFirstPause : pause_;
     return;
   }
-  ++mismatches_;
-  if (mismatches_ < kMismatches || context.now() < next_request_at_) {
+  if (differing_.size() >= kMaxPeers) {
+    differing_.clear();
+  }
+  const auto [it, inserted] = differing_.try_emplace(peer);
+  Difference& difference = it->second;
+  if (inserted) {
+    difference.since = context.now();
+  }
+  ++difference.datagrams;
+  if (difference.datagrams < kLeastDatagrams ||
+      context.now() - difference.since < kPatience ||
+      context.now() < next_request_at_) {
     return;
   }
   context.Emit(SendMembersRequest{peer});
-  mismatches_ = 0;
+  differing_.erase(it);
   next_request_at_ = context.now() + context.random().Jitter(pause_, 0.2);
   pause_ = std::min(pause_ * 2, kLongestPause);
 }
--- a/src/cassiabend/ctl/convergence.cc
+++ b/src/cassiabend/ctl/convergence.cc
@@ -17,9 +17,15 @@
 constexpr std::string_view kUpstreamNames[] = {"none", "warming", "serving",
                                                "draining"};
 
+/// A suspect that was not heard for this long counts as unreachable: members
+/// of a zone that is cut off stay suspect until it is back.
+constexpr Milliseconds kSilentAfter{5'000};
+
 bool IsReachable(const MemberView& view) noexcept {
-  return view.member.status == MemberStatus::kAlive ||
-         view.member.status == MemberStatus::kSuspect;
+  if (view.member.status != MemberStatus::kSuspect) {
+    return view.member.status == MemberStatus::kAlive;
+  }
+  return view.mark_age && *view.mark_age < kSilentAfter;
 }
 
 boost::json::value AgeToJson(const std::optional<Milliseconds>& age) {
--- a/src/cassiabend/http/upstream_call.cc
+++ b/src/cassiabend/http/upstream_call.cc
@@ -13,7 +13,7 @@
 constexpr std::uint16_t kServiceUnavailable = 503;
 /// Answers up to this size are passed on only when they are whole, so that an
 /// upstream that breaks off within one can still be replaced by another.
-constexpr std::uint64_t kWholeAnswerBytes = 16 * 1024;
+constexpr std::uint64_t kWholeAnswerBytes = 16'384;
 
 /// \returns Whether the upstream says that it refused before running.
 bool IsShed(const MessageHead& head) noexcept {
--- a/src/cassiabend/node/metrics.cc
+++ b/src/cassiabend/node/metrics.cc
@@ -16,10 +16,11 @@
 using prometheus::MetricFamily;
 using prometheus::MetricType;
 
-/// Bounds of the latency histograms, in seconds.
-const prometheus::Histogram::BucketBoundaries kLatencyBounds = {
-    0.0001, 0.00025, 0.0005, 0.00092, 0.0015, 0.0025, 0.005, 0.01,
-    0.025,  0.05,    0.1,    0.25,    0.5,    1.0,    2.5,   5.0};
+/// \returns The bounds of the latency histograms, in seconds.
+prometheus::Histogram::BucketBoundaries LatencyBounds() {
+  return {0.0001, 0.00025, 0.0005, 0.00092, 0.0015, 0.0025, 0.005, 0.01,
+          0.025,  0.05,    0.1,    0.25,    0.5,    1.0,    2.5,   5.0};
+}
 
 MetricFamily Single(const std::string& name,
                     const std::string& help,
@@ -74,6 +75,19 @@
      &StoreClientCounts::bytes_received},
 });
 
+constexpr auto kFleetMetrics = std::to_array<NumberMetric<FleetCounts>>({
+    {"cassiabend_unreachable_zones", "Availability zones out of reach.",
+     MetricType::Gauge, &FleetCounts::unreachable_zones},
+    {"cassiabend_children", "Nodes that take versions from this one.",
+     MetricType::Gauge, &FleetCounts::children},
+    {"cassiabend_forks_total",
+     "Versions refused for having the number in force and another content.",
+     MetricType::Counter, &FleetCounts::forks},
+    {"cassiabend_damaged_versions_total",
+     "Versions refused for not matching their hash.", MetricType::Counter,
+     &FleetCounts::damaged},
+});
+
 constexpr auto kServerMetrics = std::to_array<NumberMetric<CallServerCounts>>({
     {"cassiabend_connections_total", "Connections accepted on the call port.",
      MetricType::Counter, &CallServerCounts::connections},
@@ -116,6 +130,7 @@
     AddMembers(readings, &out);
     AddCalls(readings.calls, &out);
     AddTraffic(readings.traffic, &out);
+    AddNumbers(kFleetMetrics, readings.fleet, &out);
     AddNumbers(kStoreMetrics, readings.store, &out);
     AddNumbers(kServerMetrics, readings.call_server, &out);
     return out;
@@ -291,7 +306,7 @@
   }
   prometheus::Histogram& histogram =
       latency_->Add({{"tenant", ended.tenant}, {"class", ended.request_class}},
-                    kLatencyBounds);
+                    LatencyBounds());
   call_histograms_.emplace(key, &histogram);
   return histogram;
 }
--- a/src/cassiabend/node/metrics.h
+++ b/src/cassiabend/node/metrics.h
@@ -16,6 +16,7 @@
 #include "cassiabend/core/call_events.h"
 #include "cassiabend/core/call_reducer.h"
 #include "cassiabend/core/event.h"
+#include "cassiabend/core/fleet_reducer.h"
 #include "cassiabend/http/call_server.h"
 #include "cassiabend/rpc/peer_transport.h"
 #include "cassiabend/store/store_client.h"
@@ -31,6 +32,7 @@
   bool reader = false;
   std::map<std::string, std::size_t> members_by_status;
   CallCounts calls;
+  FleetCounts fleet;
   CallServerCounts call_server;
   PeerTraffic traffic;
   StoreClientCounts store;
--- a/src/cassiabend/node/node.cc
+++ b/src/cassiabend/node/node.cc
@@ -296,6 +296,7 @@
     ++out.members_by_status[std::string(NameOf(it.member.status))];
   }
   out.calls = reducer_.calls().counts();
+  out.fleet = reducer_.fleet().counts();
   out.call_server = calls_->counts();
   out.traffic = peers_->traffic();
   out.store = store_->counts();
--- a/src/cassiabend/node/settings_fields.cc
+++ b/src/cassiabend/node/settings_fields.cc
@@ -7,6 +7,7 @@
 
 constexpr std::uint64_t kMaxName = 128;
 constexpr std::uint64_t kMaxPort = 65'535;
+constexpr std::uint64_t kMebibyte = 1'048'576;
 constexpr std::uint64_t kMinuteMs = 60'000;
 constexpr std::uint64_t kHourMs = 3'600'000;
 constexpr std::uint64_t kDayMs = 86'400'000;
@@ -101,6 +102,16 @@
      "Whole versions that a node sends at the same time."},
     {"full_value_pause_ms", &Fleet::full_value_pause, 0, kMinuteMs,
      "Pause between whole versions that a node sends."},
+    {"reader_retry_limit_ms", &Fleet::reader_retry_limit, 1, 10 * kMinuteMs,
+     "Longest pause before a reader repeats a failed read of the head."},
+    {"confirm_period_ms", &Fleet::confirm_period, 100, kMinuteMs,
+     "Pause between reads that confirm the head."},
+    {"join_jitter_ms", &Fleet::join_jitter, 0, kMinuteMs,
+     "Longest random pause before a started node reads seeds from the store."},
+    {"unreachable_after_ms", &Fleet::unreachable_after, 100, kHourMs,
+     "Silence after which a whole zone counts as unreachable."},
+    {"member_sync_period_ms", &Fleet::member_sync_period, 1'000, kDayMs,
+     "Pause between comparisons of member lists with other zones."},
     {"forget_after_ms", &Fleet::forget_after, 1'000, 7 * kDayMs,
      "Time after which a dead member is forgotten."},
     {"join_quorum", &Fleet::join_quorum, 1, 16,
@@ -133,6 +144,8 @@
      "Time that an answer is held for an entry node whose link was lost."},
     {"order_memory_ms", &Calls::order_memory, 1'000, 7 * kDayMs,
      "Time that order keys are remembered."},
+    {"order_claims_per_second", &Calls::order_claims_per_second, 1, 10'000,
+     "Most order keys that one node claims in the store a second."},
     {"slow_start_ms", &Calls::slow_start, 0, 10 * kMinuteMs,
      "Time over which a new upstream's share of calls grows to the full one."},
     {"ejection_failures", &Calls::ejection_failures, 1, 1'000,
@@ -147,13 +160,13 @@
 constexpr auto kHttpFields = std::to_array<SettingField<Http>>({
     {"max_connections", &Http::max_connections, 1, 1'000'000,
      "Connections that the call port accepts."},
-    {"max_header_bytes", &Http::max_header_bytes, 512, 1024 * 1024,
+    {"max_header_bytes", &Http::max_header_bytes, 512, kMebibyte,
      "Largest header of a request or an answer."},
-    {"max_request_body_bytes", &Http::max_request_body_bytes, 0,
-     64 * 1024 * 1024, "Largest body of a request."},
-    {"held_answer_bytes", &Http::held_answer_bytes, 0, 64 * 1024 * 1024,
+    {"max_request_body_bytes", &Http::max_request_body_bytes, 0, 64 * kMebibyte,
+     "Largest body of a request."},
+    {"held_answer_bytes", &Http::held_answer_bytes, 0, 64 * kMebibyte,
      "Bytes of one answer that are held when its link is lost."},
-    {"max_held_bytes", &Http::max_held_bytes, 1024 * 1024, 1ULL << 40,
+    {"max_held_bytes", &Http::max_held_bytes, kMebibyte, kMebibyte* kMebibyte,
      "Bytes of all held requests and answers."},
     {"connect_timeout_ms", &Http::connect_timeout, 1, kMinuteMs,
      "Longest wait for a connection."},
--- a/tests/shell/ctl_test.cc
+++ b/tests/shell/ctl_test.cc
@@ -7,6 +7,7 @@
 
 #include "cassiabend/base/error.h"
 #include "cassiabend/ctl/command_line.h"
+#include "cassiabend/ctl/convergence.h"
 #include "cassiabend/ctl/ctl.h"
 #include "cassiabend/ctl/exit_code.h"
 #include "cassiabend/ctl/node_caller.h"
@@ -439,5 +440,18 @@
   }
 }
 
+TEST_CASE("a suspect counts as reachable only while it is heard") {
+  FleetStatus status;
+  MemberView view;
+  view.member.id = {"10.0.0.1", 1};
+  view.member.status = MemberStatus::kSuspect;
+  status.members = {view, view, view};
+  status.members[0].mark_age = Milliseconds(1'000);
+  status.members[1].mark_age = Milliseconds(10'000);
+  const Convergence convergence = ConvergenceOf(status, 1);
+  CHECK(convergence.behind.size() == 1);
+  CHECK(convergence.unreachable.size() == 2);
+}
+
 }  // namespace
 }  // namespace cassiabend
--- a/tools/harness/child_process.cc
+++ b/tools/harness/child_process.cc
@@ -53,6 +53,7 @@
                                    error_file.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   std::vector<char*> argv;
+  argv.reserve(arguments.size() + 1);
   for (const std::string& it : arguments) {
     argv.push_back(const_cast<char*>(it.c_str()));
   }
