--- a/src/cassiabend/node/metrics.cc
+++ b/src/cassiabend/node/metrics.cc
@@ -169,6 +169,11 @@
     out->push_back(Single("process_cpu_seconds_total", "Processor time.",
                           MetricType::Counter,
                           std::chrono::duration<double>(readings.cpu).count()));
+    out->push_back(Single("cassiabend_cross_region_config_bytes_total",
+                          "Bytes of configuration exchanged with nodes of "
+                          "other regions, as encoded.",
+                          MetricType::Counter,
+                          static_cast<double>(readings.cross_region_bytes)));
     out->push_back(
         Single("cassiabend_events_total", "Events that the node has reduced.",
                MetricType::Counter, static_cast<double>(readings.events)));
--- a/src/cassiabend/node/metrics.h
+++ b/src/cassiabend/node/metrics.h
@@ -33,6 +33,8 @@
   std::map<std::string, std::size_t> members_by_status;
   CallCounts calls;
   FleetCounts fleet;
+  /// Bytes of configuration exchanged with other regions.
+  std::uint64_t cross_region_bytes = 0;
   CallServerCounts call_server;
   PeerTraffic traffic;
   StoreClientCounts store;
--- a/src/cassiabend/node/node.cc
+++ b/src/cassiabend/node/node.cc
@@ -51,6 +51,7 @@
       settings_file_(std::move(settings_file)),
       reducer_(CoreOptionsOf(settings_, StartId(clock), SeedOf(settings_))),
       metrics_([this] { return Read(); }),
+      region_traffic_(settings_.node.region),
       fleet_timer_(io),
       call_timer_(io),
       shutdown_timer_(io) {
@@ -110,6 +111,9 @@
     const Event event{clock_.Now(), std::move(queue_.front())};
     queue_.pop_front();
     ++events_;
+    if (const auto* fleet = std::get_if<FleetEvent>(&event.body)) {
+      region_traffic_.Note(*fleet);
+    }
     for (const Effect& it : reducer_.Reduce(event)) {
       Execute(it);
     }
@@ -155,6 +159,7 @@
     return;
   }
   NoteFleetEffect(effect);
+  region_traffic_.Note(effect);
   peers_->Execute(effect);
 }
 
@@ -297,6 +302,7 @@
   }
   out.calls = reducer_.calls().counts();
   out.fleet = reducer_.fleet().counts();
+  out.cross_region_bytes = region_traffic_.bytes();
   out.call_server = calls_->counts();
   out.traffic = peers_->traffic();
   out.store = store_->counts();
--- a/src/cassiabend/node/node.h
+++ b/src/cassiabend/node/node.h
@@ -13,6 +13,7 @@
 #include "cassiabend/core/node_reducer.h"
 #include "cassiabend/node/metrics.h"
 #include "cassiabend/node/ops_server.h"
+#include "cassiabend/node/region_traffic.h"
 #include "cassiabend/node/settings.h"
 #include "cassiabend/rpc/admin_server.h"
 
@@ -62,6 +63,7 @@
   std::string settings_file_;
   NodeReducer reducer_;
   NodeMetrics metrics_;
+  RegionTraffic region_traffic_;
   std::deque<Body> queue_;
   bool drain_scheduled_ = false;
   bool shutting_down_ = false;
--- /dev/null
+++ b/src/cassiabend/node/region_traffic.cc
@@ -0,0 +1,47 @@
+#include "cassiabend/node/region_traffic.h"
+
+#include <utility>
+
+#include "cassiabend/model/codec.h"
+
+namespace cassiabend {
+
+RegionTraffic::RegionTraffic(std::string region) : region_(std::move(region)) {}
+
+void RegionTraffic::Note(const FleetEffect& effect) {
+  if (const auto* changed = std::get_if<MembersChanged>(&effect)) {
+    LearnRegions(*changed);
+    return;
+  }
+  const auto* push = std::get_if<SendPush>(&effect);
+  if (push != nullptr && far_members_.contains(push->to)) {
+    bytes_ += SizeOf(push->update);
+  }
+}
+
+void RegionTraffic::Note(const FleetEvent& event) {
+  const auto* answered = std::get_if<PullAnswered>(&event);
+  if (answered != nullptr && answered->update &&
+      far_members_.contains(answered->peer)) {
+    bytes_ += SizeOf(*answered->update);
+  }
+}
+
+std::uint64_t RegionTraffic::SizeOf(const ConfigUpdate& update) {
+  if (const auto* delta = std::get_if<ConfigDelta>(&update.body)) {
+    return EncodeDelta(*delta).size();
+  }
+  const auto* whole = std::get_if<RefPtr<const Snapshot>>(&update.body);
+  return whole == nullptr || !*whole ? 0
+                                     : EncodeConfig((*whole)->config()).size();
+}
+
+void RegionTraffic::LearnRegions(const MembersChanged& changed) {
+  for (const Member& it : changed.members) {
+    if (it.region != region_) {
+      far_members_.insert(it.id);
+    }
+  }
+}
+
+}  // namespace cassiabend
