--- a/tools/bench_calls.cc
+++ b/tools/bench_calls.cc
@@ -154,6 +154,15 @@
   }
 }
 
+/// \returns Processor time that all nodes have used.
+double CpuSeconds(const harness::Fleet& fleet) {
+  double sum = 0;
+  for (std::size_t i = 0; i < fleet.hosts().size(); ++i) {
+    sum += fleet.Metrics(i).at("process_cpu_seconds_total");
+  }
+  return sum;
+}
+
 std::size_t CountTold(const std::vector<CallRecord>& records, Told told) {
   return static_cast<std::size_t>(std::ranges::count(
       records, told, [](const CallRecord& it) { return it.told; }));
@@ -187,7 +196,15 @@
                       .duration = calls,
                       .target = "/bytes/200",
                       .key_prefix = "latency"};
+  const double cpu_before = CpuSeconds(fleet);
   const std::vector<CallRecord> records = RunLoad(fleet, load);
+  const double cpu_seconds = CpuSeconds(fleet) - cpu_before;
+  report->Emit("node_cpu_us_per_call",
+               cpu_seconds * 1e6 / static_cast<double>(records.size()), "us",
+               {{"hops", 2},
+                {"nodes", kHosts},
+                {"calls_per_s", load.calls_per_s},
+                {"with_control", true}});
   Samples samples;
   for (const CallRecord& it : records) {
     samples.Add(it.latency_us);
