Refuse to drain a node that is no member

Cause: a drain of any address was answered as done, and the node opened a connection to whatever address was named; only a log line told of it. Figures: admin_test has a case for it. Conclusion: a mistyped address is told at once.

--- a/src/cassiabend/node/node.cc
+++ b/src/cassiabend/node/node.cc
@@ -1,5 +1,6 @@
 #include "cassiabend/node/node.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
@@ -76,7 +77,7 @@
               return Status();
             },
         .newest = [this] { return reducer_.fleet().newest(); },
-        .drain = [this](const NodeId& id) { DrainMember(id); }};
+        .drain = [this](const NodeId& id) { return DrainMember(id); }};
     admin_ =
         std::make_unique<AdminServer>(io_, options, std::move(callbacks), this);
   }
@@ -260,12 +261,19 @@
   io_.stop();
 }
 
-void Node::DrainMember(const NodeId& id) {
+bool Node::DrainMember(const NodeId& id) {
   if (id == NodeId{settings_.node.ip, settings_.node.peer_port}) {
     Shutdown();
-    return;
+    return true;
+  }
+  const std::vector<MemberView> members =
+      reducer_.fleet().Members(clock_.Now());
+  const bool known = std::ranges::any_of(
+      members, [&id](const MemberView& it) { return it.member.id == id; });
+  if (known) {
+    peers_->SendDrain(id);
   }
-  peers_->SendDrain(id);
+  return known;
 }
 
 void Node::Reload() {
--- a/src/cassiabend/node/node.h
+++ b/src/cassiabend/node/node.h
@@ -50,7 +50,8 @@
                     const Body& body);
   void LeaveFleet();
   void Stop();
-  void DrainMember(const NodeId& id);
+  /// \returns Whether there is such a member.
+  bool DrainMember(const NodeId& id);
   [[nodiscard]] NodeReadings Read() const;
   [[nodiscard]] FleetStatus Status() const;
   [[nodiscard]] OpsPage Page(const std::string& path) const;
--- a/src/cassiabend/rpc/admin_server.h
+++ b/src/cassiabend/rpc/admin_server.h
@@ -29,8 +29,8 @@
 struct AdminCallbacks {
   std::function<FleetStatus()> status;
   std::function<RefPtr<const Snapshot>()> newest;
-  /// Asks the node `id` to drain.
-  std::function<void(const NodeId& id)> drain;
+  /// Asks the member `id` to drain. \returns Whether there is such a member.
+  std::function<bool(const NodeId& id)> drain;
 };
 
 /// \brief Serves schema/admin.capnp. Requests become events; their outcomes
--- a/src/cassiabend/rpc/admin_service.cc
+++ b/src/cassiabend/rpc/admin_service.cc
@@ -84,9 +84,10 @@
     return Ask<CommitFinished>(
         context, {}, [&](const OperatorToken& who, AdminRequestId id) {
           return [bridge = bridge_, who, node, id] {
-            const auto refusal = CheckWholeScope(who, {});
-            if (!refusal) {
-              bridge->callbacks.drain(node);
+            auto refusal = CheckWholeScope(who, {});
+            if (!refusal && !bridge->callbacks.drain(node)) {
+              refusal = Failure(CommitCode::kNotFound,
+                                ToString(node) + " is no member");
             }
             bridge->answer(
                 id, CommitFinished{id, refusal.value_or(CommitResult{})});
--- a/tests/shell/admin_test.cc
+++ b/tests/shell/admin_test.cc
@@ -226,6 +226,9 @@
   node.Run([&] {
     CHECK(node.drained == std::vector<NodeId>{{"127.0.0.9", 7009}});
   });
+  const CommitResult refused = Connect(node)->Drain(node.stranger);
+  CHECK(refused.code == CommitCode::kNotFound);
+  CHECK(refused.reason == "127.0.0.99:1 is no member");
 }
 
 TEST_CASE("a core that gives no answer leaves the outcome unknown") {
--- a/tests/shell/scripted_node.h
+++ b/tests/shell/scripted_node.h
@@ -39,7 +39,10 @@
     server_ = std::make_unique<AdminServer>(
         io_, options,
         AdminCallbacks{[this] { return status; }, [this] { return newest; },
-                       [this](const NodeId& id) { drained.push_back(id); }},
+                       [this](const NodeId& id) {
+                         drained.push_back(id);
+                         return id != stranger;
+                       }},
         this);
     thread_ = std::thread([this] { io_.run(); });
   }
@@ -71,6 +74,8 @@
   std::vector<HistoryEntry> history;
   std::vector<ConfigEvent> events;
   std::vector<NodeId> drained;
+  /// A node that is no member.
+  NodeId stranger{"127.0.0.99", 1};
   /// What changes are answered with, in turn; the last one for ever. Without
   /// any, changes are not answered.
   std::vector<CommitResult> script;
