Read the store stand-in's command line like the other programs'

Cause: it had a parser of its own beside the shared one, and answered options, faults and exit codes in another way.

--- a/tools/fake_store_main.cc
+++ b/tools/fake_store_main.cc
@@ -1,92 +1,92 @@
-#include <popt.h>
-
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
-#include <cstdio>
+#include <cstdint>
+#include <exception>
 #include <iostream>
 #include <string>
+#include <vector>
 
+#include "cassiabend/base/command_line.h"
 #include "cassiabend/base/error.h"
 #include "cassiabend/base/log.h"
 #include "tools/fake_store_server.h"
 
+namespace cassiabend {
 namespace {
 
-constexpr int kUsageExit = 1;
-constexpr char kVersion[] = "0.1.0";
+constexpr int kExitOk = 0;
+constexpr int kExitUsage = 1;
+constexpr int kExitFailed = 2;
+constexpr std::int64_t kMaxPort = 65'535;
+constexpr std::int64_t kMaxRate = 1'000'000;
 
-/// \brief The command line, as popt fills it in.
-struct CommandLine {
-  const char* ip = "127.0.0.1";
-  int port = 0;
-  int writes_per_second = 500;
-  int reads_per_second = 2'000;
-  int version = 0;
-};
+constexpr char kEpilogue[] =
+    "\nPrints {\"port\":N} once it listens. POST /control with JSON such as\n"
+    "{\"down\":true} or {\"lose_next_answers\":3} provokes faults; GET\n"
+    "/control/stats counts calls.\n"
+    "Exit codes: 0 ended as asked, 1 bad command line, 2 the port could not "
+    "be\nopened.\n";
 
-/// \returns Whether the command line is usable.
-bool Parse(int argc, const char** argv, CommandLine* line) {
-  const poptOption options[] = {
-      {"ip", 0, POPT_ARG_STRING, &line->ip, 0, "address to listen on", "IP"},
-      {"port", 0, POPT_ARG_INT, &line->port, 0, "port; 0 for any free one",
-       "N"},
-      {"writes-per-s", 0, POPT_ARG_INT, &line->writes_per_second, 0,
-       "writes a second before calls are refused", "N"},
-      {"reads-per-s", 0, POPT_ARG_INT, &line->reads_per_second, 0,
-       "reads a second before calls are refused", "N"},
-      {"version", 0, POPT_ARG_NONE, &line->version, 0, "print the version",
-       nullptr},
-      POPT_AUTOHELP POPT_TABLEEND};
-  poptContext context =
-      poptGetContext("cassiabend-fake-store", argc, argv, options, 0);
-  const int rc = poptGetNextOpt(context);
-  const bool extra = poptPeekArg(context) != nullptr;
-  if (rc < -1 || extra || line->port < 0 || line->port > 65535 ||
-      line->writes_per_second < 0 || line->reads_per_second < 0) {
-    std::cerr << "cassiabend-fake-store: "
-              << (rc < -1 ? poptStrerror(rc) : "unusable arguments")
-              << "; see --help\n";
-    poptFreeContext(context);
-    return false;
+std::uint32_t Checked(const char* option, std::int64_t n, std::int64_t max) {
+  if (n < 0 || n > max) {
+    throw SettingsError("read the command line", option,
+                        "must be 0 to " + std::to_string(max));
   }
-  poptFreeContext(context);
-  return true;
+  return static_cast<std::uint32_t>(n);
 }
 
-int Serve(const CommandLine& line) {
+int Serve(const FakeStoreOptions& options) {
   boost::asio::io_context io;
-  cassiabend::FakeStoreOptions options;
-  options.ip = line.ip;
-  options.port = static_cast<std::uint16_t>(line.port);
-  options.writes_per_second =
-      static_cast<std::uint32_t>(line.writes_per_second);
-  options.reads_per_second = static_cast<std::uint32_t>(line.reads_per_second);
-  cassiabend::FakeStoreServer server(io, options);
+  FakeStoreServer server(io, options);
   boost::asio::signal_set signals(io, SIGINT, SIGTERM);
   signals.async_wait([&](const auto& /*ec*/, int /*signal*/) { io.stop(); });
   std::cout << "{\"port\":" << server.port() << "}" << std::endl;
   io.run();
-  return 0;
+  return kExitOk;
+}
+
+int Main(int argc, const char** argv) {
+  CommandLine line("cassiabend-fake-store", "", kEpilogue);
+  FakeStoreOptions options;
+  std::int64_t port = 0;
+  std::int64_t writes = options.writes_per_second;
+  std::int64_t reads = options.reads_per_second;
+  options.ip = "127.0.0.1";
+  line.AddText("ip", &options.ip, "Address to listen on");
+  line.AddNumber("port", &port, "Port; 0 for any free one");
+  line.AddNumber("writes-per-s", &writes,
+                 "Writes a second before calls are refused");
+  line.AddNumber("reads-per-s", &reads,
+                 "Reads a second before calls are refused");
+  bool finished = false;
+  const std::vector<std::string> rest = line.Parse(argc, argv, &finished);
+  if (finished) {
+    return kExitOk;
+  }
+  if (!rest.empty()) {
+    throw SettingsError("read the command line", rest.front(),
+                        "is not expected; see --help");
+  }
+  options.port = static_cast<std::uint16_t>(Checked("--port", port, kMaxPort));
+  options.writes_per_second = Checked("--writes-per-s", writes, kMaxRate);
+  options.reads_per_second = Checked("--reads-per-s", reads, kMaxRate);
+  return Serve(options);
 }
 
 }  // namespace
+}  // namespace cassiabend
 
-int main(int argc, const char** argv) {
+int main(int argc, char** argv) {
   cassiabend::InitializeLog("cassiabend-fake-store",
                             cassiabend::LogLevel::kInfo);
-  CommandLine line;
-  if (!Parse(argc, argv, &line)) {
-    return kUsageExit;
-  }
-  if (line.version != 0) {
-    std::cout << kVersion << "\n";
-    return 0;
-  }
   try {
-    return Serve(line);
-  } catch (const cassiabend::Error& ex) {
-    std::cerr << "cassiabend-fake-store: " << ex.what() << "\n";
-    return kUsageExit;
+    return cassiabend::Main(argc, const_cast<const char**>(argv));
+  } catch (const cassiabend::SettingsError& e) {
+    std::cerr << "cassiabend-fake-store: " << e.what() << "\n";
+    return cassiabend::kExitUsage;
+  } catch (const std::exception& e) {
+    std::cerr << "cassiabend-fake-store: " << e.what() << "\n";
+    return cassiabend::kExitFailed;
   }
 }
