Give each fleet of the tests ports that no other socket can take

The harness chose free ephemeral ports and let them go before the nodes opened them; an upstream's stand-in on the same address could take one. Ruled out: the membership. The comparison of digests peer by peer stays: member_sync_test shows the case that it mends. Change: ports below the ephemeral range, distinct by process id; a wait ends with an error when a node has ended.

--- a/tools/harness/fleet.cc
+++ b/tools/harness/fleet.cc
@@ -1,13 +1,9 @@
 #include "tools/harness/fleet.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/ip/udp.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <csignal>
 #include <fstream>
-#include <set>
 #include <stdexcept>
 #include <thread>
 
@@ -16,7 +12,6 @@
 namespace cassiabend::harness {
 namespace {
 
-namespace asio = boost::asio;
 namespace json = boost::json;
 
 constexpr std::chrono::seconds kStartWait{20};
@@ -27,25 +22,23 @@
 constexpr std::size_t kZonesPerRegion = 2;
 constexpr std::size_t kSeedHosts = 6;
 
-/// \returns A port that nothing listens on, for both TCP and UDP.
-std::uint16_t FreePort(const std::string& ip, std::set<std::uint16_t>* taken) {
-  asio::io_context io;
-  const auto address = asio::ip::make_address(ip);
-  while (true) {
-    asio::ip::tcp::acceptor acceptor(io, {address, 0});
-    const std::uint16_t port = acceptor.local_endpoint().port();
-    boost::system::error_code ec;
-    asio::ip::udp::socket datagrams(io, asio::ip::udp::v4());
-    datagrams.bind({address, port}, ec);
-    if (!ec && taken->insert(port).second) {
-      return port;
-    }
-  }
+/// First port of the nodes. They lie below the range from which the system
+/// takes ephemeral ports, so that no other socket takes one before its node.
+constexpr int kFirstPort = 10'000;
+constexpr int kPortsPerHost = 4;
+constexpr int kOctets = 200;
+constexpr int kPortBlocks = 1'000;
+
+/// \returns The first port of this process's nodes. Together with the octet it
+/// differs between processes whose ids differ modulo 200,000.
+std::uint16_t FirstPort() {
+  const int block = static_cast<int>(getpid()) / kOctets % kPortBlocks;
+  return static_cast<std::uint16_t>(kFirstPort + kPortsPerHost * block);
 }
 
 /// \returns The second octet of this process's loopback addresses.
 int LoopbackOctet() {
-  return 10 + static_cast<int>(getpid() % 200);
+  return 10 + static_cast<int>(getpid()) % kOctets;
 }
 
 std::string ZoneName(const std::string& region, std::size_t zone) {
@@ -54,7 +47,6 @@
 
 std::vector<HostPlan> MakeHosts(const Deployment& deployment, std::size_t n) {
   std::vector<HostPlan> hosts;
-  std::set<std::uint16_t> taken;
   const std::size_t zones = deployment.regions.size() * kZonesPerRegion;
   for (std::size_t i = 0; i < n; ++i) {
     const std::size_t zone = i % zones;
@@ -66,10 +58,11 @@
         deployment.services.at((i / zones + zone) % deployment.services.size());
     host.ip = "127." + std::to_string(LoopbackOctet()) + "." +
               std::to_string(zone + 1) + "." + std::to_string(i / zones + 1);
+    std::uint16_t port = FirstPort();
     for (std::uint16_t HostPlan::*it :
          {&HostPlan::peer_port, &HostPlan::call_port, &HostPlan::admin_port,
           &HostPlan::metrics_port}) {
-      host.*it = FreePort(host.ip, &taken);
+      host.*it = port++;
     }
     hosts.push_back(std::move(host));
   }
@@ -214,6 +207,10 @@
       ++host;
       continue;
     }
+    if (!nodes_.at(host)->IsRunning()) {
+      throw std::runtime_error("the node of host " + std::to_string(host) +
+                               " has ended; see its log in " + options_.work);
+    }
     if (std::chrono::steady_clock::now() >= end) {
       return false;
     }
