--- a/tools/fake_store_session.h
+++ b/tools/fake_store_session.h
@@ -37,7 +37,7 @@
   FakeStoreSession& operator=(const FakeStoreSession&) = delete;
   virtual ~FakeStoreSession() = default;
 
-  /// \brief Sends the events that a watch of this session has not sent yet.
+  /// \brief Sends the events that a watch of this connection has not sent yet.
   virtual void SendEvents() = 0;
   virtual void Close() = 0;
 
