--- a/schema/config.capnp
+++ b/schema/config.capnp
@@ -28,6 +28,23 @@
   name @0 :Text;
   tenant @1 :Text;
   revision @2 :UInt64;
+  healthPath @3 :Text;
+  # Path that an upstream answers health checks on; empty for the node's own
+  # setting.
+}
+
+struct RouteTarget {
+  # One service of a route that spreads its calls over several.
+  service @0 :Text;
+  weight @1 :UInt32;
+}
+
+struct CallerLimits {
+  # Bounds on what callers send. Zero stands for the node's own setting.
+  maxHeaderBytes @0 :UInt32;
+  maxBodyBytes @1 :UInt32;
+  headerTimeoutMs @2 :UInt32;
+  idleTimeoutMs @3 :UInt32;
 }
 
 enum RepeatPolicy {
@@ -59,6 +76,14 @@
   longestJobSeconds @12 :UInt32;
   # Longest time that one noisy job takes.
   revision @13 :UInt64;
+  split @14 :List(RouteTarget);
+  # Services that share the calls by weight; empty for `service` alone.
+  maxAttempts @15 :UInt32;
+  # Upstreams that one call may be sent to; 0 for the node's own setting.
+  latencyObjectiveMs @16 :UInt32;
+  # Time within which an answer is worth most; 0 for none.
+  priority @17 :UInt32;
+  # Rank of the calls; 0 is served first.
 }
 
 struct QuietWindow {
@@ -95,6 +120,7 @@
   services @5 :List(Service);
   routes @6 :List(Route);
   windows @7 :List(QuietWindow);
+  limits @8 :CallerLimits;
 }
 
 struct Edit {
--- a/schema/gen/config.capnp.h
+++ b/schema/gen/config.capnp.h
@@ -19,6 +19,8 @@
 CAPNP_DECLARE_SCHEMA(a1ff98afafd92ccc);
 CAPNP_DECLARE_SCHEMA(dd8aeb618854d047);
 CAPNP_DECLARE_SCHEMA(91793fbe016d6241);
+CAPNP_DECLARE_SCHEMA(b7f1f0cb357e4841);
+CAPNP_DECLARE_SCHEMA(d542f719036f0dfe);
 CAPNP_DECLARE_SCHEMA(c6aae38497c50efa);
 enum class RepeatPolicy_c6aae38497c50efa: uint16_t {
   REPEATABLE,
@@ -81,7 +83,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(91793fbe016d6241, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(91793fbe016d6241, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RouteTarget {
+  RouteTarget() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b7f1f0cb357e4841, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CallerLimits {
+  CallerLimits() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d542f719036f0dfe, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -98,7 +130,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f45b67d271b0f009, 3, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(f45b67d271b0f009, 4, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -180,7 +212,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c8dbe8adf42d7596, 2, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(c8dbe8adf42d7596, 2, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -486,6 +518,9 @@
 
   inline  ::uint64_t getRevision() const;
 
+  inline bool hasHealthPath() const;
+  inline  ::capnp::Text::Reader getHealthPath() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -531,6 +566,13 @@
   inline  ::uint64_t getRevision();
   inline void setRevision( ::uint64_t value);
 
+  inline bool hasHealthPath();
+  inline  ::capnp::Text::Builder getHealthPath();
+  inline void setHealthPath( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHealthPath(unsigned int size);
+  inline void adoptHealthPath(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHealthPath();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -557,6 +599,183 @@
 };
 #endif  // !CAPNP_LITE
 
+class RouteTarget::Reader {
+public:
+  typedef RouteTarget Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline  ::uint32_t getWeight() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RouteTarget::Builder {
+public:
+  typedef RouteTarget Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline  ::uint32_t getWeight();
+  inline void setWeight( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RouteTarget::Pipeline {
+public:
+  typedef RouteTarget Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CallerLimits::Reader {
+public:
+  typedef CallerLimits Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getMaxHeaderBytes() const;
+
+  inline  ::uint32_t getMaxBodyBytes() const;
+
+  inline  ::uint32_t getHeaderTimeoutMs() const;
+
+  inline  ::uint32_t getIdleTimeoutMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CallerLimits::Builder {
+public:
+  typedef CallerLimits Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getMaxHeaderBytes();
+  inline void setMaxHeaderBytes( ::uint32_t value);
+
+  inline  ::uint32_t getMaxBodyBytes();
+  inline void setMaxBodyBytes( ::uint32_t value);
+
+  inline  ::uint32_t getHeaderTimeoutMs();
+  inline void setHeaderTimeoutMs( ::uint32_t value);
+
+  inline  ::uint32_t getIdleTimeoutMs();
+  inline void setIdleTimeoutMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CallerLimits::Pipeline {
+public:
+  typedef CallerLimits Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Route::Reader {
 public:
   typedef Route Reads;
@@ -611,6 +830,15 @@
 
   inline  ::uint64_t getRevision() const;
 
+  inline bool hasSplit() const;
+  inline  ::capnp::List< ::cassiabend::schema::RouteTarget,  ::capnp::Kind::STRUCT>::Reader getSplit() const;
+
+  inline  ::uint32_t getMaxAttempts() const;
+
+  inline  ::uint32_t getLatencyObjectiveMs() const;
+
+  inline  ::uint32_t getPriority() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -717,6 +945,22 @@
   inline  ::uint64_t getRevision();
   inline void setRevision( ::uint64_t value);
 
+  inline bool hasSplit();
+  inline  ::capnp::List< ::cassiabend::schema::RouteTarget,  ::capnp::Kind::STRUCT>::Builder getSplit();
+  inline void setSplit( ::capnp::List< ::cassiabend::schema::RouteTarget,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cassiabend::schema::RouteTarget,  ::capnp::Kind::STRUCT>::Builder initSplit(unsigned int size);
+  inline void adoptSplit(::capnp::Orphan< ::capnp::List< ::cassiabend::schema::RouteTarget,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::RouteTarget,  ::capnp::Kind::STRUCT>> disownSplit();
+
+  inline  ::uint32_t getMaxAttempts();
+  inline void setMaxAttempts( ::uint32_t value);
+
+  inline  ::uint32_t getLatencyObjectiveMs();
+  inline void setLatencyObjectiveMs( ::uint32_t value);
+
+  inline  ::uint32_t getPriority();
+  inline void setPriority( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1148,6 +1392,9 @@
   inline bool hasWindows() const;
   inline  ::capnp::List< ::cassiabend::schema::QuietWindow,  ::capnp::Kind::STRUCT>::Reader getWindows() const;
 
+  inline bool hasLimits() const;
+  inline  ::cassiabend::schema::CallerLimits::Reader getLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1224,6 +1471,13 @@
   inline void adoptWindows(::capnp::Orphan< ::capnp::List< ::cassiabend::schema::QuietWindow,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::QuietWindow,  ::capnp::Kind::STRUCT>> disownWindows();
 
+  inline bool hasLimits();
+  inline  ::cassiabend::schema::CallerLimits::Builder getLimits();
+  inline void setLimits( ::cassiabend::schema::CallerLimits::Reader value);
+  inline  ::cassiabend::schema::CallerLimits::Builder initLimits();
+  inline void adoptLimits(::capnp::Orphan< ::cassiabend::schema::CallerLimits>&& value);
+  inline ::capnp::Orphan< ::cassiabend::schema::CallerLimits> disownLimits();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1243,6 +1497,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::cassiabend::schema::Id128::Pipeline getChangeId();
+  inline  ::cassiabend::schema::CallerLimits::Pipeline getLimits();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2131,6 +2386,144 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Service::Reader::hasHealthPath() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Service::Builder::hasHealthPath() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Service::Reader::getHealthPath() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Service::Builder::getHealthPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Service::Builder::setHealthPath( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Service::Builder::initHealthPath(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Service::Builder::adoptHealthPath(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Service::Builder::disownHealthPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool RouteTarget::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RouteTarget::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RouteTarget::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RouteTarget::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RouteTarget::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RouteTarget::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RouteTarget::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RouteTarget::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t RouteTarget::Reader::getWeight() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RouteTarget::Builder::getWeight() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RouteTarget::Builder::setWeight( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CallerLimits::Reader::getMaxHeaderBytes() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CallerLimits::Builder::getMaxHeaderBytes() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CallerLimits::Builder::setMaxHeaderBytes( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CallerLimits::Reader::getMaxBodyBytes() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CallerLimits::Builder::getMaxBodyBytes() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CallerLimits::Builder::setMaxBodyBytes( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CallerLimits::Reader::getHeaderTimeoutMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CallerLimits::Builder::getHeaderTimeoutMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CallerLimits::Builder::setHeaderTimeoutMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CallerLimits::Reader::getIdleTimeoutMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CallerLimits::Builder::getIdleTimeoutMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void CallerLimits::Builder::setIdleTimeoutMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Route::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2507,6 +2900,82 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Route::Reader::hasSplit() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool Route::Builder::hasSplit() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cassiabend::schema::RouteTarget,  ::capnp::Kind::STRUCT>::Reader Route::Reader::getSplit() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::RouteTarget,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cassiabend::schema::RouteTarget,  ::capnp::Kind::STRUCT>::Builder Route::Builder::getSplit() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::RouteTarget,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void Route::Builder::setSplit( ::capnp::List< ::cassiabend::schema::RouteTarget,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::RouteTarget,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cassiabend::schema::RouteTarget,  ::capnp::Kind::STRUCT>::Builder Route::Builder::initSplit(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::RouteTarget,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void Route::Builder::adoptSplit(
+    ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::RouteTarget,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::RouteTarget,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::RouteTarget,  ::capnp::Kind::STRUCT>> Route::Builder::disownSplit() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::RouteTarget,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Route::Reader::getMaxAttempts() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Route::Builder::getMaxAttempts() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Route::Builder::setMaxAttempts( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Route::Reader::getLatencyObjectiveMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Route::Builder::getLatencyObjectiveMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Route::Builder::setLatencyObjectiveMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Route::Reader::getPriority() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Route::Builder::getPriority() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Route::Builder::setPriority( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool QuietWindow::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3003,6 +3472,45 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool Config::Reader::hasLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool Config::Builder::hasLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cassiabend::schema::CallerLimits::Reader Config::Reader::getLimits() const {
+  return ::capnp::_::PointerHelpers< ::cassiabend::schema::CallerLimits>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::cassiabend::schema::CallerLimits::Builder Config::Builder::getLimits() {
+  return ::capnp::_::PointerHelpers< ::cassiabend::schema::CallerLimits>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cassiabend::schema::CallerLimits::Pipeline Config::Pipeline::getLimits() {
+  return  ::cassiabend::schema::CallerLimits::Pipeline(_typeless.getPointerField(6));
+}
+#endif  // !CAPNP_LITE
+inline void Config::Builder::setLimits( ::cassiabend::schema::CallerLimits::Reader value) {
+  ::capnp::_::PointerHelpers< ::cassiabend::schema::CallerLimits>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::cassiabend::schema::CallerLimits::Builder Config::Builder::initLimits() {
+  return ::capnp::_::PointerHelpers< ::cassiabend::schema::CallerLimits>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Config::Builder::adoptLimits(
+    ::capnp::Orphan< ::cassiabend::schema::CallerLimits>&& value) {
+  ::capnp::_::PointerHelpers< ::cassiabend::schema::CallerLimits>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cassiabend::schema::CallerLimits> Config::Builder::disownLimits() {
+  return ::capnp::_::PointerHelpers< ::cassiabend::schema::CallerLimits>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline  ::cassiabend::schema::Edit::Which Edit::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/cassiabend/core/balancer.cc
+++ b/src/cassiabend/core/balancer.cc
@@ -193,6 +193,10 @@
     case AttemptOutcome::kSilent:
       service->ejection.RecordSilence(now, &upstream->ejection_);
       [[fallthrough]];
+    case AttemptOutcome::kUnreached:
+      upstream->unavailable_until_ = now + kUnavailablePause;
+      [[fallthrough]];
+    case AttemptOutcome::kErrored:
     case AttemptOutcome::kFailed:
       service->ejection.RecordFailure(now, service->size, &upstream->ejection_);
       return;
--- a/src/cassiabend/core/balancer.h
+++ b/src/cassiabend/core/balancer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <optional>
@@ -31,7 +32,11 @@
   kUnavailable,
   /// Refused for a reason that says nothing about the upstream.
   kNeutral,
-  /// The node or upstream was not reached, or broke off.
+  /// The upstream answered with an error of its own.
+  kErrored,
+  /// The node could not be reached.
+  kUnreached,
+  /// The node or upstream broke off.
   kFailed,
   /// Its connection fell silent.
   kSilent,
@@ -83,6 +88,10 @@
   /// \returns How many upstreams are ejected at present.
   [[nodiscard]] std::size_t ejected() const noexcept;
 
+  /// \returns How many nodes are known, this one included.
+  [[nodiscard]] std::size_t nodes() const noexcept {
+    return std::max<std::size_t>(upstreams_.size(), 1);
+  }
   /// \returns The upstream for an attempt; null when the service has none.
   [[nodiscard]] RefPtr<Upstream> Pick(MonoTime now,
                                       const UpstreamQuery& query,
--- a/src/cassiabend/core/call_context.h
+++ b/src/cassiabend/core/call_context.h
@@ -30,6 +30,8 @@
   std::optional<MonoTime> confirmed_at;
   bool ready = false;
   bool draining = false;
+  /// When the shutdown began; meaningful while `draining`.
+  MonoTime draining_since{};
   /// Attempts that this host's upstream has.
   std::uint32_t upstream_calls = 0;
   Instant now;
@@ -40,6 +42,11 @@
   void Emit(T&& effect) {
     out->emplace_back(std::forward<T>(effect));
   }
+  /// \returns Whether a shutdown has gone on for so long that callers must have
+  /// learnt of it.
+  [[nodiscard]] bool HasStoppedServing() const noexcept {
+    return draining && now.mono - draining_since >= options.shutdown_serve;
+  }
   /// \returns The number of the version in force; 0 for none.
   [[nodiscard]] VersionNumber config_number() const noexcept {
     return snapshot ? snapshot->mark().number : 0;
--- a/src/cassiabend/core/call_destination.cc
+++ b/src/cassiabend/core/call_destination.cc
@@ -205,7 +205,8 @@
   attempt->started_at = context_->now.mono;
   const auto left = attempt->deadline - context_->now.mono;
   context_->Emit(StartUpstream{attempt->request.id,
-                               std::chrono::ceil<Milliseconds>(left)});
+                               std::chrono::ceil<Milliseconds>(left),
+                               health_->instance()});
   Schedule(attempt);
 }
 
@@ -326,7 +327,16 @@
   if (attempt == nullptr || attempt->state != AttemptState::kRunning) {
     return;
   }
-  Refuse(attempt, {NotRunReason::kOverloaded, event.retry_after});
+  Refuse(attempt, {NotRunReason::kOverloaded, event.retry_after}, true);
+  StartWaiting();
+}
+
+void CallDestination::Reduce(const UpstreamReplaced& event) {
+  Attempt* attempt = table_.Find(event.attempt);
+  if (attempt == nullptr || attempt->state != AttemptState::kRunning) {
+    return;
+  }
+  Refuse(attempt, {NotRunReason::kRestarted}, true);
   StartWaiting();
 }
 
@@ -378,10 +388,12 @@
 
 // Ends.
 
-void CallDestination::Refuse(Attempt* attempt, const Refusal& refusal) {
+void CallDestination::Refuse(Attempt* attempt,
+                             const Refusal& refusal,
+                             bool reached_upstream) {
   for (const AttemptLink& it : attempt->links) {
-    context_->Emit(
-        ReplyNotRun{it.link, it.asked, refusal.reason, refusal.retry_after});
+    context_->Emit(ReplyNotRun{it.link, it.asked, refusal.reason,
+                               refusal.retry_after, reached_upstream});
   }
   if (attempt->is_waiting()) {
     admission_.Remove(attempt);
@@ -416,7 +428,7 @@
   table_.Erase(attempt, fate);
 }
 
-void CallDestination::Drain() {
+void CallDestination::RefuseWaiting(NotRunReason reason) {
   std::vector<Attempt*> waiting;
   for (const auto& [id, attempt] : table_.attempts()) {
     if (attempt->state == AttemptState::kQueued ||
@@ -425,7 +437,7 @@
     }
   }
   for (Attempt* it : waiting) {
-    Refuse(it, {NotRunReason::kDraining});
+    Refuse(it, {reason});
   }
 }
 
--- a/src/cassiabend/core/call_destination.h
+++ b/src/cassiabend/core/call_destination.h
@@ -33,6 +33,7 @@
   void Reduce(const CancelArrived& event);
   void Reduce(const LinkLost& event);
   void Reduce(const UpstreamShed& event);
+  void Reduce(const UpstreamReplaced& event);
   void Reduce(const UpstreamUnreached& event);
   void Reduce(const UpstreamAnswering& event);
   void Reduce(const UpstreamFinished& event);
@@ -41,7 +42,7 @@
   /// \brief Answers the time that has passed.
   void Tick();
   /// \brief Refuses everything that waits.
-  void Drain();
+  void RefuseWaiting(NotRunReason reason);
 
  private:
   [[nodiscard]] std::optional<Refusal> CheckIdentity(
@@ -69,7 +70,10 @@
   void CancelOrphan(Attempt* attempt);
 
   /// \brief Ends an attempt that the upstream does not have.
-  void Refuse(Attempt* attempt, const Refusal& refusal);
+  /// \param reached_upstream Whether the upstream was asked and refused.
+  void Refuse(Attempt* attempt,
+              const Refusal& refusal,
+              bool reached_upstream = false);
   /// \brief Ends an attempt that the upstream may have run.
   void EndUnknown(Attempt* attempt);
   void ReleaseSlot(Attempt* attempt);
--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -41,14 +41,14 @@
     FinishNotRun(call, *refusal);
     return;
   }
-  budget_.Earn(call->facts.tenant, call->route->request_class);
+  Earn(*call);
   SendFirst(call);
 }
 
-std::optional<Refusal> CallEntry::Route(Call* call) const {
+std::optional<Refusal> CallEntry::Route(Call* call) {
   // The calls that work in flight makes belong to that work.
   const bool in_flight = call->facts.depth > 0 && context_->upstream_calls > 0;
-  if (context_->draining && !in_flight) {
+  if (context_->HasStoppedServing() && !in_flight) {
     return Refusal{NotRunReason::kDraining};
   }
   if (!context_->ready || !context_->snapshot) {
@@ -64,6 +64,7 @@
   if (call->route == nullptr) {
     return Refusal{NotRunReason::kNoRoute};
   }
+  call->service = DrawService(*call->route);
   if (call->facts.tenant.empty()) {
     call->facts.tenant = call->route->tenant;
   }
@@ -81,6 +82,26 @@
   return CheckSite(call);
 }
 
+/// \brief Draws from a route's split by weight. Each call keeps its service: what
+/// one service has no room for is not moved to another.
+std::string CallEntry::DrawService(const cassiabend::Route& route) {
+  if (route.split.empty()) {
+    return route.service;
+  }
+  std::uint64_t total = 0;
+  for (const RouteTarget& it : route.split) {
+    total += it.weight;
+  }
+  std::uint64_t left = context_->random.Below(total);
+  for (const RouteTarget& it : route.split) {
+    if (left < it.weight) {
+      return it.service;
+    }
+    left -= it.weight;
+  }
+  return route.split.back().service;
+}
+
 std::optional<Refusal> CallEntry::CheckSite(Call* call) const {
   const cassiabend::Route& route = *call->route;
   if (!route.noisy) {
@@ -106,7 +127,7 @@
 }
 
 RefPtr<Upstream> CallEntry::Choose(const Call& call) {
-  const UpstreamQuery query{call.route->service,
+  const UpstreamQuery query{call.service,
                             {call.tried.data(), call.tried.size()}};
   const bool keyed = call.route->repeat == RepeatPolicy::kOnce &&
                      !call.facts.order_key.empty();
@@ -122,11 +143,13 @@
   request.id = context_->random.NextId();
   request.destination_start_id = upstream->member().start_id;
   request.route = route.name;
-  request.service = route.service;
+  request.service = call->service;
   request.tenant = call->facts.tenant;
   request.request_class = route.request_class;
   request.order_key = call->facts.order_key;
   request.site = call->site;
+  request.caller_service = context_->self.service;
+  request.priority = route.priority;
   request.noisy = route.noisy;
   request.once = route.repeat == RepeatPolicy::kOnce;
   request.longest_job = route.longest_job;
@@ -136,6 +159,11 @@
   const Milliseconds left = Remaining(*call);
   const Milliseconds margin = std::min(kReturnMargin, left / kReturnShare);
   request.deadline = std::max(left - margin, kMinAttemptTime);
+  const auto aged = std::chrono::ceil<Milliseconds>(context_->now.mono -
+                                                    call->arrived_at);
+  request.objective = route.latency_objective > aged
+                          ? route.latency_objective - aged
+                          : Milliseconds(0);
   request.expires_at = context_->now.wall + request.deadline;
   balancer_->RecordStart(upstream.get());
   call->tried.push_back(std::move(upstream));
@@ -173,6 +201,7 @@
   if (!call->refusal || !IsPassing(event.reason)) {
     call->refusal = Refusal{event.reason, event.retry_after};
   }
+  call->arrivals += event.reached_upstream ? 1 : 0;
   const bool needs_room = event.reason == NotRunReason::kOverloaded;
   if (IsRetriable(event.reason) && Retry(call, needs_room)) {
     return;
@@ -193,7 +222,16 @@
   if (call->phase == Phase::kRelaying) {
     return;
   }
-  EndAttempt(call, AttemptOutcome::kAnswered, Milliseconds(0));
+  constexpr std::uint16_t kFirstServerError = 500;
+  const bool failed = event.status >= kFirstServerError &&
+                      context_->options.retry_errors != 0;
+  EndAttempt(call,
+             failed ? AttemptOutcome::kErrored : AttemptOutcome::kAnswered,
+             Milliseconds(0));
+  ++call->arrivals;
+  if (failed && MayRepeat(call->request) && RetryError(call)) {
+    return;
+  }
   call->phase = Phase::kRelaying;
   timers_.Cancel(call);
   context_->Emit(RelayAnswer{call->id, event.attempt});
@@ -270,6 +308,7 @@
   EndAttempt(call, silent ? AttemptOutcome::kSilent : AttemptOutcome::kFailed,
              Milliseconds(0));
   call->may_have_run = true;
+  ++call->arrivals;
   context_->Emit(DropAttempt{call->id, call->request.id});
   if (MayRepeat(call->request) && Retry(call, false)) {
     return;
@@ -306,7 +345,7 @@
   if (context_->now.mono >= call->deadline) {
     EndAttempt(call, AttemptOutcome::kFailed, Milliseconds(0));
     context_->Emit(DropAttempt{call->id, call->request.id});
-    FinishUnknown(call, "no answer came before the deadline");
+    FinishUnknown(call, "no answer came before the deadline", true);
     return;
   }
   if (call->phase == Phase::kWaiting) {
@@ -341,10 +380,26 @@
 bool CallEntry::MayRetry(const Call& call) const {
   const std::size_t limit =
       std::min<std::size_t>(context_->options.max_attempts, kMaxAttemptsLimit);
+  const std::uint32_t arrivals = call.route->max_attempts > 0
+                                     ? call.route->max_attempts
+                                     : context_->options.max_attempts;
   return !call.facts.is_retry && call.tried.size() < limit &&
+         call.arrivals < arrivals &&
          Remaining(call) > 2 * kMinAttemptTime;
 }
 
+/// \brief Tries another upstream in place of an error that has just begun to
+/// arrive, which is dropped.
+bool CallEntry::RetryError(Call* call) {
+  const AttemptId failed = call->request.id;
+  if (!Retry(call, true)) {
+    return false;
+  }
+  call->may_have_run = true;
+  context_->Emit(DropAttempt{call->id, failed});
+  return true;
+}
+
 bool CallEntry::Retry(Call* call, bool needs_room) {
   if (!MayRetry(*call)) {
     return false;
@@ -352,13 +407,35 @@
   RefPtr<Upstream> upstream = Choose(*call);
   if (!upstream ||
       (needs_room && balancer_->IsSaturated(context_->now.mono, *upstream)) ||
-      !budget_.Spend(call->facts.tenant, call->route->request_class)) {
+      !Spend(*call)) {
     return false;
   }
   SendTo(call, std::move(upstream));
   return true;
 }
 
+/// \brief Counts a call for the budget of retries: one for each service where
+/// all nodes share it, else one for each tenant and class.
+void CallEntry::Earn(const Call& call) {
+  if (context_->options.retry_burst > 0) {
+    budget_.set_limit(context_->options.retry_burst, balancer_->nodes());
+    budget_.Earn(call.service, {});
+    return;
+  }
+  budget_.Earn(call.facts.tenant, call.route->request_class);
+}
+
+/// \brief Spends a retry where an upstream has been asked before. What never
+/// left the mesh costs the upstreams nothing.
+bool CallEntry::Spend(const Call& call) {
+  if (call.arrivals == 0) {
+    return true;
+  }
+  return context_->options.retry_burst > 0
+             ? budget_.Spend(call.service, {})
+             : budget_.Spend(call.facts.tenant, call.route->request_class);
+}
+
 void CallEntry::EndAttempt(Call* call,
                            AttemptOutcome outcome,
                            Milliseconds retry_after) {
@@ -386,8 +463,8 @@
   Finish(call, NameOf(refusal.reason));
 }
 
-void CallEntry::FinishUnknown(Call* call, std::string detail) {
-  context_->Emit(AnswerUnknown{call->id, std::move(detail)});
+void CallEntry::FinishUnknown(Call* call, std::string detail, bool timed_out) {
+  context_->Emit(AnswerUnknown{call->id, std::move(detail), timed_out});
   Finish(call, "unknown");
 }
 
--- a/src/cassiabend/core/call_entry.h
+++ b/src/cassiabend/core/call_entry.h
@@ -57,6 +57,8 @@
     RefPtr<const Snapshot> snapshot;
     const Route* route = nullptr;
     std::string site;
+    /// The route's service, or the one drawn from its split.
+    std::string service;
     MonoTime arrived_at{};
     MonoTime deadline{};
     Phase phase = Phase::kSent;
@@ -69,6 +71,8 @@
     bool outstanding = false;
     /// Whether an attempt before the newest may have run.
     bool may_have_run = false;
+    /// Attempts that reached an upstream, or may have.
+    std::uint32_t arrivals = 0;
     /// The refusal that says most of why the call was not run.
     std::optional<Refusal> refusal;
     /// Whether the newest attempt's connection fell silent.
@@ -78,8 +82,9 @@
   using CallTable = std::unordered_map<CallId, std::unique_ptr<Call>>;
 
   [[nodiscard]] Call* Find(CallId id, const AttemptId& attempt) const;
-  [[nodiscard]] std::optional<Refusal> Route(Call* call) const;
+  [[nodiscard]] std::optional<Refusal> Route(Call* call);
   [[nodiscard]] std::optional<Refusal> CheckSite(Call* call) const;
+  [[nodiscard]] std::string DrawService(const cassiabend::Route& route);
   void SendFirst(Call* call);
   [[nodiscard]] RefPtr<Upstream> Choose(const Call& call);
   void SendTo(Call* call, RefPtr<Upstream> upstream);
@@ -90,6 +95,9 @@
   /// \param needs_room Whether only an upstream with room will do.
   /// \returns Whether it was sent.
   [[nodiscard]] bool Retry(Call* call, bool needs_room);
+  [[nodiscard]] bool RetryError(Call* call);
+  void Earn(const Call& call);
+  [[nodiscard]] bool Spend(const Call& call);
   void Recover(Call* call);
   void FetchFailed(Call* call);
   void GiveUpAttempt(Call* call);
@@ -98,7 +106,7 @@
   void Schedule(Call* call);
 
   void FinishNotRun(Call* call, const Refusal& refusal);
-  void FinishUnknown(Call* call, std::string detail);
+  void FinishUnknown(Call* call, std::string detail, bool timed_out = false);
   void Finish(Call* call, std::string_view outcome);
 
   CallContext* context_;
--- a/src/cassiabend/core/call_events.h
+++ b/src/cassiabend/core/call_events.h
@@ -11,6 +11,7 @@
 #include "cassiabend/base/ref_counted.h"
 #include "cassiabend/core/fleet_events.h"
 #include "cassiabend/core/member.h"
+#include "cassiabend/core/upstream_report.h"
 #include "cassiabend/model/snapshot.h"
 
 namespace cassiabend {
@@ -22,6 +23,8 @@
 
 /// \brief What the entry node knows of a caller's request.
 struct CallFacts {
+  /// The caller's own name for the request, for logs; may be empty.
+  std::string request_id;
   std::string tenant;
   std::string host;
   std::string path;
@@ -76,6 +79,8 @@
   std::string request_class;
   std::string order_key;
   std::string site;
+  /// Service of the host at which the call entered; empty for none.
+  std::string caller_service;
   bool noisy = false;
   bool once = false;
   Seconds longest_job{0};
@@ -83,6 +88,10 @@
   VersionNumber config_number = 0;
   /// Time left at the moment of sending.
   Milliseconds deadline{0};
+  /// Time left within which an answer is worth most; 0 for none.
+  Milliseconds objective{0};
+  /// Rank of the route; 0 is served first.
+  std::uint32_t priority = 0;
   /// Depth of the call itself; calls that the upstream makes are one deeper.
   std::uint8_t depth = 0;
   /// Whether this attempt, or a call above it, is a retry. It goes down with
@@ -108,6 +117,8 @@
   AttemptId attempt;
   NotRunReason reason = NotRunReason::kOverloaded;
   Milliseconds retry_after{0};
+  /// Whether the upstream was asked, and refused by its own word.
+  bool reached_upstream = false;
 };
 /// \brief Event: the upstream's answer begins to arrive.
 struct AttemptAnswering {
@@ -180,6 +191,15 @@
   AttemptId attempt;
   Milliseconds retry_after{0};
 };
+/// \brief Event: another start of the upstream than the one meant refused, or
+/// another upstream that has its address now.
+struct UpstreamReplaced {
+  AttemptId attempt;
+};
+/// \brief Event: the upstream on this host sent a heartbeat.
+struct UpstreamReported {
+  UpstreamReport report;
+};
 /// \brief Event: the upstream could not be reached; no byte was sent.
 struct UpstreamUnreached {
   AttemptId attempt;
@@ -202,6 +222,10 @@
   bool healthy = false;
   /// Slots that the upstream says it has in use, in thousandths.
   std::uint16_t load_permille = 0;
+  /// Name of the upstream's start; empty when it does not say.
+  std::string instance;
+  /// Slots that the upstream says it has; 0 when it does not say.
+  std::uint32_t slots = 0;
 };
 
 // Events at both.
@@ -224,6 +248,8 @@
                                CancelArrived,
                                LinkLost,
                                UpstreamShed,
+                               UpstreamReplaced,
+                               UpstreamReported,
                                UpstreamUnreached,
                                UpstreamAnswering,
                                UpstreamFinished,
@@ -284,6 +310,8 @@
 struct AnswerUnknown {
   CallId call = 0;
   std::string detail;
+  /// Whether the call's time ran out before an answer came.
+  bool timed_out = false;
 };
 /// \brief Effect: one call has ended; for metrics.
 struct CallEnded {
@@ -305,6 +333,14 @@
 struct StartUpstream {
   AttemptId attempt;
   Milliseconds deadline{0};
+  /// The start of the upstream that is meant; empty for any.
+  std::string instance;
+};
+/// \brief Effect: ask the upstream's health endpoint once; the answer returns
+/// as `UpstreamProbed`.
+struct ProbeUpstream {
+  /// Path of the endpoint; empty for the shell's own setting.
+  std::string path;
 };
 /// \brief Effect: close the upstream connection of the attempt; no event of
 /// that connection follows.
@@ -327,6 +363,8 @@
   AttemptId attempt;
   NotRunReason reason = NotRunReason::kOverloaded;
   Milliseconds retry_after{0};
+  /// Whether the upstream was asked, and refused by its own word.
+  bool reached_upstream = false;
 };
 /// \brief Effect: answer the connection: the attempt waits or runs; fetch
 /// again.
@@ -356,6 +394,7 @@
                                 AnswerUnknown,
                                 CallEnded,
                                 StartUpstream,
+                                ProbeUpstream,
                                 CancelUpstream,
                                 BindAnswer,
                                 ReplyNotRun,
--- a/src/cassiabend/core/call_reducer.cc
+++ b/src/cassiabend/core/call_reducer.cc
@@ -69,17 +69,32 @@
   }
 
   void Handle(const UpstreamProbed& event) { health_.Reduce(event); }
+  void Handle(const UpstreamReported& event) {
+    const UpstreamState before = health_.state();
+    health_.Reduce(event);
+    RefuseWaitingUnlessServing(before);
+  }
+  void Handle(const UpstreamReplaced& event) {
+    const UpstreamState before = health_.state();
+    health_.RecordReplaced();
+    destination_.Reduce(event);
+    RefuseWaitingUnlessServing(before);
+  }
   void Handle(const UpstreamShed& event) {
     health_.RecordShed(destination_.running(), event.retry_after);
     destination_.Reduce(event);
   }
   void Handle(const UpstreamUnreached& event) {
+    const UpstreamState before = health_.state();
     health_.RecordCallFailure();
     destination_.Reduce(event);
+    RefuseWaitingUnlessServing(before);
   }
   void Handle(const UpstreamBroken& event) {
+    const UpstreamState before = health_.state();
     health_.RecordCallFailure();
     destination_.Reduce(event);
+    RefuseWaitingUnlessServing(before);
   }
   void Handle(const UpstreamAnswering& event) {
     health_.RecordAnswer();
@@ -89,6 +104,7 @@
   void Handle(const CallTick& /*event*/) {
     entry_.Tick();
     destination_.Tick();
+    health_.Tick();
     health_.ReportLoad(destination_.queued() + destination_.running());
   }
 
@@ -97,8 +113,9 @@
       return;
     }
     context_.draining = true;
+    context_.draining_since = context_.now.mono;
     health_.Drain();
-    destination_.Drain();
+    destination_.RefuseWaiting(NotRunReason::kDraining);
   }
 
   void Handle(const ApplyVersion& event) {
@@ -144,17 +161,28 @@
 
   /// \brief Lets the balancer know this host's own upstream.
   void UpdateSelf() {
-    if (context_.self.upstream_state == health_.state() && self_known_) {
+    if (context_.self.upstream_state == health_.state() && self_known_ &&
+        known_service_ == context_.self.service) {
       return;
     }
     self_known_ = true;
+    known_service_ = context_.self.service;
     context_.self.upstream_state = health_.state();
     context_.self.slots = health_.slots();
     balancer_.Update(context_.now.mono, context_.self);
   }
 
+  /// \brief Lets the calls that wait for an upstream go elsewhere when it has
+  /// just stopped to serve.
+  void RefuseWaitingUnlessServing(UpstreamState before) {
+    if (before == UpstreamState::kServing &&
+        health_.state() != UpstreamState::kServing) {
+      destination_.RefuseWaiting(NotRunReason::kNoUpstream);
+    }
+  }
+
   void FinishDrain() {
-    if (!context_.draining || drain_finished_ || entry_.calls() > 0 ||
+    if (!context_.HasStoppedServing() || drain_finished_ || entry_.calls() > 0 ||
         destination_.has_work()) {
       return;
     }
@@ -168,6 +196,8 @@
   CallEntry entry_;
   CallDestination destination_;
   bool self_known_ = false;
+  /// Service under which the balancer knows this host's upstream.
+  std::string known_service_;
   bool drain_finished_ = false;
 };
 
--- a/src/cassiabend/core/call_refusals.cc
+++ b/src/cassiabend/core/call_refusals.cc
@@ -36,7 +36,7 @@
     {NotRunReason::kDeadline, true, false, true, AttemptOutcome::kNeutral},
     {NotRunReason::kRestarted, true, true, true, AttemptOutcome::kUnavailable},
     {NotRunReason::kCancelled, true, true, true, AttemptOutcome::kNeutral},
-    {NotRunReason::kUnreachable, true, true, true, AttemptOutcome::kFailed},
+    {NotRunReason::kUnreachable, true, true, true, AttemptOutcome::kUnreached},
     {NotRunReason::kDepthExceeded, false, false, false,
      AttemptOutcome::kNeutral},
     {NotRunReason::kBadRequest, false, false, false, AttemptOutcome::kNeutral},
--- a/src/cassiabend/core/call_upstream_health.cc
+++ b/src/cassiabend/core/call_upstream_health.cc
@@ -19,6 +19,11 @@
 constexpr Milliseconds kLoadReportPeriod{100};
 /// Change of the load that is reported, in thousandths.
 constexpr int kLoadReportStep = 50;
+/// Probes for an upstream's name, and the pause between them.
+constexpr std::uint32_t kMostAsks = 3;
+constexpr Milliseconds kAskPause{500};
+/// Heartbeat periods without one after which a start may have ended.
+constexpr int kSilentPeriods = 3;
 
 }  // namespace
 
@@ -33,7 +38,61 @@
       context->options.slots > 0 ? context->options.slots : context->self.slots;
 }
 
+void CallUpstreamHealth::Reduce(const UpstreamReported& event) {
+  const UpstreamReport& report = event.report;
+  const ReportNews news = identity_.Take(
+      context_->now.mono, kSilentPeriods * context_->options.upstream_heartbeat,
+      report);
+  if (news == ReportNews::kStale) {
+    return;
+  }
+  if (news == ReportNews::kNewStart) {
+    failures_ = 0;
+    leaves_ = false;
+  }
+  asked_ = 0;
+  if (report.phase == UpstreamPhase::kReady && !leaves_) {
+    slots_ = report.slots > 0 ? report.slots : slots_;
+    SetUpstream(UpstreamState::kServing, report.service);
+    return;
+  }
+  leaves_ = true;
+  SetUpstream(UpstreamState::kDraining, report.service);
+}
+
+void CallUpstreamHealth::RecordReplaced() {
+  if (!expects_reports()) {
+    return;
+  }
+  identity_.Forget();
+  SetState(UpstreamState::kWarming);
+}
+
+void CallUpstreamHealth::Tick() {
+  if (!expects_reports() || context_->options.ask_upstream == 0 ||
+      !context_->snapshot || !identity_.instance().empty() ||
+      state_ != UpstreamState::kWarming || asked_ >= kMostAsks ||
+      context_->now.mono < next_ask_at_) {
+    return;
+  }
+  ++asked_;
+  next_ask_at_ = context_->now.mono + kAskPause;
+  context_->Emit(
+      ProbeUpstream{context_->snapshot->HealthPathOf(context_->self.service)});
+}
+
 void CallUpstreamHealth::Reduce(const UpstreamProbed& event) {
+  if (expects_reports()) {
+    if (!event.healthy || event.instance.empty() ||
+        !identity_.instance().empty()) {
+      return;
+    }
+    identity_.Learn(context_->now.mono, event.instance);
+    slots_ = event.slots > 0 ? event.slots : slots_;
+    failures_ = 0;
+    SetState(UpstreamState::kServing);
+    return;
+  }
   if (event.healthy) {
     failures_ = 0;
     ++healthy_probes_;
@@ -103,17 +162,33 @@
 }
 
 void CallUpstreamHealth::Drain() {
+  shuts_down_ = true;
   if (state_ != UpstreamState::kNone) {
     SetState(UpstreamState::kDraining);
   }
 }
 
 void CallUpstreamHealth::SetState(UpstreamState state) {
-  if (state_ == state || state_ == UpstreamState::kDraining) {
+  const bool stays_drained = shuts_down_ || !expects_reports();
+  if (state_ == state ||
+      (state_ == UpstreamState::kDraining && stays_drained)) {
     return;
   }
   state_ = state;
-  context_->Emit(LocalUpstreamChanged{state_, slots_});
+  context_->Emit(LocalUpstreamChanged{state_, slots_, context_->self.service});
+}
+
+void CallUpstreamHealth::SetUpstream(UpstreamState state,
+                                     const std::string& service) {
+  const bool moved = !service.empty() && service != context_->self.service;
+  if (moved) {
+    context_->self.service = service;
+  }
+  const bool same = state_ == state;
+  SetState(state);
+  if (same && moved) {
+    context_->Emit(LocalUpstreamChanged{state_, slots_, service});
+  }
 }
 
 }  // namespace cassiabend
--- a/src/cassiabend/core/call_upstream_health.h
+++ b/src/cassiabend/core/call_upstream_health.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "cassiabend/core/call_context.h"
+#include "cassiabend/core/upstream_identity.h"
 
 namespace cassiabend {
 
-/// \brief Judges this host's upstream by its health endpoint and, before that,
-/// by what its calls show, and tells the fleet its state and load.
+/// \brief Judges this host's upstream by its heartbeats or, where it sends none,
+/// by its health endpoint, and before both by what its calls show. Tells the
+/// fleet its state and load.
 class CallUpstreamHealth {
  public:
   explicit CallUpstreamHealth(CallContext* context);
@@ -14,7 +16,18 @@
   /// \returns Calls that the upstream may be given at the same time.
   [[nodiscard]] std::uint32_t slots() const noexcept;
 
+  /// \returns The start of the upstream that calls are meant for; empty where
+  /// it sends no heartbeats.
+  [[nodiscard]] const std::string& instance() const noexcept {
+    return identity_.instance();
+  }
+
   void Reduce(const UpstreamProbed& event);
+  void Reduce(const UpstreamReported& event);
+  /// \brief Notes that another upstream answers at the known address.
+  void RecordReplaced();
+  /// \brief Asks for the name of an upstream that is not known yet.
+  void Tick();
   /// \brief Notes that the upstream answered a call.
   void RecordAnswer() noexcept;
   /// \brief Notes that the upstream refused one of `running` calls for lack of
@@ -31,9 +44,21 @@
  private:
   /// \returns Whether the upstream stopped serving by it.
   bool RecordFailure();
+  [[nodiscard]] bool expects_reports() const noexcept {
+    return context_->options.upstream_heartbeat > Milliseconds(0);
+  }
   void SetState(UpstreamState state);
+  void SetUpstream(UpstreamState state, const std::string& service);
 
   CallContext* context_;
+  UpstreamIdentity identity_;
+  /// Probes sent since the upstream was last known.
+  std::uint32_t asked_ = 0;
+  MonoTime next_ask_at_{};
+  /// Whether this node shuts down.
+  bool shuts_down_ = false;
+  /// Whether the present start of the upstream has said that it ends.
+  bool leaves_ = false;
   UpstreamState state_ = UpstreamState::kNone;
   std::uint32_t slots_ = 0;
   /// Fewer slots for the time after the upstream shed a call.
--- a/src/cassiabend/core/fleet_events.h
+++ b/src/cassiabend/core/fleet_events.h
@@ -118,6 +118,8 @@
 struct LocalUpstreamChanged {
   UpstreamState state = UpstreamState::kNone;
   std::uint32_t slots = 0;
+  /// The upstream's service; empty for the one stated before.
+  std::string service;
 };
 /// \brief Event: outstanding calls at this host's upstream.
 struct LocalLoadChanged {
@@ -200,6 +202,13 @@
   std::string reason;
 };
 
+/// \brief Effect: the value of the head key cannot be used; what is in force
+/// stays.
+struct HeadRefused {
+  StoreRevision revision = 0;
+  std::string reason;
+};
+
 using FleetEffect = std::variant<SendDatagram,
                                  SendPush,
                                  SendPull,
@@ -212,7 +221,8 @@
                                  HeadConfirmed,
                                  MembersChanged,
                                  MemberLoadReported,
-                                 ReadinessChanged>;
+                                 ReadinessChanged,
+                                 HeadRefused>;
 
 inline constexpr Milliseconds kFleetTickPeriod{100};
 
--- a/src/cassiabend/core/fleet_reducer_impl.cc
+++ b/src/cassiabend/core/fleet_reducer_impl.cc
@@ -81,6 +81,7 @@
   lease_.Tick(context, tree_);
   watch_.Tick(context, lease_.ShouldRead(context, tree_));
   seeds_.Tick(context, membership_, lease_.holds());
+  directory_.Tick(context, membership_, join_.joined());
   spread_.Tick(context, tree_, membership_, watch_.ReadsAt(context));
   pull_.Tick(context, versions_);
   join_.Tick(context, tree_, membership_);
@@ -245,8 +246,13 @@
 void FleetReducer::Impl::On(const FleetContext& context,
                             const LocalUpstreamChanged& event) {
   Member self = membership_.self();
-  const bool announces = self.upstream_state != event.state;
+  const bool announces = self.upstream_state != event.state ||
+                         (!event.service.empty() &&
+                          self.service != event.service);
   self.upstream_state = event.state;
+  if (!event.service.empty()) {
+    self.service = event.service;
+  }
   self.slots = event.slots;
   membership_.StateSelf(context, std::move(self));
   if (announces) {
@@ -265,6 +271,7 @@
     return;
   }
   lease_.Release(context);
+  directory_.Release(context);
   Member self = membership_.self();
   self.status = MemberStatus::kLeft;
   self.upstream_state = UpstreamState::kDraining;
@@ -306,6 +313,10 @@
       join_.OnReply(context, event, membership_)) {
     return;
   }
+  if (directory_.OnReply(context, event)) {
+    join_.TakeFound(context, directory_.TakeListed(), membership_);
+    return;
+  }
   if (seeds_.OnReply(context, event, tree_, membership_)) {
     join_.MeetUnknown(context, seeds_.TakeSeen(), membership_);
   }
--- a/src/cassiabend/core/fleet_reducer_impl.h
+++ b/src/cassiabend/core/fleet_reducer_impl.h
@@ -11,6 +11,7 @@
 #include "cassiabend/core/join_readiness.h"
 #include "cassiabend/core/join_seeds.h"
 #include "cassiabend/core/mark_survey.h"
+#include "cassiabend/core/member_directory.h"
 #include "cassiabend/core/member_sync.h"
 #include "cassiabend/core/membership.h"
 #include "cassiabend/core/membership_prober.h"
@@ -103,6 +104,7 @@
   ReaderWatch watch_;
   Join join_;
   SeedDirectory seeds_;
+  MemberDirectory directory_;
   JoinReadiness readiness_;
   MarkSurvey survey_;
   MemberSync member_sync_;
--- /dev/null
+++ b/src/cassiabend/core/head_codec.cc
@@ -0,0 +1,29 @@
+#include "cassiabend/core/head_codec.h"
+
+#include "cassiabend/core/store_types.h"
+#include "cassiabend/model/codec.h"
+
+namespace cassiabend {
+namespace {
+
+class StoredHead final : public HeadCodec {
+ public:
+  [[nodiscard]] const std::string& key() const noexcept override {
+    return key_;
+  }
+  [[nodiscard]] HeadValue Decode(std::string_view value) const override {
+    return {.head = DecodeHead(value)};
+  }
+
+ private:
+  std::string key_ = kHeadKey;
+};
+
+}  // namespace
+
+const HeadCodec& StoredHeadCodec() {
+  static const StoredHead codec;
+  return codec;
+}
+
+}  // namespace cassiabend
--- a/src/cassiabend/core/join.cc
+++ b/src/cassiabend/core/join.cc
@@ -62,6 +62,10 @@
     }
     MeetSome(context, peers, membership);
   }
+  if (context.options().member_lease > Seconds(0)) {
+    // The directory of members lists the peers.
+    return;
+  }
   if (!next_read_at_) {
     next_read_at_ =
         now + context.random().Jitter(context.options().join_jitter / 2, 1.0);
@@ -122,6 +126,16 @@
   }
 }
 
+void Join::TakeFound(const FleetContext& context,
+                     std::vector<NodeId> found,
+                     const Membership& membership) {
+  if (found.empty()) {
+    return;
+  }
+  found_ = std::move(found);
+  MeetSome(context, found_, membership);
+}
+
 void Join::MeetUnknown(const FleetContext& context,
                        const std::vector<NodeId>& peers,
                        const Membership& membership) {
--- a/src/cassiabend/core/join_readiness.cc
+++ b/src/cassiabend/core/join_readiness.cc
@@ -9,8 +9,6 @@
 /// Time after the start in which only a confirmation of the head counts, so
 /// that peers can be met before their number is judged.
 constexpr Milliseconds kMeetTime{2'000};
-/// Oldest confirmation, before the start, that makes a node ready by itself.
-constexpr Milliseconds kConfirmationAge{10'000};
 
 }  // namespace
 
@@ -56,7 +54,7 @@
 bool JoinReadiness::IsVouchedFor(const FleetContext& context,
                                  const Inputs& inputs) const {
   const std::optional<MonoTime> confirmed = inputs.freshness.confirmed_at();
-  if (confirmed && *confirmed + kConfirmationAge >= *started_at_) {
+  if (confirmed && *confirmed + context.options().join_confirmation_age >= *started_at_) {
     return true;
   }
   if (context.now() - *started_at_ < kMeetTime || !inputs.joined) {
--- /dev/null
+++ b/src/cassiabend/core/member_directory.cc
@@ -0,0 +1,149 @@
+#include "cassiabend/core/member_directory.h"
+
+#include <string>
+#include <utility>
+
+namespace cassiabend {
+namespace {
+
+/// Renewals within one lease, so that two may fail.
+constexpr std::int64_t kRenewalsPerLease = 3;
+
+}  // namespace
+
+void MemberDirectory::Tick(const FleetContext& context,
+                           const Membership& membership,
+                           bool knows_peers) {
+  const Seconds ttl = context.options().member_lease;
+  if (ttl == Seconds(0) || step_ == Step::kReleased) {
+    return;
+  }
+  const MonoTime now = context.now();
+  if (pending_.OverdueAt(now)) {
+    pending_.GiveUp();
+    Fail(context);
+  }
+  if (listing_.OverdueAt(now)) {
+    listing_.GiveUp();
+  }
+  if (!pending_.active() && now >= next_at_) {
+    switch (step_) {
+      case Step::kGrant:
+        pending_.Start(context, StoreLeaseGrant{ttl}, kStoreCallTimeout);
+        break;
+      case Step::kWrite: {
+        const std::string self = ToString(membership.self().id);
+        pending_.Start(context, StorePut{kMemberPrefix + self, self, lease_},
+                       kStoreCallTimeout);
+        break;
+      }
+      case Step::kHeld:
+        pending_.Start(context, StoreLeaseKeepAlive{lease_}, kStoreCallTimeout);
+        break;
+      case Step::kReleased:
+        break;
+    }
+  }
+  if (knows_peers) {
+    list_backoff_.Reset();
+    return;
+  }
+  if (tried_to_write_ && !listing_.active() && now >= next_list_at_) {
+    listing_.Start(context, StoreList{kMemberPrefix}, kStoreCallTimeout);
+    next_list_at_ =
+        list_backoff_.Fail(context, context.options().store_retry_limit);
+  }
+}
+
+bool MemberDirectory::OnReply(const FleetContext& context,
+                              const StoreReplied& replied) {
+  const StoreReply& reply = replied.reply;
+  if (listing_.Finish(replied.id.sequence)) {
+    OnListed(reply);
+    return true;
+  }
+  if (!pending_.Finish(replied.id.sequence)) {
+    return false;
+  }
+  switch (step_) {
+    case Step::kGrant:
+      if (reply.status != StoreStatus::kOk) {
+        Fail(context);
+        return true;
+      }
+      lease_ = reply.lease;
+      step_ = Step::kWrite;
+      next_at_ = context.now();
+      return true;
+    case Step::kWrite:
+      OnWritten(context, reply);
+      return true;
+    case Step::kHeld:
+      OnRenewed(context, reply);
+      return true;
+    case Step::kReleased:
+      return true;
+  }
+  return true;
+}
+
+void MemberDirectory::OnWritten(const FleetContext& context,
+                                const StoreReply& reply) {
+  if (reply.status == StoreStatus::kLeaseLost) {
+    step_ = Step::kGrant;
+  }
+  if (reply.status != StoreStatus::kOk) {
+    Fail(context);
+    return;
+  }
+  step_ = Step::kHeld;
+  OnRenewed(context, reply);
+}
+
+void MemberDirectory::OnRenewed(const FleetContext& context,
+                                const StoreReply& reply) {
+  tried_to_write_ = true;
+  if (reply.status == StoreStatus::kLeaseLost) {
+    step_ = Step::kGrant;
+    next_at_ = context.now();
+    return;
+  }
+  if (reply.status != StoreStatus::kOk) {
+    Fail(context);
+    return;
+  }
+  backoff_.Reset();
+  const Nanoseconds period =
+      Nanoseconds(context.options().member_lease) / kRenewalsPerLease;
+  next_at_ = context.now() + context.random().Jitter(period, 0.2);
+}
+
+void MemberDirectory::OnListed(const StoreReply& reply) {
+  if (reply.status != StoreStatus::kOk) {
+    return;
+  }
+  for (const StoreEntry& it : reply.entries) {
+    NodeId id;
+    if (ParseNodeId(it.value, &id)) {
+      listed_.push_back(std::move(id));
+    }
+  }
+}
+
+void MemberDirectory::Fail(const FleetContext& context) {
+  tried_to_write_ = true;
+  next_at_ = backoff_.Fail(context, context.options().store_retry_limit);
+}
+
+void MemberDirectory::Release(const FleetContext& context) {
+  if (lease_ != 0 && step_ != Step::kReleased) {
+    (void)context.CallStore(StoreLeaseRevoke{lease_});
+  }
+  step_ = Step::kReleased;
+}
+
+std::vector<NodeId> MemberDirectory::TakeListed() {
+  return std::exchange(listed_, {});
+}
+
+}  // namespace cassiabend
--- a/src/cassiabend/core/options.h
+++ b/src/cassiabend/core/options.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "cassiabend/base/time.h"
+#include "cassiabend/core/head_codec.h"
 #include "cassiabend/core/member.h"
 
 namespace cassiabend {
@@ -64,6 +65,17 @@
   Milliseconds unreachable_after{8'000};
   /// How often a root of a zone asks another zone for all members.
   Milliseconds member_sync_period{300'000};
+  /// Lease of this node's own key in the store, by which others find it. 0: the
+  /// store holds lists of seeds instead, and the readers of a zone hold leases.
+  Seconds member_lease{0};
+  /// Shortest time between the starts of two watches of the head; changes in
+  /// between come with one answer.
+  Milliseconds watch_pause{0};
+  /// Oldest confirmation of the head, before the start, that makes a node ready
+  /// without asking further peers.
+  Milliseconds join_confirmation_age{10'000};
+  /// Never null; must outlive the reducer.
+  const HeadCodec* head_codec = &StoredHeadCodec();
 };
 
 /// \brief Settings of the call path.
@@ -80,6 +92,9 @@
   /// Retries a tenant's class may add, in thousandths of its calls.
   std::uint32_t retry_budget_permille = 200;
   std::uint32_t max_attempts = 3;
+  /// Retries that all nodes together may hold saved up for one service; 0 for
+  /// ten a node.
+  std::uint32_t retry_burst = 0;
   /// How long the answer of an attempt is held for a caller's node.
   Milliseconds answer_hold{10'000};
   /// How long order keys and tombstones are remembered.
@@ -91,6 +106,18 @@
   std::uint32_t ejection_permille = 340;
   /// Most orders with a key that this node claims in the store each second.
   std::uint32_t order_claims_per_second = 50;
+  /// Period of the upstream's heartbeats; 0: it sends none, and its health
+  /// endpoint tells whether it serves.
+  Milliseconds upstream_heartbeat{0};
+  /// Whether the upstream may be older than this process, and is asked for its
+  /// name before its first heartbeat.
+  std::uint32_t ask_upstream = 1;
+  /// Whether a repeatable call whose upstream answered with a server error is
+  /// tried at another upstream before its caller hears of it.
+  std::uint32_t retry_errors = 0;
+  /// How long after the start of a shutdown callers' new requests are taken:
+  /// until those who send them have learnt of it.
+  Milliseconds shutdown_serve{0};
 };
 
 /// \brief All settings of one node's decision core.
--- a/src/cassiabend/core/reader_lease.cc
+++ b/src/cassiabend/core/reader_lease.cc
@@ -33,7 +33,8 @@
 
 void ReaderLease::Tick(const FleetContext& context, const SpreadTree& tree) {
   const MonoTime now = context.now();
-  if (state_ == State::kReleased) {
+  if (state_ == State::kReleased ||
+      context.options().member_lease > Seconds(0)) {
     return;
   }
   if (next_try_at_ == MonoTime{}) {
@@ -73,6 +74,9 @@
   if (state_ == State::kReleased) {
     return false;
   }
+  if (context.options().member_lease > Seconds(0)) {
+    return tree.is_root();
+  }
   return holds() || (tree.is_root() && tree.other_readers() == 0 &&
                      context.now() - started_at_ >= kUnleasedReadDelay);
 }
--- a/src/cassiabend/core/reader_watch.cc
+++ b/src/cassiabend/core/reader_watch.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "cassiabend/base/error.h"
+#include "cassiabend/core/head_codec.h"
 #include "cassiabend/model/codec.h"
 
 namespace cassiabend {
@@ -10,6 +11,8 @@
 
 /// Time over its wait after which a watch is held to be silently dead.
 constexpr Milliseconds kWatchMargin{2'000};
+/// Pauses between watches before the first one.
+constexpr int kFirstWatchPauses = 4;
 /// Confirmation periods after which the store counts as lost.
 constexpr std::int64_t kLostAfterPeriods = 2;
 
@@ -19,7 +22,8 @@
   const Milliseconds limit =
       context.options().confirm_period * kLostAfterPeriods +
       kStoreCallTimeout / 4;
-  return enabled_ && read_at_ && context.now() - *read_at_ <= limit;
+  return enabled_ && read_at_ && backoff_.failures() == 0 &&
+         context.now() - *read_at_ <= limit;
 }
 
 void ReaderWatch::Tick(const FleetContext& context, bool enabled) {
@@ -32,6 +36,8 @@
     fetch_.reset();
     read_at_.reset();
     next_read_at_ = now;
+    // A node that has just started may not stay a reader for long.
+    next_watch_at_ = now + kFirstWatchPauses * context.options().watch_pause;
     head_state_ = HeadState::kUnknown;
   }
   if (!enabled_) {
@@ -61,14 +67,18 @@
 }
 
 void ReaderWatch::Read(const FleetContext& context) {
-  read_.Start(context, StoreGet{kHeadKey}, kStoreCallTimeout);
+  read_.Start(context, StoreGet{context.options().head_codec->key()},
+              kStoreCallTimeout);
   next_read_at_ = context.now() + context.random().Jitter(
                                       context.options().confirm_period, 0.1);
 }
 
 void ReaderWatch::StartWatch(const FleetContext& context) {
   const Milliseconds wait = context.options().watch_wait;
-  watch_.Start(context, StoreWatch{kHeadKey, revision_, wait},
+  next_watch_at_ = context.now() + context.options().watch_pause;
+  watch_.Start(context,
+               StoreWatch{context.options().head_codec->key(),
+                          std::max(revision_, seen_until_), wait},
                wait + kWatchMargin);
 }
 
@@ -102,6 +112,7 @@
   }
   backoff_.Reset();
   read_at_ = reply.sent_at;
+  seen_until_ = reply.store_revision;
   if (!reply.entry) {
     head_state_ = HeadState::kAbsent;
     revision_ = 0;
@@ -123,12 +134,12 @@
                             SpreadVersions* versions,
                             Freshness* freshness) {
   if (reply.status != StoreStatus::kOk) {
-    next_watch_at_ =
-        backoff_.Fail(context, context.options().reader_retry_limit);
-    next_read_at_ = std::max(next_read_at_, next_watch_at_);
+    // The watch may have missed a change, so the head is read before the next.
+    Fail(context);
     return;
   }
-  next_watch_at_ = context.now();
+  next_watch_at_ = std::max(next_watch_at_, context.now());
+  seen_until_ = std::max(seen_until_, reply.store_revision);
   if (!reply.entry) {
     return;
   }
@@ -136,17 +147,29 @@
   TakeHead(context, reply, versions, freshness);
 }
 
+void ReaderWatch::Refuse(const FleetContext& context,
+                         const StoreEntry& entry,
+                         std::string reason) {
+  head_state_ = HeadState::kDamaged;
+  if (refused_ == entry.revision) {
+    return;
+  }
+  refused_ = entry.revision;
+  context.Emit(HeadRefused{entry.revision, std::move(reason)});
+}
+
 void ReaderWatch::TakeHead(const FleetContext& context,
                            const StoreReply& reply,
                            SpreadVersions* versions,
                            Freshness* freshness) {
-  Head head;
+  HeadValue value;
   try {
-    head = DecodeHead(reply.entry->value);
-  } catch (const ModelError&) {
-    head_state_ = HeadState::kDamaged;
+    value = context.options().head_codec->Decode(reply.entry->value);
+  } catch (const ModelError& e) {
+    Refuse(context, *reply.entry, e.what());
     return;
   }
+  Head& head = value.head;
   const VersionMark own = versions->mark();
   if (head.mark == own) {
     head_state_ = HeadState::kCurrent;
@@ -159,6 +182,11 @@
     return;
   }
   head_state_ = HeadState::kCurrent;
+  if (value.whole) {
+    (void)versions->OfferWhole(context, head.mark, value.whole);
+    freshness->Confirm(context, reply.sent_at);
+    return;
+  }
   if (fetch_ && fetch_->head.mark == head.mark) {
     fetch_->read_sent_at = std::max(fetch_->read_sent_at, reply.sent_at);
     return;
--- a/src/cassiabend/core/reader_watch.h
+++ b/src/cassiabend/core/reader_watch.h
@@ -70,11 +70,19 @@
   [[nodiscard]] bool TakeFetched(const FleetContext& context,
                                  SpreadVersions* versions);
   void Fail(const FleetContext& context);
+  /// \brief Says once that a value of the head key cannot be used.
+  void Refuse(const FleetContext& context,
+              const StoreEntry& entry,
+              std::string reason);
 
   HeadState head_state_ = HeadState::kUnknown;
   /// When the newest read of the head that was answered was sent.
   std::optional<MonoTime> read_at_;
   StoreRevision revision_ = 0;
+  /// Revision of the store up to which the head is known.
+  StoreRevision seen_until_ = 0;
+  /// Revision of the newest value that could not be used.
+  StoreRevision refused_ = 0;
   bool enabled_ = false;
   MonoTime next_read_at_{};
   MonoTime next_watch_at_{};
--- a/src/cassiabend/core/retry_budget.cc
+++ b/src/cassiabend/core/retry_budget.cc
@@ -14,10 +14,21 @@
 
 }  // namespace
 
+RetryBudget::RetryBudget(std::uint32_t permille)
+    : permille_(permille), limit_(kBalanceLimit) {}
+
+void RetryBudget::set_limit(std::uint32_t burst, std::size_t nodes) noexcept {
+  const std::uint64_t part =
+      std::uint64_t{burst} * kOneRetry / std::max<std::size_t>(nodes, 1);
+  // A node alone may always make one retry.
+  limit_ = static_cast<std::uint32_t>(
+      std::clamp<std::uint64_t>(part, kOneRetry, kBalanceLimit));
+}
+
 void RetryBudget::Earn(std::string_view tenant,
                        std::string_view request_class) {
   std::uint32_t* balance = Balance(tenant, request_class);
-  *balance = std::min(*balance + permille_, kBalanceLimit);
+  *balance = std::min(*balance + permille_, limit_);
 }
 
 bool RetryBudget::Spend(std::string_view tenant,
@@ -44,7 +55,7 @@
   if (balances_.size() >= kMaxBalances) {
     key_.clear();
   }
-  return &balances_.try_emplace(key_, kBalanceLimit).first->second;
+  return &balances_.try_emplace(key_, limit_).first->second;
 }
 
 }  // namespace cassiabend
--- a/src/cassiabend/core/retry_budget.h
+++ b/src/cassiabend/core/retry_budget.h
@@ -11,11 +11,15 @@
 class RetryBudget {
  public:
   /// \param permille Retries per thousand calls.
-  explicit RetryBudget(std::uint32_t permille) : permille_(permille) {}
+  explicit RetryBudget(std::uint32_t permille);
 
   [[nodiscard]] std::uint64_t granted() const noexcept { return granted_; }
   [[nodiscard]] std::uint64_t refused() const noexcept { return refused_; }
 
+  /// \brief Lets a balance hold this node's part of `burst` retries.
+  /// \param nodes Nodes that share them.
+  void set_limit(std::uint32_t burst, std::size_t nodes) noexcept;
+
   /// \brief Counts one call: it earns a share of a retry.
   void Earn(std::string_view tenant, std::string_view request_class);
   /// \returns Whether one retry may be made; it is spent then.
@@ -28,6 +32,8 @@
                                        std::string_view request_class);
 
   std::uint32_t permille_;
+  /// Most that a balance holds, in thousandths of a retry.
+  std::uint32_t limit_;
   std::uint64_t granted_ = 0;
   std::uint64_t refused_ = 0;
   std::unordered_map<std::string, std::uint32_t> balances_;
--- a/src/cassiabend/core/store_types.h
+++ b/src/cassiabend/core/store_types.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "cassiabend/base/time.h"
 
@@ -35,6 +36,19 @@
   LeaseId lease = 0;
 };
 
+/// \brief Writes one key, whatever its revision.
+struct StorePut {
+  std::string key;
+  std::string value;
+  /// The key goes when this lease ends; 0 for none.
+  LeaseId lease = 0;
+};
+
+/// \brief Reads the first page of the keys that begin with `prefix`.
+struct StoreList {
+  std::string prefix;
+};
+
 /// \brief Deletes one key if its revision is `expected`.
 struct StoreCompareAndDelete {
   std::string key;
@@ -62,6 +76,8 @@
 
 using StoreRequest = std::variant<StoreGet,
                                   StoreCompareAndSwap,
+                                  StorePut,
+                                  StoreList,
                                   StoreCompareAndDelete,
                                   StoreWatch,
                                   StoreLeaseGrant,
@@ -86,6 +102,8 @@
 struct StoreReply {
   StoreStatus status = StoreStatus::kUnavailable;
   std::optional<StoreEntry> entry;
+  /// The keys of a list.
+  std::vector<StoreEntry> entries;
   /// Revision of the store as a whole when it answered; 0 when unknown.
   StoreRevision store_revision = 0;
   LeaseId lease = 0;
@@ -121,6 +139,7 @@
 inline constexpr char kValuePrefix[] = "/cassiabend/values/";
 inline constexpr char kDeltaPrefix[] = "/cassiabend/deltas/";
 inline constexpr char kReaderPrefix[] = "/cassiabend/readers/";
+inline constexpr char kMemberPrefix[] = "/cassiabend/members/";
 inline constexpr char kSeedPrefix[] = "/cassiabend/seeds/";
 inline constexpr char kOrderPrefix[] = "/cassiabend/orders/";
 
--- a/src/cassiabend/http/attempt_client.cc
+++ b/src/cassiabend/http/attempt_client.cc
@@ -84,7 +84,8 @@
     sink_->Post(CallEvent(AttemptAnswering{call_, attempt_, status}));
   } else if (outcome.name == kOutcomeNotRun) {
     sink_->Post(CallEvent(
-        AttemptNotRun{call_, attempt_, outcome.reason, outcome.retry_after}));
+        AttemptNotRun{call_, attempt_, outcome.reason, outcome.retry_after,
+                      outcome.reached_upstream}));
   } else if (outcome.name == kOutcomeStillRunning) {
     sink_->Post(CallEvent(AttemptStillRunning{call_, attempt_}));
   } else {
--- a/src/cassiabend/http/call_headers.cc
+++ b/src/cassiabend/http/call_headers.cc
@@ -12,16 +12,6 @@
 /// Latest wall-clock time that a header may state.
 constexpr std::uint64_t kMaxWallMs = 1ULL << 53;
 
-std::string HostWithoutPort(std::string_view host) {
-  const std::size_t colon = host.rfind(':');
-  const bool is_ipv6 =
-      host.find(']') != std::string_view::npos && colon < host.rfind(']');
-  if (colon != std::string_view::npos && !is_ipv6) {
-    host = host.substr(0, colon);
-  }
-  return ToLower(host);
-}
-
 std::uint8_t ParseDepth(std::string_view text) noexcept {
   constexpr unsigned kMax = std::numeric_limits<std::uint8_t>::max();
   if (text.empty()) {
@@ -37,6 +27,20 @@
   return !text.empty() && text != "0";
 }
 
+/// \brief Reads a number that is left out when it is 0.
+std::optional<std::uint32_t> NumberOr0(std::string_view text) noexcept {
+  return text.empty() ? 0 : ParseNumber<std::uint32_t>(text);
+}
+
+/// \brief Adds a header unless its value is the default.
+void AddUnlessDefault(std::string_view name,
+                      std::string_view value,
+                      MessageHead* head) {
+  if (!value.empty() && value != "0") {
+    head->Add(name, value);
+  }
+}
+
 std::string_view NameOfVerb(AttemptVerb verb) noexcept {
   switch (verb) {
     case AttemptVerb::kFetch:
@@ -60,6 +64,16 @@
 
 }  // namespace
 
+std::string HostWithoutPort(std::string_view host) {
+  const std::size_t colon = host.rfind(':');
+  const bool is_ipv6 =
+      host.find(']') != std::string_view::npos && colon < host.rfind(']');
+  if (colon != std::string_view::npos && !is_ipv6) {
+    host = host.substr(0, colon);
+  }
+  return ToLower(host);
+}
+
 CallFacts ReadCallFacts(const MessageHead& head) {
   CallFacts facts;
   facts.tenant = head.Get(kTenantHeader);
@@ -98,10 +112,12 @@
   }
   const auto deadline = ParseMilliseconds(head.Get(kDeadlineHeader));
   const auto number = ParseNumber<std::uint64_t>(head.Get(kConfigHeader));
-  const auto longest = ParseNumber<std::uint32_t>(head.Get(kLongestJobHeader));
+  const auto longest = NumberOr0(head.Get(kLongestJobHeader));
+  const auto priority = NumberOr0(head.Get(kPriorityHeader));
+  const auto objective = NumberOr0(head.Get(kObjectiveHeader));
   const auto expires = ParseNumber<std::uint64_t>(head.Get(kExpiresHeader));
   if (!deadline.has_value() || !number.has_value() || !longest.has_value() ||
-      !expires.has_value() || *expires > kMaxWallMs) {
+      !priority.has_value() || !objective.has_value() || !expires.has_value() || *expires > kMaxWallMs) {
     return std::nullopt;
   }
   attempt.deadline = *deadline;
@@ -113,6 +129,9 @@
   attempt.request_class = head.Get(kClassHeader);
   attempt.order_key = head.Get(kOrderKeyHeader);
   attempt.site = head.Get(kSiteHeader);
+  attempt.caller_service = head.Get(kCallerHeader);
+  attempt.priority = *priority;
+  attempt.objective = Milliseconds(*objective);
   attempt.noisy = head.Get(kNoisyHeader) == "1";
   attempt.once = head.Get(kOnceHeader) == "1";
   attempt.depth = ParseDepth(head.Get(kDepthHeader));
@@ -131,16 +150,21 @@
   }
   head->Add(kDeadlineHeader, std::to_string(attempt.deadline.count()));
   head->Add(kConfigHeader, std::to_string(attempt.config_number));
-  head->Add(kLongestJobHeader, std::to_string(attempt.longest_job.count()));
   head->Add(kRouteHeader, attempt.route);
   head->Add(kServiceHeader, attempt.service);
-  head->Add(kTenantHeader, attempt.tenant);
-  head->Add(kClassHeader, attempt.request_class);
-  head->Add(kSiteHeader, attempt.site);
-  head->Add(kNoisyHeader, attempt.noisy ? "1" : "0");
-  head->Add(kOnceHeader, attempt.once ? "1" : "0");
-  head->Add(kDepthHeader, std::to_string(attempt.depth));
-  head->Add(kRetryHeader, attempt.is_retry ? "1" : "0");
+  AddUnlessDefault(kLongestJobHeader,
+                   std::to_string(attempt.longest_job.count()), head);
+  AddUnlessDefault(kTenantHeader, attempt.tenant, head);
+  AddUnlessDefault(kClassHeader, attempt.request_class, head);
+  AddUnlessDefault(kSiteHeader, attempt.site, head);
+  AddUnlessDefault(kCallerHeader, attempt.caller_service, head);
+  AddUnlessDefault(kPriorityHeader, std::to_string(attempt.priority), head);
+  AddUnlessDefault(kObjectiveHeader, std::to_string(attempt.objective.count()),
+                   head);
+  AddUnlessDefault(kNoisyHeader, attempt.noisy ? "1" : "", head);
+  AddUnlessDefault(kOnceHeader, attempt.once ? "1" : "", head);
+  AddUnlessDefault(kDepthHeader, std::to_string(attempt.depth), head);
+  AddUnlessDefault(kRetryHeader, attempt.is_retry ? "1" : "", head);
   head->Add(kExpiresHeader,
             std::to_string(attempt.expires_at.time_since_epoch().count()));
 }
--- a/src/cassiabend/http/call_headers.h
+++ b/src/cassiabend/http/call_headers.h
@@ -7,6 +7,9 @@
 
 namespace cassiabend {
 
+/// \returns The host of a "Host" header, in lower case.
+[[nodiscard]] std::string HostWithoutPort(std::string_view host);
+
 /// \returns What the entry node knows of a caller's request.
 [[nodiscard]] CallFacts ReadCallFacts(const MessageHead& head);
 
--- a/src/cassiabend/http/call_server.cc
+++ b/src/cassiabend/http/call_server.cc
@@ -28,10 +28,13 @@
 /// are closed by the end that would reuse them.
 constexpr int kIncomingIdleFactor = 2;
 constexpr Milliseconds kAcceptPause{50};
+/// Time over the configuration's limit for which an idle caller's connection is
+/// kept, so that a request sent just before it does not meet the closing.
+constexpr Milliseconds kIdleGrace{2'000};
+/// Longest wait for the answer to a probe that is not repeated.
+constexpr Milliseconds kSingleProbeTimeout{500};
 /// What the system's own headers may add to a caller's.
 constexpr std::uint32_t kPeerHeaderBytes = 4 * 1024;
-/// Connections to the upstream that are opened ahead.
-constexpr std::uint32_t kPreparedConnections = 2;
 constexpr std::uint16_t kBadRequest = 400;
 constexpr std::uint16_t kHeaderTooLarge = 431;
 
@@ -50,7 +53,14 @@
                  .body_bytes = options.max_request_body_bytes},
       .progress_timeout = options.progress_timeout,
       .idle_timeout = options.idle_timeout * kIncomingIdleFactor,
-      .max_held_bytes = options.max_held_bytes};
+      .max_held_bytes = options.max_held_bytes,
+      .header_timeout = options.progress_timeout};
+}
+
+/// \brief Replaces an option by a bound of the configuration, if it has one.
+template <typename Value>
+void Bound(Value bound, Value* option) {
+  *option = bound == Value{} ? *option : bound;
 }
 
 PoolOptions PoolOptionsOf(const CallServerOptions& options) {
@@ -62,8 +72,10 @@
 
 DestinationOptions DestinationOptionsOf(const CallServerOptions& options) {
   DestinationOptions out{.progress_timeout = options.progress_timeout,
+                         .wire = options.wire,
+                         .whole_answer_bytes = options.whole_answer_bytes,
                          .held_answer_bytes = options.held_answer_bytes,
-                         .prepared_connections = kPreparedConnections,
+                         .prepared_connections = options.prepared_connections,
                          .delivered_limit_bytes = options.max_held_bytes / 2};
   if (options.upstream_port != 0) {
     out.upstream = EndpointOf(options.upstream_ip, options.upstream_port);
@@ -81,6 +93,7 @@
        EventSink* sink)
       : io_(io),
         options_(options),
+        max_header_bytes_(options.max_header_bytes),
         held_bytes_(new HeldBytes),
         ticks_(io),
         pool_(io, &ticks_, PoolOptionsOf(options)),
@@ -91,31 +104,48 @@
                held_bytes_,
                &destination_,
                &next_id_,
+               options.wire,
                sink),
-        acceptor_(io),
-        accept_timer_(io) {
-    Listen();
-    if (options.upstream_port != 0 && !options.health_path.empty()) {
+        peers_{.acceptor = tcp::acceptor(io),
+               .timer = boost::asio::steady_timer(io),
+               .session = SessionOptionsOf(options)},
+        callers_{.acceptor = tcp::acceptor(io),
+                 .timer = boost::asio::steady_timer(io),
+                 .session = SessionOptionsOf(options)} {
+    Listen(options_.call_port, &peers_);
+    if (options_.caller_port != 0) {
+      callers_.session.states_outcome = options_.wire->states_outcome();
+      callers_.session.takes_peers = false;
+      Listen(options_.caller_port, &callers_);
+    }
+    if (options.upstream_port != 0) {
       prober_ = std::make_unique<Prober>(
           io, &pool_,
           ProbeOptions{.endpoint = EndpointOf(options.upstream_ip,
                                               options.upstream_port),
                        .path = options.health_path,
-                       .prepared_connections = kPreparedConnections,
-                       .period = options.probe_period},
+                       .prepared_connections = options.prepared_connections,
+                       .period = options.probe_period > Milliseconds(0)
+                                     ? options.probe_period
+                                     : kSingleProbeTimeout,
+                       .wire = options.wire},
           sink);
     }
   }
 
   void Start() {
     ticks_.Start();
-    Accept();
-    if (prober_ != nullptr) {
+    Accept(&peers_);
+    if (callers_.acceptor.is_open()) {
+      Accept(&callers_);
+    }
+    if (prober_ != nullptr && options_.probe_period > Milliseconds(0) &&
+        !options_.health_path.empty()) {
       prober_->Start();
     }
   }
 
-  [[nodiscard]] std::uint16_t call_port() const noexcept { return call_port_; }
+  [[nodiscard]] std::uint16_t call_port() const noexcept { return peers_.port; }
 
   [[nodiscard]] CallServerCounts counts() const noexcept {
     CallServerCounts counts = counts_;
@@ -128,8 +158,35 @@
     std::visit([this](const auto& it) { Dispatch(it); }, effect);
   }
 
+  void SetLimits(const CallerLimits& limits) {
+    Listener* listener = callers_.acceptor.is_open() ? &callers_ : &peers_;
+    SessionOptions& session = listener->session;
+    Bound(limits.header_timeout, &session.header_timeout);
+    if (limits.max_header_bytes != 0) {
+      max_header_bytes_ = limits.max_header_bytes;
+      session.limits.header_bytes = max_header_bytes_ + kPeerHeaderBytes;
+    }
+    if (limits.max_body_bytes != 0) {
+      session.limits.body_bytes = limits.max_body_bytes;
+    }
+    if (limits.idle_timeout > Milliseconds(0)) {
+      // Callers use a connection up to this limit, so it is closed after it.
+      session.idle_timeout = limits.idle_timeout + kIdleGrace;
+    }
+  }
+
+  void AnnounceShutdown() {
+    is_shutting_down_ = true;
+    for (const auto& [session, owner] : sessions_) {
+      if (IsFromCaller(*session)) {
+        session->EndAfterRequest();
+      }
+    }
+  }
+
   void StopAccepting() {
-    TakeWaitingConnections();
+    TakeWaitingConnections(&peers_);
+    TakeWaitingConnections(&callers_);
     StopListening();
     const auto sessions = sessions_;
     for (const auto& [session, owner] : sessions) {
@@ -152,93 +209,108 @@
   }
 
  private:
-  void Listen() {
-    const tcp::endpoint endpoint =
-        EndpointOf(options_.self.ip, options_.call_port);
-    const std::string where =
-        options_.self.ip + ":" + std::to_string(options_.call_port);
+  /// \brief One port and the connections that come in on it.
+  struct Listener {
+    tcp::acceptor acceptor;
+    boost::asio::steady_timer timer;
+    SessionOptions session;
+    std::uint16_t port = 0;
+  };
+
+  void Listen(std::uint16_t port, Listener* listener) {
+    const tcp::endpoint endpoint = EndpointOf(options_.self.ip, port);
+    const std::string where = options_.self.ip + ":" + std::to_string(port);
+    tcp::acceptor& acceptor = listener->acceptor;
     try {
-      acceptor_.open(endpoint.protocol());
-      acceptor_.set_option(tcp::acceptor::reuse_address(true));
-      acceptor_.bind(endpoint);
-      acceptor_.listen();
-      call_port_ = acceptor_.local_endpoint().port();
+      acceptor.open(endpoint.protocol());
+      acceptor.set_option(tcp::acceptor::reuse_address(true));
+      acceptor.bind(endpoint);
+      acceptor.listen();
+      listener->port = acceptor.local_endpoint().port();
     } catch (const boost::system::system_error& error) {
       throw HttpError("open the call port", where, error.code().message());
     }
   }
 
-  void Accept() {
-    acceptor_.async_accept(
-        [weak = weak_from_this()](const error_code& ec, tcp::socket socket) {
-          const std::shared_ptr<Impl> self = weak.lock();
-          if (self == nullptr || self->is_closed_) {
-            return;
-          }
-          // One that was accepted before the stop is still served.
-          if (!ec) {
-            self->TakeConnection(std::move(socket));
-          }
-          if (!self->is_accepting_) {
-            return;
-          }
-          if (ec) {
-            self->PauseAccepting(ec);
-          } else {
-            self->Accept();
-          }
-        });
+  void Accept(Listener* listener) {
+    listener->acceptor.async_accept([weak = weak_from_this(), listener](
+                                        const error_code& ec,
+                                        tcp::socket socket) {
+      const std::shared_ptr<Impl> self = weak.lock();
+      if (self == nullptr || self->is_closed_) {
+        return;
+      }
+      // One that was accepted before the stop is still served.
+      if (!ec) {
+        self->TakeConnection(std::move(socket), *listener);
+      }
+      if (!self->is_accepting_) {
+        return;
+      }
+      if (ec) {
+        self->PauseAccepting(ec, listener);
+      } else {
+        self->Accept(listener);
+      }
+    });
   }
 
   /// \brief Takes the connections that the system has accepted already: their
   /// ends may have sent a request, and must not find it dropped.
-  void TakeWaitingConnections() {
+  void TakeWaitingConnections(Listener* listener) {
     error_code ec;
-    acceptor_.non_blocking(true, ec);
+    listener->acceptor.non_blocking(true, ec);
     while (!ec) {
       tcp::socket socket(io_);
-      acceptor_.accept(socket, ec);
+      listener->acceptor.accept(socket, ec);
       if (!ec) {
-        TakeConnection(std::move(socket));
+        TakeConnection(std::move(socket), *listener);
       }
     }
   }
 
   void StopListening() {
     is_accepting_ = false;
-    error_code ignored;
-    acceptor_.close(ignored);
-    accept_timer_.cancel();
+    for (Listener* it : {&peers_, &callers_}) {
+      error_code ignored;
+      it->acceptor.close(ignored);
+      it->timer.cancel();
+    }
   }
 
   /// \brief Waits a little where the process is out of descriptors.
-  void PauseAccepting(const error_code& error) {
+  void PauseAccepting(const error_code& error, Listener* listener) {
     Log(LogLevel::kWarning, "accept_failed", {{"why", error.message()}});
-    accept_timer_.expires_after(kAcceptPause);
-    accept_timer_.async_wait([weak = weak_from_this()](const error_code& ec) {
-      const std::shared_ptr<Impl> self = weak.lock();
-      if (self != nullptr && !ec && self->is_accepting_) {
-        self->Accept();
-      }
-    });
+    listener->timer.expires_after(kAcceptPause);
+    listener->timer.async_wait(
+        [weak = weak_from_this(), listener](const error_code& ec) {
+          const std::shared_ptr<Impl> self = weak.lock();
+          if (self != nullptr && !ec && self->is_accepting_) {
+            self->Accept(listener);
+          }
+        });
   }
 
-  void TakeConnection(tcp::socket socket) {
+  void TakeConnection(tcp::socket socket, const Listener& listener) {
     ++counts_.connections;
     if (sessions_.size() >= options_.max_connections) {
       ++counts_.rejected_requests;
       return;
     }
-    const RefPtr<ServerSession> session(
-        new ServerSession(std::move(socket), &ticks_,
-                          SessionOptionsOf(options_), held_bytes_, this));
+    const RefPtr<ServerSession> session(new ServerSession(
+        std::move(socket), &ticks_, listener.session, held_bytes_, this));
     sessions_.emplace(session.get(), session);
-    if (!is_accepting_) {
+    if (!is_accepting_ || (is_shutting_down_ && IsFromCaller(*session))) {
       session->EndAfterRequest();
     }
     session->Start();
   }
 
+  /// \returns Whether a connection is known to be a caller's.
+  [[nodiscard]] static bool IsFromCaller(const ServerSession& session) {
+    return !session.takes_peers();
+  }
+
   void OnRequest(ServerSession& session, RefPtr<HeldRequest> request) override {
     session.set_exchange(next_id_++);
     const std::string wrong = NormalizeTarget(&request->head());
@@ -246,15 +318,15 @@
       RefuseRequest(session, kBadRequest, wrong);
       return;
     }
-    if (IsPeerRequest(request->head())) {
+    if (session.takes_peers() && IsPeerRequest(request->head())) {
       TakePeerRequest(session, std::move(request));
       return;
     }
-    if (request->head().wire_bytes > options_.max_header_bytes) {
+    if (request->head().wire_bytes > max_header_bytes_) {
       RefuseRequest(session, kHeaderTooLarge, "the header is too large");
       return;
     }
-    CallFacts facts = ReadCallFacts(request->head());
+    CallFacts facts = options_.wire->ReadCall(request->head());
     StripConnectionHeaders(&request->head());
     StripSystemHeaders(&request->head());
     calls_.Arrive(session.exchange(), std::move(facts), std::move(request),
@@ -316,6 +388,11 @@
   void Dispatch(const AnswerNotRun& effect) { calls_.Execute(effect); }
   void Dispatch(const AnswerUnknown& effect) { calls_.Execute(effect); }
   void Dispatch(const CallEnded& effect) { calls_.Execute(effect); }
+  void Dispatch(const ProbeUpstream& effect) {
+    if (prober_ != nullptr) {
+      prober_->ProbeOnce(effect.path);
+    }
+  }
   void Dispatch(const StartUpstream& effect) { destination_.Execute(effect); }
   void Dispatch(const CancelUpstream& effect) { destination_.Execute(effect); }
   void Dispatch(const BindAnswer& effect) { destination_.Execute(effect); }
@@ -331,6 +408,8 @@
 
   boost::asio::io_context& io_;
   CallServerOptions options_;
+  /// Largest header of a caller's request, without the system's own.
+  std::uint32_t max_header_bytes_;
   RefPtr<HeldBytes> held_bytes_;
   TickList ticks_;
   OutgoingPool pool_;
@@ -339,12 +418,13 @@
   DestinationTable destination_;
   CallTable calls_;
   std::unique_ptr<Prober> prober_;
-  tcp::acceptor acceptor_;
-  boost::asio::steady_timer accept_timer_;
+  /// Port for nodes, and for callers unless they have one of their own.
+  Listener peers_;
+  Listener callers_;
   std::unordered_map<ServerSession*, RefPtr<ServerSession>> sessions_;
   CallServerCounts counts_;
-  std::uint16_t call_port_ = 0;
   bool is_accepting_ = true;
+  bool is_shutting_down_ = false;
   bool is_closed_ = false;
 };
 
@@ -371,6 +451,14 @@
   impl_->Execute(effect);
 }
 
+void CallServer::SetLimits(const CallerLimits& limits) {
+  impl_->SetLimits(limits);
+}
+
+void CallServer::AnnounceShutdown() {
+  impl_->AnnounceShutdown();
+}
+
 void CallServer::StopAccepting() {
   impl_->StopAccepting();
 }
--- a/src/cassiabend/http/call_server.h
+++ b/src/cassiabend/http/call_server.h
@@ -8,6 +8,8 @@
 #include "cassiabend/core/call_events.h"
 #include "cassiabend/core/event_sink.h"
 #include "cassiabend/core/member.h"
+#include "cassiabend/http/call_wire.h"
+#include "cassiabend/model/config.h"
 
 namespace cassiabend {
 
@@ -16,6 +18,9 @@
   NodeId self;
   std::uint64_t start_id = 0;
   std::uint16_t call_port = 0;
+  /// Port for callers alone; 0: they share the call port with the nodes.
+  std::uint16_t caller_port = 0;
+  const CallWire* wire = &OwnCallWire();
   /// Upstream on this host; port 0 for none.
   std::string upstream_ip;
   std::uint16_t upstream_port = 0;
@@ -33,6 +38,13 @@
   Milliseconds idle_timeout{30'000};
   /// Idle connections kept to the upstream and to each peer.
   std::uint32_t idle_connections = 8;
+  /// Connections to the upstream that are opened ahead of their use.
+  std::uint32_t prepared_connections = 2;
+  /// Answers up to this size are passed on only when they are whole, so that an
+  /// upstream that breaks off within one can still be replaced by another.
+  std::uint32_t whole_answer_bytes = 16 * 1024;
+  /// Pause between probes of the upstream; 0: it is probed only when a decision
+  /// asks for it.
   Milliseconds probe_period{1'000};
   /// Path of the upstream's health endpoint; empty for none.
   std::string health_path = "/healthz";
@@ -68,6 +80,12 @@
   /// of the node, such as `StoreCall` and `DrainFinished`, do nothing.
   void Execute(const CallEffect& effect);
 
+  /// \brief Takes over the configuration's bounds for callers' connections that
+  /// are accepted from now on.
+  void SetLimits(const CallerLimits& limits);
+  /// \brief Tells callers with their next answer to open no more requests on
+  /// their connections. New connections are still served.
+  void AnnounceShutdown();
   /// \brief Accepts no more connections; open ones end after the request in
   /// progress, or the next one.
   void StopAccepting();
--- a/src/cassiabend/http/call_table.cc
+++ b/src/cassiabend/http/call_table.cc
@@ -16,8 +16,9 @@
   LocalLink& operator=(const LocalLink&) = delete;
   ~LocalLink() override { StopWaiting(); }
 
-  void NotRun(NotRunReason reason, Milliseconds retry_after) override {
-    Post(AttemptNotRun{call_, attempt_, reason, retry_after});
+  void NotRun(const ReplyNotRun& reply) override {
+    Post(AttemptNotRun{call_, attempt_, reply.reason, reply.retry_after,
+                       reply.reached_upstream});
   }
   void StillRunning() override { Post(AttemptStillRunning{call_, attempt_}); }
   void Unknown() override { Post(AttemptUnknown{call_, attempt_}); }
@@ -63,6 +64,7 @@
                      RefPtr<HeldBytes> held_bytes,
                      DestinationTable* destination,
                      std::uint64_t* next_id,
+                     const CallWire* wire,
                      EventSink* sink)
     : self_(std::move(self)),
       pool_(pool),
@@ -70,6 +72,7 @@
       held_bytes_(std::move(held_bytes)),
       destination_(destination),
       next_id_(next_id),
+      wire_(wire),
       sink_(sink) {}
 
 void CallTable::Arrive(CallId id,
@@ -201,7 +204,7 @@
   }
   const RefPtr<ServerSession> session = call->second.session;
   session->Reply(
-      NotRunHead(effect.reason, effect.retry_after),
+      wire_->NotRun(effect.reason, effect.retry_after),
       ExplanationBody(kOutcomeNotRun, NameOf(effect.reason), effect.detail));
 }
 
@@ -211,7 +214,7 @@
     return;
   }
   const RefPtr<ServerSession> session = call->second.session;
-  session->Reply(UnknownHead(),
+  session->Reply(wire_->Unknown(effect.timed_out),
                  ExplanationBody(kOutcomeUnknown, {}, effect.detail));
 }
 
--- a/src/cassiabend/http/call_table.h
+++ b/src/cassiabend/http/call_table.h
@@ -8,6 +8,7 @@
 #include "cassiabend/core/call_events.h"
 #include "cassiabend/core/event_sink.h"
 #include "cassiabend/http/attempt_client.h"
+#include "cassiabend/http/call_wire.h"
 #include "cassiabend/http/destination_table.h"
 #include "cassiabend/http/outgoing_pool.h"
 #include "cassiabend/http/server_session.h"
@@ -26,6 +27,7 @@
             RefPtr<HeldBytes> held_bytes,
             DestinationTable* destination,
             std::uint64_t* next_id,
+            const CallWire* wire,
             EventSink* sink);
 
   /// \brief Takes a caller's request and says that it arrived.
@@ -76,6 +78,7 @@
   RefPtr<HeldBytes> held_bytes_;
   DestinationTable* destination_;
   std::uint64_t* next_id_;
+  const CallWire* wire_;
   EventSink* sink_;
   std::unordered_map<CallId, Call> calls_;
   std::unordered_map<AttemptId, Attempt, Id128Hasher> attempts_;
--- /dev/null
+++ b/src/cassiabend/http/call_wire.cc
@@ -0,0 +1,52 @@
+#include "cassiabend/http/call_wire.h"
+
+#include "cassiabend/http/call_headers.h"
+#include "cassiabend/http/headers.h"
+#include "cassiabend/http/prober.h"
+#include "cassiabend/http/system_answers.h"
+
+namespace cassiabend {
+namespace {
+
+constexpr std::uint16_t kServiceUnavailable = 503;
+
+class OwnWire final : public CallWire {
+ public:
+  [[nodiscard]] CallFacts ReadCall(const MessageHead& head) const override {
+    return ReadCallFacts(head);
+  }
+  void WriteUpstreamHeaders(const AttemptRequest& attempt,
+                            const StartUpstream& start,
+                            MessageHead* head) const override {
+    cassiabend::WriteUpstreamHeaders(attempt, start.deadline, head);
+  }
+  [[nodiscard]] UpstreamVerdict ReadVerdict(
+      const MessageHead& /*request*/,
+      const MessageHead& answer) const override {
+    const bool shed = answer.status == kServiceUnavailable &&
+                      answer.Get(kUpstreamShedHeader) == "1";
+    return shed ? UpstreamVerdict::kRefused : UpstreamVerdict::kAnswered;
+  }
+  [[nodiscard]] UpstreamProbed ReadHealth(
+      const MessageHead& head,
+      std::string_view body) const override {
+    return cassiabend::ReadHealth(head.status, body);
+  }
+  [[nodiscard]] MessageHead NotRun(NotRunReason reason,
+                                   Milliseconds retry_after) const override {
+    return NotRunHead(reason, retry_after);
+  }
+  [[nodiscard]] MessageHead Unknown(bool /*timed_out*/) const override {
+    return UnknownHead();
+  }
+  [[nodiscard]] bool states_outcome() const noexcept override { return true; }
+};
+
+}  // namespace
+
+const CallWire& OwnCallWire() {
+  static const OwnWire wire;
+  return wire;
+}
+
+}  // namespace cassiabend
--- a/src/cassiabend/http/client_exchange.cc
+++ b/src/cassiabend/http/client_exchange.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "cassiabend/http/header_text.h"
 #include "cassiabend/http/message_writer.h"
 
 namespace cassiabend {
@@ -9,6 +10,21 @@
 
 constexpr std::uint16_t kFirstFinalStatus = 200;
 
+/// \returns The idle time that a "Keep-Alive" header states.
+std::optional<Milliseconds> KeepAliveOf(const MessageHead& head) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::string_view text = head.Get("Keep-Alive");
+  const std::size_t begin = text.find(kTimeout);
+  if (begin == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string_view rest = text.substr(begin + kTimeout.size());
+  const auto seconds =
+      ParseNumber<std::uint32_t>(rest.substr(0, rest.find_first_of(", ;")));
+  return seconds ? std::optional<Milliseconds>(Seconds(*seconds))
+                 : std::nullopt;
+}
+
 ExchangeFailure FailureOf(ConnectionEnd end, bool may_have_sent) noexcept {
   if (!may_have_sent) {
     return ExchangeFailure::kNeverSent;
@@ -71,14 +87,20 @@
   if (is_interim_) {
     return;
   }
+  if (!listener_->IsOwnResponse(head)) {
+    is_interim_ = true;
+    has_skipped_ = true;
+    return;
+  }
   has_head_ = true;
-  keep_alive_ = head.keep_alive;
+  keep_alive_ = head.keep_alive && !has_skipped_;
+  idle_limit_ = KeepAliveOf(head);
   connection_->SetTimeout(request_.body_timeout);
   listener_->OnResponseHead(head);
 }
 
 void ClientExchange::OnBody(std::string_view bytes) {
-  if (listener_ == nullptr) {
+  if (listener_ == nullptr || is_interim_) {
     return;
   }
   connection_->SetTimeout(request_.body_timeout);
@@ -106,7 +128,7 @@
     connection->ResumeReading();
     connection->NextMessage(false);
     if (!connection->HasInput()) {
-      pool_->Put(endpoint_, connection);
+      pool_->Put(endpoint_, connection, idle_limit_);
     } else {
       connection->Close();
     }
--- a/src/cassiabend/http/client_exchange.h
+++ b/src/cassiabend/http/client_exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -31,6 +32,11 @@
   ExchangeListener& operator=(const ExchangeListener&) = delete;
   virtual ~ExchangeListener() = default;
 
+  /// \returns Whether a response is to this request. Another one, left over on
+  /// the connection, is skipped.
+  [[nodiscard]] virtual bool IsOwnResponse(const MessageHead& /*head*/) {
+    return true;
+  }
   virtual void OnResponseHead(MessageHead& head) = 0;
   virtual void OnResponseBody(std::string_view bytes) = 0;
   virtual void OnResponseEnd() = 0;
@@ -86,9 +92,15 @@
   /// Keeps this object while its connection calls back.
   RefPtr<ClientExchange> self_;
   bool is_reused_ = false;
+  /// Whether the response being read is interim or left over.
   bool is_interim_ = false;
   bool has_head_ = false;
   bool keep_alive_ = false;
+  /// Whether a response to another request came first.
+  bool has_skipped_ = false;
+  /// How long the other end keeps the connection when it is idle; unset when it
+  /// does not say.
+  std::optional<Milliseconds> idle_limit_;
 };
 
 }  // namespace cassiabend
--- a/src/cassiabend/http/destination_table.cc
+++ b/src/cassiabend/http/destination_table.cc
@@ -91,8 +91,10 @@
   attempt.call = std::make_unique<UpstreamCall>(
       pool_,
       UpstreamCallOptions{.endpoint = options_.upstream,
-                          .deadline = effect.deadline,
-                          .progress_timeout = options_.progress_timeout},
+                          .wire = options_.wire,
+                          .start = effect,
+                          .progress_timeout = options_.progress_timeout,
+                          .whole_answer_bytes = options_.whole_answer_bytes},
       attempt.request, attempt.held, attempt.answer, sink_);
   FreeDelivered();
   pool_->Prepare(options_.upstream, options_.prepared_connections);
@@ -135,7 +137,7 @@
 
 void DestinationTable::Execute(const ReplyNotRun& effect) {
   if (const auto link = TakeLink(effect.link)) {
-    link->NotRun(effect.reason, effect.retry_after);
+    link->NotRun(effect);
   }
   ForgetIfRefused(effect.attempt);
 }
--- a/src/cassiabend/http/destination_table.h
+++ b/src/cassiabend/http/destination_table.h
@@ -19,6 +19,9 @@
   /// Unset port for a host without an upstream.
   OutgoingPool::Endpoint upstream;
   Milliseconds progress_timeout{2'000};
+  const CallWire* wire = &OwnCallWire();
+  /// Answers up to this size are passed on only when they are whole.
+  std::uint64_t whole_answer_bytes = 0;
   std::size_t held_answer_bytes = std::size_t{256} * 1024;
   /// Connections to the upstream that are opened ahead.
   std::uint32_t prepared_connections = 2;
--- a/src/cassiabend/http/headers.h
+++ b/src/cassiabend/http/headers.h
@@ -28,6 +28,12 @@
 inline constexpr std::string_view kClassHeader = "X-Cassiabend-Class";
 inline constexpr std::string_view kSiteHeader = "X-Cassiabend-Site";
 inline constexpr std::string_view kNoisyHeader = "X-Cassiabend-Noisy";
+inline constexpr std::string_view kCallerHeader = "X-Cassiabend-Caller";
+inline constexpr std::string_view kObjectiveHeader =
+    "X-Cassiabend-Objective-Ms";
+inline constexpr std::string_view kPriorityHeader = "X-Cassiabend-Priority";
+/// On a refusal: "1" when the upstream itself refused.
+inline constexpr std::string_view kReachedHeader = "X-Cassiabend-Reached";
 inline constexpr std::string_view kOnceHeader = "X-Cassiabend-Once";
 inline constexpr std::string_view kLongestJobHeader =
     "X-Cassiabend-Longest-Job-S";
--- a/src/cassiabend/http/outgoing_pool.cc
+++ b/src/cassiabend/http/outgoing_pool.cc
@@ -5,6 +5,13 @@
 #include <utility>
 
 namespace cassiabend {
+namespace {
+
+/// Time before the other end closes an idle connection at which it is no more
+/// used, so that no request crosses the closing.
+constexpr Milliseconds kIdleMargin{750};
+
+}  // namespace
 
 /// \brief A connection that waits in the pool; anything that arrives on it, its
 /// end or its timeout removes it.
@@ -23,13 +30,16 @@
   [[nodiscard]] const Endpoint& endpoint() const noexcept { return endpoint_; }
   [[nodiscard]] bool connected() const noexcept { return is_connected_; }
 
-  void Hold(RefPtr<Connection> connection, bool is_connected) {
+  /// \brief Keeps an open connection for `limit`.
+  void Hold(RefPtr<Connection> connection, Milliseconds limit) {
+    connection_ = std::move(connection);
+    is_connected_ = true;
+    connection_->set_listener(this);
+    connection_->SetTimeout(limit);
+  }
+  /// \brief Keeps a connection that is being opened.
+  void Await(RefPtr<Connection> connection) {
     connection_ = std::move(connection);
-    is_connected_ = is_connected;
-    if (is_connected_) {
-      connection_->set_listener(this);
-      connection_->SetTimeout(pool_->options_.idle_timeout);
-    }
   }
 
   [[nodiscard]] RefPtr<Connection> Release() {
@@ -92,14 +102,19 @@
 }
 
 void OutgoingPool::Put(const Endpoint& endpoint,
-                       RefPtr<Connection> connection) {
+                       RefPtr<Connection> connection,
+                       std::optional<Milliseconds> idle_limit) {
   IdleList& list = idle_[endpoint];
-  if (list.size() >= options_.idle_connections) {
+  const Milliseconds limit =
+      std::min(options_.idle_timeout,
+               idle_limit.value_or(options_.idle_timeout + kIdleMargin) -
+                   kIdleMargin);
+  if (list.size() >= options_.idle_connections || limit <= Milliseconds(0)) {
     connection->Close();
     return;
   }
   auto idle = std::make_unique<Idle>(this, endpoint);
-  idle->Hold(std::move(connection), true);
+  idle->Hold(std::move(connection), limit);
   list.push_back(std::move(idle));
 }
 
@@ -107,7 +122,7 @@
   IdleList& list = idle_[endpoint];
   while (list.size() < std::min(n, options_.idle_connections)) {
     auto idle = std::make_unique<Idle>(this, endpoint);
-    idle->Hold(Connect(endpoint, idle.get()), false);
+    idle->Await(Connect(endpoint, idle.get()));
     list.push_back(std::move(idle));
   }
 }
--- a/src/cassiabend/http/outgoing_pool.h
+++ b/src/cassiabend/http/outgoing_pool.h
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "cassiabend/base/time.h"
@@ -40,7 +41,10 @@
   [[nodiscard]] RefPtr<Connection> Connect(const Endpoint& endpoint,
                                            ConnectionListener* listener);
   /// \brief Keeps a connection between messages for its next use.
-  void Put(const Endpoint& endpoint, RefPtr<Connection> connection);
+  /// \param idle_limit How long the other end says that it keeps it.
+  void Put(const Endpoint& endpoint,
+           RefPtr<Connection> connection,
+           std::optional<Milliseconds> idle_limit);
   /// \brief Opens connections until `n` are idle or on their way.
   void Prepare(const Endpoint& endpoint, std::uint32_t n);
   /// \brief Closes the idle connections to an endpoint that went silent.
--- a/src/cassiabend/http/prober.cc
+++ b/src/cassiabend/http/prober.cc
@@ -51,16 +51,23 @@
 }
 
 void Prober::Start() {
-  Probe();
+  repeats_ = true;
+  Probe(options_.path);
 }
 
-void Prober::Probe() {
+void Prober::ProbeOnce(const std::string& path) {
+  if (exchange_ == nullptr) {
+    Probe(path.empty() ? options_.path : path);
+  }
+}
+
+void Prober::Probe(const std::string& path) {
   ++probes_;
-  status_ = 0;
+  head_ = {};
   body_.clear();
   MessageHead head;
   head.method = "GET";
-  head.target = options_.path;
+  head.target = path;
   head.Add("Host", options_.endpoint.address().to_string());
   exchange_ = new ClientExchange(pool_, options_.endpoint, this);
   exchange_->Start({.head = std::move(head),
@@ -71,18 +78,21 @@
 
 void Prober::Wait() {
   exchange_ = nullptr;
+  if (!repeats_) {
+    return;
+  }
   const bool is_quick = probes_ < kQuickProbes;
   timer_.expires_after(is_quick ? options_.period / kQuickShare
                                 : options_.period);
   timer_.async_wait([this](const boost::system::error_code& ec) {
     if (!ec) {
-      Probe();
+      Probe(options_.path);
     }
   });
 }
 
 void Prober::OnResponseHead(MessageHead& head) {
-  status_ = head.status;
+  head_ = head;
 }
 
 void Prober::OnResponseBody(std::string_view bytes) {
@@ -91,7 +101,7 @@
 }
 
 void Prober::OnResponseEnd() {
-  sink_->Post(CallEvent(ReadHealth(status_, body_)));
+  sink_->Post(CallEvent(options_.wire->ReadHealth(head_, body_)));
   pool_->Prepare(options_.endpoint, options_.prepared_connections);
   Wait();
 }
--- a/src/cassiabend/http/prober.h
+++ b/src/cassiabend/http/prober.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "cassiabend/core/event_sink.h"
+#include "cassiabend/http/call_wire.h"
 #include "cassiabend/http/client_exchange.h"
 
 namespace cassiabend {
@@ -16,9 +17,10 @@
   /// Connections to the upstream that are kept open ahead of their use.
   std::uint32_t prepared_connections = 2;
   Milliseconds period{1'000};
+  const CallWire* wire = &OwnCallWire();
 };
 
-/// \brief Asks the upstream for its health each period.
+/// \brief Asks the upstream for its health, each period or when told to.
 class Prober final : private ExchangeListener {
  public:
   Prober(boost::asio::io_context& io,
@@ -27,7 +29,11 @@
          EventSink* sink);
   ~Prober() override;
 
+  /// \brief Starts to probe each period.
   void Start();
+  /// \brief Probes once, unless a probe is under way.
+  /// \param path Path of the endpoint; empty for the option's.
+  void ProbeOnce(const std::string& path);
 
  private:
   void OnResponseHead(MessageHead& head) override;
@@ -35,7 +41,7 @@
   void OnResponseEnd() override;
   void OnExchangeFailed(ExchangeFailure failure) override;
 
-  void Probe();
+  void Probe(const std::string& path);
   void Wait();
 
   OutgoingPool* pool_;
@@ -44,7 +50,8 @@
   boost::asio::steady_timer timer_;
   RefPtr<ClientExchange> exchange_;
   std::uint32_t probes_ = 0;
-  std::uint16_t status_ = 0;
+  bool repeats_ = false;
+  MessageHead head_;
   std::string body_;
 };
 
--- a/src/cassiabend/http/reply_link.h
+++ b/src/cassiabend/http/reply_link.h
@@ -14,7 +14,7 @@
   ReplyLink& operator=(const ReplyLink&) = delete;
   virtual ~ReplyLink() = default;
 
-  virtual void NotRun(NotRunReason reason, Milliseconds retry_after) = 0;
+  virtual void NotRun(const ReplyNotRun& reply) = 0;
   virtual void StillRunning() = 0;
   virtual void Unknown() = 0;
   /// \brief Hands over the answer as it arrives, from its start.
--- a/src/cassiabend/http/server_session.cc
+++ b/src/cassiabend/http/server_session.cc
@@ -77,7 +77,7 @@
 
 void ServerSession::OnMessageStart() {
   state_ = State::kReading;
-  connection_->SetTimeout(options_.progress_timeout);
+  connection_->SetTimeout(options_.header_timeout);
 }
 
 void ServerSession::OnHead(MessageHead& head) {
--- a/src/cassiabend/http/server_session.h
+++ b/src/cassiabend/http/server_session.h
@@ -40,8 +40,12 @@
   Milliseconds progress_timeout{2'000};
   Milliseconds idle_timeout{30'000};
   std::uint64_t max_held_bytes = std::uint64_t{64} * 1024 * 1024;
+  /// Longest time from a request's first byte to the end of its head.
+  Milliseconds header_timeout{2'000};
   /// Whether relayed answers carry `kOutcomeHeader`.
   bool states_outcome = true;
+  /// Whether other nodes may use the connection.
+  bool takes_peers = true;
 };
 
 /// \brief One incoming connection: reads requests whole, one at a time, and
@@ -57,6 +61,9 @@
                 SessionHandler* handler);
   ~ServerSession() override;
 
+  [[nodiscard]] bool takes_peers() const noexcept {
+    return options_.takes_peers;
+  }
   /// \brief Number that the handler gave to the request being answered.
   [[nodiscard]] std::uint64_t exchange() const noexcept { return exchange_; }
   void set_exchange(std::uint64_t exchange) noexcept { exchange_ = exchange; }
--- a/src/cassiabend/http/session_link.cc
+++ b/src/cassiabend/http/session_link.cc
@@ -7,9 +7,13 @@
 
 namespace cassiabend {
 
-void SessionLink::NotRun(NotRunReason reason, Milliseconds retry_after) {
-  session_->Reply(NotRunHead(reason, retry_after),
-                  ExplanationBody(kOutcomeNotRun, NameOf(reason), {}));
+void SessionLink::NotRun(const ReplyNotRun& reply) {
+  MessageHead head = NotRunHead(reply.reason, reply.retry_after);
+  if (reply.reached_upstream) {
+    head.Add(kReachedHeader, "1");
+  }
+  session_->Reply(std::move(head),
+                  ExplanationBody(kOutcomeNotRun, NameOf(reply.reason), {}));
 }
 
 void SessionLink::StillRunning() {
--- a/src/cassiabend/http/session_link.h
+++ b/src/cassiabend/http/session_link.h
@@ -10,7 +10,7 @@
  public:
   explicit SessionLink(ServerSession& session) : session_(&session) {}
 
-  void NotRun(NotRunReason reason, Milliseconds retry_after) override;
+  void NotRun(const ReplyNotRun& reply) override;
   void StillRunning() override;
   void Unknown() override;
   void Answer(RefPtr<AnswerStream> answer) override;
--- a/src/cassiabend/http/system_answers.cc
+++ b/src/cassiabend/http/system_answers.cc
@@ -69,6 +69,7 @@
   outcome.reason = NotRunReasonByName(head.Get(kReasonHeader))
                        .value_or(NotRunReason::kOverloaded);
   outcome.retry_after = ReadRetryAfter(head);
+  outcome.reached_upstream = head.Get(kReachedHeader) == "1";
   return outcome;
 }
 
--- a/src/cassiabend/http/system_answers.h
+++ b/src/cassiabend/http/system_answers.h
@@ -14,6 +14,8 @@
   std::string_view name;
   NotRunReason reason = NotRunReason::kOverloaded;
   Milliseconds retry_after{0};
+  /// Whether the upstream itself refused.
+  bool reached_upstream = false;
 };
 [[nodiscard]] Outcome ReadOutcome(const MessageHead& head);
 
--- a/src/cassiabend/http/upstream_call.cc
+++ b/src/cassiabend/http/upstream_call.cc
@@ -8,21 +8,6 @@
 #include "cassiabend/http/system_answers.h"
 
 namespace cassiabend {
-namespace {
-
-constexpr std::uint16_t kServiceUnavailable = 503;
-/// Answers up to this size are passed on only when they are whole, so that an
-/// upstream that breaks off within one can still be replaced by another.
-constexpr std::uint64_t kWholeAnswerBytes = 16'384;
-
-/// \returns Whether the upstream says that it refused before running.
-bool IsShed(const MessageHead& head) noexcept {
-  return head.status == kServiceUnavailable &&
-         head.Get(kUpstreamShedHeader) == "1";
-}
-
-}  // namespace
-
 UpstreamCall::UpstreamCall(OutgoingPool* pool,
                            const UpstreamCallOptions& options,
                            const AttemptRequest& attempt,
@@ -32,13 +17,16 @@
     : attempt_(attempt.id),
       answer_(std::move(answer)),
       sink_(sink),
-      exchange_(new ClientExchange(pool, options.endpoint, this)) {
+      exchange_(new ClientExchange(pool, options.endpoint, this)),
+      wire_(options.wire),
+      whole_answer_bytes_(options.whole_answer_bytes) {
   answer_->set_writer(this);
   ExchangeRequest request{.head = held->head(),
                           .held = held,
-                          .head_timeout = options.deadline,
+                          .head_timeout = options.start.deadline,
                           .body_timeout = options.progress_timeout};
-  WriteUpstreamHeaders(attempt, options.deadline, &request.head);
+  wire_->WriteUpstreamHeaders(attempt, options.start, &request.head);
+  sent_head_ = request.head;
   exchange_->Start(std::move(request));
 }
 
@@ -51,14 +39,22 @@
   }
 }
 
+bool UpstreamCall::IsOwnResponse(const MessageHead& head) {
+  return wire_->ReadVerdict(sent_head_, head) != UpstreamVerdict::kForeign;
+}
+
 void UpstreamCall::OnResponseHead(MessageHead& head) {
-  is_shed_ = IsShed(head);
-  if (is_shed_) {
+  const UpstreamVerdict verdict = wire_->ReadVerdict(sent_head_, head);
+  is_refused_ = verdict != UpstreamVerdict::kAnswered;
+  if (verdict == UpstreamVerdict::kReplaced) {
+    sink_->Post(CallEvent(UpstreamReplaced{attempt_}));
+    return;
+  }
+  if (is_refused_) {
     sink_->Post(CallEvent(UpstreamShed{attempt_, ReadRetryAfter(head)}));
     return;
   }
-  const bool is_small = head.content_length.has_value() &&
-                        *head.content_length <= kWholeAnswerBytes;
+  const bool is_small = head.content_length.value_or(0) <= whole_answer_bytes_;
   StripConnectionHeaders(&head);
   StripSystemHeaders(&head);
   pending_head_ = std::move(head);
@@ -77,10 +73,15 @@
 }
 
 void UpstreamCall::OnResponseBody(std::string_view bytes) {
-  if (is_shed_) {
+  if (is_refused_) {
     return;
   }
   answer_->Append(bytes);
+  // An answer of unknown length is passed on once it turns out to be large.
+  if (pending_head_ && (answer_->end_position() > whole_answer_bytes_ ||
+                        !answer_->HasRoom())) {
+    PassOnHead();
+  }
   if (!answer_->HasRoom()) {
     exchange_->Pause();
   }
@@ -88,7 +89,7 @@
 
 void UpstreamCall::OnResponseEnd() {
   exchange_ = nullptr;
-  if (is_shed_) {
+  if (is_refused_) {
     return;
   }
   PassOnHead();
@@ -98,7 +99,7 @@
 
 void UpstreamCall::OnExchangeFailed(ExchangeFailure failure) {
   exchange_ = nullptr;
-  if (is_shed_) {
+  if (is_refused_) {
     return;
   }
   if (failure == ExchangeFailure::kNeverSent) {
--- a/src/cassiabend/http/upstream_call.h
+++ b/src/cassiabend/http/upstream_call.h
@@ -5,6 +5,7 @@
 #include "cassiabend/core/call_events.h"
 #include "cassiabend/core/event_sink.h"
 #include "cassiabend/http/answer_stream.h"
+#include "cassiabend/http/call_wire.h"
 #include "cassiabend/http/client_exchange.h"
 
 namespace cassiabend {
@@ -12,10 +13,15 @@
 /// \brief What an upstream call needs besides the attempt.
 struct UpstreamCallOptions {
   OutgoingPool::Endpoint endpoint;
-  /// Time left for the head of the answer.
-  Milliseconds deadline{0};
+  const CallWire* wire = nullptr;
+  /// The upstream's start that is meant, and the time left for the head of the
+  /// answer.
+  StartUpstream start;
   /// Longest pause within the answer.
   Milliseconds progress_timeout{2'000};
+  /// Answers up to this size are passed on only when they are whole, so that an
+  /// upstream that breaks off within one can still be replaced by another.
+  std::uint64_t whole_answer_bytes = 0;
 };
 
 /// \brief One attempt at this host's upstream.
@@ -32,6 +38,7 @@
   ~UpstreamCall() override;
 
  private:
+  [[nodiscard]] bool IsOwnResponse(const MessageHead& head) override;
   void OnResponseHead(MessageHead& head) override;
   void OnResponseBody(std::string_view bytes) override;
   void OnResponseEnd() override;
@@ -44,7 +51,11 @@
   RefPtr<AnswerStream> answer_;
   EventSink* sink_;
   RefPtr<ClientExchange> exchange_;
-  bool is_shed_ = false;
+  const CallWire* wire_;
+  std::uint64_t whole_answer_bytes_;
+  /// Head of the request as it was sent.
+  MessageHead sent_head_;
+  bool is_refused_ = false;
   /// Head of a small answer that is not whole yet.
   std::optional<MessageHead> pending_head_;
 };
--- a/src/cassiabend/model/codec.cc
+++ b/src/cassiabend/model/codec.cc
@@ -105,6 +105,23 @@
   out.setName(service.name);
   out.setTenant(service.tenant);
   out.setRevision(service.revision);
+  if (!service.health_path.empty()) {
+    out.setHealthPath(service.health_path);
+  }
+}
+
+void ToWire(const RouteTarget& target, schema::RouteTarget::Builder out) {
+  out.setService(target.service);
+  out.setWeight(target.weight);
+}
+
+void ToWire(const CallerLimits& limits, schema::CallerLimits::Builder out) {
+  out.setMaxHeaderBytes(limits.max_header_bytes);
+  out.setMaxBodyBytes(limits.max_body_bytes);
+  out.setHeaderTimeoutMs(ToField<std::uint32_t>(limits.header_timeout.count(),
+                                                "limits.header_timeout"));
+  out.setIdleTimeoutMs(ToField<std::uint32_t>(limits.idle_timeout.count(),
+                                              "limits.idle_timeout"));
 }
 
 void ToWire(const Route& route, schema::Route::Builder out) {
@@ -124,6 +141,13 @@
   out.setLongestJobSeconds(
       ToField<std::uint32_t>(route.longest_job.count(), "route.longest_job"));
   out.setRevision(route.revision);
+  if (!route.split.empty()) {
+    ToWireList(route.split, out.initSplit(route.split.size()));
+  }
+  out.setMaxAttempts(route.max_attempts);
+  out.setLatencyObjectiveMs(ToField<std::uint32_t>(
+      route.latency_objective.count(), "route.latency_objective"));
+  out.setPriority(route.priority);
 }
 
 void ToWire(const QuietWindow& window, schema::QuietWindow::Builder out) {
@@ -154,6 +178,9 @@
   ToWireList(config.services, out.initServices(config.services.size()));
   ToWireList(config.routes, out.initRoutes(config.routes.size()));
   ToWireList(config.windows, out.initWindows(config.windows.size()));
+  if (config.limits != CallerLimits{}) {
+    ToWire(config.limits, out.initLimits());
+  }
 }
 
 void ToWire(const Edit& edit, schema::Edit::Builder out) {
@@ -234,7 +261,19 @@
 Service FromWire(schema::Service::Reader in) {
   return {.name = TextOf(in.getName()),
           .tenant = TextOf(in.getTenant()),
-          .revision = in.getRevision()};
+          .revision = in.getRevision(),
+          .health_path = TextOf(in.getHealthPath())};
+}
+
+RouteTarget FromWire(schema::RouteTarget::Reader in) {
+  return {.service = TextOf(in.getService()), .weight = in.getWeight()};
+}
+
+CallerLimits FromWire(schema::CallerLimits::Reader in) {
+  return {.max_header_bytes = in.getMaxHeaderBytes(),
+          .max_body_bytes = in.getMaxBodyBytes(),
+          .header_timeout = Milliseconds(in.getHeaderTimeoutMs()),
+          .idle_timeout = Milliseconds(in.getIdleTimeoutMs())};
 }
 
 Route FromWire(schema::Route::Reader in) {
@@ -244,9 +283,13 @@
           .path_prefix = TextOf(in.getPathPrefix()),
           .method = TextOf(in.getMethod()),
           .service = TextOf(in.getService()),
+          .split = FromWireList<RouteTarget>(in.getSplit()),
           .request_class = TextOf(in.getRequestClass()),
           .repeat = FromWireRepeat(in.getRepeat()),
           .timeout = Milliseconds(in.getTimeoutMs()),
+          .max_attempts = in.getMaxAttempts(),
+          .latency_objective = Milliseconds(in.getLatencyObjectiveMs()),
+          .priority = in.getPriority(),
           .noisy = in.getNoisy(),
           .site = TextOf(in.getSite()),
           .site_header = TextOf(in.getSiteHeader()),
@@ -287,7 +330,8 @@
           .sites = FromWireList<Site>(in.getSites()),
           .services = FromWireList<Service>(in.getServices()),
           .routes = FromWireList<Route>(in.getRoutes()),
-          .windows = FromWireList<QuietWindow>(in.getWindows())};
+          .windows = FromWireList<QuietWindow>(in.getWindows()),
+          .limits = FromWire(in.getLimits())};
 }
 
 namespace {
--- a/src/cassiabend/model/codec.h
+++ b/src/cassiabend/model/codec.h
@@ -19,6 +19,8 @@
 void ToWire(const Id128& id, schema::Id128::Builder out);
 void ToWire(const Site& site, schema::Site::Builder out);
 void ToWire(const Service& service, schema::Service::Builder out);
+void ToWire(const RouteTarget& target, schema::RouteTarget::Builder out);
+void ToWire(const CallerLimits& limits, schema::CallerLimits::Builder out);
 void ToWire(const Route& route, schema::Route::Builder out);
 void ToWire(const QuietWindow& window, schema::QuietWindow::Builder out);
 void ToWire(const Config& config, schema::Config::Builder out);
@@ -30,6 +32,8 @@
 [[nodiscard]] Id128 FromWire(schema::Id128::Reader in);
 [[nodiscard]] Site FromWire(schema::Site::Reader in);
 [[nodiscard]] Service FromWire(schema::Service::Reader in);
+[[nodiscard]] RouteTarget FromWire(schema::RouteTarget::Reader in);
+[[nodiscard]] CallerLimits FromWire(schema::CallerLimits::Reader in);
 [[nodiscard]] Route FromWire(schema::Route::Reader in);
 [[nodiscard]] QuietWindow FromWire(schema::QuietWindow::Reader in);
 [[nodiscard]] Config FromWire(schema::Config::Reader in);
--- a/src/cassiabend/model/config.h
+++ b/src/cassiabend/model/config.h
@@ -28,10 +28,22 @@
   std::string name;
   std::string tenant;
   VersionNumber revision = 0;
+  /// Path that an upstream answers health checks on; empty for the node's own
+  /// setting.
+  std::string health_path;
 
   [[nodiscard]] bool operator==(const Service&) const = default;
 };
 
+/// \brief One service of a route that spreads its calls over several.
+struct RouteTarget {
+  std::string service;
+  /// Share of the calls, against the sum over the route's targets.
+  std::uint32_t weight = 0;
+
+  [[nodiscard]] bool operator==(const RouteTarget&) const = default;
+};
+
 /// \brief Whether a call may be run more than once.
 enum class RepeatPolicy : std::uint8_t { kRepeatable, kOnce };
 
@@ -44,11 +56,20 @@
   std::string path_prefix;
   /// Exact method; empty matches every method.
   std::string method;
+  /// Empty when `split` names the services.
   std::string service;
+  /// Services that share the calls by weight; empty for `service` alone.
+  std::vector<RouteTarget> split;
   /// Class for limits, shares and histograms.
   std::string request_class;
   RepeatPolicy repeat = RepeatPolicy::kOnce;
   Milliseconds timeout{0};
+  /// Upstreams that one call may be sent to; 0 for the node's own setting.
+  std::uint32_t max_attempts = 0;
+  /// Time within which an answer is worth most; 0 for none.
+  Milliseconds latency_objective{0};
+  /// Rank of the calls; 0 is served first.
+  std::uint32_t priority = 0;
   /// Whether the work must not run at a site during its quiet windows.
   bool noisy = false;
   /// Site of noisy work; empty when `site_header` names it per call.
@@ -92,6 +113,19 @@
   [[nodiscard]] bool operator==(const QuietWindow&) const = default;
 };
 
+/// \brief Bounds on what callers send and on how long they take. Zero stands
+/// for the node's own setting.
+struct CallerLimits {
+  std::uint32_t max_header_bytes = 0;
+  std::uint32_t max_body_bytes = 0;
+  /// Longest time from a request's first byte to the end of its head.
+  Milliseconds header_timeout{0};
+  /// Time after which an idle connection of a caller is closed.
+  Milliseconds idle_timeout{0};
+
+  [[nodiscard]] bool operator==(const CallerLimits&) const = default;
+};
+
 /// \brief One whole version of the configuration. Lists are sorted by name and
 /// names are unique within a list.
 struct Config {
@@ -103,6 +137,7 @@
   std::vector<Service> services;
   std::vector<Route> routes;
   std::vector<QuietWindow> windows;
+  CallerLimits limits;
 
   [[nodiscard]] bool operator==(const Config&) const = default;
 };
--- a/src/cassiabend/model/json.cc
+++ b/src/cassiabend/model/json.cc
@@ -10,6 +10,14 @@
 namespace cassiabend {
 namespace {
 
+void SetNumber(std::string_view key,
+               std::int64_t n,
+               boost::json::object* out) {
+  if (n != 0) {
+    (*out)[key] = n;
+  }
+}
+
 void SetText(std::string_view key,
              const std::string& text,
              boost::json::object* out) {
@@ -18,6 +26,10 @@
   }
 }
 
+boost::json::value ToJson(const RouteTarget& target) {
+  return {{"service", target.service}, {"weight", target.weight}};
+}
+
 template <typename Item>
 boost::json::array ListToJson(const std::vector<Item>& items) {
   boost::json::array out;
@@ -27,6 +39,15 @@
   return out;
 }
 
+boost::json::value ToJson(const CallerLimits& limits) {
+  boost::json::object out;
+  SetNumber("max_header_bytes", limits.max_header_bytes, &out);
+  SetNumber("max_body_bytes", limits.max_body_bytes, &out);
+  SetNumber("header_timeout_ms", limits.header_timeout.count(), &out);
+  SetNumber("idle_timeout_ms", limits.idle_timeout.count(), &out);
+  return out;
+}
+
 boost::json::value ToJson(const OnceSchedule& once) {
   return {{"begin", FormatWallTime(once.begin)},
           {"end", FormatWallTime(once.end)}};
@@ -57,6 +78,7 @@
 boost::json::value ToJson(const Service& service) {
   boost::json::object out{{"name", service.name}};
   SetText("tenant", service.tenant, &out);
+  SetText("health_path", service.health_path, &out);
   out["revision"] = service.revision;
   return out;
 }
@@ -68,10 +90,16 @@
   SetText("path_prefix", route.path_prefix, &out);
   SetText("method", route.method, &out);
   SetText("service", route.service, &out);
+  if (!route.split.empty()) {
+    out["split"] = ListToJson(route.split);
+  }
   SetText("request_class", route.request_class, &out);
   out["repeat"] =
       route.repeat == RepeatPolicy::kRepeatable ? "repeatable" : "once";
   out["timeout_ms"] = route.timeout.count();
+  SetNumber("max_attempts", route.max_attempts, &out);
+  SetNumber("latency_objective_ms", route.latency_objective.count(), &out);
+  SetNumber("priority", route.priority, &out);
   if (route.noisy) {
     out["noisy"] = true;
   }
@@ -98,14 +126,18 @@
 }
 
 boost::json::value ToJson(const Config& config) {
-  return {{"number", config.number},
-          {"parent", config.parent},
-          {"change_id", ToHex(config.change_id)},
-          {"author", config.author},
-          {"sites", ListToJson(config.sites)},
-          {"services", ListToJson(config.services)},
-          {"routes", ListToJson(config.routes)},
-          {"windows", ListToJson(config.windows)}};
+  boost::json::object out{{"number", config.number},
+                          {"parent", config.parent},
+                          {"change_id", ToHex(config.change_id)},
+                          {"author", config.author},
+                          {"sites", ListToJson(config.sites)},
+                          {"services", ListToJson(config.services)},
+                          {"routes", ListToJson(config.routes)},
+                          {"windows", ListToJson(config.windows)}};
+  if (config.limits != CallerLimits{}) {
+    out["limits"] = ToJson(config.limits);
+  }
+  return out;
 }
 
 boost::json::value ToJson(const HistoryEntry& entry) {
--- a/src/cassiabend/model/json_read.cc
+++ b/src/cassiabend/model/json_read.cc
@@ -107,6 +107,10 @@
   return out;
 }
 
+std::uint32_t ReadUint32(JsonObjectReader* in, std::string_view key) {
+  return static_cast<std::uint32_t>(in->Number(key, kMaxUint32));
+}
+
 Site Parse(const boost::json::object& in, const std::string& path, Site*) {
   return ParseSite(in, path);
 }
@@ -124,6 +128,32 @@
   return ParseWindow(in, path);
 }
 
+RouteTarget Parse(const boost::json::object& object,
+                  const std::string& path,
+                  RouteTarget*) {
+  JsonObjectReader in(object, path);
+  RouteTarget out{.service = in.RequiredText("service"),
+                  .weight = ReadUint32(&in, "weight")};
+  in.CheckAllRead();
+  return out;
+}
+
+CallerLimits ReadLimits(JsonObjectReader* parent) {
+  const boost::json::object* object = parent->Object("limits");
+  if (object == nullptr) {
+    return {};
+  }
+  JsonObjectReader in(*object, "limits");
+  CallerLimits out{
+      .max_header_bytes = ReadUint32(&in, "max_header_bytes"),
+      .max_body_bytes = ReadUint32(&in, "max_body_bytes"),
+      .header_timeout =
+          Milliseconds(in.Number("header_timeout_ms", kMaxUint32)),
+      .idle_timeout = Milliseconds(in.Number("idle_timeout_ms", kMaxUint32))};
+  in.CheckAllRead();
+  return out;
+}
+
 /// \returns The path of one entry of a list: by its name where it has one.
 std::string PathOfEntry(std::string_view key,
                         std::size_t index,
@@ -225,7 +255,8 @@
   JsonObjectReader in(object, path);
   Service out{.name = in.RequiredText("name"),
               .tenant = in.Text("tenant"),
-              .revision = in.Number("revision")};
+              .revision = in.Number("revision"),
+              .health_path = in.Text("health_path")};
   in.CheckAllRead();
   return out;
 }
@@ -237,10 +268,15 @@
             .host = in.Text("host"),
             .path_prefix = in.RequiredText("path_prefix"),
             .method = in.Text("method"),
-            .service = in.RequiredText("service"),
+            .service = in.Text("service"),
+            .split = ReadItems<RouteTarget>(&in, "split"),
             .request_class = in.Text("request_class"),
             .repeat = ReadRepeat(&in),
             .timeout = Milliseconds(in.Number("timeout_ms", kMaxUint32)),
+            .max_attempts = ReadUint32(&in, "max_attempts"),
+            .latency_objective =
+                Milliseconds(in.Number("latency_objective_ms", kMaxUint32)),
+            .priority = ReadUint32(&in, "priority"),
             .noisy = in.Bool("noisy"),
             .site = in.Text("site"),
             .site_header = in.Text("site_header"),
@@ -281,7 +317,8 @@
              .sites = ReadSorted<Site>(&in, "sites"),
              .services = ReadSorted<Service>(&in, "services"),
              .routes = ReadSorted<Route>(&in, "routes"),
-             .windows = ReadSorted<QuietWindow>(&in, "windows")};
+             .windows = ReadSorted<QuietWindow>(&in, "windows"),
+             .limits = ReadLimits(&in)};
   in.CheckAllRead();
   return out;
 }
--- a/src/cassiabend/model/snapshot.cc
+++ b/src/cassiabend/model/snapshot.cc
@@ -82,6 +82,15 @@
   return FindItem(config_.routes, name);
 }
 
+const Service* Snapshot::ServiceByName(std::string_view name) const noexcept {
+  return FindItem(config_.services, name);
+}
+
+std::string Snapshot::HealthPathOf(std::string_view service) const {
+  const Service* found = ServiceByName(service);
+  return found == nullptr ? std::string() : found->health_path;
+}
+
 const Site* Snapshot::SiteByName(std::string_view name) const noexcept {
   return FindItem(config_.sites, name);
 }
--- a/src/cassiabend/model/snapshot.h
+++ b/src/cassiabend/model/snapshot.h
@@ -40,6 +40,10 @@
   [[nodiscard]] const Route* FindRoute(const RouteQuery& query) const noexcept;
 
   [[nodiscard]] const Route* RouteByName(std::string_view name) const noexcept;
+  [[nodiscard]] const Service* ServiceByName(
+      std::string_view name) const noexcept;
+  /// \returns The service's health path; empty when it states none.
+  [[nodiscard]] std::string HealthPathOf(std::string_view service) const;
   [[nodiscard]] const Site* SiteByName(std::string_view name) const noexcept;
 
   /// \brief Whether work at `site` would touch a quiet window in [from, to).
--- a/src/cassiabend/model/validate.cc
+++ b/src/cassiabend/model/validate.cc
@@ -101,7 +101,11 @@
     }
   }
 
-  void Check(const ItemRef& /*ref*/, const Service& /*service*/) {}
+  void Check(const ItemRef& ref, const Service& service) {
+    if (!service.health_path.empty() && service.health_path.front() != '/') {
+      Add(ref, "health_path", "it must start with \"/\"");
+    }
+  }
 
   void Check(const ItemRef& ref, const Route& route) {
     CheckMatch(ref, route);
@@ -130,10 +134,30 @@
   }
 
   void CheckTarget(const ItemRef& ref, const Route& route) {
-    const Service* service = FindItem(config_.services, route.service);
+    if (route.split.empty()) {
+      CheckService(ref, "service", route, route.service);
+      return;
+    }
+    if (!route.service.empty()) {
+      Add(ref, "service", "a route has either a service or a split");
+    }
+    std::uint64_t weights = 0;
+    for (const RouteTarget& it : route.split) {
+      CheckService(ref, "split", route, it.service);
+      weights += it.weight;
+    }
+    if (weights == 0) {
+      Add(ref, "split", "one weight at least must be above 0");
+    }
+  }
+
+  void CheckService(const ItemRef& ref,
+                    std::string_view field,
+                    const Route& route,
+                    const std::string& name) {
+    const Service* service = FindItem(config_.services, name);
     if (service == nullptr) {
-      Add(ref, "service",
-          "there is no service called \"" + route.service + "\"");
+      Add(ref, field, "there is no service called \"" + name + "\"");
       return;
     }
     if (!service->tenant.empty() && service->tenant != route.tenant) {
--- /dev/null
+++ b/src/cassiabend/node/adapter.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "cassiabend/core/head_codec.h"
+#include "cassiabend/core/upstream_report.h"
+#include "cassiabend/http/call_wire.h"
+#include "cassiabend/node/ops_server.h"
+#include "cassiabend/node/settings.h"
+#include "cassiabend/store/store_codec.h"
+
+namespace cassiabend {
+
+/// \brief A message on the control port, decoded.
+struct ControlMessage {
+  /// The heartbeat; unset when the message cannot be used.
+  std::optional<UpstreamReport> report;
+  /// What is wrong with a message that cannot be used.
+  std::string fault;
+  /// What the sender is told.
+  OpsPage answer;
+};
+
+/// \brief The names, formats and calls of one platform. Holds no decisions.
+class PlatformAdapter {
+ public:
+  PlatformAdapter() = default;
+  PlatformAdapter(const PlatformAdapter&) = delete;
+  PlatformAdapter& operator=(const PlatformAdapter&) = delete;
+  virtual ~PlatformAdapter() = default;
+
+  [[nodiscard]] virtual const CallWire& calls() const noexcept = 0;
+  [[nodiscard]] virtual const StoreCodec& store() const noexcept = 0;
+  [[nodiscard]] virtual const HeadCodec& head() const noexcept = 0;
+  /// \brief Reads a message on the control port.
+  [[nodiscard]] virtual ControlMessage ReadControl(
+      const OpsRequest& request) const = 0;
+  /// \returns Whether a request on the readiness port asks for readiness.
+  [[nodiscard]] virtual bool AsksReadiness(const OpsRequest& request) const = 0;
+  /// \brief Turns what the platform said in `settings->platform` into the
+  /// product's own settings.
+  /// \throws SettingsError that names the field and the fault.
+  virtual void Translate(Settings* settings) const = 0;
+};
+
+/// \returns The product's own interfaces, which need no translation.
+[[nodiscard]] const PlatformAdapter& OwnInterfaces();
+
+}  // namespace cassiabend
--- a/src/cassiabend/node/node.cc
+++ b/src/cassiabend/node/node.cc
@@ -44,10 +44,12 @@
 
 Node::Node(boost::asio::io_context& io,
            const Clock& clock,
+           const PlatformAdapter& adapter,
            Settings settings,
            std::string settings_file)
     : io_(io),
       clock_(clock),
+      adapter_(adapter),
       settings_(std::move(settings)),
       settings_file_(std::move(settings_file)),
       reducer_(CoreOptionsOf(settings_, StartId(clock), SeedOf(settings_))),
@@ -81,11 +83,7 @@
     admin_ =
         std::make_unique<AdminServer>(io_, options, std::move(callbacks), this);
   }
-  if (place.metrics_port != 0) {
-    ops_ = std::make_unique<OpsServer>(
-        io_, place.ip, place.metrics_port,
-        [this](const std::string& path) { return Page(path); });
-  }
+  OpenPages();
   ScheduleTick(&fleet_timer_, kFleetTickPeriod, FleetEvent(FleetTick{}));
   ScheduleTick(&call_timer_, kCallTickPeriod, CallEvent(CallTick{}));
   Log(LogLevel::kInfo, "started",
@@ -98,6 +96,25 @@
 
 Node::~Node() = default;
 
+void Node::OpenPages() {
+  const NodeSettings& place = settings_.node;
+  if (place.metrics_port != 0) {
+    ops_ = std::make_unique<OpsServer>(
+        io_, place.ip, place.metrics_port,
+        [this](const OpsRequest& request) { return Page(request.path); });
+  }
+  if (place.readiness_port != 0) {
+    readiness_ = std::make_unique<OpsServer>(
+        io_, place.ip, place.readiness_port,
+        [this](const OpsRequest& request) { return ReadinessPage(request); });
+  }
+  if (place.control_port != 0) {
+    control_ = std::make_unique<OpsServer>(
+        io_, place.ip, place.control_port,
+        [this](const OpsRequest& request) { return TakeControl(request); });
+  }
+}
+
 void Node::Post(Body body) {
   queue_.push_back(std::move(body));
   if (drain_scheduled_) {
@@ -167,6 +184,7 @@
 void Node::NoteFleetEffect(const FleetEffect& effect) {
   if (const auto* applied = std::get_if<ApplyVersion>(&effect)) {
     applied_at_ = clock_.Now().wall;
+    calls_->SetLimits(applied->snapshot->config().limits);
     Log(LogLevel::kInfo, "version_applied",
         {{"version", applied->snapshot->mark().number},
          {"hash", ToHex(applied->snapshot->mark().hash)}});
@@ -178,8 +196,11 @@
            {"upstream", NameOf(it.upstream_state)},
            {"revision", std::uint64_t{it.revision}}});
     }
+  } else if (const auto* refused = std::get_if<HeadRefused>(&effect)) {
+    Log(LogLevel::kError, "version_refused",
+        {{"revision", refused->revision}, {"why", refused->reason}});
   } else if (const auto* readiness = std::get_if<ReadinessChanged>(&effect)) {
-    ready_ = readiness->ready;
+    ready_ = readiness->ready && !shutting_down_;
     not_ready_reason_ = readiness->reason;
     Log(LogLevel::kInfo, "readiness_changed",
         {{"ready", readiness->ready}, {"reason", readiness->reason}});
@@ -223,6 +244,7 @@
   ready_ = false;
   not_ready_reason_ = "draining";
   Log(LogLevel::kInfo, "shutdown_started");
+  calls_->AnnounceShutdown();
   Post(CallEvent(DrainRequested{}));
   shutdown_timer_.expires_after(settings_.node.shutdown_timeout);
   shutdown_timer_.async_wait([this](boost::system::error_code ec) {
@@ -255,8 +277,10 @@
   if (admin_) {
     admin_->Close();
   }
-  if (ops_) {
-    ops_->Close();
+  for (const auto* it : {&ops_, &readiness_, &control_}) {
+    if (*it) {
+      (*it)->Close();
+    }
   }
   io_.stop();
 }
@@ -281,7 +305,8 @@
     return;
   }
   try {
-    const Settings fresh = LoadSettings(settings_file_);
+    Settings fresh = LoadSettings(settings_file_);
+    adapter_.Translate(&fresh);
     settings_.node.log_level = fresh.node.log_level;
     settings_.operators = fresh.operators;
     SetLogLevel(ParseLogLevel(fresh.node.log_level));
@@ -329,6 +354,25 @@
   return out;
 }
 
+OpsPage Node::ReadinessPage(const OpsRequest& request) const {
+  if (!adapter_.AsksReadiness(request)) {
+    return {404, "text/plain", "no such page\n"};
+  }
+  return ready_ ? OpsPage{200, "text/plain", "ready\n"}
+                : OpsPage{503, "text/plain", not_ready_reason_ + "\n"};
+}
+
+OpsPage Node::TakeControl(const OpsRequest& request) {
+  ControlMessage message = adapter_.ReadControl(request);
+  if (!message.report) {
+    Log(LogLevel::kWarning, "heartbeat_refused",
+        {{"path", request.path}, {"why", message.fault}});
+    return message.answer;
+  }
+  Post(CallEvent(UpstreamReported{std::move(*message.report)}));
+  return message.answer;
+}
+
 OpsPage Node::Page(const std::string& path) const {
   if (path == "/metrics") {
     return {200, "text/plain; version=0.0.4", metrics_.Scrape()};
--- a/src/cassiabend/node/node.h
+++ b/src/cassiabend/node/node.h
@@ -11,6 +11,7 @@
 #include "cassiabend/base/clock.h"
 #include "cassiabend/core/event_sink.h"
 #include "cassiabend/core/node_reducer.h"
+#include "cassiabend/node/adapter.h"
 #include "cassiabend/node/metrics.h"
 #include "cassiabend/node/ops_server.h"
 #include "cassiabend/node/region_traffic.h"
@@ -23,10 +24,12 @@
 /// runs on the thread of `io`, but for the RPC threads behind the transports.
 class Node final : public EventSink {
  public:
+  /// \param settings As the adapter has translated them.
   /// \param settings_file Read again by `Reload`; empty for none.
   /// \throws Error when a port cannot be opened.
   Node(boost::asio::io_context& io,
        const Clock& clock,
+       const PlatformAdapter& adapter,
        Settings settings,
        std::string settings_file);
   ~Node() override;
@@ -54,12 +57,16 @@
   bool DrainMember(const NodeId& id);
   [[nodiscard]] NodeReadings Read() const;
   [[nodiscard]] FleetStatus Status() const;
+  void OpenPages();
   [[nodiscard]] OpsPage Page(const std::string& path) const;
+  [[nodiscard]] OpsPage ReadinessPage(const OpsRequest& request) const;
+  [[nodiscard]] OpsPage TakeControl(const OpsRequest& request);
   [[nodiscard]] std::string MembersPage() const;
   [[nodiscard]] std::string VersionPage() const;
 
   boost::asio::io_context& io_;
   const Clock& clock_;
+  const PlatformAdapter& adapter_;
   Settings settings_;
   std::string settings_file_;
   NodeReducer reducer_;
@@ -79,6 +86,8 @@
   std::unique_ptr<CallServer> calls_;
   std::unique_ptr<AdminServer> admin_;
   std::unique_ptr<OpsServer> ops_;
+  std::unique_ptr<OpsServer> readiness_;
+  std::unique_ptr<OpsServer> control_;
   boost::asio::steady_timer fleet_timer_;
   boost::asio::steady_timer call_timer_;
   boost::asio::steady_timer shutdown_timer_;
--- a/src/cassiabend/node/ops_server.cc
+++ b/src/cassiabend/node/ops_server.cc
@@ -17,9 +17,10 @@
 
 constexpr std::chrono::seconds kRequestTimeout{5};
 constexpr std::uint32_t kMaxHeaderBytes = 8 * 1024;
+constexpr std::uint32_t kMaxBodyBytes = 16 * 1024;
 constexpr int kMaxSessions = 32;
 
-using PageFunction = std::function<OpsPage(const std::string& path)>;
+using PageFunction = std::function<OpsPage(const OpsRequest& request)>;
 
 /// \brief One connection: a request, its answer, and the next one.
 class Session : public std::enable_shared_from_this<Session> {
@@ -39,7 +40,7 @@
   void Read() {
     parser_.emplace();
     parser_->header_limit(kMaxHeaderBytes);
-    parser_->body_limit(0);
+    parser_->body_limit(kMaxBodyBytes);
     stream_.expires_after(kRequestTimeout);
     http::async_read(
         stream_, buf_, *parser_,
@@ -53,7 +54,10 @@
  private:
   void Answer() {
     const auto& request = parser_->get();
-    const OpsPage page = (*page_)(std::string(request.target()));
+    const OpsPage page =
+        (*page_)({.method = std::string(request.method_string()),
+                  .path = std::string(request.target()),
+                  .body = request.body()});
     response_ = {};
     response_.result(page.status);
     response_.version(request.version());
@@ -74,7 +78,7 @@
   std::shared_ptr<PageFunction> page_;
   std::shared_ptr<int> open_;
   beast::flat_buffer buf_;
-  std::optional<http::request_parser<http::empty_body>> parser_;
+  std::optional<http::request_parser<http::string_body>> parser_;
   http::response<http::string_body> response_;
 };
 
@@ -95,7 +99,7 @@
       acceptor_.bind(endpoint);
       acceptor_.listen();
     } catch (const boost::system::system_error& e) {
-      throw HttpError("open the metrics port", ip + ":" + std::to_string(port),
+      throw HttpError("open a port for pages", ip + ":" + std::to_string(port),
                       e.code().message());
     }
   }
@@ -129,7 +133,7 @@
 OpsServer::OpsServer(asio::io_context& io,
                      const std::string& ip,
                      std::uint16_t port,
-                     std::function<OpsPage(const std::string& path)> page)
+                     std::function<OpsPage(const OpsRequest& request)> page)
     : impl_(std::make_shared<Impl>(io, std::move(page))) {
   impl_->Open(ip, port);
   impl_->Accept();
--- a/src/cassiabend/node/ops_server.h
+++ b/src/cassiabend/node/ops_server.h
@@ -8,6 +8,13 @@
 
 namespace cassiabend {
 
+/// \brief One request for a page, or one message to the node.
+struct OpsRequest {
+  std::string method;
+  std::string path;
+  std::string body;
+};
+
 /// \brief Answer of one page for operators.
 struct OpsPage {
   std::uint16_t status = 200;
@@ -15,15 +22,15 @@
   std::string body;
 };
 
-/// \brief Serves the pages that operators and their tools read over HTTP.
+/// \brief Serves short pages over HTTP, and takes short messages.
 class OpsServer {
  public:
-  /// \param page Gives the page of a path; status 404 for unknown ones.
+  /// \param page Answers a request; status 404 for unknown paths.
   /// \throws HttpError when the port cannot be opened.
   OpsServer(boost::asio::io_context& io,
             const std::string& ip,
             std::uint16_t port,
-            std::function<OpsPage(const std::string& path)> page);
+            std::function<OpsPage(const OpsRequest& request)> page);
   OpsServer(const OpsServer&) = delete;
   OpsServer& operator=(const OpsServer&) = delete;
   ~OpsServer();
--- a/src/cassiabend/node/settings.cc
+++ b/src/cassiabend/node/settings.cc
@@ -1,13 +1,13 @@
 #include "cassiabend/node/settings.h"
 
 #include <boost/asio/ip/address.hpp>
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <fstream>
 #include <set>
 #include <sstream>
 
 #include "cassiabend/base/error.h"
+#include "cassiabend/model/json_object.h"
 #include "cassiabend/node/settings_fields.h"
 
 namespace cassiabend {
@@ -236,6 +236,10 @@
      [](const json::value& value, Settings* settings) {
        ReadSection(value, "node", NodeFields(), &settings->node);
      }},
+    {"platform",
+     [](const json::value& value, Settings* settings) {
+       ReadSection(value, "platform", PlatformFields(), &settings->platform);
+     }},
     {"upstream", &ReadUpstream},
     {"store", &ReadStore},
     {"operators", &ReadOperators},
@@ -272,7 +276,8 @@
 }
 
 void CheckUpstream(const Settings& settings) {
-  if (settings.upstream.service.empty()) {
+  if (settings.upstream.service.empty() || !settings.platform.adapter.empty()) {
+    // An adapter fills in the address.
     return;
   }
   CheckIp(settings.upstream.ip, "upstream.ip");
@@ -377,14 +382,11 @@
 }  // namespace
 
 Settings ParseSettings(std::string_view text, const std::string& file) {
-  json::parse_options options;
-  options.allow_comments = true;
-  options.allow_trailing_commas = true;
-  json::error_code ec;
-  const json::value root =
-      json::parse(json::string_view(text.data(), text.size()), ec, {}, options);
-  if (ec) {
-    Fail(file, "is not JSON: " + ec.message());
+  json::value root;
+  try {
+    root = ParseJsonText(text);
+  } catch (const ModelError& e) {
+    Fail(file, "is not JSON: " + e.where() + ": " + e.why());
   }
   Settings settings;
   for (const json::key_value_pair& it : ObjectAt(root, file)) {
@@ -419,6 +421,7 @@
   fleet["seeds"] = PrintNodeIds(settings.fleet.seeds);
   const json::object root{
       {"node", PrintSection(NodeFields(), settings.node)},
+      {"platform", PrintSection(PlatformFields(), settings.platform)},
       {"upstream", PrintSection(UpstreamFields(), settings.upstream)},
       {"store", std::move(store)},
       {"operators", PrintOperators(settings.operators)},
@@ -446,6 +449,7 @@
          "`name`, `token_hash` (as `cassiabend-ctl hash-token` prints it) and "
          "`tenants` (a list of tenants, or `[\"*\"]` for all).\n";
   DescribeSection("node", NodeFields(), &out);
+  DescribeSection("platform", PlatformFields(), &out);
   DescribeSection("upstream", UpstreamFields(), &out);
   DescribeSection("store", StoreFields(), &out);
   DescribeSection("config", ConfigFields(), &out);
--- a/src/cassiabend/node/settings.h
+++ b/src/cassiabend/node/settings.h
@@ -21,6 +21,10 @@
   std::uint16_t call_port = 7102;
   std::uint16_t admin_port = 7103;
   std::uint16_t metrics_port = 7104;
+  /// Port on which the platform asks whether the node is ready; 0 for none.
+  std::uint16_t readiness_port = 0;
+  /// Port on which the upstream sends its heartbeats; 0 for none.
+  std::uint16_t control_port = 0;
   std::string region;
   std::string zone;
   /// Longest graceful shutdown.
@@ -39,9 +43,25 @@
   std::uint32_t slots = 1;
 };
 
+/// \brief What a platform tells its programs, in its own form; see platform/.
+struct PlatformSettings {
+  /// Name of the adapter; empty for the product's own interfaces.
+  std::string adapter;
+  /// Addresses as "IP:PORT".
+  std::string upstream_address;
+  std::string peer_call_address;
+  std::string caller_address;
+  std::string readiness_address;
+  std::string control_address;
+  std::string heartbeat;
+  std::string bounds;
+  std::string first_start;
+};
+
 /// \brief Everything that one node is told by its settings file.
 struct Settings {
   NodeSettings node;
+  PlatformSettings platform;
   UpstreamSettings upstream;
   StoreClientOptions store;
   std::vector<OperatorToken> operators;
--- a/src/cassiabend/node/settings_fields.cc
+++ b/src/cassiabend/node/settings_fields.cc
@@ -23,6 +23,10 @@
      "Port of the administration API; 0 turns it off."},
     {"metrics_port", &Node::metrics_port, 0, kMaxPort,
      "HTTP port of /metrics, /healthz and /readyz; 0 turns it off."},
+    {"readiness_port", &Node::readiness_port, 0, kMaxPort,
+     "HTTP port on which the platform asks for readiness; 0 turns it off."},
+    {"control_port", &Node::control_port, 0, kMaxPort,
+     "HTTP port for the upstream's heartbeats; 0 turns it off."},
     {"region", &Node::region, 1, kMaxName, "Region of the host."},
     {"zone", &Node::zone, 1, kMaxName, "Availability zone of the host."},
     {"shutdown_timeout_ms", &Node::shutdown_timeout, 0, kHourMs,
@@ -33,6 +37,31 @@
      "Lowest level logged: debug, info, warning or error. Reloadable."},
 });
 
+using Platform = PlatformSettings;
+constexpr std::uint64_t kMaxAddress = 64;
+constexpr std::uint64_t kMaxText = 4'096;
+constexpr auto kPlatformFields = std::to_array<SettingField<Platform>>({
+    {"adapter", &Platform::adapter, 0, kMaxName,
+     "Name of the adapter to the platform; empty for the product's own "
+     "interfaces."},
+    {"upstream_address", &Platform::upstream_address, 0, kMaxAddress,
+     "IP:PORT of the upstream on this host."},
+    {"peer_call_address", &Platform::peer_call_address, 0, kMaxAddress,
+     "IP:PORT on which other nodes send calls."},
+    {"caller_address", &Platform::caller_address, 0, kMaxAddress,
+     "IP:PORT on which callers send requests."},
+    {"readiness_address", &Platform::readiness_address, 0, kMaxAddress,
+     "IP:PORT on which the platform asks for readiness."},
+    {"control_address", &Platform::control_address, 0, kMaxAddress,
+     "IP:PORT for the upstream's heartbeats."},
+    {"heartbeat", &Platform::heartbeat, 0, kMaxName,
+     "Period of the upstream's heartbeats, in the platform's form."},
+    {"bounds", &Platform::bounds, 0, kMaxText,
+     "What the platform asks of its programs, in the platform's form."},
+    {"first_start", &Platform::first_start, 0, kMaxName,
+     "\"true\" when the whole system starts for the first time."},
+});
+
 using Upstream = UpstreamSettings;
 constexpr auto kUpstreamFields = std::to_array<SettingField<Upstream>>({
     {"service", &Upstream::service, 0, kMaxName,
@@ -112,6 +141,14 @@
      "Silence after which a whole zone counts as unreachable."},
     {"member_sync_period_ms", &Fleet::member_sync_period, 1'000, kDayMs,
      "Pause between comparisons of member lists with other zones."},
+    {"member_lease_s", &Fleet::member_lease, 0, 600,
+     "Lease of this node's own key in the store, by which others find it. 0: "
+     "the store holds lists of seeds, and readers hold leases."},
+    {"watch_pause_ms", &Fleet::watch_pause, 0, kMinuteMs,
+     "Shortest time between the starts of two watches of the head."},
+    {"join_confirmation_age_ms", &Fleet::join_confirmation_age, 0, kHourMs,
+     "Oldest confirmation of the head, before the start, that makes a node "
+     "ready without further peers."},
     {"forget_after_ms", &Fleet::forget_after, 1'000, 7 * kDayMs,
      "Time after which a dead member is forgotten."},
     {"join_quorum", &Fleet::join_quorum, 1, 16,
@@ -140,6 +177,20 @@
     {"retry_budget_permille", &Calls::retry_budget_permille, 0, 1'000,
      "Retries that a class may add, in thousandths of its calls."},
     {"max_attempts", &Calls::max_attempts, 1, 10, "Attempts of one call."},
+    {"retry_burst", &Calls::retry_burst, 0, 100'000,
+     "Retries of one service that all nodes together may hold saved up; 0 for "
+     "ten a node, tenant and class."},
+    {"retry_errors", &Calls::retry_errors, 0, 1,
+     "1: a repeatable call whose upstream answered with a server error is "
+     "tried at another one."},
+    {"upstream_heartbeat_ms", &Calls::upstream_heartbeat, 0, kMinuteMs,
+     "Period of the upstream's heartbeats; 0: it sends none and is probed."},
+    {"ask_upstream", &Calls::ask_upstream, 0, 1,
+     "1: an upstream that sends heartbeats is asked for its name before the "
+     "first one."},
+    {"shutdown_serve_ms", &Calls::shutdown_serve, 0, kHourMs,
+     "Time after the start of a shutdown in which callers' new requests are "
+     "taken."},
     {"answer_hold_ms", &Calls::answer_hold, 100, 10 * kMinuteMs,
      "Time that an answer is held for an entry node whose link was lost."},
     {"order_memory_ms", &Calls::order_memory, 1'000, 7 * kDayMs,
@@ -176,8 +227,14 @@
      "Time after which an idle connection is closed."},
     {"idle_connections", &Http::idle_connections, 0, 1'000,
      "Idle connections kept to the upstream and to each peer."},
-    {"probe_period_ms", &Http::probe_period, 10, kMinuteMs,
-     "Pause between probes of the upstream's health."},
+    {"caller_port", &Http::caller_port, 0, kMaxPort,
+     "HTTP port for callers alone; 0: they share the call port with nodes."},
+    {"prepared_connections", &Http::prepared_connections, 0, 100,
+     "Connections to the upstream that are opened ahead of their use."},
+    {"whole_answer_bytes", &Http::whole_answer_bytes, 0, 64 * kMebibyte,
+     "Answers up to this size are passed on only when they are whole."},
+    {"probe_period_ms", &Http::probe_period, 0, kMinuteMs,
+     "Pause between probes of the upstream's health; 0: only when needed."},
     {"health_path", &Http::health_path, 0, 256,
      "Path of the upstream's health endpoint; empty for none."},
 });
@@ -187,6 +244,9 @@
 std::span<const SettingField<NodeSettings>> NodeFields() {
   return kNodeFields;
 }
+std::span<const SettingField<PlatformSettings>> PlatformFields() {
+  return kPlatformFields;
+}
 std::span<const SettingField<UpstreamSettings>> UpstreamFields() {
   return kUpstreamFields;
 }
--- a/src/cassiabend/store/gateway_codec.cc
+++ b/src/cassiabend/store/gateway_codec.cc
@@ -12,6 +12,9 @@
 
 namespace json = boost::json;
 
+/// Most keys of one list: the first page is enough to find peers.
+constexpr std::int64_t kListLimit = 500;
+
 // The gateway writes 64-bit numbers as strings.
 std::string Number(std::int64_t n) {
   return std::to_string(n);
@@ -91,6 +94,28 @@
   return entry->has_value();
 }
 
+/// \brief Every entry of a range answer.
+/// \returns Whether the answer was well formed.
+bool ReadEntries(const json::object& range, std::vector<StoreEntry>* entries) {
+  const json::value* kvs = range.if_contains("kvs");
+  if (kvs == nullptr) {
+    return true;
+  }
+  if (!kvs->is_array()) {
+    return false;
+  }
+  for (const json::value& it : kvs->get_array()) {
+    const json::object* kv = it.if_object();
+    std::optional<StoreEntry> entry =
+        kv == nullptr ? std::nullopt : EntryOf(*kv);
+    if (!entry) {
+      return false;
+    }
+    entries->push_back(std::move(*entry));
+  }
+  return true;
+}
+
 json::object CompareRevision(const std::string& key, StoreRevision expected) {
   return {{"target", "MOD"},
           {"result", "EQUAL"},
@@ -125,6 +150,25 @@
     return {"/v3/kv/txn",
             Transaction(it.key, it.expected, {{"request_put", put}})};
   }
+  GatewayRequest operator()(const StorePut& it) const {
+    json::object put = {{"key", EncodeBase64(it.key)},
+                        {"value", EncodeBase64(it.value)}};
+    if (it.lease != 0) {
+      put["lease"] = Number(it.lease);
+    }
+    return {"/v3/kv/put", json::serialize(put)};
+  }
+  GatewayRequest operator()(const StoreList& it) const {
+    // The end of a prefix's range is the prefix with its last byte raised.
+    std::string end = it.prefix;
+    if (!end.empty()) {
+      ++end.back();
+    }
+    return {"/v3/kv/range",
+            json::serialize(json::object{{"key", EncodeBase64(it.prefix)},
+                                         {"range_end", EncodeBase64(end)},
+                                         {"limit", Number(kListLimit)}})};
+  }
   GatewayRequest operator()(const StoreCompareAndDelete& it) const {
     const json::object range = {{"key", EncodeBase64(it.key)}};
     return {"/v3/kv/txn", Transaction(it.key, it.expected,
@@ -185,6 +229,13 @@
     }
     return ok;
   }
+  bool operator()(const StorePut& it) const {
+    reply->entry = StoreEntry{it.key, it.value, reply->store_revision};
+    return reply->store_revision != 0;
+  }
+  bool operator()(const StoreList& /*it*/) const {
+    return reply->store_revision != 0 && ReadEntries(answer, &reply->entries);
+  }
   bool operator()(const StoreCompareAndDelete& it) const {
     const bool ok = ReadTransaction(it.key, answer, reply);
     if (ok && reply->status == StoreStatus::kOk) {
@@ -232,6 +283,9 @@
   if (const auto* swap = std::get_if<StoreCompareAndSwap>(&request)) {
     return swap->lease != 0;
   }
+  if (const auto* put = std::get_if<StorePut>(&request)) {
+    return put->lease != 0;
+  }
   return std::holds_alternative<StoreLeaseKeepAlive>(request) ||
          std::holds_alternative<StoreLeaseRevoke>(request);
 }
@@ -264,6 +318,7 @@
 
 bool IsWrite(const StoreRequest& request) noexcept {
   return !std::holds_alternative<StoreGet>(request) &&
+         !std::holds_alternative<StoreList>(request) &&
          !std::holds_alternative<StoreWatch>(request);
 }
 
--- a/src/cassiabend/store/gateway_codec.h
+++ b/src/cassiabend/store/gateway_codec.h
@@ -8,10 +8,11 @@
 
 namespace cassiabend {
 
-/// \brief One HTTP POST to the store's JSON gateway.
+/// \brief One HTTP request to the store.
 struct GatewayRequest {
   std::string path;
   std::string body;
+  std::string method = "POST";
 };
 
 /// \brief Whether a call can change the store.
--- a/src/cassiabend/store/gateway_connection.cc
+++ b/src/cassiabend/store/gateway_connection.cc
@@ -1,5 +1,7 @@
 #include "cassiabend/store/gateway_connection.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <boost/asio/post.hpp>
@@ -24,6 +26,29 @@
 constexpr std::size_t kMaxAnswerBytes = std::size_t{4} * 1024 * 1024;
 constexpr unsigned kHttpVersion = 11;
 
+/// A store that has vanished is found after `kKeepAliveIdle` and
+/// `kKeepAliveProbes` times `kKeepAliveInterval`, well within the time in which
+/// a change has to be in force everywhere.
+constexpr int kKeepAliveIdle = 1;      // s
+constexpr int kKeepAliveInterval = 1;  // s
+constexpr int kKeepAliveProbes = 2;
+
+/// \brief Sends small messages at once, and finds a store that vanished: a
+/// watch that waits for news would not notice.
+void SetOptions(asio::ip::tcp::socket* socket) {
+  error_code ignored;
+  socket->set_option(asio::ip::tcp::no_delay(true), ignored);
+  socket->set_option(asio::socket_base::keep_alive(true), ignored);
+  const int n = socket->native_handle();
+  const auto set = [n](int name, int value) {
+    // An option that the system does not take leaves its default.
+    (void)::setsockopt(n, IPPROTO_TCP, name, &value, sizeof(value));
+  };
+  set(TCP_KEEPIDLE, kKeepAliveIdle);
+  set(TCP_KEEPINTVL, kKeepAliveInterval);
+  set(TCP_KEEPCNT, kKeepAliveProbes);
+}
+
 class BeastConnection final
     : public GatewayConnection,
       public std::enable_shared_from_this<BeastConnection> {
@@ -82,11 +107,13 @@
   void Prepare(const GatewayRequest& request) {
     request_ = {};
     request_.version(kHttpVersion);
-    request_.method(http::verb::post);
+    request_.method_string(request.method);
     request_.target(request.path);
     request_.set(http::field::host, endpoint_.address().to_string() + ":" +
                                         std::to_string(endpoint_.port()));
-    request_.set(http::field::content_type, "application/json");
+    if (!request.body.empty()) {
+      request_.set(http::field::content_type, "application/json");
+    }
     request_.body() = request.body;
     request_.prepare_payload();
     parser_.emplace();
@@ -99,7 +126,7 @@
       return;
     }
     connected_ = true;
-    stream_.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+    SetOptions(&stream_.socket());
     stream_.expires_after(timeout_);
     Send();
   }
--- a/src/cassiabend/store/store_client.cc
+++ b/src/cassiabend/store/store_client.cc
@@ -10,7 +10,6 @@
 #include "cassiabend/base/clock.h"
 #include "cassiabend/base/error.h"
 #include "cassiabend/base/log.h"
-#include "cassiabend/store/gateway_codec.h"
 #include "cassiabend/store/gateway_connection.h"
 #include "cassiabend/store/gateway_pool.h"
 #include "cassiabend/store/watch_reader.h"
@@ -22,6 +21,8 @@
 using asio::ip::tcp;
 
 constexpr Milliseconds kConnectTimeout{500};
+/// Time over its wait after which a polled watch counts as unanswered.
+constexpr Milliseconds kPollMargin{1'000};
 // Watches hold their connections for long, so they have a limit of their own.
 constexpr std::uint32_t kMaxWatches = 8;
 
@@ -125,7 +126,7 @@
     op->sent_at = clock_.Now().mono;
     const ConnectionPtr connection =
         pool_.Take(endpoints_[op->endpoint], &op->reused);
-    connection->Exchange(EncodeGatewayRequest(op->call.request),
+    connection->Exchange(options_.codec->Encode(op->call.request),
                          kConnectTimeout, Patience(*op, left),
                          [self = shared_from_this(), op,
                           connection](const ExchangeResult& result) {
@@ -173,7 +174,7 @@
         clock_.Now().mono - op->sent_at);
     pool_.GiveBack(connection);
     const StoreReply reply =
-        DecodeGatewayReply(op->call.request, result.http_status, result.body);
+        options_.codec->Decode(op->call.request, result.http_status, result.body);
     if (result.http_status < kFirstServerError) {
       preferred_ = op->endpoint;
     } else if (reply.status == StoreStatus::kUnavailable &&
@@ -237,11 +238,22 @@
     }
     StoreWatch watch = std::get<StoreWatch>(op->call.request);
     watch.after = after;
-    auto reader = std::make_shared<WatchReader>(after);
+    watch.wait = left;
     op->sent_at = clock_.Now().mono;
     const ConnectionPtr connection = pool_.New(endpoints_[op->endpoint]);
+    if (options_.codec->streams_watches()) {
+      StreamWatch(op, connection, watch);
+    } else {
+      PollWatch(op, connection, watch);
+    }
+  }
+
+  void StreamWatch(const OperationPtr& op,
+                   const ConnectionPtr& connection,
+                   const StoreWatch& watch) {
+    auto reader = std::make_shared<WatchReader>(watch.after);
     connection->Stream(
-        EncodeGatewayRequest(watch), kConnectTimeout, left,
+        options_.codec->Encode(watch), kConnectTimeout, watch.wait,
         [reader](std::string_view chunk) { return reader->Take(chunk); },
         [self = shared_from_this(), op, connection,
          reader](const ExchangeResult& result) {
@@ -250,6 +262,28 @@
         });
   }
 
+  /// \brief Asks once; the store answers when there is news or the wait ends.
+  void PollWatch(const OperationPtr& op,
+                 const ConnectionPtr& connection,
+                 const StoreWatch& watch) {
+    connection->Exchange(
+        options_.codec->Encode(watch), kConnectTimeout,
+        watch.wait + kPollMargin,
+        [self = shared_from_this(), op, connection,
+         watch](const ExchangeResult& result) {
+          connection->Close();
+          self->Count(result);
+          StoreReply reply;
+          if (result.end == ExchangeResult::End::kAnswered) {
+            reply = self->options_.codec->Decode(watch, result.http_status,
+                                                 result.body);
+          } else {
+            self->LogFailure(*op, result.why);
+          }
+          self->FinishWatch(op, reply);
+        });
+  }
+
   void OnWatchEnded(const OperationPtr& op,
                     const WatchReader& reader,
                     const ExchangeResult& result) {
@@ -278,7 +312,7 @@
     const StoreGet get{std::get<StoreWatch>(op->call.request).key};
     op->sent_at = clock_.Now().mono;
     const ConnectionPtr connection = pool_.New(endpoints_[op->endpoint]);
-    connection->Exchange(EncodeGatewayRequest(get), kConnectTimeout,
+    connection->Exchange(options_.codec->Encode(get), kConnectTimeout,
                          options_.request_timeout,
                          [self = shared_from_this(), op, get,
                           connection](const ExchangeResult& result) {
@@ -293,7 +327,7 @@
     Count(result);
     StoreReply reply;
     if (result.end == ExchangeResult::End::kAnswered) {
-      reply = DecodeGatewayReply(get, result.http_status, result.body);
+      reply = options_.codec->Decode(get, result.http_status, result.body);
     }
     const auto& watch = std::get<StoreWatch>(op->call.request);
     const bool moved = !reply.entry || reply.entry->revision != watch.after;
@@ -322,7 +356,7 @@
     Log(LogLevel::kWarning, "store_call_failed",
         {{"endpoint", endpoint.address().to_string() + ":" +
                           std::to_string(endpoint.port())},
-         {"path", EncodeGatewayRequest(op.call.request).path},
+         {"path", options_.codec->Encode(op.call.request).path},
          {"why", why}});
   }
 
--- a/src/cassiabend/store/store_client.h
+++ b/src/cassiabend/store/store_client.h
@@ -8,6 +8,7 @@
 
 #include "cassiabend/core/event_sink.h"
 #include "cassiabend/core/store_types.h"
+#include "cassiabend/store/store_codec.h"
 
 namespace cassiabend {
 
@@ -24,6 +25,8 @@
   std::uint32_t max_connections = 4;
   /// Requests that may wait for a connection; further ones fail at once.
   std::uint32_t max_waiting = 64;
+  /// Never null; must outlive the client.
+  const StoreCodec* codec = &GatewayStoreCodec();
 };
 
 struct StoreClientCounts {
@@ -34,8 +37,8 @@
   std::uint64_t bytes_received = 0;
 };
 
-/// \brief Client of the platform's key-value service, by the etcd v3
-/// HTTP/JSON gateway. Each `StoreCall` is answered by one `StoreReplied`.
+/// \brief Client of the platform's key-value service, in the form that its
+/// codec writes. Each `StoreCall` is answered by one `StoreReplied`.
 /// A watch ends as `kUnavailable`, which asks the caller to read the key again,
 /// also when the key is removed or the store is older than the watch.
 /// Used on the thread of `io` only.
--- a/tests/reader_test.cc
+++ b/tests/reader_test.cc
@@ -78,6 +78,26 @@
         kConvergenceTarget);
 }
 
+TEST_CASE("a watch that is cut after changes it did not hear of is made up for") {
+  FleetOptions options;
+  options.member_lease = Seconds(60);
+  options.readers_per_zone = 1;
+  options.confirm_period = Seconds(60);
+  options.watch_pause = Milliseconds(250);
+  FleetDriver driver(9, ThreeZones(), options, 18);
+  Warm(driver);
+  driver.store_faults.watches_deaf = true;
+  driver.Commit();
+  driver.RunFor(Seconds(1));
+  driver.store_faults.watches_cut = true;
+  driver.RunFor(Milliseconds(100));
+  driver.store_faults.watches_deaf = false;
+  driver.store_faults.watches_cut = false;
+  CHECK(driver.RunUntil([&] { return driver.Converged(); }, Seconds(60)) <=
+        Seconds(1));
+  CHECK(driver.violations.empty());
+}
+
 TEST_CASE("a store that came back older neither reverts nor confirms") {
   FleetDriver driver(9, ThreeZones(), {}, 14);
   Warm(driver);
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -52,6 +52,22 @@
     return {.status = StoreStatus::kOk, .entry = entry};
   }
 
+  StoreReply Do(const StorePut& put) {
+    StoreEntry& entry = copy_.entries[put.key];
+    entry = {put.key, put.value, ++copy_.revision};
+    return {.status = StoreStatus::kOk, .entry = entry};
+  }
+
+  StoreReply Do(const StoreList& list) const {
+    StoreReply out{.status = StoreStatus::kOk};
+    for (const auto& [key, entry] : copy_.entries) {
+      if (key.starts_with(list.prefix)) {
+        out.entries.push_back(entry);
+      }
+    }
+    return out;
+  }
+
   StoreReply Do(const StoreCompareAndDelete& del) {
     if (RevisionOf(del.key) != del.expected) {
       return Present(StoreStatus::kConflict, del.key);
--- a/tests/support/fleet_driver.h
+++ b/tests/support/fleet_driver.h
@@ -467,6 +467,7 @@
     nodes_[i].reason = effect.reason;
   }
   void Do(std::size_t, const MembersChanged&) {}
+  void Do(std::size_t, const HeadRefused&) {}
   void Do(std::size_t, const MemberLoadReported&) {}
 
   // The store.
@@ -516,6 +517,14 @@
                  const StoreWatch& watch,
                  MonoTime sent_at,
                  MonoTime end) {
+    if (store_faults.watches_cut && nodes_[i].epoch == epoch) {
+      At(now_ + Milliseconds(2), [this, i, epoch, id, sent_at] {
+        StoreReply cut{.status = StoreStatus::kUnavailable};
+        cut.sent_at = sent_at;
+        Deliver(i, epoch, StoreReplied{id, cut});
+      });
+      return;
+    }
     StoreReply reply = store_.Execute(watch, now_);
     reply.sent_at = sent_at;
     const bool lost = store_faults.watches_dead || store_faults.down ||
@@ -523,6 +532,9 @@
     if (lost || nodes_[i].epoch != epoch) {
       return;
     }
+    if (store_faults.watches_deaf) {
+      reply.entry.reset();
+    }
     if (reply.entry || now_ >= end) {
       At(now_ + Milliseconds(2), [this, i, epoch, id, reply] {
         Deliver(i, epoch, StoreReplied{id, reply});
--- a/tests/support/fleet_fake_store.h
+++ b/tests/support/fleet_fake_store.h
@@ -85,6 +85,22 @@
     lease_of_[swap.key] = swap.lease;
     reply->entry = *Find(swap.key);
   }
+  void Do(const StorePut& put, MonoTime, StoreReply* reply) {
+    if (put.lease != 0 && !leases_.contains(put.lease)) {
+      reply->status = StoreStatus::kLeaseLost;
+      return;
+    }
+    Put(put.key, put.value);
+    lease_of_[put.key] = put.lease;
+    reply->entry = *Find(put.key);
+  }
+  void Do(const StoreList& list, MonoTime, StoreReply* reply) {
+    for (const auto& [key, entry] : entries_) {
+      if (key.starts_with(list.prefix)) {
+        reply->entries.push_back(entry);
+      }
+    }
+  }
   void Do(const StoreCompareAndDelete& erase, MonoTime, StoreReply* reply) {
     const StoreEntry* entry = Find(erase.key);
     if ((entry == nullptr ? 0 : entry->revision) != erase.expected) {
--- a/tests/support/fleet_faults.h
+++ b/tests/support/fleet_faults.h
@@ -31,6 +31,10 @@
   bool answers_lost = false;
   /// Watches never return.
   bool watches_dead = false;
+  /// Watches that wait hear of no change.
+  bool watches_deaf = false;
+  /// Watches that wait are cut, as when the store drops its history.
+  bool watches_cut = false;
   Milliseconds slow_by{0};
   /// Zones that cannot reach the store.
   std::set<std::string> cut_zones;
--- a/tools/node_main.cc
+++ b/tools/node_main.cc
@@ -10,6 +10,7 @@
 #include "cassiabend/base/log.h"
 #include "cassiabend/node/node.h"
 #include "cassiabend/node/settings.h"
+#include "platform/mesh_adapter.h"
 
 namespace cassiabend {
 namespace {
@@ -37,11 +38,24 @@
   });
 }
 
+/// \returns The adapter that the settings name.
+const PlatformAdapter& AdapterOf(const Settings& settings) {
+  const std::string& name = settings.platform.adapter;
+  if (name.empty()) {
+    return OwnInterfaces();
+  }
+  if (name == platform::kMeshAdapterName) {
+    return platform::MeshAdapter();
+  }
+  throw SettingsError("use the settings", "platform.adapter",
+                      "there is no adapter called \"" + name + "\"");
+}
+
 int Serve(const Settings& settings, const std::string& file) {
   InitializeLog("cassiabend-node", ParseLogLevel(settings.node.log_level));
   boost::asio::io_context io(1);
   const SystemClock clock;
-  Node node(io, clock, settings, file);
+  Node node(io, clock, AdapterOf(settings), settings, file);
   boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
   AwaitSignals(&signals, &node);
   io.run();
@@ -68,7 +82,8 @@
     throw SettingsError("read the command line", "SETTINGS",
                         "name one settings file; see --help");
   }
-  const Settings settings = LoadSettings(rest.front());
+  Settings settings = LoadSettings(rest.front());
+  AdapterOf(settings).Translate(&settings);
   if (check) {
     std::cout << PrintSettings(settings) << "\n";
     return kExitOk;
