Let nodes without a follower above them read the head themselves

Change: beats carry how long ago the head was followed above the sender. A node that has heard of no follower for half of the platform's bound reads the head itself, spread over a third of that time. Also: a margin for the way of the answer is taken off the time that a caller waits, and an error is not tried again when the time left is too short for it.

--- a/schema/gen/mesh.capnp.h
+++ b/schema/gen/mesh.capnp.h
@@ -101,7 +101,7 @@
   struct Body;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bd47d51d261602f1, 5, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(bd47d51d261602f1, 6, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -125,7 +125,7 @@
   struct PingRequest;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c29a73bbcf70fdd7, 5, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(c29a73bbcf70fdd7, 6, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -140,7 +140,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f3403346a1dd913b, 5, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(f3403346a1dd913b, 6, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -598,6 +598,8 @@
 
   inline  ::uint64_t getMembersDigest() const;
 
+  inline  ::uint32_t getFollowedAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -679,6 +681,9 @@
   inline  ::uint64_t getMembersDigest();
   inline void setMembersDigest( ::uint64_t value);
 
+  inline  ::uint32_t getFollowedAgeMs();
+  inline void setFollowedAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2297,6 +2302,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Datagram::Reader::getFollowedAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, 4294967295u);
+}
+
+inline  ::uint32_t Datagram::Builder::getFollowedAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, 4294967295u);
+}
+inline void Datagram::Builder::setFollowedAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value, 4294967295u);
+}
+
 inline  ::cassiabend::schema::Datagram::Body::Which Datagram::Body::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<10>() * ::capnp::ELEMENTS);
--- a/schema/mesh.capnp
+++ b/schema/mesh.capnp
@@ -81,6 +81,9 @@
   # With `beat`: zones that the sender's zone cannot reach.
   membersDigest @18 :UInt64;
   # Digest of the live members that the sender knows; 0 for none stated.
+  followedAgeMs @19 :UInt32 = 0xffffffff;
+  # With `beat`: time since a node that follows the store's head was heard;
+  # 0xffffffff for never.
 }
 
 struct ConfigUpdate {
--- a/src/cassiabend/core/balancer.cc
+++ b/src/cassiabend/core/balancer.cc
@@ -190,11 +190,12 @@
       return;
     case AttemptOutcome::kNeutral:
       return;
-    case AttemptOutcome::kSilent:
-      service->ejection.RecordSilence(now, &upstream->ejection_);
-      [[fallthrough]];
     case AttemptOutcome::kUnreached:
       upstream->unavailable_until_ = now + kUnavailablePause;
+      service->ejection.RecordFailure(now, service->size, &upstream->ejection_);
+      return;
+    case AttemptOutcome::kSilent:
+      service->ejection.RecordSilence(now, &upstream->ejection_);
       [[fallthrough]];
     case AttemptOutcome::kErrored:
     case AttemptOutcome::kFailed:
--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -19,6 +19,9 @@
 constexpr Milliseconds kMinAttemptTime{2};
 /// Time before the deadline at which an attempt in doubt is cancelled.
 constexpr Milliseconds kCancelMargin{80};
+/// An error is tried elsewhere while what is left is more than the time that it
+/// took over this number: errors come sooner than answers.
+constexpr int kErrorTimeShare = 2;
 }  // namespace
 
 CallEntry::CallEntry(CallContext* context, Balancer* balancer)
@@ -72,7 +75,9 @@
                              ? call->route->timeout
                              : context_->options.default_timeout;
   if (facts.deadline) {
-    timeout = std::min(timeout, *facts.deadline);
+    const Milliseconds margin = std::min(context_->options.caller_margin,
+                                         *facts.deadline / kReturnShare);
+    timeout = std::min(timeout, *facts.deadline - margin);
   }
   timeout = std::min(timeout, LongestDeadline(context_->options));
   call->deadline = call->arrived_at + timeout;
@@ -392,7 +397,10 @@
 /// arrive, which is dropped.
 bool CallEntry::RetryError(Call* call) {
   const AttemptId failed = call->request.id;
-  if (!Retry(call, true)) {
+  // An attempt that took this long is likely to take as long again.
+  const bool has_time =
+      Remaining(*call) > (context_->now.mono - call->sent_at) / kErrorTimeShare;
+  if (!has_time || !Retry(call, true)) {
     return false;
   }
   call->may_have_run = true;
--- a/src/cassiabend/core/fleet_events.h
+++ b/src/cassiabend/core/fleet_events.h
@@ -31,6 +31,9 @@
   std::uint32_t sequence = 0;
   /// Time since that attach was received.
   Milliseconds held{0};
+  /// Time since the sender, or whoever is above it, followed the head; unset
+  /// for never.
+  std::optional<Milliseconds> followed_age;
 };
 struct JoinBody {};
 struct AttachBody {
--- a/src/cassiabend/core/fleet_reducer_impl.cc
+++ b/src/cassiabend/core/fleet_reducer_impl.cc
@@ -61,11 +61,13 @@
   const bool introduces = std::holds_alternative<JoinBody>(datagram.body) ||
                           (ack != nullptr && ack->sequence == 0) ||
                           receiver == nullptr || !receiver->heard_at;
-  const bool beats = std::holds_alternative<BeatBody>(datagram.body);
+  auto* beat = std::get_if<BeatBody>(&datagram.body);
+  const bool beats = beat != nullptr;
   if (!beats || introduces) {
     datagram.updates = membership_.TakeUpdates(send->to, introduces);
   }
   if (beats) {
+    beat->followed_age = following_.AgeAt(context.now());
     if (datagram.updates.empty()) {
       datagram.updates = membership_.News(context);
     }
@@ -79,7 +81,7 @@
   membership_.Tick(context);
   prober_.Tick(context, tree_, &membership_);
   lease_.Tick(context, tree_);
-  watch_.Tick(context, lease_.ShouldRead(context, tree_));
+  watch_.Tick(context, ShouldRead(context));
   seeds_.Tick(context, membership_, lease_.holds());
   directory_.Tick(context, membership_, join_.joined());
   spread_.Tick(context, tree_, membership_, watch_.ReadsAt(context));
@@ -88,6 +90,15 @@
   survey_.Tick(context, membership_, versions_.mark());
 }
 
+bool FleetReducer::Impl::ShouldRead(const FleetContext& context) {
+  if (options_.member_lease == Seconds(0)) {
+    return lease_.ShouldRead(context, tree_);
+  }
+  const bool follows = watch_.ReadsAt(context);
+  return IsLive(membership_.self().status) &&
+         following_.Update(context, tree_, follows);
+}
+
 bool FleetReducer::Impl::IsFromOlderProcess(const Datagram& datagram) const {
   const MemberEntry* entry = membership_.Find(datagram.from);
   return entry != nullptr && datagram.from_start_id < entry->member.start_id;
@@ -163,6 +174,9 @@
                                 const BeatBody& body) {
   const std::optional<MonoTime> sent_at =
       spread_.OnBeat(context, datagram.from, body);
+  if (spread_.parent() == datagram.from) {
+    following_.OnBeat(context, body);
+  }
   if (sent_at && versions_.Covers(datagram.mark)) {
     freshness_.ConfirmByPeer(context, *sent_at, body.held,
                              datagram.confirmed_age);
--- a/src/cassiabend/core/fleet_reducer_impl.h
+++ b/src/cassiabend/core/fleet_reducer_impl.h
@@ -7,6 +7,7 @@
 #include "cassiabend/core/fleet_context.h"
 #include "cassiabend/core/fleet_reducer.h"
 #include "cassiabend/core/freshness.h"
+#include "cassiabend/core/head_following.h"
 #include "cassiabend/core/join.h"
 #include "cassiabend/core/join_readiness.h"
 #include "cassiabend/core/join_seeds.h"
@@ -87,6 +88,7 @@
                   const VersionMark& mark);
   void Complete(const FleetContext& context, SendDatagram* send);
   void Finish(const FleetContext& context, const VersionMark& mark_before);
+  [[nodiscard]] bool ShouldRead(const FleetContext& context);
 
   FleetOptions options_;
   Random random_;
@@ -102,6 +104,7 @@
   Freshness freshness_;
   ReaderLease lease_;
   ReaderWatch watch_;
+  HeadFollowing following_;
   Join join_;
   SeedDirectory seeds_;
   MemberDirectory directory_;
--- a/src/cassiabend/core/options.h
+++ b/src/cassiabend/core/options.h
@@ -71,6 +71,9 @@
   /// Shortest time between the starts of two watches of the head; changes in
   /// between come with one answer.
   Milliseconds watch_pause{0};
+  /// A node that has heard of no follower of the head for so long reads it
+  /// itself. Used with `member_lease`.
+  Milliseconds follow_limit{1'000};
   /// Oldest confirmation of the head, before the start, that makes a node ready
   /// without asking further peers.
   Milliseconds join_confirmation_age{10'000};
@@ -112,6 +115,8 @@
   /// Whether the upstream may be older than this process, and is asked for its
   /// name before its first heartbeat.
   std::uint32_t ask_upstream = 1;
+  /// Taken off the time that a caller says it waits, for the way of the answer.
+  Milliseconds caller_margin{0};
   /// Whether a repeatable call whose upstream answered with a server error is
   /// tried at another upstream before its caller hears of it.
   std::uint32_t retry_errors = 0;
--- a/src/cassiabend/core/reader_lease.cc
+++ b/src/cassiabend/core/reader_lease.cc
@@ -74,9 +74,6 @@
   if (state_ == State::kReleased) {
     return false;
   }
-  if (context.options().member_lease > Seconds(0)) {
-    return tree.is_root();
-  }
   return holds() || (tree.is_root() && tree.other_readers() == 0 &&
                      context.now() - started_at_ >= kUnleasedReadDelay);
 }
--- a/src/cassiabend/core/store_types.h
+++ b/src/cassiabend/core/store_types.h
@@ -76,13 +76,13 @@
 
 using StoreRequest = std::variant<StoreGet,
                                   StoreCompareAndSwap,
-                                  StorePut,
-                                  StoreList,
                                   StoreCompareAndDelete,
                                   StoreWatch,
                                   StoreLeaseGrant,
                                   StoreLeaseKeepAlive,
-                                  StoreLeaseRevoke>;
+                                  StoreLeaseRevoke,
+                                  StorePut,
+                                  StoreList>;
 
 enum class StoreStatus : std::uint8_t {
   /// Done. For a read: `entry` is set when the key exists. For a watch that
--- a/src/cassiabend/node/settings_fields.cc
+++ b/src/cassiabend/node/settings_fields.cc
@@ -146,6 +146,9 @@
      "the store holds lists of seeds, and readers hold leases."},
     {"watch_pause_ms", &Fleet::watch_pause, 0, kMinuteMs,
      "Shortest time between the starts of two watches of the head."},
+    {"follow_limit_ms", &Fleet::follow_limit, 10, kMinuteMs,
+     "A node that has heard of no follower of the head for so long reads it "
+     "itself."},
     {"join_confirmation_age_ms", &Fleet::join_confirmation_age, 0, kHourMs,
      "Oldest confirmation of the head, before the start, that makes a node "
      "ready without further peers."},
@@ -180,6 +183,9 @@
     {"retry_burst", &Calls::retry_burst, 0, 100'000,
      "Retries of one service that all nodes together may hold saved up; 0 for "
      "ten a node, tenant and class."},
+    {"caller_margin_ms", &Calls::caller_margin, 0, kMinuteMs,
+     "Taken off the time that a caller says it waits, for the way of the "
+     "answer; at most a tenth of that time."},
     {"retry_errors", &Calls::retry_errors, 0, 1,
      "1: a repeatable call whose upstream answered with a server error is "
      "tried at another one."},
--- a/src/cassiabend/rpc/mesh_codec.cc
+++ b/src/cassiabend/rpc/mesh_codec.cc
@@ -50,6 +50,7 @@
     out.setBeat();
     datagram.setAttachSequence(it.sequence);
     datagram.setHeldMs(ToWireAge(it.held));
+    datagram.setFollowedAgeMs(ToWireAge(it.followed_age));
   }
   void operator()(const JoinBody& /*it*/) { out.setJoin(); }
   void operator()(const AttachBody& it) {
@@ -73,7 +74,8 @@
     }
     case schema::Datagram::Body::BEAT:
       return BeatBody{datagram.getAttachSequence(),
-                      Milliseconds(datagram.getHeldMs())};
+                      Milliseconds(datagram.getHeldMs()),
+                      FromWireAge(datagram.getFollowedAgeMs())};
     case schema::Datagram::Body::JOIN:
       return JoinBody{};
     case schema::Datagram::Body::ATTACH:
--- a/tests/reader_test.cc
+++ b/tests/reader_test.cc
@@ -78,13 +78,38 @@
         kConvergenceTarget);
 }
 
-TEST_CASE("a watch that is cut after changes it did not hear of is made up for") {
+/// Settings under which the members' own keys take the place of reader leases.
+FleetOptions MemberKeyOptions() {
   FleetOptions options;
   options.member_lease = Seconds(60);
   options.readers_per_zone = 1;
   options.confirm_period = Seconds(60);
   options.watch_pause = Milliseconds(250);
-  FleetDriver driver(9, ThreeZones(), options, 18);
+  options.beat_period = Milliseconds(300);
+  return options;
+}
+
+TEST_CASE("a zone that lost its reader hears of changes all the same") {
+  // The platform's bound for a change to be in force.
+  constexpr Seconds kApplyBound{2};
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    FleetDriver driver(18, ThreeZones(), MemberKeyOptions(), seed);
+    Warm(driver);
+    // The first zone loses each of its members in turn, its reader included.
+    for (std::size_t i = 15; i > 0; i -= 3) {
+      driver.Kill(i);
+      driver.Commit();
+      CHECK(driver.RunUntil([&] { return driver.Converged(); }, Seconds(60)) <=
+            kApplyBound);
+      driver.RunFor(Seconds(1));
+    }
+    CHECK(driver.violations.empty());
+  }
+}
+
+TEST_CASE("a watch that is cut after changes it did not hear of is made up for") {
+  FleetDriver driver(9, ThreeZones(), MemberKeyOptions(), 18);
   Warm(driver);
   driver.store_faults.watches_deaf = true;
   driver.Commit();
--- a/tests/shell/store_codec_test.cc
+++ b/tests/shell/store_codec_test.cc
@@ -19,7 +19,9 @@
       StoreCompareAndDelete{"k", 3},
       StoreLeaseGrant{Seconds(9)},
       StoreLeaseKeepAlive{9},
-      StoreLeaseRevoke{9}};
+      StoreLeaseRevoke{9},
+      StorePut{"k", "v", 9},
+      StoreList{"k"}};
   return requests;
 }
 
@@ -52,6 +54,10 @@
       {StoreLeaseKeepAlive{9}, R"({"result":{"ID":"9"}})",
        StoreStatus::kLeaseLost},
       {StoreLeaseRevoke{9}, R"({"header":{"revision":"7"}})", StoreStatus::kOk},
+      {StorePut{"k", "v"}, R"({"header":{"revision":"7"}})", StoreStatus::kOk},
+      {StoreList{"k"},
+       R"({"header":{"revision":"7"},"kvs":[{"key":"aw==","value":"dg==","mod_revision":"5"}]})",
+       StoreStatus::kOk},
   };
   return rows;
 }
@@ -129,7 +135,11 @@
   const char* lost = R"({"message":"etcdserver: requested lease not found"})";
   for (const StoreRequest& request : AllRequests()) {
     const auto* swap = std::get_if<StoreCompareAndSwap>(&request);
-    const bool uses_lease = swap != nullptr || request.index() >= 5;
+    const bool keeps_lease =
+        std::holds_alternative<StoreLeaseKeepAlive>(request) ||
+        std::holds_alternative<StoreLeaseRevoke>(request);
+    const bool uses_lease = swap != nullptr || keeps_lease ||
+                            std::holds_alternative<StorePut>(request);
     CAPTURE(request.index());
     CHECK(DecodeGatewayReply(request, 404, lost).status ==
           (uses_lease ? StoreStatus::kLeaseLost : StoreStatus::kUnavailable));
