--- a/src/cassiabend/core/attempt.h
+++ b/src/cassiabend/core/attempt.h
@@ -63,6 +63,8 @@
   /// Whether a whole answer went to a connection.
   bool taken = false;
   MonoTime deadline{};
+  MonoTime arrived_at{};
+  /// When the upstream got it; the epoch before.
   MonoTime started_at{};
 
   /// \returns Whether the attempt stands in the admission queue.
--- a/src/cassiabend/core/attempt_table.cc
+++ b/src/cassiabend/core/attempt_table.cc
@@ -39,6 +39,7 @@
   auto& slot = attempts_[request.id];
   slot = std::make_unique<Attempt>();
   slot->request = request;
+  slot->arrived_at = context_->now.mono;
   slot->deadline =
       context_->now.mono +
       std::min(request.deadline, LongestDeadline(context_->options));
--- a/src/cassiabend/core/balancer.cc
+++ b/src/cassiabend/core/balancer.cc
@@ -7,6 +7,12 @@
 
 /// Upstreams that one draw looks at before it gives up on a level.
 constexpr std::size_t kDrawLimit = 8;
+/// Upstreams of one level whose expected times are compared.
+constexpr std::size_t kCompareLimit = 12;
+/// Random part of an expected time.
+constexpr double kCostSpread = 0.1;
+/// How much longer a call takes at an upstream that has just started.
+constexpr double kColdFactor = 2.0;
 /// Use of the slots at which an upstream counts as saturated.
 constexpr std::uint32_t kSaturatedPermille = 950;
 /// Age at which a reported load counts no more.
@@ -53,7 +59,11 @@
 }  // namespace
 
 Balancer::Balancer(const CallOptions& options, const Member& self)
-    : options_(options), self_(self) {}
+    : options_(options),
+      self_(self),
+      placement_({.region_kilobyte = Microseconds(options.region_kilobyte_us),
+                  .beyond_kilobyte = Microseconds(options.beyond_kilobyte_us)}) {
+}
 
 std::size_t Balancer::ejected() const noexcept {
   std::size_t n = 0;
@@ -70,6 +80,11 @@
   if (service == nullptr) {
     return nullptr;
   }
+  if (options_.place_by_time != 0) {
+    Upstream* fastest = PickFastest(now, query, service, random);
+    return fastest != nullptr ? fastest
+                              : PickLastResort(query, *service, random);
+  }
   Upstream* fallback = nullptr;
   for (const Level& level : service->levels) {
     Upstream* chosen = PickInLevel(now, query, service, level, random);
@@ -163,6 +178,7 @@
   }
   it->second->reported_permille_ = load_permille;
   it->second->reported_at_ = now;
+  Placement::RecordLoad(now, load_permille, &it->second->speed_);
 }
 
 void Balancer::RecordEnd(MonoTime now,
@@ -171,6 +187,13 @@
                          Milliseconds retry_after,
                          Upstream* upstream) {
   --upstream->outstanding_;
+  const bool failed = outcome == AttemptOutcome::kErrored ||
+                      outcome == AttemptOutcome::kFailed ||
+                      outcome == AttemptOutcome::kSilent ||
+                      outcome == AttemptOutcome::kUnreached;
+  if (failed) {
+    Placement::RecordFailure(now, &upstream->speed_);
+  }
   Service* service = FindService(upstream->member_.service);
   if (service == nullptr || !upstream->indexed_) {
     return;
@@ -278,6 +301,48 @@
   return cold;
 }
 
+Upstream* Balancer::PickFastest(MonoTime now,
+                                const UpstreamQuery& query,
+                                Service* service,
+                                Random* random) {
+  placement_.StartChoice(query.service, query.request_class, query.objective);
+  Upstream* best = nullptr;
+  double best_cost = 0;
+  for (const Level& level : service->levels) {
+    std::size_t index = random->Below(level.size());
+    const std::size_t limit = std::min(level.size(), kCompareLimit);
+    for (std::size_t i = 0; i < limit; ++i) {
+      Upstream* it = level[index];
+      index = index + 1 == level.size() ? 0 : index + 1;
+      if (!IsUsable(now, query, service, it) || now < it->shed_until_) {
+        continue;
+      }
+      double cost = placement_.Cost(now, it->nearness_, it->member_.slots,
+                                    it->speed_);
+      // Nodes with the same view must not all choose the same upstream.
+      cost *= 1.0 + kCostSpread * random->Unit();
+      if (!IsWarm(now, *it, random)) {
+        cost *= kColdFactor;
+      }
+      if (best == nullptr || cost < best_cost) {
+        best = it;
+        best_cost = cost;
+      }
+    }
+  }
+  return best;
+}
+
+void Balancer::RecordTimes(MonoTime now,
+                           std::string_view request_class,
+                           Nanoseconds latency,
+                           const DestinationTimes& times,
+                           Upstream* upstream) {
+  placement_.RecordAnswer(now, upstream->member_.service, request_class,
+                          upstream->nearness_, latency, times,
+                          &upstream->speed_);
+}
+
 Upstream* Balancer::PickInLevel(MonoTime now,
                                 const UpstreamQuery& query,
                                 Service* service,
--- a/src/cassiabend/core/balancer.h
+++ b/src/cassiabend/core/balancer.h
@@ -16,13 +16,10 @@
 #include "cassiabend/core/ejection.h"
 #include "cassiabend/core/member.h"
 #include "cassiabend/core/options.h"
+#include "cassiabend/core/placement.h"
 
 namespace cassiabend {
 
-/// \brief How near an upstream is to this node.
-enum class Nearness : std::uint8_t { kZone, kRegion, kBeyond };
-inline constexpr std::size_t kNearnessLevels = 3;
-
 /// \brief How an attempt at an upstream ended, as this node saw it.
 enum class AttemptOutcome : std::uint8_t {
   kAnswered,
@@ -70,6 +67,7 @@
   MonoTime unavailable_until_{};
   Nanoseconds latency_{0};
   EjectionRecord ejection_;
+  UpstreamSpeed speed_;
 };
 
 /// \brief What a choice of an upstream is made by.
@@ -77,6 +75,9 @@
   std::string_view service;
   /// Upstreams that this call has tried already.
   std::span<const RefPtr<Upstream>> tried;
+  std::string_view request_class;
+  /// Time left within which the answer is worth most; 0 for none.
+  Milliseconds objective{0};
 };
 
 /// \brief Chooses the upstream of each attempt. A choice looks at a bounded
@@ -109,7 +110,29 @@
   /// \brief Takes over a member's statement.
   void Update(MonoTime now, const Member& member);
   void UpdateLoad(MonoTime now, const NodeId& id, std::uint16_t load_permille);
-  void RecordStart(Upstream* upstream) noexcept { ++upstream->outstanding_; }
+  void RecordStart(Upstream* upstream) noexcept {
+    ++upstream->outstanding_;
+    Placement::RecordStart(&upstream->speed_);
+  }
+  /// \brief Notes what a destination said with its answer.
+  /// \param latency Time from the start to the answer.
+  void RecordTimes(MonoTime now,
+                   std::string_view request_class,
+                   Nanoseconds latency,
+                   const DestinationTimes& times,
+                   Upstream* upstream);
+  /// \brief Notes the load that a destination states with a refusal.
+  static void RecordLoad(MonoTime now,
+                         const DestinationTimes& times,
+                         Upstream* upstream) {
+    Placement::RecordLoad(now, times.load_permille, &upstream->speed_);
+  }
+  /// \brief Notes the size of an answer's body.
+  void RecordBytes(std::string_view service,
+                   std::string_view request_class,
+                   std::uint64_t bytes) {
+    placement_.RecordBytes(service, request_class, bytes);
+  }
   /// \param latency Time from the start to the answer; used when answered.
   /// \param retry_after How long a shedding upstream asks to be left alone.
   void RecordEnd(MonoTime now,
@@ -142,6 +165,10 @@
                                Service* service,
                                const Level& level,
                                Random* random);
+  [[nodiscard]] Upstream* PickFastest(MonoTime now,
+                                      const UpstreamQuery& query,
+                                      Service* service,
+                                      Random* random);
   [[nodiscard]] Upstream* PickInLevel(MonoTime now,
                                       const UpstreamQuery& query,
                                       Service* service,
@@ -159,6 +186,7 @@
 
   CallOptions options_;
   Member self_;
+  Placement placement_;
   std::unordered_map<NodeId, RefPtr<Upstream>, NodeIdHasher> upstreams_;
   std::unordered_map<std::string, Service> services_;
 };
--- a/src/cassiabend/core/call_destination.cc
+++ b/src/cassiabend/core/call_destination.cc
@@ -105,8 +105,12 @@
 
 void CallDestination::RefuseArrival(const AttemptArrived& event,
                                     const Refusal& refusal) {
-  context_->Emit(ReplyNotRun{event.link, event.request.id, refusal.reason,
-                             refusal.retry_after});
+  context_->Emit(ReplyNotRun{event.link,
+                             event.request.id,
+                             refusal.reason,
+                             refusal.retry_after,
+                             false,
+                             {.load_permille = LoadPermille()}});
   table_.Remember(event.request, AttemptFate::kNotRun);
 }
 
@@ -273,6 +277,24 @@
       ReplyNotRun{link, id, NotRunReason::kCancelled, Milliseconds(0)});
 }
 
+std::uint16_t CallDestination::LoadPermille() const noexcept {
+  constexpr std::size_t kMost = 60'000;
+  const std::size_t slots = std::max<std::size_t>(health_->slots(), 1);
+  const std::size_t calls = admission_.queued() + admission_.running();
+  return static_cast<std::uint16_t>(std::min(calls * 1000 / slots, kMost));
+}
+
+DestinationTimes CallDestination::TimesOf(const Attempt& attempt) const {
+  const MonoTime now = context_->now.mono;
+  const bool started = attempt.started_at != MonoTime{};
+  return {
+      .load_permille = LoadPermille(),
+      .stay = std::chrono::floor<Milliseconds>(now - attempt.arrived_at),
+      .service =
+          started ? std::chrono::floor<Milliseconds>(now - attempt.started_at)
+                  : Milliseconds(0)};
+}
+
 void CallDestination::Bind(Attempt* attempt) {
   const bool whole = attempt->state == AttemptState::kHeld;
   if (!whole && attempt->state != AttemptState::kAnswering) {
@@ -286,7 +308,8 @@
     it.bound = true;
     it.fetch_due = MonoTime::max();
     attempt->taken = attempt->taken || whole;
-    context_->Emit(BindAnswer{it.link, attempt->request.id});
+    context_->Emit(
+        BindAnswer{it.link, attempt->request.id, TimesOf(*attempt)});
   }
 }
 
@@ -393,7 +416,8 @@
                              bool reached_upstream) {
   for (const AttemptLink& it : attempt->links) {
     context_->Emit(ReplyNotRun{it.link, it.asked, refusal.reason,
-                               refusal.retry_after, reached_upstream});
+                               refusal.retry_after, reached_upstream,
+                               TimesOf(*attempt)});
   }
   if (attempt->is_waiting()) {
     admission_.Remove(attempt);
--- a/src/cassiabend/core/call_destination.h
+++ b/src/cassiabend/core/call_destination.h
@@ -66,6 +66,8 @@
             LinkId link,
             bool fetches);
   void ReplyToAbsent(LinkId link, const AttemptId& id, std::uint64_t start_id);
+  [[nodiscard]] std::uint16_t LoadPermille() const noexcept;
+  [[nodiscard]] DestinationTimes TimesOf(const Attempt& attempt) const;
   void Bind(Attempt* attempt);
   void CancelOrphan(Attempt* attempt);
 
--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -133,7 +133,9 @@
 
 RefPtr<Upstream> CallEntry::Choose(const Call& call) {
   const UpstreamQuery query{call.service,
-                            {call.tried.data(), call.tried.size()}};
+                            {call.tried.data(), call.tried.size()},
+                            call.route->request_class,
+                            ObjectiveLeft(call)};
   const bool keyed = call.route->repeat == RepeatPolicy::kOnce &&
                      !call.facts.order_key.empty();
   if (keyed) {
@@ -164,11 +166,7 @@
   const Milliseconds left = Remaining(*call);
   const Milliseconds margin = std::min(kReturnMargin, left / kReturnShare);
   request.deadline = std::max(left - margin, kMinAttemptTime);
-  const auto aged = std::chrono::ceil<Milliseconds>(context_->now.mono -
-                                                    call->arrived_at);
-  request.objective = route.latency_objective > aged
-                          ? route.latency_objective - aged
-                          : Milliseconds(0);
+  request.objective = ObjectiveLeft(*call);
   request.expires_at = context_->now.wall + request.deadline;
   balancer_->RecordStart(upstream.get());
   call->tried.push_back(std::move(upstream));
@@ -206,6 +204,10 @@
   if (!call->refusal || !IsPassing(event.reason)) {
     call->refusal = Refusal{event.reason, event.retry_after};
   }
+  if (event.times) {
+    Balancer::RecordLoad(context_->now.mono, *event.times,
+                         call->tried.back().get());
+  }
   call->arrivals += event.reached_upstream ? 1 : 0;
   const bool needs_room = event.reason == NotRunReason::kOverloaded;
   if (IsRetriable(event.reason) && Retry(call, needs_room)) {
@@ -227,6 +229,11 @@
   if (call->phase == Phase::kRelaying) {
     return;
   }
+  if (event.times) {
+    balancer_->RecordTimes(context_->now.mono, call->route->request_class,
+                           context_->now.mono - call->sent_at, *event.times,
+                           call->tried.back().get());
+  }
   constexpr std::uint16_t kFirstServerError = 500;
   const bool failed = event.status >= kFirstServerError &&
                       context_->options.retry_errors != 0;
@@ -326,6 +333,10 @@
   if (call == nullptr || call->phase != Phase::kRelaying) {
     return;
   }
+  if (event.complete) {
+    balancer_->RecordBytes(call->service, call->route->request_class,
+                           event.bytes);
+  }
   Finish(call, event.complete ? "answered" : "cut");
 }
 
@@ -382,6 +393,12 @@
   return std::chrono::floor<Milliseconds>(call.deadline - context_->now.mono);
 }
 
+Milliseconds CallEntry::ObjectiveLeft(const Call& call) const {
+  const auto aged =
+      std::chrono::ceil<Milliseconds>(context_->now.mono - call.arrived_at);
+  return std::max(call.route->latency_objective - aged, Milliseconds(0));
+}
+
 bool CallEntry::MayRetry(const Call& call) const {
   const std::size_t limit =
       std::min<std::size_t>(context_->options.max_attempts, kMaxAttemptsLimit);
--- a/src/cassiabend/core/call_entry.h
+++ b/src/cassiabend/core/call_entry.h
@@ -90,6 +90,8 @@
   void SendTo(Call* call, RefPtr<Upstream> upstream);
   void SendVerb(Call* call, AttemptVerb verb);
   [[nodiscard]] Milliseconds Remaining(const Call& call) const;
+  /// \returns Time left within which the answer is worth most; 0 for none.
+  [[nodiscard]] Milliseconds ObjectiveLeft(const Call& call) const;
   [[nodiscard]] bool MayRetry(const Call& call) const;
   /// \brief Sends the next attempt if the limits allow one.
   /// \param needs_room Whether only an upstream with room will do.
--- a/src/cassiabend/core/call_events.h
+++ b/src/cassiabend/core/call_events.h
@@ -9,6 +9,7 @@
 
 #include "cassiabend/base/hash.h"
 #include "cassiabend/base/ref_counted.h"
+#include "cassiabend/core/destination_times.h"
 #include "cassiabend/core/fleet_events.h"
 #include "cassiabend/core/member.h"
 #include "cassiabend/core/upstream_report.h"
@@ -119,12 +120,14 @@
   Milliseconds retry_after{0};
   /// Whether the upstream was asked, and refused by its own word.
   bool reached_upstream = false;
+  std::optional<DestinationTimes> times;
 };
 /// \brief Event: the upstream's answer begins to arrive.
 struct AttemptAnswering {
   CallId call = 0;
   AttemptId attempt;
   std::uint16_t status = 0;
+  std::optional<DestinationTimes> times;
 };
 /// \brief Event: a fetch found the attempt still queued or running.
 struct AttemptStillRunning {
@@ -158,6 +161,8 @@
   CallId call = 0;
   AttemptId attempt;
   bool complete = false;
+  /// Bytes of its body.
+  std::uint64_t bytes = 0;
 };
 /// \brief Event: the caller closed its connection.
 struct CallerGone {
@@ -355,6 +360,7 @@
 struct BindAnswer {
   LinkId link = 0;
   AttemptId attempt;
+  DestinationTimes times;
 };
 /// \brief Effect: answer the connection: the attempt was not run here, and no
 /// copy of it will be.
@@ -365,6 +371,7 @@
   Milliseconds retry_after{0};
   /// Whether the upstream was asked, and refused by its own word.
   bool reached_upstream = false;
+  DestinationTimes times;
 };
 /// \brief Effect: answer the connection: the attempt waits or runs; fetch
 /// again.
--- a/src/cassiabend/core/options.h
+++ b/src/cassiabend/core/options.h
@@ -115,6 +115,13 @@
   /// Whether the upstream may be older than this process, and is asked for its
   /// name before its first heartbeat.
   std::uint32_t ask_upstream = 1;
+  /// 1: an upstream is chosen by the expected time to its answer; 0: the nearest
+  /// one that has room.
+  std::uint32_t place_by_time = 0;
+  /// What moving a kilobyte of an answer from another zone of the region, and
+  /// from another region, is worth in time.
+  std::uint32_t region_kilobyte_us = 0;
+  std::uint32_t beyond_kilobyte_us = 0;
   /// Taken off the time that a caller says it waits, for the way of the answer.
   Milliseconds caller_margin{0};
   /// Whether a repeatable call whose upstream answered with a server error is
--- a/src/cassiabend/http/attempt_client.cc
+++ b/src/cassiabend/http/attempt_client.cc
@@ -81,11 +81,12 @@
     answer_ = new AnswerStream(AnswerLimits{}, held_bytes_);
     answer_->set_writer(this);
     answer_->Begin(std::move(head));
-    sink_->Post(CallEvent(AttemptAnswering{call_, attempt_, status}));
+    sink_->Post(
+        CallEvent(AttemptAnswering{call_, attempt_, status, outcome.times}));
   } else if (outcome.name == kOutcomeNotRun) {
     sink_->Post(CallEvent(
         AttemptNotRun{call_, attempt_, outcome.reason, outcome.retry_after,
-                      outcome.reached_upstream}));
+                      outcome.reached_upstream, outcome.times}));
   } else if (outcome.name == kOutcomeStillRunning) {
     sink_->Post(CallEvent(AttemptStillRunning{call_, attempt_}));
   } else {
--- a/src/cassiabend/http/call_server.cc
+++ b/src/cassiabend/http/call_server.cc
@@ -359,7 +359,7 @@
     const std::uint64_t id = session.exchange();
     counts_.relayed_bytes += session.relayed_bytes();
     if (calls_.Has(id)) {
-      calls_.AnswerEnded(id, complete);
+      calls_.AnswerEnded(id, complete, session.relayed_bytes());
     } else if (complete) {
       destination_.LinkDone(id);
     } else {
--- a/src/cassiabend/http/call_table.cc
+++ b/src/cassiabend/http/call_table.cc
@@ -18,13 +18,15 @@
 
   void NotRun(const ReplyNotRun& reply) override {
     Post(AttemptNotRun{call_, attempt_, reply.reason, reply.retry_after,
-                       reply.reached_upstream});
+                       reply.reached_upstream, reply.times});
   }
   void StillRunning() override { Post(AttemptStillRunning{call_, attempt_}); }
   void Unknown() override { Post(AttemptUnknown{call_, attempt_}); }
   void Close() override { StopWaiting(); }
 
-  void Answer(RefPtr<AnswerStream> answer) override {
+  void Answer(RefPtr<AnswerStream> answer,
+              const DestinationTimes& times) override {
+    times_ = times;
     answer_ = std::move(answer);
     answer_->set_reader(this);
     OnAnswer();
@@ -39,7 +41,7 @@
     if (found != table_->attempts_.end()) {
       found->second.local_answer = answer_;
     }
-    Post(AttemptAnswering{call_, attempt_, answer_->head().status});
+    Post(AttemptAnswering{call_, attempt_, answer_->head().status, times_});
     StopWaiting();
   }
 
@@ -55,6 +57,7 @@
   CallTable* table_;
   CallId call_;
   AttemptId attempt_;
+  DestinationTimes times_;
   RefPtr<AnswerStream> answer_;
 };
 
@@ -90,7 +93,7 @@
   }
 }
 
-void CallTable::AnswerEnded(CallId id, bool complete) {
+void CallTable::AnswerEnded(CallId id, bool complete, std::uint64_t bytes) {
   const auto found = calls_.find(id);
   if (found == calls_.end()) {
     return;
@@ -104,7 +107,7 @@
   if (complete && sent != attempts_.end()) {
     destination_->LinkDone(std::exchange(sent->second.link, 0));
   }
-  sink_->Post(CallEvent(AnswerRelayed{id, attempt, complete}));
+  sink_->Post(CallEvent(AnswerRelayed{id, attempt, complete, bytes}));
 }
 
 void CallTable::Execute(const SendAttempt& effect) {
--- a/src/cassiabend/http/call_table.h
+++ b/src/cassiabend/http/call_table.h
@@ -39,7 +39,8 @@
   /// \brief The caller closed before its answer began.
   void CallerLeft(CallId id);
   /// \brief The caller's connection took the answer, whole or cut.
-  void AnswerEnded(CallId id, bool complete);
+  /// \param bytes Bytes of the answer's body.
+  void AnswerEnded(CallId id, bool complete, std::uint64_t bytes);
 
   void Execute(const SendAttempt& effect);
   void Execute(const RelayAnswer& effect);
--- a/src/cassiabend/http/headers.h
+++ b/src/cassiabend/http/headers.h
@@ -34,6 +34,9 @@
 inline constexpr std::string_view kPriorityHeader = "X-Cassiabend-Priority";
 /// On a refusal: "1" when the upstream itself refused.
 inline constexpr std::string_view kReachedHeader = "X-Cassiabend-Reached";
+/// On answers and refusals: load in thousandths of the slots, stay and service
+/// time in milliseconds, separated by blanks.
+inline constexpr std::string_view kTimesHeader = "X-Cassiabend-Times";
 inline constexpr std::string_view kOnceHeader = "X-Cassiabend-Once";
 inline constexpr std::string_view kLongestJobHeader =
     "X-Cassiabend-Longest-Job-S";
--- a/src/cassiabend/http/server_session.cc
+++ b/src/cassiabend/http/server_session.cc
@@ -179,10 +179,11 @@
   connection_->Flush();
 }
 
-void ServerSession::Relay(RefPtr<AnswerStream> answer) {
+void ServerSession::Relay(RefPtr<AnswerStream> answer, std::string times) {
   if (state_ != State::kWaiting) {
     return;
   }
+  times_ = std::move(times);
   DetachAnswer();
   answer_ = std::move(answer);
   answer_->set_reader(this);
@@ -225,6 +226,9 @@
   if (options_.states_outcome) {
     head.Add(kOutcomeHeader, kOutcomeAnswered);
   }
+  if (!times_.empty()) {
+    head.Add(kTimesHeader, times_);
+  }
   framing_ = FramingOf(head, is_head_request_, is_http_1_0_);
   keep_alive_ = keep_alive_ && framing_ != BodyFraming::kUntilClose;
   says_close_ = !keep_alive_;
--- a/src/cassiabend/http/server_session.h
+++ b/src/cassiabend/http/server_session.h
@@ -78,7 +78,8 @@
   /// has already begun is cut instead.
   void Reply(MessageHead head, std::string_view body);
   /// \brief Answers with what arrives on `answer`, once it has begun.
-  void Relay(RefPtr<AnswerStream> answer);
+  /// \param times For another node: value of `kTimesHeader`; empty for none.
+  void Relay(RefPtr<AnswerStream> answer, std::string times = {});
   /// \brief Ends the connection after the request in progress, or the next one
   /// when there is none: its sender may have sent it already.
   void EndAfterRequest() noexcept { keep_alive_ = false; }
@@ -123,6 +124,7 @@
   RefPtr<Connection> connection_;
   RefPtr<HeldRequest> request_;
   RefPtr<AnswerStream> answer_;
+  std::string times_;
   std::uint64_t position_ = 0;
   std::uint64_t exchange_ = 0;
   BodyFraming framing_ = BodyFraming::kNone;
--- a/src/cassiabend/http/session_link.cc
+++ b/src/cassiabend/http/session_link.cc
@@ -9,6 +9,7 @@
 
 void SessionLink::NotRun(const ReplyNotRun& reply) {
   MessageHead head = NotRunHead(reply.reason, reply.retry_after);
+  head.Add(kTimesHeader, FormatTimes(reply.times));
   if (reply.reached_upstream) {
     head.Add(kReachedHeader, "1");
   }
@@ -25,8 +26,9 @@
   session_->Reply(UnknownHead(), ExplanationBody(kOutcomeUnknown, {}, {}));
 }
 
-void SessionLink::Answer(RefPtr<AnswerStream> answer) {
-  session_->Relay(std::move(answer));
+void SessionLink::Answer(RefPtr<AnswerStream> answer,
+                         const DestinationTimes& times) {
+  session_->Relay(std::move(answer), FormatTimes(times));
 }
 
 void SessionLink::Close() {
--- a/src/cassiabend/http/session_link.h
+++ b/src/cassiabend/http/session_link.h
@@ -13,7 +13,8 @@
   void NotRun(const ReplyNotRun& reply) override;
   void StillRunning() override;
   void Unknown() override;
-  void Answer(RefPtr<AnswerStream> answer) override;
+  void Answer(RefPtr<AnswerStream> answer,
+              const DestinationTimes& times) override;
   void Close() override;
 
  private:
--- a/src/cassiabend/http/system_answers.cc
+++ b/src/cassiabend/http/system_answers.cc
@@ -63,12 +63,34 @@
 
 }  // namespace
 
+std::string FormatTimes(const DestinationTimes& times) {
+  return std::to_string(times.load_permille) + ' ' +
+         std::to_string(times.stay.count()) + ' ' +
+         std::to_string(times.service.count());
+}
+
+std::optional<DestinationTimes> ParseTimes(std::string_view text) {
+  const std::size_t first = std::min(text.find(' '), text.size());
+  const std::string_view rest =
+      text.substr(std::min(first + 1, text.size()));
+  const std::size_t second = std::min(rest.find(' '), rest.size());
+  const auto load = ParseNumber<std::uint16_t>(text.substr(0, first));
+  const auto stay = ParseMilliseconds(rest.substr(0, second));
+  const auto service =
+      ParseMilliseconds(rest.substr(std::min(second + 1, rest.size())));
+  if (!load || !stay || !service) {
+    return std::nullopt;
+  }
+  return DestinationTimes{*load, *stay, *service};
+}
+
 Outcome ReadOutcome(const MessageHead& head) {
   Outcome outcome;
   outcome.name = head.Get(kOutcomeHeader);
   outcome.reason = NotRunReasonByName(head.Get(kReasonHeader))
                        .value_or(NotRunReason::kOverloaded);
   outcome.retry_after = ReadRetryAfter(head);
+  outcome.times = ParseTimes(head.Get(kTimesHeader));
   outcome.reached_upstream = head.Get(kReachedHeader) == "1";
   return outcome;
 }
--- a/src/cassiabend/http/system_answers.h
+++ b/src/cassiabend/http/system_answers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -16,7 +17,11 @@
   Milliseconds retry_after{0};
   /// Whether the upstream itself refused.
   bool reached_upstream = false;
+  std::optional<DestinationTimes> times;
 };
+[[nodiscard]] std::string FormatTimes(const DestinationTimes& times);
+/// \returns Unset when `text` is not what `FormatTimes` writes.
+[[nodiscard]] std::optional<DestinationTimes> ParseTimes(std::string_view text);
 [[nodiscard]] Outcome ReadOutcome(const MessageHead& head);
 
 /// \returns The answer that says that a request was not run.
--- a/src/cassiabend/node/node.cc
+++ b/src/cassiabend/node/node.cc
@@ -91,7 +91,12 @@
        {"region", place.region},
        {"zone", place.zone},
        {"service", settings_.upstream.service},
-       {"start_id", start_id}});
+       {"start_id", start_id},
+       {"adapter", settings_.platform.adapter},
+       {"shutdown_timeout_ms", place.shutdown_timeout.count()},
+       {"retry_budget_permille", settings_.calls.retry_budget_permille},
+       {"retry_burst", settings_.calls.retry_burst},
+       {"follow_limit_ms", settings_.fleet.follow_limit.count()}});
 }
 
 Node::~Node() = default;
--- a/src/cassiabend/node/settings_fields.cc
+++ b/src/cassiabend/node/settings_fields.cc
@@ -183,6 +183,14 @@
     {"retry_burst", &Calls::retry_burst, 0, 100'000,
      "Retries of one service that all nodes together may hold saved up; 0 for "
      "ten a node, tenant and class."},
+    {"place_by_time", &Calls::place_by_time, 0, 1,
+     "1: an upstream is chosen by the expected time to its answer; 0: the "
+     "nearest one that has room."},
+    {"region_kilobyte_us", &Calls::region_kilobyte_us, 0, 1'000'000,
+     "Time, in microseconds, that is waited rather than move a kilobyte of an "
+     "answer from another zone of the region."},
+    {"beyond_kilobyte_us", &Calls::beyond_kilobyte_us, 0, 1'000'000,
+     "The same for a kilobyte from another region."},
     {"caller_margin_ms", &Calls::caller_margin, 0, kMinuteMs,
      "Taken off the time that a caller says it waits, for the way of the "
      "answer; at most a tenth of that time."},
--- a/src/cassiabend/store/gateway_codec.cc
+++ b/src/cassiabend/store/gateway_codec.cc
@@ -230,11 +230,17 @@
     return ok;
   }
   bool operator()(const StorePut& it) const {
+    for (const json::key_value_pair& field : answer) {
+      if (field.key() != "header" && field.key() != "prev_kv") {
+        return false;
+      }
+    }
     reply->entry = StoreEntry{it.key, it.value, reply->store_revision};
     return reply->store_revision != 0;
   }
   bool operator()(const StoreList& /*it*/) const {
-    return reply->store_revision != 0 && ReadEntries(answer, &reply->entries);
+    return reply->store_revision != 0 && !answer.contains("responses") &&
+           ReadEntries(answer, &reply->entries);
   }
   bool operator()(const StoreCompareAndDelete& it) const {
     const bool ok = ReadTransaction(it.key, answer, reply);
