Leave sooner, serve until then, and answer what is open at the end

Cause 1: late and failed answers while nodes are restarted in turn: a leaving node withdrew its upstream at once and stayed for up to 5.6 s, since answers that nobody would fetch kept it. Change: the deadlines of open calls end within the shutdown, so that each is answered.

--- a/src/cassiabend/core/attempt.h
+++ b/src/cassiabend/core/attempt.h
@@ -66,6 +66,8 @@
   MonoTime arrived_at{};
   /// When the upstream got it; the epoch before.
   MonoTime started_at{};
+  /// When its answer was whole, or the connection that had it was lost.
+  MonoTime held_at{};
 
   /// \returns Whether the attempt stands in the admission queue.
   [[nodiscard]] bool is_waiting() const noexcept {
--- a/src/cassiabend/core/call_context.h
+++ b/src/cassiabend/core/call_context.h
@@ -47,6 +47,11 @@
   [[nodiscard]] bool HasStoppedServing() const noexcept {
     return draining && now.mono - draining_since >= options.shutdown_serve;
   }
+  /// \returns Whether a shutdown has gone on for so long that this host's
+  /// upstream gets no more work.
+  [[nodiscard]] bool HasStoppedAccepting() const noexcept {
+    return draining && now.mono - draining_since >= options.shutdown_accept;
+  }
   /// \returns The number of the version in force; 0 for none.
   [[nodiscard]] VersionNumber config_number() const noexcept {
     return snapshot ? snapshot->mark().number : 0;
--- a/src/cassiabend/core/call_destination.cc
+++ b/src/cassiabend/core/call_destination.cc
@@ -8,9 +8,12 @@
 /// How long a fetch waits before it is told that the attempt still runs.
 constexpr Milliseconds kFetchWait{1'000};
 /// How long a repeatable attempt runs on without a connection.
-constexpr Milliseconds kOrphanGrace{250};
+constexpr Milliseconds kOrphanGrace{150};
 /// How long the answer of a repeatable attempt is held once it was taken.
 constexpr Milliseconds kTakenHold{1'000};
+/// How long a node that leaves keeps an answer for a connection that was lost:
+/// the other end asks for it at once, or not at all.
+constexpr Milliseconds kLeaveHold{1'000};
 constexpr Milliseconds kUnreachedPause{100};
 constexpr Milliseconds kStorePause{1'000};
 constexpr Milliseconds kClaimPause{100};
@@ -27,8 +30,12 @@
 
 bool CallDestination::has_work() const noexcept {
   return !orders_.is_idle() ||
-         std::ranges::any_of(table_.attempts(), [](const auto& it) {
-           return it.second->state != AttemptState::kHeld || !it.second->taken;
+         std::ranges::any_of(table_.attempts(), [this](const auto& it) {
+           const Attempt& attempt = *it.second;
+           const bool may_be_fetched =
+               !attempt.taken &&
+               context_->now.mono - attempt.held_at < kLeaveHold;
+           return attempt.state != AttemptState::kHeld || may_be_fetched;
          });
 }
 
@@ -75,7 +82,7 @@
 
 std::optional<Refusal> CallDestination::CheckCapacity(
     const AttemptRequest& request) const {
-  if (context_->draining) {
+  if (context_->HasStoppedAccepting()) {
     return Refusal{NotRunReason::kDraining};
   }
   if (request.service != context_->self.service || health_->slots() == 0 ||
@@ -177,7 +184,7 @@
 
 void CallDestination::Enqueue(Attempt* attempt) {
   attempt->state = AttemptState::kQueued;
-  if (context_->draining) {
+  if (context_->HasStoppedAccepting()) {
     Refuse(attempt, {NotRunReason::kDraining});
     return;
   }
@@ -337,6 +344,7 @@
       return;
     case AttemptState::kHeld:
       attempt->taken = false;
+      attempt->held_at = context_->now.mono;
       timers_.Schedule(attempt,
                        context_->now.mono + context_->options.answer_hold);
       return;
@@ -390,6 +398,7 @@
   }
   ReleaseSlot(attempt);
   attempt->state = AttemptState::kHeld;
+  attempt->held_at = context_->now.mono;
   ++held_;
   attempt->taken = std::ranges::any_of(attempt->links, &AttemptLink::bound);
   Bind(attempt);
--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -48,6 +48,23 @@
   SendFirst(call);
 }
 
+MonoTime CallEntry::LimitDeadline(MonoTime deadline) const {
+  if (!context_->draining) {
+    return deadline;
+  }
+  return std::min(deadline, context_->draining_since +
+                                context_->options.shutdown_finish);
+}
+
+void CallEntry::LimitDeadlines() {
+  for (const auto& [id, call] : calls_) {
+    call->deadline = LimitDeadline(call->deadline);
+    if (call->phase != Phase::kRelaying) {
+      Schedule(call.get());
+    }
+  }
+}
+
 std::optional<Refusal> CallEntry::Route(Call* call) {
   // The calls that work in flight makes belong to that work.
   const bool in_flight = call->facts.depth > 0 && context_->upstream_calls > 0;
@@ -80,8 +97,8 @@
     timeout = std::min(timeout, *facts.deadline - margin);
   }
   timeout = std::min(timeout, LongestDeadline(context_->options));
-  call->deadline = call->arrived_at + timeout;
-  if (timeout <= kMinAttemptTime) {
+  call->deadline = LimitDeadline(call->arrived_at + timeout);
+  if (Remaining(*call) <= kMinAttemptTime) {
     return Refusal{NotRunReason::kDeadline};
   }
   return CheckSite(call);
--- a/src/cassiabend/core/call_entry.h
+++ b/src/cassiabend/core/call_entry.h
@@ -36,6 +36,9 @@
   void Reduce(const CallerGone& event);
   /// \brief Answers the time that has passed.
   void Tick();
+  /// \brief Brings the deadlines of open calls forward to the end of the
+  /// shutdown that has begun.
+  void LimitDeadlines();
 
  private:
   enum class Phase : std::uint8_t {
@@ -84,6 +87,7 @@
   [[nodiscard]] Call* Find(CallId id, const AttemptId& attempt) const;
   [[nodiscard]] std::optional<Refusal> Route(Call* call);
   [[nodiscard]] std::optional<Refusal> CheckSite(Call* call) const;
+  [[nodiscard]] MonoTime LimitDeadline(MonoTime deadline) const;
   [[nodiscard]] std::string DrawService(const cassiabend::Route& route);
   void SendFirst(Call* call);
   [[nodiscard]] RefPtr<Upstream> Choose(const Call& call);
--- a/src/cassiabend/core/call_reducer.cc
+++ b/src/cassiabend/core/call_reducer.cc
@@ -102,6 +102,7 @@
   }
 
   void Handle(const CallTick& /*event*/) {
+    StopAccepting();
     entry_.Tick();
     destination_.Tick();
     health_.Tick();
@@ -114,6 +115,16 @@
     }
     context_.draining = true;
     context_.draining_since = context_.now.mono;
+    entry_.LimitDeadlines();
+    StopAccepting();
+  }
+
+  /// \brief Withdraws this host's upstream once the time for it has come.
+  void StopAccepting() {
+    if (stopped_accepting_ || !context_.HasStoppedAccepting()) {
+      return;
+    }
+    stopped_accepting_ = true;
     health_.Drain();
     destination_.RefuseWaiting(NotRunReason::kDraining);
   }
@@ -198,6 +209,7 @@
   bool self_known_ = false;
   /// Service under which the balancer knows this host's upstream.
   std::string known_service_;
+  bool stopped_accepting_ = false;
   bool drain_finished_ = false;
 };
 
--- a/src/cassiabend/core/dispatch_gate.cc
+++ b/src/cassiabend/core/dispatch_gate.cc
@@ -69,7 +69,7 @@
       IsExpired(context, attempt.request)) {
     return Refusal{NotRunReason::kDeadline};
   }
-  if (context.draining) {
+  if (context.HasStoppedAccepting()) {
     return Refusal{NotRunReason::kDraining};
   }
   return CheckSite(context, attempt.request);
--- a/src/cassiabend/core/options.h
+++ b/src/cassiabend/core/options.h
@@ -127,6 +127,12 @@
   /// Whether a repeatable call whose upstream answered with a server error is
   /// tried at another upstream before its caller hears of it.
   std::uint32_t retry_errors = 0;
+  /// How long after the start of a shutdown attempts at this host's upstream are
+  /// taken; not above `shutdown_serve`.
+  Milliseconds shutdown_accept{0};
+  /// How long after the start of a shutdown calls may go on. What is open then is
+  /// answered, since the process ends soon after.
+  Milliseconds shutdown_finish{600'000};
   /// How long after the start of a shutdown callers' new requests are taken:
   /// until those who send them have learnt of it.
   Milliseconds shutdown_serve{0};
--- a/src/cassiabend/core/placement.cc
+++ b/src/cassiabend/core/placement.cc
@@ -27,7 +27,7 @@
 constexpr double kHeaderKilobytes = 1.2;
 /// Share of the objective up to which time counts little, and how much it
 /// counts: an answer well within its objective gains nothing by coming sooner.
-constexpr double kCalmShare = 0.4;
+constexpr double kCalmShare = 0.55;
 constexpr double kCalmWeight = 0.3;
 constexpr double kPermille = 1'000.0;
 /// Classes beyond this number share one mean, so that names that operators
@@ -108,27 +108,28 @@
   Average(service_ms, kNewestOfClass, &services_[std::string(service)]);
   Average(std::max(ToMs(latency - times.stay), 0.0), kNewest,
           &way_ms_.at(static_cast<std::size_t>(nearness)));
-  const double fade = Fade(now, speed->seen_at);
-  speed->slowness = 1.0 + (speed->slowness - 1.0) * fade;
-  speed->failures *= fade;
-  if (before > 0.0) {
-    const double sample =
-        std::clamp(service_ms / before, kLeastSlowness, kMostSlowness);
-    speed->slowness += (sample - speed->slowness) * kNewest;
-  }
+  AddSlowness(now, before > 0.0 ? service_ms / before : 1.0, speed);
   speed->failures -= speed->failures * kNewest;
-  speed->seen_at = now;
   RecordLoad(now, times.load_permille, speed);
 }
 
-void Placement::RecordFailure(MonoTime now, UpstreamSpeed* speed) noexcept {
+void Placement::AddSlowness(MonoTime now,
+                            double sample,
+                            UpstreamSpeed* speed) noexcept {
   const double fade = Fade(now, speed->seen_at);
   speed->slowness = 1.0 + (speed->slowness - 1.0) * fade;
   speed->failures *= fade;
-  speed->failures += (1.0 - speed->failures) * kNewest;
+  speed->slowness +=
+      (std::clamp(sample, kLeastSlowness, kMostSlowness) - speed->slowness) *
+      kNewest;
   speed->seen_at = now;
 }
 
+void Placement::RecordFailure(MonoTime now, UpstreamSpeed* speed) noexcept {
+  AddSlowness(now, speed->slowness, speed);
+  speed->failures += (1.0 - speed->failures) * kNewest;
+}
+
 void Placement::RecordLoad(MonoTime now,
                            std::uint16_t load_permille,
                            UpstreamSpeed* speed) noexcept {
--- a/src/cassiabend/core/placement.h
+++ b/src/cassiabend/core/placement.h
@@ -94,6 +94,9 @@
 
   [[nodiscard]] ClassMeans* MeansOf(std::string_view service,
                                     std::string_view request_class);
+  static void AddSlowness(MonoTime now,
+                          double sample,
+                          UpstreamSpeed* speed) noexcept;
   [[nodiscard]] double PriceMs(Nearness nearness) const noexcept;
 
   PlacementPrices prices_;
--- a/src/cassiabend/node/settings.cc
+++ b/src/cassiabend/node/settings.cc
@@ -17,6 +17,8 @@
 
 constexpr std::size_t kHashHexDigits = 64;
 constexpr std::uint64_t kMaxAddressLength = 64;
+/// Time for the last answers of a shutdown to be written.
+constexpr Milliseconds kAnswerTime{150};
 
 [[noreturn]] void Fail(const std::string& where, const std::string& why) {
   throw SettingsError("use the settings", where, why);
@@ -495,6 +497,8 @@
   options.fleet = settings.fleet;
   options.calls = settings.calls;
   options.calls.slots = self.slots;
+  options.calls.shutdown_finish =
+      std::max(settings.node.shutdown_timeout - kAnswerTime, Milliseconds(0));
   return options;
 }
 
--- a/src/cassiabend/node/settings_fields.cc
+++ b/src/cassiabend/node/settings_fields.cc
@@ -202,6 +202,9 @@
     {"ask_upstream", &Calls::ask_upstream, 0, 1,
      "1: an upstream that sends heartbeats is asked for its name before the "
      "first one."},
+    {"shutdown_accept_ms", &Calls::shutdown_accept, 0, kHourMs,
+     "Time after the start of a shutdown in which attempts at this host's "
+     "upstream are taken."},
     {"shutdown_serve_ms", &Calls::shutdown_serve, 0, kHourMs,
      "Time after the start of a shutdown in which callers' new requests are "
      "taken."},
