Serve what waits by its objective

Change: ObjectiveRank orders what waits: what can still meet its objective first, by rank and then by latest start; what is late with the slots that are left. An attempt that cannot end in time is refused on arrival, or when its turn comes.

--- a/src/cassiabend/core/admission.cc
+++ b/src/cassiabend/core/admission.cc
@@ -7,14 +7,41 @@
 
 /// Weight of the newest service time in the average is 1 / kServiceTimeWindow.
 constexpr int kServiceTimeWindow = 16;
+/// An attempt is hopeless when less than its service time over this is left:
+/// some calls take half of the mean.
+constexpr int kHopelessPart = 2;
+/// Classes whose service time is kept, so that names cannot grow the table.
+constexpr std::size_t kMaxClasses = 1'024;
+
+void Average(Nanoseconds sample, Nanoseconds* average) noexcept {
+  *average = *average == Nanoseconds(0)
+                 ? sample
+                 : *average + (sample - *average) / kServiceTimeWindow;
+}
 
 }  // namespace
 
 Nanoseconds AdmissionQueue::ExpectedWait(const AttemptRequest& request,
-                                         std::uint32_t slots) const {
+                                         std::uint32_t slots,
+                                         MonoTime now) const {
   if (slots == 0 || (queued_ == 0 && running_ < slots)) {
     return Nanoseconds(0);
   }
+  if (by_objective_) {
+    const MonoTime objective_at = request.objective > Milliseconds(0)
+                                      ? now + request.objective
+                                      : MonoTime::max();
+    const ObjectiveRank rank = RankByObjective(
+        now, request.priority, objective_at, now + request.deadline,
+        ServiceTimeOf(request.request_class));
+    std::int64_t ahead = 1;
+    for (const auto& [key, flow] : flows_) {
+      ahead += std::ranges::count_if(flow.waiting, [&](const Attempt& it) {
+        return RankOf(it, now) < rank;
+      });
+    }
+    return service_time_ * ahead / slots;
+  }
   const auto it = flows_.find({request.tenant, request.request_class});
   const std::size_t own = it == flows_.end() ? 0 : it->second.size;
   const std::size_t flows = flows_.size() + (it == flows_.end() ? 1 : 0);
@@ -53,10 +80,54 @@
   }
 }
 
-Attempt* AdmissionQueue::TakeNext(std::uint32_t slots) {
+Nanoseconds AdmissionQueue::ServiceTimeOf(
+    const std::string& request_class) const {
+  const auto it = service_time_by_class_.find(request_class);
+  return it == service_time_by_class_.end() ? service_time_ : it->second;
+}
+
+bool AdmissionQueue::IsHopeless(const Attempt& attempt, MonoTime now) const {
+  if (!by_objective_) {
+    return false;
+  }
+  const Nanoseconds service = ServiceTimeOf(attempt.request.request_class);
+  return now + service / kHopelessPart > attempt.deadline;
+}
+
+ObjectiveRank AdmissionQueue::RankOf(const Attempt& attempt,
+                                     MonoTime now) const {
+  return RankByObjective(now, attempt.request.priority, attempt.objective_at,
+                         attempt.deadline,
+                         ServiceTimeOf(attempt.request.request_class));
+}
+
+Attempt* AdmissionQueue::TakeNext(std::uint32_t slots, MonoTime now) {
   if (running_ >= slots || flows_.empty()) {
     return nullptr;
   }
+  Attempt* attempt = by_objective_ ? TakeByObjective(now) : TakeByTurns(slots);
+  ++running_;
+  ++running_by_class_[attempt->request.request_class];
+  return attempt;
+}
+
+Attempt* AdmissionQueue::TakeByObjective(MonoTime now) {
+  Attempt* best = nullptr;
+  ObjectiveRank best_rank;
+  for (auto& [key, flow] : flows_) {
+    for (Attempt& it : flow.waiting) {
+      const ObjectiveRank rank = RankOf(it, now);
+      if (best == nullptr || rank < best_rank) {
+        best = &it;
+        best_rank = rank;
+      }
+    }
+  }
+  Remove(best);
+  return best;
+}
+
+Attempt* AdmissionQueue::TakeByTurns(std::uint32_t slots) {
   auto it = flows_.upper_bound(last_served_);
   auto chosen = flows_.end();
   for (std::size_t i = 0; i < flows_.size(); ++i) {
@@ -68,10 +139,7 @@
     }
     ++it;
   }
-  Attempt* attempt = TakeFront(chosen);
-  ++running_;
-  ++running_by_class_[attempt->request.request_class];
-  return attempt;
+  return TakeFront(chosen);
 }
 
 void AdmissionQueue::Release(const Attempt& attempt, Nanoseconds held) {
@@ -81,10 +149,11 @@
     running_by_class_.erase(it);
   }
   if (held > Nanoseconds(0)) {
-    service_time_ =
-        service_time_ == Nanoseconds(0)
-            ? held
-            : service_time_ + (held - service_time_) / kServiceTimeWindow;
+    Average(held, &service_time_);
+    if (service_time_by_class_.size() < kMaxClasses ||
+        service_time_by_class_.contains(attempt.request.request_class)) {
+      Average(held, &service_time_by_class_[attempt.request.request_class]);
+    }
   }
 }
 
--- a/src/cassiabend/core/admission.h
+++ b/src/cassiabend/core/admission.h
@@ -8,18 +8,21 @@
 #include <utility>
 
 #include "cassiabend/core/attempt.h"
+#include "cassiabend/core/objective_order.h"
 #include "cassiabend/core/options.h"
 
 namespace cassiabend {
 
 /// \brief Hands out the slots of this host's upstream. Attempts of one tenant
 /// and class form a flow; flows that wait take turns, and while others wait, no
-/// class holds more than its share of the slots.
+/// class holds more than its share of the slots. By setting, what waits is
+/// served by its objective instead; see `ObjectiveRank`.
 class AdmissionQueue {
  public:
   explicit AdmissionQueue(const CallOptions& options)
       : queue_limit_(options.queue_limit),
-        class_share_permille_(options.class_share_permille) {}
+        class_share_permille_(options.class_share_permille),
+        by_objective_(options.order_by_objective != 0) {}
   AdmissionQueue(const AdmissionQueue&) = delete;
   AdmissionQueue& operator=(const AdmissionQueue&) = delete;
   ~AdmissionQueue() = default;
@@ -28,7 +31,13 @@
   [[nodiscard]] std::size_t queued() const noexcept { return queued_; }
   /// \returns The time that an attempt of this flow would wait for a slot.
   [[nodiscard]] Nanoseconds ExpectedWait(const AttemptRequest& request,
-                                         std::uint32_t slots) const;
+                                         std::uint32_t slots,
+                                         MonoTime now = {}) const;
+  /// \returns The time that attempts of this class take, as far as is known.
+  [[nodiscard]] Nanoseconds ServiceTimeOf(
+      const std::string& request_class) const;
+  /// \returns Whether it is too late to hand an attempt to the upstream.
+  [[nodiscard]] bool IsHopeless(const Attempt& attempt, MonoTime now) const;
 
   /// \brief Queues an attempt. `TakeNext` gives it back in its turn.
   /// \returns The attempt that must be refused to make room, which may be
@@ -38,7 +47,7 @@
   void Remove(Attempt* attempt);
   /// \returns The next attempt, which then holds a slot; null when no slot is
   /// free or none waits.
-  [[nodiscard]] Attempt* TakeNext(std::uint32_t slots);
+  [[nodiscard]] Attempt* TakeNext(std::uint32_t slots, MonoTime now = {});
   /// \brief Gives back the slot of an attempt.
   /// \param held How long it ran; 0 when it did not.
   void Release(const Attempt& attempt, Nanoseconds held);
@@ -53,6 +62,10 @@
   };
   using FlowTable = std::map<FlowKey, Flow>;
 
+  [[nodiscard]] ObjectiveRank RankOf(const Attempt& attempt,
+                                     MonoTime now) const;
+  [[nodiscard]] Attempt* TakeByTurns(std::uint32_t slots);
+  [[nodiscard]] Attempt* TakeByObjective(MonoTime now);
   [[nodiscard]] Attempt* TakeFront(FlowTable::iterator it);
   [[nodiscard]] FlowTable::iterator LongestFlow();
   [[nodiscard]] bool IsOverShare(const std::string& request_class,
@@ -60,9 +73,11 @@
 
   std::uint32_t queue_limit_;
   std::uint32_t class_share_permille_;
+  bool by_objective_;
   std::uint32_t running_ = 0;
   std::size_t queued_ = 0;
   Nanoseconds service_time_{0};
+  std::unordered_map<std::string, Nanoseconds> service_time_by_class_;
   std::unordered_map<std::string, std::uint32_t> running_by_class_;
   /// Flows with attempts that wait.
   FlowTable flows_;
--- a/src/cassiabend/core/attempt.h
+++ b/src/cassiabend/core/attempt.h
@@ -63,6 +63,8 @@
   /// Whether a whole answer went to a connection.
   bool taken = false;
   MonoTime deadline{};
+  /// When the answer is worth less; the maximum for never.
+  MonoTime objective_at = MonoTime::max();
   MonoTime arrived_at{};
   /// When the upstream got it; the epoch before.
   MonoTime started_at{};
--- a/src/cassiabend/core/attempt_table.cc
+++ b/src/cassiabend/core/attempt_table.cc
@@ -40,6 +40,9 @@
   slot = std::make_unique<Attempt>();
   slot->request = request;
   slot->arrived_at = context_->now.mono;
+  if (request.objective > Milliseconds(0)) {
+    slot->objective_at = slot->arrived_at + request.objective;
+  }
   slot->deadline =
       context_->now.mono +
       std::min(request.deadline, LongestDeadline(context_->options));
--- a/src/cassiabend/core/call_destination.cc
+++ b/src/cassiabend/core/call_destination.cc
@@ -93,8 +93,14 @@
   if (const auto refusal = CheckSite(*context_, request)) {
     return refusal;
   }
-  const Nanoseconds wait = admission_.ExpectedWait(request, health_->slots());
-  if (wait >= request.deadline) {
+  const Nanoseconds wait = admission_.ExpectedWait(request, health_->slots(),
+                                                   context_->now.mono);
+  // With the order by objective the time at the upstream counts too.
+  const Nanoseconds service =
+      context_->options.order_by_objective != 0 && wait > Nanoseconds(0)
+          ? admission_.ServiceTimeOf(request.request_class)
+          : Nanoseconds(0);
+  if (wait + service >= request.deadline) {
     return Refusal{NotRunReason::kOverloaded,
                    std::chrono::ceil<Milliseconds>(wait)};
   }
@@ -194,15 +200,21 @@
   }
   const bool pushed_out = refused != attempt;
   const Nanoseconds wait =
-      admission_.ExpectedWait(refused->request, health_->slots());
+      admission_.ExpectedWait(refused->request, health_->slots(),
+                              context_->now.mono);
   Refuse(refused,
          {pushed_out ? NotRunReason::kShareExceeded : NotRunReason::kOverloaded,
           std::chrono::ceil<Milliseconds>(wait)});
 }
 
 void CallDestination::StartWaiting() {
-  while (Attempt* attempt = admission_.TakeNext(health_->slots())) {
+  while (Attempt* attempt =
+             admission_.TakeNext(health_->slots(), context_->now.mono)) {
     attempt->holds_slot = true;
+    if (admission_.IsHopeless(*attempt, context_->now.mono)) {
+      Refuse(attempt, {NotRunReason::kOverloaded});
+      continue;
+    }
     if (const auto refusal = CheckDispatch(*context_, *attempt)) {
       Refuse(attempt, *refusal);
       continue;
--- a/src/cassiabend/core/options.h
+++ b/src/cassiabend/core/options.h
@@ -115,6 +115,8 @@
   /// Whether the upstream may be older than this process, and is asked for its
   /// name before its first heartbeat.
   std::uint32_t ask_upstream = 1;
+  /// 1: what waits is served by its objective; 0: tenants and classes take turns.
+  std::uint32_t order_by_objective = 0;
   /// 1: an upstream is chosen by the expected time to its answer; 0: the nearest
   /// one that has room.
   std::uint32_t place_by_time = 0;
--- a/src/cassiabend/node/settings_fields.cc
+++ b/src/cassiabend/node/settings_fields.cc
@@ -183,6 +183,9 @@
     {"retry_burst", &Calls::retry_burst, 0, 100'000,
      "Retries of one service that all nodes together may hold saved up; 0 for "
      "ten a node, tenant and class."},
+    {"order_by_objective", &Calls::order_by_objective, 0, 1,
+     "1: what waits is served by its objective; 0: tenants and classes take "
+     "turns."},
     {"place_by_time", &Calls::place_by_time, 0, 1,
      "1: an upstream is chosen by the expected time to its answer; 0: the "
      "nearest one that has room."},
