Find a silent connection to the store within 2 s

Change: TCP_USER_TIMEOUT of 1 s on connections to the store, by which the second unanswered keep-alive probe ends them. Test: as for the RPC links, one needs a connection that is silenced; it is for the soak's proxy.

--- a/src/cassiabend/store/gateway_connection.cc
+++ b/src/cassiabend/store/gateway_connection.cc
@@ -26,12 +26,13 @@
 constexpr std::size_t kMaxAnswerBytes = std::size_t{4} * 1024 * 1024;
 constexpr unsigned kHttpVersion = 11;
 
-/// A store that has vanished is found after `kKeepAliveIdle` and
-/// `kKeepAliveProbes` times `kKeepAliveInterval`, well within the time in which
-/// a change has to be in force everywhere.
+/// A store that has vanished is found by the second probe, 2 s after it was heard
+/// last, or once sent data is unacknowledged for `kUnacknowledgedLimit`: within
+/// the time after a fault in which the platform expects no change to arrive.
 constexpr int kKeepAliveIdle = 1;      // s
 constexpr int kKeepAliveInterval = 1;  // s
 constexpr int kKeepAliveProbes = 2;
+constexpr int kUnacknowledgedLimit = 1'000;  // ms
 
 /// \brief Sends small messages at once, and finds a store that vanished: a
 /// watch that waits for news would not notice.
@@ -47,6 +48,7 @@
   set(TCP_KEEPIDLE, kKeepAliveIdle);
   set(TCP_KEEPINTVL, kKeepAliveInterval);
   set(TCP_KEEPCNT, kKeepAliveProbes);
+  set(TCP_USER_TIMEOUT, kUnacknowledgedLimit);
 }
 
 class BeastConnection final
