--- a/schema/config.capnp
+++ b/schema/config.capnp
@@ -15,7 +15,7 @@
 struct Site {
   # A place of work whose neighbours may hold quiet-hour orders.
   name @0 :Text;
-  tenant @1 :Text;
+  team @1 :Text;
   timeZone @2 :Text;
   # Zone rule with daylight saving, for example
   # "PST-08PDT,M3.2.0/02:00,M11.1.0/02:00" or "GMT+00".
@@ -26,7 +26,7 @@
 struct Service {
   # A named group of upstreams.
   name @0 :Text;
-  tenant @1 :Text;
+  team @1 :Text;
   revision @2 :UInt64;
   healthPath @3 :Text;
   # Path that an upstream answers health checks on; empty for the node's own
@@ -57,7 +57,7 @@
 struct Route {
   # Sends the calls that match to one service.
   name @0 :Text;
-  tenant @1 :Text;
+  team @1 :Text;
   host @2 :Text;
   # Exact host name; empty matches every host.
   pathPrefix @3 :Text;
@@ -89,7 +89,7 @@
 struct QuietWindow {
   # A time during which noisy work must not run at a site.
   name @0 :Text;
-  tenant @1 :Text;
+  team @1 :Text;
   site @2 :Text;
   schedule :union {
     once :group {
--- a/schema/gen/config.capnp.h
+++ b/schema/gen/config.capnp.h
@@ -407,8 +407,8 @@
   inline bool hasName() const;
   inline  ::capnp::Text::Reader getName() const;
 
-  inline bool hasTenant() const;
-  inline  ::capnp::Text::Reader getTenant() const;
+  inline bool hasTeam() const;
+  inline  ::capnp::Text::Reader getTeam() const;
 
   inline bool hasTimeZone() const;
   inline  ::capnp::Text::Reader getTimeZone() const;
@@ -450,12 +450,12 @@
   inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownName();
 
-  inline bool hasTenant();
-  inline  ::capnp::Text::Builder getTenant();
-  inline void setTenant( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTenant(unsigned int size);
-  inline void adoptTenant(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTenant();
+  inline bool hasTeam();
+  inline  ::capnp::Text::Builder getTeam();
+  inline void setTeam( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTeam(unsigned int size);
+  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
 
   inline bool hasTimeZone();
   inline  ::capnp::Text::Builder getTimeZone();
@@ -513,8 +513,8 @@
   inline bool hasName() const;
   inline  ::capnp::Text::Reader getName() const;
 
-  inline bool hasTenant() const;
-  inline  ::capnp::Text::Reader getTenant() const;
+  inline bool hasTeam() const;
+  inline  ::capnp::Text::Reader getTeam() const;
 
   inline  ::uint64_t getRevision() const;
 
@@ -556,12 +556,12 @@
   inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownName();
 
-  inline bool hasTenant();
-  inline  ::capnp::Text::Builder getTenant();
-  inline void setTenant( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTenant(unsigned int size);
-  inline void adoptTenant(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTenant();
+  inline bool hasTeam();
+  inline  ::capnp::Text::Builder getTeam();
+  inline void setTeam( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTeam(unsigned int size);
+  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
 
   inline  ::uint64_t getRevision();
   inline void setRevision( ::uint64_t value);
@@ -796,8 +796,8 @@
   inline bool hasName() const;
   inline  ::capnp::Text::Reader getName() const;
 
-  inline bool hasTenant() const;
-  inline  ::capnp::Text::Reader getTenant() const;
+  inline bool hasTeam() const;
+  inline  ::capnp::Text::Reader getTeam() const;
 
   inline bool hasHost() const;
   inline  ::capnp::Text::Reader getHost() const;
@@ -874,12 +874,12 @@
   inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownName();
 
-  inline bool hasTenant();
-  inline  ::capnp::Text::Builder getTenant();
-  inline void setTenant( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTenant(unsigned int size);
-  inline void adoptTenant(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTenant();
+  inline bool hasTeam();
+  inline  ::capnp::Text::Builder getTeam();
+  inline void setTeam( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTeam(unsigned int size);
+  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
 
   inline bool hasHost();
   inline  ::capnp::Text::Builder getHost();
@@ -1007,8 +1007,8 @@
   inline bool hasName() const;
   inline  ::capnp::Text::Reader getName() const;
 
-  inline bool hasTenant() const;
-  inline  ::capnp::Text::Reader getTenant() const;
+  inline bool hasTeam() const;
+  inline  ::capnp::Text::Reader getTeam() const;
 
   inline bool hasSite() const;
   inline  ::capnp::Text::Reader getSite() const;
@@ -1052,12 +1052,12 @@
   inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownName();
 
-  inline bool hasTenant();
-  inline  ::capnp::Text::Builder getTenant();
-  inline void setTenant( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTenant(unsigned int size);
-  inline void adoptTenant(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTenant();
+  inline bool hasTeam();
+  inline  ::capnp::Text::Builder getTeam();
+  inline void setTeam( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTeam(unsigned int size);
+  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
 
   inline bool hasSite();
   inline  ::capnp::Text::Builder getSite();
@@ -2222,36 +2222,36 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Site::Reader::hasTenant() const {
+inline bool Site::Reader::hasTeam() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Site::Builder::hasTenant() {
+inline bool Site::Builder::hasTeam() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Site::Reader::getTenant() const {
+inline  ::capnp::Text::Reader Site::Reader::getTeam() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Site::Builder::getTenant() {
+inline  ::capnp::Text::Builder Site::Builder::getTeam() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Site::Builder::setTenant( ::capnp::Text::Reader value) {
+inline void Site::Builder::setTeam( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Site::Builder::initTenant(unsigned int size) {
+inline  ::capnp::Text::Builder Site::Builder::initTeam(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Site::Builder::adoptTenant(
+inline void Site::Builder::adoptTeam(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Site::Builder::disownTenant() {
+inline ::capnp::Orphan< ::capnp::Text> Site::Builder::disownTeam() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
@@ -2338,36 +2338,36 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Service::Reader::hasTenant() const {
+inline bool Service::Reader::hasTeam() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Service::Builder::hasTenant() {
+inline bool Service::Builder::hasTeam() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Service::Reader::getTenant() const {
+inline  ::capnp::Text::Reader Service::Reader::getTeam() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Service::Builder::getTenant() {
+inline  ::capnp::Text::Builder Service::Builder::getTeam() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Service::Builder::setTenant( ::capnp::Text::Reader value) {
+inline void Service::Builder::setTeam( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Service::Builder::initTenant(unsigned int size) {
+inline  ::capnp::Text::Builder Service::Builder::initTeam(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Service::Builder::adoptTenant(
+inline void Service::Builder::adoptTeam(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Service::Builder::disownTenant() {
+inline ::capnp::Orphan< ::capnp::Text> Service::Builder::disownTeam() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
@@ -2558,36 +2558,36 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Route::Reader::hasTenant() const {
+inline bool Route::Reader::hasTeam() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Route::Builder::hasTenant() {
+inline bool Route::Builder::hasTeam() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Route::Reader::getTenant() const {
+inline  ::capnp::Text::Reader Route::Reader::getTeam() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Route::Builder::getTenant() {
+inline  ::capnp::Text::Builder Route::Builder::getTeam() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Route::Builder::setTenant( ::capnp::Text::Reader value) {
+inline void Route::Builder::setTeam( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Route::Builder::initTenant(unsigned int size) {
+inline  ::capnp::Text::Builder Route::Builder::initTeam(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Route::Builder::adoptTenant(
+inline void Route::Builder::adoptTeam(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Route::Builder::disownTenant() {
+inline ::capnp::Orphan< ::capnp::Text> Route::Builder::disownTeam() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
@@ -3010,36 +3010,36 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool QuietWindow::Reader::hasTenant() const {
+inline bool QuietWindow::Reader::hasTeam() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool QuietWindow::Builder::hasTenant() {
+inline bool QuietWindow::Builder::hasTeam() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader QuietWindow::Reader::getTenant() const {
+inline  ::capnp::Text::Reader QuietWindow::Reader::getTeam() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder QuietWindow::Builder::getTenant() {
+inline  ::capnp::Text::Builder QuietWindow::Builder::getTeam() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void QuietWindow::Builder::setTenant( ::capnp::Text::Reader value) {
+inline void QuietWindow::Builder::setTeam( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder QuietWindow::Builder::initTenant(unsigned int size) {
+inline  ::capnp::Text::Builder QuietWindow::Builder::initTeam(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void QuietWindow::Builder::adoptTenant(
+inline void QuietWindow::Builder::adoptTeam(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> QuietWindow::Builder::disownTenant() {
+inline ::capnp::Orphan< ::capnp::Text> QuietWindow::Builder::disownTeam() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -49,13 +49,13 @@
 done
 
 step "a quiet window that covers the present"
-ctl window put now --tenant cascadia --site workshop \
+ctl window put now --team cascadia --site workshop \
   --begin "$(date -u -d '-1 hour' +%Y-%m-%dT%H:%M:%SZ)" \
   --end "$(date -u -d '+1 hour' +%Y-%m-%dT%H:%M:%SZ)" --wait
 call -X POST "http://$(field calls 3)/runs"
 
 step "a route to a service that does not exist is refused"
-ctl route put broken --tenant cascadia --path-prefix /broken --service nowhere \
+ctl route put broken --team cascadia --path-prefix /broken --service nowhere \
   --class status --repeat repeatable --timeout-ms 100 || echo "exit code $?"
 
 step "versions in force"
--- /dev/null
+++ b/src/cassiabend/base/line_writer.cc
@@ -0,0 +1,55 @@
+#include "cassiabend/base/line_writer.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <climits>
+
+namespace cassiabend {
+namespace {
+
+/// A pipe that is ready takes a write of this size without waiting.
+constexpr std::size_t kAtomicBytes = PIPE_BUF;
+
+}  // namespace
+
+void LineWriter::Write(std::string_view line) {
+  const std::lock_guard lock(mutex_);
+  Flush();
+  if (kept_.size() + line.size() + 1 > capacity_bytes_) {
+    ++dropped_;
+    ++untold_;
+    return;
+  }
+  if (untold_ != 0) {
+    kept_ += R"({"level":"warning","event":"log_lines_dropped","lines":)" +
+             std::to_string(untold_) + "}\n";
+    untold_ = 0;
+  }
+  kept_.append(line).push_back('\n');
+  Flush();
+}
+
+std::uint64_t LineWriter::dropped() const {
+  const std::lock_guard lock(mutex_);
+  return dropped_;
+}
+
+void LineWriter::Flush() {
+  while (!kept_.empty() && MayWrite()) {
+    const ssize_t n =
+        ::write(fd_, kept_.data(), std::min(kept_.size(), kAtomicBytes));
+    if (n <= 0) {
+      return;
+    }
+    kept_.erase(0, static_cast<std::size_t>(n));
+  }
+}
+
+bool LineWriter::MayWrite() const noexcept {
+  pollfd ready{.fd = fd_, .events = POLLOUT, .revents = 0};
+  return ::poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0;
+}
+
+}  // namespace cassiabend
--- a/src/cassiabend/base/log.cc
+++ b/src/cassiabend/base/log.cc
@@ -1,14 +1,18 @@
 #include "cassiabend/base/log.h"
 
 #include <easylogging++.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 #include <chrono>
 #include <map>
+#include <memory>
 #include <mutex>
 
+#include "cassiabend/base/line_writer.h"
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace cassiabend {
@@ -52,6 +56,16 @@
   std::map<std::string, Window, std::less<>> windows_;
 };
 
+/// Bytes of lines that wait for a reader that is slow.
+constexpr std::size_t kLogBufferBytes = std::size_t{256} * 1024;
+
+/// \returns The writer of the target that was chosen.
+std::unique_ptr<LineWriter>& Writer() {
+  static auto writer =
+      std::make_unique<LineWriter>(STDERR_FILENO, kLogBufferBytes);
+  return writer;
+}
+
 std::atomic<LogLevel> g_level{LogLevel::kInfo};
 
 std::string& ProgramName() {
@@ -117,32 +131,37 @@
 
 }  // namespace
 
-void InitializeLog(std::string_view program, LogLevel level) {
+void InitializeLog(std::string_view program, LogLevel level, LogTarget target) {
+  Writer() = std::make_unique<LineWriter>(
+      target == LogTarget::kStandardError ? STDERR_FILENO : STDOUT_FILENO,
+      kLogBufferBytes);
   ProgramName() = program;
   g_level = level;
   el::Configurations conf;
   conf.setToDefault();
   conf.setGlobally(el::ConfigurationType::Format, "%msg");
   conf.setGlobally(el::ConfigurationType::ToFile, "false");
-  // easylogging++ prints to standard output; the programs keep that for
-  // results, so lines go through a dispatcher that prints to standard error.
+  // easylogging++ would wait for a reader that is slow, so lines go through a
+  // dispatcher of our own.
   conf.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
   el::Loggers::reconfigureAllLoggers(conf);
-  class StandardErrorDispatcher : public el::LogDispatchCallback {
+  class LineDispatcher : public el::LogDispatchCallback {
    protected:
     void handle(const el::LogDispatchData* data) override {
-      const std::string line = data->logMessage()->message() + "\n";
-      std::fwrite(line.data(), 1, line.size(), stderr);
+      Writer()->Write(data->logMessage()->message());
     }
   };
-  el::Helpers::installLogDispatchCallback<StandardErrorDispatcher>(
-      "standard_error");
+  el::Helpers::installLogDispatchCallback<LineDispatcher>("line_writer");
 }
 
 void SetLogLevel(LogLevel level) noexcept {
   g_level = level;
 }
 
+std::uint64_t DroppedLogLines() {
+  return Writer()->dropped();
+}
+
 void Log(LogLevel level,
          std::string_view event,
          std::initializer_list<LogField> fields) {
--- a/src/cassiabend/base/log.h
+++ b/src/cassiabend/base/log.h
@@ -38,10 +38,20 @@
   Value value;
 };
 
-/// \brief Sets up logging to standard error, one JSON object a line.
+/// \brief Where lines go. Programs that print results keep standard output for
+/// these.
+enum class LogTarget : std::uint8_t { kStandardError, kStandardOutput };
+
+/// \brief Sets up logging, one JSON object a line. A reader that stops reading
+/// stops nobody: lines beyond a bounded buffer are dropped and counted.
 /// \param program Name of the program, written into each line.
 /// \param level Lines below this level are dropped.
-void InitializeLog(std::string_view program, LogLevel level);
+void InitializeLog(std::string_view program,
+                   LogLevel level,
+                   LogTarget target = LogTarget::kStandardError);
+
+/// \returns Lines dropped because nobody read them.
+[[nodiscard]] std::uint64_t DroppedLogLines();
 
 /// \brief Changes the level at run time.
 void SetLogLevel(LogLevel level) noexcept;
--- /dev/null
+++ b/src/cassiabend/base/log_events.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+namespace cassiabend {
+
+/// \brief Names of all events that a node logs. Part of the interface to
+/// operators: docs/OPERATIONS.md explains each.
+inline constexpr auto kNodeLogEvents = std::to_array<std::string_view>({
+    "accept_failed",
+    "attempt_refused",
+    "call_answered",
+    "call_failed",
+    "call_late",
+    "change_finished",
+    "heartbeat_refused",
+    "log_lines_dropped",
+    "member_changed",
+    "peer_call_failed",
+    "readiness_changed",
+    "settings_refused",
+    "settings_reloaded",
+    "shutdown_started",
+    "shutdown_timed_out",
+    "started",
+    "stopped",
+    "store_call_failed",
+    "store_call_refused",
+    "store_lost",
+    "store_regained",
+    "upstream_state_changed",
+    "version_applied",
+    "version_refused",
+});
+static_assert(std::ranges::is_sorted(kNodeLogEvents),
+              "the table is kept sorted");
+
+}  // namespace cassiabend
--- a/src/cassiabend/core/admission.cc
+++ b/src/cassiabend/core/admission.cc
@@ -42,7 +42,7 @@
     }
     return service_time_ * ahead / slots;
   }
-  const auto it = flows_.find({request.tenant, request.request_class});
+  const auto it = flows_.find({request.team, request.request_class});
   const std::size_t own = it == flows_.end() ? 0 : it->second.size;
   const std::size_t flows = flows_.size() + (it == flows_.end() ? 1 : 0);
   const std::size_t ahead = std::min((own + 1) * flows, queued_ + 1);
@@ -54,7 +54,7 @@
   Attempt* refused = nullptr;
   if (queued_ >= queue_limit_) {
     const auto longest = LongestFlow();
-    const auto own = flows_.find({request.tenant, request.request_class});
+    const auto own = flows_.find({request.team, request.request_class});
     const std::size_t own_size = own == flows_.end() ? 0 : own->second.size;
     if (longest == flows_.end() || longest->second.size <= own_size + 1) {
       return attempt;
@@ -62,7 +62,7 @@
     refused = &longest->second.waiting.back();
     Remove(refused);
   }
-  Flow& flow = flows_[{request.tenant, request.request_class}];
+  Flow& flow = flows_[{request.team, request.request_class}];
   flow.request_class = request.request_class;
   flow.waiting.push_back(*attempt);
   ++flow.size;
@@ -72,7 +72,7 @@
 
 void AdmissionQueue::Remove(Attempt* attempt) {
   const auto it =
-      flows_.find({attempt->request.tenant, attempt->request.request_class});
+      flows_.find({attempt->request.team, attempt->request.request_class});
   static_cast<AdmissionHook*>(attempt)->unlink();
   --queued_;
   if (--it->second.size == 0) {
@@ -86,12 +86,12 @@
   return it == service_time_by_class_.end() ? service_time_ : it->second;
 }
 
-bool AdmissionQueue::IsHopeless(const Attempt& attempt, MonoTime now) const {
+MonoTime AdmissionQueue::HopelessAt(const Attempt& attempt) const {
   if (!by_objective_) {
-    return false;
+    return MonoTime::max();
   }
-  const Nanoseconds service = ServiceTimeOf(attempt.request.request_class);
-  return now + service / kHopelessPart > attempt.deadline;
+  return attempt.deadline -
+         ServiceTimeOf(attempt.request.request_class) / kHopelessPart;
 }
 
 ObjectiveRank AdmissionQueue::RankOf(const Attempt& attempt,
--- a/src/cassiabend/core/admission.h
+++ b/src/cassiabend/core/admission.h
@@ -13,7 +13,7 @@
 
 namespace cassiabend {
 
-/// \brief Hands out the slots of this host's upstream. Attempts of one tenant
+/// \brief Hands out the slots of this host's upstream. Attempts of one team
 /// and class form a flow; flows that wait take turns, and while others wait, no
 /// class holds more than its share of the slots. By setting, what waits is
 /// served by its objective instead; see `ObjectiveRank`.
@@ -36,8 +36,11 @@
   /// \returns The time that attempts of this class take, as far as is known.
   [[nodiscard]] Nanoseconds ServiceTimeOf(
       const std::string& request_class) const;
-  /// \returns Whether it is too late to hand an attempt to the upstream.
-  [[nodiscard]] bool IsHopeless(const Attempt& attempt, MonoTime now) const;
+  /// \returns When it is too late to hand an attempt to the upstream.
+  [[nodiscard]] MonoTime HopelessAt(const Attempt& attempt) const;
+  [[nodiscard]] bool IsHopeless(const Attempt& attempt, MonoTime now) const {
+    return now > HopelessAt(attempt);
+  }
 
   /// \brief Queues an attempt. `TakeNext` gives it back in its turn.
   /// \returns The attempt that must be refused to make room, which may be
--- a/src/cassiabend/core/balancer.cc
+++ b/src/cassiabend/core/balancer.cc
@@ -61,9 +61,9 @@
 Balancer::Balancer(const CallOptions& options, const Member& self)
     : options_(options),
       self_(self),
-      placement_({.region_kilobyte = Microseconds(options.region_kilobyte_us),
-                  .beyond_kilobyte = Microseconds(options.beyond_kilobyte_us)}) {
-}
+      placement_(
+          {.region_kilobyte = Microseconds(options.region_kilobyte_us),
+           .beyond_kilobyte = Microseconds(options.beyond_kilobyte_us)}) {}
 
 std::size_t Balancer::ejected() const noexcept {
   std::size_t n = 0;
@@ -317,8 +317,8 @@
       if (!IsUsable(now, query, service, it) || now < it->shed_until_) {
         continue;
       }
-      double cost = placement_.Cost(now, it->nearness_, it->member_.slots,
-                                    it->speed_);
+      double cost =
+          placement_.Cost(now, it->nearness_, it->member_.slots, it->speed_);
       // Nodes with the same view must not all choose the same upstream.
       cost *= 1.0 + kCostSpread * random->Unit();
       if (!IsWarm(now, *it, random)) {
--- a/src/cassiabend/core/balancer.h
+++ b/src/cassiabend/core/balancer.h
@@ -48,6 +48,7 @@
   [[nodiscard]] std::uint32_t outstanding() const noexcept {
     return outstanding_;
   }
+  [[nodiscard]] const UpstreamSpeed& speed() const noexcept { return speed_; }
 
  private:
   friend class Balancer;
--- a/src/cassiabend/core/call_destination.cc
+++ b/src/cassiabend/core/call_destination.cc
@@ -93,8 +93,8 @@
   if (const auto refusal = CheckSite(*context_, request)) {
     return refusal;
   }
-  const Nanoseconds wait = admission_.ExpectedWait(request, health_->slots(),
-                                                   context_->now.mono);
+  const Nanoseconds wait =
+      admission_.ExpectedWait(request, health_->slots(), context_->now.mono);
   // With the order by objective the time at the upstream counts too.
   const Nanoseconds service =
       context_->options.order_by_objective != 0 && wait > Nanoseconds(0)
@@ -190,6 +190,7 @@
 
 void CallDestination::Enqueue(Attempt* attempt) {
   attempt->state = AttemptState::kQueued;
+  Schedule(attempt);
   if (context_->HasStoppedAccepting()) {
     Refuse(attempt, {NotRunReason::kDraining});
     return;
@@ -199,9 +200,8 @@
     return;
   }
   const bool pushed_out = refused != attempt;
-  const Nanoseconds wait =
-      admission_.ExpectedWait(refused->request, health_->slots(),
-                              context_->now.mono);
+  const Nanoseconds wait = admission_.ExpectedWait(
+      refused->request, health_->slots(), context_->now.mono);
   Refuse(refused,
          {pushed_out ? NotRunReason::kShareExceeded : NotRunReason::kOverloaded,
           std::chrono::ceil<Milliseconds>(wait)});
@@ -306,12 +306,11 @@
 DestinationTimes CallDestination::TimesOf(const Attempt& attempt) const {
   const MonoTime now = context_->now.mono;
   const bool started = attempt.started_at != MonoTime{};
-  return {
-      .load_permille = LoadPermille(),
-      .stay = std::chrono::floor<Milliseconds>(now - attempt.arrived_at),
-      .service =
-          started ? std::chrono::floor<Milliseconds>(now - attempt.started_at)
-                  : Milliseconds(0)};
+  return {.load_permille = LoadPermille(),
+          .stay = std::chrono::floor<Milliseconds>(now - attempt.arrived_at),
+          .service = started ? std::chrono::floor<Milliseconds>(
+                                   now - attempt.started_at)
+                             : Milliseconds(0)};
 }
 
 void CallDestination::Bind(Attempt* attempt) {
@@ -327,8 +326,7 @@
     it.bound = true;
     it.fetch_due = MonoTime::max();
     attempt->taken = attempt->taken || whole;
-    context_->Emit(
-        BindAnswer{it.link, attempt->request.id, TimesOf(*attempt)});
+    context_->Emit(BindAnswer{it.link, attempt->request.id, TimesOf(*attempt)});
   }
 }
 
@@ -506,6 +504,11 @@
   }
   TellStillRunning(attempt);
   const bool started = attempt->is_started();
+  if (attempt->state == AttemptState::kQueued &&
+      admission_.IsHopeless(*attempt, now)) {
+    Refuse(attempt, {NotRunReason::kOverloaded});
+    return;
+  }
   if (!started && now >= attempt->deadline) {
     Refuse(attempt, {NotRunReason::kDeadline});
     return;
@@ -543,6 +546,9 @@
   if (!attempt->is_started() || cancellable) {
     due = std::min({due, attempt->deadline, attempt->orphan_due});
   }
+  if (attempt->state == AttemptState::kQueued) {
+    due = std::min(due, admission_.HopelessAt(*attempt));
+  }
   if (due == MonoTime::max()) {
     timers_.Cancel(attempt);
     return;
--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -52,8 +52,8 @@
   if (!context_->draining) {
     return deadline;
   }
-  return std::min(deadline, context_->draining_since +
-                                context_->options.shutdown_finish);
+  return std::min(deadline,
+                  context_->draining_since + context_->options.shutdown_finish);
 }
 
 void CallEntry::LimitDeadlines() {
@@ -80,13 +80,13 @@
   }
   call->snapshot = context_->snapshot;
   call->route = call->snapshot->FindRoute(
-      {facts.tenant, facts.host, facts.path, facts.method});
+      {facts.team, facts.host, facts.path, facts.method});
   if (call->route == nullptr) {
     return Refusal{NotRunReason::kNoRoute};
   }
   call->service = DrawService(*call->route);
-  if (call->facts.tenant.empty()) {
-    call->facts.tenant = call->route->tenant;
+  if (call->facts.team.empty()) {
+    call->facts.team = call->route->team;
   }
   Milliseconds timeout = call->route->timeout > Milliseconds(0)
                              ? call->route->timeout
@@ -104,8 +104,8 @@
   return CheckSite(call);
 }
 
-/// \brief Draws from a route's split by weight. Each call keeps its service: what
-/// one service has no room for is not moved to another.
+/// \brief Draws from a route's split by weight. Each call keeps its service:
+/// what one service has no room for is not moved to another.
 std::string CallEntry::DrawService(const cassiabend::Route& route) {
   if (route.split.empty()) {
     return route.service;
@@ -168,7 +168,7 @@
   request.destination_start_id = upstream->member().start_id;
   request.route = route.name;
   request.service = call->service;
-  request.tenant = call->facts.tenant;
+  request.team = call->facts.team;
   request.request_class = route.request_class;
   request.order_key = call->facts.order_key;
   request.site = call->site;
@@ -252,8 +252,8 @@
                            call->tried.back().get());
   }
   constexpr std::uint16_t kFirstServerError = 500;
-  const bool failed = event.status >= kFirstServerError &&
-                      context_->options.retry_errors != 0;
+  const bool failed =
+      event.status >= kFirstServerError && context_->options.retry_errors != 0;
   EndAttempt(call,
              failed ? AttemptOutcome::kErrored : AttemptOutcome::kAnswered,
              Milliseconds(0));
@@ -261,6 +261,7 @@
   if (failed && MayRepeat(call->request) && RetryError(call)) {
     return;
   }
+  call->status = event.status;
   call->phase = Phase::kRelaying;
   timers_.Cancel(call);
   context_->Emit(RelayAnswer{call->id, event.attempt});
@@ -423,8 +424,7 @@
                                      ? call.route->max_attempts
                                      : context_->options.max_attempts;
   return !call.facts.is_retry && call.tried.size() < limit &&
-         call.arrivals < arrivals &&
-         Remaining(call) > 2 * kMinAttemptTime;
+         call.arrivals < arrivals && Remaining(call) > 2 * kMinAttemptTime;
 }
 
 /// \brief Tries another upstream in place of an error that has just begun to
@@ -457,14 +457,14 @@
 }
 
 /// \brief Counts a call for the budget of retries: one for each service where
-/// all nodes share it, else one for each tenant and class.
+/// all nodes share it, else one for each team and class.
 void CallEntry::Earn(const Call& call) {
   if (context_->options.retry_burst > 0) {
     budget_.set_limit(context_->options.retry_burst, balancer_->nodes());
     budget_.Earn(call.service, {});
     return;
   }
-  budget_.Earn(call.facts.tenant, call.route->request_class);
+  budget_.Earn(call.facts.team, call.route->request_class);
 }
 
 /// \brief Spends a retry where an upstream has been asked before. What never
@@ -475,7 +475,7 @@
   }
   return context_->options.retry_burst > 0
              ? budget_.Spend(call.service, {})
-             : budget_.Spend(call.facts.tenant, call.route->request_class);
+             : budget_.Spend(call.facts.team, call.route->request_class);
 }
 
 void CallEntry::EndAttempt(Call* call,
@@ -506,14 +506,37 @@
 }
 
 void CallEntry::FinishUnknown(Call* call, std::string detail, bool timed_out) {
+  call->detail = detail;
   context_->Emit(AnswerUnknown{call->id, std::move(detail), timed_out});
   Finish(call, "unknown");
 }
 
+/// \brief Adds what decided the call, for those who look for the cause later.
+void CallEntry::Explain(const Call& call, CallEnded* ended) const {
+  ended->request_id = call.facts.request_id;
+  ended->status = call.status;
+  ended->detail = call.detail;
+  ended->service = call.service;
+  ended->config_number = call.snapshot ? call.snapshot->mark().number : 0;
+  ended->left = Remaining(call);
+  if (call.route != nullptr) {
+    ended->objective = call.route->latency_objective;
+  }
+  if (call.tried.empty()) {
+    return;
+  }
+  const Upstream& upstream = *call.tried.back();
+  ended->attempt = call.request.id;
+  ended->destination = upstream.member().id;
+  ended->load_permille = upstream.speed().load_permille;
+  ended->load_age = std::chrono::floor<Milliseconds>(context_->now.mono -
+                                                     upstream.speed().load_at);
+}
+
 void CallEntry::Finish(Call* call, std::string_view outcome) {
   CallEnded ended;
   ended.call = call->id;
-  ended.tenant = call->facts.tenant;
+  ended.team = call->facts.team;
   if (call->route != nullptr) {
     ended.request_class = call->route->request_class;
     ended.route = call->route->name;
@@ -521,6 +544,7 @@
   ended.outcome = outcome;
   ended.elapsed = context_->now.mono - call->arrived_at;
   ended.attempts = static_cast<std::uint8_t>(call->tried.size());
+  Explain(*call, &ended);
   context_->Emit(std::move(ended));
   calls_.erase(CallId(call->id));
 }
--- a/src/cassiabend/core/call_entry.h
+++ b/src/cassiabend/core/call_entry.h
@@ -81,6 +81,10 @@
     /// Whether the newest attempt's connection fell silent.
     bool silent = false;
     std::uint8_t failed_fetches = 0;
+    /// Status of the answer that is relayed; 0 before.
+    std::uint16_t status = 0;
+    /// Why the call is not answered.
+    std::string detail;
   };
   using CallTable = std::unordered_map<CallId, std::unique_ptr<Call>>;
 
@@ -113,6 +117,7 @@
 
   void FinishNotRun(Call* call, const Refusal& refusal);
   void FinishUnknown(Call* call, std::string detail, bool timed_out = false);
+  void Explain(const Call& call, CallEnded* ended) const;
   void Finish(Call* call, std::string_view outcome);
 
   CallContext* context_;
--- a/src/cassiabend/core/call_events.h
+++ b/src/cassiabend/core/call_events.h
@@ -26,7 +26,7 @@
 struct CallFacts {
   /// The caller's own name for the request, for logs; may be empty.
   std::string request_id;
-  std::string tenant;
+  std::string team;
   std::string host;
   std::string path;
   std::string method;
@@ -76,7 +76,7 @@
   std::uint64_t destination_start_id = 0;
   std::string route;
   std::string service;
-  std::string tenant;
+  std::string team;
   std::string request_class;
   std::string order_key;
   std::string site;
@@ -321,13 +321,33 @@
 /// \brief Effect: one call has ended; for metrics.
 struct CallEnded {
   CallId call = 0;
-  std::string tenant;
+  std::string team;
   std::string request_class;
   std::string route;
   /// "answered", "cut", "unknown", "caller_gone", or the reason not run.
   std::string outcome;
   Nanoseconds elapsed{0};
   std::uint8_t attempts = 0;
+  /// The caller's own name for the request; may be empty.
+  std::string request_id;
+  /// Status of the upstream's answer; 0 for none.
+  std::uint16_t status = 0;
+  /// Why the call was not answered; empty when it was.
+  std::string detail;
+  /// Service that the call was for, and the newest attempt with the node that
+  /// it was sent to; empty before the first.
+  std::string service;
+  AttemptId attempt;
+  NodeId destination;
+  /// Version of the configuration that the call was routed by.
+  VersionNumber config_number = 0;
+  /// Load that the destination stated last, in thousandths, and how old that
+  /// is.
+  std::uint16_t load_permille = 0;
+  Milliseconds load_age{0};
+  Milliseconds objective{0};
+  /// Time that was left for the call.
+  Milliseconds left{0};
 };
 
 // Effects at the destination node.
--- a/src/cassiabend/core/call_reducer.cc
+++ b/src/cassiabend/core/call_reducer.cc
@@ -193,8 +193,8 @@
   }
 
   void FinishDrain() {
-    if (!context_.HasStoppedServing() || drain_finished_ || entry_.calls() > 0 ||
-        destination_.has_work()) {
+    if (!context_.HasStoppedServing() || drain_finished_ ||
+        entry_.calls() > 0 || destination_.has_work()) {
       return;
     }
     drain_finished_ = true;
--- a/src/cassiabend/core/call_upstream_health.cc
+++ b/src/cassiabend/core/call_upstream_health.cc
@@ -12,6 +12,9 @@
 constexpr std::uint32_t kFailuresToStop = 3;
 /// Age up to which an answered call outweighs failed probes.
 constexpr Milliseconds kAnswerWeighs{3'000};
+/// An upstream that reports itself ready and answered so lately still serves,
+/// however many calls failed since.
+constexpr Milliseconds kPartlyAnswers{300};
 /// Shortest and longest time for which a shedding upstream is given less.
 constexpr Milliseconds kMinShedPause{20};
 constexpr Milliseconds kMaxShedPause{1'000};
@@ -128,6 +131,12 @@
 }
 
 void CallUpstreamHealth::RecordCallFailure() {
+  const bool answers =
+      answered_at_ && context_->now.mono - *answered_at_ < kPartlyAnswers;
+  if (expects_reports() && answers) {
+    // It fails part of its calls; taking it out would lose the others too.
+    return;
+  }
   if (RecordFailure()) {
     probes_to_serve_ = std::min(2 * probes_to_serve_, kMaxProbesToServe);
   }
--- a/src/cassiabend/core/call_upstream_health.h
+++ b/src/cassiabend/core/call_upstream_health.h
@@ -5,9 +5,9 @@
 
 namespace cassiabend {
 
-/// \brief Judges this host's upstream by its heartbeats or, where it sends none,
-/// by its health endpoint, and before both by what its calls show. Tells the
-/// fleet its state and load.
+/// \brief Judges this host's upstream by its heartbeats or, where it sends
+/// none, by its health endpoint, and before both by what its calls show. Tells
+/// the fleet its state and load.
 class CallUpstreamHealth {
  public:
   explicit CallUpstreamHealth(CallContext* context);
--- a/src/cassiabend/core/fleet_reducer_impl.cc
+++ b/src/cassiabend/core/fleet_reducer_impl.cc
@@ -260,9 +260,9 @@
 void FleetReducer::Impl::On(const FleetContext& context,
                             const LocalUpstreamChanged& event) {
   Member self = membership_.self();
-  const bool announces = self.upstream_state != event.state ||
-                         (!event.service.empty() &&
-                          self.service != event.service);
+  const bool announces =
+      self.upstream_state != event.state ||
+      (!event.service.empty() && self.service != event.service);
   self.upstream_state = event.state;
   if (!event.service.empty()) {
     self.service = event.service;
--- a/src/cassiabend/core/head_following.h
+++ b/src/cassiabend/core/head_following.h
@@ -8,9 +8,9 @@
 namespace cassiabend {
 
 /// \brief Tells whether changes of the head reach this node: because it follows
-/// the head itself, or because beats come from a node that does or that is below
-/// one. A node without either reads the head itself, so that the loss of a
-/// zone's reader delays no change until the zone has noticed.
+/// the head itself, or because beats come from a node that does or that is
+/// below one. A node without either reads the head itself, so that the loss of
+/// a zone's reader delays no change until the zone has noticed.
 class HeadFollowing {
  public:
   /// \returns Time since the head was followed, here or above; unset for never.
--- a/src/cassiabend/core/join_readiness.cc
+++ b/src/cassiabend/core/join_readiness.cc
@@ -54,7 +54,8 @@
 bool JoinReadiness::IsVouchedFor(const FleetContext& context,
                                  const Inputs& inputs) const {
   const std::optional<MonoTime> confirmed = inputs.freshness.confirmed_at();
-  if (confirmed && *confirmed + context.options().join_confirmation_age >= *started_at_) {
+  if (confirmed &&
+      *confirmed + context.options().join_confirmation_age >= *started_at_) {
     return true;
   }
   if (context.now() - *started_at_ < kMeetTime || !inputs.joined) {
--- a/src/cassiabend/core/member_directory.h
+++ b/src/cassiabend/core/member_directory.h
@@ -20,8 +20,7 @@
             bool knows_peers);
   /// \brief Takes an answer of the store.
   /// \returns Whether the answer was to a call of this part.
-  bool OnReply(const FleetContext& context,
-               const StoreReplied& replied);
+  bool OnReply(const FleetContext& context, const StoreReplied& replied);
   /// \brief Ends the lease, with which the key goes.
   void Release(const FleetContext& context);
   /// \returns The members listed since the last call.
--- a/src/cassiabend/core/node_reducer.cc
+++ b/src/cassiabend/core/node_reducer.cc
@@ -101,7 +101,6 @@
   for (CallEffect& it : effects) {
     if (const auto* upstream = std::get_if<LocalUpstreamChanged>(&it)) {
       ReduceFleet(now, *upstream, out);
-      continue;
     }
     if (const auto* load = std::get_if<LocalLoadChanged>(&it)) {
       ReduceFleet(now, *load, out);
--- a/src/cassiabend/core/objective_order.h
+++ b/src/cassiabend/core/objective_order.h
@@ -15,7 +15,8 @@
 struct ObjectiveRank {
   bool is_late = false;
   std::uint32_t priority = 0;
-  /// Latest start that meets the objective, or the deadline once that is missed.
+  /// Latest start that meets the objective, or the deadline once that is
+  /// missed.
   MonoTime start_by{};
 
   [[nodiscard]] auto operator<=>(const ObjectiveRank&) const = default;
@@ -33,7 +34,8 @@
   if (now + service <= aim) {
     return {.is_late = false, .priority = priority, .start_by = aim - service};
   }
-  return {.is_late = true, .priority = priority, .start_by = deadline - service};
+  return {
+      .is_late = true, .priority = priority, .start_by = deadline - service};
 }
 
 }  // namespace cassiabend
--- a/src/cassiabend/core/options.h
+++ b/src/cassiabend/core/options.h
@@ -92,7 +92,7 @@
   std::uint32_t queue_limit = 64;
   /// Share of the slots that one class may hold while others wait.
   std::uint32_t class_share_permille = 600;
-  /// Retries a tenant's class may add, in thousandths of its calls.
+  /// Retries a team's class may add, in thousandths of its calls.
   std::uint32_t retry_budget_permille = 200;
   std::uint32_t max_attempts = 3;
   /// Retries that all nodes together may hold saved up for one service; 0 for
@@ -115,10 +115,10 @@
   /// Whether the upstream may be older than this process, and is asked for its
   /// name before its first heartbeat.
   std::uint32_t ask_upstream = 1;
-  /// 1: what waits is served by its objective; 0: tenants and classes take turns.
+  /// 1: what waits is served by its objective; 0: teams and classes take turns.
   std::uint32_t order_by_objective = 0;
-  /// 1: an upstream is chosen by the expected time to its answer; 0: the nearest
-  /// one that has room.
+  /// 1: an upstream is chosen by the expected time to its answer; 0: the
+  /// nearest one that has room.
   std::uint32_t place_by_time = 0;
   /// What moving a kilobyte of an answer from another zone of the region, and
   /// from another region, is worth in time.
@@ -129,11 +129,11 @@
   /// Whether a repeatable call whose upstream answered with a server error is
   /// tried at another upstream before its caller hears of it.
   std::uint32_t retry_errors = 0;
-  /// How long after the start of a shutdown attempts at this host's upstream are
-  /// taken; not above `shutdown_serve`.
+  /// How long after the start of a shutdown attempts at this host's upstream
+  /// are taken; not above `shutdown_serve`.
   Milliseconds shutdown_accept{0};
-  /// How long after the start of a shutdown calls may go on. What is open then is
-  /// answered, since the process ends soon after.
+  /// How long after the start of a shutdown calls may go on. What is open then
+  /// is answered, since the process ends soon after.
   Milliseconds shutdown_finish{600'000};
   /// How long after the start of a shutdown callers' new requests are taken:
   /// until those who send them have learnt of it.
--- a/src/cassiabend/core/orders.cc
+++ b/src/cassiabend/core/orders.cc
@@ -48,8 +48,8 @@
     return std::nullopt;
   }
   // Lengths keep ("ab", "c") and ("a", "bc") apart.
-  const std::string text = std::to_string(request.tenant.size()) + ":" +
-                           request.tenant +
+  const std::string text = std::to_string(request.team.size()) + ":" +
+                           request.team +
                            std::to_string(request.service.size()) + ":" +
                            request.service + request.order_key;
   return HashText(text);
--- a/src/cassiabend/core/orders.h
+++ b/src/cassiabend/core/orders.h
@@ -11,7 +11,7 @@
 
 namespace cassiabend {
 
-/// \brief Names one order: the hash of its tenant, service and key.
+/// \brief Names one order: the hash of its team, service and key.
 using OrderId = Id128;
 
 /// \returns The order of an attempt; unset when it has no key to keep.
--- a/src/cassiabend/core/placement.cc
+++ b/src/cassiabend/core/placement.cc
@@ -17,7 +17,8 @@
 /// Bounds of one sample of slowness: a single long call says little.
 constexpr double kLeastSlowness = 0.3;
 constexpr double kMostSlowness = 20.0;
-/// Load, as a share of the slots, from which calls begin to wait for each other.
+/// Load, as a share of the slots, from which calls begin to wait for each
+/// other.
 constexpr double kBusyLoad = 0.7;
 /// What a failure costs, in service times of the class: the call has to be made
 /// again, and its caller may not wait that long.
--- a/src/cassiabend/core/retry_budget.cc
+++ b/src/cassiabend/core/retry_budget.cc
@@ -25,15 +25,13 @@
       std::clamp<std::uint64_t>(part, kOneRetry, kBalanceLimit));
 }
 
-void RetryBudget::Earn(std::string_view tenant,
-                       std::string_view request_class) {
-  std::uint32_t* balance = Balance(tenant, request_class);
+void RetryBudget::Earn(std::string_view team, std::string_view request_class) {
+  std::uint32_t* balance = Balance(team, request_class);
   *balance = std::min(*balance + permille_, limit_);
 }
 
-bool RetryBudget::Spend(std::string_view tenant,
-                        std::string_view request_class) {
-  std::uint32_t* balance = Balance(tenant, request_class);
+bool RetryBudget::Spend(std::string_view team, std::string_view request_class) {
+  std::uint32_t* balance = Balance(team, request_class);
   if (*balance < kOneRetry) {
     ++refused_;
     return false;
@@ -43,9 +41,9 @@
   return true;
 }
 
-std::uint32_t* RetryBudget::Balance(std::string_view tenant,
+std::uint32_t* RetryBudget::Balance(std::string_view team,
                                     std::string_view request_class) {
-  key_.assign(tenant);
+  key_.assign(team);
   key_.push_back('\0');
   key_.append(request_class);
   const auto it = balances_.find(key_);
--- a/src/cassiabend/core/retry_budget.h
+++ b/src/cassiabend/core/retry_budget.h
@@ -7,7 +7,7 @@
 
 namespace cassiabend {
 
-/// \brief Bounds retries to a share of the calls of each tenant and class.
+/// \brief Bounds retries to a share of the calls of each team and class.
 class RetryBudget {
  public:
   /// \param permille Retries per thousand calls.
@@ -21,14 +21,14 @@
   void set_limit(std::uint32_t burst, std::size_t nodes) noexcept;
 
   /// \brief Counts one call: it earns a share of a retry.
-  void Earn(std::string_view tenant, std::string_view request_class);
+  void Earn(std::string_view team, std::string_view request_class);
   /// \returns Whether one retry may be made; it is spent then.
-  [[nodiscard]] bool Spend(std::string_view tenant,
+  [[nodiscard]] bool Spend(std::string_view team,
                            std::string_view request_class);
 
  private:
   /// \returns The balance in thousandths of a retry.
-  [[nodiscard]] std::uint32_t* Balance(std::string_view tenant,
+  [[nodiscard]] std::uint32_t* Balance(std::string_view team,
                                        std::string_view request_class);
 
   std::uint32_t permille_;
--- a/src/cassiabend/core/upstream_identity.cc
+++ b/src/cassiabend/core/upstream_identity.cc
@@ -9,8 +9,8 @@
                                   const UpstreamReport& report) {
   // What was learnt by asking has no start time yet.
   const bool same_start =
-      report.instance == instance_ &&
-      (!started_at_ || !report.started_at || *started_at_ == *report.started_at);
+      report.instance == instance_ && (!started_at_ || !report.started_at ||
+                                       *started_at_ == *report.started_at);
   if (same_start) {
     if (sequence_ && report.sequence && *report.sequence <= *sequence_) {
       return ReportNews::kStale;
--- a/src/cassiabend/core/upstream_identity.h
+++ b/src/cassiabend/core/upstream_identity.h
@@ -19,9 +19,9 @@
 
 /// \brief Tells which start of the upstream on this host is the present one. A
 /// heartbeat that was held up may arrive after its sender has ended and another
-/// start has reported. Starts are told apart by name and time, heartbeats of one
-/// start by their sequence. As the upstream's clock may have been set back, an
-/// earlier start time is believed once the known start has fallen silent.
+/// start has reported. Starts are told apart by name and time, heartbeats of
+/// one start by their sequence. As the upstream's clock may have been set back,
+/// an earlier start time is believed once the known start has fallen silent.
 class UpstreamIdentity {
  public:
   /// \returns The name of the present start; empty when none is known.
--- a/src/cassiabend/ctl/command_line.cc
+++ b/src/cassiabend/ctl/command_line.cc
@@ -29,7 +29,7 @@
 };
 
 constexpr FieldOption kFieldOptions[] = {
-    {"tenant", "tenant", "", FieldType::kText, "tenant of the item", "NAME"},
+    {"team", "team", "", FieldType::kText, "team of the item", "NAME"},
     {"time-zone", "time_zone", "", FieldType::kText, "site: zone rule", "RULE"},
     {"host", "host", "", FieldType::kText, "route: exact host", "HOST"},
     {"path-prefix", "path_prefix", "", FieldType::kText, "route: path prefix",
--- a/src/cassiabend/ctl/item_kinds.cc
+++ b/src/cassiabend/ctl/item_kinds.cc
@@ -8,15 +8,15 @@
 namespace cassiabend {
 namespace {
 
-constexpr std::string_view kSiteColumns[] = {"name", "tenant", "time_zone",
+constexpr std::string_view kSiteColumns[] = {"name", "team", "time_zone",
                                              "revision"};
-constexpr std::string_view kServiceColumns[] = {"name", "tenant", "revision"};
+constexpr std::string_view kServiceColumns[] = {"name", "team", "revision"};
 constexpr std::string_view kRouteColumns[] = {
-    "name",       "tenant",  "host",          "path_prefix",
+    "name",       "team",    "host",          "path_prefix",
     "method",     "service", "request_class", "repeat",
     "timeout_ms", "noisy",   "site",          "revision"};
-constexpr std::string_view kWindowColumns[] = {"name",   "tenant", "site",
-                                               "weekly", "once",   "revision"};
+constexpr std::string_view kWindowColumns[] = {"name",   "team", "site",
+                                               "weekly", "once", "revision"};
 
 template <typename Item, auto parse>
 Edit Put(const boost::json::object& object) {
--- a/src/cassiabend/http/call_headers.cc
+++ b/src/cassiabend/http/call_headers.cc
@@ -76,7 +76,7 @@
 
 CallFacts ReadCallFacts(const MessageHead& head) {
   CallFacts facts;
-  facts.tenant = head.Get(kTenantHeader);
+  facts.team = head.Get(kTeamHeader);
   facts.host = HostWithoutPort(head.Get("Host"));
   facts.path = head.target.substr(0, head.target.find('?'));
   facts.method = head.method;
@@ -117,7 +117,8 @@
   const auto objective = NumberOr0(head.Get(kObjectiveHeader));
   const auto expires = ParseNumber<std::uint64_t>(head.Get(kExpiresHeader));
   if (!deadline.has_value() || !number.has_value() || !longest.has_value() ||
-      !priority.has_value() || !objective.has_value() || !expires.has_value() || *expires > kMaxWallMs) {
+      !priority.has_value() || !objective.has_value() || !expires.has_value() ||
+      *expires > kMaxWallMs) {
     return std::nullopt;
   }
   attempt.deadline = *deadline;
@@ -125,7 +126,7 @@
   attempt.longest_job = Seconds(*longest);
   attempt.route = head.Get(kRouteHeader);
   attempt.service = head.Get(kServiceHeader);
-  attempt.tenant = head.Get(kTenantHeader);
+  attempt.team = head.Get(kTeamHeader);
   attempt.request_class = head.Get(kClassHeader);
   attempt.order_key = head.Get(kOrderKeyHeader);
   attempt.site = head.Get(kSiteHeader);
@@ -154,7 +155,7 @@
   head->Add(kServiceHeader, attempt.service);
   AddUnlessDefault(kLongestJobHeader,
                    std::to_string(attempt.longest_job.count()), head);
-  AddUnlessDefault(kTenantHeader, attempt.tenant, head);
+  AddUnlessDefault(kTeamHeader, attempt.team, head);
   AddUnlessDefault(kClassHeader, attempt.request_class, head);
   AddUnlessDefault(kSiteHeader, attempt.site, head);
   AddUnlessDefault(kCallerHeader, attempt.caller_service, head);
@@ -181,8 +182,8 @@
   if (attempt.is_retry) {
     head->Add(kRetryHeader, "1");
   }
-  if (!attempt.tenant.empty()) {
-    head->Add(kTenantHeader, attempt.tenant);
+  if (!attempt.team.empty()) {
+    head->Add(kTeamHeader, attempt.team);
   }
 }
 
--- a/src/cassiabend/http/call_server.cc
+++ b/src/cassiabend/http/call_server.cc
@@ -233,26 +233,26 @@
   }
 
   void Accept(Listener* listener) {
-    listener->acceptor.async_accept([weak = weak_from_this(), listener](
-                                        const error_code& ec,
-                                        tcp::socket socket) {
-      const std::shared_ptr<Impl> self = weak.lock();
-      if (self == nullptr || self->is_closed_) {
-        return;
-      }
-      // One that was accepted before the stop is still served.
-      if (!ec) {
-        self->TakeConnection(std::move(socket), *listener);
-      }
-      if (!self->is_accepting_) {
-        return;
-      }
-      if (ec) {
-        self->PauseAccepting(ec, listener);
-      } else {
-        self->Accept(listener);
-      }
-    });
+    listener->acceptor.async_accept(
+        [weak = weak_from_this(), listener](const error_code& ec,
+                                            tcp::socket socket) {
+          const std::shared_ptr<Impl> self = weak.lock();
+          if (self == nullptr || self->is_closed_) {
+            return;
+          }
+          // One that was accepted before the stop is still served.
+          if (!ec) {
+            self->TakeConnection(std::move(socket), *listener);
+          }
+          if (!self->is_accepting_) {
+            return;
+          }
+          if (ec) {
+            self->PauseAccepting(ec, listener);
+          } else {
+            self->Accept(listener);
+          }
+        });
   }
 
   /// \brief Takes the connections that the system has accepted already: their
--- a/src/cassiabend/http/headers.h
+++ b/src/cassiabend/http/headers.h
@@ -6,7 +6,7 @@
 
 /// \brief Names of the headers that the call path reads and writes.
 /// Callers may set those of the first group.
-inline constexpr std::string_view kTenantHeader = "X-Cassiabend-Tenant";
+inline constexpr std::string_view kTeamHeader = "X-Cassiabend-Team";
 inline constexpr std::string_view kDeadlineHeader = "X-Cassiabend-Deadline-Ms";
 inline constexpr std::string_view kDepthHeader = "X-Cassiabend-Depth";
 inline constexpr std::string_view kRetryHeader = "X-Cassiabend-Retry";
--- a/src/cassiabend/http/outgoing_pool.cc
+++ b/src/cassiabend/http/outgoing_pool.cc
@@ -105,10 +105,9 @@
                        RefPtr<Connection> connection,
                        std::optional<Milliseconds> idle_limit) {
   IdleList& list = idle_[endpoint];
-  const Milliseconds limit =
-      std::min(options_.idle_timeout,
-               idle_limit.value_or(options_.idle_timeout + kIdleMargin) -
-                   kIdleMargin);
+  const Milliseconds limit = std::min(
+      options_.idle_timeout,
+      idle_limit.value_or(options_.idle_timeout + kIdleMargin) - kIdleMargin);
   if (list.size() >= options_.idle_connections || limit <= Milliseconds(0)) {
     connection->Close();
     return;
--- a/src/cassiabend/http/system_answers.cc
+++ b/src/cassiabend/http/system_answers.cc
@@ -71,8 +71,7 @@
 
 std::optional<DestinationTimes> ParseTimes(std::string_view text) {
   const std::size_t first = std::min(text.find(' '), text.size());
-  const std::string_view rest =
-      text.substr(std::min(first + 1, text.size()));
+  const std::string_view rest = text.substr(std::min(first + 1, text.size()));
   const std::size_t second = std::min(rest.find(' '), rest.size());
   const auto load = ParseNumber<std::uint16_t>(text.substr(0, first));
   const auto stay = ParseMilliseconds(rest.substr(0, second));
--- a/src/cassiabend/http/upstream_call.cc
+++ b/src/cassiabend/http/upstream_call.cc
@@ -78,8 +78,8 @@
   }
   answer_->Append(bytes);
   // An answer of unknown length is passed on once it turns out to be large.
-  if (pending_head_ && (answer_->end_position() > whole_answer_bytes_ ||
-                        !answer_->HasRoom())) {
+  if (pending_head_ &&
+      (answer_->end_position() > whole_answer_bytes_ || !answer_->HasRoom())) {
     PassOnHead();
   }
   if (!answer_->HasRoom()) {
--- a/src/cassiabend/model/codec.cc
+++ b/src/cassiabend/model/codec.cc
@@ -96,14 +96,14 @@
 
 void ToWire(const Site& site, schema::Site::Builder out) {
   out.setName(site.name);
-  out.setTenant(site.tenant);
+  out.setTeam(site.team);
   out.setTimeZone(site.time_zone);
   out.setRevision(site.revision);
 }
 
 void ToWire(const Service& service, schema::Service::Builder out) {
   out.setName(service.name);
-  out.setTenant(service.tenant);
+  out.setTeam(service.team);
   out.setRevision(service.revision);
   if (!service.health_path.empty()) {
     out.setHealthPath(service.health_path);
@@ -126,7 +126,7 @@
 
 void ToWire(const Route& route, schema::Route::Builder out) {
   out.setName(route.name);
-  out.setTenant(route.tenant);
+  out.setTeam(route.team);
   out.setHost(route.host);
   out.setPathPrefix(route.path_prefix);
   out.setMethod(route.method);
@@ -152,7 +152,7 @@
 
 void ToWire(const QuietWindow& window, schema::QuietWindow::Builder out) {
   out.setName(window.name);
-  out.setTenant(window.tenant);
+  out.setTeam(window.team);
   out.setSite(window.site);
   out.setRevision(window.revision);
   if (const auto* once = std::get_if<OnceSchedule>(&window.schedule)) {
@@ -253,14 +253,14 @@
 
 Site FromWire(schema::Site::Reader in) {
   return {.name = TextOf(in.getName()),
-          .tenant = TextOf(in.getTenant()),
+          .team = TextOf(in.getTeam()),
           .time_zone = TextOf(in.getTimeZone()),
           .revision = in.getRevision()};
 }
 
 Service FromWire(schema::Service::Reader in) {
   return {.name = TextOf(in.getName()),
-          .tenant = TextOf(in.getTenant()),
+          .team = TextOf(in.getTeam()),
           .revision = in.getRevision(),
           .health_path = TextOf(in.getHealthPath())};
 }
@@ -278,7 +278,7 @@
 
 Route FromWire(schema::Route::Reader in) {
   return {.name = TextOf(in.getName()),
-          .tenant = TextOf(in.getTenant()),
+          .team = TextOf(in.getTeam()),
           .host = TextOf(in.getHost()),
           .path_prefix = TextOf(in.getPathPrefix()),
           .method = TextOf(in.getMethod()),
@@ -299,7 +299,7 @@
 
 QuietWindow FromWire(schema::QuietWindow::Reader in) {
   QuietWindow out{.name = TextOf(in.getName()),
-                  .tenant = TextOf(in.getTenant()),
+                  .team = TextOf(in.getTeam()),
                   .site = TextOf(in.getSite()),
                   .revision = in.getRevision()};
   const auto schedule = in.getSchedule();
--- a/src/cassiabend/model/config.h
+++ b/src/cassiabend/model/config.h
@@ -14,7 +14,7 @@
 /// \brief A place of work whose neighbours may hold quiet-hour orders.
 struct Site {
   std::string name;
-  std::string tenant;
+  std::string team;
   /// Zone rule, such as "PST-08PDT,M3.2.0/02:00,M11.1.0/02:00".
   std::string time_zone;
   /// Version that last changed this item.
@@ -26,7 +26,7 @@
 /// \brief A named group of upstreams.
 struct Service {
   std::string name;
-  std::string tenant;
+  std::string team;
   VersionNumber revision = 0;
   /// Path that an upstream answers health checks on; empty for the node's own
   /// setting.
@@ -50,7 +50,7 @@
 /// \brief Sends the calls that match to one service.
 struct Route {
   std::string name;
-  std::string tenant;
+  std::string team;
   /// Exact host name; empty matches every host.
   std::string host;
   std::string path_prefix;
@@ -105,7 +105,7 @@
 /// \brief A time during which noisy work must not run at a site.
 struct QuietWindow {
   std::string name;
-  std::string tenant;
+  std::string team;
   std::string site;
   std::variant<OnceSchedule, WeeklySchedule> schedule;
   VersionNumber revision = 0;
--- a/src/cassiabend/model/json.cc
+++ b/src/cassiabend/model/json.cc
@@ -10,9 +10,7 @@
 namespace cassiabend {
 namespace {
 
-void SetNumber(std::string_view key,
-               std::int64_t n,
-               boost::json::object* out) {
+void SetNumber(std::string_view key, std::int64_t n, boost::json::object* out) {
   if (n != 0) {
     (*out)[key] = n;
   }
@@ -69,7 +67,7 @@
 
 boost::json::value ToJson(const Site& site) {
   boost::json::object out{{"name", site.name}};
-  SetText("tenant", site.tenant, &out);
+  SetText("team", site.team, &out);
   SetText("time_zone", site.time_zone, &out);
   out["revision"] = site.revision;
   return out;
@@ -77,7 +75,7 @@
 
 boost::json::value ToJson(const Service& service) {
   boost::json::object out{{"name", service.name}};
-  SetText("tenant", service.tenant, &out);
+  SetText("team", service.team, &out);
   SetText("health_path", service.health_path, &out);
   out["revision"] = service.revision;
   return out;
@@ -85,7 +83,7 @@
 
 boost::json::value ToJson(const Route& route) {
   boost::json::object out{{"name", route.name}};
-  SetText("tenant", route.tenant, &out);
+  SetText("team", route.team, &out);
   SetText("host", route.host, &out);
   SetText("path_prefix", route.path_prefix, &out);
   SetText("method", route.method, &out);
@@ -114,7 +112,7 @@
 
 boost::json::value ToJson(const QuietWindow& window) {
   boost::json::object out{{"name", window.name}};
-  SetText("tenant", window.tenant, &out);
+  SetText("team", window.team, &out);
   SetText("site", window.site, &out);
   if (const auto* once = std::get_if<OnceSchedule>(&window.schedule)) {
     out["once"] = ToJson(*once);
--- a/src/cassiabend/model/json_read.cc
+++ b/src/cassiabend/model/json_read.cc
@@ -243,7 +243,7 @@
 Site ParseSite(const boost::json::object& object, const std::string& path) {
   JsonObjectReader in(object, path);
   Site out{.name = in.RequiredText("name"),
-           .tenant = in.Text("tenant"),
+           .team = in.Text("team"),
            .time_zone = in.RequiredText("time_zone"),
            .revision = in.Number("revision")};
   in.CheckAllRead();
@@ -254,7 +254,7 @@
                      const std::string& path) {
   JsonObjectReader in(object, path);
   Service out{.name = in.RequiredText("name"),
-              .tenant = in.Text("tenant"),
+              .team = in.Text("team"),
               .revision = in.Number("revision"),
               .health_path = in.Text("health_path")};
   in.CheckAllRead();
@@ -264,7 +264,7 @@
 Route ParseRoute(const boost::json::object& object, const std::string& path) {
   JsonObjectReader in(object, path);
   Route out{.name = in.RequiredText("name"),
-            .tenant = in.Text("tenant"),
+            .team = in.Text("team"),
             .host = in.Text("host"),
             .path_prefix = in.RequiredText("path_prefix"),
             .method = in.Text("method"),
@@ -290,7 +290,7 @@
                         const std::string& path) {
   JsonObjectReader in(object, path);
   QuietWindow out{.name = in.RequiredText("name"),
-                  .tenant = in.Text("tenant"),
+                  .team = in.Text("team"),
                   .site = in.RequiredText("site"),
                   .revision = in.Number("revision")};
   const boost::json::object* once = in.Object("once");
--- a/src/cassiabend/model/route_table.cc
+++ b/src/cassiabend/model/route_table.cc
@@ -9,8 +9,8 @@
 
 /// \brief Orders by prefix; within one, exact methods go before any method.
 bool Before(const Route* a, const Route* b) noexcept {
-  return std::tie(a->path_prefix, b->method, a->tenant) <
-         std::tie(b->path_prefix, a->method, b->tenant);
+  return std::tie(a->path_prefix, b->method, a->team) <
+         std::tie(b->path_prefix, a->method, b->team);
 }
 
 }  // namespace
--- a/src/cassiabend/model/snapshot.cc
+++ b/src/cassiabend/model/snapshot.cc
@@ -18,8 +18,7 @@
 constexpr std::chrono::days kRunLimit{400};
 
 bool Matches(const Route& route, const RouteQuery& query) noexcept {
-  if (!query.tenant.empty() && !route.tenant.empty() &&
-      route.tenant != query.tenant) {
+  if (!query.team.empty() && !route.team.empty() && route.team != query.team) {
     return false;
   }
   return route.method.empty() || route.method == query.method;
--- a/src/cassiabend/model/snapshot.h
+++ b/src/cassiabend/model/snapshot.h
@@ -16,8 +16,8 @@
 
 /// \brief What a call is matched by.
 struct RouteQuery {
-  /// Empty when the caller names no tenant.
-  std::string_view tenant;
+  /// Empty when the caller names no team.
+  std::string_view team;
   std::string_view host;
   std::string_view path;
   std::string_view method;
--- a/src/cassiabend/model/validate.cc
+++ b/src/cassiabend/model/validate.cc
@@ -81,8 +81,8 @@
     if (!IsName(item.name)) {
       Add(ref, "name", kNameRule);
     }
-    if (!item.tenant.empty() && !IsName(item.tenant)) {
-      Add(ref, "tenant", kNameRule);
+    if (!item.team.empty() && !IsName(item.team)) {
+      Add(ref, "team", kNameRule);
     }
     if (item.revision > config_.number) {
       Add(ref, "revision", "it is above the version's number");
@@ -160,9 +160,9 @@
       Add(ref, field, "there is no service called \"" + name + "\"");
       return;
     }
-    if (!service->tenant.empty() && service->tenant != route.tenant) {
-      Add(ref, "tenant",
-          "the service belongs to the tenant \"" + service->tenant + "\"");
+    if (!service->team.empty() && service->team != route.team) {
+      Add(ref, "team",
+          "the service belongs to the team \"" + service->team + "\"");
     }
   }
 
--- a/src/cassiabend/node/metrics.cc
+++ b/src/cassiabend/node/metrics.cc
@@ -257,7 +257,7 @@
     : readings_(std::make_shared<ReadingsCollectable>(std::move(read))),
       calls_(&prometheus::BuildCounter()
                   .Name("cassiabend_calls_total")
-                  .Help("Calls by tenant, class and outcome.")
+                  .Help("Calls by team, class and outcome.")
                   .Register(registry_)),
       latency_(&prometheus::BuildHistogram()
                     .Name("cassiabend_call_seconds")
@@ -290,12 +290,12 @@
 }
 
 prometheus::Counter& NodeMetrics::CallCounter(const CallEnded& ended) {
-  const CallKey key(ended.tenant, ended.request_class, ended.outcome);
+  const CallKey key(ended.team, ended.request_class, ended.outcome);
   const auto it = call_counters_.find(key);
   if (it != call_counters_.end()) {
     return *it->second;
   }
-  prometheus::Counter& counter = calls_->Add({{"tenant", ended.tenant},
+  prometheus::Counter& counter = calls_->Add({{"team", ended.team},
                                               {"class", ended.request_class},
                                               {"outcome", ended.outcome}});
   call_counters_.emplace(key, &counter);
@@ -303,14 +303,13 @@
 }
 
 prometheus::Histogram& NodeMetrics::CallHistogram(const CallEnded& ended) {
-  const CallKey key(ended.tenant, ended.request_class, "");
+  const CallKey key(ended.team, ended.request_class, "");
   const auto it = call_histograms_.find(key);
   if (it != call_histograms_.end()) {
     return *it->second;
   }
-  prometheus::Histogram& histogram =
-      latency_->Add({{"tenant", ended.tenant}, {"class", ended.request_class}},
-                    LatencyBounds());
+  prometheus::Histogram& histogram = latency_->Add(
+      {{"team", ended.team}, {"class", ended.request_class}}, LatencyBounds());
   call_histograms_.emplace(key, &histogram);
   return histogram;
 }
--- a/src/cassiabend/node/node.cc
+++ b/src/cassiabend/node/node.cc
@@ -13,6 +13,8 @@
 namespace cassiabend {
 namespace {
 
+/// Pause between lines about calls that were answered: samples.
+constexpr Milliseconds kSamplePause{500};
 /// Time for the statement that this node leaves to reach its peers.
 constexpr Milliseconds kLeaveTime{300};
 
@@ -212,11 +214,64 @@
   }
 }
 
-void Node::ExecuteCall(const CallEffect& effect) {
+void Node::NoteCallEffect(const CallEffect& effect) {
   if (const auto* ended = std::get_if<CallEnded>(&effect)) {
     metrics_.Record(*ended);
+    NoteCallEnded(*ended);
+  } else if (const auto* refused = std::get_if<ReplyNotRun>(&effect)) {
+    Log(LogLevel::kInfo, "attempt_refused",
+        {{"attempt", ToHex(refused->attempt)},
+         {"reason", NameOf(refused->reason)},
+         {"by_upstream", refused->reached_upstream},
+         {"load_permille", refused->times.load_permille},
+         {"waited_ms", refused->times.stay.count()},
+         {"retry_after_ms", refused->retry_after.count()}});
+  } else if (const auto* changed = std::get_if<LocalUpstreamChanged>(&effect)) {
+    Log(LogLevel::kInfo, "upstream_state_changed",
+        {{"state", NameOf(changed->state)},
+         {"service", changed->service},
+         {"slots", changed->slots}});
+  }
+}
+
+void Node::NoteCallEnded(const CallEnded& ended) {
+  constexpr std::uint16_t kFirstServerError = 500;
+  const bool answered = ended.outcome == "answered";
+  const bool failed = !answered || ended.status >= kFirstServerError;
+  const bool late =
+      ended.objective > Milliseconds(0) && ended.elapsed > ended.objective;
+  const MonoTime now = clock_.Now().mono;
+  if (!failed && now < next_sample_at_) {
     return;
   }
+  if (!failed) {
+    next_sample_at_ = now + kSamplePause;
+  }
+  const char* event =
+      failed ? "call_failed" : (late ? "call_late" : "call_answered");
+  Log(failed ? LogLevel::kWarning : LogLevel::kInfo, event,
+      {{"request", ended.request_id},
+       {"outcome", ended.outcome},
+       {"status", ended.status},
+       {"detail", ended.detail},
+       {"team", ended.team},
+       {"route", ended.route},
+       {"class", ended.request_class},
+       {"service", ended.service},
+       {"version", ended.config_number},
+       {"attempts", ended.attempts},
+       {"attempt", ended.attempt.IsZero() ? "" : ToHex(ended.attempt)},
+       {"destination",
+        ended.destination.empty() ? "" : ToString(ended.destination)},
+       {"load_permille", ended.load_permille},
+       {"load_age_ms", ended.load_age.count()},
+       {"elapsed_ms", std::chrono::floor<Milliseconds>(ended.elapsed).count()},
+       {"objective_ms", ended.objective.count()},
+       {"left_ms", ended.left.count()}});
+}
+
+void Node::ExecuteCall(const CallEffect& effect) {
+  NoteCallEffect(effect);
   if (const auto* store_call = std::get_if<StoreCall>(&effect)) {
     store_->Execute(*store_call);
     return;
--- a/src/cassiabend/node/node.h
+++ b/src/cassiabend/node/node.h
@@ -48,6 +48,8 @@
   void ExecuteFleet(const FleetEffect& effect);
   void ExecuteCall(const CallEffect& effect);
   void NoteFleetEffect(const FleetEffect& effect);
+  void NoteCallEffect(const CallEffect& effect);
+  void NoteCallEnded(const CallEnded& ended);
   void ScheduleTick(boost::asio::steady_timer* timer,
                     Milliseconds period,
                     const Body& body);
@@ -79,6 +81,8 @@
   bool ready_ = false;
   std::string not_ready_reason_ = "starting";
   std::uint64_t events_ = 0;
+  /// When the next answered call is logged.
+  MonoTime next_sample_at_{};
   /// When the version in force was applied.
   WallTime applied_at_{};
   std::unique_ptr<StoreClient> store_;
--- a/src/cassiabend/node/settings.cc
+++ b/src/cassiabend/node/settings.cc
@@ -192,9 +192,9 @@
       token.name = TextAt(it.value(), 1, 128, key_path);
     } else if (it.key() == "token_hash") {
       token.token_hash = TextAt(it.value(), 1, 128, key_path);
-    } else if (it.key() == "tenants") {
-      for (const json::value& tenant : ArrayAt(it.value(), key_path)) {
-        token.tenants.push_back(TextAt(tenant, 1, 128, key_path));
+    } else if (it.key() == "teams") {
+      for (const json::value& team : ArrayAt(it.value(), key_path)) {
+        token.teams.push_back(TextAt(team, 1, 128, key_path));
       }
     } else {
       Fail(key_path, "is not a known key");
@@ -354,13 +354,13 @@
 json::array PrintOperators(const std::vector<OperatorToken>& operators) {
   json::array out;
   for (const OperatorToken& it : operators) {
-    json::array tenants;
-    for (const std::string& tenant : it.tenants) {
-      tenants.emplace_back(tenant);
+    json::array teams;
+    for (const std::string& team : it.teams) {
+      teams.emplace_back(team);
     }
     out.push_back(json::object{{"name", it.name},
                                {"token_hash", it.token_hash},
-                               {"tenants", std::move(tenants)}});
+                               {"teams", std::move(teams)}});
   }
   return out;
 }
@@ -449,7 +449,7 @@
          "Besides the keys below: `store.endpoints` and `fleet.seeds` are "
          "lists of `\"IP:PORT\"`, and `operators` is a list of objects with "
          "`name`, `token_hash` (as `cassiabend-ctl hash-token` prints it) and "
-         "`tenants` (a list of tenants, or `[\"*\"]` for all).\n";
+         "`teams` (a list of teams, or `[\"*\"]` for all).\n";
   DescribeSection("node", NodeFields(), &out);
   DescribeSection("platform", PlatformFields(), &out);
   DescribeSection("upstream", UpstreamFields(), &out);
--- a/src/cassiabend/node/settings_fields.cc
+++ b/src/cassiabend/node/settings_fields.cc
@@ -182,9 +182,9 @@
     {"max_attempts", &Calls::max_attempts, 1, 10, "Attempts of one call."},
     {"retry_burst", &Calls::retry_burst, 0, 100'000,
      "Retries of one service that all nodes together may hold saved up; 0 for "
-     "ten a node, tenant and class."},
+     "ten a node, team and class."},
     {"order_by_objective", &Calls::order_by_objective, 0, 1,
-     "1: what waits is served by its objective; 0: tenants and classes take "
+     "1: what waits is served by its objective; 0: teams and classes take "
      "turns."},
     {"place_by_time", &Calls::place_by_time, 0, 1,
      "1: an upstream is chosen by the expected time to its answer; 0: the "
--- a/src/cassiabend/rpc/admin_scope.cc
+++ b/src/cassiabend/rpc/admin_scope.cc
@@ -12,20 +12,20 @@
 CommitResult Refusal(const OperatorToken& who,
                      const ChangeId& change_id,
                      std::string path,
-                     const std::string& tenant) {
+                     const std::string& team) {
   CommitResult out;
   out.code = CommitCode::kNotAuthorised;
   out.path = std::move(path);
   out.reason =
       "operator \"" + who.name + "\" may not change " +
-      (tenant.empty() ? "shared items" : "items of tenant \"" + tenant + "\"");
+      (team.empty() ? "shared items" : "items of team \"" + team + "\"");
   out.change_id = change_id;
   return out;
 }
 
 /// \brief What the scope depends on of a present item.
 struct PresentItem {
-  std::string tenant;
+  std::string team;
   VersionNumber revision = 0;
 };
 
@@ -36,7 +36,7 @@
   if (item == nullptr) {
     return std::nullopt;
   }
-  return PresentItem{item->tenant, item->revision};
+  return PresentItem{item->team, item->revision};
 }
 
 std::optional<PresentItem> FindPresent(const Config& config,
@@ -54,14 +54,14 @@
   return std::nullopt;
 }
 
-/// \brief The tenant of the item that an edit puts; unset for a removal.
-struct NewTenant {
+/// \brief The team of the item that an edit puts; unset for a removal.
+struct NewTeam {
   std::optional<std::string> operator()(const ItemRef& /*it*/) const {
     return std::nullopt;
   }
   template <typename Item>
   std::optional<std::string> operator()(const Item& it) const {
-    return it.tenant;
+    return it.team;
   }
 };
 
@@ -72,12 +72,12 @@
                                        Edit* edit) {
   const ItemRef target = TargetOf(*edit);
   const std::optional<PresentItem> item = FindPresent(present, target);
-  const std::optional<std::string> tenants[] = {
-      std::visit(NewTenant{}, edit->action),
-      item ? std::optional(item->tenant) : std::nullopt};
-  for (const auto& tenant : tenants) {
-    if (tenant && !MayChangeTenant(who, *tenant)) {
-      return Refusal(who, change_id, PathOf(target), *tenant);
+  const std::optional<std::string> teams[] = {
+      std::visit(NewTeam{}, edit->action),
+      item ? std::optional(item->team) : std::nullopt};
+  for (const auto& team : teams) {
+    if (team && !MayChangeTeam(who, *team)) {
+      return Refusal(who, change_id, PathOf(target), *team);
     }
   }
   const VersionNumber revision = item ? item->revision : 0;
@@ -102,7 +102,7 @@
 std::optional<CommitResult> ApplyScope(const OperatorToken& who,
                                        const Config* present,
                                        Change* change) {
-  if (MayChangeTenant(who, "")) {
+  if (MayChangeTeam(who, "")) {
     return std::nullopt;
   }
   const Config empty;
@@ -118,7 +118,7 @@
 
 std::optional<CommitResult> CheckWholeScope(const OperatorToken& who,
                                             const ChangeId& change_id) {
-  if (MayChangeTenant(who, "")) {
+  if (MayChangeTeam(who, "")) {
     return std::nullopt;
   }
   return Refusal(who, change_id, "", "");
--- a/src/cassiabend/rpc/admin_tokens.cc
+++ b/src/cassiabend/rpc/admin_tokens.cc
@@ -38,9 +38,9 @@
   return found;
 }
 
-bool MayChangeTenant(const OperatorToken& who, std::string_view tenant) {
-  for (const std::string& it : who.tenants) {
-    if (it == "*" || (it == tenant && !tenant.empty())) {
+bool MayChangeTeam(const OperatorToken& who, std::string_view team) {
+  for (const std::string& it : who.teams) {
+    if (it == "*" || (it == team && !team.empty())) {
       return true;
     }
   }
--- a/src/cassiabend/rpc/admin_tokens.h
+++ b/src/cassiabend/rpc/admin_tokens.h
@@ -14,9 +14,9 @@
     const std::vector<OperatorToken>& operators,
     std::string_view token);
 
-/// \brief Whether an operator may change items of `tenant`. Shared items, whose
-/// tenant is empty, need the tenant "*".
-[[nodiscard]] bool MayChangeTenant(const OperatorToken& who,
-                                   std::string_view tenant);
+/// \brief Whether an operator may change items of `team`. Shared items, whose
+/// team is empty, need the team "*".
+[[nodiscard]] bool MayChangeTeam(const OperatorToken& who,
+                                 std::string_view team);
 
 }  // namespace cassiabend
--- a/src/cassiabend/rpc/admin_types.h
+++ b/src/cassiabend/rpc/admin_types.h
@@ -13,8 +13,8 @@
   std::string name;
   /// Hash of the token as `HashToken` writes it.
   std::string token_hash;
-  /// Tenants whose items the operator may change; "*" for all.
-  std::vector<std::string> tenants;
+  /// Teams whose items the operator may change; "*" for all.
+  std::vector<std::string> teams;
 
   [[nodiscard]] bool operator==(const OperatorToken&) const = default;
 };
--- a/src/cassiabend/rpc/peer_links.cc
+++ b/src/cassiabend/rpc/peer_links.cc
@@ -81,7 +81,8 @@
 
 kj::Own<PeerLink> PeerLinks::LinkTo(const NodeId& to) {
   auto it = links_.find(to);
-  if (it != links_.end() && timer_.now() - it->second->last_used() > kIdleLimit) {
+  if (it != links_.end() &&
+      timer_.now() - it->second->last_used() > kIdleLimit) {
     links_.erase(it);
     it = links_.end();
   }
--- a/src/cassiabend/store/gateway_connection.cc
+++ b/src/cassiabend/store/gateway_connection.cc
@@ -26,9 +26,10 @@
 constexpr std::size_t kMaxAnswerBytes = std::size_t{4} * 1024 * 1024;
 constexpr unsigned kHttpVersion = 11;
 
-/// A store that has vanished is found by the second probe, 2 s after it was heard
-/// last, or once sent data is unacknowledged for `kUnacknowledgedLimit`: within
-/// the time after a fault in which the platform expects no change to arrive.
+/// A store that has vanished is found by the second probe, 2 s after it was
+/// heard last, or once sent data is unacknowledged for `kUnacknowledgedLimit`:
+/// within the time after a fault in which the platform expects no change to
+/// arrive.
 constexpr int kKeepAliveIdle = 1;      // s
 constexpr int kKeepAliveInterval = 1;  // s
 constexpr int kKeepAliveProbes = 2;
--- a/src/cassiabend/store/store_client.cc
+++ b/src/cassiabend/store/store_client.cc
@@ -173,8 +173,8 @@
     last_answer_time_ = std::chrono::duration_cast<Milliseconds>(
         clock_.Now().mono - op->sent_at);
     pool_.GiveBack(connection);
-    const StoreReply reply =
-        options_.codec->Decode(op->call.request, result.http_status, result.body);
+    const StoreReply reply = options_.codec->Decode(
+        op->call.request, result.http_status, result.body);
     if (result.http_status < kFirstServerError) {
       preferred_ = op->endpoint;
     } else if (reply.status == StoreStatus::kUnavailable &&
@@ -266,22 +266,21 @@
   void PollWatch(const OperationPtr& op,
                  const ConnectionPtr& connection,
                  const StoreWatch& watch) {
-    connection->Exchange(
-        options_.codec->Encode(watch), kConnectTimeout,
-        watch.wait + kPollMargin,
-        [self = shared_from_this(), op, connection,
-         watch](const ExchangeResult& result) {
-          connection->Close();
-          self->Count(result);
-          StoreReply reply;
-          if (result.end == ExchangeResult::End::kAnswered) {
-            reply = self->options_.codec->Decode(watch, result.http_status,
-                                                 result.body);
-          } else {
-            self->LogFailure(*op, result.why);
-          }
-          self->FinishWatch(op, reply);
-        });
+    connection->Exchange(options_.codec->Encode(watch), kConnectTimeout,
+                         watch.wait + kPollMargin,
+                         [self = shared_from_this(), op, connection,
+                          watch](const ExchangeResult& result) {
+                           connection->Close();
+                           self->Count(result);
+                           StoreReply reply;
+                           if (result.end == ExchangeResult::End::kAnswered) {
+                             reply = self->options_.codec->Decode(
+                                 watch, result.http_status, result.body);
+                           } else {
+                             self->LogFailure(*op, result.why);
+                           }
+                           self->FinishWatch(op, reply);
+                         });
   }
 
   void OnWatchEnded(const OperationPtr& op,
@@ -368,11 +367,25 @@
     });
   }
 
+  /// \brief Says when the store is lost, and when it is back.
+  void NoteReachability(StoreStatus status) {
+    const bool answers =
+        status != StoreStatus::kUnavailable && status != StoreStatus::kUnknown;
+    if (answers == reachable_) {
+      return;
+    }
+    reachable_ = answers;
+    Log(answers ? LogLevel::kInfo : LogLevel::kWarning,
+        answers ? "store_regained" : "store_lost",
+        {{"calls", counts_.calls}, {"failures", counts_.failures}});
+  }
+
   void Reply(const OperationPtr& op, StoreReply reply) {
     if (sink_ == nullptr) {
       return;
     }
     reply.sent_at = op->sent_at;
+    NoteReachability(reply.status);
     counts_.failures += reply.status == StoreStatus::kUnavailable ? 1 : 0;
     counts_.unknown_outcomes += reply.status == StoreStatus::kUnknown ? 1 : 0;
     StoreReplied event{op->call.id, std::move(reply)};
@@ -405,6 +418,7 @@
   std::uint32_t watches_ = 0;
   std::deque<OperationPtr> waiting_;
   bool closed_ = false;
+  bool reachable_ = true;
 };
 
 StoreClient::StoreClient(asio::io_context& io,
--- a/tests/admission_test.cc
+++ b/tests/admission_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
 #include <memory>
 
 #include "cassiabend/core/retry_budget.h"
@@ -25,15 +26,15 @@
   AdmissionQueue& operator*() { return queue_; }
   AdmissionQueue* operator->() { return &queue_; }
 
-  Attempt* Make(const std::string& tenant, const std::string& request_class) {
+  Attempt* Make(const std::string& team, const std::string& request_class) {
     attempts_.push_back(std::make_unique<Attempt>());
     Attempt* attempt = attempts_.back().get();
-    attempt->request.tenant = tenant;
+    attempt->request.team = team;
     attempt->request.request_class = request_class;
     return attempt;
   }
-  Attempt* Enqueue(const std::string& tenant, const std::string& name) {
-    return queue_.Enqueue(Make(tenant, name));
+  Attempt* Enqueue(const std::string& team, const std::string& name) {
+    return queue_.Enqueue(Make(team, name));
   }
   /// \returns The class of the next attempt; empty for none.
   std::string Next() {
@@ -73,15 +74,15 @@
   }
 }
 
-TEST_CASE("tenants of one class take turns") {
+TEST_CASE("teams of one class take turns") {
   AdmissionDriver driver;
   for (int n = 0; n < 6; ++n) {
     CHECK(driver.Enqueue("a", "status") == nullptr);
   }
   CHECK(driver.Enqueue("b", "status") == nullptr);
-  CHECK(driver->TakeNext(kSlots)->request.tenant == "a");
-  CHECK(driver->TakeNext(kSlots)->request.tenant == "b");
-  CHECK(driver->TakeNext(kSlots)->request.tenant == "a");
+  CHECK(driver->TakeNext(kSlots)->request.team == "a");
+  CHECK(driver->TakeNext(kSlots)->request.team == "b");
+  CHECK(driver->TakeNext(kSlots)->request.team == "a");
 }
 
 TEST_CASE("a full queue makes room at the cost of its longest flow") {
@@ -118,7 +119,7 @@
   CHECK(driver->ExpectedWait(other->request, kSlots) == Milliseconds(20));
 }
 
-TEST_CASE("retries are bounded for each tenant and class") {
+TEST_CASE("retries are bounded for each team and class") {
   RetryBudget budget(200);
   int granted = 0;
   for (int n = 0; n < 1'000; ++n) {
@@ -133,5 +134,91 @@
   CHECK(budget.Spend("u", "status"));
 }
 
+/// \brief An upstream of ten slots with calls of 100 ms, in virtual time.
+struct OverloadResult {
+  int timely = 0;
+  int late = 0;
+  int refused = 0;
+};
+
+/// \brief Replays an overload: 20 % more calls than the slots carry arrive for
+/// 10 s, each with an objective of 250 ms and a deadline of 600 ms.
+OverloadResult ReplayOverload(bool by_objective) {
+  constexpr Milliseconds kService{100};
+  constexpr int kCalls = 1'200;
+  CallOptions options;
+  options.queue_limit = 1'000;
+  options.order_by_objective = by_objective ? 1 : 0;
+  AdmissionQueue queue(options);
+  std::vector<std::unique_ptr<Attempt>> attempts;
+  std::multimap<MonoTime, Attempt*> running;
+  OverloadResult result;
+  MonoTime now(Seconds(100));
+  const auto start_waiting = [&] {
+    while (Attempt* it = queue.TakeNext(kSlots, now)) {
+      if (now >= it->deadline || queue.IsHopeless(*it, now)) {
+        ++result.refused;
+        queue.Release(*it, Nanoseconds(0));
+        continue;
+      }
+      running.emplace(now + kService, it);
+    }
+  };
+  const auto run_until = [&](MonoTime until) {
+    while (!running.empty() && running.begin()->first <= until) {
+      now = running.begin()->first;
+      Attempt* it = running.begin()->second;
+      running.erase(running.begin());
+      queue.Release(*it, kService);
+      result.timely += now <= it->objective_at ? 1 : 0;
+      result.late += now > it->objective_at && now <= it->deadline ? 1 : 0;
+      start_waiting();
+    }
+    now = until;
+  };
+  for (int i = 0; i < kCalls; ++i) {
+    run_until(MonoTime(Seconds(100)) + i * Milliseconds(10'000) / kCalls);
+    attempts.push_back(std::make_unique<Attempt>());
+    Attempt* it = attempts.back().get();
+    it->request.request_class = "read";
+    it->arrived_at = now;
+    it->objective_at = now + Milliseconds(250);
+    it->deadline = now + Milliseconds(600);
+    it->request.objective = Milliseconds(250);
+    it->request.deadline = Milliseconds(600);
+    CHECK(queue.Enqueue(it) == nullptr);
+    start_waiting();
+  }
+  run_until(now + Seconds(2));
+  return result;
+}
+
+TEST_CASE("in an overload the order by objective keeps most calls timely") {
+  const OverloadResult turns = ReplayOverload(false);
+  const OverloadResult objective = ReplayOverload(true);
+  // An answer in time is worth 1, a late one 0.3.
+  const auto worth = [](const OverloadResult& it) {
+    return it.timely + 0.3 * it.late;
+  };
+  CHECK(worth(objective) > worth(turns));
+  // The slots carry 1,000 of the 1,200 calls.
+  CHECK(objective.timely >= 850);
+  CHECK(objective.timely + objective.late + objective.refused == 1'200);
+}
+
+TEST_CASE("ranks: timely before late, then the rank, then the latest start") {
+  const MonoTime now(Seconds(100));
+  const auto rank = [now](std::uint32_t priority, int objective, int deadline) {
+    return RankByObjective(now, priority, now + Milliseconds(objective),
+                           now + Milliseconds(deadline), Milliseconds(100));
+  };
+  CHECK(rank(2, 150, 600) < rank(1, 50, 600));
+  CHECK(rank(1, 400, 600) < rank(2, 150, 600));
+  CHECK(rank(1, 150, 600) < rank(1, 400, 600));
+  CHECK(rank(2, 50, 300) < rank(2, 50, 600));
+  // An objective beyond the deadline is none.
+  CHECK(rank(1, 900, 300).start_by == now + Milliseconds(200));
+}
+
 }  // namespace
 }  // namespace cassiabend
--- a/tests/call_support.h
+++ b/tests/call_support.h
@@ -10,15 +10,15 @@
 
 namespace cassiabend::testing {
 
-inline constexpr char kCaller[] = "tenant-a";
+inline constexpr char kCaller[] = "team-a";
 
-/// \returns A route of "tenant-a" on "/NAME" to `service`.
+/// \returns A route of "team-a" on "/NAME" to `service`.
 inline Route MakeRoute(const std::string& name,
                        const std::string& service,
                        RepeatPolicy repeat) {
   Route route;
   route.name = name;
-  route.tenant = kCaller;
+  route.team = kCaller;
   route.path_prefix = "/" + name;
   route.service = service;
   route.request_class = name;
@@ -42,7 +42,7 @@
   config.routes[1].longest_job = Seconds(60);
   QuietWindow window;
   window.name = "night";
-  window.tenant = kCaller;
+  window.team = kCaller;
   window.site = "works";
   window.schedule =
       OnceSchedule{WallTime(Seconds(1'000)), WallTime(Seconds(2'000))};
@@ -69,7 +69,7 @@
 
 inline CallFacts MakeFacts(const std::string& route) {
   CallFacts facts;
-  facts.tenant = kCaller;
+  facts.team = kCaller;
   facts.host = "shop";
   facts.path = "/" + route;
   facts.method = "GET";
--- /dev/null
+++ b/tests/call_upstream_test.cc
@@ -0,0 +1,149 @@
+#include <doctest/doctest.h>
+
+#include "tests/call_support.h"
+
+namespace cassiabend::testing {
+namespace {
+
+CallOptions ReportingOptions() {
+  CallOptions options;
+  options.upstream_heartbeat = Milliseconds(1'500);
+  options.slots = 2;
+  return options;
+}
+
+UpstreamReport Beat(const char* instance,
+                    std::uint64_t sequence,
+                    UpstreamPhase phase = UpstreamPhase::kReady) {
+  return {.instance = instance,
+          .started_at = WallTime(Milliseconds(instance[0] * 1'000)),
+          .sequence = sequence,
+          .service = "svc",
+          .slots = 2,
+          .phase = phase};
+}
+
+/// \brief A node whose upstream sends heartbeats, and attempts at it.
+class UpstreamDriver {
+ public:
+  UpstreamDriver() : node_(Self(), ReportingOptions()) {
+    node_.MakeReady({MakeMember(2)});
+  }
+
+  CallNode& operator*() { return node_; }
+  CallNode* operator->() { return &node_; }
+
+  /// \returns The attempt that was sent; its effects are the node's last ones.
+  AttemptId Send() {
+    AttemptRequest request;
+    request.id = {1, ++last_};
+    request.destination_start_id = node_.self().start_id;
+    request.service = "svc";
+    request.route = "status";
+    request.request_class = "status";
+    request.deadline = Milliseconds(600);
+    node_.Do(AttemptArrived{last_, request});
+    return request.id;
+  }
+  [[nodiscard]] bool Takes() {
+    const AttemptId id = Send();
+    const bool taken = node_.Only<StartUpstream>().has_value();
+    if (taken) {
+      node_.Do(UpstreamAnswering{id, 200});
+      node_.Do(UpstreamFinished{id});
+    }
+    return taken;
+  }
+
+ private:
+  static Member Self() {
+    Member self = MakeMember(1);
+    self.upstream_state = UpstreamState::kWarming;
+    return self;
+  }
+
+  CallNode node_;
+  std::uint64_t last_ = 0;
+};
+
+TEST_CASE("an upstream gets work from its first heartbeat on, by its name") {
+  UpstreamDriver driver;
+  CHECK_FALSE(driver.Takes());
+  driver->Do(UpstreamReported{Beat("a", 1)});
+  CHECK(driver->Only<LocalUpstreamChanged>()->state == UpstreamState::kServing);
+  driver.Send();
+  REQUIRE(driver->Only<StartUpstream>());
+  CHECK(driver->Only<StartUpstream>()->instance == "a");
+}
+
+TEST_CASE("the gate closes with the word that the upstream leaves") {
+  for (const UpstreamPhase it :
+       {UpstreamPhase::kDraining, UpstreamPhase::kLeft}) {
+    UpstreamDriver driver;
+    driver->Do(UpstreamReported{Beat("a", 1)});
+    for (int i = 0; i < 3; ++i) {
+      driver.Send();
+    }
+    driver->Do(UpstreamReported{Beat("a", 2, it)});
+    // The one that waited goes elsewhere.
+    REQUIRE(driver->Only<ReplyNotRun>());
+    CHECK_FALSE(driver.Takes());
+    // A heartbeat that crossed it does not open the gate again.
+    driver->Do(UpstreamReported{Beat("a", 3)});
+    CHECK_FALSE(driver.Takes());
+    driver->Do(UpstreamReported{Beat("b", 1)});
+    driver.Send();
+    // Two of the first start still run.
+    CHECK_FALSE(driver->Only<ReplyNotRun>());
+  }
+}
+
+TEST_CASE("another upstream at the address stops the work until it is named") {
+  UpstreamDriver driver;
+  driver->Do(UpstreamReported{Beat("a", 1)});
+  const AttemptId id = driver.Send();
+  driver->Do(UpstreamReplaced{id});
+  REQUIRE(driver->Only<ReplyNotRun>());
+  CHECK(driver->Only<ReplyNotRun>()->reached_upstream);
+  CHECK_FALSE(driver.Takes());
+  driver->Tick(Milliseconds(600));
+  REQUIRE(driver->Only<ProbeUpstream>());
+  UpstreamProbed probed{.healthy = true};
+  probed.instance = "b";
+  probed.slots = 2;
+  driver->Do(probed);
+  CHECK(driver.Takes());
+}
+
+TEST_CASE("an upstream that loses part of its answers goes on serving") {
+  UpstreamDriver driver;
+  driver->Do(UpstreamReported{Beat("a", 1)});
+  for (int i = 0; i < 200; ++i) {
+    CAPTURE(i);
+    driver->Advance(Milliseconds(10));
+    const AttemptId id = driver.Send();
+    REQUIRE(driver->Only<StartUpstream>());
+    if (i % 8 >= 3) {
+      driver->Do(UpstreamBroken{id});
+    } else {
+      driver->Do(UpstreamAnswering{id, 200});
+      driver->Do(UpstreamFinished{id});
+    }
+  }
+}
+
+TEST_CASE("an upstream that answers nothing gets no more work") {
+  UpstreamDriver driver;
+  driver->Do(UpstreamReported{Beat("a", 1)});
+  CHECK(driver.Takes());
+  driver->Advance(Milliseconds(400));
+  for (int i = 0; i < 3; ++i) {
+    driver->Do(UpstreamBroken{driver.Send()});
+  }
+  CHECK_FALSE(driver.Takes());
+  driver->Do(UpstreamReported{Beat("a", 2)});
+  CHECK(driver.Takes());
+}
+
+}  // namespace
+}  // namespace cassiabend::testing
--- a/tests/model_test.cc
+++ b/tests/model_test.cc
@@ -21,7 +21,7 @@
 
 rc::Gen<Route> AnyRoute() {
   return rc::gen::build<Route>(
-      rc::gen::set(&Route::name), rc::gen::set(&Route::tenant),
+      rc::gen::set(&Route::name), rc::gen::set(&Route::team),
       rc::gen::set(&Route::host), rc::gen::set(&Route::path_prefix),
       rc::gen::set(&Route::method), rc::gen::set(&Route::service),
       rc::gen::set(&Route::repeat, rc::gen::element(RepeatPolicy::kOnce,
@@ -148,9 +148,9 @@
        [](Config* it) { it->routes[1].timeout = Milliseconds(0); }},
       {"routes[status].timeout",
        [](Config* it) { it->routes[1].timeout = Milliseconds(600'001); }},
-      {"routes[status].tenant",
-       [](Config* it) { it->routes[1].tenant = "a tenant"; }},
-      {"routes[print].tenant", [](Config* it) { it->routes[0].tenant = "x"; }},
+      {"routes[status].team",
+       [](Config* it) { it->routes[1].team = "a team"; }},
+      {"routes[print].team", [](Config* it) { it->routes[0].team = "x"; }},
       {"routes[status].request_class",
        [](Config* it) { it->routes[1].request_class = "a\nb"; }},
       {"routes[status].site_header",
@@ -224,7 +224,7 @@
   to.services.push_back(ServiceOf("tracker"));
   to.routes.erase(to.routes.begin());
   to.windows[0] = NightAt("night", "press");
-  to.windows[0].tenant = "other";
+  to.windows[0].team = "other";
   const Config result = ApplyEdits(from, Difference(from, to), {}, "");
   CHECK(Difference(result, to).empty());
   CHECK(Difference(from, from).empty());
@@ -263,7 +263,7 @@
     const bool matches = (it.host.empty() || it.host == query.host) &&
                          query.path.starts_with(it.path_prefix) &&
                          (it.method.empty() || it.method == query.method) &&
-                         (query.tenant.empty() || it.tenant == query.tenant);
+                         (query.team.empty() || it.team == query.team);
     if (matches && (best == nullptr || rank(it) > rank(*best))) {
       best = &it;
     }
@@ -275,7 +275,7 @@
   const auto text = rc::gen::container<std::string>(rc::gen::element('a', '/'));
   const auto host = rc::gen::element<std::string>("", "h", "g");
   const auto method = rc::gen::element<std::string>("", "GET", "PUT");
-  const auto tenant = rc::gen::element<std::string>("club", "other");
+  const auto team = rc::gen::element<std::string>("club", "other");
   CHECK(rc::check([&] {
     Config config{.number = 1, .services = {ServiceOf("s")}};
     const int n = *rc::gen::inRange(0, 30);
@@ -283,7 +283,7 @@
       Route route = RouteTo("r" + std::to_string(100 + i), "s");
       route.host = *host;
       route.method = *method;
-      route.tenant = *tenant;
+      route.team = *team;
       route.path_prefix = "/" + *text;
       config.routes.push_back(route);
       if (!Validate(config).empty()) {
--- /dev/null
+++ b/tests/placement_test.cc
@@ -0,0 +1,97 @@
+#include "cassiabend/core/placement.h"
+
+#include <doctest/doctest.h>
+
+namespace cassiabend {
+namespace {
+
+constexpr Milliseconds kObjective{250};
+constexpr std::uint32_t kSlots = 12;
+
+MonoTime At(int ms) {
+  return MonoTime(Seconds(100)) + Milliseconds(ms);
+}
+
+/// \brief A service whose calls take 60 ms, with one upstream in the zone and
+/// one in another region, 24 ms away.
+class PlacementDriver {
+ public:
+  explicit PlacementDriver(double kilobytes) {
+    for (int i = 0; i < 100; ++i) {
+      Answer(At(0), Nearness::kZone, 60, 0, &near_);
+      Answer(At(0), Nearness::kBeyond, 60, 0, &far_);
+      placement_.RecordBytes("svc", "read",
+                             static_cast<std::uint64_t>(kilobytes * 1'000));
+    }
+  }
+
+  void Answer(MonoTime now,
+              Nearness nearness,
+              int service_ms,
+              std::uint16_t load_permille,
+              UpstreamSpeed* speed) {
+    const Milliseconds way(nearness == Nearness::kZone ? 1 : 25);
+    const Milliseconds service(service_ms);
+    placement_.RecordAnswer(now, "svc", "read", nearness, service + way,
+                            {load_permille, service, service}, speed);
+  }
+  /// \returns Whether the upstream of the zone is the better choice.
+  bool PrefersNear(MonoTime now) {
+    placement_.StartChoice("svc", "read", kObjective);
+    return placement_.Cost(now, Nearness::kZone, kSlots, near_) <
+           placement_.Cost(now, Nearness::kBeyond, kSlots, far_);
+  }
+
+  UpstreamSpeed near_;
+  UpstreamSpeed far_;
+
+ private:
+  Placement placement_{{.region_kilobyte = Microseconds(5'000),
+                        .beyond_kilobyte = Microseconds(18'000)}};
+};
+
+TEST_CASE("the zone's own upstream is used while it has room") {
+  PlacementDriver driver(1.5);
+  CHECK(driver.PrefersNear(At(10)));
+  driver.Answer(At(10), Nearness::kZone, 60, 900, &driver.near_);
+  CHECK(driver.PrefersNear(At(20)));
+}
+
+TEST_CASE("a queue that costs more than the way sends small reads away") {
+  PlacementDriver small(1.5);
+  small.Answer(At(10), Nearness::kZone, 60, 6'000, &small.near_);
+  CHECK_FALSE(small.PrefersNear(At(20)));
+  PlacementDriver large(90);
+  large.Answer(At(10), Nearness::kZone, 60, 6'000, &large.near_);
+  CHECK(large.PrefersNear(At(20)));
+}
+
+TEST_CASE("calls that were sent since the stated load count too") {
+  PlacementDriver driver(1.5);
+  driver.Answer(At(10), Nearness::kZone, 60, 0, &driver.near_);
+  for (int i = 0; i < 60; ++i) {
+    Placement::RecordStart(&driver.near_);
+  }
+  CHECK_FALSE(driver.PrefersNear(At(20)));
+}
+
+TEST_CASE("an upstream that slowed down gets less, and is tried again later") {
+  PlacementDriver driver(1.5);
+  for (int i = 0; i < 10; ++i) {
+    driver.Answer(At(10 + i), Nearness::kZone, 720, 100, &driver.near_);
+  }
+  CHECK_FALSE(driver.PrefersNear(At(100)));
+  CHECK(driver.PrefersNear(At(60'000)));
+}
+
+TEST_CASE("an upstream that fails part of its calls gets less") {
+  PlacementDriver driver(1.5);
+  for (int i = 0; i < 20; ++i) {
+    Placement::RecordFailure(At(10 + i), &driver.near_);
+  }
+  CHECK_FALSE(driver.PrefersNear(At(40)));
+  CHECK(driver.PrefersNear(At(60'000)));
+}
+
+}  // namespace
+}  // namespace cassiabend
--- /dev/null
+++ b/tests/platform/control_test.cc
@@ -0,0 +1,69 @@
+#include "platform/control.h"
+
+#include <doctest/doctest.h>
+
+namespace cassiabend::platform {
+namespace {
+
+ControlMessage Post(const std::string& path, const std::string& body) {
+  return ReadControlMessage({"POST", path, body});
+}
+
+TEST_CASE("a heartbeat becomes a report") {
+  const ControlMessage message = Post(
+      "/instances/i-7f/heartbeat",
+      R"({"service":"huvo","address":"10.1.0.9:8080","zone":"z","version":"v1","slots":9,"state":"ready","cold_remaining":"1.5s","seq":4,"born":1700000000123})");
+  REQUIRE(message.report);
+  CHECK(message.answer.status == 200);
+  const UpstreamReport expected{
+      .instance = "i-7f",
+      .started_at = WallTime(Milliseconds(1'700'000'000'123)),
+      .sequence = 4,
+      .service = "huvo",
+      .slots = 9,
+      .phase = UpstreamPhase::kReady,
+      .cold_left = Milliseconds(1'500)};
+  CHECK(*message.report == expected);
+}
+
+TEST_CASE("an upstream that leaves says so in either way") {
+  const ControlMessage draining =
+      Post("/instances/i-7f/heartbeat",
+           R"({"service":"huvo","slots":9,"state":"draining","seq":5})");
+  REQUIRE(draining.report);
+  CHECK(draining.report->phase == UpstreamPhase::kDraining);
+  for (const char* body : {"", "{}", R"({"born":5})"}) {
+    const ControlMessage left = Post("/instances/i-7f/deregister", body);
+    REQUIRE(left.report);
+    CHECK(left.report->phase == UpstreamPhase::kLeft);
+    CHECK(left.report->instance == "i-7f");
+  }
+}
+
+TEST_CASE("what other writers send names no upstream") {
+  const char* bodies[] = {
+      "",
+      "[]",
+      R"({"slots":9,"state":"ready","seq":4})",
+      R"({"service":3,"slots":9,"state":"ready","seq":4})",
+      R"({"service":"s","slots":"9","state":"ready","seq":4})",
+      R"({"service":"s","slots":9,"state":"odd","seq":4})",
+      R"({"service":"s","slots":9,"state":"ready"})",
+      R"({"service":"s","slots":0,"state":"ready","seq":4})",
+  };
+  for (const char* body : bodies) {
+    CAPTURE(body);
+    const ControlMessage message = Post("/instances/i-7f/heartbeat", body);
+    CHECK_FALSE(message.report.has_value());
+    CHECK(message.answer.status == 400);
+    CHECK_FALSE(message.fault.empty());
+  }
+  CHECK(Post("/instances//heartbeat", "{}").answer.status == 404);
+  CHECK(Post("/other", "{}").answer.status == 404);
+  CHECK(
+      ReadControlMessage({"GET", "/instances/i/heartbeat", ""}).answer.status ==
+      404);
+}
+
+}  // namespace
+}  // namespace cassiabend::platform
--- /dev/null
+++ b/tests/platform/desired_state_test.cc
@@ -0,0 +1,111 @@
+#include "platform/desired_state.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "cassiabend/base/error.h"
+
+namespace cassiabend::platform {
+namespace {
+
+constexpr char kWhole[] = R"({
+  "version": "0000000c",
+  "routes": {
+    "r-z": {"authority": "a.example", "prefix": "/p/", "route_type": "idempotent",
+            "timeout": "600ms", "target_latency": "0.25s", "priority": 2,
+            "traffic_split": [{"service": "s1", "weight": 90},
+                              {"service": "s2", "weight": 10}],
+            "max_attempts": 2},
+    "r-a": {"authority": "b.example", "prefix": "/q/r/",
+            "route_type": "non_idempotent", "timeout": "800ms",
+            "target_latency": "300ms", "priority": 1, "service": "s2",
+            "max_attempts": 1}},
+  "services": {
+    "s1": {"health_check_path": "/health", "max_connections": 110,
+           "protocol": "h1", "tls": false},
+    "s2": {"health_check_path": "/up", "max_connections": 110}},
+  "limits": {"max_header_bytes": 16384, "max_body_bytes": 67108864,
+             "header_timeout": "3000ms", "idle_timeout": "15s"}})";
+
+/// \returns `kWhole` with the first `from` replaced by `to`.
+std::string With(const std::string& from, const std::string& to) {
+  std::string text = kWhole;
+  const std::size_t at = text.find(from);
+  REQUIRE(at != std::string::npos);
+  return text.replace(at, from.size(), to);
+}
+
+TEST_CASE("the operator's configuration becomes a version") {
+  const HeadValue value = DesiredStateCodec().Decode(kWhole);
+  REQUIRE(value.whole);
+  CHECK(value.head.mark == value.whole->mark());
+  CHECK(value.head.mark.number == 12);
+  const Config& config = value.whole->config();
+  REQUIRE(config.routes.size() == 2);
+  const Route& once = config.routes[0];
+  CHECK(once.name == "r-a");
+  CHECK(once.host == "b.example");
+  CHECK(once.path_prefix == "/q/r/");
+  CHECK(once.repeat == RepeatPolicy::kOnce);
+  CHECK(once.service == "s2");
+  CHECK(once.timeout == Milliseconds(800));
+  CHECK(once.max_attempts == 1);
+  CHECK(once.priority == 1);
+  const Route& split = config.routes[1];
+  CHECK(split.repeat == RepeatPolicy::kRepeatable);
+  CHECK(split.latency_objective == Milliseconds(250));
+  CHECK(split.split == std::vector<RouteTarget>{{"s1", 90}, {"s2", 10}});
+  CHECK(value.whole->HealthPathOf("s2") == "/up");
+  CHECK(config.limits.max_header_bytes == 16384);
+  CHECK(config.limits.header_timeout == Seconds(3));
+  CHECK(config.limits.idle_timeout == Seconds(15));
+}
+
+TEST_CASE("equal configurations have equal marks, others do not") {
+  const auto mark = [](const std::string& text) {
+    return DesiredStateCodec().Decode(text).head.mark;
+  };
+  CHECK(mark(kWhole) == mark(kWhole));
+  CHECK(mark(kWhole) != mark(With("\"weight\": 90", "\"weight\": 80")));
+  CHECK(mark(kWhole) !=
+        mark(With("\"idle_timeout\": \"15s\"", "\"idle_timeout\": \"16s\"")));
+}
+
+TEST_CASE("what cannot be read is refused, with the field that is wrong") {
+  struct Row {
+    std::string text;
+    const char* where;
+  };
+  const Row rows[] = {
+      {"", "op/config"},
+      {"[]", "op/config"},
+      {std::string(kWhole).substr(0, 200), "op/config"},
+      {With("\"0000000c\"", "12"), "version"},
+      {With("\"0000000c\"", "\"xyz\""), "version"},
+      {With("\"service\": \"s2\",\n            \"max", "\"max"),
+       "routes.r-a.service"},
+      {With("\"600ms\"", "\"600\""), "routes.r-z.timeout"},
+      {With("\"600ms\"", "600"), "routes.r-z.timeout"},
+      {With("\"weight\": 90", "\"weight\": -1"), "routes.r-z.weight"},
+      {With("\"non_idempotent\"", "\"odd\""), "routes.r-a.route_type"},
+      {With("\"authority\": \"b.example\", ", ""), "routes.r-a.authority"},
+      {With("{\"service\": \"s1\", \"weight\": 90}",
+            "{\"service\": \"no\", \"weight\": 1}"),
+       "routes[r-z].split"},
+      {With("\"/q/r/\"", "\"q/r/\""), "routes[r-a].path_prefix"},
+      {With("\"services\"", "\"servers\""), "services"},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.where);
+    try {
+      (void)DesiredStateCodec().Decode(row.text);
+      FAIL_CHECK("it was taken");
+    } catch (const ModelError& e) {
+      CHECK(e.where() == row.where);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace cassiabend::platform
--- /dev/null
+++ b/tests/platform/platform_settings_test.cc
@@ -0,0 +1,77 @@
+#include "platform/platform_settings.h"
+
+#include <doctest/doctest.h>
+
+#include "cassiabend/base/error.h"
+
+namespace cassiabend::platform {
+namespace {
+
+Settings Given() {
+  Settings settings;
+  settings.node.ip = "10.1.0.8";
+  settings.platform = {.adapter = "mesh",
+                       .upstream_address = "10.1.0.8:8301",
+                       .peer_call_address = "10.1.0.8:8300",
+                       .caller_address = "10.1.0.8:8304",
+                       .readiness_address = "10.1.0.8:8302",
+                       .control_address = "10.1.0.8:8306",
+                       .heartbeat = "1500ms",
+                       .bounds =
+                           "grace=6s,retry_budget_ratio=0.2,"
+                           "budget_slack=58,config_apply=2000ms,new=1,",
+                       .first_start = "false"};
+  return settings;
+}
+
+TEST_CASE("the platform's words become the node's settings") {
+  Settings settings = Given();
+  TranslateSettings(&settings);
+  CHECK(settings.upstream.port == 8301);
+  CHECK(settings.node.call_port == 8300);
+  CHECK(settings.http.caller_port == 8304);
+  CHECK(settings.node.readiness_port == 8302);
+  CHECK(settings.node.control_port == 8306);
+  CHECK(settings.calls.upstream_heartbeat == Milliseconds(1'500));
+  CHECK(settings.calls.ask_upstream == 1);
+  CHECK(settings.node.shutdown_timeout < Seconds(6));
+  CHECK(settings.node.shutdown_timeout > Seconds(5));
+  CHECK(settings.fleet.follow_limit < Seconds(2));
+  // Never more retries than the platform allows.
+  CHECK(settings.calls.retry_budget_permille <= 200);
+  CHECK(settings.calls.retry_budget_permille > 0);
+  CHECK(settings.calls.retry_burst <= 58);
+  CHECK(settings.calls.retry_burst > 0);
+}
+
+TEST_CASE("what cannot be read is refused, with the field") {
+  struct Row {
+    std::string PlatformSettings::*field;
+    const char* value;
+    const char* where;
+  };
+  const Row rows[] = {
+      {&PlatformSettings::upstream_address, "10.1.0.8",
+       "platform.upstream_address"},
+      {&PlatformSettings::caller_address, "", "platform.caller_address"},
+      {&PlatformSettings::heartbeat, "1500", "platform.heartbeat"},
+      {&PlatformSettings::bounds, "6s,3s", "platform.bounds"},
+      {&PlatformSettings::bounds, "grace=soon", "platform.bounds.grace"},
+      {&PlatformSettings::bounds, "budget_slack=x",
+       "platform.bounds.budget_slack"},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.where);
+    Settings settings = Given();
+    settings.platform.*row.field = row.value;
+    try {
+      TranslateSettings(&settings);
+      FAIL_CHECK("it was taken");
+    } catch (const SettingsError& e) {
+      CHECK(e.where() == row.where);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace cassiabend::platform
--- a/tests/process/failures_test.cc
+++ b/tests/process/failures_test.cc
@@ -48,7 +48,7 @@
     const ChangeId id = NextId();
     Route route;
     route.name = "added-" + std::to_string(changes_);
-    route.tenant = "cascadia";
+    route.team = "cascadia";
     route.path_prefix = "/" + route.name;
     route.service = "catalog";
     route.request_class = "status";
--- a/tests/process/whole_path_test.cc
+++ b/tests/process/whole_path_test.cc
@@ -37,7 +37,7 @@
   const WallTime now = SystemClock().Now().wall;
   QuietWindow window;
   window.name = "now";
-  window.tenant = "cascadia";
+  window.team = "cascadia";
   window.site = "workshop";
   window.schedule =
       OnceSchedule{now - std::chrono::hours(1), now + std::chrono::hours(1)};
--- a/tests/reader_test.cc
+++ b/tests/reader_test.cc
@@ -108,7 +108,8 @@
   }
 }
 
-TEST_CASE("a watch that is cut after changes it did not hear of is made up for") {
+TEST_CASE(
+    "a watch that is cut after changes it did not hear of is made up for") {
   FleetDriver driver(9, ThreeZones(), MemberKeyOptions(), 18);
   Warm(driver);
   driver.store_faults.watches_deaf = true;
--- a/tests/shell/admin_test.cc
+++ b/tests/shell/admin_test.cc
@@ -21,8 +21,8 @@
   return std::make_unique<AdminClient>(kTestIp, node.port(), token, kPatience);
 }
 
-Change PutService(const std::string& name, const std::string& tenant) {
-  return {{7, 8}, "nobody", {{Service{name, tenant, 0}, 0}}};
+Change PutService(const std::string& name, const std::string& team) {
+  return {{7, 8}, "nobody", {{Service{name, team, 0}, 0}}};
 }
 
 Change RemoveService(const std::string& name) {
@@ -79,25 +79,24 @@
   bool allowed;
 };
 
-TEST_CASE("an operator changes only items of its tenants") {
+TEST_CASE("an operator changes only items of its teams") {
   ScriptedNode node;
   node.newest = SampleVersion();
   node.script = {Accepted(6)};
   node.Start();
   const ScopeRow rows[] = {
-      {"new item of the tenant", PutService("new", "cascadia"), true},
-      {"new item of another tenant", PutService("new", "silfur"), false},
+      {"new item of the team", PutService("new", "cascadia"), true},
+      {"new item of another team", PutService("new", "silfur"), false},
       {"new shared item", PutService("new", ""), false},
-      {"item of the tenant again", PutService("catalog", "cascadia"), true},
-      {"item of the tenant given away", PutService("catalog", "silfur"), false},
-      {"item of another tenant taken", PutService("tracker", "cascadia"),
-       false},
+      {"item of the team again", PutService("catalog", "cascadia"), true},
+      {"item of the team given away", PutService("catalog", "silfur"), false},
+      {"item of another team taken", PutService("tracker", "cascadia"), false},
       {"shared item taken", PutService("shared", "cascadia"), false},
-      {"item of the tenant removed", RemoveService("catalog"), true},
-      {"item of another tenant removed", RemoveService("tracker"), false},
+      {"item of the team removed", RemoveService("catalog"), true},
+      {"item of another team removed", RemoveService("tracker"), false},
       {"shared item removed", RemoveService("shared"), false},
   };
-  const auto bob = Connect(node, kTenantToken);
+  const auto bob = Connect(node, kTeamToken);
   const auto ann = Connect(node);
   for (const ScopeRow& row : rows) {
     CAPTURE(row.what);
@@ -115,13 +114,13 @@
   CHECK(bob->Drain({kTestIp, 1}).code == CommitCode::kNotAuthorised);
 }
 
-TEST_CASE("an edit within a tenant's scope holds for the checked revision") {
+TEST_CASE("an edit within a team's scope holds for the checked revision") {
   // The node's version is 5; the catalog has the revision 3.
   ScriptedNode node;
   node.newest = SampleVersion();
   node.script = {Accepted(6)};
   node.Start();
-  const auto bob = Connect(node, kTenantToken);
+  const auto bob = Connect(node, kTeamToken);
   const std::pair<std::optional<VersionNumber>, std::optional<VersionNumber>>
       rows[] = {{std::nullopt, 3}, {3, 3}, {2, 2}, {5, 5}, {6, std::nullopt}};
   for (const auto& row : rows) {
@@ -150,7 +149,7 @@
   node.script = {Accepted(6)};
   node.Start();
   Change change = PutService("new", "cascadia");
-  const CommitResult result = Connect(node, kTenantToken)->Commit(change, true);
+  const CommitResult result = Connect(node, kTeamToken)->Commit(change, true);
   CHECK(result == Accepted(6));
   node.Run([&] {
     const auto& event = std::get<CommitRequested>(node.events.at(0));
@@ -197,7 +196,7 @@
   node.status = {{5, {1, 1}}, {view}};
   node.history = {{{5, {1, 1}}, {2, 3}, "ann", WallTime(Seconds(9)), {}}};
   node.Start();
-  const auto client = Connect(node, kTenantToken);
+  const auto client = Connect(node, kTeamToken);
   Config config;
   CHECK(client->GetConfig(0, &config).code == CommitCode::kNotFound);
   node.Run([&] { node.newest = SampleVersion(); });
--- a/tests/shell/ctl_test.cc
+++ b/tests/shell/ctl_test.cc
@@ -151,7 +151,7 @@
       {"--node", "127.0.0.1:1", "rollback", "zero"},
       {"--node", "127.0.0.1:1", "drain", "there"},
       {"--node", "127.0.0.1:1", "apply", "/no/such/file"},
-      {"--node", "127.0.0.1:1", "service", "put", "{}", "--tenant", "a"},
+      {"--node", "127.0.0.1:1", "service", "put", "{}", "--team", "a"},
       {"hash-token"},
   };
   for (const auto& line : lines) {
@@ -228,7 +228,7 @@
                  Result(CommitCode::kOk)};
   node.Start();
   const Run run = Ctl({"--node", node.address(), "--json", "service", "put",
-                       "new", "--tenant", "cascadia"});
+                       "new", "--team", "cascadia"});
   CHECK(run.code == 0);
   const boost::json::value out = boost::json::parse(run.out);
   CHECK(out.at("version").to_number<int>() == 6);
@@ -300,7 +300,7 @@
   node.Start();
   const std::string id = ToHex({3, 4});
   const Run run = CtlOn(node, {"--change-id", id, "service", "put", "catalog",
-                               "--tenant", "cascadia"});
+                               "--team", "cascadia"});
   CHECK(run.code == 0);
   node.Run([&] {
     REQUIRE(node.events.size() == 1);
@@ -321,9 +321,9 @@
   node.Start();
   const std::string file = R"({
     // The catalog is as it was; the tracker changes hands.
-    "services": [{"name": "catalog", "tenant": "cascadia"},
-                 {"name": "tracker", "tenant": "norda"},
-                 {"name": "new", "tenant": "norda"}],
+    "services": [{"name": "catalog", "team": "cascadia"},
+                 {"name": "tracker", "team": "norda"},
+                 {"name": "new", "team": "norda"}],
     "remove": {"services": ["shared"]},
   })";
   const Run run =
@@ -346,14 +346,14 @@
                       {"new", 0}, {"shared", 2}, {"tracker", 5}});
   });
   const Run same = Ctl({"--node", node.address(), "service", "put", "catalog",
-                        "--tenant", "cascadia"});
+                        "--team", "cascadia"});
   CHECK(same.code == 0);
   CHECK(same.out == "nothing to change\n");
   const Run json = CtlOn(
-      node, {"--json", "service", "put", "catalog", "--tenant", "cascadia"});
+      node, {"--json", "service", "put", "catalog", "--team", "cascadia"});
   CHECK(boost::json::parse(json.out).at("version") == 5);
   const Run waiting = CtlOn(
-      node, {"--wait", "service", "put", "catalog", "--tenant", "cascadia"});
+      node, {"--wait", "service", "put", "catalog", "--team", "cascadia"});
   CHECK(waiting.code == Code(ExitCode::kWaitTimedOut));
   node.Run([&] {
     CHECK(node.events.size() == 4);
@@ -364,7 +364,7 @@
   });
   // The store's head is newer than the version of the node.
   const Run stale =
-      CtlOn(node, {"service", "put", "catalog", "--tenant", "cascadia"});
+      CtlOn(node, {"service", "put", "catalog", "--team", "cascadia"});
   CHECK(stale.code == Code(ExitCode::kConflict));
 }
 
@@ -376,7 +376,7 @@
   node.Start();
   const Run list = CtlOn(node, {"service", "list"});
   CHECK(list.out ==
-        "NAME     TENANT    REVISION\n"
+        "NAME     TEAM    REVISION\n"
         "catalog  cascadia  3\n"
         "shared   -         2\n"
         "tracker  silfur    5\n");
--- a/tests/shell/http_call_server_test.cc
+++ b/tests/shell/http_call_server_test.cc
@@ -52,12 +52,12 @@
   const auto caller = nodes.Caller();
   caller->Send(
       "POST /echo?x=1 HTTP/1.1\r\nHost: Shop.Example:81\r\n"
-      "X-Cassiabend-Tenant: silfur\r\nX-Cassiabend-Deadline-Ms: 700\r\n"
+      "X-Cassiabend-Team: silfur\r\nX-Cassiabend-Deadline-Ms: 700\r\n"
       "X-Cassiabend-Depth: 3\r\nX-Cassiabend-Retry: 1\r\n"
       "Idempotency-Key: k1\r\nX-Site: workshop\r\nConnection: x-hop\r\n"
       "X-Hop: 1\r\nContent-Length: 5\r\n\r\nhello");
   const CallFacts facts = nodes.entry->Await<CallArrived>().facts;
-  CHECK(facts.tenant == "silfur");
+  CHECK(facts.team == "silfur");
   CHECK(facts.host == "shop.example");
   CHECK(facts.path == "/echo");
   CHECK(facts.method == "POST");
@@ -70,7 +70,7 @@
   CHECK(arrived.request.id == sent.id);
   CHECK(arrived.request.route == sent.route);
   CHECK(arrived.request.service == sent.service);
-  CHECK(arrived.request.tenant == sent.tenant);
+  CHECK(arrived.request.team == sent.team);
   CHECK(arrived.request.request_class == sent.request_class);
   CHECK(arrived.request.order_key == sent.order_key);
   CHECK(arrived.request.site == sent.site);
--- /dev/null
+++ b/tests/shell/line_writer_test.cc
@@ -0,0 +1,83 @@
+#include "cassiabend/base/line_writer.h"
+
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include <array>
+#include <fstream>
+#include <sstream>
+#include <string>
+
+#include "cassiabend/base/log_events.h"
+
+namespace cassiabend {
+namespace {
+
+class Pipe {
+ public:
+  Pipe() { REQUIRE(::pipe(ends_.data()) == 0); }
+  Pipe(const Pipe&) = delete;
+  Pipe& operator=(const Pipe&) = delete;
+  ~Pipe() {
+    ::close(ends_[0]);
+    ::close(ends_[1]);
+  }
+
+  [[nodiscard]] int in() const { return ends_[1]; }
+  std::string Read(std::size_t most) const {
+    std::string out(most, '\0');
+    const ssize_t n = ::read(ends_[0], out.data(), out.size());
+    out.resize(n > 0 ? static_cast<std::size_t>(n) : 0);
+    return out;
+  }
+
+ private:
+  std::array<int, 2> ends_{};
+};
+
+TEST_CASE("a reader that stops reading stops nobody, and drops are told") {
+  constexpr std::size_t kCapacity = 8'192;
+  const std::string line(999, 'x');
+  Pipe pipe;
+  LineWriter writer(pipe.in(), kCapacity);
+  // Far more than the pipe and the buffer hold: a blocking write would hang.
+  constexpr int kLines = 1'000;
+  for (int i = 0; i < kLines; ++i) {
+    writer.Write(line);
+  }
+  const std::uint64_t dropped = writer.dropped();
+  CHECK(dropped > 0);
+  CHECK(dropped < kLines);
+  std::string read = pipe.Read(1 << 20);
+  writer.Write("last");
+  read += pipe.Read(1 << 20);
+  CHECK(read.find("\"log_lines_dropped\",\"lines\":" +
+                  std::to_string(dropped)) != std::string::npos);
+  CHECK(read.ends_with("last\n"));
+  CHECK(writer.dropped() == dropped);
+}
+
+TEST_CASE("lines go out at once while they are read") {
+  Pipe pipe;
+  LineWriter writer(pipe.in(), 8'192);
+  writer.Write("one");
+  CHECK(pipe.Read(100) == "one\n");
+  writer.Write("two");
+  CHECK(pipe.Read(100) == "two\n");
+  CHECK(writer.dropped() == 0);
+}
+
+TEST_CASE("the operators' page explains every event of the table") {
+  const char* root = std::getenv("CASSIABEND_ROOT");
+  REQUIRE(root != nullptr);
+  std::ifstream in(std::string(root) + "/docs/OPERATIONS.md");
+  std::ostringstream text;
+  text << in.rdbuf();
+  for (const std::string_view it : kNodeLogEvents) {
+    CAPTURE(it);
+    CHECK(text.str().find("`" + std::string(it) + "`") != std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace cassiabend
--- a/tests/shell/scripted_node.h
+++ b/tests/shell/scripted_node.h
@@ -16,7 +16,7 @@
 
 inline constexpr char kTestIp[] = "127.0.0.1";
 inline constexpr char kAllToken[] = "token-of-ann";
-inline constexpr char kTenantToken[] = "token-of-bob";
+inline constexpr char kTeamToken[] = "token-of-bob";
 
 /// \brief An administration server whose core is a script. Its Asio context
 /// runs on a thread of its own; the fields are used there or before `Start`.
@@ -25,7 +25,7 @@
   ScriptedNode() {
     options.ip = kTestIp;
     options.operators = {{"ann", HashToken(kAllToken), {"*"}},
-                         {"bob", HashToken(kTenantToken), {"cascadia"}}};
+                         {"bob", HashToken(kTeamToken), {"cascadia"}}};
   }
   ~ScriptedNode() override {
     if (thread_.joinable()) {
@@ -115,7 +115,7 @@
   std::thread thread_;
 };
 
-/// \returns A version with one service of each of two tenants, and a shared
+/// \returns A version with one service of each of two teams, and a shared
 /// one.
 inline RefPtr<const Snapshot> SampleVersion() {
   Config config;
--- a/tests/shell/store_codec_test.cc
+++ b/tests/shell/store_codec_test.cc
@@ -150,8 +150,9 @@
 
 TEST_CASE("requests have the gateway's paths and hold one comparison") {
   const char* paths[] = {
-      "/v3/kv/range",    "/v3/watch",           "/v3/kv/txn",      "/v3/kv/txn",
-      "/v3/lease/grant", "/v3/lease/keepalive", "/v3/lease/revoke"};
+      "/v3/kv/range",     "/v3/watch",       "/v3/kv/txn",
+      "/v3/kv/txn",       "/v3/lease/grant", "/v3/lease/keepalive",
+      "/v3/lease/revoke", "/v3/kv/put",      "/v3/kv/range"};
   for (std::size_t i = 0; i < AllRequests().size(); ++i) {
     const GatewayRequest request = EncodeGatewayRequest(AllRequests()[i]);
     CHECK(request.path == paths[i]);
--- a/tests/spread_test.cc
+++ b/tests/spread_test.cc
@@ -76,7 +76,7 @@
   CHECK(fixture.Offer(fixture.first) == OfferResult::kApplied);
   CHECK(offer(fixture.to_third) == OfferResult::kNoBase);
   ConfigDelta damaged = fixture.to_second;
-  std::get<Site>(damaged.edits[0].action).tenant = "other";
+  std::get<Site>(damaged.edits[0].action).team = "other";
   CHECK(offer(damaged) == OfferResult::kDamaged);
   CHECK(versions.mark() == fixture.first->mark());
   CHECK(offer(fixture.to_second) == OfferResult::kApplied);
--- a/tests/support/configs.h
+++ b/tests/support/configs.h
@@ -16,7 +16,7 @@
 
 inline Route RouteTo(const std::string& name, const std::string& service) {
   return {.name = name,
-          .tenant = "club",
+          .team = "club",
           .path_prefix = "/" + name,
           .service = service,
           .request_class = "status",
@@ -25,7 +25,7 @@
 
 inline QuietWindow NightAt(const std::string& name, const std::string& site) {
   return {.name = name,
-          .tenant = "club",
+          .team = "club",
           .site = site,
           .schedule = WeeklySchedule{.weekdays = 0x7F,
                                      .from = std::chrono::hours(22),
--- a/tests/support/fleet_history.h
+++ b/tests/support/fleet_history.h
@@ -52,7 +52,7 @@
     delta.change_id = {number, random.Next()};
     delta.author = "operator";
     delta.edits = {{Site{"site-" + std::to_string(number % 5),
-                         "tenant-" + std::to_string(number), "GMT+00", 0},
+                         "team-" + std::to_string(number), "GMT+00", 0},
                     std::nullopt}};
     newest_ = RefPtr<const Snapshot>(new Snapshot(
         ApplyEdits(base, delta.edits, delta.change_id, delta.author)));
--- a/tests/support/scripted_node.h
+++ b/tests/support/scripted_node.h
@@ -88,7 +88,7 @@
           .destination_start_id = 1,
           .route = "status",
           .service = "tracker",
-          .tenant = "silfur",
+          .team = "silfur",
           .request_class = "read",
           .order_key = "k1",
           .site = "workshop",
--- a/tools/bench_calls.cc
+++ b/tools/bench_calls.cc
@@ -71,7 +71,7 @@
     // A second class on the service of "status", for the flooding test.
     Route confirm;
     confirm.name = "confirm";
-    confirm.tenant = deployment_.tenant;
+    confirm.team = deployment_.team;
     confirm.path_prefix = "/confirm";
     confirm.service = deployment_.services.front();
     confirm.request_class = "confirm";
--- a/tools/bench_core.cc
+++ b/tools/bench_core.cc
@@ -36,18 +36,18 @@
   config.number = 1;
   for (std::size_t i = 0; i < kSites; ++i) {
     config.sites.push_back({.name = Numbered("site-", i),
-                            .tenant = "tenant",
+                            .team = "team",
                             .time_zone = "PST-08PDT,M3.2.0/02:00,M11.1.0/02:00",
                             .revision = 1});
   }
   for (std::size_t i = 0; i < kServices; ++i) {
     config.services.push_back(
-        {.name = Numbered("service-", i), .tenant = "tenant", .revision = 1});
+        {.name = Numbered("service-", i), .team = "team", .revision = 1});
   }
   for (std::size_t i = 0; i < kRoutes; ++i) {
     Route route;
     route.name = Numbered("route-", i);
-    route.tenant = "tenant";
+    route.team = "team";
     route.path_prefix = "/" + Numbered("path-", i);
     route.service = Numbered("service-", i % kServices);
     route.request_class = "status";
@@ -59,7 +59,7 @@
   for (std::size_t i = 0; i < kWindows; ++i) {
     QuietWindow window;
     window.name = Numbered("window-", i);
-    window.tenant = "tenant";
+    window.team = "team";
     window.site = Numbered("site-", i % kSites);
     window.schedule = WeeklySchedule{.weekdays = 0x3E,
                                      .from = std::chrono::hours(22),
--- a/tools/bench_fleet.cc
+++ b/tools/bench_fleet.cc
@@ -160,7 +160,7 @@
     const ChangeId id = NextId();
     Route route;
     route.name = "bench-" + std::to_string(changes_ % 10);
-    route.tenant = deployment.tenant;
+    route.team = deployment.team;
     route.path_prefix = "/" + route.name;
     route.service = deployment.services.front();
     route.request_class = "status";
--- a/tools/harness/fleet.cc
+++ b/tools/harness/fleet.cc
@@ -95,7 +95,7 @@
 Deployment DeploymentByName(const std::string& name) {
   if (name == "cascadia") {
     return {.name = name,
-            .tenant = "cascadia",
+            .team = "cascadia",
             .regions = {"puget", "willamette", "inland"},
             .services = {"catalog", "orders", "artwork"},
             .slots = 12,
@@ -103,7 +103,7 @@
   }
   if (name == "silfurhud") {
     return {.name = name,
-            .tenant = "silfurhud",
+            .team = "silfurhud",
             .regions = {"reykjavik", "akureyri", "egilsstadir"},
             .services = {"tracker", "orders", "docs"},
             .slots = 9,
@@ -349,7 +349,7 @@
   settings["operators"] =
       json::array{json::object{{"name", "example"},
                                {"token_hash", HashToken(kToken)},
-                               {"tenants", json::array{"*"}}}};
+                               {"teams", json::array{"*"}}}};
   return settings;
 }
 
@@ -362,40 +362,40 @@
 
 Change ExampleChange(const Deployment& deployment, const ChangeId& id) {
   Change change{.id = id, .author = {}, .edits = {}};
-  const std::string& tenant = deployment.tenant;
+  const std::string& team = deployment.team;
   const auto put = [&change](auto item) {
     change.edits.push_back({std::move(item), {}});
   };
-  put(Site{.name = "workshop", .tenant = tenant, .time_zone = "GMT+00"});
+  put(Site{.name = "workshop", .team = team, .time_zone = "GMT+00"});
   for (const std::string& it : deployment.services) {
-    put(Service{.name = it, .tenant = tenant});
+    put(Service{.name = it, .team = team});
   }
   const std::string& reads = deployment.services.at(0);
   const std::string& orders = deployment.services.at(1);
   const std::string& files = deployment.services.at(2);
   put(Route{.name = "status",
-            .tenant = tenant,
+            .team = team,
             .path_prefix = "/status",
             .service = reads,
             .request_class = "status",
             .repeat = RepeatPolicy::kRepeatable,
             .timeout = Milliseconds(2'000)});
   put(Route{.name = "files",
-            .tenant = tenant,
+            .team = team,
             .path_prefix = "/bytes",
             .service = files,
             .request_class = "files",
             .repeat = RepeatPolicy::kRepeatable,
             .timeout = Milliseconds(10'000)});
   put(Route{.name = "orders",
-            .tenant = tenant,
+            .team = team,
             .path_prefix = "/orders",
             .service = orders,
             .request_class = "order",
             .repeat = RepeatPolicy::kOnce,
             .timeout = Milliseconds(5'000)});
   put(Route{.name = "runs",
-            .tenant = tenant,
+            .team = team,
             .path_prefix = "/runs",
             .service = orders,
             .request_class = "run",
--- a/tools/harness/fleet.h
+++ b/tools/harness/fleet.h
@@ -19,7 +19,7 @@
 /// and services with their upstreams.
 struct Deployment {
   std::string name;
-  std::string tenant;
+  std::string team;
   std::vector<std::string> regions;
   std::vector<std::string> services;
   std::uint32_t slots = 0;
--- a/tools/node_main.cc
+++ b/tools/node_main.cc
@@ -52,7 +52,8 @@
 }
 
 int Serve(const Settings& settings, const std::string& file) {
-  InitializeLog("cassiabend-node", ParseLogLevel(settings.node.log_level));
+  InitializeLog("cassiabend-node", ParseLogLevel(settings.node.log_level),
+                LogTarget::kStandardOutput);
   boost::asio::io_context io(1);
   const SystemClock clock;
   Node node(io, clock, AdapterOf(settings), settings, file);
