--- a/tests/shell/ctl_test.cc
+++ b/tests/shell/ctl_test.cc
@@ -376,7 +376,7 @@
   node.Start();
   const Run list = CtlOn(node, {"service", "list"});
   CHECK(list.out ==
-        "NAME     TEAM    REVISION\n"
+        "NAME     TEAM      REVISION\n"
         "catalog  cascadia  3\n"
         "shared   -         2\n"
         "tracker  silfur    5\n");
