--- a/src/cassiabend/core/fleet_reducer_impl.cc
+++ b/src/cassiabend/core/fleet_reducer_impl.cc
@@ -87,6 +87,7 @@
   spread_.Tick(context, tree_, membership_, watch_.ReadsAt(context));
   pull_.Tick(context, versions_);
   join_.Tick(context, tree_, membership_);
+  greeter_.Tick(context, tree_, membership_);
   survey_.Tick(context, membership_, versions_.mark());
 }
 
--- a/src/cassiabend/core/fleet_reducer_impl.h
+++ b/src/cassiabend/core/fleet_reducer_impl.h
@@ -19,6 +19,7 @@
 #include "cassiabend/core/membership_server.h"
 #include "cassiabend/core/reader_lease.h"
 #include "cassiabend/core/reader_watch.h"
+#include "cassiabend/core/return_greeter.h"
 #include "cassiabend/core/spread.h"
 #include "cassiabend/core/spread_pull.h"
 #include "cassiabend/core/spread_tree.h"
@@ -108,6 +109,7 @@
   Join join_;
   SeedDirectory seeds_;
   MemberDirectory directory_;
+  ReturnGreeter greeter_;
   JoinReadiness readiness_;
   MarkSurvey survey_;
   MemberSync member_sync_;
--- a/src/cassiabend/http/connection.cc
+++ b/src/cassiabend/http/connection.cc
@@ -1,7 +1,5 @@
 #include "cassiabend/http/connection.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -11,6 +9,8 @@
 #include <cstring>
 #include <utility>
 
+#include "cassiabend/base/socket_options.h"
+
 namespace cassiabend {
 namespace {
 
@@ -24,47 +24,20 @@
 constexpr std::size_t kKeptOutputBytes = std::size_t{64} * 1024;
 /// How long a refused sender may go on sending.
 constexpr Milliseconds kLingerTimeout{1'000};
-/// A connection whose other end has vanished is found by the operating system
-/// after `kKeepAliveIdle` and `kKeepAliveProbes` times `kKeepAliveInterval`.
-constexpr Seconds kKeepAliveIdle{10};
-constexpr Seconds kKeepAliveInterval{1};
-constexpr int kKeepAliveProbes = 3;
-/// The same for connections that this end opened: calls wait on them, and idle
-/// ones are used again.
-constexpr Seconds kOutgoingKeepAliveIdle{1};
-constexpr int kOutgoingKeepAliveProbes = 2;
-/// An outgoing connection on which data stays unacknowledged for so long is
-/// given up: some retransmissions on a lossy link, not a vanished host.
-constexpr Milliseconds kUnacknowledgedLimit{1'000};
-
-void SetOption(int socket, int level, int name, int value) noexcept {
-  // An option that the system does not take leaves its default.
-  (void)::setsockopt(socket, level, name, &value, sizeof(value));
-}
+/// Connections that callers opened: the system finds a vanished end in 13 s.
+constexpr LossDetection kIncomingLoss{};
+/// Connections that this end opened: calls wait on them, and idle ones are used
+/// again. Sent data may need some retransmissions on a lossy link.
+constexpr LossDetection kOutgoingLoss{.idle = Seconds(1),
+                                      .interval = Seconds(1),
+                                      .probes = 2,
+                                      .unacknowledged = Milliseconds(1'000)};
 
-/// \brief Sends small messages at once, and finds vanished ends.
-void SetOptions(boost::asio::ip::tcp::socket* socket) {
+void SetOptions(boost::asio::ip::tcp::socket* socket,
+                const LossDetection& detection) {
   error_code ignored;
   socket->non_blocking(true, ignored);
-  const int n = socket->native_handle();
-  SetOption(n, IPPROTO_TCP, TCP_NODELAY, 1);
-  SetOption(n, SOL_SOCKET, SO_KEEPALIVE, 1);
-  SetOption(n, IPPROTO_TCP, TCP_KEEPIDLE,
-            static_cast<int>(kKeepAliveIdle.count()));
-  SetOption(n, IPPROTO_TCP, TCP_KEEPINTVL,
-            static_cast<int>(kKeepAliveInterval.count()));
-  SetOption(n, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
-}
-
-/// \brief Finds vanished ends of connections that this end opened soon.
-void SetOutgoingOptions(boost::asio::ip::tcp::socket* socket) {
-  SetOptions(socket);
-  const int n = socket->native_handle();
-  SetOption(n, IPPROTO_TCP, TCP_KEEPIDLE,
-            static_cast<int>(kOutgoingKeepAliveIdle.count()));
-  SetOption(n, IPPROTO_TCP, TCP_KEEPCNT, kOutgoingKeepAliveProbes);
-  SetOption(n, IPPROTO_TCP, TCP_USER_TIMEOUT,
-            static_cast<int>(kUnacknowledgedLimit.count()));
+  SetSocketOptions(socket->native_handle(), detection);
 }
 
 }  // namespace
@@ -80,7 +53,7 @@
       read_bytes_(kFirstReadBytes) {
   ticks_->Add(this);
   if (socket_.is_open()) {
-    SetOptions(&socket_);
+    SetOptions(&socket_, kIncomingLoss);
   }
 }
 
@@ -118,7 +91,7 @@
         }
         self->is_connected_ = true;
         self->ClearTimeout();
-        SetOutgoingOptions(&self->socket_);
+        SetOptions(&self->socket_, kOutgoingLoss);
         self->listener_->OnConnected();
         self->Start();
       });
--- a/src/cassiabend/store/gateway_connection.cc
+++ b/src/cassiabend/store/gateway_connection.cc
@@ -1,7 +1,5 @@
 #include "cassiabend/store/gateway_connection.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <boost/asio/post.hpp>
@@ -14,6 +12,8 @@
 #include <optional>
 #include <utility>
 
+#include "cassiabend/base/socket_options.h"
+
 namespace cassiabend {
 namespace {
 
@@ -26,31 +26,14 @@
 constexpr std::size_t kMaxAnswerBytes = std::size_t{4} * 1024 * 1024;
 constexpr unsigned kHttpVersion = 11;
 
-/// A store that has vanished is found by the second probe, 2 s after it was
-/// heard last, or once sent data is unacknowledged for `kUnacknowledgedLimit`:
+/// A watch that waits for news would not notice that the store has vanished.
+/// The second unanswered probe tells, 2 s after the store was heard last:
 /// within the time after a fault in which the platform expects no change to
 /// arrive.
-constexpr int kKeepAliveIdle = 1;      // s
-constexpr int kKeepAliveInterval = 1;  // s
-constexpr int kKeepAliveProbes = 2;
-constexpr int kUnacknowledgedLimit = 1'000;  // ms
-
-/// \brief Sends small messages at once, and finds a store that vanished: a
-/// watch that waits for news would not notice.
-void SetOptions(asio::ip::tcp::socket* socket) {
-  error_code ignored;
-  socket->set_option(asio::ip::tcp::no_delay(true), ignored);
-  socket->set_option(asio::socket_base::keep_alive(true), ignored);
-  const int n = socket->native_handle();
-  const auto set = [n](int name, int value) {
-    // An option that the system does not take leaves its default.
-    (void)::setsockopt(n, IPPROTO_TCP, name, &value, sizeof(value));
-  };
-  set(TCP_KEEPIDLE, kKeepAliveIdle);
-  set(TCP_KEEPINTVL, kKeepAliveInterval);
-  set(TCP_KEEPCNT, kKeepAliveProbes);
-  set(TCP_USER_TIMEOUT, kUnacknowledgedLimit);
-}
+constexpr LossDetection kStoreLoss{.idle = Seconds(1),
+                                   .interval = Seconds(1),
+                                   .probes = 2,
+                                   .unacknowledged = Milliseconds(1'000)};
 
 class BeastConnection final
     : public GatewayConnection,
@@ -129,7 +112,7 @@
       return;
     }
     connected_ = true;
-    SetOptions(&stream_.socket());
+    SetSocketOptions(stream_.socket().native_handle(), kStoreLoss);
     stream_.expires_after(timeout_);
     Send();
   }
--- a/tests/reader_test.cc
+++ b/tests/reader_test.cc
@@ -124,6 +124,29 @@
   CHECK(driver.violations.empty());
 }
 
+TEST_CASE("a node restarted while the store is away is found by its peers") {
+  for (const bool announced : {true, false}) {
+    CAPTURE(announced);
+    FleetOptions options = MemberKeyOptions();
+    options.join_confirmation_age = Seconds(600);
+    FleetDriver driver(9, ThreeZones(), options, 21);
+    driver.seeds_from_settings = false;
+    Warm(driver);
+    driver.store_faults.down = true;
+    if (announced) {
+      driver.Leave(0);
+      driver.RunFor(Seconds(1));
+    }
+    driver.Kill(0);
+    // Long enough to be held dead.
+    driver.RunFor(Seconds(12));
+    driver.Start(0);
+    CHECK(driver.RunUntil([&] { return driver.node(0).ready; }, Seconds(60)) <=
+          Seconds(2));
+    CHECK(driver.violations.empty());
+  }
+}
+
 TEST_CASE("a store that came back older neither reverts nor confirms") {
   FleetDriver driver(9, ThreeZones(), {}, 14);
   Warm(driver);
