Never learn a replaced upstream by its name alone

Cause, found by reading: after a refusal by another start the node asked whoever answers at the address for its name, and would have sent it calls of the old service; the address may belong to another service by then. Change: only a heartbeat, which names the service, opens the gate again. Times of errors no longer count for an upstream's speed.

--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -246,12 +246,16 @@
   if (call->phase == Phase::kRelaying) {
     return;
   }
-  if (event.times) {
+  constexpr std::uint16_t kFirstServerError = 500;
+  if (event.times && event.status < kFirstServerError) {
     balancer_->RecordTimes(context_->now.mono, call->route->request_class,
                            context_->now.mono - call->sent_at, *event.times,
                            call->tried.back().get());
+  } else if (event.times) {
+    // Errors come sooner or later than answers; their times say nothing.
+    Balancer::RecordLoad(context_->now.mono, *event.times,
+                         call->tried.back().get());
   }
-  constexpr std::uint16_t kFirstServerError = 500;
   const bool failed =
       event.status >= kFirstServerError && context_->options.retry_errors != 0;
   EndAttempt(call,
--- a/src/cassiabend/core/call_upstream_health.cc
+++ b/src/cassiabend/core/call_upstream_health.cc
@@ -68,6 +68,9 @@
     return;
   }
   identity_.Forget();
+  // Whoever has the address now may belong to another service, which only its
+  // heartbeat tells.
+  asked_ = kMostAsks;
   SetState(UpstreamState::kWarming);
 }
 
