Let readers listen to the reader of another zone too

Ruled out: a refused or failed call of the store (none in the log of its calls).

Change: with members' own keys a reader attaches to the reader of another zone, whose beats tell within 0.3 s that there is a newer version.

--- a/src/cassiabend/core/fleet_reducer_impl.cc
+++ b/src/cassiabend/core/fleet_reducer_impl.cc
@@ -84,7 +84,11 @@
   watch_.Tick(context, ShouldRead(context));
   seeds_.Tick(context, membership_, lease_.holds());
   directory_.Tick(context, membership_, join_.joined());
-  spread_.Tick(context, tree_, membership_, watch_.ReadsAt(context));
+  // A watch may be cut off without an end, so with members' own keys a reader
+  // also listens to the reader of another zone.
+  const bool needs_no_parent =
+      options_.member_lease == Seconds(0) && watch_.ReadsAt(context);
+  spread_.Tick(context, tree_, membership_, needs_no_parent);
   pull_.Tick(context, versions_);
   join_.Tick(context, tree_, membership_);
   greeter_.Tick(context, tree_, membership_);
--- a/tests/reader_test.cc
+++ b/tests/reader_test.cc
@@ -124,6 +124,26 @@
   CHECK(driver.violations.empty());
 }
 
+TEST_CASE(
+    "a zone whose reader is cut from the store hears through the others") {
+  // Half of the platform's bound of 2 s: as much as a node may go without a
+  // follower before it reads the head itself.
+  constexpr Seconds kApplyBound{1};
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    FleetOptions options = MemberKeyOptions();
+    FleetDriver driver(18, ThreeZones(), options, seed);
+    Warm(driver);
+    // Watches of the zone go silent, without an end.
+    driver.store_faults.cut_zones.insert(ThreeZones().front());
+    driver.RunFor(Milliseconds(100));
+    driver.Commit();
+    CHECK(driver.RunUntil([&] { return driver.Converged(); }, Seconds(60)) <=
+          kApplyBound);
+    CHECK(driver.violations.empty());
+  }
+}
+
 TEST_CASE("a node restarted while the store is away is found by its peers") {
   for (const bool announced : {true, false}) {
     CAPTURE(announced);
