Drop the adapter's second way to its codecs, and one table of phrases

Found by reading the whole change: PlatformAdapter had functions for its codecs that nobody called, since Translate puts them into the settings; and the adapter had its own copy of the reason phrases in system_answers. Both are gone.

--- a/src/cassiabend/http/system_answers.cc
+++ b/src/cassiabend/http/system_answers.cc
@@ -27,6 +27,17 @@
   }
 }
 
+MessageHead SystemHead(std::uint16_t status, std::string_view outcome) {
+  MessageHead head;
+  head.status = status;
+  head.reason = PhraseOf(status);
+  head.Add(kOutcomeHeader, outcome);
+  head.Add("Content-Type", "application/json");
+  return head;
+}
+
+}  // namespace
+
 std::string_view PhraseOf(std::uint16_t status) noexcept {
   switch (status) {
     case 202:
@@ -52,17 +63,6 @@
   }
 }
 
-MessageHead SystemHead(std::uint16_t status, std::string_view outcome) {
-  MessageHead head;
-  head.status = status;
-  head.reason = PhraseOf(status);
-  head.Add(kOutcomeHeader, outcome);
-  head.Add("Content-Type", "application/json");
-  return head;
-}
-
-}  // namespace
-
 std::string FormatTimes(const DestinationTimes& times) {
   return std::to_string(times.load_permille) + ' ' +
          std::to_string(times.stay.count()) + ' ' +
--- a/src/cassiabend/http/system_answers.h
+++ b/src/cassiabend/http/system_answers.h
@@ -24,6 +24,9 @@
 [[nodiscard]] std::optional<DestinationTimes> ParseTimes(std::string_view text);
 [[nodiscard]] Outcome ReadOutcome(const MessageHead& head);
 
+/// \returns The reason phrase of a status that the system answers with.
+[[nodiscard]] std::string_view PhraseOf(std::uint16_t status) noexcept;
+
 /// \returns The answer that says that a request was not run.
 [[nodiscard]] MessageHead NotRunHead(NotRunReason reason,
                                      Milliseconds retry_after);
--- a/src/cassiabend/node/adapter.cc
+++ b/src/cassiabend/node/adapter.cc
@@ -5,15 +5,6 @@
 
 class Own final : public PlatformAdapter {
  public:
-  [[nodiscard]] const CallWire& calls() const noexcept override {
-    return OwnCallWire();
-  }
-  [[nodiscard]] const StoreCodec& store() const noexcept override {
-    return GatewayStoreCodec();
-  }
-  [[nodiscard]] const HeadCodec& head() const noexcept override {
-    return StoredHeadCodec();
-  }
   [[nodiscard]] ControlMessage ReadControl(
       const OpsRequest& /*request*/) const override {
     return {.report = std::nullopt,
--- a/src/cassiabend/node/adapter.h
+++ b/src/cassiabend/node/adapter.h
@@ -3,12 +3,9 @@
 #include <optional>
 #include <string>
 
-#include "cassiabend/core/head_codec.h"
 #include "cassiabend/core/upstream_report.h"
-#include "cassiabend/http/call_wire.h"
 #include "cassiabend/node/ops_server.h"
 #include "cassiabend/node/settings.h"
-#include "cassiabend/store/store_codec.h"
 
 namespace cassiabend {
 
@@ -30,16 +27,13 @@
   PlatformAdapter& operator=(const PlatformAdapter&) = delete;
   virtual ~PlatformAdapter() = default;
 
-  [[nodiscard]] virtual const CallWire& calls() const noexcept = 0;
-  [[nodiscard]] virtual const StoreCodec& store() const noexcept = 0;
-  [[nodiscard]] virtual const HeadCodec& head() const noexcept = 0;
   /// \brief Reads a message on the control port.
   [[nodiscard]] virtual ControlMessage ReadControl(
       const OpsRequest& request) const = 0;
   /// \returns Whether a request on the readiness port asks for readiness.
   [[nodiscard]] virtual bool AsksReadiness(const OpsRequest& request) const = 0;
   /// \brief Turns what the platform said in `settings->platform` into the
-  /// product's own settings.
+  /// product's own settings, and puts the platform's codecs in them.
   /// \throws SettingsError that names the field and the fault.
   virtual void Translate(Settings* settings) const = 0;
 };
