Let the store's stand-in speak the platform's wire, with its faults

Ruled out: a second stand-in. Keys, leases, limits and faults are the same for both wires, so the wire became a strategy of the one that exists; a call is told apart by its path. Also ruled out: a URL parser of our own (kj has one), and telling clients apart by their port, which changes with each connection: each host calls the stand-in at a loopback address of its own.

Change: FakeStoreWire with the gateway's wire and, in platform/stand_in, the platform's. New faults: answers that never come on open connections, writes that are done later, leases that stand still, a restart that cuts all connections, drops the history and raises the revision, and refusals (503, 429, reset, silence) of some hosts. Renewals cost a tenth of a read and stale lists nothing, as the platform prices them.

--- a/tools/fake_store_gateway.h
+++ b/tools/fake_store_gateway.h
@@ -7,13 +7,16 @@
 
 #include "cassiabend/base/time.h"
 #include "tools/fake_store_state.h"
+#include "tools/fake_store_wire.h"
 
 namespace cassiabend {
 
-/// \brief An answer of the gateway.
-struct GatewayAnswer {
-  unsigned http_status = 200;
-  boost::json::object body;
+/// \brief How the stand-in refuses the calls of some clients.
+enum class FakeStoreRefusal : std::uint8_t {
+  kUnavailable,
+  kTooMany,
+  kReset,
+  kSilence,
 };
 
 /// \brief Faults that the stand-in was asked for.
@@ -29,6 +32,19 @@
   std::uint64_t drop_next = 0;
   /// Calls that are refused with HTTP 429.
   std::uint64_t reject_next = 0;
+  /// Answers that never come on connections that stay open, after the call
+  /// took effect.
+  std::uint64_t mute_next_answers = 0;
+  /// Calls that are never answered and take effect only after `late`, where
+  /// their condition still holds.
+  std::uint64_t late_next = 0;
+  Milliseconds late{1'000};
+  /// Leases stand still.
+  bool pause_leases = false;
+  /// Connections accepted before this one are closed.
+  std::uint64_t close_before = 0;
+  /// Refusals of the calls that arrive at one local address of the stand-in.
+  std::map<std::string, FakeStoreRefusal> refusals;
 };
 
 /// \brief What the stand-in has done, for GET /control/stats.
@@ -41,11 +57,13 @@
   std::uint64_t bytes_sent = 0;
 };
 
-/// \brief The calls of the gateway on a `FakeStoreState`, without I/O.
+/// \brief Calls on a `FakeStoreState` under faults and limits, without I/O.
 class FakeStoreGateway {
  public:
+  /// \param wire A second wire besides the gateway's; null for none.
   FakeStoreGateway(std::uint32_t writes_per_second,
-                   std::uint32_t reads_per_second);
+                   std::uint32_t reads_per_second,
+                   const FakeStoreWire* wire);
 
   [[nodiscard]] const FakeStoreState& state() const noexcept { return state_; }
   [[nodiscard]] const FakeStoreCounts& counts() const noexcept {
@@ -58,15 +76,19 @@
     return next_connection_++;
   }
 
+  /// \returns The wire that a call belongs to; null when there is none.
+  [[nodiscard]] const FakeStoreWire* WireOf(std::string_view target) const;
   /// \brief Admits one call under the faults and rate limits.
   /// \returns The refusal; unset when the call may be executed.
-  [[nodiscard]] std::optional<GatewayAnswer> Refusal(const std::string& path,
+  [[nodiscard]] std::optional<GatewayAnswer> Refusal(const FakeStoreWire& wire,
+                                                     const FakeStoreCall& call,
                                                      MonoTime now);
   /// \brief Executes one call other than a watch.
-  [[nodiscard]] GatewayAnswer Execute(const std::string& path,
-                                      const boost::json::object& body,
+  [[nodiscard]] GatewayAnswer Execute(const FakeStoreWire& wire,
+                                      const FakeStoreCall& call,
                                       MonoTime now);
-  void ExpireLeases(MonoTime now) { state_.ExpireLeases(now); }
+  /// \brief Lets the leases' time go on to `now`.
+  void ExpireLeases(MonoTime now);
 
   /// \brief Carries out one request to /control.
   [[nodiscard]] GatewayAnswer Control(const boost::json::object& body);
@@ -76,16 +98,10 @@
   /// \brief Calls that may still be made in the current second.
   struct Budget {
     std::uint32_t limit = 0;
-    std::uint32_t used = 0;
+    std::uint32_t used_tenths = 0;
     MonoTime second_began{};
 
-    [[nodiscard]] bool Take(MonoTime now);
-  };
-  using Call = GatewayAnswer (FakeStoreGateway::*)(const boost::json::object&,
-                                                   MonoTime);
-  struct Row {
-    const char* path;
-    Call call;
+    [[nodiscard]] bool Take(std::uint32_t tenths, MonoTime now);
   };
   using ControlCall = void (FakeStoreGateway::*)(const boost::json::value&);
   struct ControlRow {
@@ -94,16 +110,6 @@
   };
   friend struct FakeStoreTable;
 
-  GatewayAnswer Range(const boost::json::object& body, MonoTime now);
-  GatewayAnswer Transaction(const boost::json::object& body, MonoTime now);
-  GatewayAnswer Grant(const boost::json::object& body, MonoTime now);
-  GatewayAnswer KeepAlive(const boost::json::object& body, MonoTime now);
-  GatewayAnswer Revoke(const boost::json::object& body, MonoTime now);
-
-  [[nodiscard]] boost::json::object Header() const;
-  [[nodiscard]] boost::json::array KeyValues(const std::string& key) const;
-  GatewayAnswer Succeed(const boost::json::object& operation);
-
   void SetDown(const boost::json::value& value);
   void SetSlow(const boost::json::value& value);
   void SetLoseNext(const boost::json::value& value);
@@ -111,13 +117,22 @@
   void SetRejectNext(const boost::json::value& value);
   void SetDeadWatches(const boost::json::value& value);
   void SilenceOpen(const boost::json::value& value);
+  void SetMuteNext(const boost::json::value& value);
+  void SetLateNext(const boost::json::value& value);
+  void SetLate(const boost::json::value& value);
+  void SetPauseLeases(const boost::json::value& value);
+  void SetRefuseAt(const boost::json::value& value);
+  void Write(const boost::json::value& value);
+  void Restart(const boost::json::value& value);
   void ExpireLease(const boost::json::value& value);
   void Save(const boost::json::value& value);
   void Restore(const boost::json::value& value);
   void Compact(const boost::json::value& value);
   void Reset(const boost::json::value& value);
 
+  const FakeStoreWire* wire_;
   FakeStoreState state_;
+  MonoTime leases_seen_{};
   std::map<std::string, FakeStoreState> saved_;
   FakeStoreFaults faults_;
   FakeStoreCounts counts_;
@@ -126,7 +141,4 @@
   Budget reads_;
 };
 
-/// \returns The JSON form of one stored entry.
-[[nodiscard]] boost::json::object ToGatewayJson(const StoreEntry& entry);
-
 }  // namespace cassiabend
--- a/tools/fake_store_main.cc
+++ b/tools/fake_store_main.cc
@@ -9,6 +9,7 @@
 #include "cassiabend/base/command_line.h"
 #include "cassiabend/base/error.h"
 #include "cassiabend/base/log.h"
+#include "platform/stand_in/kv_stand_in.h"
 #include "tools/fake_store_server.h"
 
 namespace cassiabend {
@@ -19,9 +20,25 @@
 constexpr std::int64_t kMaxRate = 1'000'000;
 
 constexpr char kEpilogue[] =
-    "\nPrints {\"port\":N} once it listens. POST /control with JSON such as\n"
-    "{\"down\":true} or {\"lose_next_answers\":3} provokes faults; GET\n"
-    "/control/stats counts calls.\n"
+    "\nPrints {\"port\":N} once it listens. It speaks the etcd v3 HTTP/JSON\n"
+    "gateway and, under other paths, the users' platform's store.\n"
+    "POST /control with JSON such as {\"down\":true} provokes faults:\n"
+    "  down, dead_watches, pause_leases  true or false\n"
+    "  slow_ms, late_ms                  a time in ms\n"
+    "  reject_next, drop_next            calls that have no effect\n"
+    "  lose_next_answers                 answers lost with their connection\n"
+    "  mute_next_answers                 answers that never come\n"
+    "  late_next                         calls done late_ms later, unanswered\n"
+    "  silence_open                      true: open connections fall silent\n"
+    "  refuse_at                         {\"IP\":HOW}: refuses the calls to "
+    "one\n"
+    "                                    address of its own; HOW is "
+    "unavailable,\n"
+    "                                    too-many, reset or silence\n"
+    "  expire_lease, write, save, restore, compact, reset\n"
+    "  restart                           N: cuts all connections, drops the\n"
+    "                                    history, raises the revision by N\n"
+    "GET /control/stats counts calls.\n"
     "Exit codes: 0 ended as asked, 1 bad command line, 2 the port could not "
     "be\nopened.\n";
 
@@ -50,6 +67,7 @@
   std::int64_t writes = options.writes_per_second;
   std::int64_t reads = options.reads_per_second;
   options.ip = "127.0.0.1";
+  options.wire = &platform::KvStandIn();
   line.AddText("ip", &options.ip, "Address to listen on");
   line.AddNumber("port", &port, "Port; 0 for any free one");
   line.AddNumber("writes-per-s", &writes,
--- a/tools/fake_store_server.cc
+++ b/tools/fake_store_server.cc
@@ -29,7 +29,8 @@
       : acceptor_(io),
         timer_(io),
         shared_(std::make_shared<FakeStoreShared>(options.writes_per_second,
-                                                  options.reads_per_second)) {
+                                                  options.reads_per_second,
+                                                  options.wire)) {
     try {
       const tcp::endpoint endpoint(asio::ip::make_address(options.ip),
                                    options.port);
--- a/tools/fake_store_session.cc
+++ b/tools/fake_store_session.cc
@@ -15,8 +15,9 @@
 #include <optional>
 #include <sstream>
 #include <utility>
+#include <vector>
 
-#include "cassiabend/store/base64.h"
+#include "tools/fake_store_gateway_wire.h"
 
 namespace cassiabend {
 namespace {
@@ -30,6 +31,11 @@
 
 constexpr std::size_t kMaxRequestBytes = std::size_t{4} * 1024 * 1024;
 constexpr unsigned kHttpVersion = 11;
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kGone = 410;
+constexpr unsigned kTooManyRequests = 429;
+constexpr unsigned kServiceUnavailable = 503;
 
 class Session final : public FakeStoreSession,
                       public std::enable_shared_from_this<Session> {
@@ -54,16 +60,26 @@
 
   void SendEvents() override {
     const FakeStoreFaults& faults = shared_->gateway.faults();
+    if (number_ < faults.close_before && !is_control_) {
+      Close();
+      return;
+    }
     if (!watch_ || writing_ || faults.dead_watches ||
         number_ < faults.silent_before) {
       return;
     }
-    const FakeStoreState& state = shared_->gateway.state();
-    for (const FakeStoreEvent& it :
-         state.EventsSince(watch_->key, watch_->from)) {
+    const std::vector<FakeStoreEvent> events = WatchedEvents();
+    if (watch_->wait) {
+      if (!events.empty()) {
+        AnswerWatch(events);
+      }
+      return;
+    }
+    for (const FakeStoreEvent& it : events) {
       SendChunk(EventMessage(it));
     }
-    watch_->from = std::max(watch_->from, state.revision() + 1);
+    watch_->from =
+        std::max(watch_->from, shared_->gateway.state().revision() + 1);
   }
 
   void Close() override {
@@ -72,11 +88,6 @@
   }
 
  private:
-  struct Watch {
-    std::string key;
-    StoreRevision from = 0;
-  };
-
   void OnRead(error_code ec, std::size_t n) {
     if (ec) {
       Close();
@@ -93,73 +104,135 @@
       WaitForEnd();
       return;
     }
-    if (std::optional<GatewayAnswer> refusal =
-            shared_->gateway.Refusal(path, shared_->clock.Now().mono)) {
+    call_ = {std::string(request_.method_string()), path, request_.body()};
+    wire_ = shared_->gateway.WireOf(path);
+    if (wire_ == nullptr) {
+      Send(FakeStoreFailure(kNotFound, "no such path"));
+      return;
+    }
+    if (const std::optional<FakeStoreRefusal> refusal = RefusalHere()) {
+      Refuse(*refusal);
+      return;
+    }
+    if (std::optional<GatewayAnswer> refusal = shared_->gateway.Refusal(
+            *wire_, call_, shared_->clock.Now().mono)) {
       Send(*refusal);
       return;
     }
     const Milliseconds slow = shared_->gateway.faults().slow;
     if (slow <= Milliseconds(0)) {
-      Execute(path);
+      Execute();
       return;
     }
     timer_.expires_after(slow);
-    timer_.async_wait([self = shared_from_this(), path](error_code ec) {
+    timer_.async_wait([self = shared_from_this()](error_code ec) {
       if (!ec) {
-        self->Execute(path);
+        self->Execute();
       }
     });
   }
 
-  [[nodiscard]] std::optional<json::object> Body() const {
+  /// \returns How calls at the address that this client called are refused.
+  [[nodiscard]] std::optional<FakeStoreRefusal> RefusalHere() const {
     error_code ec;
-    json::value body = json::parse(request_.body(), ec);
-    if (ec || !body.is_object()) {
-      return std::nullopt;
+    const tcp::endpoint local = stream_.socket().local_endpoint(ec);
+    const auto& refusals = shared_->gateway.faults().refusals;
+    const auto it = refusals.find(local.address().to_string());
+    return it == refusals.end() ? std::nullopt : std::optional(it->second);
+  }
+
+  void Refuse(FakeStoreRefusal refusal) {
+    switch (refusal) {
+      case FakeStoreRefusal::kUnavailable:
+        Send(FakeStoreFailure(kServiceUnavailable, "refused"));
+        return;
+      case FakeStoreRefusal::kTooMany:
+        Send(FakeStoreFailure(kTooManyRequests, "refused"));
+        return;
+      case FakeStoreRefusal::kReset:
+        Reset();
+        return;
+      case FakeStoreRefusal::kSilence:
+        WaitForEnd();
+        return;
     }
-    return std::move(body.get_object());
+  }
+
+  /// \brief Closes the connection in a way that the client sees as a reset.
+  void Reset() {
+    error_code ec;
+    stream_.socket().set_option(asio::socket_base::linger(true, 0), ec);
+    Close();
   }
 
   GatewayAnswer Control(const std::string& path) {
+    is_control_ = true;
     if (path == "/control/stats") {
       return {200, shared_->gateway.Stats()};
     }
-    const std::optional<json::object> body = Body();
-    if (!body) {
-      return {400, {{"error", "the body is no JSON object"}}};
+    error_code ec;
+    const json::value body = json::parse(request_.body(), ec);
+    if (ec || !body.is_object()) {
+      return {kBadRequest, {{"error", "the body is no JSON object"}}};
     }
-    GatewayAnswer answer = shared_->gateway.Control(*body);
+    GatewayAnswer answer = shared_->gateway.Control(body.get_object());
     shared_->WakeWatches();
     return answer;
   }
 
-  void Execute(const std::string& path) {
+  void Execute() {
     FakeStoreFaults& faults = shared_->gateway.faults();
     if (faults.drop_next > 0) {
       --faults.drop_next;
       Close();
       return;
     }
-    const std::optional<json::object> body = Body();
-    if (!body) {
-      Send({400, {{"error", "the body is no JSON object"}}});
+    if (faults.late_next > 0) {
+      --faults.late_next;
+      ExecuteLate(faults.late);
+      WaitForEnd();
       return;
     }
-    if (path == "/v3/watch") {
-      StartWatch(*body);
+    try {
+      if (std::optional<FakeStoreWatch> watch = wire_->ReadWatch(call_)) {
+        StartWatch(std::move(*watch));
+        return;
+      }
+    } catch (const std::exception& ex) {
+      Send(FakeStoreFailure(kBadRequest, ex.what()));
       return;
     }
     const GatewayAnswer answer =
-        shared_->gateway.Execute(path, *body, shared_->clock.Now().mono);
+        shared_->gateway.Execute(*wire_, call_, shared_->clock.Now().mono);
     shared_->WakeWatches();
     if (faults.lose_next_answers > 0) {
       --faults.lose_next_answers;
       Close();
       return;
     }
+    if (faults.mute_next_answers > 0) {
+      --faults.mute_next_answers;
+      WaitForEnd();
+      return;
+    }
     Send(answer);
   }
 
+  /// \brief Executes the call after `late`, whatever becomes of the
+  /// connection.
+  void ExecuteLate(Milliseconds late) {
+    auto timer =
+        std::make_shared<asio::steady_timer>(stream_.get_executor(), late);
+    timer->async_wait(
+        [timer, shared = shared_, wire = wire_, call = call_](error_code ec) {
+          if (ec) {
+            return;
+          }
+          (void)shared->gateway.Execute(*wire, call, shared->clock.Now().mono);
+          shared->WakeWatches();
+        });
+  }
+
   void Send(const GatewayAnswer& answer) {
     response_ = {};
     response_.version(kHttpVersion);
@@ -182,31 +255,31 @@
 
   // Watches.
 
-  static std::int64_t StartRevision(const json::object& create) {
-    const json::value* it = create.if_contains("start_revision");
-    if (it == nullptr) {
-      return 0;
+  [[nodiscard]] std::vector<FakeStoreEvent> WatchedEvents() const {
+    std::vector<FakeStoreEvent> out;
+    for (const FakeStoreEvent& it :
+         shared_->gateway.state().EventsSince(watch_->from)) {
+      if (watch_->whole_key ? it.key == watch_->key
+                            : it.key.starts_with(watch_->key)) {
+        out.push_back(it);
+      }
     }
-    return it->is_string() ? std::atoll(it->get_string().c_str())
-                           : it->to_number<std::int64_t>();
+    return out;
   }
 
-  void StartWatch(const json::object& body) {
+  void StartWatch(FakeStoreWatch watch) {
     if (shared_->gateway.faults().dead_watches) {
       WaitForEnd();
       return;
     }
-    const json::value* it = body.if_contains("create_request");
-    const json::object* create = it == nullptr ? nullptr : it->if_object();
-    const json::value* key =
-        create == nullptr ? nullptr : create->if_contains("key");
-    if (key == nullptr || !key->is_string()) {
-      Send({400, {{"error", "create_request.key is missing"}}});
+    const FakeStoreState& state = shared_->gateway.state();
+    const bool compacted =
+        watch.from != 0 && watch.from <= state.compact_revision();
+    watch.from = watch.from == 0 ? state.revision() + 1 : watch.from;
+    if (watch.wait) {
+      StartPoll(std::move(watch), compacted);
       return;
     }
-    Watch watch;
-    watch.key = DecodeBase64(key->get_string()).value_or("");
-    watch.from = StartRevision(*create);
     http::response<http::empty_body> header(http::status::ok, kHttpVersion);
     header.set(http::field::content_type, "application/json");
     header.chunked(true);
@@ -214,17 +287,38 @@
     text << header.base();
     out_ += text.str();
     SendChunk(CreatedMessage());
-    const FakeStoreState& state = shared_->gateway.state();
-    if (watch.from != 0 && watch.from <= state.compact_revision()) {
+    if (compacted) {
       SendChunk(CompactedMessage());
     } else {
-      watch.from = watch.from == 0 ? state.revision() + 1 : watch.from;
       watch_ = std::move(watch);
       SendEvents();
     }
     WaitForEnd();
   }
 
+  /// \brief Answers a watch that is no stream once, by its events or the end
+  /// of its time.
+  void StartPoll(FakeStoreWatch watch, bool compacted) {
+    if (compacted) {
+      Send(FakeStoreFailure(kGone, "this history is no longer there"));
+      return;
+    }
+    watch_ = std::move(watch);
+    timer_.expires_after(*watch_->wait);
+    timer_.async_wait([self = shared_from_this()](error_code ec) {
+      if (!ec && self->watch_) {
+        self->AnswerWatch({});
+      }
+    });
+    SendEvents();
+  }
+
+  void AnswerWatch(const std::vector<FakeStoreEvent>& events) {
+    watch_.reset();
+    timer_.cancel();
+    Send(wire_->AnswerWatch(events, shared_->gateway.state().revision()));
+  }
+
   /// \brief Notices when the client closes the connection of a watch.
   void WaitForEnd() {
     stream_.socket().async_wait(
@@ -249,11 +343,12 @@
 
   json::object EventMessage(const FakeStoreEvent& event) const {
     json::object out;
-    if (!event.value) {
+    if (!event.item) {
       out["type"] = "DELETE";
     }
     out["kv"] =
-        ToGatewayJson({event.key, event.value.value_or(""), event.revision});
+        ToGatewayJson(event.item ? event.item->entry
+                                 : StoreEntry{event.key, "", event.revision});
     return {{"header", Header()},
             {"watch_id", "0"},
             {"events", json::array{std::move(out)}}};
@@ -296,11 +391,15 @@
   asio::steady_timer timer_;
   std::shared_ptr<FakeStoreShared> shared_;
   std::uint64_t number_;
+  /// Whether the connection belongs to whoever asks for faults.
+  bool is_control_ = false;
   beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
   http::request<http::string_body> request_;
   http::response<http::string_body> response_;
-  std::optional<Watch> watch_;
+  FakeStoreCall call_;
+  const FakeStoreWire* wire_ = nullptr;
+  std::optional<FakeStoreWatch> watch_;
   std::string out_;
   std::string sending_;
   bool writing_ = false;
--- a/tools/fake_store_session.h
+++ b/tools/fake_store_session.h
@@ -14,8 +14,9 @@
 /// \brief What the sessions of one stand-in share.
 struct FakeStoreShared {
   FakeStoreShared(std::uint32_t writes_per_second,
-                  std::uint32_t reads_per_second)
-      : gateway(writes_per_second, reads_per_second) {}
+                  std::uint32_t reads_per_second,
+                  const FakeStoreWire* wire)
+      : gateway(writes_per_second, reads_per_second, wire) {}
 
   /// \brief Lets every watch send what it has not sent yet.
   void WakeWatches();
@@ -26,7 +27,7 @@
 };
 
 /// \brief One client connection. Executes its requests one after the other; a
-/// watch takes the connection over for good.
+/// watch that is a stream takes the connection over for good.
 class FakeStoreSession {
  public:
   /// \brief Serves `socket` until either side closes it.
--- a/tools/fake_store_state.cc
+++ b/tools/fake_store_state.cc
@@ -10,43 +10,49 @@
 
 }  // namespace
 
-std::optional<StoreEntry> FakeStoreState::Find(const std::string& key) const {
+std::optional<FakeStoreItem> FakeStoreState::Find(
+    const std::string& key) const {
   const auto it = keys_.find(key);
-  if (it == keys_.end()) {
-    return std::nullopt;
+  return it == keys_.end() ? std::nullopt : std::optional(it->second);
+}
+
+std::vector<FakeStoreItem> FakeStoreState::List(
+    const std::string& prefix,
+    const std::string& after) const {
+  std::vector<FakeStoreItem> out;
+  for (const auto& [key, item] : keys_) {
+    if (key.starts_with(prefix) && key > after) {
+      out.push_back(item);
+    }
   }
-  return StoreEntry{key, it->second.bytes, it->second.revision};
+  return out;
 }
 
 StoreRevision FakeStoreState::RevisionOf(const std::string& key) const {
   const auto it = keys_.find(key);
-  return it == keys_.end() ? 0 : it->second.revision;
+  return it == keys_.end() ? 0 : it->second.entry.revision;
 }
 
 bool FakeStoreState::HasLease(LeaseId lease) const {
   return leases_.contains(lease);
 }
 
-std::vector<FakeStoreEvent> FakeStoreState::EventsSince(
-    const std::string& key,
+std::span<const FakeStoreEvent> FakeStoreState::EventsSince(
     StoreRevision from) const {
-  std::vector<FakeStoreEvent> out;
-  auto it = std::ranges::lower_bound(events_, from, std::ranges::less(),
-                                     &FakeStoreEvent::revision);
-  for (; it != events_.end(); ++it) {
-    if (it->key == key) {
-      out.push_back(*it);
-    }
-  }
-  return out;
+  const auto it = std::ranges::lower_bound(events_, from, std::ranges::less(),
+                                           &FakeStoreEvent::revision);
+  return {it, events_.end()};
 }
 
 void FakeStoreState::Put(const std::string& key,
                          const std::string& value,
                          LeaseId lease) {
   ++revision_;
-  keys_[key] = Value{value, revision_, lease};
-  AddEvent(key, value);
+  FakeStoreItem& item = keys_[key];
+  item.entry = {key, value, revision_};
+  item.created = item.created == 0 ? revision_ : item.created;
+  item.lease = lease;
+  AddEvent(key, item);
 }
 
 bool FakeStoreState::Remove(const std::string& key) {
@@ -58,13 +64,14 @@
   return true;
 }
 
-LeaseId FakeStoreState::GrantLease(Seconds ttl, MonoTime now) {
+LeaseId FakeStoreState::GrantLease(Milliseconds ttl, MonoTime now) {
   const LeaseId id = next_lease_++;
   leases_[id] = Lease{ttl, now + ttl};
   return id;
 }
 
-std::optional<Seconds> FakeStoreState::RenewLease(LeaseId lease, MonoTime now) {
+std::optional<Milliseconds> FakeStoreState::RenewLease(LeaseId lease,
+                                                       MonoTime now) {
   const auto it = leases_.find(lease);
   if (it == leases_.end()) {
     return std::nullopt;
@@ -78,8 +85,8 @@
     return false;
   }
   std::vector<std::string> bound;
-  for (const auto& [key, value] : keys_) {
-    if (value.lease == lease) {
+  for (const auto& [key, item] : keys_) {
+    if (item.lease == lease) {
       bound.push_back(key);
     }
   }
@@ -101,17 +108,23 @@
   }
 }
 
+void FakeStoreState::ProlongLeases(MonoTime::duration time) {
+  for (auto& [id, lease] : leases_) {
+    lease.ends_at += time;
+  }
+}
+
 void FakeStoreState::Compact() {
   events_.clear();
   compact_revision_ = revision_;
 }
 
 void FakeStoreState::AddEvent(const std::string& key,
-                              std::optional<std::string> value) {
-  events_.push_back({revision_, key, std::move(value)});
+                              std::optional<FakeStoreItem> item) {
+  events_.push_back({revision_, key, std::move(item)});
   if (events_.size() > kMaxEvents) {
     compact_revision_ = events_.front().revision;
-    events_.pop_front();
+    events_.erase(events_.begin());
   }
 }
 
--- a/tools/harness/fleet.cc
+++ b/tools/harness/fleet.cc
@@ -25,7 +25,7 @@
 /// First port of the nodes. They lie below the range from which the system
 /// takes ephemeral ports, so that no other socket takes one before its node.
 constexpr int kFirstPort = 10'000;
-constexpr int kPortsPerHost = 4;
+constexpr int kPortsPerHost = 7;
 constexpr int kOctets = 200;
 constexpr int kPortBlocks = 1'000;
 
@@ -61,7 +61,8 @@
     std::uint16_t port = FirstPort();
     for (std::uint16_t HostPlan::*it :
          {&HostPlan::peer_port, &HostPlan::call_port, &HostPlan::admin_port,
-          &HostPlan::metrics_port}) {
+          &HostPlan::metrics_port, &HostPlan::caller_port,
+          &HostPlan::readiness_port, &HostPlan::control_port}) {
       host.*it = port++;
     }
     hosts.push_back(std::move(host));
@@ -356,7 +357,11 @@
 std::string Fleet::WriteSettings(std::size_t host) const {
   std::string file = options_.work + "/node-" + std::to_string(host) + ".json";
   std::ofstream out(file, std::ios::trunc);
-  out << json::serialize(SettingsOf(host)) << "\n";
+  if (options_.write_settings) {
+    out << options_.write_settings(hosts_.at(host), store_port_);
+  } else {
+    out << json::serialize(SettingsOf(host)) << "\n";
+  }
   return file;
 }
 
--- a/tools/harness/fleet.h
+++ b/tools/harness/fleet.h
@@ -41,6 +41,11 @@
   std::uint16_t call_port = 0;
   std::uint16_t admin_port = 0;
   std::uint16_t metrics_port = 0;
+  /// Ports of the platform's adapter: callers, readiness and upstream's
+  /// control.
+  std::uint16_t caller_port = 0;
+  std::uint16_t readiness_port = 0;
+  std::uint16_t control_port = 0;
   std::uint16_t upstream_port = 0;
 };
 
@@ -57,6 +62,10 @@
   std::vector<std::string> store_arguments;
   /// Settings on top of the deployment's, by section.
   boost::json::object settings;
+  /// Writes the settings file of a host in another form; empty for the usual
+  /// one, which the deployment and `settings` give.
+  std::function<std::string(const HostPlan& host, std::uint16_t store_port)>
+      write_settings;
 };
 
 /// \brief A store, and hosts with a node and an upstream each, as processes on
