Foresee what will be late or lost, and know callers that come back

In the order by objective what is late goes behind everything timely; with more work than the slots carry it is never served, yet it was refused only when its deadline came near. Replaying such loads in virtual time showed three more faults: a call whose objective had passed was sent with objective 0, which means "none", so it ranked as timely; a refused caller that came back passed for a new one; and a call was "timely" by the mean service time, so nearly half of those served at the edge were late.

Ruled out: ranking returning callers first (a new call that can be timely is worth more than one that is late by now); telling them by less time stated than usual (callers may differ in patience): a call that ends at the very moment at which a refused one ends is the same caller.

Change: the arrival rate tells whether the slots keep up; late work that cannot be served is refused at arrival or when it turns late, with the time until the queue is served. ReturnLedger knows returning callers; a missed objective has 1 ms left. What counts as timely keeps the mean deviation of service times as a margin.

--- a/src/cassiabend/core/admission.cc
+++ b/src/cassiabend/core/admission.cc
@@ -5,20 +5,15 @@
 namespace cassiabend {
 namespace {
 
-/// Weight of the newest service time in the average is 1 / kServiceTimeWindow.
-constexpr int kServiceTimeWindow = 16;
 /// An attempt is hopeless when less than its service time over this is left:
 /// some calls take half of the mean.
 constexpr int kHopelessPart = 2;
+/// Share of the slots' time, by what arrives, from which on late work is not
+/// served before the load falls.
+constexpr double kBusiest = 0.99;
 /// Classes whose service time is kept, so that names cannot grow the table.
 constexpr std::size_t kMaxClasses = 1'024;
 
-void Average(Nanoseconds sample, Nanoseconds* average) noexcept {
-  *average = *average == Nanoseconds(0)
-                 ? sample
-                 : *average + (sample - *average) / kServiceTimeWindow;
-}
-
 }  // namespace
 
 Nanoseconds AdmissionQueue::ExpectedWait(const AttemptRequest& request,
@@ -31,22 +26,66 @@
     const MonoTime objective_at = request.objective > Milliseconds(0)
                                       ? now + request.objective
                                       : MonoTime::max();
+    const Nanoseconds service = ServiceTimeOf(request.request_class).cautious();
     const ObjectiveRank rank = RankByObjective(
-        now, request.priority, objective_at, now + request.deadline,
-        ServiceTimeOf(request.request_class));
-    std::int64_t ahead = 1;
-    for (const auto& [key, flow] : flows_) {
-      ahead += std::ranges::count_if(flow.waiting, [&](const Attempt& it) {
-        return RankOf(it, now) < rank;
-      });
-    }
-    return service_time_ * ahead / slots;
+        now, request.priority, objective_at, now + request.deadline, service);
+    const Nanoseconds wait =
+        service_time_.mean() * (CountBefore(rank, now) + 1) / slots;
+    const bool timely = !rank.is_late && now + wait <= rank.start_by;
+    return timely ? wait
+                  : LateWait({.is_late = true,
+                              .priority = request.priority,
+                              .start_by = now + request.deadline - service},
+                             slots, now);
   }
   const auto it = flows_.find({request.team, request.request_class});
   const std::size_t own = it == flows_.end() ? 0 : it->second.size;
   const std::size_t flows = flows_.size() + (it == flows_.end() ? 1 : 0);
   const std::size_t ahead = std::min((own + 1) * flows, queued_ + 1);
-  return service_time_ * static_cast<std::int64_t>(ahead) / slots;
+  return service_time_.mean() * static_cast<std::int64_t>(ahead) / slots;
+}
+
+std::int64_t AdmissionQueue::CountBefore(const ObjectiveRank& rank,
+                                         MonoTime now) const {
+  std::int64_t n = 0;
+  for (const auto& [key, flow] : flows_) {
+    n += std::ranges::count_if(flow.waiting, [&](const Attempt& it) {
+      return RankOf(it, now) < rank;
+    });
+  }
+  return n;
+}
+
+Nanoseconds AdmissionQueue::LateWait(const ObjectiveRank& rank,
+                                     std::uint32_t slots,
+                                     MonoTime now) const {
+  const double busy =
+      arrivals_.PerSecond(now) *
+      std::chrono::duration<double>(service_time_.mean()).count() / slots;
+  if (busy >= kBusiest) {
+    return kNeverServed;
+  }
+  const Nanoseconds ahead =
+      service_time_.mean() * (CountBefore(rank, now) + 1) / slots;
+  return Nanoseconds(static_cast<std::int64_t>(
+      static_cast<double>(ahead.count()) / (1.0 - busy)));
+}
+
+MonoTime AdmissionQueue::LateAt(const Attempt& attempt) const {
+  return attempt.objective_at == MonoTime::max()
+             ? MonoTime::max()
+             : attempt.objective_at -
+                   ServiceTimeOf(attempt.request.request_class).cautious();
+}
+
+bool AdmissionQueue::IsForlorn(const Attempt& attempt,
+                               std::uint32_t slots,
+                               MonoTime now) const {
+  if (!by_objective_ || slots == 0 || now < LateAt(attempt)) {
+    return false;
+  }
+  const Nanoseconds wait = LateWait(RankOf(attempt, now), slots, now);
+  return wait >= HopelessAt(attempt) - now;
 }
 
 Attempt* AdmissionQueue::Enqueue(Attempt* attempt) {
@@ -80,7 +119,7 @@
   }
 }
 
-Nanoseconds AdmissionQueue::ServiceTimeOf(
+const ServiceTime& AdmissionQueue::ServiceTimeOf(
     const std::string& request_class) const {
   const auto it = service_time_by_class_.find(request_class);
   return it == service_time_by_class_.end() ? service_time_ : it->second;
@@ -91,14 +130,14 @@
     return MonoTime::max();
   }
   return attempt.deadline -
-         ServiceTimeOf(attempt.request.request_class) / kHopelessPart;
+         ServiceTimeOf(attempt.request.request_class).mean() / kHopelessPart;
 }
 
 ObjectiveRank AdmissionQueue::RankOf(const Attempt& attempt,
                                      MonoTime now) const {
-  return RankByObjective(now, attempt.request.priority, attempt.objective_at,
-                         attempt.deadline,
-                         ServiceTimeOf(attempt.request.request_class));
+  return RankByObjective(
+      now, attempt.request.priority, attempt.objective_at, attempt.deadline,
+      ServiceTimeOf(attempt.request.request_class).cautious());
 }
 
 Attempt* AdmissionQueue::TakeNext(std::uint32_t slots, MonoTime now) {
@@ -149,10 +188,10 @@
     running_by_class_.erase(it);
   }
   if (held > Nanoseconds(0)) {
-    Average(held, &service_time_);
+    service_time_.Note(held);
     if (service_time_by_class_.size() < kMaxClasses ||
         service_time_by_class_.contains(attempt.request.request_class)) {
-      Average(held, &service_time_by_class_[attempt.request.request_class]);
+      service_time_by_class_[attempt.request.request_class].Note(held);
     }
   }
 }
--- a/src/cassiabend/core/admission.h
+++ b/src/cassiabend/core/admission.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <boost/intrusive/list.hpp>
 #include <cstdint>
 #include <map>
@@ -7,12 +8,17 @@
 #include <unordered_map>
 #include <utility>
 
+#include "cassiabend/core/arrival_rate.h"
 #include "cassiabend/core/attempt.h"
 #include "cassiabend/core/objective_order.h"
 #include "cassiabend/core/options.h"
+#include "cassiabend/core/service_time.h"
 
 namespace cassiabend {
 
+/// \brief Expected wait of an attempt that gets no slot.
+inline constexpr Nanoseconds kNeverServed = Nanoseconds::max();
+
 /// \brief Hands out the slots of this host's upstream. Attempts of one team
 /// and class form a flow; flows that wait take turns, and while others wait, no
 /// class holds more than its share of the slots. By setting, what waits is
@@ -29,12 +35,29 @@
 
   [[nodiscard]] std::uint32_t running() const noexcept { return running_; }
   [[nodiscard]] std::size_t queued() const noexcept { return queued_; }
-  /// \returns The time that an attempt of this flow would wait for a slot.
+  /// \brief Counts one attempt that asks for a slot, whatever becomes of it.
+  void NoteArrival(MonoTime now) noexcept { arrivals_.Note(now); }
+  /// \returns The time that an attempt of this flow would wait for a slot;
+  /// `kNeverServed` where more work comes than the slots carry and it would be
+  /// late anyway.
   [[nodiscard]] Nanoseconds ExpectedWait(const AttemptRequest& request,
                                          std::uint32_t slots,
                                          MonoTime now = {}) const;
+  /// \returns The time that the slots take for all that waits.
+  [[nodiscard]] Nanoseconds DrainTime(std::uint32_t slots) const noexcept {
+    return service_time_.mean() * static_cast<std::int64_t>(queued_ + 1) /
+           std::max<std::uint32_t>(slots, 1);
+  }
+  /// \returns When it is too late for a waiting attempt to meet its objective;
+  /// the maximum where it has none.
+  [[nodiscard]] MonoTime LateAt(const Attempt& attempt) const;
+  /// \returns Whether it can be foreseen that an attempt which waits and is
+  /// late will not be served before its deadline.
+  [[nodiscard]] bool IsForlorn(const Attempt& attempt,
+                               std::uint32_t slots,
+                               MonoTime now) const;
   /// \returns The time that attempts of this class take, as far as is known.
-  [[nodiscard]] Nanoseconds ServiceTimeOf(
+  [[nodiscard]] const ServiceTime& ServiceTimeOf(
       const std::string& request_class) const;
   /// \returns When it is too late to hand an attempt to the upstream.
   [[nodiscard]] MonoTime HopelessAt(const Attempt& attempt) const;
@@ -67,6 +90,13 @@
 
   [[nodiscard]] ObjectiveRank RankOf(const Attempt& attempt,
                                      MonoTime now) const;
+  /// \returns The wait of an attempt that is late: what is timely goes first,
+  /// also what will have come by then.
+  [[nodiscard]] Nanoseconds LateWait(const ObjectiveRank& rank,
+                                     std::uint32_t slots,
+                                     MonoTime now) const;
+  [[nodiscard]] std::int64_t CountBefore(const ObjectiveRank& rank,
+                                         MonoTime now) const;
   [[nodiscard]] Attempt* TakeByTurns(std::uint32_t slots);
   [[nodiscard]] Attempt* TakeByObjective(MonoTime now);
   [[nodiscard]] Attempt* TakeFront(FlowTable::iterator it);
@@ -79,8 +109,9 @@
   bool by_objective_;
   std::uint32_t running_ = 0;
   std::size_t queued_ = 0;
-  Nanoseconds service_time_{0};
-  std::unordered_map<std::string, Nanoseconds> service_time_by_class_;
+  ArrivalRate arrivals_;
+  ServiceTime service_time_;
+  std::unordered_map<std::string, ServiceTime> service_time_by_class_;
   std::unordered_map<std::string, std::uint32_t> running_by_class_;
   /// Flows with attempts that wait.
   FlowTable flows_;
--- /dev/null
+++ b/src/cassiabend/core/arrival_rate.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cmath>
+
+#include "cassiabend/base/time.h"
+
+namespace cassiabend {
+
+/// \brief How fast calls arrive: a mean in which older arrivals count less.
+class ArrivalRate {
+ public:
+  /// \brief Counts one arrival.
+  void Note(MonoTime now) noexcept {
+    per_second_ = PerSecond(now) + 1.0 / kWindowSeconds;
+    noted_at_ = now;
+  }
+  /// \returns Arrivals a second.
+  [[nodiscard]] double PerSecond(MonoTime now) const noexcept {
+    const double age =
+        std::chrono::duration<double>(now - noted_at_).count() / kWindowSeconds;
+    return per_second_ * std::exp(-age);
+  }
+
+ private:
+  /// Age at which an arrival counts 1/e: long against a queue's time, and short
+  /// against the bursts that it must notice.
+  static constexpr double kWindowSeconds = 0.5;
+
+  double per_second_ = 0.0;
+  MonoTime noted_at_{};
+};
+
+}  // namespace cassiabend
--- a/src/cassiabend/core/call_destination.cc
+++ b/src/cassiabend/core/call_destination.cc
@@ -59,6 +59,7 @@
   if (JoinOrder(event)) {
     return;
   }
+  admission_.NoteArrival(context_->now.mono);
   if (const auto refusal = CheckCapacity(request)) {
     RefuseArrival(event, *refusal);
     return;
@@ -96,10 +97,13 @@
   }
   const Nanoseconds wait =
       admission_.ExpectedWait(request, health_->slots(), context_->now.mono);
+  if (wait == kNeverServed) {
+    return Refusal{NotRunReason::kOverloaded, BackAfter()};
+  }
   // With the order by objective the time at the upstream counts too.
   const Nanoseconds service =
       context_->options.order_by_objective != 0 && wait > Nanoseconds(0)
-          ? admission_.ServiceTimeOf(request.request_class)
+          ? admission_.ServiceTimeOf(request.request_class).mean()
           : Nanoseconds(0);
   if (wait + service >= request.deadline) {
     return Refusal{NotRunReason::kOverloaded,
@@ -211,11 +215,15 @@
     return;
   }
   const bool pushed_out = refused != attempt;
-  const Nanoseconds wait = admission_.ExpectedWait(
-      refused->request, health_->slots(), context_->now.mono);
   Refuse(refused,
          {pushed_out ? NotRunReason::kShareExceeded : NotRunReason::kOverloaded,
-          std::chrono::ceil<Milliseconds>(wait)});
+          BackAfter()});
+}
+
+/// \returns When there may be room again: once what waits has been served.
+Milliseconds CallDestination::BackAfter() const {
+  return std::chrono::ceil<Milliseconds>(
+      admission_.DrainTime(health_->slots()));
 }
 
 void CallDestination::StartWaiting() {
@@ -521,8 +529,9 @@
   TellStillRunning(attempt);
   const bool started = attempt->is_started();
   if (attempt->state == AttemptState::kQueued &&
-      admission_.IsHopeless(*attempt, now)) {
-    Refuse(attempt, {NotRunReason::kOverloaded});
+      (admission_.IsHopeless(*attempt, now) ||
+       admission_.IsForlorn(*attempt, health_->slots(), now))) {
+    Refuse(attempt, {NotRunReason::kOverloaded, BackAfter()});
     return;
   }
   if (!started && now >= attempt->deadline) {
@@ -564,6 +573,8 @@
   }
   if (attempt->state == AttemptState::kQueued) {
     due = std::min(due, admission_.HopelessAt(*attempt));
+    const MonoTime late_at = admission_.LateAt(*attempt);
+    due = late_at > context_->now.mono ? std::min(due, late_at) : due;
   }
   if (due == MonoTime::max()) {
     timers_.Cancel(attempt);
--- a/src/cassiabend/core/call_destination.h
+++ b/src/cassiabend/core/call_destination.h
@@ -60,6 +60,7 @@
   void Claim(const OrderId& order, Attempt* attempt);
   void TakeClaims();
   void Enqueue(Attempt* attempt);
+  [[nodiscard]] Milliseconds BackAfter() const;
   void StartWaiting();
   void Start(Attempt* attempt);
 
--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -22,6 +22,8 @@
 /// An error is tried elsewhere while what is left is more than the time that it
 /// took over this number: errors come sooner than answers.
 constexpr int kErrorTimeShare = 2;
+/// What is left of an objective that is missed; 0 would be none.
+constexpr Milliseconds kMissedObjective{1};
 
 /// \param sent From the call's arrival until its attempt was sent.
 /// \param answered From then until the answer began.
@@ -51,15 +53,29 @@
   call->id = event.call;
   call->facts = event.facts;
   call->arrived_at = context_->now.mono;
+  call->asked_at = call->arrived_at;
   call->deadline = call->arrived_at + context_->options.default_timeout;
   if (const auto refusal = Route(call)) {
     FinishNotRun(call, *refusal);
     return;
   }
+  RecogniseReturn(call);
   Earn(*call);
   SendFirst(call);
 }
 
+/// \brief Lets the objective of a caller that has come back count from when it
+/// asked first.
+void CallEntry::RecogniseReturn(Call* call) {
+  if (!call->gives_up_at) {
+    return;
+  }
+  if (const auto asked_at = returns_.Take(call->route->name, context_->now.mono,
+                                          *call->gives_up_at)) {
+    call->asked_at = *asked_at;
+  }
+}
+
 MonoTime CallEntry::LimitDeadline(MonoTime deadline) const {
   if (!context_->draining) {
     return deadline;
@@ -107,6 +123,7 @@
     const Milliseconds margin = std::min(context_->options.caller_margin,
                                          *facts.deadline / kReturnShare);
     timeout = std::min(timeout, *facts.deadline - margin);
+    call->gives_up_at = call->arrived_at + *facts.deadline;
   }
   timeout = std::min(timeout, LongestDeadline(context_->options));
   call->deadline = LimitDeadline(call->arrived_at + timeout);
@@ -433,9 +450,13 @@
 }
 
 Milliseconds CallEntry::ObjectiveLeft(const Call& call) const {
+  const Milliseconds objective = call.route->latency_objective;
+  if (objective <= Milliseconds(0)) {
+    return Milliseconds(0);
+  }
   const auto aged =
-      std::chrono::ceil<Milliseconds>(context_->now.mono - call.arrived_at);
-  return std::max(call.route->latency_objective - aged, Milliseconds(0));
+      std::chrono::ceil<Milliseconds>(context_->now.mono - call.asked_at);
+  return std::max(objective - aged, kMissedObjective);
 }
 
 std::string_view CallEntry::RetryLimit(const Call& call) const {
@@ -548,6 +569,10 @@
 void CallEntry::FinishNotRun(Call* call, const Refusal& refusal) {
   const Milliseconds wait = RetryAfterOf(refusal, &context_->random);
   call->reason = NameOf(refusal.reason);
+  if (call->gives_up_at && call->route != nullptr) {
+    returns_.Note(call->route->name, context_->now.mono, call->asked_at,
+                  *call->gives_up_at);
+  }
   context_->Emit(AnswerNotRun{call->id, refusal.reason, wait,
                               std::string(NameOf(refusal.reason))});
   Finish(call, NameOf(refusal.reason));
--- a/src/cassiabend/core/call_entry.h
+++ b/src/cassiabend/core/call_entry.h
@@ -12,6 +12,7 @@
 #include "cassiabend/core/call_timer.h"
 #include "cassiabend/core/dispatch_gate.h"
 #include "cassiabend/core/retry_budget.h"
+#include "cassiabend/core/return_ledger.h"
 
 namespace cassiabend {
 
@@ -65,6 +66,10 @@
     /// The route's service, or the one drawn from its split.
     std::string service;
     MonoTime arrived_at{};
+    /// When its caller asked first, as far as is known.
+    MonoTime asked_at{};
+    /// When its caller gives up; unset where it does not say.
+    std::optional<MonoTime> gives_up_at;
     MonoTime deadline{};
     Phase phase = Phase::kSent;
     /// The newest attempt.
@@ -99,12 +104,14 @@
   [[nodiscard]] std::optional<Refusal> CheckSite(Call* call) const;
   [[nodiscard]] MonoTime LimitDeadline(MonoTime deadline) const;
   [[nodiscard]] std::string DrawService(const cassiabend::Route& route);
+  void RecogniseReturn(Call* call);
   void SendFirst(Call* call);
   [[nodiscard]] RefPtr<Upstream> Choose(const Call& call);
   void SendTo(Call* call, RefPtr<Upstream> upstream);
   void SendVerb(Call* call, AttemptVerb verb);
   [[nodiscard]] Milliseconds Remaining(const Call& call) const;
-  /// \returns Time left within which the answer is worth most; 0 for none.
+  /// \returns Time left within which the answer is worth most; 0 for none. Of
+  /// an objective that is missed 1 ms is left, which no upstream can meet.
   [[nodiscard]] Milliseconds ObjectiveLeft(const Call& call) const;
   /// \returns Why the call may not be tried again; empty when it may.
   [[nodiscard]] std::string_view RetryLimit(const Call& call) const;
@@ -135,6 +142,7 @@
   CallContext* context_;
   Balancer* balancer_;
   RetryBudget budget_;
+  ReturnLedger returns_;
   CallTable calls_;
   TimerQueue<Call> timers_;
 };
--- /dev/null
+++ b/src/cassiabend/core/service_time.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "cassiabend/base/time.h"
+
+namespace cassiabend {
+
+/// \brief Mean of the time that attempts take at the upstream, and how far they
+/// stray from it. The newest ones count most.
+class ServiceTime {
+ public:
+  [[nodiscard]] Nanoseconds mean() const noexcept { return mean_; }
+  /// \returns The time that most attempts stay within.
+  [[nodiscard]] Nanoseconds cautious() const noexcept {
+    return mean_ + deviation_;
+  }
+
+  void Note(Nanoseconds sample) noexcept {
+    if (mean_ == Nanoseconds(0)) {
+      mean_ = sample;
+      return;
+    }
+    const Nanoseconds apart = std::chrono::abs(sample - mean_);
+    mean_ += (sample - mean_) / kWindow;
+    deviation_ += (apart - deviation_) / kWindow;
+  }
+
+ private:
+  /// Weight of the newest sample is 1 / kWindow.
+  static constexpr int kWindow = 16;
+
+  Nanoseconds mean_{0};
+  /// Mean distance from the mean.
+  Nanoseconds deviation_{0};
+};
+
+}  // namespace cassiabend
--- a/tests/call_load.h
+++ b/tests/call_load.h
@@ -15,6 +15,13 @@
 
 namespace cassiabend::testing {
 
+/// \brief A time in which an upstream takes longer, from the run's start on.
+struct Slowdown {
+  Milliseconds from{0};
+  Milliseconds to{0};
+  double factor = 1.0;
+};
+
 /// \brief How one upstream of a load run behaves.
 struct UpstreamBehaviour {
   Microseconds service_time{10'000};
@@ -24,13 +31,37 @@
   bool breaks = false;
   /// Load that its node reports instead of the true one.
   std::optional<std::uint16_t> claimed_load;
+  std::vector<Slowdown> slowdowns;
+};
+
+/// \brief What a caller does whose call was not run.
+enum class RefusedCaller : std::uint8_t {
+  kLeaves,
+  /// Asks again at once, up to three times more.
+  kRepeats,
+  /// Asks once more when it was told to, or after a third of what it has left.
+  kComesBack,
+};
+
+/// \brief Settings of a load run.
+struct LoadOptions {
+  CallOptions calls;
+  Config config = MakeConfig();
+  RefusedCaller refused = RefusedCaller::kLeaves;
+  /// Time that callers wait in all; 0 for as long as the route says.
+  Milliseconds deadline{0};
 };
 
 /// \brief What a load run counted for one class.
 struct LoadResult {
   std::uint64_t calls = 0;
   std::uint64_t answered = 0;
+  /// Answered within the objective of the route, from the first try on.
+  std::uint64_t timely = 0;
   std::uint64_t not_run = 0;
+  /// Time that calls which were not run were kept, in all.
+  Nanoseconds held{0};
+  std::uint64_t refusals = 0;
   std::uint64_t unknown = 0;
   std::uint64_t attempts = 0;
   std::vector<Nanoseconds> latencies;
@@ -50,8 +81,9 @@
  public:
   LoadWorld(const std::vector<UpstreamBehaviour>& upstreams,
             std::uint32_t slots,
-            std::uint64_t seed)
-      : random_(seed) {
+            std::uint64_t seed,
+            const LoadOptions& options = {})
+      : random_(seed), options_(options) {
     std::vector<Member> members;
     for (std::size_t n = 0; n < upstreams.size(); ++n) {
       Member member = MakeMember(static_cast<int>(n + 1));
@@ -62,13 +94,13 @@
       Node node;
       node.member = members[n];
       node.behaviour = upstreams[n];
-      node.reducer = std::make_unique<CallReducer>(CallOptions{}, members[n],
+      node.reducer = std::make_unique<CallReducer>(options.calls, members[n],
                                                    random_.Next());
       index_[members[n].id] = n;
       nodes_.push_back(std::move(node));
     }
     for (std::size_t n = 0; n < nodes_.size(); ++n) {
-      Do(n, ApplyVersion{MakeSnapshot()});
+      Do(n, ApplyVersion{RefPtr<const Snapshot>(new Snapshot(options.config))});
       Do(n, HeadConfirmed{now_.mono});
       Do(n, MembersChanged{members});
       Do(n, ReadinessChanged{true, ""});
@@ -77,7 +109,18 @@
 
   /// \brief Adds a Poisson stream of calls to `route`, at `rate` a second.
   void AddStream(const std::string& route, double rate, Milliseconds length) {
-    Arrive(route, rate, now_.mono + length);
+    AddStreamAt(route, rate, Milliseconds(0), length, 0, nodes_.size());
+  }
+  /// \brief The same from `from` to `to` after the start, entering at the nodes
+  /// [first, last).
+  void AddStreamAt(const std::string& route,
+                   double rate,
+                   Milliseconds from,
+                   Milliseconds to,
+                   std::size_t first,
+                   std::size_t last) {
+    const Stream stream{route, rate, kStart + to, first, last};
+    After(kStart + from - now_.mono, [this, stream] { Arrive(stream); });
   }
   void Run(Milliseconds duration) {
     const MonoTime end = now_.mono + duration;
@@ -124,7 +167,27 @@
     }
   };
 
+  struct Stream {
+    std::string route;
+    double rate = 0;
+    MonoTime end;
+    std::size_t first = 0;
+    std::size_t last = 0;
+  };
+  /// \brief One request, which may be made of several calls.
+  struct Request {
+    std::string route;
+    std::size_t entry = 0;
+    MonoTime asked_at;
+    int tries = 1;
+    Milliseconds retry_after{0};
+  };
+
+  static constexpr MonoTime kStart{Seconds(100)};
   static constexpr Microseconds kHop{250};
+  static constexpr int kMaxRepeats = 4;
+  static constexpr int kMaxReturns = 2;
+  static constexpr int kReturnShare = 3;
 
   void After(Nanoseconds delay, std::function<void()> act) {
     queue_.push({now_.mono + delay, ++sequence_, std::move(act)});
@@ -133,17 +196,46 @@
     return Nanoseconds(
         static_cast<std::int64_t>(-std::log(1.0 - random_.Unit()) * mean_ns));
   }
-  void Arrive(const std::string& route, double rate, MonoTime end) {
-    After(Exponential(1e9 / rate), [this, route, rate, end] {
-      if (now_.mono >= end) {
+  void Arrive(const Stream& stream) {
+    After(Exponential(1e9 / stream.rate), [this, stream] {
+      if (now_.mono >= stream.end) {
         return;
       }
-      const std::size_t n = random_.Below(nodes_.size());
-      ++results_[route].calls;
-      Do(n, CallArrived{++last_call_, MakeFacts(route)});
-      Arrive(route, rate, end);
+      const std::size_t n =
+          stream.first + random_.Below(stream.last - stream.first);
+      ++results_[stream.route].calls;
+      Ask({stream.route, n, now_.mono});
+      Arrive(stream);
     });
   }
+  void Ask(const Request& request) {
+    CallFacts facts = MakeFacts(request.route);
+    if (options_.deadline > Milliseconds(0)) {
+      facts.deadline = std::chrono::floor<Milliseconds>(
+          request.asked_at + options_.deadline - now_.mono);
+    }
+    const CallId call = ++last_call_;
+    requests_[call] = request;
+    Do(request.entry, CallArrived{call, facts});
+  }
+  /// \brief Asks again for a call that was not run, where its caller does so.
+  /// \returns Whether it will.
+  bool AskAgain(Request request) {
+    const bool repeats = options_.refused == RefusedCaller::kRepeats;
+    const MonoTime end = request.asked_at + options_.deadline;
+    const Nanoseconds pause =
+        repeats ? Nanoseconds(Milliseconds(1))
+                : std::min<Nanoseconds>(request.retry_after,
+                                        (end - now_.mono) / kReturnShare);
+    if (options_.refused == RefusedCaller::kLeaves ||
+        request.tries >= (repeats ? kMaxRepeats : kMaxReturns) ||
+        now_.mono + pause >= end) {
+      return false;
+    }
+    ++request.tries;
+    After(pause, [this, request] { Ask(request); });
+    return true;
+  }
   void TickAll(MonoTime end) {
     for (std::size_t n = 0; n < nodes_.size(); ++n) {
       Do(n, CallTick{});
@@ -204,14 +296,17 @@
     });
   }
   void Execute(std::size_t /*n*/, const ReplyNotRun& effect) {
-    Reply(effect.link, AttemptNotRun{.reason = effect.reason,
-                                     .retry_after = effect.retry_after});
+    Reply(effect.link,
+          AttemptNotRun{.reason = effect.reason,
+                        .retry_after = effect.retry_after,
+                        .reached_upstream = effect.reached_upstream,
+                        .times = effect.times});
   }
   void Execute(std::size_t /*n*/, const ReplyUnknown& effect) {
     Reply(effect.link, AttemptUnknown{});
   }
   void Execute(std::size_t /*n*/, const BindAnswer& effect) {
-    Reply(effect.link, AttemptAnswering{.status = 200});
+    Reply(effect.link, AttemptAnswering{.status = 200, .times = effect.times});
     Reply(effect.link, AnswerRelayed{.complete = true});
   }
   void Execute(std::size_t n, const StartUpstream& effect) {
@@ -222,8 +317,13 @@
       After(kHop, [this, n, id] { Do(n, UpstreamBroken{id}); });
       return;
     }
-    const double mean =
+    double mean =
         static_cast<double>(Nanoseconds(node.behaviour.service_time).count());
+    for (const Slowdown& it : node.behaviour.slowdowns) {
+      const bool slow =
+          now_.mono >= kStart + it.from && now_.mono < kStart + it.to;
+      mean *= slow ? it.factor : 1.0;
+    }
     After(Exponential(mean), [this, n, id] {
       Do(n, UpstreamAnswering{id, 200});
       Do(n, UpstreamFinished{id});
@@ -232,12 +332,25 @@
   void Execute(std::size_t n, const LocalLoadChanged& effect) {
     nodes_[n].load = effect.load_permille;
   }
+  void Execute(std::size_t /*n*/, const AnswerNotRun& effect) {
+    requests_.at(effect.call).retry_after = effect.retry_after;
+  }
   void Execute(std::size_t /*n*/, const CallEnded& effect) {
-    LoadResult& result = results_[effect.route];
+    const Request request = requests_.at(effect.call);
+    requests_.erase(effect.call);
+    LoadResult& result = results_[request.route];
     result.attempts += effect.attempts;
+    if (effect.outcome != "answered" && effect.outcome != "unknown") {
+      ++result.refusals;
+      result.held += effect.elapsed;
+    }
     if (effect.outcome == "answered") {
+      const Nanoseconds whole = now_.mono - request.asked_at;
       ++result.answered;
-      result.latencies.push_back(effect.elapsed);
+      result.timely += whole <= effect.objective ? 1 : 0;
+      result.latencies.push_back(whole);
+    } else if (effect.outcome != "unknown" && AskAgain(request)) {
+      return;
     } else if (effect.outcome == "unknown") {
       ++result.unknown;
     } else {
@@ -246,7 +359,8 @@
   }
 
   Random random_;
-  Instant now_{MonoTime(Seconds(100)), WallTime(Seconds(100))};
+  LoadOptions options_;
+  Instant now_{kStart, WallTime(Seconds(100))};
   std::priority_queue<Item> queue_;
   std::uint64_t sequence_ = 0;
   std::vector<Node> nodes_;
@@ -254,6 +368,7 @@
   std::unordered_map<LinkId, Link> links_;
   LinkId last_link_ = 0;
   CallId last_call_ = 0;
+  std::unordered_map<CallId, Request> requests_;
   std::map<std::string, LoadResult> results_;
 };
 
--- /dev/null
+++ b/tests/return_ledger_test.cc
@@ -0,0 +1,79 @@
+#include "cassiabend/core/return_ledger.h"
+
+#include <doctest/doctest.h>
+
+#include "tests/call_support.h"
+
+namespace cassiabend::testing {
+namespace {
+
+constexpr MonoTime kStart{Seconds(100)};
+
+MonoTime At(int ms) {
+  return kStart + Milliseconds(ms);
+}
+
+TEST_CASE("a caller that comes back is known by the end of its time") {
+  ReturnLedger ledger;
+  ledger.Note("read", At(20), At(0), At(600));
+  CHECK_FALSE(ledger.Take("other", At(100), At(600)));
+  CHECK_FALSE(ledger.Take("read", At(100), At(700)));
+  CHECK(ledger.Take("read", At(100), At(602)) == At(0));
+  // It has come back once.
+  CHECK_FALSE(ledger.Take("read", At(100), At(602)));
+}
+
+TEST_CASE("a new caller that is refused a moment later stays new") {
+  ReturnLedger ledger;
+  ledger.Note("read", At(20), At(0), At(600));
+  CHECK_FALSE(ledger.Take("read", At(22), At(602)));
+}
+
+TEST_CASE("refused calls are kept within bounds") {
+  ReturnLedger ledger;
+  for (int i = 0; i < 2'000; ++i) {
+    ledger.Note("read", At(i), At(i), At(i + 100'000));
+  }
+  CHECK_FALSE(ledger.Take("read", At(3'000), At(100'000)));
+  CHECK(ledger.Take("read", At(3'000), At(101'999)));
+}
+
+CallFacts Waiting(int ms) {
+  CallFacts facts = MakeFacts("status");
+  facts.deadline = Milliseconds(ms);
+  return facts;
+}
+
+TEST_CASE("the objective counts from when a caller asked first") {
+  Config config = MakeConfig(2);
+  for (Route& it : config.routes) {
+    it.latency_objective = Milliseconds(250);
+  }
+  CallNode entry(MakeMember(1));
+  entry.MakeReady({MakeMember(2)});
+  entry.Do(ApplyVersion{RefPtr<const Snapshot>(new Snapshot(config))});
+  const auto refuse = [&](CallId call) {
+    const SendAttempt sent = *entry.Only<SendAttempt>();
+    entry.Do(AttemptNotRun{call, sent.request.id, NotRunReason::kShareExceeded,
+                           Milliseconds(0)});
+    REQUIRE(entry.Only<AnswerNotRun>());
+    return sent.request.objective;
+  };
+  entry.Do(CallArrived{1, Waiting(600)});
+  entry.Advance(Milliseconds(10));
+  CHECK(refuse(1) == Milliseconds(250));
+  entry.Advance(Milliseconds(90));
+  entry.Do(CallArrived{2, Waiting(500)});
+  CHECK(entry.Only<SendAttempt>()->request.objective == Milliseconds(150));
+  CHECK(refuse(2) == Milliseconds(150));
+  // A new one beside it has all of its objective.
+  entry.Do(CallArrived{3, Waiting(600)});
+  CHECK(refuse(3) == Milliseconds(250));
+  // One that has missed its objective has a millisecond left, not none at all.
+  entry.Advance(Milliseconds(200));
+  entry.Do(CallArrived{4, Waiting(300)});
+  CHECK(refuse(4) == Milliseconds(1));
+}
+
+}  // namespace
+}  // namespace cassiabend::testing
