Hand on the delta of a version that was written whole

Deltas were known for committed changes only; what the operator writes whole into the store was pulled whole, by up to 15 children at one reader.

Ruled out: every node reading the store itself (one call a node and change); stamping the decoded version as the successor of the one before (its hash would differ between readers that saw different versions).

Change: a reader works out the delta between two whole versions and keeps it; it is pushed to children that have the base, and they hand it on. A restated delta carries the parent and lets items keep their revisions, so that the result has the very hash of the version; with other limits, or with more than a quarter of the items in it, none is made.

Tests: model_test (a restated delta gives the very version; codec; where none is made), spread_test (reader to peer, and on from there). Both need what was not there before.

--- a/schema/config.capnp
+++ b/schema/config.capnp
@@ -149,6 +149,10 @@
   changeId @4 :Id128;
   author @5 :Text;
   edits @6 :List(Edit);
+  restated @7 :Bool;
+  # The version was written whole elsewhere: items keep the revisions that they
+  # carry, and its parent is `parent`.
+  parent @8 :UInt64;
 }
 
 struct CommittedChange {
--- a/schema/gen/config.capnp.h
+++ b/schema/gen/config.capnp.h
@@ -252,7 +252,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cba25626bad251ef, 2, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(cba25626bad251ef, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1721,6 +1721,10 @@
   inline bool hasEdits() const;
   inline  ::capnp::List< ::cassiabend::schema::Edit,  ::capnp::Kind::STRUCT>::Reader getEdits() const;
 
+  inline bool getRestated() const;
+
+  inline  ::uint64_t getParent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1790,6 +1794,12 @@
   inline void adoptEdits(::capnp::Orphan< ::capnp::List< ::cassiabend::schema::Edit,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::Edit,  ::capnp::Kind::STRUCT>> disownEdits();
 
+  inline bool getRestated();
+  inline void setRestated(bool value);
+
+  inline  ::uint64_t getParent();
+  inline void setParent( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4193,6 +4203,34 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool ConfigDelta::Reader::getRestated() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool ConfigDelta::Builder::getRestated() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void ConfigDelta::Builder::setRestated(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ConfigDelta::Reader::getParent() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConfigDelta::Builder::getParent() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ConfigDelta::Builder::setParent( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t CommittedChange::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/cassiabend/core/reader_watch.cc
+++ b/src/cassiabend/core/reader_watch.cc
@@ -183,7 +183,7 @@
   }
   head_state_ = HeadState::kCurrent;
   if (value.whole) {
-    (void)versions->OfferWhole(context, head.mark, value.whole);
+    versions->OfferRestated(context, value.whole);
     freshness->Confirm(context, reply.sent_at);
     return;
   }
--- a/src/cassiabend/core/spread_versions.cc
+++ b/src/cassiabend/core/spread_versions.cc
@@ -48,6 +48,18 @@
   return OfferResult::kApplied;
 }
 
+void SpreadVersions::OfferRestated(const FleetContext& context,
+                                   const RefPtr<const Snapshot>& snapshot) {
+  const RefPtr<const Snapshot> before = newest_;
+  const OfferResult result = OfferWhole(context, snapshot->mark(), snapshot);
+  if (result != OfferResult::kApplied || !before) {
+    return;
+  }
+  if (const auto delta = RestatedDelta(*before, *snapshot)) {
+    KeepDelta(*delta);
+  }
+}
+
 OfferResult SpreadVersions::OfferDelta(const FleetContext& context,
                                        const VersionMark& mark,
                                        const ConfigDelta& delta) {
--- a/src/cassiabend/core/spread_versions.h
+++ b/src/cassiabend/core/spread_versions.h
@@ -55,6 +55,10 @@
   OfferResult OfferWhole(const FleetContext& context,
                          const VersionMark& mark,
                          const RefPtr<const Snapshot>& snapshot);
+  /// \brief Takes a whole version that was written elsewhere, and keeps its
+  /// delta, so that peers need not take it whole.
+  void OfferRestated(const FleetContext& context,
+                     const RefPtr<const Snapshot>& snapshot);
   /// \brief Takes a delta that came under `mark`.
   OfferResult OfferDelta(const FleetContext& context,
                          const VersionMark& mark,
--- a/src/cassiabend/model/change.cc
+++ b/src/cassiabend/model/change.cc
@@ -32,6 +32,18 @@
   }
 }
 
+/// \brief Puts an item with the revision that it carries.
+template <typename Item>
+void RestateItem(Item item, Config* config) {
+  std::vector<Item>& items = ItemsOf<Item>(*config);
+  const auto it = LowerBound(items, item.name);
+  if (it != items.end() && it->name == item.name) {
+    *it = std::move(item);
+    return;
+  }
+  items.insert(it, std::move(item));
+}
+
 template <typename Item>
 void RemoveItem(const ItemRef& target, Config* config) {
   std::vector<Item>& items = ItemsOf<Item>(*config);
@@ -56,9 +68,13 @@
   }
 }
 
+/// \brief Whether revisions count as content.
+enum class Revisions : std::uint8_t { kIgnored, kCompared };
+
 template <typename Item>
 void AppendDifference(const Config& from,
                       const Config& to,
+                      Revisions revisions,
                       std::vector<Edit>* out) {
   const std::vector<Item>& before = ItemsOf<Item>(from);
   const std::vector<Item>& after = ItemsOf<Item>(to);
@@ -69,12 +85,26 @@
   }
   for (const Item& it : after) {
     const Item* old = FindItem(before, it.name);
-    if (old == nullptr || !SameContent(*old, it)) {
+    const bool same = old != nullptr && (revisions == Revisions::kCompared
+                                             ? *old == it
+                                             : SameContent(*old, it));
+    if (!same) {
       out->push_back({.action = it});
     }
   }
 }
 
+std::vector<Edit> DifferenceBy(const Config& from,
+                               const Config& to,
+                               Revisions revisions) {
+  std::vector<Edit> out;
+  AppendDifference<QuietWindow>(from, to, revisions, &out);
+  AppendDifference<Route>(from, to, revisions, &out);
+  AppendDifference<Service>(from, to, revisions, &out);
+  AppendDifference<Site>(from, to, revisions, &out);
+  return out;
+}
+
 }  // namespace
 
 ItemRef TargetOf(const Edit& edit) {
@@ -135,11 +165,31 @@
 }
 
 std::vector<Edit> Difference(const Config& from, const Config& to) {
-  std::vector<Edit> out;
-  AppendDifference<QuietWindow>(from, to, &out);
-  AppendDifference<Route>(from, to, &out);
-  AppendDifference<Service>(from, to, &out);
-  AppendDifference<Site>(from, to, &out);
+  return DifferenceBy(from, to, Revisions::kIgnored);
+}
+
+std::vector<Edit> RestatedDifference(const Config& from, const Config& to) {
+  return DifferenceBy(from, to, Revisions::kCompared);
+}
+
+Config ApplyRestated(const Config& base, const ConfigDelta& delta) {
+  Config out = base;
+  out.number = delta.mark.number;
+  out.parent = delta.restated_parent.value_or(base.number);
+  out.change_id = delta.change_id;
+  out.author = delta.author;
+  for (const Edit& edit : delta.edits) {
+    std::visit(
+        [&out](const auto& it) {
+          using Action = std::decay_t<decltype(it)>;
+          if constexpr (std::is_same_v<Action, ItemRef>) {
+            Remove(it, &out);
+          } else {
+            RestateItem(it, &out);
+          }
+        },
+        edit.action);
+  }
   return out;
 }
 
--- a/src/cassiabend/model/change.h
+++ b/src/cassiabend/model/change.h
@@ -50,6 +50,9 @@
   ChangeId change_id;
   std::string author;
   std::vector<Edit> edits;
+  /// Set where the version was written whole elsewhere, not as edits of its
+  /// base: the version's parent. Items then keep the revisions that they carry.
+  std::optional<VersionNumber> restated_parent;
 
   [[nodiscard]] bool operator==(const ConfigDelta&) const = default;
 };
@@ -81,4 +84,12 @@
 [[nodiscard]] std::vector<Edit> Difference(const Config& from,
                                            const Config& to);
 
+/// \brief Carries out a delta with `restated_parent`. Does not validate.
+/// \throws ModelError when an edit removes an absent item.
+[[nodiscard]] Config ApplyRestated(const Config& base,
+                                   const ConfigDelta& delta);
+/// \returns The edits of a restated delta: revisions count as content.
+[[nodiscard]] std::vector<Edit> RestatedDifference(const Config& from,
+                                                   const Config& to);
+
 }  // namespace cassiabend
--- a/src/cassiabend/model/codec.cc
+++ b/src/cassiabend/model/codec.cc
@@ -221,6 +221,8 @@
   ToWire(delta.change_id, out.initChangeId());
   out.setAuthor(delta.author);
   ToWireList(delta.edits, out.initEdits(delta.edits.size()));
+  out.setRestated(delta.restated_parent.has_value());
+  out.setParent(delta.restated_parent.value_or(0));
 }
 
 void ToWire(const HistoryEntry& entry, schema::HistoryEntry::Builder out) {
@@ -373,7 +375,9 @@
           .mark = {in.getNumber(), FromWire(in.getHash())},
           .change_id = FromWire(in.getChangeId()),
           .author = TextOf(in.getAuthor()),
-          .edits = FromWireList<Edit>(in.getEdits())};
+          .edits = FromWireList<Edit>(in.getEdits()),
+          .restated_parent =
+              in.getRestated() ? std::optional(in.getParent()) : std::nullopt};
 }
 
 HistoryEntry FromWire(schema::HistoryEntry::Reader in) {
--- a/src/cassiabend/model/delta.cc
+++ b/src/cassiabend/model/delta.cc
@@ -7,6 +7,9 @@
 namespace cassiabend {
 namespace {
 
+/// A delta with more than this part of the items is not worth its trouble.
+constexpr std::size_t kLargestPart = 4;
+
 std::string PathOfDelta(const ConfigDelta& delta) {
   return "delta to version " + std::to_string(delta.mark.number);
 }
@@ -21,8 +24,11 @@
                          std::to_string(delta.base.number) + ", not " +
                          std::to_string(base.mark().number));
   }
-  Config config = ApplyEditsAs(delta.mark.number, base.config(), delta.edits,
-                               delta.change_id, delta.author);
+  Config config =
+      delta.restated_parent
+          ? ApplyRestated(base.config(), delta)
+          : ApplyEditsAs(delta.mark.number, base.config(), delta.edits,
+                         delta.change_id, delta.author);
   RefPtr<const Snapshot> out(new Snapshot(std::move(config)));
   if (out->mark() != delta.mark) {
     throw ModelError("cannot apply", PathOfDelta(delta),
@@ -31,4 +37,25 @@
   return out;
 }
 
+std::optional<ConfigDelta> RestatedDelta(const Snapshot& base,
+                                         const Snapshot& next) {
+  const Config& from = base.config();
+  const Config& to = next.config();
+  if (from.limits != to.limits || to.number <= from.number) {
+    return std::nullopt;
+  }
+  ConfigDelta delta{.base = base.mark(),
+                    .mark = next.mark(),
+                    .change_id = to.change_id,
+                    .author = to.author,
+                    .edits = RestatedDifference(from, to),
+                    .restated_parent = to.parent};
+  const std::size_t items = to.sites.size() + to.services.size() +
+                            to.routes.size() + to.windows.size();
+  if (delta.edits.size() > items / kLargestPart) {
+    return std::nullopt;
+  }
+  return delta;
+}
+
 }  // namespace cassiabend
--- a/src/cassiabend/model/delta.h
+++ b/src/cassiabend/model/delta.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "cassiabend/base/ref_counted.h"
 #include "cassiabend/model/change.h"
 #include "cassiabend/model/snapshot.h"
@@ -13,4 +15,10 @@
 [[nodiscard]] RefPtr<const Snapshot> ApplyDelta(const Snapshot& base,
                                                 const ConfigDelta& delta);
 
+/// \brief Finds the delta to a version that was written whole elsewhere.
+/// \returns Unset where an edit cannot say what differs, or where the delta
+/// would hold more than a quarter of the items.
+[[nodiscard]] std::optional<ConfigDelta> RestatedDelta(const Snapshot& base,
+                                                       const Snapshot& next);
+
 }  // namespace cassiabend
--- a/tests/model_test.cc
+++ b/tests/model_test.cc
@@ -230,6 +230,42 @@
   CHECK(Difference(from, from).empty());
 }
 
+TEST_CASE("a restated delta gives the very version that was written whole") {
+  Config from = SmallConfig();
+  for (int i = 0; i < 40; ++i) {
+    Service service = ServiceOf("service-" + std::to_string(100 + i));
+    service.revision = 2;
+    from.services.push_back(service);
+  }
+  std::ranges::sort(from.services, {}, &Service::name);
+  Config to = from;
+  to.number = from.number + 7;
+  to.parent = 0;
+  to.change_id = {};
+  to.author = "";
+  to.services.erase(to.services.begin() + 2);
+  to.services.back().revision = 5;
+  to.routes.back().timeout = Milliseconds(1'234);
+  const Snapshot base(from);
+  const Snapshot next(to);
+  const auto delta = RestatedDelta(base, next);
+  REQUIRE(delta);
+  CHECK(delta->edits.size() == 3);
+  CHECK(DecodeDelta(EncodeDelta(*delta)) == *delta);
+  CHECK(ApplyDelta(base, *delta)->config() == to);
+  CHECK_THROWS_AS((void)ApplyDelta(next, *delta), ModelError);
+
+  Config limited = to;
+  limited.limits.max_body_bytes += 1;
+  CHECK_FALSE(RestatedDelta(base, Snapshot(limited)));
+  CHECK_FALSE(RestatedDelta(next, base));
+  Config another = to;
+  for (Service& it : another.services) {
+    it.health_path = "/changed";
+  }
+  CHECK_FALSE(RestatedDelta(base, Snapshot(another)));
+}
+
 TEST_CASE("a delta applies only to its base and only to its stated result") {
   const Snapshot base(SmallConfig());
   const std::vector<Edit> edits = {{.action = ServiceOf("tracker")}};
--- a/tests/spread_test.cc
+++ b/tests/spread_test.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <string>
+
 #include "cassiabend/core/freshness.h"
 #include "cassiabend/core/spread_pull.h"
 #include "cassiabend/core/spread_versions.h"
@@ -47,6 +49,36 @@
   }
 };
 
+TEST_CASE(
+    "a version that was written whole elsewhere is handed on as a delta") {
+  Fixture t;
+  Config config;
+  config.number = 9;
+  for (int i = 0; i < 40; ++i) {
+    config.sites.push_back(
+        {"site-" + std::to_string(100 + i), "cascadia", "GMT+00", 0});
+  }
+  const Whole base(new Snapshot(config));
+  config.number = 23;
+  config.sites.back().time_zone = "GMT+01";
+  const Whole next(new Snapshot(config));
+  SpreadVersions peer;
+  CHECK(peer.OfferWhole(t.context, base->mark(), base) ==
+        OfferResult::kApplied);
+  t.versions.OfferRestated(t.context, base);
+  // Whoever has nothing yet gets the version whole.
+  CHECK(t.versions.LatestDelta() == nullptr);
+  t.versions.OfferRestated(t.context, next);
+  const ConfigDelta* delta = t.versions.DeltaFrom(base->mark());
+  REQUIRE(delta != nullptr);
+  CHECK(delta->edits.size() == 1);
+  CHECK(peer.OfferDelta(t.context, next->mark(), *delta) ==
+        OfferResult::kApplied);
+  CHECK(peer.newest()->config() == config);
+  // And hands it on in the same way.
+  CHECK(peer.DeltaFrom(base->mark()) != nullptr);
+}
+
 TEST_CASE("only whole, undamaged, higher versions are applied") {
   Fixture fixture;
   SpreadVersions& versions = fixture.versions;
