--- a/src/cassiabend/core/admission.cc
+++ b/src/cassiabend/core/admission.cc
@@ -76,9 +76,9 @@
              : attempt.objective_at - TimeNeeded(attempt.request);
 }
 
-bool AdmissionQueue::IsForlorn(const Attempt& attempt,
-                               std::uint32_t slots,
-                               MonoTime now) const {
+bool AdmissionQueue::WillMissDeadline(const Attempt& attempt,
+                                      std::uint32_t slots,
+                                      MonoTime now) const {
   if (!by_objective_ || slots == 0 || now < LateAt(attempt)) {
     return false;
   }
--- a/src/cassiabend/core/admission.h
+++ b/src/cassiabend/core/admission.h
@@ -53,9 +53,9 @@
   [[nodiscard]] MonoTime LateAt(const Attempt& attempt) const;
   /// \returns Whether it can be foreseen that an attempt which waits and is
   /// late will not be served before its deadline.
-  [[nodiscard]] bool IsForlorn(const Attempt& attempt,
-                               std::uint32_t slots,
-                               MonoTime now) const;
+  [[nodiscard]] bool WillMissDeadline(const Attempt& attempt,
+                                      std::uint32_t slots,
+                                      MonoTime now) const;
   /// \returns The time that attempts of this class take, as far as is known.
   [[nodiscard]] const ServiceTime& ServiceTimeOf(
       const std::string& request_class) const;
--- a/src/cassiabend/core/call_destination.cc
+++ b/src/cassiabend/core/call_destination.cc
@@ -530,7 +530,7 @@
   const bool started = attempt->is_started();
   if (attempt->state == AttemptState::kQueued &&
       (admission_.IsHopeless(*attempt, now) ||
-       admission_.IsForlorn(*attempt, health_->slots(), now))) {
+       admission_.WillMissDeadline(*attempt, health_->slots(), now))) {
     Refuse(attempt, {NotRunReason::kOverloaded, BackAfter()});
     return;
   }
