--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "cassiabend/core/call_refusals.h"
+#include "cassiabend/core/split_draw.h"
 
 namespace cassiabend {
 namespace {
@@ -25,17 +26,6 @@
 /// What is left of an objective that is missed; 0 would be none.
 constexpr Milliseconds kMissedObjective{1};
 
-/// \param sent From the call's arrival until its attempt was sent.
-/// \param answered From then until the answer began.
-CallPhases PhasesOf(const DestinationTimes& times,
-                    Nanoseconds sent,
-                    Nanoseconds answered) {
-  return {.entry = sent,
-          .between = std::max(answered - times.stay, Nanoseconds(0)),
-          .queue = times.stay - times.service,
-          .upstream = times.service};
-}
-
 }  // namespace
 
 CallEntry::CallEntry(CallContext* context, Balancer* balancer)
@@ -112,7 +102,7 @@
   if (call->route == nullptr) {
     return Refusal{NotRunReason::kNoRoute};
   }
-  call->service = DrawService(*call->route);
+  call->service = DrawService(*call->route, &context_->random);
   if (call->facts.team.empty()) {
     call->facts.team = call->route->team;
   }
@@ -133,26 +123,6 @@
   return CheckSite(call);
 }
 
-/// \brief Draws from a route's split by weight. Each call keeps its service:
-/// what one service has no room for is not moved to another.
-std::string CallEntry::DrawService(const cassiabend::Route& route) {
-  if (route.split.empty()) {
-    return route.service;
-  }
-  std::uint64_t total = 0;
-  for (const RouteTarget& it : route.split) {
-    total += it.weight;
-  }
-  std::uint64_t left = context_->random.Below(total);
-  for (const RouteTarget& it : route.split) {
-    if (left < it.weight) {
-      return it.service;
-    }
-    left -= it.weight;
-  }
-  return route.split.back().service;
-}
-
 std::optional<Refusal> CallEntry::CheckSite(Call* call) const {
   const cassiabend::Route& route = *call->route;
   if (!route.noisy) {
@@ -221,11 +191,18 @@
   call->silent = false;
   call->failed_fetches = 0;
   call->sent_at = context_->now.mono;
-  call->phase = Phase::kSent;
   SendVerb(call, AttemptVerb::kRun);
 }
 
+CallEntry::Phase CallEntry::PhaseAfter(AttemptVerb verb) {
+  if (verb == AttemptVerb::kRun) {
+    return Phase::kSent;
+  }
+  return verb == AttemptVerb::kFetch ? Phase::kFetching : Phase::kCancelling;
+}
+
 void CallEntry::SendVerb(Call* call, AttemptVerb verb) {
+  call->phase = PhaseAfter(verb);
   const Member& member = call->tried.back()->member();
   context_->Emit(
       SendAttempt{call->id, verb, member.id, member.call_port, call->request});
@@ -276,22 +253,11 @@
   if (call->phase == Phase::kRelaying) {
     return;
   }
-  constexpr std::uint16_t kFirstServerError = 500;
+  const bool errored = IsServerError(event.status);
   if (event.times) {
-    call->phases = PhasesOf(*event.times, call->sent_at - call->arrived_at,
-                            context_->now.mono - call->sent_at);
-  }
-  if (event.times && event.status < kFirstServerError) {
-    balancer_->RecordTimes(context_->now.mono, call->route->request_class,
-                           context_->now.mono - call->sent_at, *event.times,
-                           call->tried.back().get());
-  } else if (event.times) {
-    // Errors come sooner or later than answers; their times say nothing.
-    Balancer::RecordLoad(context_->now.mono, *event.times,
-                         call->tried.back().get());
+    RecordTimes(call, *event.times, errored);
   }
-  const bool failed =
-      event.status >= kFirstServerError && context_->options.retry_errors != 0;
+  const bool failed = errored && context_->options.retry_errors != 0;
   EndAttempt(call,
              failed ? AttemptOutcome::kErrored : AttemptOutcome::kAnswered,
              Milliseconds(0));
@@ -305,6 +271,22 @@
   context_->Emit(RelayAnswer{call->id, event.attempt});
 }
 
+void CallEntry::RecordTimes(Call* call,
+                            const DestinationTimes& times,
+                            bool errored) {
+  const MonoTime now = context_->now.mono;
+  Upstream* upstream = call->tried.back().get();
+  call->phases =
+      PhasesOf(times, call->sent_at - call->arrived_at, now - call->sent_at);
+  if (errored) {
+    // Errors come sooner or later than answers; their times say nothing.
+    Balancer::RecordLoad(now, times, upstream);
+    return;
+  }
+  balancer_->RecordTimes(now, call->route->request_class, now - call->sent_at,
+                         times, upstream);
+}
+
 void CallEntry::Reduce(const AttemptStillRunning& event) {
   Call* call = Find(event.call, event.attempt);
   if (call == nullptr || call->phase == Phase::kRelaying) {
@@ -312,7 +294,6 @@
   }
   call->silent = false;
   call->failed_fetches = 0;
-  call->phase = Phase::kFetching;
   SendVerb(call, AttemptVerb::kFetch);
 }
 
@@ -341,7 +322,6 @@
 void CallEntry::Recover(Call* call) {
   switch (call->phase) {
     case Phase::kSent:
-      call->phase = Phase::kFetching;
       SendVerb(call, AttemptVerb::kFetch);
       return;
     case Phase::kFetching:
@@ -367,17 +347,14 @@
     GiveUpAttempt(call);
     return;
   }
-  call->phase = Phase::kCancelling;
   SendVerb(call, AttemptVerb::kCancel);
 }
 
 void CallEntry::GiveUpAttempt(Call* call) {
-  const bool silent = call->silent;
-  EndAttempt(call, silent ? AttemptOutcome::kSilent : AttemptOutcome::kFailed,
-             Milliseconds(0));
+  Abandon(call,
+          call->silent ? AttemptOutcome::kSilent : AttemptOutcome::kFailed);
   call->may_have_run = true;
   ++call->arrivals;
-  context_->Emit(DropAttempt{call->id, call->request.id});
   if (MayRepeat(call->request) && Retry(call, false)) {
     return;
   }
@@ -402,8 +379,7 @@
     return;
   }
   Call* call = it->second.get();
-  EndAttempt(call, AttemptOutcome::kNeutral, Milliseconds(0));
-  context_->Emit(DropAttempt{call->id, call->request.id});
+  Abandon(call, AttemptOutcome::kNeutral);
   Finish(call, "caller_gone");
 }
 
@@ -415,18 +391,15 @@
 
 void CallEntry::Expire(Call* call) {
   if (context_->now.mono >= call->deadline) {
-    EndAttempt(call, AttemptOutcome::kFailed, Milliseconds(0));
-    context_->Emit(DropAttempt{call->id, call->request.id});
+    Abandon(call, AttemptOutcome::kFailed);
     FinishUnknown(call, "deadline", "no answer came before the deadline", true);
     return;
   }
   if (call->phase == Phase::kWaiting) {
-    call->phase = Phase::kFetching;
     SendVerb(call, AttemptVerb::kFetch);
     return;
   }
   if (call->phase == Phase::kSent && call->request.once) {
-    call->phase = Phase::kCancelling;
     SendVerb(call, AttemptVerb::kCancel);
     return;
   }
@@ -515,35 +488,38 @@
   return true;
 }
 
-/// \brief Counts a call for the budget of retries: one for each service where
+/// \returns The names of a call's budget of retries: one for each service where
 /// all nodes share it, else one for each team and class.
+std::pair<std::string_view, std::string_view> CallEntry::BudgetOf(
+    const Call& call) const {
+  if (context_->options.retry_burst > 0) {
+    return {call.service, {}};
+  }
+  return {call.facts.team, call.route->request_class};
+}
+
+/// \brief Counts a call for its budget of retries.
 void CallEntry::Earn(const Call& call) {
   if (context_->options.retry_burst > 0) {
     budget_.set_limit(context_->options.retry_burst, balancer_->nodes());
-    budget_.Earn(call.service, {});
-    return;
   }
-  budget_.Earn(call.facts.team, call.route->request_class);
+  const auto [team, request_class] = BudgetOf(call);
+  budget_.Earn(team, request_class);
 }
 
 /// \brief Spends a retry where an upstream has been asked before. What never
 /// left the mesh costs the upstreams nothing.
 bool CallEntry::Spend(const Call& call) {
-  if (call.arrivals == 0) {
-    return true;
-  }
-  return context_->options.retry_burst > 0
-             ? budget_.Spend(call.service, {})
-             : budget_.Spend(call.facts.team, call.route->request_class);
+  const auto [team, request_class] = BudgetOf(call);
+  return call.arrivals == 0 || budget_.Spend(team, request_class);
 }
 
 std::uint32_t CallEntry::BudgetLeft(const Call& call) const {
   if (call.route == nullptr) {
     return 0;
   }
-  return context_->options.retry_burst > 0
-             ? budget_.Left(call.service, {})
-             : budget_.Left(call.facts.team, call.route->request_class);
+  const auto [team, request_class] = BudgetOf(call);
+  return budget_.Left(team, request_class);
 }
 
 void CallEntry::EndAttempt(Call* call,
@@ -558,6 +534,11 @@
                        call->tried.back().get());
 }
 
+void CallEntry::Abandon(Call* call, AttemptOutcome outcome) {
+  EndAttempt(call, outcome, Milliseconds(0));
+  context_->Emit(DropAttempt{call->id, call->request.id});
+}
+
 CallEntry::Call* CallEntry::Find(CallId id, const AttemptId& attempt) const {
   const auto it = calls_.find(id);
   if (it == calls_.end() || it->second->request.id != attempt) {
@@ -566,68 +547,4 @@
   return it->second.get();
 }
 
-void CallEntry::FinishNotRun(Call* call, const Refusal& refusal) {
-  const Milliseconds wait = RetryAfterOf(refusal, &context_->random);
-  call->reason = NameOf(refusal.reason);
-  if (call->gives_up_at && call->route != nullptr) {
-    returns_.Note(call->route->name, context_->now.mono, call->asked_at,
-                  *call->gives_up_at);
-  }
-  context_->Emit(AnswerNotRun{call->id, refusal.reason, wait,
-                              std::string(NameOf(refusal.reason))});
-  Finish(call, NameOf(refusal.reason));
-}
-
-void CallEntry::FinishUnknown(Call* call,
-                              std::string_view reason,
-                              std::string detail,
-                              bool timed_out) {
-  call->reason = reason;
-  call->detail = detail;
-  context_->Emit(AnswerUnknown{call->id, std::move(detail), timed_out});
-  Finish(call, "unknown");
-}
-
-/// \brief Adds what decided the call, for those who look for the cause later.
-void CallEntry::Explain(const Call& call, CallEnded* ended) const {
-  ended->request_id = call.facts.request_id;
-  ended->status = call.status;
-  ended->reason = call.reason;
-  ended->detail = call.detail;
-  ended->phases = call.phases;
-  ended->no_retry = call.no_retry;
-  ended->retry_budget_left = BudgetLeft(call);
-  ended->service = call.service;
-  ended->config_number = call.snapshot ? call.snapshot->mark().number : 0;
-  ended->left = Remaining(call);
-  if (call.route != nullptr) {
-    ended->objective = call.route->latency_objective;
-  }
-  if (call.tried.empty()) {
-    return;
-  }
-  const Upstream& upstream = *call.tried.back();
-  ended->attempt = call.request.id;
-  ended->destination = upstream.member().id;
-  ended->load_permille = upstream.speed().load_permille;
-  ended->load_age = std::chrono::floor<Milliseconds>(context_->now.mono -
-                                                     upstream.speed().load_at);
-}
-
-void CallEntry::Finish(Call* call, std::string_view outcome) {
-  CallEnded ended;
-  ended.call = call->id;
-  ended.team = call->facts.team;
-  if (call->route != nullptr) {
-    ended.request_class = call->route->request_class;
-    ended.route = call->route->name;
-  }
-  ended.outcome = outcome;
-  ended.elapsed = context_->now.mono - call->arrived_at;
-  ended.attempts = static_cast<std::uint8_t>(call->tried.size());
-  Explain(*call, &ended);
-  context_->Emit(std::move(ended));
-  calls_.erase(CallId(call->id));
-}
-
 }  // namespace cassiabend
--- a/src/cassiabend/core/call_entry.h
+++ b/src/cassiabend/core/call_entry.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 
 #include "cassiabend/core/balancer.h"
 #include "cassiabend/core/call_context.h"
@@ -103,11 +104,12 @@
   [[nodiscard]] std::optional<Refusal> Route(Call* call);
   [[nodiscard]] std::optional<Refusal> CheckSite(Call* call) const;
   [[nodiscard]] MonoTime LimitDeadline(MonoTime deadline) const;
-  [[nodiscard]] std::string DrawService(const cassiabend::Route& route);
   void RecogniseReturn(Call* call);
   void SendFirst(Call* call);
   [[nodiscard]] RefPtr<Upstream> Choose(const Call& call);
   void SendTo(Call* call, RefPtr<Upstream> upstream);
+  /// \returns The phase of an attempt from when the verb is sent.
+  [[nodiscard]] static Phase PhaseAfter(AttemptVerb verb);
   void SendVerb(Call* call, AttemptVerb verb);
   [[nodiscard]] Milliseconds Remaining(const Call& call) const;
   /// \returns Time left within which the answer is worth most; 0 for none. Of
@@ -120,6 +122,8 @@
   /// \returns Whether it was sent.
   [[nodiscard]] bool Retry(Call* call, bool needs_room);
   [[nodiscard]] bool RetryError(Call* call);
+  [[nodiscard]] std::pair<std::string_view, std::string_view> BudgetOf(
+      const Call& call) const;
   void Earn(const Call& call);
   [[nodiscard]] bool Spend(const Call& call);
   [[nodiscard]] std::uint32_t BudgetLeft(const Call& call) const;
@@ -127,6 +131,10 @@
   void FetchFailed(Call* call);
   void GiveUpAttempt(Call* call);
   void EndAttempt(Call* call, AttemptOutcome outcome, Milliseconds retry_after);
+  /// \brief Ends the attempt and drops its answer.
+  void Abandon(Call* call, AttemptOutcome outcome);
+  /// \param errored Whether the answer is an error of the upstream.
+  void RecordTimes(Call* call, const DestinationTimes& times, bool errored);
   void Expire(Call* call);
   void Schedule(Call* call);
 
--- /dev/null
+++ b/src/cassiabend/core/call_entry_end.cc
@@ -0,0 +1,78 @@
+// The ends of a call, and what is told of each for those who look for the cause
+// later.
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "cassiabend/core/call_entry.h"
+#include "cassiabend/core/call_refusals.h"
+
+namespace cassiabend {
+
+void CallEntry::FinishNotRun(Call* call, const Refusal& refusal) {
+  const Milliseconds wait = RetryAfterOf(refusal, &context_->random);
+  call->reason = NameOf(refusal.reason);
+  if (call->gives_up_at && call->route != nullptr) {
+    returns_.Note(call->route->name, context_->now.mono, call->asked_at,
+                  *call->gives_up_at);
+  }
+  context_->Emit(AnswerNotRun{call->id, refusal.reason, wait,
+                              std::string(NameOf(refusal.reason))});
+  Finish(call, NameOf(refusal.reason));
+}
+
+void CallEntry::FinishUnknown(Call* call,
+                              std::string_view reason,
+                              std::string detail,
+                              bool timed_out) {
+  call->reason = reason;
+  call->detail = detail;
+  context_->Emit(AnswerUnknown{call->id, std::move(detail), timed_out});
+  Finish(call, "unknown");
+}
+
+/// \brief Adds what decided the call, for those who look for the cause later.
+void CallEntry::Explain(const Call& call, CallEnded* ended) const {
+  ended->request_id = call.facts.request_id;
+  ended->status = call.status;
+  ended->reason = call.reason;
+  ended->detail = call.detail;
+  ended->phases = call.phases;
+  ended->no_retry = call.no_retry;
+  ended->retry_budget_left = BudgetLeft(call);
+  ended->service = call.service;
+  ended->config_number = call.snapshot ? call.snapshot->mark().number : 0;
+  ended->left = Remaining(call);
+  if (call.route != nullptr) {
+    ended->objective = call.route->latency_objective;
+  }
+  if (call.tried.empty()) {
+    return;
+  }
+  const Upstream& upstream = *call.tried.back();
+  ended->attempt = call.request.id;
+  ended->destination = upstream.member().id;
+  ended->load_permille = upstream.speed().load_permille;
+  ended->load_age = std::chrono::floor<Milliseconds>(context_->now.mono -
+                                                     upstream.speed().load_at);
+}
+
+void CallEntry::Finish(Call* call, std::string_view outcome) {
+  CallEnded ended;
+  ended.call = call->id;
+  ended.team = call->facts.team;
+  if (call->route != nullptr) {
+    ended.request_class = call->route->request_class;
+    ended.route = call->route->name;
+  }
+  ended.outcome = outcome;
+  ended.elapsed = context_->now.mono - call->arrived_at;
+  ended.attempts = static_cast<std::uint8_t>(call->tried.size());
+  Explain(*call, &ended);
+  context_->Emit(std::move(ended));
+  calls_.erase(CallId(call->id));
+}
+
+}  // namespace cassiabend
--- a/src/cassiabend/core/call_events.h
+++ b/src/cassiabend/core/call_events.h
@@ -9,6 +9,7 @@
 
 #include "cassiabend/base/hash.h"
 #include "cassiabend/base/ref_counted.h"
+#include "cassiabend/core/call_phases.h"
 #include "cassiabend/core/destination_times.h"
 #include "cassiabend/core/fleet_events.h"
 #include "cassiabend/core/member.h"
@@ -17,6 +18,12 @@
 
 namespace cassiabend {
 
+/// \returns Whether an upstream's status says that it failed.
+[[nodiscard]] constexpr bool IsServerError(std::uint16_t status) noexcept {
+  constexpr std::uint16_t kFirstServerError = 500;
+  return status >= kFirstServerError;
+}
+
 /// \brief Names one caller's request at the node that it entered.
 using CallId = std::uint64_t;
 /// \brief Names one attempt's connection at the destination node.
@@ -320,19 +327,6 @@
   /// Whether the call's time ran out before an answer came.
   bool timed_out = false;
 };
-/// \brief Where the time of a call went until its answer began.
-struct CallPhases {
-  /// From its arrival until its newest attempt was sent.
-  Nanoseconds entry{0};
-  /// On the way to the upstream's node and back.
-  Nanoseconds between{0};
-  /// Waiting at the upstream's node.
-  Nanoseconds queue{0};
-  /// At the upstream.
-  Nanoseconds upstream{0};
-
-  [[nodiscard]] bool operator==(const CallPhases&) const = default;
-};
 /// \brief Effect: one call has ended; for metrics and logs.
 struct CallEnded {
   CallId call = 0;
--- a/src/cassiabend/core/fleet_reducer.h
+++ b/src/cassiabend/core/fleet_reducer.h
@@ -80,7 +80,6 @@
   [[nodiscard]] FleetCounts counts() const noexcept;
   /// \returns The version in force; null before the first.
   [[nodiscard]] RefPtr<const Snapshot> newest() const noexcept;
-  /// \returns Whether this node holds one of its zone's reader leases.
   /// \returns Whether this node reads the store for its zone.
   [[nodiscard]] bool is_reader() const noexcept;
   /// \returns The time to which the head is confirmed; unset for never.
--- a/src/cassiabend/core/join.h
+++ b/src/cassiabend/core/join.h
@@ -31,11 +31,11 @@
   void OnMembers(const FleetContext& context,
                  const MembersAnswered& answer,
                  Membership* membership);
-  /// \brief Takes addresses at which peers may be found.
   /// \brief Takes the members that the store lists, and meets some.
   void TakeFound(const FleetContext& context,
                  std::vector<NodeId> found,
                  const Membership& membership);
+  /// \brief Takes addresses at which peers may be found.
   void MeetUnknown(const FleetContext& context,
                    const std::vector<NodeId>& peers,
                    const Membership& membership);
--- a/src/cassiabend/core/retry_budget.cc
+++ b/src/cassiabend/core/retry_budget.cc
@@ -1,7 +1,6 @@
 #include "cassiabend/core/retry_budget.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace cassiabend {
 namespace {
@@ -61,25 +60,24 @@
   return it == balances_.end() ? limit_ : it->second;
 }
 
-std::string RetryBudget::KeyOf(std::string_view team,
-                               std::string_view request_class) {
-  std::string key(team);
-  key.push_back('\0');
-  key.append(request_class);
-  return key;
+const std::string& RetryBudget::KeyOf(std::string_view team,
+                                      std::string_view request_class) const {
+  key_.assign(team);
+  key_.push_back('\0');
+  key_.append(request_class);
+  return key_;
 }
 
 std::uint32_t* RetryBudget::BalanceOf(std::string_view team,
                                       std::string_view request_class) {
-  std::string key = KeyOf(team, request_class);
-  const auto it = balances_.find(key);
+  const auto it = balances_.find(KeyOf(team, request_class));
   if (it != balances_.end()) {
     return &it->second;
   }
   if (balances_.size() >= kMaxBalances) {
-    key.clear();
+    key_.clear();
   }
-  return &balances_.try_emplace(std::move(key), limit_).first->second;
+  return &balances_.try_emplace(key_, limit_).first->second;
 }
 
 }  // namespace cassiabend
--- a/src/cassiabend/core/retry_budget.h
+++ b/src/cassiabend/core/retry_budget.h
@@ -46,8 +46,9 @@
   /// \returns The balance in thousandths of a retry.
   [[nodiscard]] std::uint32_t* BalanceOf(std::string_view team,
                                          std::string_view request_class);
-  [[nodiscard]] static std::string KeyOf(std::string_view team,
-                                         std::string_view request_class);
+  /// \returns The key of a balance, valid until the next call.
+  [[nodiscard]] const std::string& KeyOf(std::string_view team,
+                                         std::string_view request_class) const;
 
   std::uint32_t permille_;
   /// Most that a balance holds, in thousandths of a retry.
@@ -55,6 +56,8 @@
   std::uint64_t granted_ = 0;
   std::uint64_t refused_ = 0;
   std::unordered_map<std::string, std::uint32_t> balances_;
+  /// Scratch space for keys, so that a lookup allocates nothing.
+  mutable std::string key_;
 };
 
 }  // namespace cassiabend
--- a/src/cassiabend/core/upstream_identity.h
+++ b/src/cassiabend/core/upstream_identity.h
@@ -28,10 +28,6 @@
   [[nodiscard]] const std::string& instance() const noexcept {
     return instance_;
   }
-  /// \returns When the present start was heard last; unset for never.
-  [[nodiscard]] std::optional<MonoTime> heard_at() const noexcept {
-    return heard_at_;
-  }
 
   /// \param silence Time without a heartbeat after which the known start may
   /// have ended.
--- a/src/cassiabend/http/call_wire.cc
+++ b/src/cassiabend/http/call_wire.cc
@@ -25,7 +25,7 @@
     cassiabend::WriteUpstreamHeaders(attempt, start.deadline, head);
   }
   [[nodiscard]] UpstreamVerdict ReadVerdict(
-      const MessageHead& /*request*/,
+      std::string_view /*request_id*/,
       const MessageHead& answer) const override {
     const bool shed = answer.status == kServiceUnavailable &&
                       answer.Get(kUpstreamShedHeader) == "1";
--- a/src/cassiabend/http/call_wire.h
+++ b/src/cassiabend/http/call_wire.h
@@ -38,9 +38,9 @@
   virtual void WriteUpstreamHeaders(const AttemptRequest& attempt,
                                     const StartUpstream& start,
                                     MessageHead* head) const = 0;
-  /// \param request Head of the request as it was sent.
+  /// \param request_id `RequestIdOf` the request as it was sent.
   [[nodiscard]] virtual UpstreamVerdict ReadVerdict(
-      const MessageHead& request,
+      std::string_view request_id,
       const MessageHead& answer) const = 0;
   [[nodiscard]] virtual UpstreamProbed ReadHealth(
       const MessageHead& head,
--- a/src/cassiabend/http/upstream_call.cc
+++ b/src/cassiabend/http/upstream_call.cc
@@ -26,7 +26,7 @@
                           .head_timeout = options.start.deadline,
                           .body_timeout = options.progress_timeout};
   wire_->WriteUpstreamHeaders(attempt, options.start, &request.head);
-  sent_head_ = request.head;
+  request_id_ = wire_->RequestIdOf(request.head);
   exchange_->Start(std::move(request));
 }
 
@@ -40,17 +40,16 @@
 }
 
 bool UpstreamCall::IsOwnResponse(const MessageHead& head) {
-  return wire_->ReadVerdict(sent_head_, head) != UpstreamVerdict::kForeign;
+  verdict_ = wire_->ReadVerdict(request_id_, head);
+  return verdict_ != UpstreamVerdict::kForeign;
 }
 
 void UpstreamCall::OnResponseHead(MessageHead& head) {
-  const UpstreamVerdict verdict = wire_->ReadVerdict(sent_head_, head);
-  is_refused_ = verdict != UpstreamVerdict::kAnswered;
-  if (verdict == UpstreamVerdict::kReplaced) {
+  if (verdict_ == UpstreamVerdict::kReplaced) {
     sink_->Post(CallEvent(UpstreamReplaced{attempt_}));
     return;
   }
-  if (is_refused_) {
+  if (is_refused()) {
     sink_->Post(CallEvent(UpstreamShed{attempt_, ReadRetryAfter(head)}));
     return;
   }
@@ -73,7 +72,7 @@
 }
 
 void UpstreamCall::OnResponseBody(std::string_view bytes) {
-  if (is_refused_) {
+  if (is_refused()) {
     return;
   }
   answer_->Append(bytes);
@@ -89,7 +88,7 @@
 
 void UpstreamCall::OnResponseEnd() {
   exchange_ = nullptr;
-  if (is_refused_) {
+  if (is_refused()) {
     return;
   }
   PassOnHead();
@@ -99,7 +98,7 @@
 
 void UpstreamCall::OnExchangeFailed(ExchangeFailure failure) {
   exchange_ = nullptr;
-  if (is_refused_) {
+  if (is_refused()) {
     return;
   }
   if (failure == ExchangeFailure::kNeverSent) {
--- a/src/cassiabend/http/upstream_call.h
+++ b/src/cassiabend/http/upstream_call.h
@@ -38,6 +38,11 @@
   ~UpstreamCall() override;
 
  private:
+  /// \returns Whether the upstream refused the attempt before running it.
+  [[nodiscard]] bool is_refused() const noexcept {
+    return verdict_ == UpstreamVerdict::kRefused ||
+           verdict_ == UpstreamVerdict::kReplaced;
+  }
   [[nodiscard]] bool IsOwnResponse(const MessageHead& head) override;
   void OnResponseHead(MessageHead& head) override;
   void OnResponseBody(std::string_view bytes) override;
@@ -53,9 +58,10 @@
   RefPtr<ClientExchange> exchange_;
   const CallWire* wire_;
   std::uint64_t whole_answer_bytes_;
-  /// Head of the request as it was sent.
-  MessageHead sent_head_;
-  bool is_refused_ = false;
+  /// The caller's name for the request, as it was sent.
+  std::string request_id_;
+  /// What the newest head of an answer says.
+  UpstreamVerdict verdict_ = UpstreamVerdict::kAnswered;
   /// Head of a small answer that is not whole yet.
   std::optional<MessageHead> pending_head_;
 };
--- a/src/cassiabend/model/change.cc
+++ b/src/cassiabend/model/change.cc
@@ -18,20 +18,6 @@
   return a == b;
 }
 
-template <typename Item>
-void PutItem(Item item, VersionNumber number, Config* config) {
-  item.revision = number;
-  std::vector<Item>& items = ItemsOf<Item>(*config);
-  const auto it = LowerBound(items, item.name);
-  if (it == items.end() || it->name != item.name) {
-    items.insert(it, std::move(item));
-    return;
-  }
-  if (!SameContent(*it, item)) {
-    *it = std::move(item);
-  }
-}
-
 /// \brief Puts an item with the revision that it carries.
 template <typename Item>
 void RestateItem(Item item, Config* config) {
@@ -44,6 +30,16 @@
   items.insert(it, std::move(item));
 }
 
+/// \brief Puts an item as changed by the version, unless it is there already.
+template <typename Item>
+void PutItem(Item item, Config* config) {
+  item.revision = config->number;
+  const Item* old = FindItem(ItemsOf<Item>(*config), item.name);
+  if (old == nullptr || !SameContent(*old, item)) {
+    RestateItem(std::move(item), config);
+  }
+}
+
 template <typename Item>
 void RemoveItem(const ItemRef& target, Config* config) {
   std::vector<Item>& items = ItemsOf<Item>(*config);
@@ -68,6 +64,24 @@
   }
 }
 
+/// \brief Carries out edits on `*config`.
+/// \param put Puts one item.
+template <typename Put>
+void CarryOut(const std::vector<Edit>& edits, Put put, Config* config) {
+  for (const Edit& edit : edits) {
+    std::visit(
+        [&](const auto& it) {
+          using Action = std::decay_t<decltype(it)>;
+          if constexpr (std::is_same_v<Action, ItemRef>) {
+            Remove(it, config);
+          } else {
+            put(it, config);
+          }
+        },
+        edit.action);
+  }
+}
+
 /// \brief Whether revisions count as content.
 enum class Revisions : std::uint8_t { kIgnored, kCompared };
 
@@ -149,18 +163,9 @@
   out.parent = base.number;
   out.change_id = change_id;
   out.author = author;
-  for (const Edit& edit : edits) {
-    std::visit(
-        [&out](const auto& it) {
-          using Action = std::decay_t<decltype(it)>;
-          if constexpr (std::is_same_v<Action, ItemRef>) {
-            Remove(it, &out);
-          } else {
-            PutItem(it, out.number, &out);
-          }
-        },
-        edit.action);
-  }
+  CarryOut(
+      edits, [](const auto& item, Config* config) { PutItem(item, config); },
+      &out);
   return out;
 }
 
@@ -178,18 +183,10 @@
   out.parent = delta.restated_parent.value_or(base.number);
   out.change_id = delta.change_id;
   out.author = delta.author;
-  for (const Edit& edit : delta.edits) {
-    std::visit(
-        [&out](const auto& it) {
-          using Action = std::decay_t<decltype(it)>;
-          if constexpr (std::is_same_v<Action, ItemRef>) {
-            Remove(it, &out);
-          } else {
-            RestateItem(it, &out);
-          }
-        },
-        edit.action);
-  }
+  CarryOut(
+      delta.edits,
+      [](const auto& item, Config* config) { RestateItem(item, config); },
+      &out);
   return out;
 }
 
--- a/src/cassiabend/node/metrics.cc
+++ b/src/cassiabend/node/metrics.cc
@@ -43,13 +43,22 @@
   return {name, help, type, {MetricOf(type, value)}};
 }
 
-ClientMetric Labelled(const std::string& label,
-                      const std::string& text,
-                      MetricType type,
-                      double value) {
-  ClientMetric metric = MetricOf(type, value);
-  metric.label.push_back({label, text});
-  return metric;
+/// \brief One value of a family, told apart by its labels.
+struct LabelledValue {
+  std::vector<ClientMetric::Label> labels;
+  double value = 0;
+};
+
+MetricFamily Family(const std::string& name,
+                    const std::string& help,
+                    MetricType type,
+                    const std::vector<LabelledValue>& values) {
+  MetricFamily out{name, help, type, {}};
+  for (const LabelledValue& it : values) {
+    out.metric.push_back(MetricOf(type, it.value));
+    out.metric.back().label = it.labels;
+  }
+  return out;
 }
 
 /// \brief One number of a group that becomes one metric.
@@ -188,33 +197,26 @@
 
   static void AddMembers(const NodeReadings& readings,
                          std::vector<MetricFamily>* out) {
-    MetricFamily family{
-        "cassiabend_members", "Members by status.", MetricType::Gauge, {}};
+    std::vector<LabelledValue> members;
     for (const auto& [status, n] : readings.members_by_status) {
-      family.metric.push_back(Labelled("status", status, MetricType::Gauge,
-                                       static_cast<double>(n)));
+      members.push_back({{{"status", status}}, static_cast<double>(n)});
     }
-    out->push_back(std::move(family));
+    out->push_back(Family("cassiabend_members", "Members by status.",
+                          MetricType::Gauge, members));
   }
 
   static void AddCalls(const CallCounts& counts,
                        std::vector<MetricFamily>* out) {
-    MetricFamily family{"cassiabend_work",
-                        "Calls and attempts by state.",
-                        MetricType::Gauge,
-                        {}};
-    const std::pair<const char*, std::size_t> states[] = {
-        {"calls", counts.calls},
-        {"attempts_queued", counts.attempts_queued},
-        {"attempts_running", counts.attempts_running},
-        {"attempts_held", counts.attempts_held},
-        {"upstreams_ejected", counts.ejected},
+    const auto row = [](const char* state, std::size_t n) {
+      return LabelledValue{{{"state", state}}, static_cast<double>(n)};
     };
-    for (const auto& [state, n] : states) {
-      family.metric.push_back(
-          Labelled("state", state, MetricType::Gauge, static_cast<double>(n)));
-    }
-    out->push_back(std::move(family));
+    out->push_back(Family("cassiabend_work", "Calls and attempts by state.",
+                          MetricType::Gauge,
+                          {row("calls", counts.calls),
+                           row("attempts_queued", counts.attempts_queued),
+                           row("attempts_running", counts.attempts_running),
+                           row("attempts_held", counts.attempts_held),
+                           row("upstreams_ejected", counts.ejected)}));
     out->push_back(Single("cassiabend_retries_total", "Attempts sent again.",
                           MetricType::Counter,
                           static_cast<double>(counts.retries)));
@@ -226,77 +228,63 @@
   static void AddBudgets(const CallCounts& counts,
                          std::vector<MetricFamily>* out) {
     constexpr double kOneRetry = 1'000;
-    MetricFamily family{"cassiabend_retry_budget_left",
-                        "Retries that the scarcest budgets have left.",
-                        MetricType::Gauge,
-                        {}};
+    std::vector<LabelledValue> budgets;
     for (const RetryBudget::Balance& it : counts.retry_budgets) {
-      ClientMetric metric = Labelled("of", it.team, MetricType::Gauge,
-                                     static_cast<double>(it.left) / kOneRetry);
-      metric.label.push_back({"class", it.request_class});
-      family.metric.push_back(std::move(metric));
+      budgets.push_back({{{"of", it.team}, {"class", it.request_class}},
+                         static_cast<double>(it.left) / kOneRetry});
     }
-    out->push_back(std::move(family));
+    out->push_back(Family("cassiabend_retry_budget_left",
+                          "Retries that the scarcest budgets have left.",
+                          MetricType::Gauge, budgets));
   }
 
   static void AddStoreReplies(const StoreClientCounts& counts,
                               std::vector<MetricFamily>* out) {
-    MetricFamily family{"cassiabend_store_replies_total",
-                        "Calls to the key-value service by kind and result.",
-                        MetricType::Counter,
-                        {}};
+    std::vector<LabelledValue> replies;
     for (std::size_t kind = 0; kind < counts.replies.size(); ++kind) {
       for (std::size_t i = 0; i < counts.replies.at(kind).size(); ++i) {
         const std::uint64_t n = counts.replies.at(kind).at(i);
         if (n == 0) {
           continue;
         }
-        ClientMetric metric =
-            Labelled("kind", kStoreRequestNames.at(kind), MetricType::Counter,
-                     static_cast<double>(n));
-        metric.label.push_back({"result", kStoreStatusNames.at(i)});
-        family.metric.push_back(std::move(metric));
+        replies.push_back({{{"kind", kStoreRequestNames.at(kind)},
+                            {"result", kStoreStatusNames.at(i)}},
+                           static_cast<double>(n)});
       }
     }
-    out->push_back(std::move(family));
+    out->push_back(Family("cassiabend_store_replies_total",
+                          "Calls to the key-value service by kind and result.",
+                          MetricType::Counter, replies));
   }
 
   static void AddLogLines(const NodeReadings& readings,
                           std::vector<MetricFamily>* out) {
-    MetricFamily family{"cassiabend_log_lines_dropped_total",
-                        "Log lines that were not written.",
-                        MetricType::Counter,
-                        {}};
-    const std::pair<const char*, std::uint64_t> reasons[] = {
-        {"unread", readings.log_lines_unread},
-        {"too_frequent", readings.log_lines_too_frequent},
+    const auto row = [](const char* reason, std::uint64_t n) {
+      return LabelledValue{{{"reason", reason}}, static_cast<double>(n)};
     };
-    for (const auto& [reason, n] : reasons) {
-      family.metric.push_back(Labelled("reason", reason, MetricType::Counter,
-                                       static_cast<double>(n)));
-    }
-    out->push_back(std::move(family));
+    out->push_back(
+        Family("cassiabend_log_lines_dropped_total",
+               "Log lines that were not written.", MetricType::Counter,
+               {row("unread", readings.log_lines_unread),
+                row("too_frequent", readings.log_lines_too_frequent)}));
   }
 
   static void AddTraffic(const PeerTraffic& traffic,
                          std::vector<MetricFamily>* out) {
-    MetricFamily sent{"cassiabend_control_sent_bytes_total",
-                      "Bytes sent to other nodes for control.",
-                      MetricType::Counter,
-                      {}};
-    MetricFamily received{"cassiabend_control_received_bytes_total",
-                          "Bytes received from other nodes for control.",
-                          MetricType::Counter,
-                          {}};
+    std::vector<LabelledValue> sent;
+    std::vector<LabelledValue> received;
     for (const TrafficMetric& it : kTrafficMetrics) {
-      sent.metric.push_back(Labelled("purpose", it.purpose, MetricType::Counter,
-                                     static_cast<double>(traffic.*it.sent)));
-      received.metric.push_back(
-          Labelled("purpose", it.purpose, MetricType::Counter,
-                   static_cast<double>(traffic.*it.received)));
+      sent.push_back(
+          {{{"purpose", it.purpose}}, static_cast<double>(traffic.*it.sent)});
+      received.push_back({{{"purpose", it.purpose}},
+                          static_cast<double>(traffic.*it.received)});
     }
-    out->push_back(std::move(sent));
-    out->push_back(std::move(received));
+    out->push_back(Family("cassiabend_control_sent_bytes_total",
+                          "Bytes sent to other nodes for control.",
+                          MetricType::Counter, sent));
+    out->push_back(Family("cassiabend_control_received_bytes_total",
+                          "Bytes received from other nodes for control.",
+                          MetricType::Counter, received));
     out->push_back(Single("cassiabend_rejected_messages_total",
                           "Messages from other nodes that were malformed.",
                           MetricType::Counter,
@@ -320,11 +308,10 @@
 
 /// \returns The outcome of a call and its reason, as labels.
 std::pair<std::string, std::string> OutcomeLabels(const CallEnded& ended) {
-  constexpr std::uint16_t kFirstServerError = 500;
   if (NotRunReasonByName(ended.outcome)) {
     return {"not_run", ended.outcome};
   }
-  if (ended.outcome == "answered" && ended.status >= kFirstServerError) {
+  if (ended.outcome == "answered" && IsServerError(ended.status)) {
     return {ended.outcome, "server_error"};
   }
   return {ended.outcome, ended.reason};
--- a/src/cassiabend/node/node.cc
+++ b/src/cassiabend/node/node.cc
@@ -9,6 +9,7 @@
 
 #include "cassiabend/base/error.h"
 #include "cassiabend/base/log.h"
+#include "cassiabend/core/membership.h"
 
 namespace cassiabend {
 namespace {
@@ -225,8 +226,7 @@
   if (member.id == NodeId{settings_.node.ip, settings_.node.peer_port}) {
     return;
   }
-  const bool lost = member.status == MemberStatus::kDead ||
-                    member.status == MemberStatus::kLeft;
+  const bool lost = !IsLive(member.status);
   const auto it = lost_peers_.find(member.id);
   if (lost == (it != lost_peers_.end())) {
     return;
@@ -251,10 +251,7 @@
   }
   reads_store_ = reads;
   Log(LogLevel::kInfo, "reader_changed",
-      {{"reader", reads},
-       {"version", reducer_.fleet().newest()
-                       ? reducer_.fleet().newest()->mark().number
-                       : VersionNumber{0}}});
+      {{"reader", reads}, {"version", mark().number}});
 }
 
 void Node::NoteCallEffect(const CallEffect& effect) {
@@ -283,9 +280,8 @@
 }
 
 void Node::NoteCallEnded(const CallEnded& ended) {
-  constexpr std::uint16_t kFirstServerError = 500;
-  const bool answered = ended.outcome == "answered";
-  const bool failed = !answered || ended.status >= kFirstServerError;
+  const bool failed =
+      ended.outcome != "answered" || IsServerError(ended.status);
   const bool late =
       ended.objective > Milliseconds(0) && ended.elapsed > ended.objective;
   const MonoTime now = clock_.Now().mono;
@@ -438,8 +434,7 @@
 NodeReadings Node::Read() const {
   const Instant now = clock_.Now();
   NodeReadings out;
-  const RefPtr<const Snapshot> newest = reducer_.fleet().newest();
-  out.config_version = newest ? newest->mark().number : 0;
+  out.config_version = mark().number;
   if (const auto at = reducer_.fleet().confirmed_at()) {
     out.confirmed_age = now.mono - *at;
   }
@@ -465,19 +460,26 @@
 
 FleetStatus Node::Status() const {
   FleetStatus out;
-  if (const RefPtr<const Snapshot> newest = reducer_.fleet().newest()) {
-    out.mark = newest->mark();
-  }
+  out.mark = mark();
   out.members = reducer_.fleet().Members(clock_.Now());
   return out;
 }
 
+VersionMark Node::mark() const {
+  const RefPtr<const Snapshot> newest = reducer_.fleet().newest();
+  return newest ? newest->mark() : VersionMark{};
+}
+
+OpsPage Node::ReadyPage() const {
+  return ready_ ? OpsPage{200, "text/plain", "ready\n"}
+                : OpsPage{503, "text/plain", not_ready_reason_ + "\n"};
+}
+
 OpsPage Node::ReadinessPage(const OpsRequest& request) const {
   if (!adapter_.AsksReadiness(request)) {
     return {404, "text/plain", "no such page\n"};
   }
-  return ready_ ? OpsPage{200, "text/plain", "ready\n"}
-                : OpsPage{503, "text/plain", not_ready_reason_ + "\n"};
+  return ReadyPage();
 }
 
 OpsPage Node::TakeControl(const OpsRequest& request) {
@@ -499,8 +501,7 @@
     return {200, "text/plain", "ok\n"};
   }
   if (path == "/readyz") {
-    return ready_ ? OpsPage{200, "text/plain", "ready\n"}
-                  : OpsPage{503, "text/plain", not_ready_reason_ + "\n"};
+    return ReadyPage();
   }
   if (path == "/members") {
     return {200, "application/json", MembersPage()};
@@ -514,11 +515,10 @@
 }
 
 std::string Node::VersionPage() const {
-  const RefPtr<const Snapshot> newest = reducer_.fleet().newest();
-  const VersionMark mark = newest ? newest->mark() : VersionMark{};
+  const VersionMark in_force = mark();
   const boost::json::object version{
-      {"version", mark.number},
-      {"hash", ToHex(mark.hash)},
+      {"version", in_force.number},
+      {"hash", ToHex(in_force.hash)},
       {"applied_unix_ms", applied_at_.time_since_epoch().count()}};
   return boost::json::serialize(version);
 }
--- a/src/cassiabend/node/node.h
+++ b/src/cassiabend/node/node.h
@@ -62,8 +62,11 @@
   bool DrainMember(const NodeId& id);
   [[nodiscard]] NodeReadings Read() const;
   [[nodiscard]] FleetStatus Status() const;
+  /// \returns The version in force; an empty mark before the first.
+  [[nodiscard]] VersionMark mark() const;
   void OpenPages();
   [[nodiscard]] OpsPage Page(const std::string& path) const;
+  [[nodiscard]] OpsPage ReadyPage() const;
   [[nodiscard]] OpsPage ReadinessPage(const OpsRequest& request) const;
   [[nodiscard]] OpsPage TakeControl(const OpsRequest& request);
   [[nodiscard]] std::string MembersPage() const;
--- a/src/cassiabend/node/settings_fields.h
+++ b/src/cassiabend/node/settings_fields.h
@@ -33,7 +33,6 @@
 
 [[nodiscard]] std::span<const SettingField<NodeSettings>> NodeFields();
 [[nodiscard]] std::span<const SettingField<PlatformSettings>> PlatformFields();
-[[nodiscard]] std::span<const SettingField<PlatformSettings>> PlatformFields();
 [[nodiscard]] std::span<const SettingField<UpstreamSettings>> UpstreamFields();
 [[nodiscard]] std::span<const SettingField<StoreClientOptions>> StoreFields();
 [[nodiscard]] std::span<const SettingField<ConfigOptions>> ConfigFields();
--- a/src/cassiabend/store/gateway_codec.cc
+++ b/src/cassiabend/store/gateway_codec.cc
@@ -123,6 +123,17 @@
           {"mod_revision", Number(expected)}};
 }
 
+/// \returns What a request that writes one key puts.
+template <typename Write>
+json::object PutOf(const Write& it) {
+  json::object put = {{"key", EncodeBase64(it.key)},
+                      {"value", EncodeBase64(it.value)}};
+  if (it.lease != 0) {
+    put["lease"] = Number(it.lease);
+  }
+  return put;
+}
+
 std::string Transaction(const std::string& key,
                         StoreRevision expected,
                         json::object success) {
@@ -142,21 +153,11 @@
             json::serialize(json::object{{"key", EncodeBase64(it.key)}})};
   }
   GatewayRequest operator()(const StoreCompareAndSwap& it) const {
-    json::object put = {{"key", EncodeBase64(it.key)},
-                        {"value", EncodeBase64(it.value)}};
-    if (it.lease != 0) {
-      put["lease"] = Number(it.lease);
-    }
     return {"/v3/kv/txn",
-            Transaction(it.key, it.expected, {{"request_put", put}})};
+            Transaction(it.key, it.expected, {{"request_put", PutOf(it)}})};
   }
   GatewayRequest operator()(const StorePut& it) const {
-    json::object put = {{"key", EncodeBase64(it.key)},
-                        {"value", EncodeBase64(it.value)}};
-    if (it.lease != 0) {
-      put["lease"] = Number(it.lease);
-    }
-    return {"/v3/kv/put", json::serialize(put)};
+    return {"/v3/kv/put", json::serialize(PutOf(it))};
   }
   GatewayRequest operator()(const StoreList& it) const {
     // The end of a prefix's range is the prefix with its last byte raised.
--- a/tests/platform/call_headers_test.cc
+++ b/tests/platform/call_headers_test.cc
@@ -48,8 +48,9 @@
 }
 
 TEST_CASE("answers are told apart by what their heads say") {
-  const MessageHead request = Request();
   const CallWire& wire = MeshCallWire();
+  const MessageHead head = Request();
+  const std::string_view request = wire.RequestIdOf(head);
   MessageHead own = Answer(200);
   own.Add("Request-Id", "9c41");
   CHECK(wire.ReadVerdict(request, own) == UpstreamVerdict::kAnswered);
--- a/tests/platform/kv_stand_in_test.cc
+++ b/tests/platform/kv_stand_in_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "platform/kv_codec.h"
+#include "tests/support/store_cases.h"
 #include "tests/support/store_fixture.h"
 #include "tools/fake_store_gateway.h"
 
@@ -14,6 +15,7 @@
 namespace {
 
 using testing::kStoreRequestTimeout;
+using testing::StoreFaultRow;
 
 FakeStoreOptions Store() {
   FakeStoreOptions options;
@@ -32,11 +34,6 @@
   explicit Fixture(const FakeStoreOptions& store = Store(),
                    const StoreClientOptions& client = Client())
       : StoreFixture(store, client) {}
-
-  void Control(const std::string& fault) {
-    CAPTURE(fault);
-    REQUIRE(server.Control(fault) == R"({"ok":true})");
-  }
 };
 
 constexpr std::string_view kBytes("a\0b\xff\n\"", 6);
@@ -90,17 +87,8 @@
   CHECK(list.entries.back().key == "m/1499");
 }
 
-/// \brief A fault, what is seen of it, and whether the write is there at once
-/// and a while later.
-struct FaultRow {
-  const char* fault;
-  StoreStatus read;
-  StoreStatus write;
-  bool took_effect;
-};
-
 TEST_CASE("each fault gives a status that never promises too much") {
-  const FaultRow rows[] = {
+  const StoreFaultRow rows[] = {
       {R"({"down":true})", StoreStatus::kUnavailable, StoreStatus::kUnavailable,
        false},
       {R"({"reject_next":9})", StoreStatus::kUnavailable,
@@ -124,26 +112,8 @@
       {R"({"refuse_at":{"127.0.0.1":"silence"}})", StoreStatus::kUnavailable,
        StoreStatus::kUnknown, false},
   };
-  for (const FaultRow& row : rows) {
-    CAPTURE(row.fault);
-    for (const bool warm : {false, true}) {
-      CAPTURE(warm);
-      Fixture it;
-      if (warm) {
-        REQUIRE(it.Ask(StoreGet{"k"}).status == StoreStatus::kOk);
-      }
-      it.Control(row.fault);
-      CHECK(it.Ask(StoreGet{"k"}).status == row.read);
-      CHECK(it.Ask(StoreCompareAndSwap{"k", 0, "v"}).status == row.write);
-      it.Control(
-          R"({"down":false,"slow_ms":0,"lose_next_answers":0,"drop_next":0,)"
-          R"("mute_next_answers":0,"late_next":0,"reject_next":0,)"
-          R"("refuse_at":{}})");
-      it.RunFor(Milliseconds(1'000));
-      const StoreReply after = it.Ask(StoreGet{"k"});
-      REQUIRE(after.status == StoreStatus::kOk);
-      CHECK(after.entry.has_value() == row.took_effect);
-    }
+  for (const StoreFaultRow& row : rows) {
+    testing::CheckStoreFault(row, Store(), Client());
   }
 }
 
@@ -195,19 +165,9 @@
 
 TEST_CASE("leases hold keys until they are revoked or lapse") {
   Fixture it;
-  const StoreReply lease = it.Ask(StoreLeaseGrant{Seconds(30)});
-  REQUIRE(it.Ask(StorePut{"m/a", "v", lease.lease}).status == StoreStatus::kOk);
-  CHECK(it.Ask(StoreLeaseKeepAlive{lease.lease}).status == StoreStatus::kOk);
-  it.Control("{\"expire_lease\":" + std::to_string(lease.lease) + "}");
-  CHECK_FALSE(it.Ask(StoreGet{"m/a"}).entry);
-  CHECK(it.Ask(StoreLeaseKeepAlive{lease.lease}).status ==
-        StoreStatus::kLeaseLost);
-  CHECK(it.Ask(StorePut{"m/a", "v", lease.lease}).status ==
-        StoreStatus::kLeaseLost);
-  CHECK(it.Ask(StoreLeaseRevoke{lease.lease}).status ==
-        StoreStatus::kLeaseLost);
-  const StoreReply second = it.Ask(StoreLeaseGrant{Seconds(30)});
-  CHECK(it.Ask(StoreLeaseRevoke{second.lease}).status == StoreStatus::kOk);
+  testing::CheckStoreLeases(&it, [](const char* key, LeaseId lease) {
+    return StorePut{key, "v", lease};
+  });
 }
 
 TEST_CASE("leases lapse or stand still while the store is down") {
@@ -227,34 +187,12 @@
 
 TEST_CASE("a watch returns a change made before or after it began") {
   Fixture it;
-  const StoreReply first = it.Ask(StoreCompareAndSwap{"k", 0, "1"});
-  const StoreRevision known = first.entry->revision;
-  REQUIRE(it.Ask(StoreCompareAndSwap{"k", known, "2"}).status ==
-          StoreStatus::kOk);
-  const StoreReply missed = it.Ask(StoreWatch{"k", known, Seconds(10)});
-  REQUIRE(missed.status == StoreStatus::kOk);
-  CHECK(missed.entry->value == "2");
-
-  const StoreRevision newest = missed.entry->revision;
-  it.Start(StoreWatch{"k", newest, Seconds(10)});
-  it.RunFor(Milliseconds(50));
-  CHECK(it.sink.replies.size() == 3);
-  it.Start(StoreCompareAndSwap{"k", newest, "3"});
-  it.RunUntil(5);
-  for (const StoreReplied& reply : it.sink.replies) {
-    CHECK(reply.reply.status == StoreStatus::kOk);
-  }
+  testing::CheckStoreWatch(&it);
 }
 
 TEST_CASE("the end of a watch's time tells whether the store acknowledged it") {
   Fixture it;
-  const StoreReply first = it.Ask(StoreCompareAndSwap{"k", 0, "1"});
-  const StoreWatch watch{"k", first.entry->revision, Milliseconds(150)};
-  const StoreReply quiet = it.Ask(watch);
-  CHECK(quiet.status == StoreStatus::kOk);
-  CHECK_FALSE(quiet.entry);
-  it.Control(R"({"dead_watches":true})");
-  CHECK(it.Ask(watch).status == StoreStatus::kUnavailable);
+  testing::CheckStoreWatchEnd(&it);
 }
 
 TEST_CASE("a watch over dropped history asks the caller to read again") {
--- a/tests/shell/store_client_test.cc
+++ b/tests/shell/store_client_test.cc
@@ -9,6 +9,7 @@
 #include "cassiabend/base/clock.h"
 #include "cassiabend/base/error.h"
 #include "cassiabend/store/store_client.h"
+#include "tests/support/store_cases.h"
 #include "tests/support/store_fixture.h"
 #include "tools/fake_store_server.h"
 
@@ -16,6 +17,7 @@
 namespace {
 
 using testing::kStoreRequestTimeout;
+using testing::StoreFaultRow;
 using Fixture = testing::StoreFixture;
 
 constexpr std::string_view kBytes("a\0b\xff\n\"", 6);
@@ -67,16 +69,8 @@
   CHECK(it.sink.replies[2].id == StoreCallId{StoreClientRole::kFleet, 3});
 }
 
-/// \brief What a fault makes of each kind of request.
-struct FaultRow {
-  const char* fault;
-  StoreStatus read;
-  StoreStatus write;
-  bool took_effect;
-};
-
 TEST_CASE("each fault gives a status that never promises too much") {
-  const FaultRow rows[] = {
+  const StoreFaultRow rows[] = {
       {R"({"down":true})", StoreStatus::kUnavailable, StoreStatus::kUnavailable,
        false},
       {R"({"reject_next":9})", StoreStatus::kUnavailable,
@@ -88,24 +82,8 @@
       {R"({"slow_ms":900})", StoreStatus::kUnavailable, StoreStatus::kUnknown,
        true},
   };
-  for (const FaultRow& row : rows) {
-    CAPTURE(row.fault);
-    for (const bool warm : {false, true}) {
-      CAPTURE(warm);
-      Fixture it;
-      if (warm) {
-        REQUIRE(it.Ask(StoreGet{"k"}).status == StoreStatus::kOk);
-      }
-      REQUIRE(it.server.Control(row.fault) == R"({"ok":true})");
-      CHECK(it.Ask(StoreGet{"k"}).status == row.read);
-      CHECK(it.Ask(StoreCompareAndSwap{"k", 0, "v"}).status == row.write);
-      it.server.Control(
-          R"({"down":false,"slow_ms":0,"lose_next_answers":0,"drop_next":0,"reject_next":0})");
-      it.RunFor(Milliseconds(1'000));
-      const StoreReply after = it.Ask(StoreGet{"k"});
-      REQUIRE(after.status == StoreStatus::kOk);
-      CHECK(after.entry.has_value() == row.took_effect);
-    }
+  for (const StoreFaultRow& row : rows) {
+    testing::CheckStoreFault(row, {}, {});
   }
 }
 
@@ -215,53 +193,19 @@
 
 TEST_CASE("leases hold keys until they are revoked or lapse") {
   Fixture it;
-  const StoreReply lease = it.Ask(StoreLeaseGrant{Seconds(30)});
-  REQUIRE(lease.status == StoreStatus::kOk);
-  REQUIRE(it.Ask(StoreCompareAndSwap{"r", 0, "v", lease.lease}).status ==
-          StoreStatus::kOk);
-  CHECK(it.Ask(StoreLeaseKeepAlive{lease.lease}).status == StoreStatus::kOk);
-  it.server.Control("{\"expire_lease\":" + std::to_string(lease.lease) + "}");
-  CHECK_FALSE(it.Ask(StoreGet{"r"}).entry);
-  CHECK(it.Ask(StoreLeaseKeepAlive{lease.lease}).status ==
-        StoreStatus::kLeaseLost);
-  CHECK(it.Ask(StoreCompareAndSwap{"r", 0, "v", lease.lease}).status ==
-        StoreStatus::kLeaseLost);
-  CHECK(it.Ask(StoreLeaseRevoke{lease.lease}).status ==
-        StoreStatus::kLeaseLost);
-  const StoreReply second = it.Ask(StoreLeaseGrant{Seconds(30)});
-  CHECK(it.Ask(StoreLeaseRevoke{second.lease}).status == StoreStatus::kOk);
+  testing::CheckStoreLeases(&it, [](const char* key, LeaseId lease) {
+    return StoreCompareAndSwap{key, 0, "v", lease};
+  });
 }
 
 TEST_CASE("a watch returns a change made before or after it began") {
   Fixture it;
-  const StoreReply first = it.Ask(StoreCompareAndSwap{"k", 0, "1"});
-  const StoreRevision known = first.entry->revision;
-  REQUIRE(it.Ask(StoreCompareAndSwap{"k", known, "2"}).status ==
-          StoreStatus::kOk);
-  const StoreReply missed = it.Ask(StoreWatch{"k", known, Seconds(10)});
-  REQUIRE(missed.status == StoreStatus::kOk);
-  CHECK(missed.entry->value == "2");
-
-  const StoreRevision newest = missed.entry->revision;
-  it.Start(StoreWatch{"k", newest, Seconds(10)});
-  it.RunFor(Milliseconds(50));
-  CHECK(it.sink.replies.size() == 3);
-  it.Start(StoreCompareAndSwap{"k", newest, "3"});
-  it.RunUntil(5);
-  for (const StoreReplied& reply : it.sink.replies) {
-    CHECK(reply.reply.status == StoreStatus::kOk);
-  }
+  testing::CheckStoreWatch(&it);
 }
 
 TEST_CASE("the end of a watch's time tells whether the store acknowledged it") {
   Fixture it;
-  const StoreReply first = it.Ask(StoreCompareAndSwap{"k", 0, "1"});
-  const StoreWatch watch{"k", first.entry->revision, Milliseconds(150)};
-  const StoreReply quiet = it.Ask(watch);
-  CHECK(quiet.status == StoreStatus::kOk);
-  CHECK_FALSE(quiet.entry);
-  it.server.Control(R"({"dead_watches":true})");
-  CHECK(it.Ask(watch).status == StoreStatus::kUnavailable);
+  testing::CheckStoreWatchEnd(&it);
 }
 
 TEST_CASE("a watch survives compaction and sees a restored older store") {
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -47,9 +47,7 @@
     if (RevisionOf(swap.key) != swap.expected) {
       return Present(StoreStatus::kConflict, swap.key);
     }
-    StoreEntry& entry = copy_.entries[swap.key];
-    entry = {swap.key, swap.value, ++copy_.revision};
-    return {.status = StoreStatus::kOk, .entry = entry};
+    return Do(StorePut{swap.key, swap.value});
   }
 
   StoreReply Do(const StorePut& put) {
--- a/tests/support/fleet_fake_store.h
+++ b/tests/support/fleet_fake_store.h
@@ -77,13 +77,7 @@
       reply->status = StoreStatus::kConflict;
       return;
     }
-    if (swap.lease != 0 && !leases_.contains(swap.lease)) {
-      reply->status = StoreStatus::kLeaseLost;
-      return;
-    }
-    Put(swap.key, swap.value);
-    lease_of_[swap.key] = swap.lease;
-    reply->entry = *Find(swap.key);
+    Do(StorePut{swap.key, swap.value, swap.lease}, now, reply);
   }
   void Do(const StorePut& put, MonoTime, StoreReply* reply) {
     if (put.lease != 0 && !leases_.contains(put.lease)) {
--- a/tests/support/store_fixture.h
+++ b/tests/support/store_fixture.h
@@ -60,6 +60,12 @@
     client.Execute({{role, ++sequence}, std::move(request)});
   }
 
+  /// \brief Has the stand-in do what a text of its control says.
+  void Control(const std::string& text) {
+    CAPTURE(text);
+    REQUIRE(server.Control(text) == R"({"ok":true})");
+  }
+
   /// \brief Runs until `n` answers are there.
   void RunUntil(std::size_t n) {
     const SystemClock clock;
