--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -51,9 +51,29 @@
   }
   RecogniseReturn(call);
   Earn(*call);
+  if (event.waits_turn && MustWaitTurn(*call)) {
+    call->phase = Phase::kWaitingTurn;
+    Schedule(call);
+    return;
+  }
   SendFirst(call);
 }
 
+/// \returns Whether a call may not start behind others of its connection. What
+/// was sent behind an answer that closes counts as not read, and its caller
+/// sends it again, of whatever kind it is.
+bool CallEntry::MustWaitTurn(const Call& call) {
+  return call.route->repeat == RepeatPolicy::kOnce &&
+         call.facts.order_key.empty();
+}
+
+void CallEntry::Reduce(const CallTurn& event) {
+  Call* call = Find(event.call);
+  if (call != nullptr && call->phase == Phase::kWaitingTurn) {
+    SendFirst(call);
+  }
+}
+
 /// \brief Lets the objective of a caller that has come back count from when it
 /// asked first.
 void CallEntry::RecogniseReturn(Call* call) {
@@ -330,6 +350,7 @@
     case Phase::kCancelling:
       GiveUpAttempt(call);
       return;
+    case Phase::kWaitingTurn:
     case Phase::kWaiting:
     case Phase::kRelaying:
       return;
@@ -374,11 +395,10 @@
 }
 
 void CallEntry::Reduce(const CallerGone& event) {
-  const auto it = calls_.find(event.call);
-  if (it == calls_.end()) {
+  Call* call = Find(event.call);
+  if (call == nullptr) {
     return;
   }
-  Call* call = it->second.get();
   Abandon(call, AttemptOutcome::kNeutral);
   Finish(call, "caller_gone");
 }
@@ -390,7 +410,12 @@
 }
 
 void CallEntry::Expire(Call* call) {
-  if (context_->now.mono >= call->deadline) {
+  const bool is_late = context_->now.mono >= call->deadline;
+  if (is_late && call->phase == Phase::kWaitingTurn) {
+    FinishNotRun(call, {NotRunReason::kDeadline});
+    return;
+  }
+  if (is_late) {
     Abandon(call, AttemptOutcome::kFailed);
     FinishUnknown(call, "deadline", "no answer came before the deadline", true);
     return;
@@ -539,12 +564,14 @@
   context_->Emit(DropAttempt{call->id, call->request.id});
 }
 
-CallEntry::Call* CallEntry::Find(CallId id, const AttemptId& attempt) const {
+CallEntry::Call* CallEntry::Find(CallId id) const {
   const auto it = calls_.find(id);
-  if (it == calls_.end() || it->second->request.id != attempt) {
-    return nullptr;
-  }
-  return it->second.get();
+  return it == calls_.end() ? nullptr : it->second.get();
+}
+
+CallEntry::Call* CallEntry::Find(CallId id, const AttemptId& attempt) const {
+  Call* call = Find(id);
+  return call != nullptr && call->request.id == attempt ? call : nullptr;
 }
 
 }  // namespace cassiabend
--- a/src/cassiabend/core/call_entry.h
+++ b/src/cassiabend/core/call_entry.h
@@ -31,6 +31,7 @@
   [[nodiscard]] const RetryBudget& budget() const noexcept { return budget_; }
 
   void Reduce(const CallArrived& event);
+  void Reduce(const CallTurn& event);
   void Reduce(const AttemptNotRun& event);
   void Reduce(const AttemptAnswering& event);
   void Reduce(const AttemptStillRunning& event);
@@ -46,6 +47,9 @@
 
  private:
   enum class Phase : std::uint8_t {
+    /// Nothing was sent: an earlier request of the connection may still end it,
+    /// and the caller would then send this one again.
+    kWaitingTurn,
     /// The attempt was sent.
     kSent,
     /// Its answer is being fetched over a new connection.
@@ -100,12 +104,14 @@
   };
   using CallTable = std::unordered_map<CallId, std::unique_ptr<Call>>;
 
+  [[nodiscard]] Call* Find(CallId id) const;
   [[nodiscard]] Call* Find(CallId id, const AttemptId& attempt) const;
   [[nodiscard]] std::optional<Refusal> Route(Call* call);
   [[nodiscard]] std::optional<Refusal> CheckSite(Call* call) const;
   [[nodiscard]] MonoTime LimitDeadline(MonoTime deadline) const;
   void RecogniseReturn(Call* call);
   void SendFirst(Call* call);
+  [[nodiscard]] static bool MustWaitTurn(const Call& call);
   [[nodiscard]] RefPtr<Upstream> Choose(const Call& call);
   void SendTo(Call* call, RefPtr<Upstream> upstream);
   /// \returns The phase of an attempt from when the verb is sent.
--- a/src/cassiabend/core/call_events.h
+++ b/src/cassiabend/core/call_events.h
@@ -118,6 +118,14 @@
 struct CallArrived {
   CallId call = 0;
   CallFacts facts;
+  /// Whether an earlier request of its connection is not answered yet.
+  bool waits_turn = false;
+};
+
+/// \brief Event: all earlier requests of a call's connection are answered, and
+/// the connection goes on.
+struct CallTurn {
+  CallId call = 0;
 };
 
 /// \brief Event: the destination refused: the attempt was not and will not be
@@ -250,6 +258,7 @@
 struct DrainRequested {};
 
 using CallEvent = std::variant<CallArrived,
+                               CallTurn,
                                AttemptNotRun,
                                AttemptAnswering,
                                AttemptStillRunning,
@@ -424,6 +433,11 @@
   LinkId link = 0;
   AttemptId attempt;
 };
+/// \brief Effect: let the connection show that the attempt waits or runs, so
+/// that its other end does not take it for lost.
+struct ReplyProgress {
+  LinkId link = 0;
+};
 /// \brief Effect: answer the connection: the attempt may have run and its
 /// answer is not here. A connection that already carries the answer is cut
 /// instead.
@@ -451,6 +465,7 @@
                                 BindAnswer,
                                 ReplyNotRun,
                                 ReplyStillRunning,
+                                ReplyProgress,
                                 ReplyUnknown,
                                 ReleaseAttempt,
                                 LocalUpstreamChanged,
--- a/src/cassiabend/http/call_server.cc
+++ b/src/cassiabend/http/call_server.cc
@@ -54,7 +54,8 @@
       .progress_timeout = options.progress_timeout,
       .idle_timeout = options.idle_timeout * kIncomingIdleFactor,
       .max_held_bytes = options.max_held_bytes,
-      .header_timeout = options.progress_timeout};
+      .header_timeout = options.progress_timeout,
+      .max_pipelined = options.max_pipelined_requests};
 }
 
 /// \brief Replaces an option by a bound of the configuration, if it has one.
@@ -311,56 +312,74 @@
     return !session.takes_peers();
   }
 
-  void OnRequest(ServerSession& session, RefPtr<HeldRequest> request) override {
-    session.set_exchange(next_id_++);
+  void OnRequest(ServerSession& session,
+                 ServerExchange& exchange,
+                 RefPtr<HeldRequest> request) override {
+    exchange.set_id(next_id_++);
+    counts_.pipelined_requests += exchange.has_turn() ? 0 : 1;
     const std::string wrong = NormalizeTarget(&request->head());
     if (!wrong.empty()) {
-      RefuseRequest(session, kBadRequest, wrong);
+      RefuseRequest(exchange, kBadRequest, wrong);
       return;
     }
     if (session.takes_peers() && IsPeerRequest(request->head())) {
-      TakePeerRequest(session, std::move(request));
+      TakePeerRequest(exchange, std::move(request));
       return;
     }
     if (request->head().wire_bytes > max_header_bytes_) {
-      RefuseRequest(session, kHeaderTooLarge, "the header is too large");
+      RefuseRequest(exchange, kHeaderTooLarge, "the header is too large");
       return;
     }
     CallFacts facts = options_.wire->ReadCall(request->head());
     StripConnectionHeaders(&request->head());
     StripSystemHeaders(&request->head());
-    calls_.Arrive(session.exchange(), std::move(facts), std::move(request),
-                  session);
+    calls_.Arrive(exchange.id(), std::move(facts), std::move(request),
+                  exchange);
   }
 
-  void TakePeerRequest(ServerSession& session, RefPtr<HeldRequest> request) {
+  void TakePeerRequest(ServerExchange& exchange, RefPtr<HeldRequest> request) {
     auto peer = ReadPeerRequest(request->head());
     if (!peer.has_value()) {
-      RefuseRequest(session, kBadRequest,
+      RefuseRequest(exchange, kBadRequest,
                     "the headers of the attempt are not well formed");
       return;
     }
     peer->attempt.request_id = options_.wire->RequestIdOf(request->head());
     StripConnectionHeaders(&request->head());
     StripSystemHeaders(&request->head());
-    destination_.Arrive(session.exchange(), *peer, std::move(request),
-                        std::make_unique<SessionLink>(session));
+    destination_.Arrive(exchange.id(), *peer, std::move(request),
+                        std::make_unique<SessionLink>(exchange));
   }
 
-  void RefuseRequest(ServerSession& session,
+  void RefuseRequest(ServerExchange& exchange,
                      std::uint16_t status,
                      std::string_view why) {
     ++counts_.rejected_requests;
-    session.Reply(RefusalHead(status),
-                  ExplanationBody(kOutcomeNotRun,
-                                  NameOf(NotRunReason::kBadRequest), why));
+    exchange.Reply(RefusalHead(status),
+                   ExplanationBody(kOutcomeNotRun,
+                                   NameOf(NotRunReason::kBadRequest), why));
   }
 
-  void OnAnswerEnd(ServerSession& session, bool complete) override {
-    const std::uint64_t id = session.exchange();
-    counts_.relayed_bytes += session.relayed_bytes();
+  void OnTurn(ServerExchange& exchange) override {
+    if (calls_.Has(exchange.id())) {
+      calls_.TakeTurn(exchange.id());
+    }
+  }
+
+  void OnAnswerBroken(ServerExchange& exchange) override {
+    if (calls_.Has(exchange.id())) {
+      calls_.AnswerBroken(exchange.id());
+    } else {
+      exchange.Abort();
+      destination_.LinkGone(exchange.id());
+    }
+  }
+
+  void OnAnswerEnd(ServerExchange& exchange, bool complete) override {
+    const std::uint64_t id = exchange.id();
+    counts_.relayed_bytes += exchange.relayed_bytes();
     if (calls_.Has(id)) {
-      calls_.AnswerEnded(id, complete, session.relayed_bytes());
+      calls_.AnswerEnded(id, complete, exchange.relayed_bytes());
     } else if (complete) {
       destination_.LinkDone(id);
     } else {
@@ -368,8 +387,8 @@
     }
   }
 
-  void OnPeerGone(ServerSession& session) override {
-    const std::uint64_t id = session.exchange();
+  void OnPeerGone(ServerExchange& exchange) override {
+    const std::uint64_t id = exchange.id();
     if (calls_.Has(id)) {
       calls_.CallerLeft(id);
     } else {
@@ -401,6 +420,7 @@
   void Dispatch(const ReplyStillRunning& effect) {
     destination_.Execute(effect);
   }
+  void Dispatch(const ReplyProgress& effect) { destination_.Execute(effect); }
   void Dispatch(const ReplyUnknown& effect) { destination_.Execute(effect); }
   void Dispatch(const ReleaseAttempt& effect) { destination_.Execute(effect); }
   /// \brief Effects for other parts of the node.
--- a/src/cassiabend/http/call_server.h
+++ b/src/cassiabend/http/call_server.h
@@ -32,6 +32,9 @@
   std::uint32_t held_answer_bytes = 256 * 1024;
   /// Bytes of all held requests and answers.
   std::uint64_t max_held_bytes = std::uint64_t{64} * 1024 * 1024;
+  /// Requests of one connection that are read before the first is answered.
+  /// Each may hold an answer of one window (64 KB) until its turn.
+  std::uint32_t max_pipelined_requests = 16;
   Milliseconds connect_timeout{250};
   /// Longest pause within a request, or between bytes of an answer.
   Milliseconds progress_timeout{2'000};
@@ -55,6 +58,9 @@
   std::uint64_t connections = 0;
   std::uint64_t open_connections = 0;
   std::uint64_t rejected_requests = 0;
+  /// Requests that arrived before an earlier one of their connection was
+  /// answered.
+  std::uint64_t pipelined_requests = 0;
   std::uint64_t relayed_bytes = 0;
   std::uint64_t held_bytes = 0;
 };
--- a/src/cassiabend/http/call_table.cc
+++ b/src/cassiabend/http/call_table.cc
@@ -21,6 +21,7 @@
                        reply.reached_upstream, reply.times});
   }
   void StillRunning() override { Post(AttemptStillRunning{call_, attempt_}); }
+  void Progress() override {}
   void Unknown() override { Post(AttemptUnknown{call_, attempt_}); }
   void Close() override { StopWaiting(); }
 
@@ -81,10 +82,26 @@
 void CallTable::Arrive(CallId id,
                        CallFacts facts,
                        RefPtr<HeldRequest> held,
-                       ServerSession& session) {
-  calls_[id] = {.session = RefPtr<ServerSession>(&session),
+                       ServerExchange& exchange) {
+  calls_[id] = {.exchange = RefPtr<ServerExchange>(&exchange),
                 .held = std::move(held)};
-  sink_->Post(CallEvent(CallArrived{id, std::move(facts)}));
+  sink_->Post(
+      CallEvent(CallArrived{id, std::move(facts), !exchange.has_turn()}));
+}
+
+void CallTable::TakeTurn(CallId id) {
+  sink_->Post(CallEvent(CallTurn{id}));
+}
+
+void CallTable::AnswerBroken(CallId id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) {
+    return;
+  }
+  const RefPtr<ServerExchange> exchange = found->second.exchange;
+  exchange->Reply(wire_->Unknown(false),
+                  ExplanationBody(kOutcomeUnknown, {},
+                                  "the answer of the upstream broke off"));
 }
 
 void CallTable::CallerLeft(CallId id) {
@@ -162,8 +179,8 @@
   }
   call->second.relayed = effect.attempt;
   call->second.held = nullptr;
-  const RefPtr<ServerSession> session = call->second.session;
-  session->Relay(answer);
+  const RefPtr<ServerExchange> exchange = call->second.exchange;
+  exchange->Relay(answer);
 }
 
 void CallTable::Execute(const DropAttempt& effect) {
@@ -205,8 +222,8 @@
   if (call == calls_.end()) {
     return;
   }
-  const RefPtr<ServerSession> session = call->second.session;
-  session->Reply(
+  const RefPtr<ServerExchange> exchange = call->second.exchange;
+  exchange->Reply(
       wire_->NotRun(effect.reason, effect.retry_after),
       ExplanationBody(kOutcomeNotRun, NameOf(effect.reason), effect.detail));
 }
@@ -216,9 +233,9 @@
   if (call == calls_.end()) {
     return;
   }
-  const RefPtr<ServerSession> session = call->second.session;
-  session->Reply(wire_->Unknown(effect.timed_out),
-                 ExplanationBody(kOutcomeUnknown, {}, effect.detail));
+  const RefPtr<ServerExchange> exchange = call->second.exchange;
+  exchange->Reply(wire_->Unknown(effect.timed_out),
+                  ExplanationBody(kOutcomeUnknown, {}, effect.detail));
 }
 
 void CallTable::Close() {
--- a/src/cassiabend/http/call_table.h
+++ b/src/cassiabend/http/call_table.h
@@ -11,7 +11,7 @@
 #include "cassiabend/http/call_wire.h"
 #include "cassiabend/http/destination_table.h"
 #include "cassiabend/http/outgoing_pool.h"
-#include "cassiabend/http/server_session.h"
+#include "cassiabend/http/server_exchange.h"
 
 namespace cassiabend {
 
@@ -34,8 +34,12 @@
   void Arrive(CallId id,
               CallFacts facts,
               RefPtr<HeldRequest> held,
-              ServerSession& session);
+              ServerExchange& exchange);
   [[nodiscard]] bool Has(CallId id) const { return calls_.contains(id); }
+  /// \brief All earlier requests of the caller's connection are answered.
+  void TakeTurn(CallId id);
+  /// \brief The answer broke off before any of it left.
+  void AnswerBroken(CallId id);
   /// \brief The caller closed before its answer began.
   void CallerLeft(CallId id);
   /// \brief The caller's connection took the answer, whole or cut.
@@ -55,7 +59,7 @@
   class LocalLink;
 
   struct Call {
-    RefPtr<ServerSession> session;
+    RefPtr<ServerExchange> exchange;
     RefPtr<HeldRequest> held;
     /// Attempt whose answer is being relayed; zero for none.
     AttemptId relayed;
--- a/src/cassiabend/http/connection.cc
+++ b/src/cassiabend/http/connection.cc
@@ -204,7 +204,7 @@
 /// \returns Whether there may be another.
 bool Connection::ParseStep() {
   if (!socket_.is_open() || listener_ == nullptr || is_paused_ ||
-      is_message_done_ || is_closing_) {
+      is_message_done_ || is_closing_ || parser_.error() != ParseError::kNone) {
     return false;
   }
   const std::string_view unread(input_.data() + parsed_, filled_ - parsed_);
--- a/src/cassiabend/http/connection.h
+++ b/src/cassiabend/http/connection.h
@@ -26,8 +26,8 @@
 };
 
 /// \brief Takes what happens on a connection. After `OnEnd` no more calls come
-/// and the connection is closed, except after `kBadMessage`, where it can still
-/// be written to.
+/// and the connection is closed, except after `kBadMessage`: it can still be
+/// written to, and a listener that is set again hears of that.
 class ConnectionListener {
  public:
   ConnectionListener() = default;
--- a/src/cassiabend/http/message_writer.cc
+++ b/src/cassiabend/http/message_writer.cc
@@ -102,6 +102,10 @@
   }
 }
 
+std::string_view ProcessingResponse() noexcept {
+  return "HTTP/1.1 102 Processing\r\n\r\n";
+}
+
 std::string_view ContinueResponse() noexcept {
   return "HTTP/1.1 100 Continue\r\n\r\n";
 }
--- a/src/cassiabend/http/message_writer.h
+++ b/src/cassiabend/http/message_writer.h
@@ -26,6 +26,9 @@
 /// \brief Appends what marks the end of a body.
 void AppendBodyEnd(BodyFraming framing, std::string* out);
 
+/// \returns The interim answer that shows that the final one is still to come.
+[[nodiscard]] std::string_view ProcessingResponse() noexcept;
+
 /// \returns The interim answer to "Expect: 100-continue".
 [[nodiscard]] std::string_view ContinueResponse() noexcept;
 
--- a/src/cassiabend/http/reply_link.h
+++ b/src/cassiabend/http/reply_link.h
@@ -16,6 +16,8 @@
 
   virtual void NotRun(const ReplyNotRun& reply) = 0;
   virtual void StillRunning() = 0;
+  /// \brief Shows that the attempt waits or runs; the link stays open.
+  virtual void Progress() = 0;
   virtual void Unknown() = 0;
   /// \brief Hands over the answer as it arrives, from its start.
   virtual void Answer(RefPtr<AnswerStream> answer,
--- /dev/null
+++ b/src/cassiabend/http/server_exchange.cc
@@ -0,0 +1,192 @@
+#include "cassiabend/http/server_exchange.h"
+
+#include <utility>
+
+#include "cassiabend/http/headers.h"
+#include "cassiabend/http/message_writer.h"
+#include "cassiabend/http/server_session.h"
+
+namespace cassiabend {
+namespace {
+
+/// Bytes of an answer that wait in the connection's output.
+constexpr std::size_t kOutputWindowBytes = std::size_t{64} * 1024;
+constexpr std::uint16_t kNoContent = 204;
+constexpr std::uint16_t kNotModified = 304;
+
+BodyFraming FramingOf(const MessageHead& head,
+                      bool is_head_request,
+                      bool is_http_1_0) noexcept {
+  if (is_head_request || head.status == kNoContent ||
+      head.status == kNotModified) {
+    return BodyFraming::kNone;
+  }
+  if (head.content_length.has_value()) {
+    return BodyFraming::kLength;
+  }
+  return is_http_1_0 ? BodyFraming::kUntilClose : BodyFraming::kChunked;
+}
+
+}  // namespace
+
+void ServerExchange::Reply(MessageHead head, std::string_view body) {
+  if (state_ == State::kAnswering || state_ == State::kFinishing) {
+    session_->Cut();
+    return;
+  }
+  if (state_ != State::kWaiting) {
+    return;
+  }
+  DetachAnswer();
+  reply_ = std::move(head);
+  reply_.content_length = body.size();
+  reply_body_ = body;
+  has_reply_ = true;
+  Pump();
+}
+
+void ServerExchange::Relay(RefPtr<AnswerStream> answer, std::string times) {
+  if (state_ != State::kWaiting) {
+    return;
+  }
+  DetachAnswer();
+  times_ = std::move(times);
+  answer_ = std::move(answer);
+  answer_->set_reader(this);
+  Pump();
+}
+
+void ServerExchange::SendInterim() {
+  if (!has_turn_ || state_ != State::kWaiting || HasAnswer()) {
+    return;
+  }
+  session_->output()->append(ProcessingResponse());
+  session_->Flush();
+}
+
+void ServerExchange::Abort() {
+  if (session_ != nullptr) {
+    session_->Abort(this);
+  }
+}
+
+void ServerExchange::OnAnswer() {
+  Pump();
+}
+
+void ServerExchange::TakeTurn() {
+  has_turn_ = true;
+  Pump();
+}
+
+void ServerExchange::Pump() {
+  if (!has_turn_ || is_pumping_ || state_ == State::kEnded) {
+    return;
+  }
+  const RefPtr<ServerExchange> keep(this);
+  if (has_reply_) {
+    WriteReply();
+  } else if (answer_ != nullptr && answer_->has_head()) {
+    PumpAnswer();
+  }
+}
+
+void ServerExchange::PumpAnswer() {
+  if (state_ == State::kWaiting) {
+    if (answer_->ended() && !answer_->complete()) {
+      // Nothing of it has left, so the connection can go on.
+      DetachAnswer();
+      session_->ReportBroken(*this);
+      return;
+    }
+    WriteAnswerHead();
+  }
+  if (state_ != State::kAnswering) {
+    return;
+  }
+  if (!answer_->Reaches(position_)) {
+    session_->Cut();
+    return;
+  }
+  PumpBody();
+  const bool is_taken = position_ == answer_->end_position();
+  if (answer_->ended() && !answer_->complete()) {
+    session_->Cut();
+    return;
+  }
+  if (answer_->ended() && is_taken) {
+    AppendBodyEnd(framing_, session_->output());
+    Finish();
+  }
+  session_->Flush();
+}
+
+void ServerExchange::WriteReply() {
+  if (state_ != State::kWaiting) {
+    return;
+  }
+  has_reply_ = false;
+  says_close_ = session_->EndsWith(*this);
+  AppendResponseHead(reply_, BodyFraming::kLength, !says_close_,
+                     session_->output());
+  if (!is_head_request_) {
+    session_->output()->append(reply_body_);
+  }
+  Finish();
+  session_->Flush();
+}
+
+void ServerExchange::WriteAnswerHead() {
+  state_ = State::kAnswering;
+  session_->ExpectProgress();
+  MessageHead head = answer_->head();
+  if (session_->states_outcome()) {
+    head.Add(kOutcomeHeader, kOutcomeAnswered);
+  }
+  if (!times_.empty()) {
+    head.Add(kTimesHeader, times_);
+  }
+  framing_ = FramingOf(head, is_head_request_, is_http_1_0_);
+  if (framing_ == BodyFraming::kUntilClose) {
+    session_->EndAfterRequest();
+  }
+  says_close_ = session_->EndsWith(*this);
+  AppendResponseHead(head, framing_, !says_close_, session_->output());
+}
+
+void ServerExchange::PumpBody() {
+  is_pumping_ = true;
+  while (session_->unwritten() < kOutputWindowBytes) {
+    const std::string_view bytes =
+        answer_->Peek(position_).substr(0, kOutputWindowBytes);
+    if (bytes.empty()) {
+      break;
+    }
+    if (framing_ != BodyFraming::kNone) {
+      AppendBody(bytes, framing_, session_->output());
+    }
+    position_ += bytes.size();
+    answer_->Consume(position_);
+  }
+  is_pumping_ = false;
+}
+
+void ServerExchange::Finish() {
+  state_ = State::kFinishing;
+  session_->ExpectProgress();
+}
+
+void ServerExchange::DetachAnswer() noexcept {
+  if (answer_ != nullptr) {
+    answer_->ClearReader(this);
+    answer_ = nullptr;
+  }
+}
+
+void ServerExchange::End() noexcept {
+  state_ = State::kEnded;
+  session_ = nullptr;
+  DetachAnswer();
+}
+
+}  // namespace cassiabend
--- /dev/null
+++ b/src/cassiabend/http/server_exchange.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "cassiabend/base/ref_counted.h"
+#include "cassiabend/http/answer_stream.h"
+#include "cassiabend/http/message.h"
+
+namespace cassiabend {
+
+class ServerSession;
+
+/// \brief One request of an incoming connection and its answer. Answers leave
+/// in the order of the requests: one that is ready before its turn waits here,
+/// a relayed one in its stream, whose limits hold back the upstream.
+class ServerExchange final : public RefCounted<ServerExchange>,
+                             private AnswerReader {
+ public:
+  ServerExchange(ServerSession* session,
+                 bool is_head_request,
+                 bool is_http_1_0) noexcept
+      : session_(session),
+        is_head_request_(is_head_request),
+        is_http_1_0_(is_http_1_0) {}
+
+  /// \brief Number that the handler gave to the request.
+  [[nodiscard]] std::uint64_t id() const noexcept { return id_; }
+  void set_id(std::uint64_t id) noexcept { id_ = id; }
+
+  /// \brief Whether all earlier requests of the connection are answered.
+  [[nodiscard]] bool has_turn() const noexcept { return has_turn_; }
+  /// \brief Bytes of the answer's body that were relayed.
+  [[nodiscard]] std::uint64_t relayed_bytes() const noexcept {
+    return position_;
+  }
+
+  /// \brief Answers with a short message of the system's own. An answer of
+  /// which a part has left is cut instead.
+  void Reply(MessageHead head, std::string_view body);
+  /// \brief Answers with what arrives on `answer`, once it has begun.
+  /// \param times For another node: value of `kTimesHeader`; empty for none.
+  void Relay(RefPtr<AnswerStream> answer, std::string times = {});
+  /// \brief Shows the other end that the answer is still to come, unless
+  /// earlier answers are.
+  void SendInterim();
+  /// \brief Closes the connection at once.
+  void Abort();
+
+ private:
+  friend class ServerSession;
+
+  enum class State : std::uint8_t {
+    /// Nothing of the answer has left.
+    kWaiting,
+    kAnswering,
+    /// All of the answer was handed to the connection.
+    kFinishing,
+    kEnded,
+  };
+
+  void OnAnswer() override;
+
+  /// \returns Whether `Reply` or `Relay` was called.
+  [[nodiscard]] bool HasAnswer() const noexcept {
+    return has_reply_ || answer_ != nullptr;
+  }
+  /// \brief All earlier requests are answered: the answer may leave.
+  void TakeTurn();
+  /// \brief Hands what there is of the answer to the connection.
+  void Pump();
+  void PumpAnswer();
+  void PumpBody();
+  void WriteReply();
+  void WriteAnswerHead();
+  void Finish();
+  void DetachAnswer() noexcept;
+  /// \brief The session has no more to do with this exchange.
+  void End() noexcept;
+
+  /// Null once the exchange has ended.
+  ServerSession* session_;
+  RefPtr<AnswerStream> answer_;
+  std::string times_;
+  /// The system's own answer, until it leaves.
+  MessageHead reply_;
+  std::string reply_body_;
+  std::uint64_t id_ = 0;
+  std::uint64_t position_ = 0;
+  BodyFraming framing_ = BodyFraming::kNone;
+  State state_ = State::kWaiting;
+  bool is_head_request_;
+  bool is_http_1_0_;
+  bool has_turn_ = false;
+  bool has_reply_ = false;
+  bool is_pumping_ = false;
+  /// Whether the answer said that the connection ends with it. One that did
+  /// not say so stays open: its other end may send the next request at once.
+  bool says_close_ = false;
+};
+
+}  // namespace cassiabend
--- a/src/cassiabend/http/server_session.cc
+++ b/src/cassiabend/http/server_session.cc
@@ -1,6 +1,5 @@
 #include "cassiabend/http/server_session.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "cassiabend/http/headers.h"
@@ -10,24 +9,6 @@
 namespace cassiabend {
 namespace {
 
-/// Bytes of an answer that wait in the connection's output.
-constexpr std::size_t kOutputWindowBytes = std::size_t{64} * 1024;
-constexpr std::uint16_t kNoContent = 204;
-constexpr std::uint16_t kNotModified = 304;
-
-BodyFraming FramingOf(const MessageHead& head,
-                      bool is_head_request,
-                      bool is_http_1_0) noexcept {
-  if (is_head_request || head.status == kNoContent ||
-      head.status == kNotModified) {
-    return BodyFraming::kNone;
-  }
-  if (head.content_length.has_value()) {
-    return BodyFraming::kLength;
-  }
-  return is_http_1_0 ? BodyFraming::kUntilClose : BodyFraming::kChunked;
-}
-
 std::uint16_t StatusOf(ParseError error) noexcept {
   switch (error) {
     case ParseError::kHeaderTooLarge:
@@ -76,35 +57,54 @@
 }
 
 void ServerSession::OnMessageStart() {
-  state_ = State::kReading;
-  connection_->SetTimeout(options_.header_timeout);
+  reading_ = is_ending_ ? Reading::kRest : Reading::kRequest;
+  LimitReading(options_.header_timeout);
+}
+
+/// \brief Limits the time for which a sender may pause within a request. While
+/// earlier requests wait for answers their deadlines limit the connection.
+void ServerSession::LimitReading(Milliseconds timeout) {
+  if (exchanges_.empty()) {
+    connection_->SetTimeout(timeout);
+  }
 }
 
 void ServerSession::OnHead(MessageHead& head) {
+  if (reading_ != Reading::kRequest) {
+    return;
+  }
   is_head_request_ = head.method == "HEAD";
   is_http_1_0_ = head.is_http_1_0;
   keep_alive_ = keep_alive_ && head.keep_alive && !head.is_http_1_0;
-  const bool expects_continue = head.expects_continue;
+  wants_continue_ = head.expects_continue;
   const std::uint64_t body_bytes = head.content_length.value_or(0);
   request_ = new HeldRequest(held_bytes_);
   request_->SetHead(std::move(head));
-  connection_->SetTimeout(options_.progress_timeout);
+  LimitReading(options_.progress_timeout);
   if (!MayHold(body_bytes)) {
     Refuse(NotRunHead(NotRunReason::kOverloaded, Seconds(1)),
            "too many bytes are held");
     return;
   }
-  if (expects_continue) {
-    connection_->output()->append(ContinueResponse());
-    connection_->Flush();
+  MaySendContinue();
+}
+
+/// \brief Tells a sender that waits for it to send its body, once no earlier
+/// answer can stand in the way.
+void ServerSession::MaySendContinue() {
+  if (!wants_continue_ || !exchanges_.empty()) {
+    return;
   }
+  wants_continue_ = false;
+  connection_->output()->append(ContinueResponse());
+  connection_->Flush();
 }
 
 void ServerSession::OnBody(std::string_view bytes) {
-  if (state_ != State::kReading) {
+  if (reading_ != Reading::kRequest) {
     return;
   }
-  connection_->SetTimeout(options_.progress_timeout);
+  LimitReading(options_.progress_timeout);
   request_->AppendBody(bytes);
   if (!MayHold(0)) {
     Refuse(NotRunHead(NotRunReason::kOverloaded, Seconds(1)),
@@ -113,13 +113,36 @@
 }
 
 void ServerSession::OnMessageEnd() {
-  if (state_ != State::kReading) {
+  if (reading_ != Reading::kRequest) {
     return;
   }
-  state_ = State::kWaiting;
-  position_ = 0;
-  connection_->ClearTimeout();
-  handler_->OnRequest(*this, std::move(request_));
+  const RefPtr<ServerSession> keep(this);
+  reading_ = Reading::kNothing;
+  wants_continue_ = false;
+  const RefPtr<ServerExchange> exchange = AddExchange();
+  handler_->OnRequest(*this, *exchange, std::move(request_));
+  if (IsOpen()) {
+    ReadOn();
+  }
+}
+
+RefPtr<ServerExchange> ServerSession::AddExchange() {
+  const RefPtr<ServerExchange> exchange(
+      new ServerExchange(this, is_head_request_, is_http_1_0_));
+  exchanges_.push_back(exchange);
+  if (exchanges_.size() == 1) {
+    connection_->ClearTimeout();
+    exchange->TakeTurn();
+  }
+  return exchange;
+}
+
+/// \brief Goes on to the next message where there may be one and there is room.
+void ServerSession::ReadOn() {
+  is_full_ = exchanges_.size() >= options_.max_pipelined;
+  if (!is_full_ && (keep_alive_ || exchanges_.empty())) {
+    connection_->NextMessage(false);
+  }
 }
 
 bool ServerSession::MayHold(std::uint64_t more) const noexcept {
@@ -128,15 +151,14 @@
 
 void ServerSession::OnEnd(ConnectionEnd end) {
   const RefPtr<ServerSession> keep(this);
-  if (end == ConnectionEnd::kBadMessage && state_ <= State::kReading) {
-    RefuseMessage(connection_->parse_error());
+  if (end == ConnectionEnd::kBadMessage) {
+    connection_->set_listener(this);
+    if (!is_ending_) {
+      RefuseMessage(connection_->parse_error());
+    }
     return;
   }
-  if (state_ == State::kWaiting) {
-    handler_->OnPeerGone(*this);
-  } else if (state_ == State::kAnswering || state_ == State::kFinishing) {
-    handler_->OnAnswerEnd(*this, false);
-  }
+  EndExchanges(nullptr);
   EndSession();
 }
 
@@ -144,183 +166,124 @@
   Refuse(RefusalHead(StatusOf(error)), DetailOf(error));
 }
 
-/// \brief Answers a message that did not become a request, and closes.
+/// \brief Answers a message that did not become a request, in its turn, and
+/// closes.
 void ServerSession::Refuse(const MessageHead& head, std::string_view body) {
   const RefPtr<ServerSession> keep(this);
   handler_->OnRefused();
-  MessageHead answer = head;
-  const std::string text =
-      ExplanationBody(kOutcomeNotRun, answer.Get(kReasonHeader), body);
-  answer.content_length = text.size();
-  AppendResponseHead(answer, BodyFraming::kLength, false,
-                     connection_->output());
-  connection_->output()->append(text);
-  connection_->CloseAfterWrite();
-  EndSession();
-}
-
-void ServerSession::Reply(MessageHead head, std::string_view body) {
-  if (state_ == State::kAnswering || state_ == State::kFinishing) {
-    CutAnswer();
-    return;
-  }
-  if (state_ != State::kWaiting) {
-    return;
-  }
-  DetachAnswer();
-  head.content_length = body.size();
-  says_close_ = !keep_alive_;
-  AppendResponseHead(head, BodyFraming::kLength, keep_alive_,
-                     connection_->output());
-  if (!is_head_request_) {
-    connection_->output()->append(body);
-  }
-  FinishAnswer();
-  connection_->Flush();
+  request_ = nullptr;
+  reading_ = Reading::kRest;
+  wants_continue_ = false;
+  keep_alive_ = false;
+  is_head_request_ = false;
+  const RefPtr<ServerExchange> exchange = AddExchange();
+  exchange->Reply(
+      head, ExplanationBody(kOutcomeNotRun, head.Get(kReasonHeader), body));
 }
 
-void ServerSession::Relay(RefPtr<AnswerStream> answer, std::string times) {
-  if (state_ != State::kWaiting) {
-    return;
-  }
-  times_ = std::move(times);
-  DetachAnswer();
-  answer_ = std::move(answer);
-  answer_->set_reader(this);
-  position_ = 0;
-  OnAnswer();
+bool ServerSession::EndsWith(const ServerExchange& exchange) noexcept {
+  is_ending_ = !keep_alive_ && exchanges_.back().get() == &exchange &&
+               reading_ != Reading::kRequest;
+  return is_ending_;
 }
 
-void ServerSession::OnAnswer() {
-  if (is_pumping_ || answer_ == nullptr || !answer_->has_head()) {
-    return;
-  }
+void ServerSession::Cut() {
   const RefPtr<ServerSession> keep(this);
-  if (state_ == State::kWaiting) {
-    SendAnswerHead();
-  }
-  if (state_ != State::kAnswering) {
-    return;
-  }
-  if (!answer_->Reaches(position_)) {
-    CutAnswer();
-    return;
-  }
-  PumpBody();
-  const bool is_taken = position_ == answer_->end_position();
-  if (answer_->ended() && !answer_->complete()) {
-    CutAnswer();
-    return;
-  }
-  if (answer_->ended() && is_taken) {
-    AppendBodyEnd(framing_, connection_->output());
-    FinishAnswer();
-  }
-  connection_->Flush();
+  connection_->Close();
+  EndExchanges(nullptr);
+  EndSession();
 }
 
-void ServerSession::SendAnswerHead() {
-  state_ = State::kAnswering;
-  connection_->SetTimeout(options_.idle_timeout);
-  MessageHead head = answer_->head();
-  if (options_.states_outcome) {
-    head.Add(kOutcomeHeader, kOutcomeAnswered);
-  }
-  if (!times_.empty()) {
-    head.Add(kTimesHeader, times_);
-  }
-  framing_ = FramingOf(head, is_head_request_, is_http_1_0_);
-  keep_alive_ = keep_alive_ && framing_ != BodyFraming::kUntilClose;
-  says_close_ = !keep_alive_;
-  AppendResponseHead(head, framing_, keep_alive_, connection_->output());
+void ServerSession::Abort(const ServerExchange* aborter) {
+  const RefPtr<ServerSession> keep(this);
+  connection_->Close();
+  EndExchanges(aborter);
+  EndSession();
 }
 
-void ServerSession::PumpBody() {
-  is_pumping_ = true;
-  while (connection_->unwritten() < kOutputWindowBytes) {
-    const std::string_view bytes =
-        answer_->Peek(position_).substr(0, kOutputWindowBytes);
-    if (bytes.empty()) {
-      break;
+/// \brief Tells the handler of each request that its answer is lost.
+void ServerSession::EndExchanges(const ServerExchange* aborter) {
+  const auto exchanges = std::exchange(exchanges_, {});
+  for (const RefPtr<ServerExchange>& it : exchanges) {
+    const bool has_begun = it->state_ != ServerExchange::State::kWaiting;
+    it->End();
+    if (it.get() == aborter) {
+      continue;
     }
-    if (framing_ != BodyFraming::kNone) {
-      AppendBody(bytes, framing_, connection_->output());
+    if (has_begun) {
+      handler_->OnAnswerEnd(*it, false);
+    } else {
+      handler_->OnPeerGone(*it);
     }
-    position_ += bytes.size();
-    answer_->Consume(position_);
   }
-  is_pumping_ = false;
-}
-
-void ServerSession::FinishAnswer() {
-  state_ = State::kFinishing;
-  connection_->SetTimeout(options_.idle_timeout);
-}
-
-/// \brief Closes within an answer, so that the other end sees it cut.
-void ServerSession::CutAnswer() {
-  const RefPtr<ServerSession> keep(this);
-  connection_->Close();
-  handler_->OnAnswerEnd(*this, false);
-  EndSession();
 }
 
 void ServerSession::OnDrained() {
-  if (state_ == State::kAnswering) {
-    connection_->SetTimeout(options_.idle_timeout);
-    OnAnswer();
-    return;
-  }
-  if (state_ != State::kFinishing) {
+  if (exchanges_.empty()) {
     return;
   }
   const RefPtr<ServerSession> keep(this);
-  DetachAnswer();
-  state_ = State::kIdle;
-  handler_->OnAnswerEnd(*this, true);
-  if (state_ != State::kIdle) {
+  const RefPtr<ServerExchange> front = exchanges_.front();
+  if (front->state_ == ServerExchange::State::kAnswering) {
+    ExpectProgress();
+    front->Pump();
+  } else if (front->state_ == ServerExchange::State::kFinishing) {
+    FinishFront();
+  }
+}
+
+void ServerSession::FinishFront() {
+  const RefPtr<ServerExchange> front = std::move(exchanges_.front());
+  exchanges_.pop_front();
+  const bool closes = front->says_close_;
+  front->End();
+  handler_->OnAnswerEnd(*front, true);
+  if (!IsOpen()) {
     return;
   }
-  if (says_close_) {
+  if (closes) {
     connection_->CloseAfterWrite();
     EndSession();
     return;
   }
-  StartNext();
-}
-
-void ServerSession::StartNext() {
-  connection_->SetTimeout(options_.idle_timeout);
-  connection_->NextMessage(false);
-}
-
-void ServerSession::Abort() {
-  const RefPtr<ServerSession> keep(this);
-  connection_->Close();
-  EndSession();
+  TurnToNext();
 }
 
-void ServerSession::DetachAnswer() noexcept {
-  if (answer_ != nullptr) {
-    answer_->ClearReader(this);
-    answer_ = nullptr;
+void ServerSession::TurnToNext() {
+  if (!exchanges_.empty()) {
+    const RefPtr<ServerExchange> next = exchanges_.front();
+    connection_->ClearTimeout();
+    if (!next->HasAnswer()) {
+      handler_->OnTurn(*next);
+    }
+    next->TakeTurn();
+  } else if (reading_ == Reading::kRequest) {
+    LimitReading(options_.header_timeout);
+    MaySendContinue();
+  } else {
+    connection_->SetTimeout(options_.idle_timeout);
+  }
+  if (IsOpen() && is_full_) {
+    ReadOn();
   }
 }
 
 void ServerSession::EndSession() {
-  if (state_ == State::kClosed) {
+  if (is_closed_) {
     return;
   }
-  state_ = State::kClosed;
-  DetachAnswer();
+  is_closed_ = true;
   request_ = nullptr;
   handler_->OnSessionEnd(*this);
 }
 
 void ServerSession::Close() noexcept {
-  state_ = State::kClosed;
-  DetachAnswer();
+  is_closed_ = true;
   connection_->Close();
+  for (const RefPtr<ServerExchange>& it : exchanges_) {
+    it->End();
+  }
+  exchanges_.clear();
 }
 
 }  // namespace cassiabend
--- a/src/cassiabend/http/server_session.h
+++ b/src/cassiabend/http/server_session.h
@@ -1,13 +1,16 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
+#include <string>
 #include <string_view>
 
 #include "cassiabend/base/ref_counted.h"
 #include "cassiabend/base/time.h"
-#include "cassiabend/http/answer_stream.h"
 #include "cassiabend/http/connection.h"
 #include "cassiabend/http/message.h"
+#include "cassiabend/http/server_exchange.h"
 
 namespace cassiabend {
 
@@ -23,11 +26,18 @@
 
   /// \brief A request arrived, whole; `Reply` or `Relay` answers it.
   virtual void OnRequest(ServerSession& session,
+                         ServerExchange& exchange,
                          RefPtr<HeldRequest> request) = 0;
+  /// \brief All earlier requests of the connection are answered, and this one,
+  /// which arrived before that, is not.
+  virtual void OnTurn(ServerExchange& /*exchange*/) {}
+  /// \brief The answer handed to `Relay` broke off before any of it left;
+  /// `Reply` answers in its place.
+  virtual void OnAnswerBroken(ServerExchange& exchange) = 0;
   /// \brief The answer was handed over, whole or cut.
-  virtual void OnAnswerEnd(ServerSession& session, bool complete) = 0;
-  /// \brief The other end closed while its request was waiting for an answer.
-  virtual void OnPeerGone(ServerSession& session) = 0;
+  virtual void OnAnswerEnd(ServerExchange& exchange, bool complete) = 0;
+  /// \brief The connection closed before an answer to the request began.
+  virtual void OnPeerGone(ServerExchange& exchange) = 0;
   /// \brief A message was refused before it became a request.
   virtual void OnRefused() = 0;
   /// \brief The connection is closed.
@@ -42,17 +52,22 @@
   std::uint64_t max_held_bytes = std::uint64_t{64} * 1024 * 1024;
   /// Longest time from a request's first byte to the end of its head.
   Milliseconds header_timeout{2'000};
+  /// Requests of one connection that are read before the first is answered.
+  std::uint32_t max_pipelined = 1;
   /// Whether relayed answers carry `kOutcomeHeader`.
   bool states_outcome = true;
   /// Whether other nodes may use the connection.
   bool takes_peers = true;
 };
 
-/// \brief One incoming connection: reads requests whole, one at a time, and
-/// writes their answers.
+/// \brief One incoming connection: reads requests whole, hands on up to
+/// `max_pipelined` of them side by side, and writes their answers in order.
+///
+/// What ends the connection takes effect behind the requests that were read:
+/// they are answered, and the last of their answers says that it closes. Only
+/// a cut answer or the other end's close ends them before.
 class ServerSession final : public RefCounted<ServerSession>,
-                            private ConnectionListener,
-                            private AnswerReader {
+                            private ConnectionListener {
  public:
   ServerSession(Connection::Socket socket,
                 TickList* ticks,
@@ -64,39 +79,24 @@
   [[nodiscard]] bool takes_peers() const noexcept {
     return options_.takes_peers;
   }
-  /// \brief Number that the handler gave to the request being answered.
-  [[nodiscard]] std::uint64_t exchange() const noexcept { return exchange_; }
-  void set_exchange(std::uint64_t exchange) noexcept { exchange_ = exchange; }
-
-  /// \brief Bytes of the body that were relayed for the newest request.
-  [[nodiscard]] std::uint64_t relayed_bytes() const noexcept {
-    return position_;
-  }
 
   void Start();
-  /// \brief Answers with a short message of the system's own. An answer that
-  /// has already begun is cut instead.
-  void Reply(MessageHead head, std::string_view body);
-  /// \brief Answers with what arrives on `answer`, once it has begun.
-  /// \param times For another node: value of `kTimesHeader`; empty for none.
-  void Relay(RefPtr<AnswerStream> answer, std::string times = {});
-  /// \brief Ends the connection after the request in progress, or the next one
-  /// when there is none: its sender may have sent it already.
+  /// \brief Ends the connection after the requests that were read, or after
+  /// the next one when there is none: its sender may have sent it already.
   void EndAfterRequest() noexcept { keep_alive_ = false; }
-  /// \brief Closes at once, with a request or answer in progress.
-  void Abort();
   /// \brief Closes at once; the handler hears nothing more.
   void Close() noexcept;
 
  private:
-  enum class State : std::uint8_t {
-    kIdle,
-    kReading,
-    kWaiting,
-    kAnswering,
-    /// All of the answer was handed to the connection.
-    kFinishing,
-    kClosed,
+  friend class ServerExchange;
+
+  /// \brief What is read from the connection.
+  enum class Reading : std::uint8_t {
+    kNothing,
+    kRequest,
+    /// The rest of a message that was refused, or bytes behind the last
+    /// request.
+    kRest,
   };
 
   void OnMessageStart() override;
@@ -105,38 +105,61 @@
   void OnMessageEnd() override;
   void OnDrained() override;
   void OnEnd(ConnectionEnd end) override;
-  void OnAnswer() override;
+
+  // For the exchanges.
+  [[nodiscard]] std::string* output() noexcept { return connection_->output(); }
+  [[nodiscard]] std::size_t unwritten() const noexcept {
+    return connection_->unwritten();
+  }
+  [[nodiscard]] bool states_outcome() const noexcept {
+    return options_.states_outcome;
+  }
+  /// \returns Whether the connection ends with the answer that begins now. If
+  /// so nothing more is read.
+  [[nodiscard]] bool EndsWith(const ServerExchange& exchange) noexcept;
+  void ExpectProgress() { connection_->SetTimeout(options_.idle_timeout); }
+  void Flush() { connection_->Flush(); }
+  void ReportBroken(ServerExchange& exchange) {
+    handler_->OnAnswerBroken(exchange);
+  }
+  /// \brief Closes within an answer, so that the other end sees it cut.
+  void Cut();
+  /// \brief Closes at once, for reasons that `aborter` knows.
+  void Abort(const ServerExchange* aborter);
 
   [[nodiscard]] bool MayHold(std::uint64_t more) const noexcept;
+  [[nodiscard]] bool IsOpen() const noexcept { return !is_closed_; }
   void RefuseMessage(ParseError error);
   void Refuse(const MessageHead& head, std::string_view body);
-  void SendAnswerHead();
-  void PumpBody();
-  void FinishAnswer();
-  void CutAnswer();
-  void StartNext();
-  void DetachAnswer() noexcept;
+  [[nodiscard]] RefPtr<ServerExchange> AddExchange();
+  void LimitReading(Milliseconds timeout);
+  void MaySendContinue();
+  void ReadOn();
+  void FinishFront();
+  void TurnToNext();
+  void EndExchanges(const ServerExchange* aborter);
   void EndSession();
 
   SessionOptions options_;
   RefPtr<HeldBytes> held_bytes_;
   SessionHandler* handler_;
   RefPtr<Connection> connection_;
+  /// The request being read.
   RefPtr<HeldRequest> request_;
-  RefPtr<AnswerStream> answer_;
-  std::string times_;
-  std::uint64_t position_ = 0;
-  std::uint64_t exchange_ = 0;
-  BodyFraming framing_ = BodyFraming::kNone;
-  State state_ = State::kIdle;
+  /// Requests that were read and not yet answered whole, the oldest first.
+  std::deque<RefPtr<ServerExchange>> exchanges_;
+  Reading reading_ = Reading::kNothing;
   bool is_head_request_ = false;
   bool is_http_1_0_ = false;
+  /// Whether the sender of the request being read waits to be told to go on.
+  bool wants_continue_ = false;
   /// Whether the connection may take another request.
   bool keep_alive_ = true;
-  /// Whether the answer said that the connection ends with it. One that did
-  /// not say so stays open: its other end may send the next request at once.
-  bool says_close_ = false;
-  bool is_pumping_ = false;
+  /// Whether the last request was read: what follows counts as not read.
+  bool is_ending_ = false;
+  /// Whether the next message waits for room among the exchanges.
+  bool is_full_ = false;
+  bool is_closed_ = false;
 };
 
 }  // namespace cassiabend
--- a/src/cassiabend/http/session_link.cc
+++ b/src/cassiabend/http/session_link.cc
@@ -13,26 +13,30 @@
   if (reply.reached_upstream) {
     head.Add(kReachedHeader, "1");
   }
-  session_->Reply(std::move(head),
-                  ExplanationBody(kOutcomeNotRun, NameOf(reply.reason), {}));
+  exchange_->Reply(std::move(head),
+                   ExplanationBody(kOutcomeNotRun, NameOf(reply.reason), {}));
 }
 
 void SessionLink::StillRunning() {
-  session_->Reply(StillRunningHead(),
-                  ExplanationBody(kOutcomeStillRunning, {}, {}));
+  exchange_->Reply(StillRunningHead(),
+                   ExplanationBody(kOutcomeStillRunning, {}, {}));
+}
+
+void SessionLink::Progress() {
+  exchange_->SendInterim();
 }
 
 void SessionLink::Unknown() {
-  session_->Reply(UnknownHead(), ExplanationBody(kOutcomeUnknown, {}, {}));
+  exchange_->Reply(UnknownHead(), ExplanationBody(kOutcomeUnknown, {}, {}));
 }
 
 void SessionLink::Answer(RefPtr<AnswerStream> answer,
                          const DestinationTimes& times) {
-  session_->Relay(std::move(answer), FormatTimes(times));
+  exchange_->Relay(std::move(answer), FormatTimes(times));
 }
 
 void SessionLink::Close() {
-  session_->Abort();
+  exchange_->Abort();
 }
 
 }  // namespace cassiabend
--- a/src/cassiabend/node/metrics.cc
+++ b/src/cassiabend/node/metrics.cc
@@ -108,6 +108,10 @@
     {"cassiabend_rejected_requests_total",
      "Requests refused as malformed or over a limit.", MetricType::Counter,
      &CallServerCounts::rejected_requests},
+    {"cassiabend_pipelined_requests_total",
+     "Requests that arrived before an earlier one of their connection was "
+     "answered.",
+     MetricType::Counter, &CallServerCounts::pipelined_requests},
     {"cassiabend_relayed_bytes_total", "Bytes of answers relayed.",
      MetricType::Counter, &CallServerCounts::relayed_bytes},
     {"cassiabend_held_bytes", "Bytes of requests and answers held.",
--- a/src/cassiabend/node/settings_fields.cc
+++ b/src/cassiabend/node/settings_fields.cc
@@ -229,6 +229,9 @@
 
 using Http = CallServerOptions;
 constexpr auto kHttpFields = std::to_array<SettingField<Http>>({
+    {"max_pipelined_requests", &Http::max_pipelined_requests, 1, 256,
+     "Requests of one connection that are read before the first is answered; "
+     "each may hold 64 KB of its answer until its turn."},
     {"max_connections", &Http::max_connections, 1, 1'000'000,
      "Connections that the call port accepts."},
     {"max_header_bytes", &Http::max_header_bytes, 512, kMebibyte,
--- a/tests/shell/http_call_server_test.cc
+++ b/tests/shell/http_call_server_test.cc
@@ -113,6 +113,18 @@
   CHECK(all.find("Content-Length: 22") < all.find("Content-Length: 33"));
 }
 
+TEST_CASE("pipelined requests reach the decision core before the first ends") {
+  boost::asio::io_context io;
+  CallServerOptions options = OptionsFor(0);
+  options.max_pipelined_requests = 3;
+  ScriptedNode node(io, options);
+  const auto caller = RawPeer::Connect(io, node.port());
+  caller->Send(Get("/1") + Get("/2") + Get("/3") + Get("/4"));
+  CHECK(node.Await<CallArrived>(3).waits_turn);
+  CHECK(node.Count<CallArrived>() == 3);
+  CHECK(node.server().counts().pipelined_requests == 2);
+}
+
 TEST_CASE("a large answer goes to a slow reader whole and in bounded memory") {
   constexpr std::size_t kBytes = std::size_t{16} * 1024 * 1024;
   constexpr std::size_t kMostHeld = std::size_t{2} * 1024 * 1024;
--- /dev/null
+++ b/tests/shell/pipelining_test.cc
@@ -0,0 +1,414 @@
+// Callers that send further requests before the first is answered.
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cassiabend/base/random.h"
+#include "tests/support/scripted_session.h"
+
+namespace cassiabend {
+namespace {
+
+constexpr std::uint32_t kWindow = 4;
+
+SessionOptions WindowOptions() {
+  SessionOptions options;
+  options.limits.body_bytes = 1024;
+  options.max_pipelined = kWindow;
+  options.states_outcome = false;
+  return options;
+}
+
+std::string Get(const std::string& target, const std::string& headers = "") {
+  return "GET " + target + " HTTP/1.1\r\nHost: h\r\n" + headers + "\r\n";
+}
+
+/// \brief Answers as a caller reads them off its connection.
+struct Received {
+  std::vector<std::string> bodies;
+  std::vector<int> statuses;
+  /// Whether the last answer said that the connection ends.
+  bool says_close = false;
+  /// Whether bytes of an answer that is not whole are left.
+  bool is_cut = false;
+};
+
+Received ReadAnswers(std::string_view text) {
+  Received out;
+  while (!text.empty()) {
+    const std::size_t head_end = text.find("\r\n\r\n");
+    const std::size_t length_at = text.find("Content-Length: ");
+    if (head_end == std::string_view::npos || length_at > head_end) {
+      out.is_cut = true;
+      return out;
+    }
+    const std::string_view head = text.substr(0, head_end);
+    const std::size_t n =
+        std::stoul(std::string(text.substr(length_at + 16, 8)));
+    if (text.size() < head_end + 4 + n) {
+      out.is_cut = true;
+      return out;
+    }
+    out.statuses.push_back(std::stoi(std::string(head.substr(9, 3))));
+    out.bodies.emplace_back(text.substr(head_end + 4, n));
+    out.says_close = head.find("Connection: close") != std::string_view::npos;
+    text.remove_prefix(head_end + 4 + n);
+  }
+  return out;
+}
+
+TEST_CASE("requests run side by side and are answered in order") {
+  ScriptedSession it(WindowOptions());
+  it.caller->Send(Get("/0") + Get("/1") + Get("/2"));
+  REQUIRE(it.Until([&] { return it.requests.size() == 3; }));
+  CHECK(it.requests[0].had_turn);
+  CHECK_FALSE(it.requests[1].had_turn);
+  it.Answer(2);
+  it.Answer(1);
+  it.Settle();
+  CHECK(it.caller->received().empty());
+  it.Answer(0);
+  REQUIRE(it.Until([&] { return it.requests[2].whole_ends == 1; }));
+  it.Settle();
+  const Received received = ReadAnswers(it.caller->received());
+  CHECK(received.bodies == std::vector<std::string>{"</0>", "</1>", "</2>"});
+  CHECK_FALSE(received.says_close);
+}
+
+TEST_CASE("a request is told when it has its turn") {
+  ScriptedSession it(WindowOptions());
+  it.caller->Send(Get("/0") + Get("/1") + Get("/2"));
+  REQUIRE(it.Until([&] { return it.requests.size() == 3; }));
+  it.Answer(2);
+  it.Answer(0);
+  REQUIRE(it.Until([&] { return it.requests[1].turns == 1; }));
+  CHECK(it.requests[0].turns == 0);
+  it.Answer(1);
+  REQUIRE(it.Until([&] { return it.requests[2].whole_ends == 1; }));
+  CHECK(it.requests[2].turns == 0);
+}
+
+TEST_CASE("no more requests are taken than the window holds") {
+  ScriptedSession it(WindowOptions());
+  for (int i = 0; i < 10; ++i) {
+    it.caller->Send(Get("/" + std::to_string(i)));
+  }
+  REQUIRE(it.Until([&] { return it.requests.size() == kWindow; }));
+  it.Settle();
+  CHECK(it.requests.size() == kWindow);
+  it.Answer(1);
+  it.Settle();
+  CHECK(it.requests.size() == kWindow);
+  it.Answer(0);
+  REQUIRE(it.Until([&] { return it.requests.size() == kWindow + 2; }));
+}
+
+TEST_CASE("an early answer is held by its window, and holds back its writer") {
+  ScriptedSession it(WindowOptions());
+  it.caller->Send(Get("/0") + Get("/1"));
+  REQUIRE(it.Until([&] { return it.requests.size() == 2; }));
+  const RefPtr<AnswerStream> answer(new AnswerStream({}, it.held_bytes));
+  answer->Begin({.status = 200, .reason = "OK", .content_length = 80'000});
+  it.requests[1].exchange->Relay(answer);
+  std::size_t sent = 0;
+  while (answer->HasRoom()) {
+    answer->Append(std::string(1'000, 'x'));
+    sent += 1'000;
+  }
+  it.Settle();
+  CHECK(sent <= AnswerLimits{}.window_bytes + 1'000);
+  CHECK(it.held_bytes->n == sent);
+  it.Answer(0);
+  REQUIRE(it.Until([&] { return answer->HasRoom(); }));
+  while (sent < 80'000) {
+    answer->Append(std::string(1'000, 'x'));
+    sent += 1'000;
+  }
+  answer->Finish(true);
+  REQUIRE(it.Until([&] { return it.requests[1].whole_ends == 1; }));
+}
+
+TEST_CASE("the caller's close ends all that is under way") {
+  ScriptedSession it(WindowOptions());
+  it.caller->Send(Get("/0") + Get("/1") + Get("/2"));
+  REQUIRE(it.Until([&] { return it.requests.size() == 3; }));
+  const auto begun = it.Begin(0);
+  it.Answer(2);
+  it.Settle();
+  it.caller->Close();
+  REQUIRE(it.Until([&] { return it.has_ended; }));
+  CHECK(it.requests[0].cut_ends == 1);
+  CHECK(it.requests[1].gone == 1);
+  CHECK(it.requests[2].gone == 1);
+  CHECK(it.held_bytes->n == 0);
+}
+
+TEST_CASE("a cut answer ends the connection and the requests behind it") {
+  ScriptedSession it(WindowOptions());
+  it.caller->Send(Get("/0") + Get("/1"));
+  REQUIRE(it.Until([&] { return it.requests.size() == 2; }));
+  it.Answer(1);
+  const auto answer = it.Begin(0);
+  answer->Append("<");
+  it.Settle();
+  answer->Finish(false);
+  REQUIRE(it.Until([&] { return it.caller->closed(); }));
+  CHECK(it.requests[0].cut_ends == 1);
+  CHECK(it.requests[1].gone == 1);
+  const Received received = ReadAnswers(it.caller->received());
+  CHECK(received.bodies.empty());
+  CHECK(received.is_cut);
+}
+
+TEST_CASE("an answer that breaks off before its turn does not end the rest") {
+  ScriptedSession it(WindowOptions());
+  it.caller->Send(Get("/0") + Get("/1") + Get("/2"));
+  REQUIRE(it.Until([&] { return it.requests.size() == 3; }));
+  const auto answer = it.Begin(1);
+  answer->Append("<");
+  answer->Finish(false);
+  it.Answer(2);
+  it.Answer(0);
+  REQUIRE(it.Until([&] { return it.requests[2].whole_ends == 1; }));
+  it.Settle();
+  CHECK(it.requests[1].broken == 1);
+  CHECK(ReadAnswers(it.caller->received()).statuses ==
+        std::vector<int>{200, 502, 200});
+}
+
+TEST_CASE("a malformed message is refused behind the answers before it") {
+  ScriptedSession it(WindowOptions());
+  it.caller->Send(Get("/0") + Get("/1") + "nonsense\r\n\r\n" + Get("/3"));
+  REQUIRE(it.Until([&] { return it.refused == 1; }));
+  REQUIRE(it.requests.size() == 2);
+  it.Settle();
+  CHECK(it.caller->received().empty());
+  it.Answer(1);
+  it.Answer(0);
+  REQUIRE(it.Until([&] { return it.caller->closed(); }));
+  const Received received = ReadAnswers(it.caller->received());
+  CHECK(received.statuses == std::vector<int>{200, 200, 400});
+  CHECK(received.says_close);
+  CHECK(it.requests.size() == 2);
+}
+
+TEST_CASE("a body over the limit is refused behind the answers before it") {
+  ScriptedSession it(WindowOptions());
+  it.caller->Send(
+      Get("/0") +
+      "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n");
+  REQUIRE(it.Until([&] { return it.refused == 1; }));
+  it.Answer(0);
+  REQUIRE(it.Until([&] { return it.caller->closed(); }));
+  CHECK(ReadAnswers(it.caller->received()).statuses ==
+        std::vector<int>{200, 413});
+}
+
+TEST_CASE("requests over the bytes that may be held are refused in turn") {
+  SessionOptions options = WindowOptions();
+  options.max_held_bytes = 600;
+  ScriptedSession it(options);
+  it.caller->Send(Get("/0") +
+                  "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n\r\n" +
+                  std::string(900, 'a') + Get("/2"));
+  REQUIRE(it.Until([&] { return it.refused == 1; }));
+  it.Answer(0);
+  REQUIRE(it.Until([&] { return it.caller->closed(); }));
+  CHECK(ReadAnswers(it.caller->received()).statuses ==
+        std::vector<int>{200, 503});
+  CHECK(it.requests.size() == 1);
+}
+
+TEST_CASE("what follows a request that closes counts as not read") {
+  ScriptedSession it(WindowOptions());
+  it.caller->Send(Get("/0") + Get("/1", "Connection: close\r\n") + Get("/2"));
+  REQUIRE(it.Until([&] { return it.requests.size() == 2; }));
+  it.Answer(1);
+  it.Answer(0);
+  REQUIRE(it.Until([&] { return it.caller->closed(); }));
+  const Received received = ReadAnswers(it.caller->received());
+  CHECK(received.bodies == std::vector<std::string>{"</0>", "</1>"});
+  CHECK(received.says_close);
+  CHECK(it.requests.size() == 2);
+}
+
+TEST_CASE("a planned stop answers all that was read, and says so at the last") {
+  ScriptedSession it(WindowOptions());
+  it.caller->Send(Get("/0") + Get("/1"));
+  REQUIRE(it.Until([&] { return it.requests.size() == 2; }));
+  it.session->EndAfterRequest();
+  it.Answer(0);
+  REQUIRE(it.Until([&] { return it.requests[0].whole_ends == 1; }));
+  it.Settle();
+  CHECK_FALSE(ReadAnswers(it.caller->received()).says_close);
+  // A request that crosses the stop is read as long as no answer said close.
+  it.caller->Send(Get("/2"));
+  REQUIRE(it.Until([&] { return it.requests.size() == 3; }));
+  it.Answer(2);
+  it.Answer(1);
+  REQUIRE(it.Until([&] { return it.caller->closed(); }));
+  const Received received = ReadAnswers(it.caller->received());
+  CHECK(received.bodies == std::vector<std::string>{"</0>", "</1>", "</2>"});
+  CHECK(received.says_close);
+}
+
+TEST_CASE("half a request behind others does not cut their answers") {
+  SessionOptions options = WindowOptions();
+  options.header_timeout = Milliseconds(60);
+  ScriptedSession it(options);
+  it.caller->Send(Get("/0") + "GET /1 HT");
+  REQUIRE(it.Until([&] { return it.requests.size() == 1; }));
+  boost::asio::steady_timer timer(it.io, std::chrono::milliseconds(200));
+  bool is_over = false;
+  timer.async_wait([&](const auto& /*ec*/) { is_over = true; });
+  REQUIRE(it.Until([&] { return is_over; }));
+  CHECK_FALSE(it.caller->closed());
+  it.Answer(0);
+  REQUIRE(it.Until([&] { return it.caller->closed(); }));
+  CHECK(ReadAnswers(it.caller->received()).bodies ==
+        std::vector<std::string>{"</0>"});
+}
+
+TEST_CASE("a sender that waits to go on is told behind the earlier answer") {
+  ScriptedSession it(WindowOptions());
+  it.caller->Send(Get("/0") +
+                  "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+                  "Expect: 100-continue\r\n\r\n");
+  REQUIRE(it.Until([&] { return it.requests.size() == 1; }));
+  it.Settle();
+  CHECK(it.caller->received().empty());
+  it.Answer(0);
+  REQUIRE(it.Until([&] { return it.caller->Has("100 Continue"); }));
+  CHECK(it.caller->received().find("</0>") <
+        it.caller->received().find("100 Continue"));
+  it.caller->Send("ab");
+  REQUIRE(it.Until([&] { return it.requests.size() == 2; }));
+}
+
+/// \brief What a random run did, as a plain model knows it.
+struct Model {
+  std::size_t sent = 0;
+  bool was_cut = false;
+  bool caller_closed = false;
+  /// Requests that were told their answer.
+  std::set<std::size_t> answered;
+};
+
+/// \brief Answers one request at random: whole at once, or piece by piece.
+void AnswerAtRandom(ScriptedSession* it,
+                    Random* random,
+                    std::map<std::size_t, RefPtr<AnswerStream>>* begun,
+                    Model* model) {
+  const std::size_t n = random->Below(it->requests.size());
+  const auto found = begun->find(n);
+  const std::string body = ScriptedSession::BodyOf(it->requests[n].target);
+  if (found == begun->end()) {
+    if (it->requests[n].ends() != 0 || !model->answered.insert(n).second) {
+      return;
+    }
+    if (random->Below(2) == 0) {
+      it->Answer(n);
+    } else {
+      (*begun)[n] = it->Begin(n);
+    }
+    return;
+  }
+  const RefPtr<AnswerStream> answer = found->second;
+  if (answer->ended()) {
+    return;
+  }
+  if (random->Below(30) == 0) {
+    model->was_cut = true;
+    answer->Finish(false);
+    return;
+  }
+  const std::size_t at = answer->end_position();
+  answer->Append(std::string_view(body).substr(at, 1 + random->Below(2)));
+  if (answer->end_position() == body.size()) {
+    answer->Finish(true);
+  }
+}
+
+/// \brief One run of reads, answers, cuts, closes and stops in random order.
+void RunAtRandom(std::uint64_t seed) {
+  constexpr int kSteps = 120;
+  Random random(seed);
+  ScriptedSession it(WindowOptions());
+  Model model;
+  std::map<std::size_t, RefPtr<AnswerStream>> begun;
+  std::string unsent;
+  for (int i = 0; i < kSteps && !model.caller_closed; ++i) {
+    const std::uint64_t choice = random.Below(100);
+    if (choice < 25) {
+      const bool closes = random.Below(40) == 0;
+      unsent += Get("/" + std::to_string(model.sent++),
+                    closes ? "Connection: close\r\n" : "");
+    } else if (choice < 45) {
+      const std::size_t n = random.Below(unsent.size() + 1);
+      it.caller->Send(unsent.substr(0, n));
+      unsent.erase(0, n);
+    } else if (choice < 90) {
+      if (!it.requests.empty()) {
+        AnswerAtRandom(&it, &random, &begun, &model);
+      }
+    } else if (choice == 90) {
+      it.session->EndAfterRequest();
+    } else if (choice == 91) {
+      model.caller_closed = random.Below(4) == 0;
+    } else {
+      it.Settle();
+    }
+  }
+  if (model.caller_closed) {
+    it.Settle();
+    it.caller->Close();
+    REQUIRE(it.Until([&] { return it.has_ended; }));
+  }
+  // Whatever was read gets its answer unless the connection was cut.
+  for (std::size_t n = 0; n < it.requests.size(); ++n) {
+    if (begun.contains(n) && !begun[n]->ended()) {
+      const std::string body = ScriptedSession::BodyOf(it.requests[n].target);
+      begun[n]->Append(body.substr(begun[n]->end_position()));
+      begun[n]->Finish(true);
+    } else if (!model.answered.contains(n) && it.requests[n].ends() == 0) {
+      it.Answer(n);
+    }
+    it.Settle();
+  }
+  it.Settle();
+  const Received received = ReadAnswers(it.caller->received());
+  REQUIRE(received.bodies.size() <= it.requests.size());
+  for (std::size_t n = 0; n < received.bodies.size(); ++n) {
+    CHECK(received.bodies[n] == "</" + std::to_string(n) + ">");
+  }
+  std::size_t unanswered = 0;
+  for (const ScriptedSession::Request& request : it.requests) {
+    CHECK(request.ends() <= 1);
+    unanswered += request.ends() == 0 ? 1 : 0;
+    CHECK((request.whole_ends == 1 || model.was_cut || model.caller_closed ||
+           request.ends() == 0));
+  }
+  CHECK(unanswered == 0);
+  if (!model.was_cut && !model.caller_closed) {
+    CHECK(received.bodies.size() == it.requests.size());
+    CHECK_FALSE(received.is_cut);
+    // Only an answer that said so ended the connection.
+    CHECK(it.has_ended == received.says_close);
+  }
+}
+
+TEST_CASE("any order of reads, answers, cuts, closes and stops keeps order") {
+  constexpr std::uint64_t kRuns = 400;
+  for (std::uint64_t seed = 1; seed <= kRuns; ++seed) {
+    CAPTURE(seed);
+    RunAtRandom(seed);
+  }
+}
+
+}  // namespace
+}  // namespace cassiabend
--- a/tools/fake_upstream_server.cc
+++ b/tools/fake_upstream_server.cc
@@ -72,12 +72,12 @@
 /// \brief One request that waits or runs.
 struct FakeUpstream::Work {
   Work(boost::asio::io_context& io,
-       ServerSession& owner,
+       ServerExchange& owner,
        RefPtr<HeldRequest> held)
-      : session(&owner), request(std::move(held)), timer(io) {}
+      : exchange(&owner), request(std::move(held)), timer(io) {}
 
   /// Null once the connection has closed.
-  RefPtr<ServerSession> session;
+  RefPtr<ServerExchange> exchange;
   RefPtr<HeldRequest> request;
   boost::asio::steady_timer timer;
   bool is_running = false;
@@ -163,10 +163,11 @@
   }
 }
 
-void FakeUpstream::OnRequest(ServerSession& session,
+void FakeUpstream::OnRequest(ServerSession& /*session*/,
+                             ServerExchange& exchange,
                              RefPtr<HeldRequest> request) {
-  session.set_exchange(next_id_++);
-  if (TakeOwnPath(session, *request)) {
+  exchange.set_id(next_id_++);
+  if (TakeOwnPath(exchange, *request)) {
     return;
   }
   if (faults_.shed || Overloaded()) {
@@ -174,28 +175,28 @@
     MessageHead head = HeadWithStatus(503);
     head.Add(kUpstreamShedHeader, "1");
     head.Add(kRetryAfterHeader, "1");
-    session.Reply(std::move(head), "shed\n");
+    exchange.Reply(std::move(head), "shed\n");
     return;
   }
-  Enqueue(session, std::move(request));
+  Enqueue(exchange, std::move(request));
 }
 
 /// \brief Answers the stand-in's own paths.
 /// \returns Whether the request was for one of these.
-bool FakeUpstream::TakeOwnPath(ServerSession& session,
+bool FakeUpstream::TakeOwnPath(ServerExchange& exchange,
                                const HeldRequest& request) {
   const std::string& target = request.head().target;
   if (target == kExecutionsPath) {
-    AnswerJson(session, ledger_.ToJson());
+    AnswerJson(exchange, ledger_.ToJson());
     return true;
   }
   if (target == kControlPath) {
     const bool is_valid = ApplyControl(request.body());
-    session.Reply(HeadWithStatus(is_valid ? 200 : 400), "");
+    exchange.Reply(HeadWithStatus(is_valid ? 200 : 400), "");
     return true;
   }
   if (target == kHealthPath && !faults_.silent) {
-    AnswerHealth(session);
+    AnswerHealth(exchange);
     return true;
   }
   return false;
@@ -205,10 +206,10 @@
   return options_.shed_above != 0 && work_.size() >= options_.shed_above;
 }
 
-void FakeUpstream::Enqueue(ServerSession& session,
+void FakeUpstream::Enqueue(ServerExchange& exchange,
                            RefPtr<HeldRequest> request) {
-  const std::uint64_t id = session.exchange();
-  work_[id] = std::make_unique<Work>(io_, session, std::move(request));
+  const std::uint64_t id = exchange.id();
+  work_[id] = std::make_unique<Work>(io_, exchange, std::move(request));
   waiting_.push_back(id);
   RunWaiting();
 }
@@ -255,7 +256,7 @@
   const std::unique_ptr<Work> work = std::move(found->second);
   work_.erase(found);
   --running_;
-  if (work->session != nullptr) {
+  if (work->exchange != nullptr) {
     Answer(*work);
   }
 }
@@ -271,37 +272,42 @@
   MessageHead head = HeadWithStatus(status);
   head.Add(kRequestIdHeader, work.request->head().Get(kRequestIdHeader));
   if (!faults_.break_answers) {
-    work.session->Reply(std::move(head), body);
+    work.exchange->Reply(std::move(head), body);
     return;
   }
   head.content_length = body.size() + 1;
   const RefPtr<AnswerStream> answer(new AnswerStream({}, held_bytes_));
   answer->Begin(std::move(head));
   answer->Append(std::string_view(body).substr(0, body.size() / 2));
-  work.session->Relay(answer);
+  work.exchange->Relay(answer);
   boost::asio::post(io_, [answer] { answer->Finish(false); });
 }
 
-void FakeUpstream::AnswerJson(ServerSession& session,
+void FakeUpstream::AnswerJson(ServerExchange& exchange,
                               const boost::json::object& body) {
   MessageHead head = HeadWithStatus(200);
   head.Add("Content-Type", "application/json");
-  session.Reply(std::move(head), boost::json::serialize(body) + "\n");
+  exchange.Reply(std::move(head), boost::json::serialize(body) + "\n");
 }
 
-void FakeUpstream::AnswerHealth(ServerSession& session) {
+void FakeUpstream::AnswerHealth(ServerExchange& exchange) {
   const bool lies = options_.health == FakeHealth::kLying;
   const bool lags = options_.health == FakeHealth::kLagging;
   std::int64_t load = lags ? load_samples_.front() : LoadPermille();
   load = lies ? 0 : load;
-  AnswerJson(session, {{"healthy", lies || (is_warm_ && !faults_.unhealthy)},
-                       {"load_permille", load}});
+  AnswerJson(exchange, {{"healthy", lies || (is_warm_ && !faults_.unhealthy)},
+                        {"load_permille", load}});
 }
 
-void FakeUpstream::OnAnswerEnd(ServerSession& /*session*/, bool /*complete*/) {}
+void FakeUpstream::OnAnswerBroken(ServerExchange& exchange) {
+  exchange.Abort();
+}
+
+void FakeUpstream::OnAnswerEnd(ServerExchange& /*exchange*/,
+                               bool /*complete*/) {}
 
-void FakeUpstream::OnPeerGone(ServerSession& session) {
-  Cancel(session.exchange());
+void FakeUpstream::OnPeerGone(ServerExchange& exchange) {
+  Cancel(exchange.id());
 }
 
 void FakeUpstream::OnSessionEnd(ServerSession& session) {
@@ -314,7 +320,7 @@
     return;
   }
   if (found->second->is_running && options_.refuse_cancel) {
-    found->second->session = nullptr;
+    found->second->exchange = nullptr;
     return;
   }
   if (found->second->is_running) {
--- a/tools/fake_upstream_server.h
+++ b/tools/fake_upstream_server.h
@@ -83,26 +83,29 @@
   struct Work;
   using WorkMap = std::map<std::uint64_t, std::unique_ptr<Work>>;
 
-  void OnRequest(ServerSession& session, RefPtr<HeldRequest> request) override;
-  void OnAnswerEnd(ServerSession& session, bool complete) override;
-  void OnPeerGone(ServerSession& session) override;
+  void OnRequest(ServerSession& session,
+                 ServerExchange& exchange,
+                 RefPtr<HeldRequest> request) override;
+  void OnAnswerBroken(ServerExchange& exchange) override;
+  void OnAnswerEnd(ServerExchange& exchange, bool complete) override;
+  void OnPeerGone(ServerExchange& exchange) override;
   void OnRefused() override {}
   void OnSessionEnd(ServerSession& session) override;
 
   void Listen();
   void Accept();
   void WarmUp();
-  [[nodiscard]] bool TakeOwnPath(ServerSession& session,
+  [[nodiscard]] bool TakeOwnPath(ServerExchange& exchange,
                                  const HeldRequest& request);
   [[nodiscard]] bool Overloaded() const noexcept;
-  void Enqueue(ServerSession& session, RefPtr<HeldRequest> request);
+  void Enqueue(ServerExchange& exchange, RefPtr<HeldRequest> request);
   void RunWaiting();
   void Run(std::uint64_t id);
   void Finish(std::uint64_t id);
   void Cancel(std::uint64_t id);
   void Answer(Work& work);
-  void AnswerJson(ServerSession& session, const boost::json::object& body);
-  void AnswerHealth(ServerSession& session);
+  void AnswerJson(ServerExchange& exchange, const boost::json::object& body);
+  void AnswerHealth(ServerExchange& exchange);
   [[nodiscard]] bool ApplyControl(const std::string& text);
   void SampleLoad();
   [[nodiscard]] std::int64_t LoadPermille() const noexcept;
