Show progress to the entry node, and end answers without end

Cause: an attempt that waits or runs for longer than the progress timeout (1.5 s as deployed) looks like a lost connection to its entry node. It closes it and fetches over a new one; where that takes more than the orphan grace of 150 ms, as on hosts of 0.1 cores, the destination has cancelled the run at its upstream, and the caller is told unknown. A trace of a leaving node showed just that: an attempt cut at its upstream 1.5 s after it was sent, and a 502 soon after. Ruled out: the end of the leaving node's time, which was 2 s away.

Change: a destination shows its entry node each 700 ms that an attempt waits or runs, as an interim response; a connection that shows nothing is still given up after the progress timeout. An answer that still arrives 5 s after the deadline is cancelled, of whatever kind: before, the answer without end of a call that runs once held its slot for ever.

Tests: attempt_test (virtual time), http_faults_test: progress, and heads, interim answers and bodies without end. They fail without the change, but for the head without end, which was closed before too.

--- a/src/cassiabend/core/attempt.h
+++ b/src/cassiabend/core/attempt.h
@@ -30,8 +30,10 @@
   /// The attempt that the connection asked for: the attempt itself, or one
   /// that repeats its order.
   AttemptId asked;
-  /// When a fetch is told "still running"; the maximum for none.
-  MonoTime fetch_due = MonoTime::max();
+  /// When it is told next that the attempt waits or runs.
+  MonoTime news_due = MonoTime::max();
+  /// Whether it brought a fetch or cancel, which ends with that news.
+  bool fetches = false;
   /// Whether the answer goes there.
   bool bound = false;
 };
@@ -79,11 +81,11 @@
   [[nodiscard]] bool is_started() const noexcept {
     return state == AttemptState::kRunning || state == AttemptState::kAnswering;
   }
-  /// \returns When the first fetch is told "still running".
-  [[nodiscard]] MonoTime fetch_due() const noexcept {
+  /// \returns When the first connection is told that the attempt still runs.
+  [[nodiscard]] MonoTime news_due() const noexcept {
     MonoTime due = MonoTime::max();
     for (const AttemptLink& it : links) {
-      due = it.fetch_due < due ? it.fetch_due : due;
+      due = it.news_due < due ? it.news_due : due;
     }
     return due;
   }
--- a/src/cassiabend/core/call_destination.cc
+++ b/src/cassiabend/core/call_destination.cc
@@ -8,6 +8,13 @@
 
 /// How long a fetch waits before it is told that the attempt still runs.
 constexpr Milliseconds kFetchWait{1'000};
+/// Pause between signs of an attempt that waits or runs: two of them fit into
+/// the shortest time after which an entry node takes a connection for silent
+/// (`http.progress_timeout_ms`, 1,500 ms as deployed).
+constexpr Milliseconds kProgressPeriod{700};
+/// How long after its deadline an upstream may still send its answer. Callers
+/// have left by then, and an answer without end would hold its slot for ever.
+constexpr Milliseconds kAnswerOverrun{5'000};
 /// How long a repeatable attempt runs on without a connection.
 constexpr Milliseconds kOrphanGrace{150};
 /// How long the answer of a repeatable attempt is held once it was taken.
@@ -161,7 +168,8 @@
 
 void CallDestination::Admit(const AttemptArrived& event) {
   Attempt* attempt = table_.Add(event.request);
-  (void)table_.AddLink(attempt, {event.link, event.request.id});
+  (void)table_.AddLink(attempt, {event.link, event.request.id,
+                                 context_->now.mono + kProgressPeriod});
   Schedule(attempt);
   if (const auto order = OrderOf(event.request)) {
     Claim(*order, attempt);
@@ -289,9 +297,9 @@
                            const AttemptId& asked,
                            LinkId link,
                            bool fetches) {
-  const MonoTime fetch_due =
-      fetches ? context_->now.mono + kFetchWait : MonoTime::max();
-  if (!table_.AddLink(attempt, {link, asked, fetch_due})) {
+  const MonoTime news_due =
+      context_->now.mono + (fetches ? kFetchWait : kProgressPeriod);
+  if (!table_.AddLink(attempt, {link, asked, news_due, fetches})) {
     context_->Emit(ReplyUnknown{link, asked});
     return;
   }
@@ -343,7 +351,7 @@
       continue;
     }
     it.bound = true;
-    it.fetch_due = MonoTime::max();
+    it.news_due = MonoTime::max();
     attempt->taken = attempt->taken || whole;
     context_->Emit(BindAnswer{it.link, attempt->request.id, TimesOf(*attempt)});
   }
@@ -526,7 +534,7 @@
     Forget(attempt, AttemptFate::kRan);
     return;
   }
-  TellStillRunning(attempt);
+  TellNews(attempt);
   const bool started = attempt->is_started();
   if (attempt->state == AttemptState::kQueued &&
       (admission_.IsHopeless(*attempt, now) ||
@@ -539,8 +547,9 @@
     return;
   }
   const bool over = now >= std::min(attempt->deadline, attempt->orphan_due);
-  if (attempt->state == AttemptState::kRunning && over &&
-      !attempt->request.once) {
+  const bool overran = started && now >= attempt->deadline + kAnswerOverrun;
+  if (overran || (attempt->state == AttemptState::kRunning && over &&
+                  !attempt->request.once)) {
     context_->Emit(CancelUpstream{attempt->request.id});
     EndUnknown(attempt);
     return;
@@ -548,14 +557,22 @@
   Schedule(attempt);
 }
 
-void CallDestination::TellStillRunning(Attempt* attempt) {
-  std::vector<AttemptLink> due;
-  for (const AttemptLink& it : attempt->links) {
-    if (context_->now.mono >= it.fetch_due) {
-      due.push_back(it);
+/// \brief Tells the connections whose time has come that the attempt still
+/// waits or runs.
+void CallDestination::TellNews(Attempt* attempt) {
+  std::vector<AttemptLink> ended;
+  for (AttemptLink& it : attempt->links) {
+    if (context_->now.mono < it.news_due) {
+      continue;
     }
+    if (it.fetches) {
+      ended.push_back(it);
+      continue;
+    }
+    it.news_due = context_->now.mono + kProgressPeriod;
+    context_->Emit(ReplyProgress{it.link});
   }
-  for (const AttemptLink& it : due) {
+  for (const AttemptLink& it : ended) {
     context_->Emit(ReplyStillRunning{it.link, it.asked});
     table_.RemoveLink(attempt, it.link);
   }
@@ -565,12 +582,15 @@
   if (attempt->state == AttemptState::kHeld) {
     return;
   }
-  MonoTime due = attempt->fetch_due();
+  MonoTime due = attempt->news_due();
   const bool cancellable =
       attempt->state == AttemptState::kRunning && !attempt->request.once;
   if (!attempt->is_started() || cancellable) {
     due = std::min({due, attempt->deadline, attempt->orphan_due});
   }
+  if (attempt->is_started()) {
+    due = std::min(due, attempt->deadline + kAnswerOverrun);
+  }
   if (attempt->state == AttemptState::kQueued) {
     due = std::min(due, admission_.HopelessAt(*attempt));
     const MonoTime late_at = admission_.LateAt(*attempt);
--- a/src/cassiabend/core/call_destination.h
+++ b/src/cassiabend/core/call_destination.h
@@ -85,7 +85,7 @@
   void ReleaseSlot(Attempt* attempt);
   void Forget(Attempt* attempt, AttemptFate fate);
   void Expire(Attempt* attempt);
-  void TellStillRunning(Attempt* attempt);
+  void TellNews(Attempt* attempt);
   void Schedule(Attempt* attempt);
 
   CallContext* context_;
--- a/src/cassiabend/http/attempt_client.cc
+++ b/src/cassiabend/http/attempt_client.cc
@@ -60,6 +60,7 @@
                     .held = held,
                     .head_timeout = progress_timeout,
                     .body_timeout = progress_timeout,
+                    .interim_is_progress = true,
                     .may_reuse = verb_ == AttemptVerb::kRun});
 }
 
--- a/src/cassiabend/http/client_exchange.cc
+++ b/src/cassiabend/http/client_exchange.cc
@@ -85,6 +85,9 @@
 void ClientExchange::OnHead(MessageHead& head) {
   is_interim_ = head.status < kFirstFinalStatus;
   if (is_interim_) {
+    if (request_.interim_is_progress) {
+      connection_->SetTimeout(request_.head_timeout);
+    }
     return;
   }
   if (!listener_->IsOwnResponse(head)) {
--- a/src/cassiabend/http/client_exchange.h
+++ b/src/cassiabend/http/client_exchange.h
@@ -52,6 +52,8 @@
   Milliseconds head_timeout{2'000};
   /// Longest pause within the response.
   Milliseconds body_timeout{2'000};
+  /// Whether interim responses show that the final one is still to come.
+  bool interim_is_progress = false;
   /// Whether a connection of the pool may carry it.
   bool may_reuse = true;
 };
--- a/src/cassiabend/http/destination_table.cc
+++ b/src/cassiabend/http/destination_table.cc
@@ -148,6 +148,13 @@
   }
 }
 
+void DestinationTable::Execute(const ReplyProgress& effect) {
+  const auto link = links_.find(effect.link);
+  if (link != links_.end()) {
+    link->second.way->Progress();
+  }
+}
+
 void DestinationTable::Execute(const ReplyUnknown& effect) {
   if (const auto link = TakeLink(effect.link)) {
     link->Unknown();
--- a/src/cassiabend/http/destination_table.h
+++ b/src/cassiabend/http/destination_table.h
@@ -53,6 +53,7 @@
   void Execute(const BindAnswer& effect);
   void Execute(const ReplyNotRun& effect);
   void Execute(const ReplyStillRunning& effect);
+  void Execute(const ReplyProgress& effect);
   void Execute(const ReplyUnknown& effect);
   void Execute(const ReleaseAttempt& effect);
   void Close();
--- a/tests/attempt_test.cc
+++ b/tests/attempt_test.cc
@@ -143,6 +143,42 @@
   CHECK(call.node.Only<AnswerUnknown>());
 }
 
+TEST_CASE("a connection that waits for a long run is shown progress") {
+  // A run of several seconds must not look like a lost connection: the entry
+  // node would close it, and the upstream would see its work cancelled.
+  Destination running(false);
+  int shown = 0;
+  for (int i = 0; i < 30; ++i) {
+    running.Tick(Milliseconds(100));
+    shown += running.Only<ReplyProgress>() ? 1 : 0;
+    CHECK_FALSE(running.Only<CancelUpstream>());
+  }
+  CHECK(shown == 4);
+  running.Do(UpstreamFinished{kId});
+  CHECK(running.Only<BindAnswer>());
+  for (int i = 0; i < 10; ++i) {
+    running.Tick(Milliseconds(100));
+    CHECK_FALSE(running.Only<ReplyProgress>());
+  }
+}
+
+TEST_CASE("an answer without end gives its slot back after the deadline") {
+  for (const bool once : {false, true}) {
+    CAPTURE(once);
+    Destination running(once);
+    running.Do(UpstreamAnswering{kId, 200});
+    REQUIRE(running.Only<BindAnswer>());
+    bool cancelled = false;
+    for (int i = 0; i < 200 && !cancelled; ++i) {
+      running.Tick(Milliseconds(100));
+      cancelled = running.Only<CancelUpstream>().has_value();
+    }
+    CHECK(cancelled);
+    CHECK(running.Only<ReplyUnknown>());
+    CHECK(running.counts().attempts_running == 0);
+  }
+}
+
 TEST_CASE("a destination answers fetches by what it knows") {
   Destination running(true);
   running.Do(FetchArrived{2, kId, 100});
--- a/tests/shell/http_faults_test.cc
+++ b/tests/shell/http_faults_test.cc
@@ -1,5 +1,8 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
@@ -114,6 +117,24 @@
   }
 }
 
+TEST_CASE("a connection that shows progress is not taken for silent") {
+  EntryToRaw t;
+  t.entry.Execute(t.Send(t.Call(), 1));
+  const auto peer = t.Peer(0);
+  boost::asio::steady_timer timer(t.io);
+  for (int i = 0; i < 8; ++i) {
+    bool is_over = false;
+    timer.expires_after(kShortTimeout / 3);
+    timer.async_wait([&](const auto& /*ec*/) { is_over = true; });
+    REQUIRE(t.Until([&] { return is_over; }));
+    peer->Send("HTTP/1.1 102 Processing\r\n\r\n");
+  }
+  CHECK(t.entry.Count<AttemptLost>() == 0);
+  peer->Send(std::string(kAnsweredHead) + "Content-Length: 0\r\n\r\n");
+  (void)t.entry.Await<AttemptAnswering>();
+  CHECK(t.entry.Count<AttemptLost>() == 0);
+}
+
 TEST_CASE("each answer of a node becomes its event") {
   EntryToRaw t;
   t.entry.Execute(t.Send(t.Call(), 1));
@@ -355,6 +376,48 @@
     (void)t.destination.Await<UpstreamBroken>();
     CHECK(t.Until([&] { return t.caller->Has("Outcome: unknown"); }));
   }
+  SUBCASE("a head without end: unknown, and the connection is closed") {
+    RawUpstream t;
+    const auto peer = t.Peer();
+    peer->Send("HTTP/1.1 200 OK\r\n");
+    while (!peer->closed()) {
+      peer->Send("X-More: " + std::string(1'000, 'm') + "\r\n");
+      t.io.run_one_for(std::chrono::milliseconds(1));
+    }
+    (void)t.destination.Await<UpstreamBroken>();
+    CHECK(t.Until([&] { return t.caller->Has("Outcome: unknown"); }));
+    CHECK(t.destination.server().counts().held_bytes < 64 * 1024);
+  }
+  SUBCASE("interim answers without end: given up at the deadline") {
+    RawUpstream t;
+    const auto peer = t.Peer();
+    while (!peer->closed()) {
+      peer->Send("HTTP/1.1 102 Processing\r\n\r\n");
+      t.io.run_one_for(std::chrono::milliseconds(5));
+    }
+    (void)t.destination.Await<UpstreamBroken>();
+    CHECK(t.destination.Count<UpstreamAnswering>() == 0);
+  }
+  SUBCASE("a body without end: held within its window until it is cancelled") {
+    RawUpstream t;
+    const auto peer = t.Peer();
+    t.caller->Pause();
+    peer->Send("HTTP/1.1 200 OK\r\n\r\n");
+    constexpr std::size_t kMostHeld = std::size_t{400} * 1024;
+    std::size_t most = 0;
+    const auto more = std::string(8'000, 'b');
+    for (int i = 0; i < 40; ++i) {
+      peer->Send(more);
+      t.io.run_one_for(std::chrono::milliseconds(1));
+      most = std::max<std::size_t>(most,
+                                   t.destination.server().counts().held_bytes);
+    }
+    CHECK(most < kMostHeld);
+    t.destination.Execute(CancelUpstream{ExampleAttempt(1).id});
+    CHECK(t.Until([&] { return peer->closed(); }));
+    t.caller->Resume();
+    CHECK(t.Until([&] { return t.caller->closed(); }));
+  }
   SUBCASE("silent until the deadline: unknown") {
     RawUpstream t;
     (void)t.Peer();
