Hand on versions of any size as deltas, encoded once and compressed

Cause: 1,360 routes added at once were more than a quarter of the version, so no delta was made and every node of the fleet pulled the whole version, at most full_value_limit at a time from one peer and over links of 14 Mbit/s; some were 3.1 s behind the acknowledgement. Each push also copied the delta and encoded it anew, unpacked, for each child. Ruled out: the store (the watch answers at once) and lost pushes.

Change: a delta is made unless it would hold as many items as the version. It is held once (SharedDelta) and encoded once; whoever hands it on sends the bytes it got. Deltas and whole versions travel as one zstd frame in new fields of ConfigUpdate; the old ones are still read. The check in model_test that spoke of a quarter now asks for a delta that is applied, and for none where every item differs.

Nodes before this version cannot read the new fields, so a fleet is upgraded at once or by zones.

--- a/schema/gen/mesh.capnp.h
+++ b/schema/gen/mesh.capnp.h
@@ -158,6 +158,8 @@
     DELTA,
     FULL,
     BUSY,
+    PACKED_DELTA,
+    PACKED_FULL,
   };
 
   struct _capnpPrivate {
@@ -955,6 +957,14 @@
 
   inline  ::uint32_t getConfirmedAgeMs() const;
 
+  inline bool isPackedDelta() const;
+  inline bool hasPackedDelta() const;
+  inline  ::capnp::Data::Reader getPackedDelta() const;
+
+  inline bool isPackedFull() const;
+  inline bool hasPackedFull() const;
+  inline  ::capnp::Data::Reader getPackedFull() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1018,6 +1028,22 @@
   inline  ::uint32_t getConfirmedAgeMs();
   inline void setConfirmedAgeMs( ::uint32_t value);
 
+  inline bool isPackedDelta();
+  inline bool hasPackedDelta();
+  inline  ::capnp::Data::Builder getPackedDelta();
+  inline void setPackedDelta( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initPackedDelta(unsigned int size);
+  inline void adoptPackedDelta(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownPackedDelta();
+
+  inline bool isPackedFull();
+  inline bool hasPackedFull();
+  inline  ::capnp::Data::Builder getPackedFull();
+  inline void setPackedFull( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initPackedFull(unsigned int size);
+  inline void adoptPackedFull(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownPackedFull();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2763,6 +2789,114 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ConfigUpdate::Reader::isPackedDelta() const {
+  return which() == ConfigUpdate::PACKED_DELTA;
+}
+inline bool ConfigUpdate::Builder::isPackedDelta() {
+  return which() == ConfigUpdate::PACKED_DELTA;
+}
+inline bool ConfigUpdate::Reader::hasPackedDelta() const {
+  if (which() != ConfigUpdate::PACKED_DELTA) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigUpdate::Builder::hasPackedDelta() {
+  if (which() != ConfigUpdate::PACKED_DELTA) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader ConfigUpdate::Reader::getPackedDelta() const {
+  KJ_IREQUIRE((which() == ConfigUpdate::PACKED_DELTA),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder ConfigUpdate::Builder::getPackedDelta() {
+  KJ_IREQUIRE((which() == ConfigUpdate::PACKED_DELTA),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ConfigUpdate::Builder::setPackedDelta( ::capnp::Data::Reader value) {
+  _builder.setDataField<ConfigUpdate::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ConfigUpdate::PACKED_DELTA);
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder ConfigUpdate::Builder::initPackedDelta(unsigned int size) {
+  _builder.setDataField<ConfigUpdate::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ConfigUpdate::PACKED_DELTA);
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ConfigUpdate::Builder::adoptPackedDelta(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  _builder.setDataField<ConfigUpdate::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ConfigUpdate::PACKED_DELTA);
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> ConfigUpdate::Builder::disownPackedDelta() {
+  KJ_IREQUIRE((which() == ConfigUpdate::PACKED_DELTA),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ConfigUpdate::Reader::isPackedFull() const {
+  return which() == ConfigUpdate::PACKED_FULL;
+}
+inline bool ConfigUpdate::Builder::isPackedFull() {
+  return which() == ConfigUpdate::PACKED_FULL;
+}
+inline bool ConfigUpdate::Reader::hasPackedFull() const {
+  if (which() != ConfigUpdate::PACKED_FULL) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigUpdate::Builder::hasPackedFull() {
+  if (which() != ConfigUpdate::PACKED_FULL) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader ConfigUpdate::Reader::getPackedFull() const {
+  KJ_IREQUIRE((which() == ConfigUpdate::PACKED_FULL),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder ConfigUpdate::Builder::getPackedFull() {
+  KJ_IREQUIRE((which() == ConfigUpdate::PACKED_FULL),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ConfigUpdate::Builder::setPackedFull( ::capnp::Data::Reader value) {
+  _builder.setDataField<ConfigUpdate::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ConfigUpdate::PACKED_FULL);
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder ConfigUpdate::Builder::initPackedFull(unsigned int size) {
+  _builder.setDataField<ConfigUpdate::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ConfigUpdate::PACKED_FULL);
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ConfigUpdate::Builder::adoptPackedFull(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  _builder.setDataField<ConfigUpdate::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ConfigUpdate::PACKED_FULL);
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> ConfigUpdate::Builder::disownPackedFull() {
+  KJ_IREQUIRE((which() == ConfigUpdate::PACKED_FULL),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/schema/mesh.capnp
+++ b/schema/mesh.capnp
@@ -96,6 +96,10 @@
     full @3 :Config.Config;
     busy @4 :UInt32;
     # The sender is at its limit; ask again after so many milliseconds.
+    packedDelta @6 :Data;
+    # A Config.ConfigDelta in the packed form, as one zstd frame.
+    packedFull @7 :Data;
+    # A Config.Config in the same form.
   }
   confirmedAgeMs @5 :UInt32;
 }
--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -5,7 +5,7 @@
   gcc g++ cmake ninja-build pkg-config ccache git clang-format clang-tidy
   libboost1.81-dev libboost-json1.81-dev
   capnproto libcapnp-dev prometheus-cpp-dev libpopt-dev libeasyloggingpp-dev
-  doctest-dev librapidcheck-dev libxxhash-dev libsodium-dev
+  doctest-dev librapidcheck-dev libxxhash-dev libsodium-dev libzstd-dev
   libcurl4-openssl-dev curl
 )
 missing=()
--- a/src/cassiabend/core/fleet_events.h
+++ b/src/cassiabend/core/fleet_events.h
@@ -11,6 +11,7 @@
 #include "cassiabend/core/member.h"
 #include "cassiabend/core/store_types.h"
 #include "cassiabend/model/change.h"
+#include "cassiabend/model/shared_delta.h"
 #include "cassiabend/model/snapshot.h"
 
 namespace cassiabend {
@@ -72,7 +73,7 @@
 /// \brief A version on its way to a node.
 struct ConfigUpdate {
   VersionMark mark;
-  std::variant<NoUpdate, ConfigDelta, RefPtr<const Snapshot>, BusyUpdate> body;
+  std::variant<NoUpdate, DeltaPtr, RefPtr<const Snapshot>, BusyUpdate> body;
   /// Age of the sender's newest confirmation of the head; unset for none.
   std::optional<Milliseconds> confirmed_age;
 };
--- a/src/cassiabend/core/fleet_reducer_impl.cc
+++ b/src/cassiabend/core/fleet_reducer_impl.cc
@@ -216,7 +216,7 @@
   OfferResult result = OfferResult::kSame;
   if (!IsLive(membership_.self().status)) {
     result = OfferResult::kOlder;
-  } else if (const auto* delta = std::get_if<ConfigDelta>(&update.body)) {
+  } else if (const auto* delta = std::get_if<DeltaPtr>(&update.body)) {
     result = versions_.OfferDelta(context, update.mark, *delta);
   } else if (const auto* whole =
                  std::get_if<RefPtr<const Snapshot>>(&update.body)) {
@@ -309,7 +309,7 @@
   const OfferResult result =
       versions_.OfferWhole(context, mark, event.snapshot);
   committed_here_ = result == OfferResult::kApplied;
-  versions_.KeepDelta(event.delta);
+  versions_.KeepDelta(ShareDelta(event.delta));
   if (versions_.Covers(mark)) {
     freshness_.Confirm(context, event.confirmed_at);
   }
--- a/src/cassiabend/core/reader_watch.cc
+++ b/src/cassiabend/core/reader_watch.cc
@@ -275,7 +275,8 @@
   OfferResult result = OfferResult::kDamaged;
   try {
     if (fetch_->by_delta) {
-      result = versions->OfferDelta(context, mark, DecodeDelta(fetch_->value));
+      result = versions->OfferDelta(context, mark,
+                                    ShareDelta(DecodeDelta(fetch_->value)));
     } else {
       const RefPtr<const Snapshot> snapshot(
           new Snapshot(DecodeConfig(fetch_->value)));
--- a/src/cassiabend/core/spread.cc
+++ b/src/cassiabend/core/spread.cc
@@ -199,10 +199,10 @@
     if (have.number >= update.mark.number) {
       continue;
     }
-    const ConfigDelta* delta =
+    const DeltaPtr delta =
         have.number == 0 ? versions.LatestDelta() : versions.DeltaFrom(have);
     if (delta != nullptr) {
-      update.body = *delta;
+      update.body = delta;
       context.Emit(SendPush{id, update});
       continue;
     }
--- a/src/cassiabend/core/spread_pull.cc
+++ b/src/cassiabend/core/spread_pull.cc
@@ -145,9 +145,9 @@
                       const ConfigUpdate& update,
                       SpreadVersions* versions) {
   OfferResult result = OfferResult::kNoBase;
-  if (const auto* delta = std::get_if<ConfigDelta>(&update.body)) {
+  if (const auto* delta = std::get_if<DeltaPtr>(&update.body)) {
     // A chain of deltas is handed out one at a time.
-    result = versions->OfferDelta(context, delta->mark, *delta);
+    result = versions->OfferDelta(context, (*delta)->delta().mark, *delta);
   } else if (const auto* whole =
                  std::get_if<RefPtr<const Snapshot>>(&update.body)) {
     result = versions->OfferWhole(context, update.mark, *whole);
@@ -167,8 +167,8 @@
   update.confirmed_age = freshness.AgeAt(context.now());
   if (versions.mark().number <= have.number) {
     update.body = NoUpdate{};
-  } else if (const ConfigDelta* delta = versions.DeltaFrom(have)) {
-    update.body = *delta;
+  } else if (const DeltaPtr delta = versions.DeltaFrom(have)) {
+    update.body = delta;
   } else if (TakeToken(context)) {
     update.body = versions.newest();
   } else {
--- a/src/cassiabend/core/spread_versions.cc
+++ b/src/cassiabend/core/spread_versions.cc
@@ -18,19 +18,18 @@
   return own.number > mark.number || own == mark;
 }
 
-const ConfigDelta* SpreadVersions::DeltaFrom(
-    const VersionMark& base) const noexcept {
-  for (const ConfigDelta& it : deltas_) {
-    if (it.base == base) {
-      return &it;
+DeltaPtr SpreadVersions::DeltaFrom(const VersionMark& base) const noexcept {
+  for (const DeltaPtr& it : deltas_) {
+    if (it->delta().base == base) {
+      return it;
     }
   }
   return nullptr;
 }
 
-const ConfigDelta* SpreadVersions::LatestDelta() const noexcept {
-  const bool held = !deltas_.empty() && deltas_.back().mark == mark();
-  return held ? &deltas_.back() : nullptr;
+DeltaPtr SpreadVersions::LatestDelta() const noexcept {
+  const bool held = !deltas_.empty() && deltas_.back()->delta().mark == mark();
+  return held ? deltas_.back() : nullptr;
 }
 
 OfferResult SpreadVersions::OfferWhole(const FleetContext& context,
@@ -55,14 +54,15 @@
   if (result != OfferResult::kApplied || !before) {
     return;
   }
-  if (const auto delta = RestatedDelta(*before, *snapshot)) {
-    KeepDelta(*delta);
+  if (auto delta = RestatedDelta(*before, *snapshot)) {
+    KeepDelta(ShareDelta(*std::move(delta)));
   }
 }
 
 OfferResult SpreadVersions::OfferDelta(const FleetContext& context,
                                        const VersionMark& mark,
-                                       const ConfigDelta& delta) {
+                                       const DeltaPtr& shared) {
+  const ConfigDelta& delta = shared->delta();
   const OfferResult order = Compare(mark);
   if (order != OfferResult::kApplied) {
     return order;
@@ -80,16 +80,17 @@
     ++refusals_.damaged;
     return OfferResult::kDamaged;
   }
-  KeepDelta(delta);
+  KeepDelta(shared);
   return OfferResult::kApplied;
 }
 
-void SpreadVersions::KeepDelta(const ConfigDelta& delta) {
+void SpreadVersions::KeepDelta(const DeltaPtr& shared) {
+  const ConfigDelta& delta = shared->delta();
   if (delta.mark != mark() || delta.base.number >= delta.mark.number ||
       DeltaFrom(delta.base) != nullptr) {
     return;
   }
-  deltas_.push_back(delta);
+  deltas_.push_back(shared);
   if (deltas_.size() > kKeptDeltas) {
     deltas_.pop_front();
   }
--- a/src/cassiabend/core/spread_versions.h
+++ b/src/cassiabend/core/spread_versions.h
@@ -43,10 +43,9 @@
   /// in force too: it is that version or a later one.
   [[nodiscard]] bool Covers(const VersionMark& mark) const noexcept;
   /// \returns The delta from `base` to its successor; null when not held.
-  [[nodiscard]] const ConfigDelta* DeltaFrom(
-      const VersionMark& base) const noexcept;
+  [[nodiscard]] DeltaPtr DeltaFrom(const VersionMark& base) const noexcept;
   /// \returns The delta that led to the version in force; null when not held.
-  [[nodiscard]] const ConfigDelta* LatestDelta() const noexcept;
+  [[nodiscard]] DeltaPtr LatestDelta() const noexcept;
   [[nodiscard]] const SpreadRefusals& refusals() const noexcept {
     return refusals_;
   }
@@ -62,9 +61,9 @@
   /// \brief Takes a delta that came under `mark`.
   OfferResult OfferDelta(const FleetContext& context,
                          const VersionMark& mark,
-                         const ConfigDelta& delta);
+                         const DeltaPtr& shared);
   /// \brief Keeps a delta that led to the version in force.
-  void KeepDelta(const ConfigDelta& delta);
+  void KeepDelta(const DeltaPtr& shared);
 
  private:
   [[nodiscard]] OfferResult Compare(const VersionMark& mark) noexcept;
@@ -72,7 +71,7 @@
 
   RefPtr<const Snapshot> newest_;
   /// Oldest first.
-  std::deque<ConfigDelta> deltas_;
+  std::deque<DeltaPtr> deltas_;
   SpreadRefusals refusals_;
 };
 
--- /dev/null
+++ b/src/cassiabend/model/shared_delta.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <string>
+#include <utility>
+
+#include "cassiabend/base/ref_counted.h"
+#include "cassiabend/model/change.h"
+#include "cassiabend/model/encoded_form.h"
+
+namespace cassiabend {
+
+/// \brief A delta that is handed to many nodes: held and encoded once.
+class SharedDelta final : public RefCounted<SharedDelta> {
+ public:
+  explicit SharedDelta(ConfigDelta delta);
+  /// \brief Reads the form that `packed()` has.
+  /// \throws ModelError when `packed` is no such form.
+  [[nodiscard]] static RefPtr<const SharedDelta> Unpack(std::string packed);
+
+  [[nodiscard]] const ConfigDelta& delta() const noexcept { return delta_; }
+  /// \returns The encoded delta, compressed.
+  [[nodiscard]] const std::string& packed() const;
+
+ private:
+  SharedDelta(ConfigDelta delta, std::string packed);
+
+  ConfigDelta delta_;
+  EncodedForm packed_;
+};
+
+using DeltaPtr = RefPtr<const SharedDelta>;
+
+[[nodiscard]] inline DeltaPtr ShareDelta(ConfigDelta delta) {
+  return DeltaPtr(new SharedDelta(std::move(delta)));
+}
+
+}  // namespace cassiabend
--- a/src/cassiabend/model/snapshot.cc
+++ b/src/cassiabend/model/snapshot.cc
@@ -6,6 +6,7 @@
 #include "cassiabend/base/error.h"
 #include "cassiabend/model/codec.h"
 #include "cassiabend/model/items.h"
+#include "cassiabend/model/packed.h"
 #include "cassiabend/model/quiet_calendar.h"
 #include "cassiabend/model/validate.h"
 
@@ -39,7 +40,8 @@
 
 }  // namespace
 
-Snapshot::Snapshot(Config config) : config_(std::move(config)) {
+Snapshot::Snapshot(Config config, std::string packed)
+    : config_(std::move(config)), packed_(std::move(packed)) {
   const std::vector<Violation> violations = Validate(config_);
   if (!violations.empty()) {
     throw ModelError("the configuration is not valid", violations.front().path,
@@ -63,6 +65,16 @@
   }
 }
 
+const std::string& Snapshot::packed() const {
+  return packed_.Get([this] { return Compress(EncodeConfig(config_)); });
+}
+
+RefPtr<const Snapshot> Snapshot::Unpack(std::string packed) {
+  Config config = DecodeConfig(UnpackBytes(packed, "config"));
+  return RefPtr<const Snapshot>(
+      new Snapshot(std::move(config), std::move(packed)));
+}
+
 const Route* Snapshot::FindRoute(const RouteQuery& query) const noexcept {
   const auto accept = [&query](const Route& it) { return Matches(it, query); };
   for (const std::string_view host : {query.host, std::string_view()}) {
--- a/src/cassiabend/model/snapshot.h
+++ b/src/cassiabend/model/snapshot.h
@@ -4,10 +4,12 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "cassiabend/base/ref_counted.h"
 #include "cassiabend/model/config.h"
+#include "cassiabend/model/encoded_form.h"
 #include "cassiabend/model/route_table.h"
 #include "cassiabend/model/time_zone.h"
 #include "cassiabend/model/version.h"
@@ -27,12 +29,17 @@
 class Snapshot final : public RefCounted<Snapshot> {
  public:
   /// \throws ModelError when `config` breaks a rule of the model.
-  explicit Snapshot(Config config);
+  explicit Snapshot(Config config) : Snapshot(std::move(config), {}) {}
   Snapshot(const Snapshot&) = delete;
   Snapshot& operator=(const Snapshot&) = delete;
 
   [[nodiscard]] const Config& config() const noexcept { return config_; }
   [[nodiscard]] const VersionMark& mark() const noexcept { return mark_; }
+  /// \returns The encoded configuration, compressed.
+  [[nodiscard]] const std::string& packed() const;
+  /// \brief Reads the form that `packed()` has.
+  /// \throws ModelError when `packed` is no such form, or breaks a rule.
+  [[nodiscard]] static RefPtr<const Snapshot> Unpack(std::string packed);
 
   /// \returns The most specific route that matches: an exact host goes before
   /// any host, then the longer path prefix, then an exact method before any
@@ -54,6 +61,8 @@
                                                    WallTime to) const;
 
  private:
+  Snapshot(Config config, std::string packed);
+
   /// \brief The quiet windows of one site.
   struct SiteCalendar {
     TimeZone zone;
@@ -62,6 +71,7 @@
 
   Config config_;
   VersionMark mark_;
+  EncodedForm packed_;
   /// Routes of each host; "" holds those of any host.
   std::map<std::string, RouteTable, std::less<>> by_host_;
   std::map<std::string, SiteCalendar, std::less<>> calendars_;
--- a/src/cassiabend/node/region_traffic.cc
+++ b/src/cassiabend/node/region_traffic.cc
@@ -28,12 +28,11 @@
 }
 
 std::uint64_t RegionTraffic::SizeOf(const ConfigUpdate& update) {
-  if (const auto* delta = std::get_if<ConfigDelta>(&update.body)) {
-    return EncodeDelta(*delta).size();
+  if (const auto* delta = std::get_if<DeltaPtr>(&update.body)) {
+    return (*delta)->packed().size();
   }
   const auto* whole = std::get_if<RefPtr<const Snapshot>>(&update.body);
-  return whole == nullptr || !*whole ? 0
-                                     : EncodeConfig((*whole)->config()).size();
+  return whole == nullptr || !*whole ? 0 : (*whole)->packed().size();
 }
 
 void RegionTraffic::LearnRegions(const MembersChanged& changed) {
--- a/src/cassiabend/rpc/mesh_codec.cc
+++ b/src/cassiabend/rpc/mesh_codec.cc
@@ -33,6 +33,15 @@
   return {text.cStr(), text.size()};
 }
 
+capnp::Data::Reader ToData(const std::string& bytes) {
+  return {reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()};
+}
+
+std::string ToBytes(capnp::Data::Reader data) {
+  const auto chars = data.asChars();
+  return {chars.begin(), chars.size()};
+}
+
 /// \brief Writes the body of each kind of datagram.
 struct BodyWriter {
   schema::Datagram::Builder datagram;
@@ -89,9 +98,11 @@
   schema::ConfigUpdate::Builder out;
 
   void operator()(const NoUpdate& /*it*/) { out.setNone(); }
-  void operator()(const ConfigDelta& it) { ToWire(it, out.initDelta()); }
+  void operator()(const DeltaPtr& it) {
+    out.setPackedDelta(ToData(it->packed()));
+  }
   void operator()(const RefPtr<const Snapshot>& it) {
-    ToWire(it->config(), out.initFull());
+    out.setPackedFull(ToData(it->packed()));
   }
   void operator()(const BusyUpdate& it) {
     out.setBusy(ToWireAge(it.retry_after));
@@ -103,7 +114,11 @@
     case schema::ConfigUpdate::NONE:
       return NoUpdate{};
     case schema::ConfigUpdate::DELTA:
-      return FromWire(in.getDelta());
+      return ShareDelta(FromWire(in.getDelta()));
+    case schema::ConfigUpdate::PACKED_DELTA:
+      return SharedDelta::Unpack(ToBytes(in.getPackedDelta()));
+    case schema::ConfigUpdate::PACKED_FULL:
+      return Snapshot::Unpack(ToBytes(in.getPackedFull()));
     case schema::ConfigUpdate::FULL:
       return RefPtr<const Snapshot>(new Snapshot(FromWire(in.getFull())));
     case schema::ConfigUpdate::BUSY:
--- a/tests/model_test.cc
+++ b/tests/model_test.cc
@@ -263,6 +263,19 @@
   for (Service& it : another.services) {
     it.health_path = "/changed";
   }
+  // Much may differ, as long as the delta is smaller than the version.
+  REQUIRE(RestatedDelta(base, Snapshot(another)));
+  CHECK(ApplyDelta(base, *RestatedDelta(base, Snapshot(another)))->config() ==
+        another);
+  const auto touch = [](auto* items) {
+    for (auto& it : *items) {
+      ++it.revision;
+    }
+  };
+  touch(&another.sites);
+  touch(&another.services);
+  touch(&another.routes);
+  touch(&another.windows);
   CHECK_FALSE(RestatedDelta(base, Snapshot(another)));
 }
 
