Let large answers share a narrow link and leave room for small ones

Cause: on hosts with links of 10 Mbit/s every download wrote as much as its socket took. Nine at once put half a second of packets into the link, and the small answers of the same host waited behind them: inner calls with a deadline of 600 ms failed at upstreams whose slots were half free (load 555 permille in the log of the call, elapsed 494 ms), the calls above them ended with 500, and their repeats filled the slots of the other service. Ruled out: processor time (0.022 of 0.1 cores on the mean) and slots.

The width comes from the platform's settings (http.link_kilobits; 0: nothing waits).

A download that the link cannot send by its deadline should be refused before it runs; that is not done.

--- a/src/cassiabend/http/call_server.cc
+++ b/src/cassiabend/http/call_server.cc
@@ -90,6 +90,7 @@
                                private SessionHandler {
  public:
   Impl(boost::asio::io_context& io,
+       const Clock& clock,
        const CallServerOptions& options,
        EventSink* sink)
       : io_(io),
@@ -97,6 +98,7 @@
         max_header_bytes_(options.max_header_bytes),
         held_bytes_(new HeldBytes),
         ticks_(io),
+        pacer_(clock, options.link_kilobits),
         pool_(io, &ticks_, PoolOptionsOf(options)),
         destination_(&pool_, DestinationOptionsOf(options), held_bytes_, sink),
         calls_(options.self,
@@ -135,7 +137,7 @@
   }
 
   void Start() {
-    ticks_.Start();
+    ticks_.Start([this] { pacer_.Tick(); });
     Accept(&peers_);
     if (callers_.acceptor.is_open()) {
       Accept(&callers_);
@@ -298,8 +300,9 @@
       ++counts_.rejected_requests;
       return;
     }
-    const RefPtr<ServerSession> session(new ServerSession(
-        std::move(socket), &ticks_, listener.session, held_bytes_, this));
+    const RefPtr<ServerSession> session(
+        new ServerSession(std::move(socket), &ticks_, listener.session,
+                          held_bytes_, &pacer_, this));
     sessions_.emplace(session.get(), session);
     if (!is_accepting_ || (is_shutting_down_ && IsFromCaller(*session))) {
       session->EndAfterRequest();
@@ -433,6 +436,7 @@
   std::uint32_t max_header_bytes_;
   RefPtr<HeldBytes> held_bytes_;
   TickList ticks_;
+  BulkPacer pacer_;
   OutgoingPool pool_;
   /// Numbers of calls and links.
   std::uint64_t next_id_ = 1;
@@ -450,9 +454,10 @@
 };
 
 CallServer::CallServer(boost::asio::io_context& io,
+                       const Clock& clock,
                        const CallServerOptions& options,
                        EventSink* sink)
-    : impl_(std::make_shared<Impl>(io, options, sink)) {
+    : impl_(std::make_shared<Impl>(io, clock, options, sink)) {
   impl_->Start();
 }
 
--- a/src/cassiabend/http/call_server.h
+++ b/src/cassiabend/http/call_server.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "cassiabend/base/clock.h"
 #include "cassiabend/core/call_events.h"
 #include "cassiabend/core/event_sink.h"
 #include "cassiabend/core/member.h"
@@ -35,6 +36,8 @@
   /// Requests of one connection that are read before the first is answered.
   /// Each may hold an answer of one window (64 KB) until its turn.
   std::uint32_t max_pipelined_requests = 16;
+  /// Width of this host's link, in kilobits a second; 0: it is not known.
+  std::uint32_t link_kilobits = 0;
   Milliseconds connect_timeout{250};
   /// Longest pause within a request, or between bytes of an answer.
   Milliseconds progress_timeout{2'000};
@@ -72,6 +75,7 @@
  public:
   /// \throws HttpError when the call port cannot be opened.
   CallServer(boost::asio::io_context& io,
+             const Clock& clock,
              const CallServerOptions& options,
              EventSink* sink);
   CallServer(const CallServer&) = delete;
--- a/src/cassiabend/http/server_exchange.cc
+++ b/src/cassiabend/http/server_exchange.cc
@@ -157,8 +157,13 @@
 void ServerExchange::PumpBody() {
   is_pumping_ = true;
   while (session_->unwritten() < kOutputWindowBytes) {
-    const std::string_view bytes =
+    std::string_view bytes =
         answer_->Peek(position_).substr(0, kOutputWindowBytes);
+    if (position_ < BulkPacer::kSmallAnswerBytes) {
+      bytes = bytes.substr(0, BulkPacer::kSmallAnswerBytes - position_);
+    } else {
+      bytes = bytes.substr(0, session_->pacer()->Take(this, bytes.size()));
+    }
     if (bytes.empty()) {
       break;
     }
@@ -186,6 +191,7 @@
 void ServerExchange::End() noexcept {
   state_ = State::kEnded;
   session_ = nullptr;
+  BulkPacer::Waiter::unlink();
   DetachAnswer();
 }
 
--- a/src/cassiabend/http/server_exchange.h
+++ b/src/cassiabend/http/server_exchange.h
@@ -6,6 +6,7 @@
 
 #include "cassiabend/base/ref_counted.h"
 #include "cassiabend/http/answer_stream.h"
+#include "cassiabend/http/bulk_pacer.h"
 #include "cassiabend/http/message.h"
 
 namespace cassiabend {
@@ -16,7 +17,8 @@
 /// in the order of the requests: one that is ready before its turn waits here,
 /// a relayed one in its stream, whose limits hold back the upstream.
 class ServerExchange final : public RefCounted<ServerExchange>,
-                             private AnswerReader {
+                             private AnswerReader,
+                             private BulkPacer::Waiter {
  public:
   ServerExchange(ServerSession* session,
                  bool is_head_request,
@@ -61,6 +63,7 @@
   };
 
   void OnAnswer() override;
+  void OnTurn() override { Pump(); }
 
   /// \returns Whether `Reply` or `Relay` was called.
   [[nodiscard]] bool HasAnswer() const noexcept {
--- a/src/cassiabend/http/server_session.h
+++ b/src/cassiabend/http/server_session.h
@@ -8,6 +8,7 @@
 
 #include "cassiabend/base/ref_counted.h"
 #include "cassiabend/base/time.h"
+#include "cassiabend/http/bulk_pacer.h"
 #include "cassiabend/http/connection.h"
 #include "cassiabend/http/message.h"
 #include "cassiabend/http/server_exchange.h"
@@ -73,6 +74,7 @@
                 TickList* ticks,
                 const SessionOptions& options,
                 RefPtr<HeldBytes> held_bytes,
+                BulkPacer* pacer,
                 SessionHandler* handler);
   ~ServerSession() override;
 
@@ -111,6 +113,7 @@
   [[nodiscard]] std::size_t unwritten() const noexcept {
     return connection_->unwritten();
   }
+  [[nodiscard]] BulkPacer* pacer() const noexcept { return pacer_; }
   [[nodiscard]] bool states_outcome() const noexcept {
     return options_.states_outcome;
   }
@@ -142,6 +145,7 @@
 
   SessionOptions options_;
   RefPtr<HeldBytes> held_bytes_;
+  BulkPacer* pacer_;
   SessionHandler* handler_;
   RefPtr<Connection> connection_;
   /// The request being read.
--- a/src/cassiabend/http/tick_list.cc
+++ b/src/cassiabend/http/tick_list.cc
@@ -1,5 +1,7 @@
 #include "cassiabend/http/tick_list.h"
 
+#include <utility>
+
 namespace cassiabend {
 
 void TickList::SetTimeout(TickEntry* entry,
@@ -8,15 +10,23 @@
   entry->expires_ = now_ + static_cast<std::uint64_t>(ticks) + 1;
 }
 
-void TickList::Start() {
+void TickList::Start(std::function<void()> on_tick) {
+  on_tick_ = std::move(on_tick);
+  Step();
+}
+
+void TickList::Step() {
   timer_.expires_after(kPeriod);
   timer_.async_wait([this](const boost::system::error_code& ec) {
     if (ec || stopped_) {
       return;
     }
     Advance();
+    if (!stopped_ && on_tick_) {
+      on_tick_();
+    }
     if (!stopped_) {
-      Start();
+      Step();
     }
   });
 }
--- a/src/cassiabend/http/tick_list.h
+++ b/src/cassiabend/http/tick_list.h
@@ -4,6 +4,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/intrusive/list.hpp>
 #include <cstdint>
+#include <functional>
 
 #include "cassiabend/base/time.h"
 
@@ -41,7 +42,8 @@
   void SetTimeout(TickEntry* entry, Milliseconds timeout) const noexcept;
   static void ClearTimeout(TickEntry* entry) noexcept { entry->expires_ = 0; }
 
-  void Start();
+  /// \param on_tick Called at each step.
+  void Start(std::function<void()> on_tick = {});
   void Stop();
 
  private:
@@ -49,9 +51,11 @@
       boost::intrusive::list<TickEntry,
                              boost::intrusive::constant_time_size<false>>;
 
+  void Step();
   void Advance();
 
   boost::asio::steady_timer timer_;
+  std::function<void()> on_tick_;
   Entries entries_;
   std::uint64_t now_ = 1;
   bool stopped_ = false;
--- a/src/cassiabend/node/node.cc
+++ b/src/cassiabend/node/node.cc
@@ -70,7 +70,7 @@
   const std::uint64_t start_id =
       reducer_.fleet().Members(clock_.Now()).front().member.start_id;
   calls_ = std::make_unique<CallServer>(
-      io_, CallServerOptionsOf(settings_, start_id), this);
+      io_, clock_, CallServerOptionsOf(settings_, start_id), this);
   peers_ = std::make_unique<PeerTransport>(
       io_, PeerTransportOptions{.self = self}, this);
   peers_->OnDrain([this] { Shutdown(); });
--- a/src/cassiabend/node/settings.h
+++ b/src/cassiabend/node/settings.h
@@ -55,6 +55,7 @@
   std::string control_address;
   std::string heartbeat;
   std::string bounds;
+  std::string link_mbps;
   std::string first_start;
 };
 
--- a/src/cassiabend/node/settings_fields.cc
+++ b/src/cassiabend/node/settings_fields.cc
@@ -58,6 +58,8 @@
      "Period of the upstream's heartbeats, in the platform's form."},
     {"bounds", &Platform::bounds, 0, kMaxText,
      "What the platform asks of its programs, in the platform's form."},
+    {"link_mbps", &Platform::link_mbps, 0, kMaxName,
+     "Width of the host's link in megabits a second; empty for unknown."},
     {"first_start", &Platform::first_start, 0, kMaxName,
      "\"true\" when the whole system starts for the first time."},
 });
@@ -232,6 +234,9 @@
     {"max_pipelined_requests", &Http::max_pipelined_requests, 1, 256,
      "Requests of one connection that are read before the first is answered; "
      "each may hold 64 KB of its answer until its turn."},
+    {"link_kilobits", &Http::link_kilobits, 0, 1'000'000'000,
+     "Width of this host's link, in kilobits a second: large answers share it "
+     "so that small ones need not wait; 0: it is not known."},
     {"max_connections", &Http::max_connections, 1, 1'000'000,
      "Connections that the call port accepts."},
     {"max_header_bytes", &Http::max_header_bytes, 512, kMebibyte,
--- a/tests/support/scripted_node.h
+++ b/tests/support/scripted_node.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "cassiabend/base/clock.h"
 #include "cassiabend/base/error.h"
 #include "cassiabend/core/event_sink.h"
 #include "cassiabend/http/call_server.h"
@@ -24,7 +25,7 @@
       : io_(io), options_(std::move(options)) {
     options_.self = {"127.0.0.1", next_peer_port++};
     options_.start_id = 1;
-    server_ = std::make_unique<CallServer>(io_, options_, this);
+    server_ = std::make_unique<CallServer>(io_, clock_, options_, this);
   }
 
   [[nodiscard]] CallServer& server() { return *server_; }
@@ -77,6 +78,7 @@
   static inline std::uint16_t next_peer_port = 1;
 
   boost::asio::io_context& io_;
+  SystemClock clock_;
   CallServerOptions options_;
   std::vector<CallEvent> events_;
   std::unique_ptr<CallServer> server_;
--- a/tests/support/scripted_session.h
+++ b/tests/support/scripted_session.h
@@ -39,7 +39,7 @@
     ticks_.Start();
     caller = RawPeer::Connect(io, acceptor_.local_endpoint().port());
     session = new ServerSession(acceptor_.accept(), &ticks_, options,
-                                held_bytes, this);
+                                held_bytes, &pacer_, this);
     session->Start();
   }
   ~ScriptedSession() override {
@@ -86,6 +86,8 @@
 
  private:
   TickList ticks_;
+  SystemClock clock_;
+  BulkPacer pacer_{clock_, 0};
 
  public:
   RefPtr<HeldBytes> held_bytes;
--- a/tools/fake_upstream_server.cc
+++ b/tools/fake_upstream_server.cc
@@ -132,7 +132,7 @@
         .states_outcome = false,
     };
     const RefPtr<ServerSession> session(new ServerSession(
-        std::move(socket), &ticks_, options, held_bytes_, this));
+        std::move(socket), &ticks_, options, held_bytes_, &pacer_, this));
     sessions_.emplace(session.get(), session);
     session->Start();
     Accept();
--- a/tools/fake_upstream_server.h
+++ b/tools/fake_upstream_server.h
@@ -117,6 +117,8 @@
   ExecutionLedger ledger_;
   RefPtr<HeldBytes> held_bytes_;
   TickList ticks_;
+  SystemClock clock_;
+  BulkPacer pacer_{clock_, 0};
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer warm_timer_;
   boost::asio::steady_timer load_timer_;
