Send again what an idle connection lost, and compare fewer upstreams

Upstreams forget idle connections without a word (idle_race); what is sent next on one is reset. The destination called that unknown, the retry went to the budget, and the budget ran out. Change: an exchange whose pooled connection is closed before a byte of the answer goes once more, over a new connection, if it may be repeated; the other idle connections to that end are closed, and new ones are kept idle for 500 ms, halved with each reset, for 30 s. Tests: idle_reset_test (fails without the change).

Each node compared twelve upstreams of a level by loads that were up to 1.5 s old, so nodes rushed to the same one (load 8,111 permille at one of the two upstreams of a zone while the service was half free). Three are compared now.

--- a/src/cassiabend/core/balancer.cc
+++ b/src/cassiabend/core/balancer.cc
@@ -7,8 +7,9 @@
 
 /// Upstreams that one draw looks at before it gives up on a level.
 constexpr std::size_t kDrawLimit = 8;
-/// Upstreams of one level whose expected times are compared.
-constexpr std::size_t kCompareLimit = 12;
+/// Upstreams of one level whose expected times are compared: what is known of
+/// loads is old, and nodes that all compare many rush to the same upstream.
+constexpr std::size_t kCompareLimit = 3;
 /// Random part of an expected time.
 constexpr double kCostSpread = 0.1;
 /// How much longer a call takes at an upstream that has just started.
--- a/src/cassiabend/http/client_exchange.cc
+++ b/src/cassiabend/http/client_exchange.cc
@@ -146,7 +146,16 @@
   const RefPtr<Connection> connection = std::move(connection_);
   const bool may_have_sent = connection->MayHaveSent();
   connection->Close();
-  if (is_reused_ && !may_have_sent && listener_ != nullptr) {
+  const bool has_closed =
+      end == ConnectionEnd::kClosed || end == ConnectionEnd::kBroken;
+  const bool was_reset = is_reused_ && may_have_sent && has_closed &&
+                         !has_head_ && !connection->HasInput();
+  if (was_reset) {
+    pool_->NoteIdleReset(endpoint_);
+  }
+  const bool goes_again =
+      is_reused_ && (!may_have_sent || (was_reset && request_.may_resend));
+  if (goes_again && listener_ != nullptr) {
     Open(false);
     return;
   }
--- a/src/cassiabend/http/client_exchange.h
+++ b/src/cassiabend/http/client_exchange.h
@@ -54,6 +54,9 @@
   Milliseconds body_timeout{2'000};
   /// Whether interim responses show that the final one is still to come.
   bool interim_is_progress = false;
+  /// Whether it may be sent once more, over a new connection, when one of the
+  /// pool is reset before an answer begins. Whether it arrived is not known.
+  bool may_resend = false;
   /// Whether a connection of the pool may carry it.
   bool may_reuse = true;
 };
--- a/src/cassiabend/http/outgoing_pool.cc
+++ b/src/cassiabend/http/outgoing_pool.cc
@@ -10,6 +10,14 @@
 /// Time before the other end closes an idle connection at which it is no more
 /// used, so that no request crosses the closing.
 constexpr Milliseconds kIdleMargin{750};
+/// Idle time of connections to an end that has just reset one, and its lower
+/// bound: half of it with each reset. Busy connections are used again sooner.
+constexpr Milliseconds kFirstIdleBound{500};
+constexpr Milliseconds kLeastIdleBound{50};
+/// Time after the newest reset for which the bound holds.
+constexpr Milliseconds kIdleBoundTime{30'000};
+/// Endpoints whose bounds are kept; addresses of hosts come and go.
+constexpr std::size_t kMostBounds = 1'024;
 
 }  // namespace
 
@@ -66,9 +74,10 @@
 };
 
 OutgoingPool::OutgoingPool(boost::asio::io_context& io,
+                           const Clock& clock,
                            TickList* ticks,
                            const PoolOptions& options)
-    : io_(io), ticks_(ticks), options_(options) {}
+    : io_(io), clock_(clock), ticks_(ticks), options_(options) {}
 
 OutgoingPool::~OutgoingPool() = default;
 
@@ -106,8 +115,8 @@
                        std::optional<Milliseconds> idle_limit) {
   IdleList& list = idle_[endpoint];
   const Milliseconds limit = std::min(
-      options_.idle_timeout,
-      idle_limit.value_or(options_.idle_timeout + kIdleMargin) - kIdleMargin);
+      {options_.idle_timeout, BoundOf(endpoint),
+       idle_limit.value_or(options_.idle_timeout + kIdleMargin) - kIdleMargin});
   if (list.size() >= options_.idle_connections || limit <= Milliseconds(0)) {
     connection->Close();
     return;
@@ -126,6 +135,26 @@
   }
 }
 
+void OutgoingPool::NoteIdleReset(const Endpoint& endpoint) {
+  idle_.erase(endpoint);
+  const MonoTime now = clock_.Now().mono;
+  if (bounds_.size() >= kMostBounds) {
+    std::erase_if(bounds_,
+                  [now](const auto& it) { return it.second.until <= now; });
+  }
+  IdleBound& bound = bounds_[endpoint];
+  bound.limit = now < bound.until ? std::max(bound.limit / 2, kLeastIdleBound)
+                                  : kFirstIdleBound;
+  bound.until = now + kIdleBoundTime;
+}
+
+Milliseconds OutgoingPool::BoundOf(const Endpoint& endpoint) const {
+  const auto found = bounds_.find(endpoint);
+  const bool holds =
+      found != bounds_.end() && clock_.Now().mono < found->second.until;
+  return holds ? found->second.limit : options_.idle_timeout;
+}
+
 void OutgoingPool::Drop(const Endpoint& endpoint) {
   idle_.erase(endpoint);
 }
--- a/src/cassiabend/http/outgoing_pool.h
+++ b/src/cassiabend/http/outgoing_pool.h
@@ -7,7 +7,7 @@
 #include <optional>
 #include <vector>
 
-#include "cassiabend/base/time.h"
+#include "cassiabend/base/clock.h"
 #include "cassiabend/http/connection.h"
 
 namespace cassiabend {
@@ -28,6 +28,7 @@
   using Endpoint = Connection::Endpoint;
 
   OutgoingPool(boost::asio::io_context& io,
+               const Clock& clock,
                TickList* ticks,
                const PoolOptions& options);
   OutgoingPool(const OutgoingPool&) = delete;
@@ -47,6 +48,10 @@
            std::optional<Milliseconds> idle_limit);
   /// \brief Opens connections until `n` are idle or on their way.
   void Prepare(const Endpoint& endpoint, std::uint32_t n);
+  /// \brief Notes that a connection that had been idle was reset when it was
+  /// used again: the other end forgets idle ones without a word. Those to it
+  /// are closed, and for some time new ones are kept idle for shorter.
+  void NoteIdleReset(const Endpoint& endpoint);
   /// \brief Closes the idle connections to an endpoint that went silent.
   void Drop(const Endpoint& endpoint);
   void Close();
@@ -55,13 +60,22 @@
   class Idle;
   using IdleList = std::vector<std::unique_ptr<Idle>>;
 
+  /// \brief How long connections to an endpoint that forgets them stay idle.
+  struct IdleBound {
+    Milliseconds limit{0};
+    MonoTime until{};
+  };
+
   void Remove(const Idle* idle);
+  [[nodiscard]] Milliseconds BoundOf(const Endpoint& endpoint) const;
   [[nodiscard]] RefPtr<Connection> NewConnection();
 
   boost::asio::io_context& io_;
+  const Clock& clock_;
   TickList* ticks_;
   PoolOptions options_;
   std::map<Endpoint, IdleList> idle_;
+  std::map<Endpoint, IdleBound> bounds_;
 };
 
 }  // namespace cassiabend
--- a/src/cassiabend/http/upstream_call.cc
+++ b/src/cassiabend/http/upstream_call.cc
@@ -24,7 +24,8 @@
   ExchangeRequest request{.head = held->head(),
                           .held = held,
                           .head_timeout = options.start.deadline,
-                          .body_timeout = options.progress_timeout};
+                          .body_timeout = options.progress_timeout,
+                          .may_resend = !attempt.once};
   wire_->WriteUpstreamHeaders(attempt, options.start, &request.head);
   request_id_ = wire_->RequestIdOf(request.head);
   exchange_->Start(std::move(request));
--- /dev/null
+++ b/tests/shell/idle_reset_test.cc
@@ -0,0 +1,128 @@
+// Upstreams that forget idle connections without a word.
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <string>
+
+#include "cassiabend/http/client_exchange.h"
+#include "tests/support/raw_peer.h"
+
+namespace cassiabend {
+namespace {
+
+constexpr char kAnswer[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+/// \brief One request and what became of it.
+struct Sent final : ExchangeListener {
+  void OnResponseHead(MessageHead& head) override { status = head.status; }
+  void OnResponseBody(std::string_view /*bytes*/) override {}
+  void OnResponseEnd() override { ended = true; }
+  void OnExchangeFailed(ExchangeFailure failure) override {
+    lost = failure;
+    ended = true;
+  }
+
+  std::uint16_t status = 0;
+  std::optional<ExchangeFailure> lost;
+  bool ended = false;
+};
+
+struct ForgetfulServer {
+  ForgetfulServer()
+      : server(io), ticks(io), pool(io, clock, &ticks, PoolOptions{}) {
+    ticks.Start();
+  }
+  ~ForgetfulServer() {
+    pool.Close();
+    ticks.Stop();
+  }
+
+  void Send(Sent* sent, bool may_resend) {
+    const RefPtr<ClientExchange> exchange(new ClientExchange(
+        &pool, {boost::asio::ip::address_v4::loopback(), server.port()}, sent));
+    MessageHead head;
+    head.method = "GET";
+    head.target = "/";
+    head.Add("Host", "h");
+    exchange->Start({.head = head, .may_resend = may_resend});
+  }
+  /// \returns Connection `i` once a whole request is there.
+  std::shared_ptr<RawPeer> Peer(std::size_t i) {
+    REQUIRE(RunUntil(io, [&] {
+      return server.peers().size() > i && server.peers()[i]->Has("\r\n\r\n");
+    }));
+    return server.peers()[i];
+  }
+  void Serve(Sent* sent, std::size_t i) {
+    const auto peer = Peer(i);
+    peer->Clear();
+    peer->Send(kAnswer);
+    REQUIRE(RunUntil(io, [&] { return sent->ended; }));
+    CHECK(sent->status == 200);
+  }
+  void Wait(Milliseconds time) {
+    boost::asio::steady_timer timer(io, time);
+    bool is_over = false;
+    timer.async_wait([&](const auto& /*ec*/) { is_over = true; });
+    REQUIRE(RunUntil(io, [&] { return is_over; }));
+  }
+
+  boost::asio::io_context io;
+  ManualClock clock;
+  RawServer server;
+  TickList ticks;
+  OutgoingPool pool;
+};
+
+TEST_CASE("what may repeat is sent again when an idle connection is reset") {
+  ForgetfulServer t;
+  Sent first;
+  t.Send(&first, true);
+  t.Serve(&first, 0);
+  Sent second;
+  t.Send(&second, true);
+  t.Peer(0)->Close();
+  t.Serve(&second, 1);
+  CHECK_FALSE(second.lost);
+}
+
+TEST_CASE("what may run once is not sent again when a connection is reset") {
+  ForgetfulServer t;
+  Sent first;
+  t.Send(&first, false);
+  t.Serve(&first, 0);
+  Sent second;
+  t.Send(&second, false);
+  t.Peer(0)->Close();
+  REQUIRE(RunUntil(t.io, [&] { return second.ended; }));
+  CHECK(second.lost == ExchangeFailure::kBroken);
+  CHECK(t.server.peers().size() == 1);
+}
+
+TEST_CASE("after a reset, idle connections are kept for shorter") {
+  ForgetfulServer t;
+  Sent first;
+  t.Send(&first, true);
+  t.Serve(&first, 0);
+  Sent second;
+  t.Send(&second, true);
+  t.Peer(0)->Close();
+  t.Serve(&second, 1);
+  t.Wait(Milliseconds(700));
+  Sent third;
+  t.Send(&third, true);
+  t.Serve(&third, 2);
+  // Long after the newest reset they are kept as before.
+  t.clock.Advance(Seconds(31));
+  Sent fourth;
+  t.Send(&fourth, true);
+  t.Serve(&fourth, 2);
+  t.Wait(Milliseconds(700));
+  Sent fifth;
+  t.Send(&fifth, true);
+  t.Serve(&fifth, 2);
+}
+
+}  // namespace
+}  // namespace cassiabend
