Refuse downloads that the link cannot send in time, and count all bytes

Cause: the share of the link that large answers had left out what is sent without waiting: the first 16 KB of each of them and all small answers. With all bytes counted, the downloads alone bear the lack, and starve: there are more than the links of their upstreams can carry.

Change: what is sent without waiting is taken from the room of large answers. The destination knows what waits for the link (LinkLoadChanged) and the mean size of each class's answers, and refuses a download before it runs when it could not leave within its objective (LinkQueue); of what is late already it takes what needs less than a quarter of the time left.

Tests: attempt_test, bulk_pacer_test.

--- a/src/cassiabend/core/call_destination.cc
+++ b/src/cassiabend/core/call_destination.cc
@@ -22,6 +22,9 @@
 /// How long a node that leaves keeps an answer for a connection that was lost:
 /// the other end asks for it at once, or not at all.
 constexpr Milliseconds kLeaveHold{1'000};
+/// Of an answer that is late already the link carries what takes less than this
+/// part of the time left, so that those that can be timely find room.
+constexpr int kLateLinkShare = 4;
 constexpr Milliseconds kUnreachedPause{100};
 constexpr Milliseconds kStorePause{1'000};
 constexpr Milliseconds kClaimPause{100};
@@ -116,6 +119,9 @@
     return Refusal{NotRunReason::kOverloaded,
                    std::chrono::ceil<Milliseconds>(wait)};
   }
+  if (const auto refusal = CheckLink(request)) {
+    return refusal;
+  }
   if (!OrderOf(request)) {
     return std::nullopt;
   }
@@ -128,6 +134,32 @@
   return std::nullopt;
 }
 
+std::optional<Refusal> CallDestination::CheckLink(
+    const AttemptRequest& request) const {
+  const std::uint64_t own = link_.LargeBytesOf(request.request_class);
+  if (own == 0) {
+    return std::nullopt;
+  }
+  std::uint64_t ahead = link_.waiting_bytes();
+  for (const auto& [id, attempt] : table_.attempts()) {
+    const bool is_to_come = attempt->state == AttemptState::kQueued ||
+                            attempt->state == AttemptState::kRunning;
+    ahead +=
+        is_to_come ? link_.LargeBytesOf(attempt->request.request_class) : 0;
+  }
+  const Nanoseconds needed =
+      admission_.ServiceTimeOf(request.request_class).mean() +
+      link_.TimeFor(ahead + own);
+  const Nanoseconds aim = request.objective > kMissedObjective
+                              ? request.objective
+                              : request.deadline / kLateLinkShare;
+  if (needed <= aim) {
+    return std::nullopt;
+  }
+  return Refusal{NotRunReason::kOverloaded,
+                 std::chrono::ceil<Milliseconds>(needed - aim)};
+}
+
 void CallDestination::RefuseArrival(const AttemptArrived& event,
                                     const Refusal& refusal) {
   ReplyNotRun reply{event.link,     event.request.id,
@@ -433,6 +465,7 @@
   if (attempt == nullptr || attempt->state != AttemptState::kAnswering) {
     return;
   }
+  link_.NoteAnswer(attempt->request.request_class, event.bytes);
   ReleaseSlot(attempt);
   attempt->state = AttemptState::kHeld;
   attempt->held_at = context_->now.mono;
--- a/src/cassiabend/core/call_destination.h
+++ b/src/cassiabend/core/call_destination.h
@@ -6,6 +6,7 @@
 #include "cassiabend/core/call_context.h"
 #include "cassiabend/core/call_upstream_health.h"
 #include "cassiabend/core/dispatch_gate.h"
+#include "cassiabend/core/link_queue.h"
 #include "cassiabend/core/orders.h"
 
 namespace cassiabend {
@@ -38,6 +39,7 @@
   void Reduce(const UpstreamAnswering& event);
   void Reduce(const UpstreamFinished& event);
   void Reduce(const UpstreamBroken& event);
+  void Reduce(const LinkLoadChanged& event) { link_.Note(event); }
   void Reduce(const StoreReplied& event);
   /// \brief Answers the time that has passed.
   void Tick();
@@ -60,6 +62,9 @@
   void Claim(const OrderId& order, Attempt* attempt);
   void TakeClaims();
   void Enqueue(Attempt* attempt);
+  /// \returns Why the answer could not leave over this host's link in time.
+  [[nodiscard]] std::optional<Refusal> CheckLink(
+      const AttemptRequest& request) const;
   [[nodiscard]] Milliseconds BackAfter() const;
   void StartWaiting();
   void Start(Attempt* attempt);
@@ -91,6 +96,7 @@
   CallContext* context_;
   const CallUpstreamHealth* health_;
   AdmissionQueue admission_;
+  LinkQueue link_;
   OrderLedger orders_;
   AttemptTable table_;
   TimerQueue<Attempt> timers_;
--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -23,8 +23,6 @@
 /// An error is tried elsewhere while what is left is more than the time that it
 /// took over this number: errors come sooner than answers.
 constexpr int kErrorTimeShare = 2;
-/// What is left of an objective that is missed; 0 would be none.
-constexpr Milliseconds kMissedObjective{1};
 
 }  // namespace
 
--- a/src/cassiabend/core/call_events.h
+++ b/src/cassiabend/core/call_events.h
@@ -76,6 +76,9 @@
 [[nodiscard]] std::optional<NotRunReason> NotRunReasonByName(
     std::string_view name) noexcept;
 
+/// What is left of an objective that is missed; 0 would be none.
+inline constexpr Milliseconds kMissedObjective{1};
+
 /// \brief One attempt, as the entry node sends it to the destination node.
 struct AttemptRequest {
   AttemptId id;
@@ -234,6 +237,8 @@
 /// \brief Event: the upstream's answer is whole.
 struct UpstreamFinished {
   AttemptId attempt;
+  /// Bytes of its body.
+  std::uint64_t bytes = 0;
 };
 /// \brief Event: the upstream's connection broke or fell silent after sending.
 struct UpstreamBroken {
@@ -252,6 +257,11 @@
 
 // Events at both.
 
+/// \brief Event: the large answers that wait for this host's link have changed.
+struct LinkLoadChanged {
+  std::uint64_t waiting_bytes = 0;
+  std::uint64_t bytes_per_second = 0;
+};
 /// \brief Event: time has passed; sent every `kCallTickPeriod`.
 struct CallTick {};
 /// \brief Event: the node must stop: new work is refused, work in flight ends.
@@ -278,6 +288,7 @@
                                UpstreamFinished,
                                UpstreamBroken,
                                UpstreamProbed,
+                               LinkLoadChanged,
                                CallTick,
                                DrainRequested,
                                // From the fleet's effects.
--- /dev/null
+++ b/src/cassiabend/core/link_queue.cc
@@ -0,0 +1,41 @@
+#include "cassiabend/core/link_queue.h"
+
+namespace cassiabend {
+namespace {
+
+/// Answers from this mean on wait for the link; smaller ones do not.
+constexpr double kLargeBytes = 16.0 * 1024;
+/// Weight of the newest answer in the mean of its class.
+constexpr double kNewest = 0.05;
+/// Classes whose size is kept, so that names cannot grow the table.
+constexpr std::size_t kMaxClasses = 1'024;
+
+}  // namespace
+
+void LinkQueue::NoteAnswer(const std::string& request_class,
+                           std::uint64_t bytes) {
+  const auto found = sizes_.find(request_class);
+  const auto size = static_cast<double>(bytes);
+  if (found != sizes_.end()) {
+    found->second += (size - found->second) * kNewest;
+  } else if (sizes_.size() < kMaxClasses) {
+    sizes_.emplace(request_class, size);
+  }
+}
+
+std::uint64_t LinkQueue::LargeBytesOf(const std::string& request_class) const {
+  const auto found = sizes_.find(request_class);
+  const bool is_large = found != sizes_.end() && found->second >= kLargeBytes;
+  return is_large ? static_cast<std::uint64_t>(found->second) : 0;
+}
+
+Nanoseconds LinkQueue::TimeFor(std::uint64_t bytes) const noexcept {
+  if (bytes_per_second_ == 0) {
+    return Nanoseconds(0);
+  }
+  const std::chrono::duration<double> time(
+      static_cast<double>(bytes) / static_cast<double>(bytes_per_second_));
+  return std::chrono::duration_cast<Nanoseconds>(time);
+}
+
+}  // namespace cassiabend
--- a/src/cassiabend/http/bulk_pacer.h
+++ b/src/cassiabend/http/bulk_pacer.h
@@ -37,6 +37,21 @@
   /// \returns Bytes that may be sent now, at most `wanted`. When there are
   /// none, the waiter is called once there are.
   [[nodiscard]] std::size_t Take(Waiter* waiter, std::size_t wanted);
+  /// \brief Notes bytes that were sent without waiting: the large answers make
+  /// room for them.
+  void Charge(std::size_t bytes) noexcept {
+    room_ -= rate_ > 0 ? static_cast<double>(bytes) : 0.0;
+  }
+  /// \brief Notes bytes of large answers that are to be sent, and that were
+  /// sent or will not be.
+  void Expect(std::uint64_t bytes) noexcept { expected_ += bytes; }
+  void Settle(std::uint64_t bytes) noexcept { expected_ -= bytes; }
+  /// \returns Bytes a second that large answers can have; 0: it is not known.
+  [[nodiscard]] std::uint64_t rate() const noexcept {
+    return static_cast<std::uint64_t>(rate_);
+  }
+  /// \returns Bytes of large answers that wait to be sent.
+  [[nodiscard]] std::uint64_t expected() const noexcept { return expected_; }
   /// \brief Calls waiters while there is room; to be called often.
   void Tick();
 
@@ -52,6 +67,7 @@
   double rate_;
   double room_;
   MonoTime filled_at_;
+  std::uint64_t expected_ = 0;
   Waiters waiters_;
   /// The waiter whose turn it is, until it has taken its chunk.
   const Waiter* served_ = nullptr;
--- a/src/cassiabend/http/call_server.cc
+++ b/src/cassiabend/http/call_server.cc
@@ -99,6 +99,7 @@
         held_bytes_(new HeldBytes),
         ticks_(io),
         pacer_(clock, options.link_kilobits),
+        sink_(sink),
         pool_(io, clock, &ticks_, PoolOptionsOf(options)),
         destination_(&pool_, DestinationOptionsOf(options), held_bytes_, sink),
         calls_(options.self,
@@ -137,7 +138,10 @@
   }
 
   void Start() {
-    ticks_.Start([this] { pacer_.Tick(); });
+    ticks_.Start([this] {
+      pacer_.Tick();
+      ReportLink();
+    });
     Accept(&peers_);
     if (callers_.acceptor.is_open()) {
       Accept(&callers_);
@@ -310,6 +314,16 @@
     session->Start();
   }
 
+  /// \brief Tells the core what waits for the link, when that has changed.
+  void ReportLink() {
+    const std::uint64_t expected = pacer_.expected();
+    if (pacer_.rate() == 0 || expected == reported_bytes_) {
+      return;
+    }
+    reported_bytes_ = expected;
+    sink_->Post(CallEvent(LinkLoadChanged{expected, pacer_.rate()}));
+  }
+
   /// \returns Whether a connection is known to be a caller's.
   [[nodiscard]] static bool IsFromCaller(const ServerSession& session) {
     return !session.takes_peers();
@@ -437,6 +451,9 @@
   RefPtr<HeldBytes> held_bytes_;
   TickList ticks_;
   BulkPacer pacer_;
+  /// What the core was told last of the bytes that wait for the link.
+  std::uint64_t reported_bytes_ = 0;
+  EventSink* sink_;
   OutgoingPool pool_;
   /// Numbers of calls and links.
   std::uint64_t next_id_ = 1;
--- a/src/cassiabend/http/server_exchange.cc
+++ b/src/cassiabend/http/server_exchange.cc
@@ -1,5 +1,6 @@
 #include "cassiabend/http/server_exchange.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "cassiabend/http/headers.h"
@@ -151,7 +152,14 @@
     session_->EndAfterRequest();
   }
   says_close_ = session_->EndsWith(*this);
+  expected_ = head.content_length.value_or(0);
+  if (expected_ <= BulkPacer::kSmallAnswerBytes) {
+    expected_ = 0;
+  }
+  session_->pacer()->Expect(expected_);
+  const std::size_t before = session_->output()->size();
   AppendResponseHead(head, framing_, !says_close_, session_->output());
+  session_->pacer()->Charge(session_->output()->size() - before);
 }
 
 void ServerExchange::PumpBody() {
@@ -161,6 +169,7 @@
         answer_->Peek(position_).substr(0, kOutputWindowBytes);
     if (position_ < BulkPacer::kSmallAnswerBytes) {
       bytes = bytes.substr(0, BulkPacer::kSmallAnswerBytes - position_);
+      session_->pacer()->Charge(bytes.size());
     } else {
       bytes = bytes.substr(0, session_->pacer()->Take(this, bytes.size()));
     }
@@ -171,11 +180,18 @@
       AppendBody(bytes, framing_, session_->output());
     }
     position_ += bytes.size();
+    SettleExpected(bytes.size());
     answer_->Consume(position_);
   }
   is_pumping_ = false;
 }
 
+void ServerExchange::SettleExpected(std::uint64_t bytes) noexcept {
+  const std::uint64_t n = std::min(bytes, expected_);
+  expected_ -= n;
+  session_->pacer()->Settle(n);
+}
+
 void ServerExchange::Finish() {
   state_ = State::kFinishing;
   session_->ExpectProgress();
@@ -190,6 +206,9 @@
 
 void ServerExchange::End() noexcept {
   state_ = State::kEnded;
+  if (session_ != nullptr) {
+    SettleExpected(expected_);
+  }
   session_ = nullptr;
   BulkPacer::Waiter::unlink();
   DetachAnswer();
--- a/src/cassiabend/http/server_exchange.h
+++ b/src/cassiabend/http/server_exchange.h
@@ -75,6 +75,7 @@
   void Pump();
   void PumpAnswer();
   void PumpBody();
+  void SettleExpected(std::uint64_t bytes) noexcept;
   void WriteReply();
   void WriteAnswerHead();
   void Finish();
@@ -91,6 +92,8 @@
   std::string reply_body_;
   std::uint64_t id_ = 0;
   std::uint64_t position_ = 0;
+  /// Bytes of a large answer that are still to be sent.
+  std::uint64_t expected_ = 0;
   BodyFraming framing_ = BodyFraming::kNone;
   State state_ = State::kWaiting;
   bool is_head_request_;
--- a/src/cassiabend/http/upstream_call.cc
+++ b/src/cassiabend/http/upstream_call.cc
@@ -93,7 +93,7 @@
     return;
   }
   PassOnHead();
-  sink_->Post(CallEvent(UpstreamFinished{attempt_}));
+  sink_->Post(CallEvent(UpstreamFinished{attempt_, answer_->end_position()}));
   answer_->Finish(true);
 }
 
--- a/tests/attempt_test.cc
+++ b/tests/attempt_test.cc
@@ -179,6 +179,48 @@
   }
 }
 
+TEST_CASE("a download that the link cannot send in time is refused at once") {
+  constexpr std::uint64_t kDownload = 90'000;
+  CallNode node(MakeMember(2));
+  node.MakeReady({});
+  AttemptRequest request = MakeAttempt(false);
+  request.objective = Milliseconds(1'000);
+  request.deadline = Milliseconds(4'000);
+  std::uint64_t n = 100;
+  const auto arrive = [&](const std::string& request_class) {
+    request.id = {n, n};
+    request.request_class = request_class;
+    node.Do(AttemptArrived{n++, request});
+    return node.Only<StartUpstream>().has_value();
+  };
+  const auto finish = [&](std::uint64_t bytes) {
+    node.Advance(Milliseconds(100));
+    node.Do(UpstreamFinished{request.id, bytes});
+  };
+  REQUIRE(arrive("download"));
+  finish(kDownload);
+  REQUIRE(arrive("read"));
+  finish(1'500);
+  // A link of 10 Mbit/s on which 0.8 s of large answers wait.
+  node.Do(LinkLoadChanged{800'000, 1'000'000});
+  CHECK(arrive("download"));
+  finish(kDownload);
+  // Two more would be late: the one before it and itself.
+  node.Do(LinkLoadChanged{890'000, 1'000'000});
+  CHECK_FALSE(arrive("download"));
+  REQUIRE(node.Only<ReplyNotRun>());
+  CHECK(node.Only<ReplyNotRun>()->reason == NotRunReason::kOverloaded);
+  CHECK(node.Only<ReplyNotRun>()->retry_after > Milliseconds(0));
+  // Small answers do not wait for the link.
+  CHECK(arrive("read"));
+  finish(1'500);
+  // What is late already must leave room for what is not.
+  request.objective = kMissedObjective;
+  CHECK_FALSE(arrive("download"));
+  node.Do(LinkLoadChanged{100'000, 1'000'000});
+  CHECK(arrive("download"));
+}
+
 TEST_CASE("a destination answers fetches by what it knows") {
   Destination running(true);
   running.Do(FetchArrived{2, kId, 100});
--- a/tests/shell/bulk_pacer_test.cc
+++ b/tests/shell/bulk_pacer_test.cc
@@ -78,6 +78,25 @@
   }
 }
 
+TEST_CASE("what is sent without waiting is taken from the large answers") {
+  // Twelve downloads a second begin with 16 KB each that do not wait.
+  ManualClock clock({MonoTime(Seconds(1)), {}});
+  BulkPacer pacer(clock, kNarrow);
+  Answer answer(&pacer, 100'000'000);
+  answer.Send();
+  std::size_t at_once = 0;
+  for (int step = 0; step < 250; ++step) {
+    if (step % 4 == 0) {
+      pacer.Charge(16'000);
+      at_once += 16'000;
+    }
+    clock.Advance(kStep);
+    pacer.Tick();
+  }
+  CHECK(answer.sent + at_once <= kWidth * 5 * 9 / 10 + kWidth / 20);
+  CHECK(answer.sent + at_once >= kWidth * 5 * 8 / 10);
+}
+
 TEST_CASE("late steps cost no throughput") {
   ManualClock clock({MonoTime(Seconds(1)), {}});
   BulkPacer pacer(clock, kNarrow);
