--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -1,5 +1,7 @@
 #!/usr/bin/env bash
-# Runs clang-tidy over the files of a build folder's compile_commands.json.
+# Runs clang-tidy over the files of a build folder's compile_commands.json. A
+# file that passed is not checked again until it, what it includes or the
+# checks change: BUILD_FOLDER/lint holds a mark for each that passed.
 # Usage: scripts/lint.sh [BUILD_FOLDER [FILE...]]
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -10,5 +12,26 @@
   mapfile -t files < <(git ls-files --cached --others --exclude-standard '*.cc' |
     grep -v -e '^schema/gen/' -e 'third_party_easylogging')
 fi
-printf '%s\n' "${files[@]}" |
-  xargs -P "$(nproc)" -n 1 clang-tidy -p "$build" --quiet 2>/dev/null
+marks=$build/lint
+mkdir -p "$marks"
+checks=$({ clang-tidy --version; cat .clang-tidy; } | sha256sum)
+export build marks checks
+
+# Prints the hash of a file as the compiler sees it, comments included.
+key_of() {
+  local text
+  text=$(g++ -std=c++20 -E -C -Isrc -I. -Ischema/gen "$1" 2>/dev/null) || return 1
+  printf '%s %s\n%s\n' "$1" "$checks" "$text" | sha256sum | cut -d ' ' -f 1
+}
+
+check() {
+  local key=""
+  key=$(key_of "$1") || key=""
+  if [ -n "$key" ] && [ -e "$marks/$key" ]; then
+    return 0
+  fi
+  clang-tidy -p "$build" --quiet "$1" 2>/dev/null || return 1
+  [ -z "$key" ] || touch "$marks/$key"
+}
+export -f key_of check
+printf '%s\n' "${files[@]}" | xargs -P "$(nproc)" -I '{}' bash -c 'check "$1"' _ '{}'
--- a/src/cassiabend/http/server_session.cc
+++ b/src/cassiabend/http/server_session.cc
@@ -129,7 +129,7 @@
 }
 
 RefPtr<ServerExchange> ServerSession::AddExchange() {
-  const RefPtr<ServerExchange> exchange(
+  RefPtr<ServerExchange> exchange(
       new ServerExchange(this, is_head_request_, is_http_1_0_));
   exchanges_.push_back(exchange);
   if (exchanges_.size() == 1) {
--- a/tests/support/scripted_session.h
+++ b/tests/support/scripted_session.h
@@ -69,7 +69,7 @@
   /// \brief Begins an answer that arrives in pieces.
   RefPtr<AnswerStream> Begin(std::size_t n) {
     const std::string body = BodyOf(requests.at(n).target);
-    const RefPtr<AnswerStream> answer(new AnswerStream({}, held_bytes));
+    RefPtr<AnswerStream> answer(new AnswerStream({}, held_bytes));
     MessageHead head;
     head.status = 200;
     head.reason = "OK";
