Give the platform's settings in tests their link width, and bound it

Cause: platform_path_test failed on all its cases since the template asks for limits.link_mbps, which the test did not fill in; it was not run with that change. A width that is no plausible number is refused by name now, as its conversion would not be defined.

--- a/tests/platform/platform_path_test.cc
+++ b/tests/platform/platform_path_test.cc
@@ -66,6 +66,7 @@
       {"{{service}}", host.service},
       {"{{bootstrap}}", "true"},
       {"{{heartbeat}}", "60s"},
+      {"{{limits.link_mbps}}", "1000.0"},
       {"{{internal_port_range.0}}", std::to_string(host.peer_port)},
       {R"("metrics_port": 9464)",
        R"("metrics_port": )" + std::to_string(host.metrics_port)},
--- a/tests/platform/platform_settings_test.cc
+++ b/tests/platform/platform_settings_test.cc
@@ -20,6 +20,7 @@
                        .bounds =
                            "grace=6s,retry_budget_ratio=0.2,"
                            "budget_slack=58,config_apply=2000ms,new=1,",
+                       .link_mbps = "13.3",
                        .first_start = "false"};
   return settings;
 }
@@ -36,6 +37,7 @@
   CHECK(settings.calls.ask_upstream == 1);
   CHECK(settings.node.shutdown_timeout < Seconds(6));
   CHECK(settings.node.shutdown_timeout > Seconds(5));
+  CHECK(settings.http.link_kilobits == 13'300);
   CHECK(settings.fleet.follow_limit < Seconds(2));
   // Never more retries than the platform allows.
   CHECK(settings.calls.retry_budget_permille <= 200);
@@ -59,6 +61,8 @@
       {&PlatformSettings::bounds, "grace=soon", "platform.bounds.grace"},
       {&PlatformSettings::bounds, "budget_slack=x",
        "platform.bounds.budget_slack"},
+      {&PlatformSettings::link_mbps, "wide", "platform.link_mbps"},
+      {&PlatformSettings::link_mbps, "1e99", "platform.link_mbps"},
   };
   for (const Row& row : rows) {
     CAPTURE(row.where);
