Show that damaged versions from a peer fail their push alone

A test for the new form of versions between nodes: empty, cut and foreign frames, and frames that hold no message, sent by a raw client. Each fails its push, none reaches the core, and the node goes on. It passes at once: Cap'n Proto turns the error into a failed call.

--- a/tests/shell/peer_transport_test.cc
+++ b/tests/shell/peer_transport_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -12,10 +13,12 @@
 #include <vector>
 
 #include "cassiabend/base/clock.h"
+#include "cassiabend/base/compression.h"
 #include "cassiabend/base/error.h"
 #include "cassiabend/model/codec.h"
 #include "cassiabend/rpc/kj_thread.h"
 #include "cassiabend/rpc/mesh_codec.h"
+#include "cassiabend/rpc/peer_links.h"
 #include "cassiabend/rpc/peer_transport.h"
 #include "cassiabend/rpc/rpc_listener.h"
 
@@ -350,6 +353,55 @@
   CHECK(Await<MembersAnswered>(io, a).members);
 }
 
+TEST_CASE("a damaged version fails its push and the node goes on") {
+  asio::io_context io;
+  Node a(io);
+  Node b(io);
+  const std::string whole = SampleSnapshot()->packed();
+  const std::string damaged[] = {"", "no frame", whole.substr(0, 20),
+                                 Compress("not a message"),
+                                 Compress(std::string(100'000, '\0'))};
+  for (const std::string& it : damaged) {
+    CAPTURE(it.size());
+    TcpCounters counters;
+    std::atomic<int> ends{0};
+    std::atomic<int> failures{0};
+    KjThread kj;
+    std::unique_ptr<PeerLinks> links;
+    kj::Promise<void> push = nullptr;
+    kj.Run([&] {
+      links = std::make_unique<PeerLinks>(kj.io(), PeerTransportOptions{},
+                                          &counters);
+      push = links
+                 ->Call(b.id,
+                        [&it](schema::Peer::Client& peer) {
+                          auto request = peer.pushRequest();
+                          request.initUpdate().setPackedFull(
+                              {reinterpret_cast<const kj::byte*>(it.data()),
+                               it.size()});
+                          return request.send().ignoreResult();
+                        })
+                 .then([&ends] { ++ends; },
+                       [&](kj::Exception&& /*ex*/) {
+                         ++failures;
+                         ++ends;
+                       })
+                 .eagerlyEvaluate(nullptr);
+    });
+    RunUntil(io, [&] { return ends == 1; });
+    CHECK(failures == 1);
+    kj.Run([&] {
+      push = nullptr;
+      links = nullptr;
+    });
+  }
+  CHECK(b.sink.Last<PushReceived>() == nullptr);
+  a.transport.Execute(SendMembersRequest{b.id});
+  const MembersRequested got = Await<MembersRequested>(io, b);
+  b.transport.Execute(ReplyMembers{got.request, {}});
+  CHECK(Await<MembersAnswered>(io, a).members);
+}
+
 TEST_CASE("surplus and idle connections are closed") {
   asio::io_context io;
   KjThread kj;
