--- /dev/null
+++ b/src/cassiabend/core/call_destination_end.cc
@@ -0,0 +1,68 @@
+// The ends of an attempt at its destination.
+
+#include <vector>
+
+#include "cassiabend/core/call_destination.h"
+
+namespace cassiabend {
+
+void CallDestination::Refuse(Attempt* attempt,
+                             const Refusal& refusal,
+                             bool reached_upstream) {
+  for (const AttemptLink& it : attempt->links) {
+    ReplyNotRun reply{it.link,          it.asked,
+                      refusal.reason,   refusal.retry_after,
+                      reached_upstream, TimesOf(*attempt)};
+    Explain(attempt->request,
+            std::chrono::floor<Milliseconds>(attempt->deadline -
+                                             context_->now.mono),
+            &reply);
+    context_->Emit(std::move(reply));
+  }
+  if (attempt->is_waiting()) {
+    admission_.Remove(attempt);
+  }
+  if (const auto order = OrderOf(attempt->request)) {
+    orders_.Release(*order);
+  }
+  Forget(attempt, AttemptFate::kNotRun);
+}
+
+void CallDestination::EndUnknown(Attempt* attempt) {
+  for (const AttemptLink& it : attempt->links) {
+    context_->Emit(ReplyUnknown{it.link, it.asked});
+  }
+  Forget(attempt, AttemptFate::kRan);
+}
+
+void CallDestination::ReleaseSlot(Attempt* attempt) {
+  if (!attempt->holds_slot) {
+    return;
+  }
+  attempt->holds_slot = false;
+  const bool ran = attempt->state == AttemptState::kAnswering;
+  admission_.Release(*attempt, ran ? context_->now.mono - attempt->started_at
+                                   : Nanoseconds(0));
+}
+
+void CallDestination::Forget(Attempt* attempt, AttemptFate fate) {
+  ReleaseSlot(attempt);
+  held_ -= attempt->state == AttemptState::kHeld ? 1 : 0;
+  context_->Emit(ReleaseAttempt{attempt->request.id});
+  table_.Erase(attempt, fate);
+}
+
+void CallDestination::RefuseWaiting(NotRunReason reason) {
+  std::vector<Attempt*> waiting;
+  for (const auto& [id, attempt] : table_.attempts()) {
+    if (attempt->state == AttemptState::kQueued ||
+        attempt->state == AttemptState::kClaiming) {
+      waiting.push_back(attempt.get());
+    }
+  }
+  for (Attempt* it : waiting) {
+    Refuse(it, {reason});
+  }
+}
+
+}  // namespace cassiabend
