State once where an answer becomes large, and reuse the unknown answer

Found on reading the whole change: the 16 KB from which an answer waits for the link stood in the pacer and in the link's queue, which have to agree; it is one constant now. CallTable::AnswerBroken repeated what Execute(AnswerUnknown) does and calls it instead.

--- a/src/cassiabend/core/link_queue.cc
+++ b/src/cassiabend/core/link_queue.cc
@@ -1,10 +1,10 @@
 #include "cassiabend/core/link_queue.h"
 
+#include "cassiabend/core/large_answer.h"
+
 namespace cassiabend {
 namespace {
 
-/// Answers from this mean on wait for the link; smaller ones do not.
-constexpr double kLargeBytes = 16.0 * 1024;
 /// Weight of the newest answer in the mean of its class.
 constexpr double kNewest = 0.05;
 /// Classes whose size is kept, so that names cannot grow the table.
@@ -25,7 +25,8 @@
 
 std::uint64_t LinkQueue::LargeBytesOf(const std::string& request_class) const {
   const auto found = sizes_.find(request_class);
-  const bool is_large = found != sizes_.end() && found->second >= kLargeBytes;
+  const bool is_large =
+      found != sizes_.end() && found->second >= kLargeAnswerBytes;
   return is_large ? static_cast<std::uint64_t>(found->second) : 0;
 }
 
--- a/src/cassiabend/http/bulk_pacer.h
+++ b/src/cassiabend/http/bulk_pacer.h
@@ -27,9 +27,6 @@
     virtual void OnTurn() = 0;
   };
 
-  /// Bytes of an answer that are sent without waiting.
-  static constexpr std::uint64_t kSmallAnswerBytes = std::uint64_t{16} * 1024;
-
   /// \param link_kilobits Width of the link, per second; 0: it is not known,
   /// and nothing waits.
   BulkPacer(const Clock& clock, std::uint32_t link_kilobits);
--- a/src/cassiabend/http/call_table.cc
+++ b/src/cassiabend/http/call_table.cc
@@ -94,14 +94,7 @@
 }
 
 void CallTable::AnswerBroken(CallId id) {
-  const auto found = calls_.find(id);
-  if (found == calls_.end()) {
-    return;
-  }
-  const RefPtr<ServerExchange> exchange = found->second.exchange;
-  exchange->Reply(wire_->Unknown(false),
-                  ExplanationBody(kOutcomeUnknown, {},
-                                  "the answer of the upstream broke off"));
+  Execute(AnswerUnknown{id, "the answer of the upstream broke off"});
 }
 
 void CallTable::CallerLeft(CallId id) {
--- a/src/cassiabend/http/server_exchange.cc
+++ b/src/cassiabend/http/server_exchange.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "cassiabend/core/large_answer.h"
 #include "cassiabend/http/headers.h"
 #include "cassiabend/http/message_writer.h"
 #include "cassiabend/http/server_session.h"
@@ -153,7 +154,7 @@
   }
   says_close_ = session_->EndsWith(*this);
   expected_ = head.content_length.value_or(0);
-  if (expected_ <= BulkPacer::kSmallAnswerBytes) {
+  if (expected_ <= kLargeAnswerBytes) {
     expected_ = 0;
   }
   session_->pacer()->Expect(expected_);
@@ -167,8 +168,8 @@
   while (session_->unwritten() < kOutputWindowBytes) {
     std::string_view bytes =
         answer_->Peek(position_).substr(0, kOutputWindowBytes);
-    if (position_ < BulkPacer::kSmallAnswerBytes) {
-      bytes = bytes.substr(0, BulkPacer::kSmallAnswerBytes - position_);
+    if (position_ < kLargeAnswerBytes) {
+      bytes = bytes.substr(0, kLargeAnswerBytes - position_);
       session_->pacer()->Charge(bytes.size());
     } else {
       bytes = bytes.substr(0, session_->pacer()->Take(this, bytes.size()));
