Say which calls a node cuts when it ends, and how long large answers took to leave

Cause: a node that gave up at the end of its shutdown did not say which calls it cut, nor what their answers needed next; a node whose link was behind did not say how many bytes waited, nor how long an answer took. The hypotheses on answers cut at planned stops could not be told apart.

Change: call_cut names each open call and what it needs next (its source, the link, its receiver) with the bytes sent, arrived and in all; answer_left_late names a large answer that took over a second to leave; metrics count large answers, their time on the link and the bytes that wait. No logic changes.

--- a/src/cassiabend/http/bulk_pacer.h
+++ b/src/cassiabend/http/bulk_pacer.h
@@ -49,6 +49,7 @@
   }
   /// \returns Bytes of large answers that wait to be sent.
   [[nodiscard]] std::uint64_t expected() const noexcept { return expected_; }
+  [[nodiscard]] MonoTime now() const { return clock_.Now().mono; }
   /// \brief Calls waiters while there is room; to be called often.
   void Tick();
 
--- a/src/cassiabend/http/call_server.cc
+++ b/src/cassiabend/http/call_server.cc
@@ -35,6 +35,9 @@
 constexpr Milliseconds kSingleProbeTimeout{500};
 /// What the system's own headers may add to a caller's.
 constexpr std::uint32_t kPeerHeaderBytes = 4 * 1024;
+/// Time on the link from which a large answer gets a line in the log: the
+/// objectives of downloads are near it.
+constexpr Milliseconds kLongLinkTime{1'000};
 constexpr std::uint16_t kBadRequest = 400;
 constexpr std::uint16_t kHeaderTooLarge = 431;
 
@@ -158,6 +161,7 @@
     CallServerCounts counts = counts_;
     counts.open_connections = sessions_.size();
     counts.held_bytes = held_bytes_->n;
+    counts.link_waiting_bytes = pacer_.expected();
     return counts;
   }
 
@@ -205,6 +209,7 @@
     is_closed_ = true;
     StopListening();
     prober_ = nullptr;
+    calls_.LogOpen();
     const auto sessions = std::exchange(sessions_, {});
     for (const auto& [session, owner] : sessions) {
       session->Close();
@@ -395,6 +400,7 @@
   void OnAnswerEnd(ServerExchange& exchange, bool complete) override {
     const std::uint64_t id = exchange.id();
     counts_.relayed_bytes += exchange.relayed_bytes();
+    NoteLinkTime(exchange, complete);
     if (calls_.Has(id)) {
       calls_.AnswerEnded(id, complete, exchange.relayed_bytes());
     } else if (complete) {
@@ -404,6 +410,30 @@
     }
   }
 
+  /// \brief Notes how long a large answer took to leave.
+  void NoteLinkTime(const ServerExchange& exchange, bool complete) {
+    const Nanoseconds time = exchange.link_time();
+    if (time == Nanoseconds(0)) {
+      return;
+    }
+    const auto link_ms = static_cast<std::uint64_t>(
+        std::chrono::floor<Milliseconds>(time).count());
+    ++counts_.large_answers;
+    counts_.large_answer_ms += link_ms;
+    if (time < kLongLinkTime) {
+      return;
+    }
+    const std::uint64_t id = exchange.id();
+    Log(LogLevel::kInfo, "answer_left_late",
+        {{"request", calls_.RequestOf(id)},
+         {"attempt", destination_.AttemptOf(id)},
+         {"complete", complete},
+         {"bytes", exchange.relayed_bytes()},
+         {"link_ms", link_ms},
+         {"link_waiting_bytes", pacer_.expected()},
+         {"link_bytes_per_second", pacer_.rate()}});
+  }
+
   void OnPeerGone(ServerExchange& exchange) override {
     const std::uint64_t id = exchange.id();
     if (calls_.Has(id)) {
--- a/src/cassiabend/http/call_server.h
+++ b/src/cassiabend/http/call_server.h
@@ -66,6 +66,11 @@
   std::uint64_t pipelined_requests = 0;
   std::uint64_t relayed_bytes = 0;
   std::uint64_t held_bytes = 0;
+  /// Large answers that left, and the time that they took to leave.
+  std::uint64_t large_answers = 0;
+  std::uint64_t large_answer_ms = 0;
+  /// Bytes of large answers that wait for this host's link.
+  std::uint64_t link_waiting_bytes = 0;
 };
 
 /// \brief Carries calls: callers and other nodes come in on the call port,
--- a/src/cassiabend/http/call_table.cc
+++ b/src/cassiabend/http/call_table.cc
@@ -2,10 +2,22 @@
 
 #include <utility>
 
+#include "cassiabend/base/log.h"
 #include "cassiabend/http/headers.h"
 #include "cassiabend/http/system_answers.h"
 
 namespace cassiabend {
+namespace {
+
+/// Lines about calls that are cut when the process ends.
+constexpr std::size_t kMostCutLines = 16;
+
+std::string_view NameOf(AnswerNeed need) noexcept {
+  constexpr std::string_view kNames[] = {"source", "link", "receiver"};
+  return kNames[static_cast<std::size_t>(need)];
+}
+
+}  // namespace
 
 /// \brief Way back for an attempt at this node's own upstream.
 class CallTable::LocalLink final : public ReplyLink, private AnswerReader {
@@ -84,7 +96,8 @@
                        RefPtr<HeldRequest> held,
                        ServerExchange& exchange) {
   calls_[id] = {.exchange = RefPtr<ServerExchange>(&exchange),
-                .held = std::move(held)};
+                .held = std::move(held),
+                .request_id = facts.request_id};
   sink_->Post(
       CallEvent(CallArrived{id, std::move(facts), !exchange.has_turn()}));
 }
@@ -231,6 +244,29 @@
                   ExplanationBody(kOutcomeUnknown, {}, effect.detail));
 }
 
+void CallTable::LogOpen() const {
+  std::size_t lines = 0;
+  for (const auto& [id, call] : calls_) {
+    if (++lines > kMostCutLines) {
+      break;
+    }
+    const AnswerProgress progress = call.exchange->progress();
+    Log(LogLevel::kWarning, "call_cut",
+        {{"request", call.request_id},
+         {"attempt", call.relayed.IsZero() ? "" : ToHex(call.relayed)},
+         {"needs", NameOf(progress.needs)},
+         {"sent_bytes", progress.sent},
+         {"arrived_bytes", progress.arrived},
+         {"size_bytes", progress.size},
+         {"open_calls", std::uint64_t{calls_.size()}}});
+  }
+}
+
+std::string CallTable::RequestOf(CallId id) const {
+  const auto found = calls_.find(id);
+  return found == calls_.end() ? std::string() : found->second.request_id;
+}
+
 void CallTable::Close() {
   attempts_.clear();
   attempts_of_.clear();
--- a/src/cassiabend/http/call_table.h
+++ b/src/cassiabend/http/call_table.h
@@ -53,6 +53,10 @@
   void Execute(const AnswerUnknown& effect);
   /// \brief Drops every attempt of the call.
   void Execute(const CallEnded& effect);
+  /// \brief Writes a line for each call that is about to be cut.
+  void LogOpen() const;
+  /// \returns The caller's id of a call; empty for none.
+  [[nodiscard]] std::string RequestOf(CallId id) const;
   void Close();
 
  private:
@@ -61,6 +65,7 @@
   struct Call {
     RefPtr<ServerExchange> exchange;
     RefPtr<HeldRequest> held;
+    std::string request_id;
     /// Attempt whose answer is being relayed; zero for none.
     AttemptId relayed;
   };
--- a/src/cassiabend/http/destination_table.cc
+++ b/src/cassiabend/http/destination_table.cc
@@ -38,6 +38,11 @@
   sink_->Post(CallEvent(AttemptArrived{id, attempt}));
 }
 
+std::string DestinationTable::AttemptOf(LinkId id) const {
+  const auto found = links_.find(id);
+  return found == links_.end() ? std::string() : ToHex(found->second.attempt);
+}
+
 void DestinationTable::LinkDone(LinkId id) {
   const auto found = links_.find(id);
   if (found == links_.end()) {
--- a/src/cassiabend/http/destination_table.h
+++ b/src/cassiabend/http/destination_table.h
@@ -43,6 +43,9 @@
               const PeerRequest& request,
               RefPtr<HeldRequest> held,
               std::unique_ptr<ReplyLink> link);
+  /// \returns The attempt that a link waits for, in hexadecimal digits; empty
+  /// for none.
+  [[nodiscard]] std::string AttemptOf(LinkId id) const;
   /// \brief Forgets a link whose answer was handed over.
   void LinkDone(LinkId id);
   /// \brief Forgets a link that was lost and says so.
--- a/src/cassiabend/http/server_exchange.cc
+++ b/src/cassiabend/http/server_exchange.cc
@@ -31,6 +31,21 @@
 
 }  // namespace
 
+AnswerProgress ServerExchange::progress() const noexcept {
+  AnswerProgress out{.sent = position_};
+  if (answer_ == nullptr) {
+    return out;
+  }
+  out.arrived = answer_->end_position();
+  out.size = answer_->head().content_length.value_or(0);
+  if (BulkPacer::Waiter::is_linked()) {
+    out.needs = AnswerNeed::kLink;
+  } else if (session_ != nullptr && session_->unwritten() > 0) {
+    out.needs = AnswerNeed::kReceiver;
+  }
+  return out;
+}
+
 void ServerExchange::Reply(MessageHead head, std::string_view body) {
   if (state_ == State::kAnswering || state_ == State::kFinishing) {
     session_->Cut();
@@ -156,6 +171,8 @@
   expected_ = head.content_length.value_or(0);
   if (expected_ <= kLargeAnswerBytes) {
     expected_ = 0;
+  } else {
+    began_at_ = session_->pacer()->now();
   }
   session_->pacer()->Expect(expected_);
   const std::size_t before = session_->output()->size();
@@ -209,6 +226,8 @@
   state_ = State::kEnded;
   if (session_ != nullptr) {
     SettleExpected(expected_);
+    link_time_ =
+        began_at_ ? session_->pacer()->now() - *began_at_ : Nanoseconds(0);
   }
   session_ = nullptr;
   BulkPacer::Waiter::unlink();
--- a/src/cassiabend/http/server_exchange.h
+++ b/src/cassiabend/http/server_exchange.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "cassiabend/base/ref_counted.h"
+#include "cassiabend/base/time.h"
 #include "cassiabend/http/answer_stream.h"
 #include "cassiabend/http/bulk_pacer.h"
 #include "cassiabend/http/message.h"
@@ -13,6 +15,26 @@
 
 class ServerSession;
 
+/// \brief What an answer needs next.
+enum class AnswerNeed : std::uint8_t {
+  /// More of it from its source.
+  kSource,
+  /// Its turn on this host's link.
+  kLink,
+  /// The other end, to take what was sent.
+  kReceiver,
+};
+
+/// \brief How far an answer is.
+struct AnswerProgress {
+  /// Bytes of the body that have left, and that have arrived.
+  std::uint64_t sent = 0;
+  std::uint64_t arrived = 0;
+  /// Bytes of the whole body; 0 where it is not known.
+  std::uint64_t size = 0;
+  AnswerNeed needs = AnswerNeed::kSource;
+};
+
 /// \brief One request of an incoming connection and its answer. Answers leave
 /// in the order of the requests: one that is ready before its turn waits here,
 /// a relayed one in its stream, whose limits hold back the upstream.
@@ -38,6 +60,11 @@
     return position_;
   }
 
+  [[nodiscard]] AnswerProgress progress() const noexcept;
+  /// \returns Of a large answer that has ended: the time that it took to leave;
+  /// 0 for others.
+  [[nodiscard]] Nanoseconds link_time() const noexcept { return link_time_; }
+
   /// \brief Answers with a short message of the system's own. An answer of
   /// which a part has left is cut instead.
   void Reply(MessageHead head, std::string_view body);
@@ -94,6 +121,9 @@
   std::uint64_t position_ = 0;
   /// Bytes of a large answer that are still to be sent.
   std::uint64_t expected_ = 0;
+  /// When the head of a large answer left.
+  std::optional<MonoTime> began_at_;
+  Nanoseconds link_time_{0};
   BodyFraming framing_ = BodyFraming::kNone;
   State state_ = State::kWaiting;
   bool is_head_request_;
--- a/src/cassiabend/node/metrics.cc
+++ b/src/cassiabend/node/metrics.cc
@@ -116,6 +116,14 @@
      MetricType::Counter, &CallServerCounts::relayed_bytes},
     {"cassiabend_held_bytes", "Bytes of requests and answers held.",
      MetricType::Gauge, &CallServerCounts::held_bytes},
+    {"cassiabend_large_answers_total", "Large answers that left.",
+     MetricType::Counter, &CallServerCounts::large_answers},
+    {"cassiabend_large_answer_link_milliseconds_total",
+     "Time that large answers took to leave over this host's link.",
+     MetricType::Counter, &CallServerCounts::large_answer_ms},
+    {"cassiabend_link_waiting_bytes",
+     "Bytes of large answers that wait for this host's link.",
+     MetricType::Gauge, &CallServerCounts::link_waiting_bytes},
 });
 
 /// \brief Bytes of one purpose between nodes.
