Show that an admitted download can outlast the node that took it

What callers saw: a leaving node closed a connection in the middle of a download, 3.4 s after its upstream had answered.

A test in virtual time: a host of 13.3 Mbit/s beside an upstream of downloads of 280 KB, asked for faster than the link carries them. Each is admitted only if the link is expected to send it within 1.2 s.

--- a/tests/shell/bulk_pacer_test.cc
+++ b/tests/shell/bulk_pacer_test.cc
@@ -2,9 +2,14 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <array>
 #include <memory>
+#include <string>
 #include <vector>
 
+#include "cassiabend/base/random.h"
+#include "cassiabend/core/link_queue.h"
 #include "cassiabend/http/bulk_pacer.h"
 
 namespace cassiabend {
@@ -33,6 +38,7 @@
   BulkPacer* pacer;
   std::size_t left;
   std::size_t sent = 0;
+  std::size_t settled = 0;
 };
 
 TEST_CASE("a link of unknown width holds nothing back") {
@@ -129,5 +135,78 @@
   CHECK(first.sent > 100'000);
 }
 
+/// \brief A host of 13.3 Mbit/s beside an upstream of downloads that are asked
+/// for faster than its link can carry them.
+struct LoadedLink {
+  static constexpr std::uint32_t kKilobits = 13'300;
+  static constexpr Milliseconds kObjective{1'200};
+  static constexpr Milliseconds kService{180};
+  /// Sizes of downloads, 280 KB on the mean and up to 1.7 MB.
+  static constexpr std::array<std::size_t, 16> kSizes = {
+      60'000,  90'000,  110'000, 130'000, 150'000, 170'000, 190'000, 215'000,
+      235'000, 260'000, 290'000, 320'000, 370'000, 430'000, 560'000, 900'000};
+  static constexpr std::size_t kLargest = 1'700'000;
+
+  struct Download {
+    Download(BulkPacer* pacer, std::size_t bytes, MonoTime at)
+        : answer(pacer, bytes), asked_at(at) {}
+    Answer answer;
+    MonoTime asked_at;
+  };
+
+  /// \brief A step of `kStep`: takes downloads that the link is expected to
+  /// carry within their objective, and sends.
+  void Step() {
+    clock.Advance(kStep);
+    const MonoTime now = clock.Now().mono;
+    constexpr std::uint64_t kStepsPerDownload = 8;
+    if (random.Below(kStepsPerDownload) == 0) {
+      queue.Note({pacer.expected(), pacer.rate()});
+      const std::uint64_t own = queue.LargeBytesOf(kClass);
+      if (kService + queue.TimeFor(pacer.expected() + own) <= kObjective) {
+        const bool is_largest = random.Below(64) == 0;
+        const std::size_t bytes =
+            is_largest ? kLargest : kSizes.at(random.Below(kSizes.size()));
+        queue.NoteAnswer(kClass, bytes);
+        pacer.Expect(bytes);
+        open.push_back(std::make_unique<Download>(&pacer, bytes, now));
+        open.back()->answer.Send();
+      }
+    }
+    pacer.Tick();
+    std::erase_if(open, [&](const auto& it) {
+      pacer.Settle(it->answer.sent - it->answer.settled);
+      it->answer.settled = it->answer.sent;
+      if (it->answer.left == 0) {
+        slowest = std::max<Nanoseconds>(slowest, now - it->asked_at);
+        ++done;
+      }
+      return it->answer.left == 0;
+    });
+  }
+
+  const std::string kClass = "download";
+  ManualClock clock{{MonoTime(Seconds(1)), {}}};
+  BulkPacer pacer{clock, kKilobits};
+  LinkQueue queue;
+  Random random{20};
+  std::vector<std::unique_ptr<Download>> open;
+  std::size_t done = 0;
+  Nanoseconds slowest{0};
+};
+
+TEST_CASE("a download that a leaving node took is whole when the node ends") {
+  // A leaving node takes requests for 2.3 s and ends 3 s later
+  // (`calls.shutdown_serve_ms` as deployed, a grace time of 6 s).
+  constexpr Milliseconds kLeavingTime{3'000};
+  LoadedLink link;
+  constexpr int kMinute = 3'000;
+  for (int step = 0; step < kMinute; ++step) {
+    link.Step();
+  }
+  CHECK(link.done > 200);
+  CHECK(link.slowest + LoadedLink::kService < kLeavingTime);
+}
+
 }  // namespace
 }  // namespace cassiabend
