Send large answers in the order in which they are due

Cause: a destination admits a download only if the bytes ahead of it and its own leave its link within the objective, as if it were served in order of arrival. The link served all in turns, so each shared it with whatever came later, and a large one took several times as long as was expected of it. A leaving node takes requests for 2.3 s and ends 3 s later, in the middle of such an answer.

Change: the answer that is due first goes first, by objective, or by deadline where the objective is missed; of equals the one that began first. One that has sent nothing for 700 ms sends 2 KB, room or not, so that its receiver does not take it for lost.

--- a/src/cassiabend/core/attempt.h
+++ b/src/cassiabend/core/attempt.h
@@ -81,6 +81,13 @@
   [[nodiscard]] bool is_started() const noexcept {
     return state == AttemptState::kRunning || state == AttemptState::kAnswering;
   }
+  /// \returns When its entry node should have the answer: within the objective,
+  /// or within the deadline where that was missed before.
+  [[nodiscard]] MonoTime due() const noexcept {
+    return request.objective > kMissedObjective
+               ? std::min(objective_at, deadline)
+               : deadline;
+  }
   /// \returns When the first connection is told that the attempt still runs.
   [[nodiscard]] MonoTime news_due() const noexcept {
     MonoTime due = MonoTime::max();
--- a/src/cassiabend/core/call_destination.cc
+++ b/src/cassiabend/core/call_destination.cc
@@ -385,7 +385,8 @@
     it.bound = true;
     it.news_due = MonoTime::max();
     attempt->taken = attempt->taken || whole;
-    context_->Emit(BindAnswer{it.link, attempt->request.id, TimesOf(*attempt)});
+    context_->Emit(BindAnswer{it.link, attempt->request.id, TimesOf(*attempt),
+                              attempt->due()});
   }
 }
 
--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -286,7 +286,7 @@
   call->status = event.status;
   call->phase = Phase::kRelaying;
   timers_.Cancel(call);
-  context_->Emit(RelayAnswer{call->id, event.attempt});
+  context_->Emit(RelayAnswer{call->id, event.attempt, DueOf(*call)});
 }
 
 void CallEntry::RecordTimes(Call* call,
@@ -455,6 +455,13 @@
   return std::max(objective - aged, kMissedObjective);
 }
 
+MonoTime CallEntry::DueOf(const Call& call) const {
+  const Milliseconds left = ObjectiveLeft(call);
+  return left > kMissedObjective
+             ? std::min(context_->now.mono + left, call.deadline)
+             : call.deadline;
+}
+
 std::string_view CallEntry::RetryLimit(const Call& call) const {
   const std::size_t limit =
       std::min<std::size_t>(context_->options.max_attempts, kMaxAttemptsLimit);
--- a/src/cassiabend/core/call_events.h
+++ b/src/cassiabend/core/call_events.h
@@ -325,6 +325,8 @@
 struct RelayAnswer {
   CallId call = 0;
   AttemptId attempt;
+  /// When the caller should have it.
+  MonoTime due = MonoTime::max();
 };
 /// \brief Effect: the connection of this attempt is of no more use and is
 /// closed; no event of the attempt follows.
@@ -419,6 +421,8 @@
   LinkId link = 0;
   AttemptId attempt;
   DestinationTimes times;
+  /// When the entry node should have it.
+  MonoTime due = MonoTime::max();
 };
 /// \brief Effect: answer the connection: the attempt was not run here, and no
 /// copy of it will be.
--- a/src/cassiabend/http/bulk_pacer.cc
+++ b/src/cassiabend/http/bulk_pacer.cc
@@ -16,6 +16,15 @@
 /// Most that one answer takes in its turn, and the least that is worth a write.
 constexpr std::size_t kChunkBytes = std::size_t{16} * 1024;
 constexpr std::size_t kLeastBytes = std::size_t{2} * 1024;
+/// Longest time for which an answer that waits sends nothing: two of them fit
+/// into the shortest pause that makes its receiver take it for lost
+/// (`http.progress_timeout_ms`, 1,500 ms as deployed).
+constexpr Milliseconds kLongestSilence{700};
+
+/// \returns Bytes that an answer may take at once out of `room`.
+std::size_t ChunkOf(double room) noexcept {
+  return std::min(kChunkBytes, static_cast<std::size_t>(room));
+}
 
 }  // namespace
 
@@ -34,30 +43,48 @@
   room_ = std::min(room_ + rate_ * passed.count(), most);
 }
 
+bool BulkPacer::HasRoom() const noexcept {
+  return room_ >= static_cast<double>(kLeastBytes);
+}
+
 std::size_t BulkPacer::Take(Waiter* waiter, std::size_t wanted) {
   if (rate_ <= 0 || wanted == 0) {
     return wanted;
   }
-  const bool is_served = served_ == waiter;
-  served_ = nullptr;
   Refill();
-  const std::size_t least = std::min(wanted, kLeastBytes);
-  const bool has_room = room_ >= static_cast<double>(least);
-  if (has_room && (is_served || waiters_.empty())) {
-    const std::size_t n =
-        std::min({wanted, kChunkBytes, static_cast<std::size_t>(room_)});
-    room_ -= static_cast<double>(n);
-    return n;
+  if (waiter->number_ == 0) {
+    waiter->number_ = ++last_number_;
+    waiter->served_at_ = filled_at_;
   }
-  if (waiter->is_linked()) {
+  const std::size_t n = std::min(wanted, RoomFor(*waiter, wanted));
+  served_ = nullptr;
+  if (n == 0) {
+    Await(waiter);
     return 0;
   }
-  if (is_served) {
-    waiters_.push_front(*waiter);
-  } else {
-    waiters_.push_back(*waiter);
+  room_ -= static_cast<double>(n);
+  waiter->served_at_ = filled_at_;
+  return n;
+}
+
+std::size_t BulkPacer::RoomFor(const Waiter& waiter,
+                               std::size_t wanted) const noexcept {
+  if (served_ == &waiter) {
+    return chunk_bytes_;
+  }
+  const std::size_t least = std::min(wanted, kLeastBytes);
+  const bool has_room = room_ >= static_cast<double>(least);
+  const bool is_next = waiters_.empty() || waiter.IsBefore(waiters_.front());
+  return has_room && is_next ? ChunkOf(room_) : 0;
+}
+
+void BulkPacer::Await(Waiter* waiter) {
+  if (waiter->is_linked()) {
+    return;
   }
-  return 0;
+  const auto behind = std::ranges::find_if(
+      waiters_, [&](const Waiter& it) { return waiter->IsBefore(it); });
+  waiters_.insert(behind, *waiter);
 }
 
 void BulkPacer::Tick() {
@@ -65,13 +92,31 @@
     return;
   }
   Refill();
-  while (!waiters_.empty() && room_ >= static_cast<double>(kLeastBytes)) {
-    Waiter& next = waiters_.front();
-    next.unlink();
-    served_ = &next;
-    next.OnTurn();
-    served_ = nullptr;
+  ServeSilent();
+  while (!waiters_.empty() && HasRoom()) {
+    Serve(&waiters_.front(), ChunkOf(room_));
   }
 }
 
+void BulkPacer::ServeSilent() {
+  const MonoTime limit = filled_at_ - kLongestSilence;
+  for (;;) {
+    const auto silent = std::ranges::find_if(
+        waiters_, [limit](const Waiter& it) { return it.served_at_ <= limit; });
+    if (silent == waiters_.end()) {
+      return;
+    }
+    silent->served_at_ = filled_at_;
+    Serve(&*silent, kLeastBytes);
+  }
+}
+
+void BulkPacer::Serve(Waiter* waiter, std::size_t bytes) {
+  waiter->unlink();
+  served_ = waiter;
+  chunk_bytes_ = bytes;
+  waiter->OnTurn();
+  served_ = nullptr;
+}
+
 }  // namespace cassiabend
--- a/src/cassiabend/http/call_table.cc
+++ b/src/cassiabend/http/call_table.cc
@@ -37,9 +37,8 @@
   void Unknown() override { Post(AttemptUnknown{call_, attempt_}); }
   void Close() override { StopWaiting(); }
 
-  void Answer(RefPtr<AnswerStream> answer,
-              const DestinationTimes& times) override {
-    times_ = times;
+  void Answer(RefPtr<AnswerStream> answer, const BindAnswer& bound) override {
+    times_ = bound.times;
     answer_ = std::move(answer);
     answer_->set_reader(this);
     OnAnswer();
@@ -186,7 +185,7 @@
   call->second.relayed = effect.attempt;
   call->second.held = nullptr;
   const RefPtr<ServerExchange> exchange = call->second.exchange;
-  exchange->Relay(answer);
+  exchange->Relay(answer, effect.due);
 }
 
 void CallTable::Execute(const DropAttempt& effect) {
--- a/src/cassiabend/http/destination_table.cc
+++ b/src/cassiabend/http/destination_table.cc
@@ -130,7 +130,7 @@
   if (old_link != 0 && old_link != effect.link && !answer->ended()) {
     CloseLink(old_link);
   }
-  link->second.way->Answer(answer, effect.times);
+  link->second.way->Answer(answer, effect);
 }
 
 void DestinationTable::CloseLink(LinkId id) {
--- a/src/cassiabend/http/server_exchange.cc
+++ b/src/cassiabend/http/server_exchange.cc
@@ -62,11 +62,14 @@
   Pump();
 }
 
-void ServerExchange::Relay(RefPtr<AnswerStream> answer, std::string times) {
+void ServerExchange::Relay(RefPtr<AnswerStream> answer,
+                           MonoTime due,
+                           std::string times) {
   if (state_ != State::kWaiting) {
     return;
   }
   DetachAnswer();
+  BulkPacer::Waiter::set_due(due);
   times_ = std::move(times);
   answer_ = std::move(answer);
   answer_->set_reader(this);
--- a/src/cassiabend/http/server_exchange.h
+++ b/src/cassiabend/http/server_exchange.h
@@ -69,8 +69,11 @@
   /// which a part has left is cut instead.
   void Reply(MessageHead head, std::string_view body);
   /// \brief Answers with what arrives on `answer`, once it has begun.
+  /// \param due When the other end should have the whole.
   /// \param times For another node: value of `kTimesHeader`; empty for none.
-  void Relay(RefPtr<AnswerStream> answer, std::string times = {});
+  void Relay(RefPtr<AnswerStream> answer,
+             MonoTime due = MonoTime::max(),
+             std::string times = {});
   /// \brief Shows the other end that the answer is still to come, unless
   /// earlier answers are.
   void SendInterim();
--- a/src/cassiabend/http/session_link.cc
+++ b/src/cassiabend/http/session_link.cc
@@ -30,9 +30,8 @@
   exchange_->Reply(UnknownHead(), ExplanationBody(kOutcomeUnknown, {}, {}));
 }
 
-void SessionLink::Answer(RefPtr<AnswerStream> answer,
-                         const DestinationTimes& times) {
-  exchange_->Relay(std::move(answer), FormatTimes(times));
+void SessionLink::Answer(RefPtr<AnswerStream> answer, const BindAnswer& bound) {
+  exchange_->Relay(std::move(answer), bound.due, FormatTimes(bound.times));
 }
 
 void SessionLink::Close() {
--- a/tests/attempt_test.cc
+++ b/tests/attempt_test.cc
@@ -162,6 +162,24 @@
   }
 }
 
+TEST_CASE("an answer is due at its objective, or at the deadline when late") {
+  for (const Milliseconds objective :
+       {Milliseconds(0), kMissedObjective, Milliseconds(300)}) {
+    CAPTURE(objective.count());
+    CallNode node(MakeMember(2));
+    node.MakeReady({});
+    AttemptRequest request = MakeAttempt(false);
+    request.objective = objective;
+    const MonoTime begin = node.now().mono;
+    node.Do(AttemptArrived{1, request});
+    node.Do(UpstreamFinished{kId, 100'000});
+    REQUIRE(node.Only<BindAnswer>());
+    const Milliseconds due =
+        objective > kMissedObjective ? objective : request.deadline;
+    CHECK(node.Only<BindAnswer>()->due == begin + due);
+  }
+}
+
 TEST_CASE("an answer without end gives its slot back after the deadline") {
   for (const bool once : {false, true}) {
     CAPTURE(once);
