Let a leaving node stay until its upstream's answers have left

Cause: a destination took an answer for delivered as soon as it was whole and bound to a connection, while its bytes still waited for the link. With no other work it ended, 2.6 s after SIGTERM at the earliest.

Change: AnswerSent tells the core that a connection has taken the whole answer. Until then the attempt counts as work, and is kept; the time for which a delivered answer is held begins then. attempt_cut names what a destination cuts at its end.

Tests: call_leave_test "a drain waits for an answer that is still leaving". Existing cases that took the binding of an answer for its delivery now say AnswerSent, and check that nothing ends before it; their checks stay. The fakes of the matrix and of the load tests send it as the connections do.

--- a/src/cassiabend/core/attempt.h
+++ b/src/cassiabend/core/attempt.h
@@ -62,7 +62,7 @@
   std::vector<AttemptAlias> aliases;
   /// When a started, repeatable attempt without a link is cancelled.
   MonoTime orphan_due = MonoTime::max();
-  /// Whether a whole answer went to a connection.
+  /// Whether a connection has taken the whole answer.
   bool taken = false;
   MonoTime deadline{};
   /// When the answer is worth less; the maximum for never.
@@ -83,7 +83,7 @@
   }
   /// \returns When its entry node should have the answer: within the objective,
   /// or within the deadline where that was missed before.
-  [[nodiscard]] MonoTime due() const noexcept {
+  [[nodiscard]] MonoTime answer_due() const noexcept {
     return request.objective > kMissedObjective
                ? std::min(objective_at, deadline)
                : deadline;
--- a/src/cassiabend/core/call_destination.cc
+++ b/src/cassiabend/core/call_destination.cc
@@ -46,7 +46,8 @@
            const bool may_be_fetched =
                !attempt.taken &&
                context_->now.mono - attempt.held_at < kLeaveHold;
-           return attempt.state != AttemptState::kHeld || may_be_fetched;
+           return attempt.state != AttemptState::kHeld || may_be_fetched ||
+                  !attempt.links.empty();
          });
 }
 
@@ -384,9 +385,8 @@
     }
     it.bound = true;
     it.news_due = MonoTime::max();
-    attempt->taken = attempt->taken || whole;
     context_->Emit(BindAnswer{it.link, attempt->request.id, TimesOf(*attempt),
-                              attempt->due()});
+                              attempt->answer_due()});
   }
 }
 
@@ -401,6 +401,24 @@
   }
 }
 
+void CallDestination::Reduce(const AnswerSent& event) {
+  Attempt* attempt = table_.FindByLink(event.link);
+  if (attempt == nullptr || attempt->state != AttemptState::kHeld) {
+    return;
+  }
+  table_.RemoveLink(attempt, event.link);
+  attempt->taken = true;
+  HoldAnswer(attempt);
+}
+
+/// \brief Sets the time for which a whole answer is kept from now on.
+void CallDestination::HoldAnswer(Attempt* attempt) {
+  const bool brief = attempt->taken && !attempt->request.once;
+  timers_.Schedule(attempt,
+                   context_->now.mono +
+                       (brief ? kTakenHold : context_->options.answer_hold));
+}
+
 void CallDestination::CancelOrphan(Attempt* attempt) {
   switch (attempt->state) {
     case AttemptState::kQueued:
@@ -415,8 +433,7 @@
     case AttemptState::kHeld:
       attempt->taken = false;
       attempt->held_at = context_->now.mono;
-      timers_.Schedule(attempt,
-                       context_->now.mono + context_->options.answer_hold);
+      HoldAnswer(attempt);
       return;
   }
 }
@@ -471,12 +488,8 @@
   attempt->state = AttemptState::kHeld;
   attempt->held_at = context_->now.mono;
   ++held_;
-  attempt->taken = std::ranges::any_of(attempt->links, &AttemptLink::bound);
   Bind(attempt);
-  const bool brief = attempt->taken && !attempt->request.once;
-  timers_.Schedule(attempt,
-                   context_->now.mono +
-                       (brief ? kTakenHold : context_->options.answer_hold));
+  HoldAnswer(attempt);
   StartWaiting();
 }
 
@@ -503,6 +516,10 @@
 
 void CallDestination::Expire(Attempt* attempt) {
   const MonoTime now = context_->now.mono;
+  if (attempt->state == AttemptState::kHeld && !attempt->links.empty()) {
+    HoldAnswer(attempt);
+    return;
+  }
   if (attempt->state == AttemptState::kHeld) {
     Forget(attempt, AttemptFate::kRan);
     return;
--- a/src/cassiabend/core/call_destination.h
+++ b/src/cassiabend/core/call_destination.h
@@ -25,14 +25,15 @@
     return admission_.running();
   }
   [[nodiscard]] std::size_t held() const noexcept { return held_; }
-  /// \returns Whether an attempt waits, runs, or has an answer to be fetched,
-  /// or a claim is being made or deleted.
+  /// \returns Whether an attempt waits, runs, or has an answer that is being
+  /// sent or may be fetched, or a claim is being made or deleted.
   [[nodiscard]] bool has_work() const noexcept;
 
   void Reduce(const AttemptArrived& event);
   void Reduce(const FetchArrived& event);
   void Reduce(const CancelArrived& event);
   void Reduce(const LinkLost& event);
+  void Reduce(const AnswerSent& event);
   void Reduce(const UpstreamShed& event);
   void Reduce(const UpstreamReplaced& event);
   void Reduce(const UpstreamUnreached& event);
@@ -78,6 +79,7 @@
   [[nodiscard]] std::uint16_t LoadPermille() const noexcept;
   [[nodiscard]] DestinationTimes TimesOf(const Attempt& attempt) const;
   void Bind(Attempt* attempt);
+  void HoldAnswer(Attempt* attempt);
   void CancelOrphan(Attempt* attempt);
 
   /// \brief Ends an attempt that the upstream does not have.
--- a/src/cassiabend/core/call_events.h
+++ b/src/cassiabend/core/call_events.h
@@ -211,6 +211,10 @@
 struct LinkLost {
   LinkId link = 0;
 };
+/// \brief Event: the whole answer was handed to the connection that it goes to.
+struct AnswerSent {
+  LinkId link = 0;
+};
 /// \brief Event: the upstream refused by its own word before running (shed).
 struct UpstreamShed {
   AttemptId attempt;
@@ -280,6 +284,7 @@
                                FetchArrived,
                                CancelArrived,
                                LinkLost,
+                               AnswerSent,
                                UpstreamShed,
                                UpstreamReplaced,
                                UpstreamReported,
--- a/src/cassiabend/http/call_server.cc
+++ b/src/cassiabend/http/call_server.cc
@@ -210,6 +210,7 @@
     StopListening();
     prober_ = nullptr;
     calls_.LogOpen();
+    destination_.LogOpen();
     const auto sessions = std::exchange(sessions_, {});
     for (const auto& [session, owner] : sessions) {
       session->Close();
--- a/src/cassiabend/http/destination_table.cc
+++ b/src/cassiabend/http/destination_table.cc
@@ -2,7 +2,15 @@
 
 #include <utility>
 
+#include "cassiabend/base/log.h"
+
 namespace cassiabend {
+namespace {
+
+/// Lines about attempts that are cut when the process ends.
+constexpr std::size_t kMostCutLines = 16;
+
+}  // namespace
 
 DestinationTable::DestinationTable(OutgoingPool* pool,
                                    const DestinationOptions& options,
@@ -50,6 +58,7 @@
   }
   delivered_.push_back(found->second.attempt);
   (void)TakeLink(id);
+  sink_->Post(CallEvent(AnswerSent{id}));
 }
 
 void DestinationTable::LinkGone(LinkId id) {
@@ -182,6 +191,22 @@
   attempts_.erase(found);
 }
 
+void DestinationTable::LogOpen() const {
+  std::size_t lines = 0;
+  for (const auto& [id, link] : links_) {
+    if (++lines > kMostCutLines) {
+      break;
+    }
+    const auto found = attempts_.find(link.attempt);
+    const bool is_sending =
+        found != attempts_.end() && found->second.bound_link == id;
+    Log(LogLevel::kWarning, "attempt_cut",
+        {{"attempt", ToHex(link.attempt)},
+         {"is_sending", is_sending},
+         {"open_links", std::uint64_t{links_.size()}}});
+  }
+}
+
 void DestinationTable::Close() {
   links_.clear();
   attempts_.clear();
--- a/src/cassiabend/http/destination_table.h
+++ b/src/cassiabend/http/destination_table.h
@@ -46,7 +46,7 @@
   /// \returns The attempt that a link waits for, in hexadecimal digits; empty
   /// for none.
   [[nodiscard]] std::string AttemptOf(LinkId id) const;
-  /// \brief Forgets a link whose answer was handed over.
+  /// \brief Forgets a link whose answer was handed over, and says so.
   void LinkDone(LinkId id);
   /// \brief Forgets a link that was lost and says so.
   void LinkGone(LinkId id);
@@ -59,6 +59,9 @@
   void Execute(const ReplyProgress& effect);
   void Execute(const ReplyUnknown& effect);
   void Execute(const ReleaseAttempt& effect);
+  /// \brief Writes a line for each attempt whose entry node is about to lose
+  /// its connection.
+  void LogOpen() const;
   void Close();
 
  private:
--- a/tests/attempt_test.cc
+++ b/tests/attempt_test.cc
@@ -252,6 +252,9 @@
   REQUIRE(running.Only<BindAnswer>());
   CHECK(running.Only<BindAnswer>()->link == 3);
   running.Tick(Milliseconds(10'000));
+  CHECK(!running.Only<ReleaseAttempt>());
+  running.Do(AnswerSent{3});
+  running.Tick(Milliseconds(10'000));
   CHECK(running.Only<ReleaseAttempt>());
   running.Do(FetchArrived{4, kId, 100});
   CHECK(running.Only<ReplyUnknown>());
@@ -272,6 +275,7 @@
   node.Do(AttemptArrived{1, MakeAttempt(true)});
   CHECK(!node.Only<StartUpstream>());
   node.Do(UpstreamFinished{kId});
+  node.Do(AnswerSent{1});
   node.Tick(Milliseconds(10'000));
   node.Do(AttemptArrived{2, MakeAttempt(true)});
   CHECK(node.Only<ReplyUnknown>());
--- a/tests/call_leave_test.cc
+++ b/tests/call_leave_test.cc
@@ -41,8 +41,10 @@
 
   node.Do(UpstreamFinished{{0, 1}});
   CHECK(node.Only<BindAnswer>());
+  node.Do(AnswerSent{1});
   node.Do(UpstreamFinished{{0, 2}});
   CHECK(node.Only<BindAnswer>());
+  node.Do(AnswerSent{2});
   CHECK(!node.Only<DrainFinished>());
   node.Do(AttemptAnswering{1, own->request.id, 200});
   CHECK(!node.Only<DrainFinished>());
@@ -65,6 +67,8 @@
   CHECK(send->destination == MakeMember(1).id);
   node.Do(UpstreamFinished{{0, 1}});
   CHECK(!node.Only<DrainFinished>());
+  node.Do(AnswerSent{1});
+  CHECK(!node.Only<DrainFinished>());
   node.Do(CallArrived{2, nested});
   CHECK(node.Only<AnswerNotRun>()->reason == NotRunReason::kDraining);
   node.Do(AttemptNotRun{1, send->request.id, NotRunReason::kQuietWindow});
@@ -83,9 +87,31 @@
   CHECK(!node.Only<DrainFinished>());
   node.Do(FetchArrived{2, request.id, 100});
   CHECK(node.Only<BindAnswer>());
+  CHECK(!node.Only<DrainFinished>());
+  node.Do(AnswerSent{2});
   CHECK(node.Only<DrainFinished>());
 }
 
+TEST_CASE("a drain waits for an answer that is still leaving") {
+  for (const bool once : {false, true}) {
+    CAPTURE(once);
+    CallNode node(MakeMember(2));
+    node.MakeReady({});
+    AttemptRequest request = MakeAttempt(1);
+    request.once = once;
+    node.Do(AttemptArrived{1, request});
+    node.Do(UpstreamFinished{request.id});
+    REQUIRE(node.Only<BindAnswer>());
+    node.Do(DrainRequested{});
+    for (int i = 0; i < 150; ++i) {
+      CHECK(!node.Only<DrainFinished>());
+      node.Tick(Milliseconds(100));
+    }
+    node.Do(AnswerSent{1});
+    CHECK(node.Only<DrainFinished>());
+  }
+}
+
 TEST_CASE("an upstream serves by its probes, and what is seen goes first") {
   Member self = MakeMember(2);
   self.upstream_state = UpstreamState::kWarming;
--- a/tests/call_load.h
+++ b/tests/call_load.h
@@ -305,9 +305,10 @@
   void Execute(std::size_t /*n*/, const ReplyUnknown& effect) {
     Reply(effect.link, AttemptUnknown{});
   }
-  void Execute(std::size_t /*n*/, const BindAnswer& effect) {
+  void Execute(std::size_t n, const BindAnswer& effect) {
     Reply(effect.link, AttemptAnswering{.status = 200, .times = effect.times});
     Reply(effect.link, AnswerRelayed{.complete = true});
+    After(kHop, [this, n, link = effect.link] { Do(n, AnswerSent{link}); });
   }
   void Execute(std::size_t n, const StartUpstream& effect) {
     Node& node = nodes_[n];
--- a/tests/call_world.h
+++ b/tests/call_world.h
@@ -670,6 +670,8 @@
       }
       link.end_sent = true;
       const LinkId link_id = id;
+      Push(kHop, {StepKind::kInternal, n, link.destination_start, 0,
+                  [this, n, link_id] { Do(n, AnswerSent{link_id}); }});
       Reply(id, [this, link_id] { EndRelay(link_id); });
     }
   }
--- a/tests/orders_test.cc
+++ b/tests/orders_test.cc
@@ -291,6 +291,9 @@
     REQUIRE(node.Only<BindAnswer>());
     CHECK(node.Only<BindAnswer>()->link == link);
   }
+  for (LinkId link = 1; link <= 9; ++link) {
+    node.Do(AnswerSent{link});
+  }
   node.Tick(Milliseconds(10'000));
   request.id = {0, 10};
   node.Do(AttemptArrived{10, request});
--- a/tests/process/failures_test.cc
+++ b/tests/process/failures_test.cc
@@ -27,9 +27,10 @@
 class ReadyFleet {
  public:
   explicit ReadyFleet(const std::string& name,
-                      std::vector<std::string> upstream_arguments = {})
+                      std::vector<std::string> upstream_arguments = {},
+                      const boost::json::object& http = {})
       : folder_(name),
-        fleet_(OptionsOf(folder_, std::move(upstream_arguments))) {
+        fleet_(OptionsOf(folder_, std::move(upstream_arguments), http)) {
     fleet_.Start();
     REQUIRE(fleet_.WaitMembers(kHosts, kWait));
     const CommitResult result = Commit(0, ExampleChange(Cascadia(), NextId()));
@@ -85,7 +86,8 @@
 
  private:
   static harness::FleetOptions OptionsOf(const WorkFolder& folder,
-                                         std::vector<std::string> arguments) {
+                                         std::vector<std::string> arguments,
+                                         const boost::json::object& http) {
     harness::FleetOptions options;
     options.deployment = Cascadia();
     options.hosts = kHosts;
@@ -93,7 +95,7 @@
     options.work = folder.path();
     options.upstream_arguments = std::move(arguments);
     // Short leases, so that a paused holder's lapses within the test.
-    options.settings = {{"fleet", {{"reader_lease_s", 1}}}};
+    options.settings = {{"fleet", {{"reader_lease_s", 1}}}, {"http", http}};
     return options;
   }
 
@@ -218,6 +220,33 @@
   CHECK(fleet->Call(1, {.target = "/status/later"}).status == 200);
 }
 
+TEST_CASE("SIGTERM cuts no download that is still leaving over a narrow link") {
+  constexpr std::size_t kBytes = 400'000;
+  ReadyFleet fleet("narrow-drain", {},
+                   {{"link_kilobits", 2'000},
+                    {"whole_answer_bytes", 600'000},
+                    {"held_answer_bytes", 700'000}});
+  Response answer;
+  std::thread caller([&fleet, &answer] {
+    answer = fleet->Call(1, {.target = "/bytes/" + std::to_string(kBytes)});
+  });
+  // Hosts 2 and 5 serve "artwork".
+  const auto is_sending = [&fleet](std::size_t host) {
+    return fleet->Metrics(host)["cassiabend_link_waiting_bytes"] > 0;
+  };
+  while (!is_sending(2) && !is_sending(5)) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  fleet->StopNode(2);
+  fleet->StopNode(5);
+  caller.join();
+  CHECK(answer.status == 200);
+  CHECK(answer.complete);
+  CHECK(answer.body.size() == kBytes);
+  CHECK(fleet->node(2)->Wait(kWait) == 0);
+  CHECK(fleet->node(5)->Wait(kWait) == 0);
+}
+
 TEST_CASE("a killed upstream's calls are answered by another") {
   ReadyFleet fleet("killed-node");
   fleet->KillNode(0);
