Give late downloads the due time that they were admitted for

What callers would see: a download that has missed its objective comes just before its deadline, or not at all, while the link carries timely ones.

Cause: ordered a late answer by its deadline, so all that came later and were timely went first, however many. It had been admitted because it fits in a quarter of the time left.

Change: LinkAim says once within how long a large answer should have left, for its admission and for its place. The regression test of the cut download now has due times, as deployed; and Attempt::answer_due no longer hides TimerEntry::due.

--- a/src/cassiabend/core/attempt.h
+++ b/src/cassiabend/core/attempt.h
@@ -7,6 +7,7 @@
 
 #include "cassiabend/core/call_events.h"
 #include "cassiabend/core/call_timer.h"
+#include "cassiabend/core/link_queue.h"
 
 namespace cassiabend {
 
@@ -81,12 +82,9 @@
   [[nodiscard]] bool is_started() const noexcept {
     return state == AttemptState::kRunning || state == AttemptState::kAnswering;
   }
-  /// \returns When its entry node should have the answer: within the objective,
-  /// or within the deadline where that was missed before.
+  /// \returns When its entry node should have the answer.
   [[nodiscard]] MonoTime answer_due() const noexcept {
-    return request.objective > kMissedObjective
-               ? std::min(objective_at, deadline)
-               : deadline;
+    return arrived_at + LinkAim(request.objective, request.deadline);
   }
   /// \returns When the first connection is told that the attempt still runs.
   [[nodiscard]] MonoTime news_due() const noexcept {
--- a/src/cassiabend/core/call_destination.cc
+++ b/src/cassiabend/core/call_destination.cc
@@ -22,9 +22,6 @@
 /// How long a node that leaves keeps an answer for a connection that was lost:
 /// the other end asks for it at once, or not at all.
 constexpr Milliseconds kLeaveHold{1'000};
-/// Of an answer that is late already the link carries what takes less than this
-/// part of the time left, so that those that can be timely find room.
-constexpr int kLateLinkShare = 4;
 constexpr Milliseconds kUnreachedPause{100};
 constexpr Milliseconds kStorePause{1'000};
 constexpr Milliseconds kClaimPause{100};
@@ -151,9 +148,7 @@
   const Nanoseconds needed =
       admission_.ServiceTimeOf(request.request_class).mean() +
       link_.TimeFor(ahead + own);
-  const Nanoseconds aim = request.objective > kMissedObjective
-                              ? request.objective
-                              : request.deadline / kLateLinkShare;
+  const Milliseconds aim = LinkAim(request.objective, request.deadline);
   if (needed <= aim) {
     return std::nullopt;
   }
--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "cassiabend/core/call_refusals.h"
+#include "cassiabend/core/link_queue.h"
 #include "cassiabend/core/split_draw.h"
 
 namespace cassiabend {
@@ -456,10 +457,7 @@
 }
 
 MonoTime CallEntry::DueOf(const Call& call) const {
-  const Milliseconds left = ObjectiveLeft(call);
-  return left > kMissedObjective
-             ? std::min(context_->now.mono + left, call.deadline)
-             : call.deadline;
+  return context_->now.mono + LinkAim(ObjectiveLeft(call), Remaining(call));
 }
 
 std::string_view CallEntry::RetryLimit(const Call& call) const {
--- a/src/cassiabend/core/call_entry.h
+++ b/src/cassiabend/core/call_entry.h
@@ -121,8 +121,7 @@
   /// \returns Time left within which the answer is worth most; 0 for none. Of
   /// an objective that is missed 1 ms is left, which no upstream can meet.
   [[nodiscard]] Milliseconds ObjectiveLeft(const Call& call) const;
-  /// \returns When the caller should have its answer: within the objective, or
-  /// within the deadline where that is missed.
+  /// \returns When the caller should have its answer.
   [[nodiscard]] MonoTime DueOf(const Call& call) const;
   /// \returns Why the call may not be tried again; empty when it may.
   [[nodiscard]] std::string_view RetryLimit(const Call& call) const;
--- a/src/cassiabend/core/link_queue.h
+++ b/src/cassiabend/core/link_queue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <unordered_map>
@@ -8,6 +9,18 @@
 
 namespace cassiabend {
 
+/// \returns Within how long a large answer should have left, for its admission
+/// and for its place among others: its objective, or a quarter of the time left
+/// where that is missed, so that those that can be timely find room.
+/// \param objective Time left to the objective, as an attempt carries it.
+/// \param left Time left to the deadline.
+[[nodiscard]] constexpr Milliseconds LinkAim(Milliseconds objective,
+                                             Milliseconds left) noexcept {
+  constexpr int kLateShare = 4;
+  return objective > kMissedObjective ? std::min(objective, left)
+                                      : left / kLateShare;
+}
+
 /// \brief What waits for this host's link, and how long an answer would take to
 /// leave over it. Answers a narrow link that cannot carry the downloads of its
 /// upstream: those that would come late are refused before they run, while the
--- a/tests/attempt_test.cc
+++ b/tests/attempt_test.cc
@@ -162,7 +162,7 @@
   }
 }
 
-TEST_CASE("an answer is due at its objective, or at the deadline when late") {
+TEST_CASE("an answer is due within the time for which it was admitted") {
   for (const Milliseconds objective :
        {Milliseconds(0), kMissedObjective, Milliseconds(300)}) {
     CAPTURE(objective.count());
@@ -175,7 +175,7 @@
     node.Do(UpstreamFinished{kId, 100'000});
     REQUIRE(node.Only<BindAnswer>());
     const Milliseconds due =
-        objective > kMissedObjective ? objective : request.deadline;
+        objective > kMissedObjective ? objective : request.deadline / 4;
     CHECK(node.Only<BindAnswer>()->due == begin + due);
   }
 }
--- a/tests/shell/bulk_pacer_test.cc
+++ b/tests/shell/bulk_pacer_test.cc
@@ -183,8 +183,7 @@
     clock.Advance(kStep);
     pacer.Charge(small_bytes);
     const MonoTime now = clock.Now().mono;
-    constexpr std::uint64_t kStepsPerDownload = 8;
-    if (random.Below(kStepsPerDownload) == 0) {
+    if (random.Below(steps_per_download) == 0) {
       queue.Note({pacer.expected(), pacer.rate()});
       const std::uint64_t own = queue.LargeBytesOf(kClass);
       if (kService + queue.TimeFor(pacer.expected() + own) <= kObjective) {
@@ -194,6 +193,7 @@
         queue.NoteAnswer(kClass, bytes);
         pacer.Expect(bytes);
         open.push_back(std::make_unique<Download>(&pacer, bytes, now));
+        open.back()->answer.set_due(now + kObjective - kService);
         open.back()->answer.Send();
       }
     }
@@ -212,6 +212,8 @@
   const std::string kClass = "download";
   /// Bytes of small answers in a step.
   std::size_t small_bytes = 0;
+  /// Steps between two downloads, on the mean.
+  std::uint64_t steps_per_download = 8;
   ManualClock clock{{MonoTime(Seconds(1)), {}}};
   BulkPacer pacer{clock, kKilobits};
   LinkQueue queue;
@@ -290,5 +292,28 @@
   CHECK(link.slowest + LoadedLink::kService < kLeavingTime);
 }
 
+TEST_CASE("a late download is not overtaken until its caller has left") {
+  // Its caller waits for 10 s more, and up to ten times as many as the link
+  // carries are asked for.
+  for (const std::uint64_t steps : {8, 4, 2, 1}) {
+    CAPTURE(steps);
+    LoadedLink link;
+    link.steps_per_download = steps;
+    for (int step = 0; step < 500; ++step) {
+      link.Step();
+    }
+    const MonoTime begin = link.clock.Now().mono;
+    constexpr Milliseconds kLeft{10'000};
+    Answer late(&link.pacer, 280'000);
+    late.set_due(begin + LinkAim(kMissedObjective, kLeft));
+    late.Send();
+    while (late.left > 0 && link.clock.Now().mono - begin < kLeft) {
+      link.Step();
+    }
+    CHECK(late.left == 0);
+    CHECK(link.clock.Now().mono - begin < kLeavingTime);
+  }
+}
+
 }  // namespace
 }  // namespace cassiabend
