Tell the core when the link has become free

What callers would see: downloads refused as overloaded on an idle link.

Cause: reports the rate that small answers leave, but only when the bytes that wait change. After a burst the core kept the low rate until another large answer came, which it might refuse by that rate. Found by a review.

Change: a change of the rate by a sixteenth is reported too.

--- a/src/cassiabend/http/call_server.cc
+++ b/src/cassiabend/http/call_server.cc
@@ -1,5 +1,6 @@
 #include "cassiabend/http/call_server.h"
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <unordered_map>
@@ -38,6 +39,9 @@
 /// Time on the link from which a large answer gets a line in the log: the
 /// objectives of downloads are near it.
 constexpr Milliseconds kLongLinkTime{1'000};
+/// A change of the link's rate by more than one part of so many is told to the
+/// core, whose estimates are no finer.
+constexpr std::uint64_t kRateSteps = 16;
 constexpr std::uint16_t kBadRequest = 400;
 constexpr std::uint16_t kHeaderTooLarge = 431;
 
@@ -322,12 +326,18 @@
 
   /// \brief Tells the core what waits for the link, when that has changed.
   void ReportLink() {
-    const std::uint64_t expected = pacer_.expected();
-    if (pacer_.rate() == 0 || expected == reported_bytes_) {
+    const LinkLoadChanged load{pacer_.expected(), pacer_.rate()};
+    const std::uint64_t rate_change =
+        std::max(load.bytes_per_second, reported_link_.bytes_per_second) -
+        std::min(load.bytes_per_second, reported_link_.bytes_per_second);
+    const bool has_changed =
+        load.waiting_bytes != reported_link_.waiting_bytes ||
+        rate_change > reported_link_.bytes_per_second / kRateSteps;
+    if (load.bytes_per_second == 0 || !has_changed) {
       return;
     }
-    reported_bytes_ = expected;
-    sink_->Post(CallEvent(LinkLoadChanged{expected, pacer_.rate()}));
+    reported_link_ = load;
+    sink_->Post(CallEvent(load));
   }
 
   /// \returns Whether a connection is known to be a caller's.
@@ -483,7 +493,7 @@
   TickList ticks_;
   BulkPacer pacer_;
   /// What the core was told last of the bytes that wait for the link.
-  std::uint64_t reported_bytes_ = 0;
+  LinkLoadChanged reported_link_;
   EventSink* sink_;
   OutgoingPool pool_;
   /// Numbers of calls and links.
--- a/tests/shell/http_call_server_test.cc
+++ b/tests/shell/http_call_server_test.cc
@@ -156,6 +156,29 @@
       nodes.Until([&] { return caller->received().size() == body + kBytes; }));
 }
 
+TEST_CASE("a link that has become free is reported") {
+  CallServerOptions options = OptionsFor(0);
+  options.link_kilobits = 10'000;
+  TwoNodes nodes({}, options);
+  const auto caller = nodes.Caller();
+  const auto get = [&](std::size_t bytes) {
+    const std::size_t before = caller->received().size();
+    caller->Send(Get("/bytes/" + std::to_string(bytes)));
+    REQUIRE(nodes.Until(
+        [&] { return caller->received().size() >= before + bytes; }));
+  };
+  for (int i = 0; i < 120; ++i) {
+    get(16'000);
+  }
+  get(20'000);
+  // 85 % of the link, less a tenth.
+  constexpr std::uint64_t kNearlyFree = 950'000;
+  CHECK(nodes.Until([&] {
+    const auto load = nodes.destination->Await<LinkLoadChanged>();
+    return load.waiting_bytes == 0 && load.bytes_per_second >= kNearlyFree;
+  }));
+}
+
 TEST_CASE("answers without a body leave the connection usable") {
   const std::vector<std::pair<std::string, std::string>> cases = {
       {"HEAD /bytes/9 HTTP/1.1\r\nHost: h\r\n\r\n", "HTTP/1.1 200"},
