Bound what large answers wait for after small ones filled the link

What callers would see: a download that waits for seconds on a link that is idle again.

Cause: what small answers take is taken from the room of the large ones, without limit, and admission does not know of that debt. Half a minute of small answers at the link's width left a debt of 4.5 s.

Evidence: bulk_pacer_test "small answers that filled the link hold nothing up once they end": 5.34 s without the change, where 1.2 s are the bound.

Change: the debt is 0.25 s of the share at the most.

--- a/src/cassiabend/http/bulk_pacer.cc
+++ b/src/cassiabend/http/bulk_pacer.cc
@@ -20,6 +20,9 @@
 /// Room that an idle link saves up, as time: two steps of the timer that calls
 /// `Tick`, so that a late step costs no throughput.
 constexpr std::chrono::duration<double> kBurst{0.04};
+/// Time that large answers wait at the most for what small ones took beyond the
+/// room: a fraction of a download's objective. What took more has left since.
+constexpr std::chrono::duration<double> kMostDebt{0.25};
 /// Most that one answer takes in its turn, and the least that is worth a write.
 constexpr std::size_t kChunkBytes = std::size_t{16} * 1024;
 constexpr std::size_t kLeastBytes = std::size_t{2} * 1024;
@@ -46,6 +49,12 @@
       std::max(rate_ - charged_rate_, rate_ * kLeastBulkShare));
 }
 
+void BulkPacer::Charge(std::size_t bytes) noexcept {
+  const double n = rate_ > 0 ? static_cast<double>(bytes) : 0.0;
+  room_ = std::max(room_ - n, std::min(room_, -rate_ * kMostDebt.count()));
+  charged_ += n;
+}
+
 void BulkPacer::Refill() {
   const MonoTime now = clock_.Now().mono;
   const std::chrono::duration<double> passed = now - filled_at_;
--- a/src/cassiabend/http/bulk_pacer.h
+++ b/src/cassiabend/http/bulk_pacer.h
@@ -59,11 +59,7 @@
   [[nodiscard]] std::size_t Take(Waiter* waiter, std::size_t wanted);
   /// \brief Notes bytes that were sent without waiting: the large answers make
   /// room for them.
-  void Charge(std::size_t bytes) noexcept {
-    const double n = rate_ > 0 ? static_cast<double>(bytes) : 0.0;
-    room_ -= n;
-    charged_ += n;
-  }
+  void Charge(std::size_t bytes) noexcept;
   /// \brief Notes bytes of large answers that are to be sent, and that were
   /// sent or will not be.
   void Expect(std::uint64_t bytes) noexcept { expected_ += bytes; }
--- a/tests/shell/bulk_pacer_test.cc
+++ b/tests/shell/bulk_pacer_test.cc
@@ -315,5 +315,25 @@
   }
 }
 
+TEST_CASE("small answers that filled the link hold nothing up once they end") {
+  // They take the whole width for half a minute.
+  ManualClock clock({MonoTime(Seconds(1)), {}});
+  BulkPacer pacer(clock, kNarrow);
+  constexpr int kStepsPerSecond = 50;
+  for (int step = 0; step < 30 * kStepsPerSecond; ++step) {
+    pacer.Charge(kWidth / kStepsPerSecond);
+    clock.Advance(kStep);
+    pacer.Tick();
+  }
+  const MonoTime begin = clock.Now().mono;
+  Answer answer(&pacer, 90'000);
+  answer.Send();
+  while (answer.left > 0) {
+    clock.Advance(kStep);
+    pacer.Tick();
+  }
+  CHECK(clock.Now().mono - begin < LoadedLink::kObjective);
+}
+
 }  // namespace
 }  // namespace cassiabend
