Let an upstream pause within its answer until the deadline

What callers would see: a 502, or a cut answer, for an answer whose upstream paused for 1.5 s within it and would have gone on.

Cause: the node beside an upstream broke off an answer in which nothing came for the progress timeout, while it waits for the first byte until the deadline. Found by a review.

Evidence: http_faults_test "an upstream may pause within its answer until the deadline" fails without the change (UpstreamBroken after 150 ms of 300).

Change: the pause within an answer is bounded by the deadline, too; the core still ends an answer without end 5 s later. An entry node that has begun to relay a large answer still gives it up when its peer shows nothing for the progress timeout.

--- a/src/cassiabend/http/upstream_call.cc
+++ b/src/cassiabend/http/upstream_call.cc
@@ -1,5 +1,6 @@
 #include "cassiabend/http/upstream_call.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "cassiabend/http/call_headers.h"
@@ -24,7 +25,10 @@
   ExchangeRequest request{.head = held->head(),
                           .held = held,
                           .head_timeout = options.start.deadline,
-                          .body_timeout = options.progress_timeout,
+                          // A pause within the answer is the upstream's own
+                          // affair until the deadline.
+                          .body_timeout = std::max(options.progress_timeout,
+                                                   options.start.deadline),
                           .may_resend = !attempt.once};
   wire_->WriteUpstreamHeaders(attempt, options.start, &request.head);
   request_id_ = wire_->RequestIdOf(request.head);
--- a/tests/shell/http_faults_test.cc
+++ b/tests/shell/http_faults_test.cc
@@ -457,6 +457,21 @@
   }
 }
 
+TEST_CASE("an upstream may pause within its answer until the deadline") {
+  RawUpstream t;
+  const auto peer = t.Peer();
+  peer->Send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf");
+  boost::asio::steady_timer timer(t.io);
+  bool is_over = false;
+  timer.expires_after(kShortTimeout * 3 / 2);
+  timer.async_wait([&](const auto& /*ec*/) { is_over = true; });
+  REQUIRE(t.Until([&] { return is_over; }));
+  CHECK(t.destination.Count<UpstreamBroken>() == 0);
+  peer->Send("rest");
+  (void)t.destination.Await<UpstreamFinished>();
+  CHECK(t.destination.Count<UpstreamBroken>() == 0);
+}
+
 TEST_CASE("a fetch takes the whole answer from its start, while it is held") {
   for (const std::size_t bytes : {std::size_t{500}, std::size_t{100'000}}) {
     CAPTURE(bytes);
