Let a leaving node's upstream take what ends before the node would leave

Callers saw: with most hosts restarting in overlapping series, a fifth to two fifths of the requests of two seconds refused, nearly all "overloaded" after a retry found no room.

Cause: a leaving node took attempts for 1.0 s (calls.shutdown_accept_ms) and served callers for 2.3 s (calls.shutdown_serve_ms), so that its upstream idled for 1.3 s while the node still lived.

Change: after the first second an attempt is still taken while its expected wait and service time (mean and deviation of its class) end before the node has served callers for as long as it must. The upstream is withdrawn when an attempt of the mean length would not. Classes with large answers and unknown times keep to the first second, since their answers outlast the service time.

--- a/src/cassiabend/core/admission.h
+++ b/src/cassiabend/core/admission.h
@@ -56,6 +56,10 @@
   [[nodiscard]] bool WillMissDeadline(const Attempt& attempt,
                                       std::uint32_t slots,
                                       MonoTime now) const;
+  /// \returns The time that attempts of all classes take.
+  [[nodiscard]] const ServiceTime& service_time() const noexcept {
+    return service_time_;
+  }
   /// \returns The time that attempts of this class take, as far as is known.
   [[nodiscard]] const ServiceTime& ServiceTimeOf(
       const std::string& request_class) const;
--- a/src/cassiabend/core/call_context.h
+++ b/src/cassiabend/core/call_context.h
@@ -32,6 +32,8 @@
   bool draining = false;
   /// When the shutdown began; meaningful while `draining`.
   MonoTime draining_since{};
+  /// Whether peers were told that this host's upstream gets no more work.
+  bool withdrawn = false;
   /// Attempts that this host's upstream has.
   std::uint32_t upstream_calls = 0;
   Instant now;
@@ -47,10 +49,18 @@
   [[nodiscard]] bool HasStoppedServing() const noexcept {
     return draining && now.mono - draining_since >= options.shutdown_serve;
   }
-  /// \returns Whether a shutdown has gone on for so long that this host's
-  /// upstream gets no more work.
-  [[nodiscard]] bool HasStoppedAccepting() const noexcept {
-    return draining && now.mono - draining_since >= options.shutdown_accept;
+  /// \returns Whether this host's upstream may still be given an attempt that
+  /// is expected to end after `needed`. While most hosts restart in series, an
+  /// upstream whose node leaves takes what ends before callers have learnt of
+  /// it, which keeps the node no longer.
+  [[nodiscard]] bool MayStart(Nanoseconds needed) const noexcept {
+    if (!draining) {
+      return true;
+    }
+    const Nanoseconds age = now.mono - draining_since;
+    const bool ends_in_time = needed < options.shutdown_serve &&
+                              age < options.shutdown_serve - needed;
+    return !withdrawn && (age < options.shutdown_accept || ends_in_time);
   }
   /// \returns The number of the version in force; 0 for none.
   [[nodiscard]] VersionNumber config_number() const noexcept {
--- a/src/cassiabend/core/call_destination.cc
+++ b/src/cassiabend/core/call_destination.cc
@@ -94,7 +94,8 @@
 
 std::optional<Refusal> CallDestination::CheckCapacity(
     const AttemptRequest& request) const {
-  if (context_->HasStoppedAccepting()) {
+  const Nanoseconds needed = TimeNeeded(request.request_class);
+  if (!context_->MayStart(needed)) {
     return Refusal{NotRunReason::kDraining};
   }
   if (request.service != context_->self.service || health_->slots() == 0 ||
@@ -110,6 +111,9 @@
   if (wait == kNeverServed) {
     return Refusal{NotRunReason::kOverloaded, BackAfter()};
   }
+  if (needed != kNeverServed && !context_->MayStart(wait + needed)) {
+    return Refusal{NotRunReason::kDraining};
+  }
   // With the order by objective the time at the upstream counts too.
   const Nanoseconds service =
       context_->options.order_by_objective != 0 && wait > Nanoseconds(0)
@@ -246,7 +250,7 @@
 void CallDestination::Enqueue(Attempt* attempt) {
   attempt->state = AttemptState::kQueued;
   Schedule(attempt);
-  if (context_->HasStoppedAccepting()) {
+  if (!context_->MayStart(TimeNeeded(attempt->request.request_class))) {
     Refuse(attempt, {NotRunReason::kDraining});
     return;
   }
@@ -274,7 +278,8 @@
       Refuse(attempt, {NotRunReason::kOverloaded});
       continue;
     }
-    if (const auto refusal = CheckDispatch(*context_, *attempt)) {
+    const Nanoseconds needed = TimeNeeded(attempt->request.request_class);
+    if (const auto refusal = CheckDispatch(*context_, *attempt, needed)) {
       Refuse(attempt, *refusal);
       continue;
     }
--- a/src/cassiabend/core/call_destination.h
+++ b/src/cassiabend/core/call_destination.h
@@ -43,6 +43,9 @@
   void Reduce(const StoreReplied& event);
   /// \brief Answers the time that has passed.
   void Tick();
+  /// \returns Whether this host leaves and an attempt of the mean length would
+  /// keep it.
+  [[nodiscard]] bool HasStoppedAccepting() const noexcept;
   /// \brief Refuses everything that waits.
   void RefuseWaiting(NotRunReason reason);
 
@@ -65,6 +68,10 @@
   /// \returns Why the answer could not leave over this host's link in time.
   [[nodiscard]] std::optional<Refusal> CheckLink(
       const AttemptRequest& request) const;
+  /// \returns The time that an attempt of this class is expected to take;
+  /// `kNeverServed` where nothing is known of it, or its answer takes long to
+  /// leave over this host's link.
+  [[nodiscard]] Nanoseconds TimeNeeded(const std::string& request_class) const;
   [[nodiscard]] Milliseconds BackAfter() const;
   void StartWaiting();
   void Start(Attempt* attempt);
--- a/src/cassiabend/core/call_destination_end.cc
+++ b/src/cassiabend/core/call_destination_end.cc
@@ -52,6 +52,19 @@
   table_.Erase(attempt, fate);
 }
 
+Nanoseconds CallDestination::TimeNeeded(
+    const std::string& request_class) const {
+  const ServiceTime& time = admission_.ServiceTimeOf(request_class);
+  const bool is_known =
+      time.mean() > Nanoseconds(0) && link_.LargeBytesOf(request_class) == 0;
+  return is_known ? time.cautious() : kNeverServed;
+}
+
+bool CallDestination::HasStoppedAccepting() const noexcept {
+  const Nanoseconds mean = admission_.service_time().mean();
+  return !context_->MayStart(mean > Nanoseconds(0) ? mean : kNeverServed);
+}
+
 void CallDestination::RefuseWaiting(NotRunReason reason) {
   std::vector<Attempt*> waiting;
   for (const auto& [id, attempt] : table_.attempts()) {
--- a/src/cassiabend/core/call_reducer.cc
+++ b/src/cassiabend/core/call_reducer.cc
@@ -125,10 +125,10 @@
 
   /// \brief Withdraws this host's upstream once the time for it has come.
   void StopAccepting() {
-    if (stopped_accepting_ || !context_.HasStoppedAccepting()) {
+    if (context_.withdrawn || !destination_.HasStoppedAccepting()) {
       return;
     }
-    stopped_accepting_ = true;
+    context_.withdrawn = true;
     health_.Drain();
     destination_.RefuseWaiting(NotRunReason::kDraining);
   }
@@ -213,7 +213,6 @@
   bool self_known_ = false;
   /// Service under which the balancer knows this host's upstream.
   std::string known_service_;
-  bool stopped_accepting_ = false;
   bool drain_finished_ = false;
 };
 
--- a/src/cassiabend/core/dispatch_gate.cc
+++ b/src/cassiabend/core/dispatch_gate.cc
@@ -64,12 +64,13 @@
 }
 
 std::optional<Refusal> CheckDispatch(const CallContext& context,
-                                     const Attempt& attempt) {
+                                     const Attempt& attempt,
+                                     Nanoseconds needed) {
   if (context.now.mono >= attempt.deadline ||
       IsExpired(context, attempt.request)) {
     return Refusal{NotRunReason::kDeadline};
   }
-  if (context.HasStoppedAccepting()) {
+  if (!context.MayStart(needed)) {
     return Refusal{NotRunReason::kDraining};
   }
   return CheckSite(context, attempt.request);
--- a/src/cassiabend/core/dispatch_gate.h
+++ b/src/cassiabend/core/dispatch_gate.h
@@ -44,8 +44,10 @@
 
 /// \brief Checks all that may keep an attempt from its upstream, at the moment
 /// of its dispatch.
+/// \param needed Time that the attempt is expected to take.
 /// \returns Why it must not start; unset when it may.
 [[nodiscard]] std::optional<Refusal> CheckDispatch(const CallContext& context,
-                                                   const Attempt& attempt);
+                                                   const Attempt& attempt,
+                                                   Nanoseconds needed);
 
 }  // namespace cassiabend
--- a/tests/call_leave_test.cc
+++ b/tests/call_leave_test.cc
@@ -166,5 +166,56 @@
   CHECK(!node.Only<LocalLoadChanged>());
 }
 
+TEST_CASE("a node that leaves runs what ends before it would leave anyway") {
+  CallOptions options;
+  options.shutdown_accept = Milliseconds(1'000);
+  options.shutdown_serve = Milliseconds(2'300);
+  CallNode node(MakeMember(2), options);
+  node.MakeReady({MakeMember(1)});
+  // Attempts of "brief" take 100 ms here and those of "long" 1 s.
+  std::uint64_t id = 0;
+  const auto arrive = [&node, &id](const char* request_class) {
+    AttemptRequest request = MakeAttempt(++id);
+    request.request_class = request_class;
+    node.Do(AttemptArrived{id, request});
+    return node.Only<StartUpstream>().has_value();
+  };
+  const auto run = [&node, &id, &arrive](const char* request_class,
+                                         Milliseconds length) {
+    REQUIRE(arrive(request_class));
+    node.Tick(length);
+    node.Do(UpstreamFinished{{0, id}});
+  };
+  run("long", Milliseconds(1'000));
+  for (int n = 0; n < 64; ++n) {
+    run("brief", Milliseconds(100));
+  }
+
+  node.Do(DrainRequested{});
+  node.Tick(Milliseconds(900));
+  CHECK(arrive("long"));
+  node.Do(UpstreamFinished{{0, id}});
+  node.Tick(Milliseconds(500));
+  // 900 ms are left.
+  CHECK(!arrive("long"));
+  CHECK(node.Only<ReplyNotRun>()->reason == NotRunReason::kDraining);
+  CHECK(arrive("brief"));
+  node.Do(UpstreamFinished{{0, id}});
+  node.Tick(Milliseconds(500));
+  CHECK(!node.Only<LocalUpstreamChanged>());
+  CHECK(arrive("brief"));
+  node.Tick(Milliseconds(100));
+  node.Do(UpstreamFinished{{0, id}});
+  // 300 ms are left, then 50.
+  node.Tick(Milliseconds(250));
+  REQUIRE(node.Only<LocalUpstreamChanged>());
+  CHECK(node.Only<LocalUpstreamChanged>()->state == UpstreamState::kDraining);
+  CHECK(!arrive("brief"));
+  CHECK(node.Only<ReplyNotRun>()->reason == NotRunReason::kDraining);
+  CHECK(!node.Only<DrainFinished>());
+  node.Tick(Milliseconds(50));
+  CHECK(node.Only<DrainFinished>());
+}
+
 }  // namespace
 }  // namespace cassiabend::testing
--- a/tests/call_load.h
+++ b/tests/call_load.h
@@ -122,6 +122,15 @@
     const Stream stream{route, rate, kStart + to, first, last};
     After(kStart + from - now_.mono, [this, stream] { Arrive(stream); });
   }
+  /// \brief Shuts one node's process down at `at` after the start; the process
+  /// starts again `kDownTime` after it has left. Its upstream goes on all the
+  /// while, and its callers use the next node that takes calls.
+  void AddRestart(std::size_t n, Milliseconds at) {
+    After(kStart + at - now_.mono, [this, n] {
+      nodes_[n].stops_at = now_.mono + options_.calls.shutdown_serve;
+      Do(n, DrainRequested{});
+    });
+  }
   void Run(Milliseconds duration) {
     const MonoTime end = now_.mono + duration;
     After(kCallTickPeriod, [this, end] { TickAll(end); });
@@ -151,6 +160,9 @@
     std::unique_ptr<CallReducer> reducer;
     std::uint16_t load = 0;
     std::uint64_t started = 0;
+    /// When it takes no more calls, since it shuts down.
+    MonoTime stops_at = MonoTime::max();
+    bool gone = false;
   };
   struct Link {
     std::size_t entry = 0;
@@ -188,6 +200,10 @@
   static constexpr int kMaxRepeats = 4;
   static constexpr int kMaxReturns = 2;
   static constexpr int kReturnShare = 3;
+  /// Time from a process's end until it serves again.
+  static constexpr Milliseconds kDownTime{800};
+  /// Time in which all nodes learn what a member states.
+  static constexpr Milliseconds kNewsTime{100};
 
   void After(Nanoseconds delay, std::function<void()> act) {
     queue_.push({now_.mono + delay, ++sequence_, std::move(act)});
@@ -208,7 +224,10 @@
       Arrive(stream);
     });
   }
-  void Ask(const Request& request) {
+  void Ask(Request request) {
+    while (now_.mono >= nodes_[request.entry].stops_at) {
+      request.entry = (request.entry + 1) % nodes_.size();
+    }
     CallFacts facts = MakeFacts(request.route);
     if (options_.deadline > Milliseconds(0)) {
       facts.deadline = std::chrono::floor<Milliseconds>(
@@ -258,18 +277,58 @@
   }
 
   void Do(std::size_t n, const CallEvent& event) {
+    if (nodes_[n].gone) {
+      return;
+    }
     std::vector<CallEffect> effects;
     nodes_[n].reducer->Reduce(now_, event, &effects);
     for (const CallEffect& it : effects) {
       std::visit([this, n](const auto& effect) { Execute(n, effect); }, it);
     }
   }
+  void StartAgain(std::size_t n) {
+    Node& node = nodes_[n];
+    ++node.member.start_id;
+    node.member.upstream_state = UpstreamState::kWarming;
+    node.reducer = std::make_unique<CallReducer>(options_.calls, node.member,
+                                                 random_.Next());
+    node.gone = false;
+    node.stops_at = MonoTime::max();
+    std::vector<Member> members;
+    for (const Node& it : nodes_) {
+      members.push_back(it.member);
+    }
+    Do(n, ApplyVersion{RefPtr<const Snapshot>(new Snapshot(options_.config))});
+    Do(n, HeadConfirmed{now_.mono});
+    Do(n, MembersChanged{members});
+    Do(n, ReadinessChanged{true, ""});
+    TellAll(n);
+    Do(n, UpstreamProbed{true, 0});
+    Do(n, UpstreamProbed{true, 0});
+  }
+  /// \brief Lets all nodes learn what a member states now.
+  void TellAll(std::size_t n) {
+    After(kNewsTime, [this, member = nodes_[n].member] {
+      for (std::size_t to = 0; to < nodes_.size(); ++to) {
+        Do(to, MembersChanged{{member}});
+      }
+    });
+  }
   template <typename T>
   void Execute(std::size_t /*n*/, const T& /*effect*/) {}
 
+  void Execute(std::size_t n, const LocalUpstreamChanged& effect) {
+    nodes_[n].member.upstream_state = effect.state;
+    TellAll(n);
+  }
+  void Execute(std::size_t n, const DrainFinished& /*effect*/) {
+    nodes_[n].gone = true;
+    After(kDownTime, [this, n] { StartAgain(n); });
+  }
+
   void Execute(std::size_t n, const SendAttempt& effect) {
     const std::size_t to = index_.at(effect.destination);
-    if (nodes_[to].behaviour.refuses && to != n) {
+    if ((nodes_[to].behaviour.refuses || nodes_[to].gone) && to != n) {
       After(2 * kHop, [this, n, effect] {
         Do(n,
            AttemptLost{effect.call, effect.request.id, LinkLoss::kNeverSent});
