Let a call that meets a node that has just started wait until it is ready

Callers saw: 503 from a node in its first half second, and again when they came back after the 100 ms that it named, until their tries were used up.

While most hosts restart in series a zone has fewer than half of its nodes in, and its callers have no other node to turn to: 912 calls were refused as not ready, half of them less than 0.17 s after the start.

The waits before a call's first attempt have a file of their own.

Open: 236 calls found no upstream at a node that was ready, and 1,532 were refused as draining.

--- a/src/cassiabend/core/call_context.h
+++ b/src/cassiabend/core/call_context.h
@@ -29,6 +29,8 @@
   /// Time to which the head is confirmed; unset for never.
   std::optional<MonoTime> confirmed_at;
   bool ready = false;
+  /// When the first event came to this process.
+  MonoTime started_at{};
   bool draining = false;
   /// When the shutdown began; meaningful while `draining`.
   MonoTime draining_since{};
--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -43,13 +43,24 @@
   call->arrived_at = context_->now.mono;
   call->asked_at = call->arrived_at;
   call->deadline = call->arrived_at + context_->options.default_timeout;
+  call->waits_turn = event.waits_turn;
+  if (MayAwaitReadiness(*call)) {
+    call->phase = Phase::kWaitingReady;
+    call->deadline = ReadinessDue(*call);
+    Schedule(call);
+    return;
+  }
+  Begin(call);
+}
+
+void CallEntry::Begin(Call* call) {
   if (const auto refusal = Route(call)) {
     FinishNotRun(call, *refusal);
     return;
   }
   RecogniseReturn(call);
   Earn(*call);
-  if (event.waits_turn && MustWaitTurn(*call)) {
+  if (call->waits_turn && MustWaitTurn(*call)) {
     call->phase = Phase::kWaitingTurn;
     Schedule(call);
     return;
@@ -57,21 +68,6 @@
   SendFirst(call);
 }
 
-/// \returns Whether a call may not start behind others of its connection. What
-/// was sent behind an answer that closes counts as not read, and its caller
-/// sends it again, of whatever kind it is.
-bool CallEntry::MustWaitTurn(const Call& call) {
-  return call.route->repeat == RepeatPolicy::kOnce &&
-         call.facts.order_key.empty();
-}
-
-void CallEntry::Reduce(const CallTurn& event) {
-  Call* call = Find(event.call);
-  if (call != nullptr && call->phase == Phase::kWaitingTurn) {
-    SendFirst(call);
-  }
-}
-
 /// \brief Lets the objective of a caller that has come back count from when it
 /// asked first.
 void CallEntry::RecogniseReturn(Call* call) {
@@ -349,6 +345,7 @@
       GiveUpAttempt(call);
       return;
     case Phase::kWaitingTurn:
+    case Phase::kWaitingReady:
     case Phase::kWaiting:
     case Phase::kRelaying:
       return;
@@ -409,6 +406,10 @@
 
 void CallEntry::Expire(Call* call) {
   const bool is_late = context_->now.mono >= call->deadline;
+  if (is_late && call->phase == Phase::kWaitingReady) {
+    FinishNotRun(call, {NotRunReason::kNotReady});
+    return;
+  }
   if (is_late && call->phase == Phase::kWaitingTurn) {
     FinishNotRun(call, {NotRunReason::kDeadline});
     return;
--- a/src/cassiabend/core/call_entry.h
+++ b/src/cassiabend/core/call_entry.h
@@ -32,6 +32,8 @@
 
   void Reduce(const CallArrived& event);
   void Reduce(const CallTurn& event);
+  /// \brief Goes on with the calls that wait for this node to be ready.
+  void BecomeReady();
   void Reduce(const AttemptNotRun& event);
   void Reduce(const AttemptAnswering& event);
   void Reduce(const AttemptStillRunning& event);
@@ -50,6 +52,9 @@
     /// Nothing was sent: an earlier request of the connection may still end it,
     /// and the caller would then send this one again.
     kWaitingTurn,
+    /// Nothing was sent: this process has just started and gets its first
+    /// version.
+    kWaitingReady,
     /// The attempt was sent.
     kSent,
     /// Its answer is being fetched over a new connection.
@@ -71,6 +76,8 @@
     /// The route's service, or the one drawn from its split.
     std::string service;
     MonoTime arrived_at{};
+    /// Whether its connection tells it when its turn has come.
+    bool waits_turn = false;
     /// When its caller asked first, as far as is known.
     MonoTime asked_at{};
     /// When its caller gives up; unset where it does not say.
@@ -110,6 +117,9 @@
   [[nodiscard]] std::optional<Refusal> CheckSite(Call* call) const;
   [[nodiscard]] MonoTime LimitDeadline(MonoTime deadline) const;
   void RecogniseReturn(Call* call);
+  [[nodiscard]] bool MayAwaitReadiness(const Call& call) const;
+  [[nodiscard]] MonoTime ReadinessDue(const Call& call) const;
+  void Begin(Call* call);
   void SendFirst(Call* call);
   [[nodiscard]] static bool MustWaitTurn(const Call& call);
   [[nodiscard]] RefPtr<Upstream> Choose(const Call& call);
--- /dev/null
+++ b/src/cassiabend/core/call_entry_wait.cc
@@ -0,0 +1,63 @@
+#include <algorithm>
+#include <vector>
+
+#include "cassiabend/core/call_entry.h"
+
+namespace cassiabend {
+namespace {
+
+/// A call waits for its node to be ready for this part of its caller's time at
+/// most: its caller can still try elsewhere then.
+constexpr int kReadinessShare = 4;
+
+}  // namespace
+
+/// \returns Whether a call may not start behind others of its connection. What
+/// was sent behind an answer that closes counts as not read, and its caller
+/// sends it again, of whatever kind it is.
+bool CallEntry::MustWaitTurn(const Call& call) {
+  return call.route->repeat == RepeatPolicy::kOnce &&
+         call.facts.order_key.empty();
+}
+
+void CallEntry::Reduce(const CallTurn& event) {
+  Call* call = Find(event.call);
+  if (call == nullptr) {
+    return;
+  }
+  call->waits_turn = false;
+  if (call->phase == Phase::kWaitingTurn) {
+    SendFirst(call);
+  }
+}
+
+/// \returns Whether a call waits until this node is ready. When most hosts
+/// restart in series, callers have no other node to turn to, and a process that
+/// has started takes a fraction of a second to get its first version.
+bool CallEntry::MayAwaitReadiness(const Call& call) const {
+  return !context_->ready && !context_->draining &&
+         context_->now.mono < ReadinessDue(call);
+}
+
+/// \returns Until when a call waits for this node to be ready.
+MonoTime CallEntry::ReadinessDue(const Call& call) const {
+  const Milliseconds limit =
+      call.facts.deadline.value_or(context_->options.default_timeout);
+  return std::min(context_->started_at + context_->options.start_wait,
+                  call.arrived_at + limit / kReadinessShare);
+}
+
+void CallEntry::BecomeReady() {
+  std::vector<Call*> waiting;
+  for (const auto& [id, call] : calls_) {
+    if (call->phase == Phase::kWaitingReady) {
+      waiting.push_back(call.get());
+    }
+  }
+  std::ranges::sort(waiting, {}, &Call::id);
+  for (Call* it : waiting) {
+    Begin(it);
+  }
+}
+
+}  // namespace cassiabend
--- a/src/cassiabend/core/call_reducer.cc
+++ b/src/cassiabend/core/call_reducer.cc
@@ -42,6 +42,10 @@
               std::vector<CallEffect>* out) {
     context_.now = now;
     context_.out = out;
+    if (!has_started_) {
+      has_started_ = true;
+      context_.started_at = now.mono;
+    }
     std::visit([this](const auto& it) { Handle(it); }, event);
     context_.upstream_calls = destination_.running();
     UpdateSelf();
@@ -172,7 +176,12 @@
     balancer_.UpdateLoad(context_.now.mono, event.id, event.load_permille);
   }
 
-  void Handle(const ReadinessChanged& event) { context_.ready = event.ready; }
+  void Handle(const ReadinessChanged& event) {
+    context_.ready = event.ready;
+    if (event.ready) {
+      entry_.BecomeReady();
+    }
+  }
 
   /// \brief Lets the balancer know this host's own upstream.
   void UpdateSelf() {
@@ -210,6 +219,7 @@
   CallUpstreamHealth health_;
   CallEntry entry_;
   CallDestination destination_;
+  bool has_started_ = false;
   bool self_known_ = false;
   /// Service under which the balancer knows this host's upstream.
   std::string known_service_;
--- a/src/cassiabend/core/options.h
+++ b/src/cassiabend/core/options.h
@@ -135,6 +135,8 @@
   /// How long after the start of a shutdown calls may go on. What is open then
   /// is answered, since the process ends soon after.
   Milliseconds shutdown_finish{600'000};
+  /// How long after the start of the process calls wait for it to be ready.
+  Milliseconds start_wait{0};
   /// How long after the start of a shutdown callers' new requests are taken:
   /// until those who send them have learnt of it.
   Milliseconds shutdown_serve{0};
--- a/src/cassiabend/node/settings_fields.cc
+++ b/src/cassiabend/node/settings_fields.cc
@@ -213,6 +213,9 @@
     {"shutdown_serve_ms", &Calls::shutdown_serve, 0, kHourMs,
      "Time after the start of a shutdown in which callers' new requests are "
      "taken."},
+    {"start_wait_ms", &Calls::start_wait, 0, kMinuteMs,
+     "Time after the start of the process in which calls wait for the node to "
+     "be ready."},
     {"answer_hold_ms", &Calls::answer_hold, 100, 10 * kMinuteMs,
      "Time that an answer is held for an entry node whose link was lost."},
     {"order_memory_ms", &Calls::order_memory, 1'000, 7 * kDayMs,
