--- a/tests/call_leave_test.cc
+++ b/tests/call_leave_test.cc
@@ -211,6 +211,7 @@
     REQUIRE(arrive(request_class));
     node.Tick(length);
     node.Do(UpstreamFinished{{0, id}});
+    node.Do(AnswerSent{id});
   };
   run("long", Milliseconds(1'000));
   for (int n = 0; n < 64; ++n) {
@@ -221,17 +222,20 @@
   node.Tick(Milliseconds(900));
   CHECK(arrive("long"));
   node.Do(UpstreamFinished{{0, id}});
+  node.Do(AnswerSent{id});
   node.Tick(Milliseconds(500));
   // 900 ms are left.
   CHECK(!arrive("long"));
   CHECK(node.Only<ReplyNotRun>()->reason == NotRunReason::kDraining);
   CHECK(arrive("brief"));
   node.Do(UpstreamFinished{{0, id}});
+  node.Do(AnswerSent{id});
   node.Tick(Milliseconds(500));
   CHECK(!node.Only<LocalUpstreamChanged>());
   CHECK(arrive("brief"));
   node.Tick(Milliseconds(100));
   node.Do(UpstreamFinished{{0, id}});
+  node.Do(AnswerSent{id});
   // 300 ms are left, then 50.
   node.Tick(Milliseconds(250));
   REQUIRE(node.Only<LocalUpstreamChanged>());
