Let a node announce another call port than it listens on

Cause: other nodes open connections to the port that a node listens on, so no proxy can stand between two nodes, and faults of the ways between them can be provoked in virtual time only. Change: node.announced_call_port, 0 for call_port, is what Member::call_port carries; the node still listens on call_port. Conclusion: the soak can put its proxies between nodes.

--- a/src/cassiabend/node/settings.cc
+++ b/src/cassiabend/node/settings.cc
@@ -482,7 +482,9 @@
   CoreOptions options;
   Member& self = options.self;
   self.id = {settings.node.ip, settings.node.peer_port};
-  self.call_port = settings.node.call_port;
+  self.call_port = settings.node.announced_call_port != 0
+                       ? settings.node.announced_call_port
+                       : settings.node.call_port;
   self.region = settings.node.region;
   self.zone = settings.node.zone;
   self.start_id = start_id;
--- a/src/cassiabend/node/settings.h
+++ b/src/cassiabend/node/settings.h
@@ -19,6 +19,8 @@
   std::string ip;
   std::uint16_t peer_port = 7101;
   std::uint16_t call_port = 7102;
+  /// Port that other nodes are told for calls; 0 for `call_port`.
+  std::uint16_t announced_call_port = 0;
   std::uint16_t admin_port = 7103;
   std::uint16_t metrics_port = 7104;
   /// Port on which the platform asks whether the node is ready; 0 for none.
--- a/src/cassiabend/node/settings_fields.cc
+++ b/src/cassiabend/node/settings_fields.cc
@@ -19,6 +19,9 @@
     {"peer_port", &Node::peer_port, 1, kMaxPort,
      "UDP and TCP port for other nodes."},
     {"call_port", &Node::call_port, 1, kMaxPort, "HTTP port for calls."},
+    {"announced_call_port", &Node::announced_call_port, 0, kMaxPort,
+     "Port that other nodes are told for calls, when a proxy stands before "
+     "this one; 0: `call_port`."},
     {"admin_port", &Node::admin_port, 0, kMaxPort,
      "Port of the administration API; 0 turns it off."},
     {"metrics_port", &Node::metrics_port, 0, kMaxPort,
--- a/tests/shell/settings_test.cc
+++ b/tests/shell/settings_test.cc
@@ -38,6 +38,16 @@
   CHECK(settings.fleet.fan_out == FleetOptions().fan_out);
 }
 
+TEST_CASE("a node announces its call port, or the one set for it") {
+  const Settings plain = ParseSettings(With(R"("http": {})"), "node.json");
+  CHECK(CoreOptionsOf(plain, 1, 1).self.call_port == plain.node.call_port);
+
+  Settings proxied = plain;
+  proxied.node.announced_call_port = 7'999;
+  CHECK(CoreOptionsOf(proxied, 1, 1).self.call_port == 7'999);
+  CHECK(CallServerOptionsOf(proxied, 1).call_port == plain.node.call_port);
+}
+
 TEST_CASE("printed settings read back the same") {
   const Settings settings = ParseSettings(
       With(R"("fleet": {"seeds": ["127.0.0.2:7"], "beat_period_ms": 700},
