--- a/tools/fake_upstream_ledger.cc
+++ b/tools/fake_upstream_ledger.cc
@@ -12,7 +12,8 @@
 }  // namespace
 
 void ExecutionLedger::Count(const std::string& key,
-                            const std::string& attempt) {
+                            const std::string& attempt,
+                            const std::string& tag) {
   ++total_;
   if (!key.empty() && ++by_key_[key] > 1) {
     ++duplicates_;
@@ -20,6 +21,9 @@
   if (!attempt.empty()) {
     ++by_attempt_[attempt];
   }
+  if (!tag.empty()) {
+    ++by_tag_[tag];
+  }
 }
 
 std::uint64_t ExecutionLedger::CountOfKey(const std::string& key) const {
@@ -40,9 +44,14 @@
   for (const auto& [attempt, n] : by_attempt_) {
     by_attempt[attempt] = n;
   }
+  boost::json::object by_tag;
+  for (const auto& [tag, n] : by_tag_) {
+    by_tag[tag] = n;
+  }
   return {{"total", total_},         {"duplicates", duplicates_},
           {"cancelled", cancelled_}, {"shed", shed_},
-          {"by_key", by_key},        {"by_attempt", by_attempt}};
+          {"by_key", by_key},        {"by_attempt", by_attempt},
+          {"by_tag", by_tag}};
 }
 
 }  // namespace cassiabend
--- a/tools/fake_upstream_ledger.h
+++ b/tools/fake_upstream_ledger.h
@@ -14,7 +14,10 @@
   /// \brief Counts one start of work.
   /// \param key The order's idempotency key; may be empty.
   /// \param attempt The request id; may be empty.
-  void Count(const std::string& key, const std::string& attempt);
+  /// \param tag The caller's own name for the request; may be empty.
+  void Count(const std::string& key,
+             const std::string& attempt,
+             const std::string& tag = {});
   void CountCancelled() noexcept { ++cancelled_; }
   void CountShed() noexcept { ++shed_; }
 
@@ -33,6 +36,7 @@
 
   Counts by_key_;
   Counts by_attempt_;
+  Counts by_tag_;
   std::uint64_t total_ = 0;
   /// Starts of a key beyond its first.
   std::uint64_t duplicates_ = 0;
--- a/tools/fake_upstream_server.cc
+++ b/tools/fake_upstream_server.cc
@@ -24,6 +24,8 @@
 constexpr std::string_view kBytesPath = "/bytes/";
 constexpr std::string_view kStatusPath = "/answer-status/";
 constexpr std::string_view kEchoPath = "/echo";
+/// Names a request across its attempts, for the caller that sent it.
+constexpr std::string_view kTagHeader = "X-Request-Tag";
 constexpr Milliseconds kHealthLag{2'000};
 constexpr Milliseconds kLoadSamplePeriod{100};
 constexpr std::size_t kMaxAnswerBytes = std::size_t{64} * 1024 * 1024;
@@ -226,7 +228,8 @@
   Work& work = *work_.at(id);
   const MessageHead& head = work.request->head();
   ledger_.Count(std::string(head.Get(kOrderKeyHeader)),
-                std::string(head.Get(kRequestIdHeader)));
+                std::string(head.Get(kRequestIdHeader)),
+                std::string(head.Get(kTagHeader)));
   if (faults_.silent) {
     return;
   }
--- a/tools/harness/fleet.cc
+++ b/tools/harness/fleet.cc
@@ -173,7 +173,9 @@
 
 void Fleet::StartNode(std::size_t host) {
   nodes_.at(host) = std::make_unique<ChildProcess>(
-      std::vector<std::string>{options_.bin + "/cassiabend-node",
+      std::vector<std::string>{options_.node_program.empty()
+                                   ? options_.bin + "/cassiabend-node"
+                                   : options_.node_program,
                                WriteSettings(host)},
       options_.work + "/node-" + std::to_string(host) + ".log",
       options_.node_output_fd);
@@ -352,6 +354,9 @@
       json::array{json::object{{"name", "example"},
                                {"token_hash", HashToken(kToken)},
                                {"teams", json::array{"*"}}}};
+  if (options_.edit_settings) {
+    options_.edit_settings(host, &settings);
+  }
   return settings;
 }
 
--- a/tools/harness/fleet.h
+++ b/tools/harness/fleet.h
@@ -54,6 +54,8 @@
   std::size_t hosts = 6;
   /// Folder of the programs.
   std::string bin;
+  /// Program of the nodes; empty for the one in `bin`.
+  std::string node_program;
   /// Folder for settings and logs; it must exist.
   std::string work;
   /// Arguments of each upstream's stand-in.
@@ -64,6 +66,9 @@
   boost::json::object settings;
   /// Where the nodes' standard output goes; -1 for pipes that nobody reads.
   int node_output_fd = -1;
+  /// Changes the settings of one host before they are written; may be empty.
+  std::function<void(std::size_t host, boost::json::object* settings)>
+      edit_settings;
   /// Writes the settings file of a host in another form; empty for the usual
   /// one, which the deployment and `settings` give.
   std::function<std::string(const HostPlan& host, std::uint16_t store_port)>
@@ -106,6 +111,10 @@
   [[nodiscard]] ChildProcess* node(std::size_t host) {
     return nodes_.at(host).get();
   }
+  [[nodiscard]] ChildProcess* upstream(std::size_t host) {
+    return upstreams_.at(host).get();
+  }
+  [[nodiscard]] ChildProcess* store() { return store_.get(); }
   [[nodiscard]] std::uint16_t store_port() const { return store_port_; }
 
   [[nodiscard]] std::map<std::string, double> Metrics(std::size_t host) const;
--- /dev/null
+++ b/tools/soak_callers.cc
@@ -0,0 +1,216 @@
+#include "tools/soak_callers.h"
+
+#include <array>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <stdexcept>
+#include <utility>
+
+#include "cassiabend/base/random.h"
+#include "tools/harness/http_client.h"
+#include "tools/soak_checker.h"
+
+namespace cassiabend::soak {
+namespace {
+
+using harness::HttpConnection;
+using harness::Request;
+using harness::Response;
+
+constexpr std::uint64_t kThinkLeast = 20;
+constexpr std::uint64_t kThinkMost = 200;
+constexpr Milliseconds kConnectTimeout{1'000};
+constexpr Milliseconds kRetryPause{50};
+constexpr std::uint64_t kDownloadLeast = 100'000;
+constexpr std::uint64_t kDownloadMost = 900'000;
+/// Times that a keyed order is sent before its caller gives up.
+constexpr int kOrderTries = 3;
+
+struct Flow {
+  CallKind kind;
+  /// Share of the calls, of `kWeights`.
+  std::uint64_t weight;
+  const char* method;
+  Milliseconds deadline;
+};
+constexpr auto kFlows = std::to_array<Flow>({
+    {CallKind::kShortRead, 30, "PUT", Milliseconds(2'000)},
+    {CallKind::kSlowRead, 30, "GET", Milliseconds(10'000)},
+    {CallKind::kDownload, 20, "GET", Milliseconds(10'000)},
+    {CallKind::kOrder, 10, "POST", Milliseconds(5'000)},
+    {CallKind::kKeyedOrder, 10, "POST", Milliseconds(5'000)},
+});
+constexpr std::uint64_t kWeights = 100;
+
+const Flow& DrawFlow(Random* random) {
+  std::uint64_t n = random->Below(kWeights);
+  for (const Flow& it : kFlows) {
+    if (n < it.weight) {
+      return it;
+    }
+    n -= it.weight;
+  }
+  return kFlows.front();
+}
+
+Ending EndingOf(const Response& response) {
+  if (!response.complete) {
+    return Ending::kCut;
+  }
+  const std::string outcome = response.Header("x-cassiabend-outcome");
+  if (outcome == "not-run") {
+    return Ending::kNotRun;
+  }
+  return outcome == "unknown" ? Ending::kUnknown : Ending::kAnswered;
+}
+
+}  // namespace
+
+/// \brief One caller: a home host, and the connection that it keeps.
+class Callers::Caller {
+ public:
+  Caller(Callers* owner, std::size_t number)
+      : owner_(owner),
+        number_(number),
+        entry_(number % owner->options_.entries.size()),
+        random_(owner->options_.seed * 1'000'003 + number) {}
+
+  void Run() {
+    while (!owner_->is_stopping_) {
+      Call();
+      const auto think = Milliseconds(static_cast<std::int64_t>(
+          kThinkLeast + random_.Below(kThinkMost - kThinkLeast)));
+      std::this_thread::sleep_for(think);
+    }
+  }
+
+ private:
+  void Call() {
+    const Flow& flow = DrawFlow(&random_);
+    const std::string id =
+        "c" + std::to_string(number_) + "-" + std::to_string(++calls_);
+    const bool has_key = flow.kind == CallKind::kKeyedOrder;
+    const std::string key = has_key ? "key-" + id : "";
+    const std::uint64_t size =
+        kDownloadLeast + random_.Below(kDownloadMost - kDownloadLeast);
+    const int tries = has_key ? kOrderTries : 1;
+    for (int n = 0; n < tries; ++n) {
+      CallRecord record{.id = has_key ? id + "-" + std::to_string(n) : id,
+                        .kind = flow.kind,
+                        .order_key = key,
+                        .deadline = flow.deadline};
+      const std::optional<Ending> ending = Send(flow, size, &record);
+      if (!ending || *ending == Ending::kAnswered || owner_->is_stopping_) {
+        return;
+      }
+      std::this_thread::sleep_for(kRetryPause);
+    }
+  }
+
+  /// \returns How the request ended; unset when no connection could be opened.
+  std::optional<Ending> Send(const Flow& flow,
+                             std::uint64_t size,
+                             CallRecord* record) {
+    if (!Connect(*record)) {
+      return std::nullopt;
+    }
+    const bool is_download = flow.kind == CallKind::kDownload;
+    const std::string body =
+        record->order_key.empty() ? record->id : record->order_key;
+    Request request{
+        .method = flow.method,
+        .target = is_download ? "/bytes/" + std::to_string(size) : "/echo",
+        .headers = {{"X-Request-Tag", record->id},
+                    {"X-Request-Id", record->id},
+                    {"X-Cassiabend-Deadline-Ms",
+                     std::to_string(flow.deadline.count())}},
+        .body = is_download ? "" : body};
+    if (!record->order_key.empty()) {
+      request.headers.emplace_back("Idempotency-Key", record->order_key);
+    }
+    record->entry = entry_;
+    record->sent = owner_->clock_.Now();
+    try {
+      const Response response = connection_->Send(request);
+      record->ended = owner_->clock_.Now();
+      record->ending = EndingOf(response);
+      record->status = response.status;
+      record->detail = response.Header("x-cassiabend-reason");
+      record->is_own = response.status == 200 &&
+                       (is_download ? response.body == std::string(size, 'x')
+                                    : response.body == body);
+      if (!response.complete || response.Header("connection") == "close") {
+        connection_.reset();
+      }
+    } catch (const std::runtime_error& error) {
+      record->ended = owner_->clock_.Now();
+      record->detail = error.what();
+      const bool is_silent = record->ended - record->sent >= flow.deadline;
+      record->ending = is_silent ? Ending::kSilent : Ending::kClosed;
+      connection_.reset();
+    }
+    const Ending ending = record->ending;
+    owner_->Add(std::move(*record));
+    return ending;
+  }
+
+  /// \brief Keeps the connection; opens one to the same host, or to the next
+  /// hosts when that has no process.
+  bool Connect(const CallRecord& record) {
+    const std::vector<Address>& entries = owner_->options_.entries;
+    for (std::size_t n = 0; !connection_ && n < entries.size(); ++n) {
+      const Address& address = entries.at(entry_);
+      try {
+        // Each step of a call may take its deadline and the slack.
+        connection_ = std::make_unique<HttpConnection>(
+            address.ip, address.port,
+            std::max(kConnectTimeout, record.deadline + kDeadlineSlack));
+      } catch (const std::runtime_error&) {
+        entry_ = (entry_ + 1) % entries.size();
+      }
+    }
+    return connection_ != nullptr;
+  }
+
+  Callers* owner_;
+  std::size_t number_;
+  std::size_t entry_;
+  Random random_;
+  std::uint64_t calls_ = 0;
+  std::unique_ptr<HttpConnection> connection_;
+};
+
+Callers::Callers(CallersOptions options, const RunClock& clock)
+    : options_(std::move(options)), clock_(clock) {}
+
+Callers::~Callers() {
+  Stop();
+}
+
+void Callers::Start() {
+  const std::size_t n = options_.entries.size() * options_.callers_per_host;
+  for (std::size_t i = 0; i < n; ++i) {
+    threads_.emplace_back([this, i] { Caller(this, i).Run(); });
+  }
+}
+
+void Callers::Stop() {
+  is_stopping_ = true;
+  for (std::thread& it : threads_) {
+    it.join();
+  }
+  threads_.clear();
+}
+
+std::vector<CallRecord> Callers::Records() const {
+  const std::lock_guard lock(mutex_);
+  return records_;
+}
+
+void Callers::Add(CallRecord record) {
+  const std::lock_guard lock(mutex_);
+  records_.push_back(std::move(record));
+}
+
+}  // namespace cassiabend::soak
--- /dev/null
+++ b/tools/soak_callers.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "cassiabend/base/clock.h"
+#include "tools/soak_history.h"
+#include "tools/soak_proxy.h"
+
+namespace cassiabend::soak {
+
+/// \brief The time of one run.
+class RunClock {
+ public:
+  explicit RunClock(const Clock& clock)
+      : clock_(clock), start_(clock.Now().mono) {}
+
+  [[nodiscard]] RunTime Now() const noexcept {
+    return std::chrono::duration_cast<RunTime>(clock_.Now().mono - start_);
+  }
+
+ private:
+  const Clock& clock_;
+  MonoTime start_;
+};
+
+struct CallersOptions {
+  /// Call ports of the nodes, by host.
+  std::vector<Address> entries;
+  std::size_t callers_per_host = 2;
+  std::uint64_t seed = 1;
+};
+
+/// \brief Callers that keep their connection and use it until the process
+/// behind it is gone, each on a thread of its own.
+class Callers {
+ public:
+  Callers(CallersOptions options, const RunClock& clock);
+  Callers(const Callers&) = delete;
+  Callers& operator=(const Callers&) = delete;
+  /// \brief Stops and joins.
+  ~Callers();
+
+  void Start();
+  /// \brief Lets each caller end its call, and waits for it.
+  void Stop();
+  /// \returns The calls that have ended.
+  [[nodiscard]] std::vector<CallRecord> Records() const;
+
+ private:
+  class Caller;
+
+  void Add(CallRecord record);
+
+  CallersOptions options_;
+  const RunClock& clock_;
+  std::atomic<bool> is_stopping_ = false;
+  std::vector<std::thread> threads_;
+  mutable std::mutex mutex_;
+  std::vector<CallRecord> records_;
+};
+
+}  // namespace cassiabend::soak
--- /dev/null
+++ b/tools/soak_checker.cc
@@ -0,0 +1,243 @@
+#include "tools/soak_checker.h"
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+
+namespace cassiabend::soak {
+namespace {
+
+using Violations = std::vector<Violation>;
+
+bool IsPlanned(const History& history, RunTime from, RunTime to) {
+  return std::ranges::any_of(history.planned, [from, to](const Span& it) {
+    return it.Contains(from, to);
+  });
+}
+
+bool IsDisturbed(const History& history, std::size_t host, Span span) {
+  return std::ranges::any_of(
+      history.disturbances, [host, span](const Disturbance& it) {
+        return it.host == host && it.span.Touches(span.begin, span.end);
+      });
+}
+
+std::uint64_t RunsOf(const std::map<std::string, std::uint64_t>& runs,
+                     const std::string& name) {
+  const auto found = runs.find(name);
+  return found == runs.end() ? 0 : found->second;
+}
+
+/// \returns The process that ran at a host at one time; null when none did.
+const NodeLife* LifeAt(const History& history, std::size_t host, RunTime at) {
+  for (const NodeLife& it : history.lives) {
+    if (it.host == host && it.started <= at && (!it.ended || at <= *it.ended)) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
+std::string Describe(const CallRecord& call) {
+  std::string text = NameOf(call.kind);
+  text += " sent at " + std::to_string(call.sent.count()) + " ms: ";
+  text += NameOf(call.ending);
+  text += ", status " + std::to_string(call.status);
+  return call.detail.empty() ? text : text + ", " + call.detail;
+}
+
+Violation Of(const char* promise, const CallRecord& call) {
+  return {promise, call.ended, call.entry,
+          call.order_key.empty() ? call.id : call.order_key, Describe(call)};
+}
+
+void CheckOwnAnswers(const History& history, Violations* out) {
+  for (const CallRecord& it : history.calls) {
+    if (it.ending == Ending::kAnswered && !it.is_own) {
+      out->push_back(Of("own answer", it));
+    }
+  }
+}
+
+void CheckNotRun(const History& history, Violations* out) {
+  for (const CallRecord& it : history.calls) {
+    if (it.ending == Ending::kNotRun && RunsOf(history.runs_by_id, it.id) > 0) {
+      out->push_back(Of("not run is true", it));
+    }
+  }
+}
+
+void CheckAtMostOnce(const History& history, Violations* out) {
+  for (const CallRecord& it : history.calls) {
+    const bool ran_twice =
+        it.kind == CallKind::kOrder && RunsOf(history.runs_by_id, it.id) > 1;
+    const bool key_ran_twice = it.kind == CallKind::kKeyedOrder &&
+                               RunsOf(history.runs_by_key, it.order_key) > 1;
+    if (ran_twice || key_ran_twice) {
+      out->push_back(Of("at most once", it));
+    }
+  }
+}
+
+/// \brief Whether a node must have read a request whose connection closed.
+bool WasRead(const History& history, const CallRecord& call) {
+  if (RunsOf(history.runs_by_id, call.id) > 0) {
+    return true;
+  }
+  const NodeLife* life = LifeAt(history, call.entry, call.sent);
+  return life != nullptr &&
+         (!life->ended || call.sent + kReadSlack < *life->ended);
+}
+
+void CheckPlannedStops(const History& history, Violations* out) {
+  for (const CallRecord& it : history.calls) {
+    if (!IsPlanned(history, it.sent, it.ended)) {
+      continue;
+    }
+    if (it.ending == Ending::kCut) {
+      out->push_back(Of("no answer is cut by planned work", it));
+    }
+    // An order key whose earlier run can no longer be asked for is unknown.
+    if (it.ending == Ending::kUnknown && it.kind != CallKind::kKeyedOrder) {
+      out->push_back(Of("no outcome is unknown by planned work", it));
+    }
+    const bool has_none =
+        it.ending == Ending::kClosed || it.ending == Ending::kSilent;
+    if (has_none && WasRead(history, it)) {
+      out->push_back(Of("an answer to each request that was read", it));
+    }
+  }
+}
+
+void CheckDeadlines(const History& history, Violations* out) {
+  for (const CallRecord& it : history.calls) {
+    const Milliseconds limit = it.deadline + kDeadlineSlack;
+    const bool is_late =
+        it.ended - it.sent > limit || it.ending == Ending::kSilent;
+    if (is_late &&
+        !IsDisturbed(history, it.entry, {it.sent, it.sent + limit})) {
+      out->push_back(Of("an answer by the deadline", it));
+    }
+  }
+}
+
+void CheckVersionsRise(const History& history, Violations* out) {
+  std::map<const NodeLife*, std::uint64_t> newest;
+  for (const VersionSeen& it : history.versions) {
+    const NodeLife* life = LifeAt(history, it.host, it.at);
+    if (life == nullptr || life != LifeAt(history, it.host, it.read)) {
+      continue;
+    }
+    std::uint64_t& number = newest[life];
+    if (it.number < number) {
+      out->push_back({"versions only rise", it.at, it.host, "",
+                      "version " + std::to_string(it.number) + " after " +
+                          std::to_string(number)});
+    }
+    number = std::max(number, it.number);
+  }
+}
+
+/// \brief Whether a node was ready before a commit and has not been asked to
+/// leave since, with planned work alone around it.
+bool MustHold(const History& history,
+              const VersionSeen& seen,
+              const CommitSeen& commit) {
+  const NodeLife* life = LifeAt(history, seen.host, seen.at);
+  if (life == nullptr || life != LifeAt(history, seen.host, seen.read) ||
+      life->started > commit.at ||
+      (life->terminated && *life->terminated <= seen.at) ||
+      !IsPlanned(history, commit.at, seen.at)) {
+    return false;
+  }
+  return std::ranges::any_of(history.versions, [&](const VersionSeen& it) {
+    return it.host == seen.host && it.is_ready && it.at >= life->started &&
+           it.at <= commit.at;
+  });
+}
+
+void CheckSpread(const History& history, Violations* out) {
+  for (const CommitSeen& commit : history.commits) {
+    for (const VersionSeen& it : history.versions) {
+      if (it.number >= commit.number ||
+          it.at < commit.at + kSpreadLimit + kVersionReadSlack ||
+          !MustHold(history, it, commit)) {
+        continue;
+      }
+      out->push_back({"a change is in force in time", it.at, it.host, "",
+                      "version " + std::to_string(it.number) + "; " +
+                          std::to_string(commit.number) + " was accepted at " +
+                          std::to_string(commit.at.count()) + " ms"});
+      break;
+    }
+  }
+}
+
+void CheckGates(const History& history, Violations* out) {
+  for (const GateSeen& it : history.gates) {
+    if (it.runs_at_end > it.runs_at_gate) {
+      out->push_back(
+          {"no new work beside a leaving node", it.at, it.host, "",
+           std::to_string(it.runs_at_end - it.runs_at_gate) + " runs began"});
+    }
+  }
+}
+
+void CheckRecovery(const History& history, Violations* out) {
+  for (const Span& span : history.recovered) {
+    for (std::size_t n = 0; n < kCallKinds; ++n) {
+      const auto kind = static_cast<CallKind>(n);
+      std::size_t calls = 0;
+      std::size_t served = 0;
+      for (const CallRecord& it : history.calls) {
+        if (it.kind != kind || !span.Contains(it.sent, it.sent)) {
+          continue;
+        }
+        ++calls;
+        served += it.ending == Ending::kAnswered ? 1U : 0U;
+      }
+      if (calls >= kRecoveryCalls && served == 0) {
+        out->push_back(
+            {"calls are served again", span.end, 0, "",
+             "none of " + std::to_string(calls) + " calls, " + NameOf(kind)});
+      }
+    }
+  }
+}
+
+constexpr auto kRules = std::to_array<void (*)(const History&, Violations*)>({
+    &CheckOwnAnswers,
+    &CheckNotRun,
+    &CheckAtMostOnce,
+    &CheckPlannedStops,
+    &CheckDeadlines,
+    &CheckVersionsRise,
+    &CheckSpread,
+    &CheckGates,
+    &CheckRecovery,
+});
+
+}  // namespace
+
+const char* NameOf(CallKind kind) noexcept {
+  constexpr std::array<const char*, kCallKinds> kNames{
+      "short read", "slow read", "download", "order", "order with a key"};
+  return kNames.at(static_cast<std::size_t>(kind));
+}
+
+const char* NameOf(Ending ending) noexcept {
+  constexpr std::array<const char*, 6> kNames{"answered", "not run", "unknown",
+                                              "cut",      "closed",  "silent"};
+  return kNames.at(static_cast<std::size_t>(ending));
+}
+
+std::vector<Violation> Check(const History& history) {
+  Violations out;
+  for (const auto& rule : kRules) {
+    rule(history, &out);
+  }
+  std::ranges::sort(out, {}, &Violation::at);
+  return out;
+}
+
+}  // namespace cassiabend::soak
--- /dev/null
+++ b/tools/soak_fleet.cc
@@ -0,0 +1,534 @@
+#include "tools/soak_fleet.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/json/value.hpp>
+#include <csignal>
+#include <cstdio>
+#include <stdexcept>
+#include <utility>
+
+namespace cassiabend::soak {
+namespace {
+
+constexpr std::chrono::seconds kStartWait{60};
+constexpr char kStoreIp[] = "127.0.0.1";
+constexpr char kTeam[] = "soak";
+constexpr char kSlowService[] = "slow";
+constexpr char kOrderService[] = "orders";
+constexpr char kFileService[] = "files";
+constexpr std::uint32_t kSlots = 3;
+constexpr std::uint64_t kFirstChange = 0x50AB;
+constexpr std::chrono::milliseconds kKillWait{5'000};
+
+harness::Deployment MakeDeployment() {
+  return {.name = "soak",
+          .team = kTeam,
+          .regions = {"north", "south", "west"},
+          .services = {kSlowService, kOrderService, kFileService},
+          .slots = kSlots,
+          .settings = {}};
+}
+
+/// \returns The settings of deploy/node.json that do not name the platform.
+boost::json::object MakeSettings() {
+  return {{"node", {{"shutdown_timeout_ms", 5'300}}},
+          {"store", {{"max_connections", 2}}},
+          {"fleet",
+           {{"readers_per_zone", 1},
+            {"beat_period_ms", 300},
+            {"probe_period_ms", 500},
+            {"suspicion_timeout_ms", 2'500},
+            {"forget_after_ms", 60'000}}},
+          {"calls",
+           {{"max_attempts", 4},
+            {"caller_margin_ms", 25},
+            {"place_by_time", 1},
+            {"order_by_objective", 1},
+            {"region_kilobyte_us", 5'000},
+            {"beyond_kilobyte_us", 18'000},
+            {"retry_errors", 1},
+            {"shutdown_accept_ms", 1'000},
+            {"shutdown_serve_ms", 2'300},
+            {"slow_start_ms", 2'000}}},
+          {"http",
+           {{"idle_connections", 16},
+            {"prepared_connections", 0},
+            {"idle_timeout_ms", 8'000},
+            {"whole_answer_bytes", 600'000},
+            {"held_answer_bytes", 700'000},
+            {"link_kilobits", 13'300},
+            {"progress_timeout_ms", 1'500}}}};
+}
+
+/// \brief How long a service's upstreams take.
+std::string LatencyOf(const std::string& service) {
+  if (service == kSlowService) {
+    return R"({"latency_us":800000,"jitter_us":1000000})";
+  }
+  return R"({"latency_us":10000,"jitter_us":60000})";
+}
+
+Change MakeRoutes() {
+  struct Entry {
+    const char* name;
+    const char* method;
+    const char* path;
+    const char* service;
+    RepeatPolicy repeat;
+    Milliseconds timeout;
+    Milliseconds objective;
+  };
+  constexpr Entry kEntries[] = {
+      {"short", "PUT", "/echo", kOrderService, RepeatPolicy::kRepeatable,
+       Milliseconds(2'000), Milliseconds(500)},
+      {"slow", "GET", "/echo", kSlowService, RepeatPolicy::kRepeatable,
+       Milliseconds(10'000), Milliseconds(2'500)},
+      {"files", "GET", "/bytes", kFileService, RepeatPolicy::kRepeatable,
+       Milliseconds(10'000), Milliseconds(1'200)},
+      {"orders", "POST", "/echo", kOrderService, RepeatPolicy::kOnce,
+       Milliseconds(5'000), Milliseconds(1'500)},
+  };
+  Change change{.id = {kFirstChange, 1}, .author = {}, .edits = {}};
+  for (const char* it : {kSlowService, kOrderService, kFileService}) {
+    change.edits.push_back({Service{.name = it, .team = kTeam}, {}});
+  }
+  for (const Entry& it : kEntries) {
+    Route route;
+    route.name = it.name;
+    route.team = kTeam;
+    route.method = it.method;
+    route.path_prefix = it.path;
+    route.service = it.service;
+    route.request_class = it.name;
+    route.repeat = it.repeat;
+    route.timeout = it.timeout;
+    route.latency_objective = it.objective;
+    change.edits.push_back({std::move(route), {}});
+  }
+  return change;
+}
+
+}  // namespace
+
+SoakFleet::SoakFleet(const SoakFleetOptions& options, const RunClock& clock)
+    : clock_(clock),
+      fleet_(OptionsOf(options)),
+      current_(options.hosts),
+      gates_(options.hosts),
+      paused_nodes_(options.hosts),
+      paused_upstreams_(options.hosts) {}
+
+SoakFleet::~SoakFleet() {
+  // A process that is paused ends by SIGKILL alone.
+  undos_.clear();
+  monitor_.reset();
+}
+
+harness::FleetOptions SoakFleet::OptionsOf(const SoakFleetOptions& options) {
+  harness::FleetOptions out;
+  out.deployment = MakeDeployment();
+  out.hosts = options.hosts;
+  out.bin = options.bin;
+  out.node_program = options.node_program;
+  out.work = options.work;
+  out.settings = MakeSettings();
+  node_log_.reset(std::fopen((options.work + "/nodes.log").c_str(), "ae"));
+  if (!node_log_) {
+    throw std::runtime_error("cannot write " + options.work + "/nodes.log");
+  }
+  out.node_output_fd = fileno(node_log_.get());
+  out.edit_settings = [this](std::size_t host, boost::json::object* settings) {
+    auto& node = settings->at("node").as_object();
+    node["announced_call_port"] = node_proxies_.at(host).port;
+    auto& upstream = settings->at("upstream").as_object();
+    upstream["port"] = upstream_proxies_.at(host).port;
+    settings->at("store").as_object()["endpoints"] = boost::json::array{
+        store_proxy_.ip + ":" + std::to_string(store_proxy_.port)};
+  };
+  return out;
+}
+
+void SoakFleet::Start() {
+  fleet_.StartStore();
+  for (std::size_t i = 0; i < fleet_.hosts().size(); ++i) {
+    fleet_.StartUpstream(i);
+    fleet_.ControlUpstream(i, LatencyOf(fleet_.hosts().at(i).service));
+  }
+  AddProxies();
+  for (std::size_t i = 0; i < fleet_.hosts().size(); ++i) {
+    StartNode(i);
+  }
+  const std::size_t n = fleet_.hosts().size();
+  if (!fleet_.WaitMembers(n, kStartWait)) {
+    throw std::runtime_error("the members did not find each other in time");
+  }
+  const CommitResult result = fleet_.Admin(0)->Commit(MakeRoutes(), false);
+  if (result.code != CommitCode::kOk) {
+    throw std::runtime_error("the first change was not accepted: " +
+                             result.path + " " + result.reason);
+  }
+  if (!fleet_.WaitVersion(result.mark.number, kStartWait) ||
+      !fleet_.WaitReady(kStartWait) || !fleet_.WaitServing(n, kStartWait)) {
+    throw std::runtime_error("the fleet was not ready in time");
+  }
+  monitor_.emplace(fleet_, clock_, kTeam, kOrderService);
+}
+
+void SoakFleet::AddProxies() {
+  for (const harness::HostPlan& it : fleet_.hosts()) {
+    const Address any{it.ip, 0};
+    node_proxies_.push_back({it.ip, proxies_.Add(any, {it.ip, it.call_port})});
+    upstream_proxies_.push_back(
+        {it.ip, proxies_.Add(any, {it.ip, it.upstream_port})});
+  }
+  store_proxy_ = {kStoreIp,
+                  proxies_.Add({kStoreIp, 0}, {kStoreIp, fleet_.store_port()})};
+}
+
+std::vector<Address> SoakFleet::Entries() const {
+  std::vector<Address> out;
+  for (const harness::HostPlan& it : fleet_.hosts()) {
+    out.push_back({it.ip, it.call_port});
+  }
+  return out;
+}
+
+void SoakFleet::StartNode(std::size_t host) {
+  current_.at(host) = lives_.size();
+  lives_.push_back({.host = host, .started = clock_.Now()});
+  fleet_.StartNode(host);
+}
+
+bool SoakFleet::IsAway(std::size_t host) const {
+  const NodeLife& life = lives_.at(current_.at(host));
+  return life.terminated.has_value() || life.ended.has_value();
+}
+
+bool SoakFleet::IsSettled() const {
+  for (std::size_t host = 0; host < current_.size(); ++host) {
+    if (IsAway(host)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void SoakFleet::After(Milliseconds length, std::function<void()> run) {
+  undos_.push_back({clock_.Now() + length, std::move(run)});
+}
+
+void SoakFleet::Tick() {
+  const RunTime now = clock_.Now();
+  std::vector<Undo> due;
+  std::erase_if(undos_, [&due, now](Undo& it) {
+    if (it.due > now) {
+      return false;
+    }
+    due.push_back(std::move(it));
+    return true;
+  });
+  for (const Undo& it : due) {
+    it.run();
+  }
+  for (std::size_t host = 0; host < current_.size(); ++host) {
+    WatchGate(host);
+    NoticeEnd(host);
+  }
+}
+
+void SoakFleet::Heal() {
+  const std::vector<Undo> undos = std::exchange(undos_, {});
+  for (const Undo& it : undos) {
+    it.run();
+  }
+}
+
+/// \brief Starts a node again whose process ended as it was asked to.
+void SoakFleet::NoticeEnd(std::size_t host) {
+  NodeLife& life = lives_.at(current_.at(host));
+  if (life.ended || fleet_.node(host)->IsRunning()) {
+    return;
+  }
+  EndGate(host);
+  life.ended = clock_.Now();
+  if (!life.terminated) {
+    throw std::runtime_error("the node of host " + std::to_string(host) +
+                             " ended by itself");
+  }
+  StartNode(host);
+}
+
+std::uint64_t SoakFleet::RunsAt(std::size_t host) const {
+  return fleet_.Executions(host).at("total").to_number<std::uint64_t>();
+}
+
+void SoakFleet::WatchGate(std::size_t host) {
+  std::optional<Gate>& gate = gates_.at(host);
+  if (!gate || gate->seen || clock_.Now() < gate->due) {
+    return;
+  }
+  if (paused_upstreams_.at(host)) {
+    gate.reset();
+    return;
+  }
+  GateSeen seen{.host = host};
+  seen.runs_at_gate = RunsAt(host);
+  seen.at = clock_.Now();
+  gate->seen = seen;
+}
+
+void SoakFleet::EndGate(std::size_t host) {
+  const std::optional<Gate> gate = std::exchange(gates_.at(host), {});
+  if (!gate || !gate->seen || paused_upstreams_.at(host)) {
+    return;
+  }
+  GateSeen seen = *gate->seen;
+  seen.runs_at_end = RunsAt(host);
+  gates_seen_.push_back(seen);
+}
+
+void SoakFleet::AddLedger(std::size_t host, History* history) const {
+  const boost::json::value ledger = fleet_.Executions(host);
+  for (const auto& it : ledger.at("by_tag").as_object()) {
+    history->runs_by_id[it.key()] += it.value().to_number<std::uint64_t>();
+  }
+  for (const auto& it : ledger.at("by_key").as_object()) {
+    history->runs_by_key[it.key()] += it.value().to_number<std::uint64_t>();
+  }
+}
+
+void SoakFleet::Tell(History* history) {
+  history->runs_by_id = ended_.runs_by_id;
+  history->runs_by_key = ended_.runs_by_key;
+  for (std::size_t host = 0; host < current_.size(); ++host) {
+    if (!paused_upstreams_.at(host)) {
+      AddLedger(host, history);
+    }
+  }
+  history->lives = lives_;
+  history->disturbances = disturbances_;
+  history->gates = gates_seen_;
+  history->versions = monitor_->Versions();
+  history->commits = monitor_->Commits();
+}
+
+const Address& SoakFleet::ProxyOf(LinkPlace place, std::size_t host) const {
+  switch (place) {
+    case LinkPlace::kUpstream:
+      return upstream_proxies_.at(host);
+    case LinkPlace::kStore:
+      return store_proxy_;
+    case LinkPlace::kNode:
+      break;
+  }
+  return node_proxies_.at(host);
+}
+
+bool SoakFleet::Do(const Action& action) {
+  using Method = bool (SoakFleet::*)(const Action&);
+  static constexpr std::array<Method, kActionKinds> kMethods{
+      &SoakFleet::StopNode,        &SoakFleet::Change,
+      &SoakFleet::DisturbLink,     &SoakFleet::KillNode,
+      &SoakFleet::PauseNode,       &SoakFleet::RestartUpstream,
+      &SoakFleet::PauseUpstream,   &SoakFleet::PauseStore,
+      &SoakFleet::ControlStore,    &SoakFleet::ControlStore,
+      &SoakFleet::ControlStore,    &SoakFleet::ControlStore,
+      &SoakFleet::ControlStore,    &SoakFleet::ControlStore,
+      &SoakFleet::ControlUpstream, &SoakFleet::ControlUpstream,
+      &SoakFleet::ControlUpstream, &SoakFleet::ControlUpstream,
+      &SoakFleet::DisturbLink,     &SoakFleet::DisturbLink,
+      &SoakFleet::DisturbLink,     &SoakFleet::DisturbLink,
+      &SoakFleet::DisturbLink};
+  return (this->*kMethods.at(static_cast<std::size_t>(action.kind)))(action);
+}
+
+bool SoakFleet::StopNode(const Action& action) {
+  NodeLife& life = lives_.at(current_.at(action.host));
+  if (IsAway(action.host) || paused_nodes_.at(action.host)) {
+    return false;
+  }
+  life.terminated = clock_.Now();
+  gates_.at(action.host) = Gate{.due = *life.terminated + kGateLimit};
+  fleet_.StopNode(action.host);
+  return true;
+}
+
+bool SoakFleet::Change(const Action& action) {
+  monitor_->CommitSoon(action.host);
+  return true;
+}
+
+bool SoakFleet::KillNode(const Action& action) {
+  const std::size_t host = action.host;
+  if (IsAway(host) || paused_nodes_.at(host)) {
+    return false;
+  }
+  NodeLife& life = lives_.at(current_.at(host));
+  life.terminated = clock_.Now();
+  fleet_.KillNode(host);
+  life.ended = clock_.Now();
+  disturbances_.push_back(
+      {host, {*life.terminated, *life.ended + action.length}});
+  After(action.length, [this, host] { StartNode(host); });
+  return true;
+}
+
+bool SoakFleet::PauseNode(const Action& action) {
+  const std::size_t host = action.host;
+  if (paused_nodes_.at(host) || lives_.at(current_.at(host)).ended) {
+    return false;
+  }
+  const RunTime now = clock_.Now();
+  disturbances_.push_back({host, {now, now + action.length}});
+  gates_.at(host).reset();
+  paused_nodes_.at(host) = true;
+  fleet_.node(host)->Signal(SIGSTOP);
+  After(action.length, [this, host] {
+    fleet_.node(host)->Signal(SIGCONT);
+    paused_nodes_.at(host) = false;
+  });
+  return true;
+}
+
+bool SoakFleet::RestartUpstream(const Action& action) {
+  const std::size_t host = action.host;
+  if (paused_upstreams_.at(host)) {
+    return false;
+  }
+  gates_.at(host).reset();
+  AddLedger(host, &ended_);
+  fleet_.upstream(host)->Signal(SIGKILL);
+  (void)fleet_.upstream(host)->Wait(kKillWait);
+  fleet_.StartUpstream(host);
+  fleet_.ControlUpstream(host, LatencyOf(fleet_.hosts().at(host).service));
+  return true;
+}
+
+bool SoakFleet::PauseUpstream(const Action& action) {
+  const std::size_t host = action.host;
+  if (paused_upstreams_.at(host)) {
+    return false;
+  }
+  gates_.at(host).reset();
+  paused_upstreams_.at(host) = true;
+  fleet_.upstream(host)->Signal(SIGSTOP);
+  After(action.length, [this, host] {
+    fleet_.upstream(host)->Signal(SIGCONT);
+    paused_upstreams_.at(host) = false;
+  });
+  return true;
+}
+
+bool SoakFleet::PauseStore(const Action& action) {
+  if (is_store_paused_) {
+    return false;
+  }
+  is_store_paused_ = true;
+  fleet_.store()->Signal(SIGSTOP);
+  After(action.length, [this] {
+    fleet_.store()->Signal(SIGCONT);
+    is_store_paused_ = false;
+  });
+  return true;
+}
+
+bool SoakFleet::ControlStore(const Action& action) {
+  struct Entry {
+    ActionKind kind;
+    const char* begin;
+    const char* end;
+  };
+  constexpr Entry kEntries[] = {
+      {ActionKind::kRestartStore, R"({"restart":7})", ""},
+      {ActionKind::kStoreDown, R"({"down":true})", R"({"down":false})"},
+      {ActionKind::kStoreSlow, R"({"slow_ms":600})", R"({"slow_ms":0})"},
+      {ActionKind::kStoreLosesAnswers, R"({"lose_next_answers":3})", ""},
+      {ActionKind::kStoreDeadWatches, R"({"dead_watches":true})",
+       R"({"dead_watches":false})"},
+      {ActionKind::kStoreSilentConnections, R"({"silence_open":true})", ""},
+  };
+  if (is_store_paused_) {
+    return false;
+  }
+  for (const Entry& it : kEntries) {
+    if (it.kind != action.kind) {
+      continue;
+    }
+    fleet_.ControlStore(it.begin);
+    const std::string end = it.end;
+    if (!end.empty()) {
+      After(action.length, [this, end] {
+        fleet_.store()->Signal(SIGCONT);
+        fleet_.ControlStore(end);
+      });
+    }
+  }
+  return true;
+}
+
+bool SoakFleet::ControlUpstream(const Action& action) {
+  struct Entry {
+    ActionKind kind;
+    const char* begin;
+    const char* end;
+  };
+  constexpr Entry kEntries[] = {
+      {ActionKind::kUpstreamSheds, R"({"shed":true})", R"({"shed":false})"},
+      {ActionKind::kUpstreamSilent, R"({"silent":true})",
+       R"({"silent":false})"},
+      {ActionKind::kUpstreamBreaksAnswers, R"({"break":true})",
+       R"({"break":false})"},
+      {ActionKind::kUpstreamUnhealthy, R"({"unhealthy":true})",
+       R"({"unhealthy":false})"},
+  };
+  const std::size_t host = action.host;
+  if (paused_upstreams_.at(host)) {
+    return false;
+  }
+  for (const Entry& it : kEntries) {
+    if (it.kind != action.kind) {
+      continue;
+    }
+    fleet_.ControlUpstream(host, it.begin);
+    After(action.length, [this, host, end = std::string(it.end)] {
+      fleet_.upstream(host)->Signal(SIGCONT);
+      fleet_.ControlUpstream(host, end);
+    });
+  }
+  return true;
+}
+
+bool SoakFleet::DisturbLink(const Action& action) {
+  const LinkPlace place = action.kind == ActionKind::kPeerSlowOpen
+                              ? LinkPlace::kNode
+                              : action.place;
+  const Address proxy = ProxyOf(place, action.host);
+  LinkFault fault;
+  switch (action.kind) {
+    case ActionKind::kPeerSlowOpen:
+      fault.opens_late = true;
+      break;
+    case ActionKind::kLinkDelay:
+      fault.delay = action.delay;
+      break;
+    case ActionKind::kLinkCutForward:
+      fault.holds_forward = true;
+      break;
+    case ActionKind::kLinkCutBack:
+      fault.holds_back = true;
+      break;
+    case ActionKind::kLinkSilence:
+      fault.holds_forward = true;
+      fault.holds_back = true;
+      break;
+    default:
+      proxies_.Reset(proxy);
+      return true;
+  }
+  proxies_.SetFault(proxy, fault);
+  After(action.length, [this, proxy] { proxies_.SetFault(proxy, {}); });
+  return true;
+}
+
+}  // namespace cassiabend::soak
--- /dev/null
+++ b/tools/soak_main.cc
@@ -0,0 +1,219 @@
+#include <algorithm>
+#include <boost/json/serialize.hpp>
+#include <chrono>
+#include <csignal>
+#include <cstdint>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include <unistd.h>
+
+#include "cassiabend/base/clock.h"
+#include "cassiabend/base/command_line.h"
+#include "cassiabend/base/error.h"
+#include "tools/soak_run.h"
+
+namespace cassiabend {
+namespace {
+
+namespace json = boost::json;
+
+constexpr int kExitOk = 0;
+constexpr int kExitViolation = 1;
+constexpr std::int64_t kMostSeeds = 100'000;
+constexpr std::int64_t kMostMinutes = 24 * 60;
+constexpr std::int64_t kMostPhases = 1'000;
+constexpr std::int64_t kMostCallers = 16;
+constexpr Milliseconds kPlantedAt{1'500};
+constexpr Milliseconds kPlantedLength{2'500};
+
+constexpr char kEpilogue[] =
+    "\nRuns nodes, upstreams and a store as processes on loopback, injects the"
+    "\nfaults of one schedule for each seed, and checks from outside what is\n"
+    "promised. Prints a summary for each seed; --report has every step.\n"
+    "Exit codes: 0 nothing violated, 1 a promise violated or bad command "
+    "line,\n"
+    "2 the fleet failed.\n";
+
+struct Arguments {
+  std::int64_t seed = 1;
+  std::int64_t seeds = 1;
+  std::int64_t minutes = 0;
+  std::int64_t hosts = 9;
+  std::int64_t callers = 2;
+  std::int64_t phases = 5;
+  std::string bin;
+  std::string node;
+  std::string work;
+  std::string report;
+  std::string plant;
+  bool keep = false;
+};
+
+void CheckRange(const char* name,
+                std::int64_t n,
+                std::int64_t least,
+                std::int64_t most) {
+  if (n < least || n > most) {
+    throw SettingsError(
+        "read the command line", name,
+        "must be " + std::to_string(least) + " to " + std::to_string(most));
+  }
+}
+
+void CheckArguments(const Arguments& args) {
+  const auto hosts_by_memory =
+      static_cast<std::int64_t>(soak::HostMemory() / 2 / soak::kBytesPerHost);
+  const std::int64_t most_hosts =
+      std::min(static_cast<std::int64_t>(soak::kMaxHosts), hosts_by_memory);
+  CheckRange("--seed", args.seed, 0, INT64_MAX / 2);
+  CheckRange("--seeds", args.seeds, 1, kMostSeeds);
+  CheckRange("--minutes", args.minutes, 0, kMostMinutes);
+  CheckRange("--hosts", args.hosts, 3, most_hosts);
+  CheckRange("--callers", args.callers, 1, kMostCallers);
+  CheckRange("--phases", args.phases, 1, kMostPhases);
+  for (const char* it : {"cassiabend-node", "cassiabend-fake-store",
+                         "cassiabend-fake-upstream"}) {
+    if (!std::filesystem::exists(args.bin + "/" + it)) {
+      throw SettingsError("read the command line", "--bin",
+                          "has no program " + std::string(it));
+    }
+  }
+  if (!args.node.empty() && !std::filesystem::exists(args.node)) {
+    throw SettingsError("read the command line", "--node", "does not exist");
+  }
+  if (!args.plant.empty() && args.plant != "break" && args.plant != "restart") {
+    throw SettingsError("read the command line", "--plant",
+                        "must be break or restart");
+  }
+}
+
+/// \brief Puts upstreams' faults into the first phase, which takes itself for
+/// planned work.
+void Plant(const Arguments& args, std::vector<soak::Phase>* schedule) {
+  if (args.plant.empty()) {
+    return;
+  }
+  const bool breaks = args.plant == "break";
+  for (std::size_t host = 0; host < static_cast<std::size_t>(args.hosts);
+       ++host) {
+    schedule->front().actions.push_back(
+        {.at = kPlantedAt,
+         .kind = breaks ? soak::ActionKind::kUpstreamBreaksAnswers
+                        : soak::ActionKind::kRestartUpstream,
+         .host = host,
+         .length = kPlantedLength});
+  }
+  std::ranges::sort(schedule->front().actions);
+}
+
+std::string ReplayOf(const Arguments& args, std::int64_t seed) {
+  return "cassiabend-soak --seed " + std::to_string(seed) + " --hosts " +
+         std::to_string(args.hosts) + " --callers " +
+         std::to_string(args.callers) + " --phases " +
+         std::to_string(args.phases) +
+         (args.plant.empty() ? "" : " --plant " + args.plant);
+}
+
+/// \returns Whether nothing was violated.
+bool RunSeed(const Arguments& args, std::int64_t seed, std::ostream* report) {
+  soak::RunOptions options;
+  options.seed = static_cast<std::uint64_t>(seed);
+  options.callers_per_host = static_cast<std::size_t>(args.callers);
+  options.fleet.hosts = static_cast<std::size_t>(args.hosts);
+  options.fleet.bin = args.bin;
+  options.fleet.node_program = args.node;
+  options.fleet.work = args.work + "/seed-" + std::to_string(seed);
+  options.schedule =
+      soak::DrawSchedule({.seed = options.seed,
+                          .hosts = options.fleet.hosts,
+                          .phases = static_cast<std::size_t>(args.phases)});
+  Plant(args, &options.schedule);
+  std::filesystem::create_directories(options.fleet.work);
+  const soak::Tell tell = [report](const json::object& it) {
+    *report << json::serialize(it) << std::endl;
+  };
+  tell({{"event", "start"}, {"seed", seed}, {"replay", ReplayOf(args, seed)}});
+  const SystemClock clock;
+  const soak::RunResult result = soak::Run(options, clock, tell);
+  const json::object summary{
+      {"event", "summary"},        {"seed", seed},
+      {"calls", result.calls},     {"answered", result.answered},
+      {"actions", result.actions}, {"violations", result.violations.size()}};
+  tell(summary);
+  std::cout << json::serialize(summary) << std::endl;
+  for (const soak::Violation& it : result.violations) {
+    std::cout << "  " << it.at.count() << " ms, host " << it.host << ", "
+              << it.promise << ": " << it.request << " " << it.detail << "\n";
+  }
+  const bool is_clean = result.violations.empty();
+  if (is_clean && !args.keep) {
+    std::filesystem::remove_all(options.fleet.work);
+  } else {
+    std::cout << "  replay: " << ReplayOf(args, seed)
+              << "\n  logs: " << options.fleet.work << std::endl;
+  }
+  return is_clean;
+}
+
+int Main(int argc, const char** argv) {
+  CommandLine line("cassiabend-soak", "", kEpilogue);
+  Arguments args;
+  args.bin = std::filesystem::path(argv[0]).parent_path().string();
+  args.work = (std::filesystem::temp_directory_path() /
+               ("cassiabend-soak-" + std::to_string(getpid())))
+                  .string();
+  line.AddNumber("seed", &args.seed, "Seed of the first schedule");
+  line.AddNumber("seeds", &args.seeds, "Seeds to run, from the first one on");
+  line.AddNumber("minutes", &args.minutes,
+                 "No further seed begins after this time; 0 for no limit");
+  line.AddNumber("hosts", &args.hosts, "Hosts, each a node and an upstream");
+  line.AddNumber("callers", &args.callers, "Callers of each host");
+  line.AddNumber("phases", &args.phases, "Phases of a schedule");
+  line.AddText("bin", &args.bin, "Folder of the programs");
+  line.AddText("node", &args.node, "Program of the nodes, when another");
+  line.AddText("work", &args.work, "Folder for settings and logs");
+  line.AddText("report", &args.report, "File for the report, as JSON lines");
+  line.AddText("plant", &args.plant,
+               "break or restart: a fault that the check must report");
+  line.AddFlag("keep", &args.keep, "Keep the logs of clean seeds too");
+  bool finished = false;
+  const std::vector<std::string> rest = line.Parse(argc, argv, &finished);
+  if (finished) {
+    return kExitOk;
+  }
+  if (!rest.empty()) {
+    throw SettingsError("read the command line", rest.front(),
+                        "is not expected; see --help");
+  }
+  CheckArguments(args);
+  std::signal(SIGPIPE, SIG_IGN);
+  std::filesystem::create_directories(args.work);
+  std::ofstream report(args.report.empty() ? args.work + "/report.jsonl"
+                                           : args.report);
+  if (!report) {
+    throw SettingsError("read the command line", "--report",
+                        "cannot be written");
+  }
+  const auto begin = std::chrono::steady_clock::now();
+  bool is_clean = true;
+  for (std::int64_t n = 0; n < args.seeds; ++n) {
+    const auto spent = std::chrono::steady_clock::now() - begin;
+    if (args.minutes > 0 && spent >= std::chrono::minutes(args.minutes)) {
+      break;
+    }
+    is_clean = RunSeed(args, args.seed + n, &report) && is_clean;
+  }
+  return is_clean ? kExitOk : kExitViolation;
+}
+
+}  // namespace
+}  // namespace cassiabend
+
+int main(int argc, char** argv) {
+  return cassiabend::RunProgram("cassiabend-soak", &cassiabend::Main, argc,
+                                argv);
+}
--- /dev/null
+++ b/tools/soak_monitor.cc
@@ -0,0 +1,141 @@
+#include "tools/soak_monitor.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
+#include <stdexcept>
+
+#include "cassiabend/base/error.h"
+#include "tools/harness/http_client.h"
+
+namespace cassiabend::soak {
+namespace {
+
+constexpr Milliseconds kReadPeriod{200};
+constexpr Milliseconds kReadTimeout{400};
+/// Hosts at which a change is tried, with the same id.
+constexpr std::size_t kCommitTries = 3;
+/// Routes that the changes write in turn.
+constexpr std::uint64_t kRoutes = 20;
+constexpr std::uint64_t kChangeIds = 0x50AC;
+
+}  // namespace
+
+Monitor::Monitor(const harness::Fleet& fleet,
+                 const RunClock& clock,
+                 std::string team,
+                 std::string service)
+    : fleet_(fleet),
+      clock_(clock),
+      team_(std::move(team)),
+      service_(std::move(service)),
+      reader_([this] { ReadVersions(); }),
+      committer_([this] { RunCommits(); }) {}
+
+Monitor::~Monitor() {
+  {
+    const std::lock_guard lock(mutex_);
+    is_stopping_ = true;
+  }
+  wake_.notify_all();
+  reader_.join();
+  committer_.join();
+}
+
+void Monitor::CommitSoon(std::size_t host) {
+  {
+    const std::lock_guard lock(mutex_);
+    waiting_.push_back(host);
+  }
+  wake_.notify_all();
+}
+
+std::vector<VersionSeen> Monitor::Versions() const {
+  const std::lock_guard lock(mutex_);
+  return versions_;
+}
+
+std::vector<CommitSeen> Monitor::Commits() const {
+  const std::lock_guard lock(mutex_);
+  return commits_;
+}
+
+void Monitor::ReadVersions() {
+  std::unique_lock lock(mutex_);
+  while (!wake_.wait_for(lock, kReadPeriod, [this] { return is_stopping_; })) {
+    lock.unlock();
+    for (std::size_t host = 0; host < fleet_.hosts().size(); ++host) {
+      ReadVersion(host);
+    }
+    lock.lock();
+  }
+}
+
+void Monitor::ReadVersion(std::size_t host) {
+  const harness::HostPlan& plan = fleet_.hosts().at(host);
+  VersionSeen seen{.host = host, .at = clock_.Now()};
+  try {
+    harness::HttpConnection link(plan.ip, plan.metrics_port, kReadTimeout);
+    const auto page =
+        boost::json::parse(link.Send({.target = "/version"}).body);
+    seen.number = page.at("version").to_number<std::uint64_t>();
+    seen.read = clock_.Now();
+    seen.is_ready = harness::Fetch(plan.ip, plan.metrics_port,
+                                   {.target = "/readyz"}, kReadTimeout)
+                        .status == 200;
+  } catch (const std::exception&) {
+    // No process, or one that is paused: there is nothing to judge.
+    return;
+  }
+  const std::lock_guard lock(mutex_);
+  versions_.push_back(seen);
+}
+
+void Monitor::RunCommits() {
+  std::unique_lock lock(mutex_);
+  while (true) {
+    wake_.wait(lock, [this] { return is_stopping_ || !waiting_.empty(); });
+    if (is_stopping_) {
+      return;
+    }
+    const std::size_t host = waiting_.front();
+    waiting_.pop_front();
+    lock.unlock();
+    Commit(host);
+    lock.lock();
+  }
+}
+
+void Monitor::Commit(std::size_t host) {
+  const Change change = NextChange();
+  for (std::size_t n = 0; n < kCommitTries; ++n) {
+    try {
+      const CommitResult result =
+          fleet_.Admin((host + n) % fleet_.hosts().size())
+              ->Commit(change, false);
+      if (result.code == CommitCode::kOk) {
+        const std::lock_guard lock(mutex_);
+        commits_.push_back({clock_.Now(), result.mark.number});
+        return;
+      }
+    } catch (const RpcError&) {
+      // The next host is asked with the same change id, which tells the
+      // outcome.
+      continue;
+    }
+  }
+}
+
+Change Monitor::NextChange() {
+  const std::uint64_t n = ++changes_;
+  Route route;
+  route.name = "changed-" + std::to_string(n % kRoutes);
+  route.team = team_;
+  route.path_prefix = "/" + route.name;
+  route.service = service_;
+  route.request_class = "changed";
+  route.repeat = RepeatPolicy::kRepeatable;
+  route.timeout = Milliseconds(1'000 + static_cast<std::int64_t>(n));
+  return {.id = {kChangeIds, n}, .author = {}, .edits = {{route, {}}}};
+}
+
+}  // namespace cassiabend::soak
--- /dev/null
+++ b/tools/soak_monitor.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "cassiabend/model/change.h"
+#include "tools/harness/fleet.h"
+#include "tools/soak_callers.h"
+#include "tools/soak_history.h"
+
+namespace cassiabend::soak {
+
+/// \brief Reads the nodes' versions, and commits changes, on two threads.
+class Monitor {
+ public:
+  /// \param fleet Must outlive this; its hosts must be planned.
+  Monitor(const harness::Fleet& fleet,
+          const RunClock& clock,
+          std::string team,
+          std::string service);
+  Monitor(const Monitor&) = delete;
+  Monitor& operator=(const Monitor&) = delete;
+  /// \brief Stops and joins.
+  ~Monitor();
+
+  /// \brief Commits the next change, first through `host`.
+  void CommitSoon(std::size_t host);
+  [[nodiscard]] std::vector<VersionSeen> Versions() const;
+  [[nodiscard]] std::vector<CommitSeen> Commits() const;
+
+ private:
+  void ReadVersions();
+  void ReadVersion(std::size_t host);
+  void RunCommits();
+  void Commit(std::size_t host);
+  [[nodiscard]] Change NextChange();
+
+  const harness::Fleet& fleet_;
+  const RunClock& clock_;
+  std::string team_;
+  std::string service_;
+  std::uint64_t changes_ = 0;
+  mutable std::mutex mutex_;
+  std::condition_variable wake_;
+  bool is_stopping_ = false;
+  std::deque<std::size_t> waiting_;
+  std::vector<VersionSeen> versions_;
+  std::vector<CommitSeen> commits_;
+  std::thread reader_;
+  std::thread committer_;
+};
+
+}  // namespace cassiabend::soak
--- /dev/null
+++ b/tools/soak_run.cc
@@ -0,0 +1,160 @@
+#include "tools/soak_run.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <thread>
+#include <tuple>
+
+namespace cassiabend::soak {
+namespace {
+
+constexpr Milliseconds kTickPeriod{10};
+/// Longest time for leaving nodes to end and start again: the grace time and
+/// the time of a start on a busy host.
+constexpr Milliseconds kSettleTime{15'000};
+constexpr Milliseconds kFirstCalls{2'000};
+
+/// \brief One run: the fleet, its callers, and what was seen so far.
+class Runner {
+ public:
+  Runner(const RunOptions& options, const Clock& clock, const Tell& tell)
+      : options_(options),
+        clock_(clock),
+        fleet_(options.fleet, clock_),
+        tell_(tell) {}
+
+  RunResult Go() {
+    fleet_.Start();
+    callers_.emplace(
+        CallersOptions{.entries = fleet_.Entries(),
+                       .callers_per_host = options_.callers_per_host,
+                       .seed = options_.seed},
+        clock_);
+    callers_->Start();
+    TickUntil(clock_.Now() + kFirstCalls);
+    for (const Phase& it : options_.schedule) {
+      RunPhase(it);
+      Check();
+      if (!result_.violations.empty()) {
+        break;
+      }
+    }
+    callers_->Stop();
+    Check();
+    CountCalls();
+    return result_;
+  }
+
+ private:
+  void RunPhase(const Phase& phase) {
+    const RunTime begin = clock_.Now();
+    tell_({{"event", "phase"},
+           {"at_ms", begin.count()},
+           {"kind", NameOf(phase.kind)}});
+    for (const Action& it : phase.actions) {
+      TickUntil(begin + it.at);
+      const RunTime at = clock_.Now();
+      const bool was_done = fleet_.Do(it);
+      ++result_.actions;
+      if (it.kind != ActionKind::kPeerSlowOpen) {
+        tell_({{"event", "action"},
+               {"at_ms", at.count()},
+               {"what", Describe(it)},
+               {"done", was_done}});
+      }
+    }
+    TickUntil(begin + phase.length);
+    EndPhase(phase.kind, begin);
+  }
+
+  void EndPhase(PhaseKind kind, RunTime begin) {
+    if (kind == PhaseKind::kMixed) {
+      fleet_.Heal();
+    }
+    const RunTime limit = clock_.Now() + kSettleTime;
+    while (!fleet_.IsSettled()) {
+      if (clock_.Now() >= limit) {
+        throw std::runtime_error("a leaving node did not end in time");
+      }
+      TickUntil(clock_.Now() + kTickPeriod);
+    }
+    const RunTime end = clock_.Now();
+    if (kind == PhaseKind::kRecovery) {
+      recovered_.push_back({end - kRecoveryWatch, end});
+    }
+    if (!IsPlanned(kind)) {
+      return;
+    }
+    // Calls may span two phases that follow each other.
+    if (!planned_.empty() && planned_.back().end + kTickPeriod >= begin) {
+      planned_.back().end = end;
+    } else {
+      planned_.push_back({begin, end});
+    }
+  }
+
+  void TickUntil(RunTime time) {
+    fleet_.Tick();
+    while (clock_.Now() < time) {
+      std::this_thread::sleep_for(
+          std::min<Milliseconds>(kTickPeriod, time - clock_.Now()));
+      fleet_.Tick();
+    }
+  }
+
+  void Check() {
+    History history;
+    history.calls = callers_->Records();
+    history.planned = planned_;
+    history.recovered = recovered_;
+    fleet_.Tell(&history);
+    for (Violation& it : soak::Check(history)) {
+      if (!known_.insert({it.promise, it.request, it.at}).second) {
+        continue;
+      }
+      tell_({{"event", "violation"},
+             {"seed", options_.seed},
+             {"at_ms", it.at.count()},
+             {"promise", it.promise},
+             {"host", it.host},
+             {"request", it.request},
+             {"detail", it.detail}});
+      result_.violations.push_back(std::move(it));
+    }
+  }
+
+  void CountCalls() {
+    for (const CallRecord& it : callers_->Records()) {
+      ++result_.calls;
+      result_.answered += it.ending == Ending::kAnswered ? 1U : 0U;
+    }
+  }
+
+  const RunOptions& options_;
+  RunClock clock_;
+  SoakFleet fleet_;
+  std::optional<Callers> callers_;
+  const Tell& tell_;
+  std::vector<Span> planned_;
+  std::vector<Span> recovered_;
+  std::set<std::tuple<std::string, std::string, RunTime>> known_;
+  RunResult result_;
+};
+
+}  // namespace
+
+RunResult Run(const RunOptions& options, const Clock& clock, const Tell& tell) {
+  return Runner(options, clock, tell).Go();
+}
+
+std::uint64_t HostMemory() {
+  return static_cast<std::uint64_t>(sysconf(_SC_PHYS_PAGES)) *
+         static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+}
+
+}  // namespace cassiabend::soak
