--- /dev/null
+++ b/tests/process/soak_test.cc
@@ -0,0 +1,66 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "tests/support/work_folder.h"
+#include "tools/harness/child_process.h"
+
+namespace cassiabend {
+namespace {
+
+struct SoakResult {
+  int exit_code = -1;
+  std::string report;
+};
+
+/// Longest run of these tests, on a busy machine.
+constexpr std::chrono::seconds kWait{400};
+
+SoakResult RunSoak(const WorkFolder& folder,
+                   const std::vector<std::string>& arguments) {
+  const std::string report = folder.path() + "/report.jsonl";
+  std::vector<std::string> command{ProgramFolder() + "/cassiabend-soak",
+                                   "--work", folder.path(), "--report", report};
+  command.insert(command.end(), arguments.begin(), arguments.end());
+  harness::ChildProcess program(command, folder.path() + "/soak.log");
+  SoakResult result;
+  result.exit_code = program.Wait(kWait).value_or(-1);
+  std::ostringstream text;
+  text << std::ifstream(report).rdbuf();
+  result.report = text.str();
+  return result;
+}
+
+TEST_CASE("a short seeded soak breaks no promise") {
+  const WorkFolder folder("soak");
+  const SoakResult result =
+      RunSoak(folder, {"--seed", "1", "--phases", "3", "--hosts", "6"});
+  INFO(result.report);
+  CHECK(result.exit_code == 0);
+  CHECK(result.report.find(R"("event":"summary")") != std::string::npos);
+}
+
+TEST_CASE("answers that upstreams cut in a planned phase are reported") {
+  const WorkFolder folder("soak-planted");
+  const SoakResult result = RunSoak(
+      folder,
+      {"--seed", "1", "--phases", "1", "--hosts", "6", "--plant", "break"});
+  INFO(result.report);
+  CHECK(result.exit_code == 1);
+  CHECK(result.report.find(R"("event":"violation")") != std::string::npos);
+}
+
+TEST_CASE("unfit arguments are refused") {
+  const WorkFolder folder("soak-arguments");
+  CHECK(RunSoak(folder, {"--hosts", "2"}).exit_code == 1);
+  CHECK(RunSoak(folder, {"--hosts", "5000"}).exit_code == 1);
+  CHECK(RunSoak(folder, {"--plant", "nothing"}).exit_code == 1);
+  CHECK(RunSoak(folder, {"--node", "/nonexistent"}).exit_code == 1);
+}
+
+}  // namespace
+}  // namespace cassiabend
--- /dev/null
+++ b/tests/soak_checker_test.cc
@@ -0,0 +1,222 @@
+#include "tools/soak_checker.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+namespace cassiabend::soak {
+namespace {
+
+constexpr char kOwn[] = "own answer";
+constexpr char kTrue[] = "not run is true";
+constexpr char kOnce[] = "at most once";
+constexpr char kWhole[] = "no answer is cut by planned work";
+constexpr char kKnown[] = "no outcome is unknown by planned work";
+constexpr char kAnyAnswer[] = "an answer to each request that was read";
+constexpr char kInTime[] = "an answer by the deadline";
+constexpr char kRising[] = "versions only rise";
+constexpr char kInForce[] = "a change is in force in time";
+constexpr char kNoNewWork[] = "no new work beside a leaving node";
+constexpr char kServed[] = "calls are served again";
+
+CallRecord MakeCall(Ending ending) {
+  return {.id = "a",
+          .kind = CallKind::kSlowRead,
+          .entry = 1,
+          .sent = RunTime(1'000),
+          .ended = RunTime(2'000),
+          .deadline = Milliseconds(10'000),
+          .ending = ending};
+}
+
+/// \returns A planned minute in which the nodes of two hosts run.
+History MakeHistory(std::vector<CallRecord> calls) {
+  History history;
+  history.calls = std::move(calls);
+  history.lives = {{.host = 0}, {.host = 1}};
+  history.planned = {{RunTime(0), RunTime(60'000)}};
+  return history;
+}
+
+std::vector<std::string> Broken(const History& history) {
+  std::vector<std::string> out;
+  for (const Violation& it : Check(history)) {
+    out.push_back(it.promise);
+  }
+  return out;
+}
+
+using Promises = std::vector<std::string>;
+
+TEST_CASE("answers and refusals break nothing") {
+  CHECK(Broken(MakeHistory({})).empty());
+  CHECK(Broken(MakeHistory(
+                   {MakeCall(Ending::kAnswered), MakeCall(Ending::kNotRun)}))
+            .empty());
+}
+
+TEST_CASE("an answer must be the request's own") {
+  CallRecord call = MakeCall(Ending::kAnswered);
+  call.is_own = false;
+  CHECK(Broken(MakeHistory({call})) == Promises{kOwn});
+}
+
+TEST_CASE("a request that was told not run must not run, then or later") {
+  History history = MakeHistory({MakeCall(Ending::kNotRun)});
+  history.runs_by_id["a"] = 1;
+  CHECK(Broken(history) == Promises{kTrue});
+  history.planned.clear();
+  CHECK(Broken(history) == Promises{kTrue});
+}
+
+TEST_CASE("orders run at most once, reads may run again") {
+  CallRecord order = MakeCall(Ending::kAnswered);
+  History history = MakeHistory({order});
+  history.runs_by_id["a"] = 2;
+  CHECK(Broken(history).empty());
+
+  history.calls.front().kind = CallKind::kOrder;
+  CHECK(Broken(history) == Promises{kOnce});
+
+  history.calls.front().kind = CallKind::kKeyedOrder;
+  history.calls.front().order_key = "key";
+  history.runs_by_key["key"] = 1;
+  CHECK(Broken(history).empty());
+  history.runs_by_key["key"] = 2;
+  CHECK(Broken(history) == Promises{kOnce});
+}
+
+TEST_CASE("planned work neither cuts an answer nor leaves an unknown outcome") {
+  History history = MakeHistory({MakeCall(Ending::kCut)});
+  CHECK(Broken(history) == Promises{kWhole});
+  history.calls = {MakeCall(Ending::kUnknown)};
+  CHECK(Broken(history) == Promises{kKnown});
+
+  // With a fault around it, both may happen.
+  history.planned = {{RunTime(0), RunTime(1'500)}};
+  CHECK(Broken(history).empty());
+  history.calls = {MakeCall(Ending::kCut)};
+  CHECK(Broken(history).empty());
+}
+
+TEST_CASE("a request that was read before a planned stop gets an answer") {
+  History history = MakeHistory({MakeCall(Ending::kClosed)});
+  CHECK(Broken(history) == Promises{kAnyAnswer});
+
+  SUBCASE("not when its node ended as it was written") {
+    history.lives.at(1).terminated = RunTime(500);
+    history.lives.at(1).ended = RunTime(1'200);
+    CHECK(Broken(history).empty());
+  }
+  SUBCASE("when its node ended long after it was written") {
+    history.lives.at(1).terminated = RunTime(500);
+    history.lives.at(1).ended = RunTime(1'900);
+    CHECK(Broken(history) == Promises{kAnyAnswer});
+  }
+  SUBCASE("when it ran, whenever its node ended") {
+    history.lives.at(1).terminated = RunTime(500);
+    history.lives.at(1).ended = RunTime(1'200);
+    history.runs_by_id["a"] = 1;
+    CHECK(Broken(history) == Promises{kAnyAnswer});
+  }
+}
+
+TEST_CASE("an answer of some kind comes by the deadline, faults or not") {
+  CallRecord late = MakeCall(Ending::kNotRun);
+  late.ended = late.sent + late.deadline + kDeadlineSlack;
+  History history = MakeHistory({late});
+  CHECK(Broken(history).empty());
+  history.calls.front().ended += Milliseconds(1);
+  CHECK(Broken(history) == Promises{kInTime});
+  history.planned.clear();
+  CHECK(Broken(history) == Promises{kInTime});
+
+  // The node that would answer was paused, or killed.
+  history.disturbances = {{1, {RunTime(9'000), RunTime(9'500)}}};
+  CHECK(Broken(history).empty());
+  history.disturbances = {{0, {RunTime(9'000), RunTime(9'500)}}};
+  CHECK(Broken(history) == Promises{kInTime});
+}
+
+TEST_CASE("versions rise for one process, and begin again with the next") {
+  History history = MakeHistory({});
+  history.versions = {
+      {.host = 1, .at = RunTime(10), .read = RunTime(11), .number = 7},
+      {.host = 0, .at = RunTime(20), .read = RunTime(21), .number = 6},
+      {.host = 1, .at = RunTime(30), .read = RunTime(31), .number = 6}};
+  CHECK(Broken(history) == Promises{kRising});
+
+  history.lives.at(1).ended = RunTime(20);
+  history.lives.push_back({.host = 1, .started = RunTime(21)});
+  CHECK(Broken(history).empty());
+}
+
+TEST_CASE("a change is in force at every ready node in time") {
+  const auto read = [](std::int64_t at, std::uint64_t number) {
+    return VersionSeen{.host = 1,
+                       .at = RunTime(at),
+                       .read = RunTime(at + 1),
+                       .number = number,
+                       .is_ready = true};
+  };
+  History history = MakeHistory({});
+  history.commits = {{RunTime(1'000), 5}};
+  history.versions = {read(900, 4), read(5'400, 4)};
+  CHECK(Broken(history).empty());
+  history.versions = {read(900, 4), read(5'600, 4)};
+  CHECK(Broken(history) == Promises{kInForce});
+  history.versions = {read(900, 4), read(5'600, 5)};
+  CHECK(Broken(history).empty());
+
+  history.versions = {read(900, 4), read(5'600, 4)};
+  SUBCASE("a node that leaves need not take it") {
+    history.lives.at(1).terminated = RunTime(5'000);
+    CHECK(Broken(history).empty());
+  }
+  SUBCASE("nor one that has started since") {
+    history.lives.at(1).started = RunTime(1'100);
+    CHECK(Broken(history).empty());
+  }
+  SUBCASE("nor one that was not ready before") {
+    history.versions.front().is_ready = false;
+    CHECK(Broken(history).empty());
+  }
+  SUBCASE("nor any while there are faults") {
+    history.planned = {{RunTime(1'001), RunTime(60'000)}};
+    CHECK(Broken(history).empty());
+  }
+}
+
+TEST_CASE("an upstream beside a leaving node gets no new work") {
+  History history = MakeHistory({});
+  history.gates = {
+      {.host = 1, .at = RunTime(9), .runs_at_gate = 4, .runs_at_end = 4}};
+  CHECK(Broken(history).empty());
+  history.gates.front().runs_at_end = 5;
+  CHECK(Broken(history) == Promises{kNoNewWork});
+}
+
+TEST_CASE("after a recovery calls of each kind are served") {
+  History history = MakeHistory({});
+  history.recovered = {{RunTime(500), RunTime(3'000)}};
+  history.calls.assign(kRecoveryCalls, MakeCall(Ending::kNotRun));
+  CHECK(Broken(history) == Promises{kServed});
+  history.calls.back().ending = Ending::kAnswered;
+  CHECK(Broken(history).empty());
+  history.calls.assign(kRecoveryCalls - 1, MakeCall(Ending::kNotRun));
+  CHECK(Broken(history).empty());
+}
+
+TEST_CASE("a violation names its request and says what was seen") {
+  CallRecord call = MakeCall(Ending::kUnknown);
+  call.status = 502;
+  const std::vector<Violation> found = Check(MakeHistory({call}));
+  REQUIRE(found.size() == 1);
+  CHECK(found.front() ==
+        Violation{kKnown, RunTime(2'000), 1, "a",
+                  "slow read sent at 1000 ms: unknown, status 502"});
+}
+
+}  // namespace
+}  // namespace cassiabend::soak
--- a/tools/harness/fleet.cc
+++ b/tools/harness/fleet.cc
@@ -3,6 +3,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <csignal>
+#include <cstdio>
 #include <fstream>
 #include <stdexcept>
 #include <thread>
@@ -91,6 +92,11 @@
   }
 }
 
+struct FileCloser {
+  void operator()(std::FILE* file) const noexcept { (void)std::fclose(file); }
+};
+using FilePtr = std::unique_ptr<std::FILE, FileCloser>;
+
 }  // namespace
 
 Deployment DeploymentByName(const std::string& name) {
@@ -172,13 +178,19 @@
 }
 
 void Fleet::StartNode(std::size_t host) {
+  const std::string log =
+      options_.work + "/node-" + std::to_string(host) + ".log";
+  const FilePtr output(options_.logs_node_output ? std::fopen(log.c_str(), "ae")
+                                                 : nullptr);
+  if (options_.logs_node_output && !output) {
+    throw std::runtime_error("cannot write " + log);
+  }
   nodes_.at(host) = std::make_unique<ChildProcess>(
       std::vector<std::string>{options_.node_program.empty()
                                    ? options_.bin + "/cassiabend-node"
                                    : options_.node_program,
                                WriteSettings(host)},
-      options_.work + "/node-" + std::to_string(host) + ".log",
-      options_.node_output_fd);
+      log, output ? fileno(output.get()) : options_.node_output_fd);
 }
 
 void Fleet::KillNode(std::size_t host) {
--- a/tools/harness/fleet.h
+++ b/tools/harness/fleet.h
@@ -66,6 +66,8 @@
   boost::json::object settings;
   /// Where the nodes' standard output goes; -1 for pipes that nobody reads.
   int node_output_fd = -1;
+  /// Whether the nodes' standard output is appended to their logs instead.
+  bool logs_node_output = false;
   /// Changes the settings of one host before they are written; may be empty.
   std::function<void(std::size_t host, boost::json::object* settings)>
       edit_settings;
--- a/tools/soak_fleet.cc
+++ b/tools/soak_fleet.cc
@@ -4,7 +4,6 @@
 #include <array>
 #include <boost/json/value.hpp>
 #include <csignal>
-#include <cstdio>
 #include <stdexcept>
 #include <utility>
 
@@ -57,7 +56,6 @@
             {"idle_timeout_ms", 8'000},
             {"whole_answer_bytes", 600'000},
             {"held_answer_bytes", 700'000},
-            {"link_kilobits", 13'300},
             {"progress_timeout_ms", 1'500}}}};
 }
 
@@ -133,11 +131,11 @@
   out.node_program = options.node_program;
   out.work = options.work;
   out.settings = MakeSettings();
-  node_log_.reset(std::fopen((options.work + "/nodes.log").c_str(), "ae"));
-  if (!node_log_) {
-    throw std::runtime_error("cannot write " + options.work + "/nodes.log");
+  if (options.link_kilobits > 0) {
+    out.settings.at("http").as_object()["link_kilobits"] =
+        options.link_kilobits;
   }
-  out.node_output_fd = fileno(node_log_.get());
+  out.logs_node_output = true;
   out.edit_settings = [this](std::size_t host, boost::json::object* settings) {
     auto& node = settings->at("node").as_object();
     node["announced_call_port"] = node_proxies_.at(host).port;
--- a/tools/soak_fleet.h
+++ b/tools/soak_fleet.h
@@ -1,9 +1,7 @@
 #pragma once
 
 #include <cstdint>
-#include <cstdio>
 #include <functional>
-#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -23,6 +21,8 @@
   std::string bin;
   /// Program of the nodes; empty for the one in `bin`.
   std::string node_program;
+  /// Width of each host's link, in kilobits a second; 0 leaves the setting out.
+  std::uint32_t link_kilobits = 13'300;
   /// Folder for settings and logs; it must exist.
   std::string work;
 };
@@ -93,13 +93,7 @@
   /// \returns The proxy before a host's node or upstream, or the store.
   [[nodiscard]] const Address& ProxyOf(LinkPlace place, std::size_t host) const;
 
-  struct FileCloser {
-    void operator()(std::FILE* file) const noexcept { (void)std::fclose(file); }
-  };
-
   const RunClock& clock_;
-  /// Standard output of all nodes.
-  std::unique_ptr<std::FILE, FileCloser> node_log_;
   std::vector<Address> node_proxies_;
   std::vector<Address> upstream_proxies_;
   Address store_proxy_;
--- a/tools/soak_main.cc
+++ b/tools/soak_main.cc
@@ -27,6 +27,7 @@
 constexpr std::int64_t kMostMinutes = 24 * 60;
 constexpr std::int64_t kMostPhases = 1'000;
 constexpr std::int64_t kMostCallers = 16;
+constexpr std::int64_t kMostLink = 1'000'000'000;
 constexpr Milliseconds kPlantedAt{1'500};
 constexpr Milliseconds kPlantedLength{2'500};
 
@@ -45,6 +46,7 @@
   std::int64_t hosts = 9;
   std::int64_t callers = 2;
   std::int64_t phases = 5;
+  std::int64_t link_kilobits = 13'300;
   std::string bin;
   std::string node;
   std::string work;
@@ -75,6 +77,7 @@
   CheckRange("--hosts", args.hosts, 3, most_hosts);
   CheckRange("--callers", args.callers, 1, kMostCallers);
   CheckRange("--phases", args.phases, 1, kMostPhases);
+  CheckRange("--link-kilobits", args.link_kilobits, 0, kMostLink);
   for (const char* it : {"cassiabend-node", "cassiabend-fake-store",
                          "cassiabend-fake-upstream"}) {
     if (!std::filesystem::exists(args.bin + "/" + it)) {
@@ -114,7 +117,8 @@
   return "cassiabend-soak --seed " + std::to_string(seed) + " --hosts " +
          std::to_string(args.hosts) + " --callers " +
          std::to_string(args.callers) + " --phases " +
-         std::to_string(args.phases) +
+         std::to_string(args.phases) + " --link-kilobits " +
+         std::to_string(args.link_kilobits) +
          (args.plant.empty() ? "" : " --plant " + args.plant);
 }
 
@@ -126,6 +130,7 @@
   options.fleet.hosts = static_cast<std::size_t>(args.hosts);
   options.fleet.bin = args.bin;
   options.fleet.node_program = args.node;
+  options.fleet.link_kilobits = static_cast<std::uint32_t>(args.link_kilobits);
   options.fleet.work = args.work + "/seed-" + std::to_string(seed);
   options.schedule =
       soak::DrawSchedule({.seed = options.seed,
@@ -173,6 +178,8 @@
   line.AddNumber("hosts", &args.hosts, "Hosts, each a node and an upstream");
   line.AddNumber("callers", &args.callers, "Callers of each host");
   line.AddNumber("phases", &args.phases, "Phases of a schedule");
+  line.AddNumber("link-kilobits", &args.link_kilobits,
+                 "Width of each host's link; 0 leaves the setting out");
   line.AddText("bin", &args.bin, "Folder of the programs");
   line.AddText("node", &args.node, "Program of the nodes, when another");
   line.AddText("work", &args.work, "Folder for settings and logs");
--- a/tools/soak_run.cc
+++ b/tools/soak_run.cc
@@ -28,7 +28,10 @@
         fleet_(options.fleet, clock_),
         tell_(tell) {}
 
-  RunResult Go() {
+  RunResult Go(const Clock& clock) {
+    tell_({{"event", "clock"},
+           {"at_ms", clock_.Now().count()},
+           {"wall_ms", clock.Now().wall.time_since_epoch().count()}});
     fleet_.Start();
     callers_.emplace(
         CallersOptions{.entries = fleet_.Entries(),
@@ -128,10 +131,24 @@
     }
   }
 
+  /// \brief Counts all calls, and tells those that were not answered.
   void CountCalls() {
     for (const CallRecord& it : callers_->Records()) {
       ++result_.calls;
-      result_.answered += it.ending == Ending::kAnswered ? 1U : 0U;
+      if (it.ending == Ending::kAnswered) {
+        ++result_.answered;
+        continue;
+      }
+      tell_({{"event", "call"},
+             {"at_ms", it.sent.count()},
+             {"ended_ms", it.ended.count()},
+             {"request", it.id},
+             {"order_key", it.order_key},
+             {"kind", NameOf(it.kind)},
+             {"entry", it.entry},
+             {"ending", NameOf(it.ending)},
+             {"status", it.status},
+             {"detail", it.detail}});
     }
   }
 
@@ -149,7 +166,7 @@
 }  // namespace
 
 RunResult Run(const RunOptions& options, const Clock& clock, const Tell& tell) {
-  return Runner(options, clock, tell).Go();
+  return Runner(options, clock, tell).Go(clock);
 }
 
 std::uint64_t HostMemory() {
