Judge a closed connection by the process that held it

Change: a record knows when its connection was opened. Gates of connections close for up to 700 ms; phases tell whether they have them. Evidence: soak_checker_test has the case.

--- a/tests/soak_checker_test.cc
+++ b/tests/soak_checker_test.cc
@@ -114,6 +114,13 @@
     history.lives.at(1).ended = RunTime(1'900);
     CHECK(Broken(history) == Promises{kAnyAnswer});
   }
+  SUBCASE("not when the process that held the connection had ended") {
+    history.lives.at(1).ended = RunTime(990);
+    history.lives.push_back({.host = 1, .started = RunTime(991)});
+    CHECK(Broken(history).empty());
+    history.calls.front().opened = RunTime(995);
+    CHECK(Broken(history) == Promises{kAnyAnswer});
+  }
   SUBCASE("when it ran, whenever its node ended") {
     history.lives.at(1).terminated = RunTime(500);
     history.lives.at(1).ended = RunTime(1'200);
--- a/tools/soak_callers.cc
+++ b/tools/soak_callers.cc
@@ -130,6 +130,7 @@
       request.headers.emplace_back("Idempotency-Key", record->order_key);
     }
     record->entry = entry_;
+    record->opened = opened_;
     record->sent = owner_->clock_.Now();
     try {
       const Response response = connection_->Send(request);
@@ -166,6 +167,7 @@
         connection_ = std::make_unique<HttpConnection>(
             address.ip, address.port,
             std::max(kConnectTimeout, record.deadline + kDeadlineSlack));
+        opened_ = owner_->clock_.Now();
       } catch (const std::runtime_error&) {
         entry_ = (entry_ + 1) % entries.size();
       }
@@ -179,6 +181,7 @@
   Random random_;
   std::uint64_t calls_ = 0;
   std::unique_ptr<HttpConnection> connection_;
+  RunTime opened_{0};
 };
 
 Callers::Callers(CallersOptions options, const RunClock& clock)
--- a/tools/soak_checker.cc
+++ b/tools/soak_checker.cc
@@ -84,7 +84,8 @@
   if (RunsOf(history.runs_by_id, call.id) > 0) {
     return true;
   }
-  const NodeLife* life = LifeAt(history, call.entry, call.sent);
+  // The process that holds the connection may have ended before the request.
+  const NodeLife* life = LifeAt(history, call.entry, call.opened);
   return life != nullptr &&
          (!life->ended || call.sent + kReadSlack < *life->ended);
 }
--- a/tools/soak_history.h
+++ b/tools/soak_history.h
@@ -51,6 +51,8 @@
   std::string order_key;
   /// Host of the entry node.
   std::size_t entry = 0;
+  /// When its connection was opened.
+  RunTime opened{0};
   RunTime sent{0};
   RunTime ended{0};
   Milliseconds deadline{0};
--- a/tools/soak_run.cc
+++ b/tools/soak_run.cc
@@ -58,7 +58,10 @@
     const RunTime begin = clock_.Now();
     tell_({{"event", "phase"},
            {"at_ms", begin.count()},
-           {"kind", NameOf(phase.kind)}});
+           {"kind", NameOf(phase.kind)},
+           {"slow_opens",
+            std::ranges::count(phase.actions, ActionKind::kPeerSlowOpen,
+                               &Action::kind)}});
     for (const Action& it : phase.actions) {
       TickUntil(begin + it.at);
       const RunTime at = clock_.Now();
--- a/tools/soak_schedule.cc
+++ b/tools/soak_schedule.cc
@@ -21,11 +21,10 @@
 constexpr Milliseconds kChangeMost{5'000};
 /// A node is stopped again only after this time, when it has come back.
 constexpr Milliseconds kStopAgain{11'000};
-/// One way in that opens nothing fails every connection that is tried
-/// meanwhile, so it stays shorter than the time for which a run without a
-/// connection goes on and is asked for.
+/// Time for which the way to a node opens no connection: from below the nodes'
+/// `http.connect_timeout_ms` (250 ms) to above two of them.
 constexpr Milliseconds kOpenLeast{100};
-constexpr Milliseconds kOpenMost{400};
+constexpr Milliseconds kOpenMost{700};
 constexpr Milliseconds kPauseLeast{200};
 constexpr Milliseconds kPauseMost{3'000};
 constexpr Milliseconds kDelayLeast{20};
@@ -116,7 +115,7 @@
     for (std::size_t host = 0; host < hosts_; ++host) {
       for (Milliseconds at = soak::Draw(&random_, kPause, kOpenMost);
            at < phase->length;
-           at += soak::Draw(&random_, kOpenLeast, 3 * kOpenMost)) {
+           at += soak::Draw(&random_, kOpenLeast, 2 * kOpenMost)) {
         const Milliseconds length = soak::Draw(&random_, kOpenLeast, kOpenMost);
         phase->actions.push_back({.at = at,
                                   .kind = ActionKind::kPeerSlowOpen,
