--- a/tools/soak_schedule.cc
+++ b/tools/soak_schedule.cc
@@ -70,17 +70,10 @@
   }
 
   PhaseKind NextKind() {
-    constexpr std::uint64_t kKinds = 5;
-    switch (random_.Below(kKinds)) {
-      case 0:
-        return PhaseKind::kSeries;
-      case 1:
-        return PhaseKind::kMixed;
-      case 2:
-        return PhaseKind::kMixed;
-      default:
-        return PhaseKind::kOverlap;
-    }
+    constexpr std::array<PhaseKind, 5> kKinds{
+        PhaseKind::kSeries, PhaseKind::kMixed, PhaseKind::kMixed,
+        PhaseKind::kOverlap, PhaseKind::kOverlap};
+    return kKinds.at(random_.Below(kKinds.size()));
   }
 
  private:
