Notice when the soak itself stands still

Traced: from 14:01:40.29 to 14:01:41.38 no call that passes a proxy ended at any node, while the nodes' timers ran; the proxies' thread had no processor (load 33 on 8 processors). The entry node rightly cut an answer without progress. Change: the proxies' thread measures how late it runs; what touches a stall of 250 ms or more is not judged as planned work, and the summary tells stalled_ms. Conclusion: the finding was of the soak, not of the product.

--- a/tests/soak_checker_test.cc
+++ b/tests/soak_checker_test.cc
@@ -100,6 +100,20 @@
   CHECK(Broken(history).empty());
 }
 
+TEST_CASE("what touches a stall of the proxies is no planned work") {
+  History history = MakeHistory({MakeCall(Ending::kCut)});
+  history.stalls = {{RunTime(1'900), RunTime(2'300)}};
+  CHECK(Broken(history).empty());
+  history.stalls = {{RunTime(2'100), RunTime(2'300)}};
+  CHECK(Broken(history) == Promises{kWhole});
+
+  // It excuses nothing that holds under faults.
+  history.calls = {MakeCall(Ending::kNotRun)};
+  history.runs_by_id["a"] = 1;
+  history.stalls = {{RunTime(1'900), RunTime(2'300)}};
+  CHECK(Broken(history) == Promises{kTrue});
+}
+
 TEST_CASE("a request that was read before a planned stop gets an answer") {
   History history = MakeHistory({MakeCall(Ending::kClosed)});
   CHECK(Broken(history) == Promises{kAnyAnswer});
--- a/tools/soak_callers.h
+++ b/tools/soak_callers.h
@@ -7,27 +7,12 @@
 #include <thread>
 #include <vector>
 
-#include "cassiabend/base/clock.h"
 #include "tools/soak_history.h"
 #include "tools/soak_proxy.h"
+#include "tools/soak_run_clock.h"
 
 namespace cassiabend::soak {
 
-/// \brief The time of one run.
-class RunClock {
- public:
-  explicit RunClock(const Clock& clock)
-      : clock_(clock), start_(clock.Now().mono) {}
-
-  [[nodiscard]] RunTime Now() const noexcept {
-    return std::chrono::duration_cast<RunTime>(clock_.Now().mono - start_);
-  }
-
- private:
-  const Clock& clock_;
-  MonoTime start_;
-};
-
 struct CallersOptions {
   /// Call ports of the nodes, by host.
   std::vector<Address> entries;
--- a/tools/soak_checker.cc
+++ b/tools/soak_checker.cc
@@ -9,10 +9,17 @@
 
 using Violations = std::vector<Violation>;
 
+/// \brief Whether nothing but planned work happened meanwhile: a proxy that
+/// stands still is a fault of the ways that it carries.
 bool IsPlanned(const History& history, RunTime from, RunTime to) {
-  return std::ranges::any_of(history.planned, [from, to](const Span& it) {
+  const auto contains = [from, to](const Span& it) {
     return it.Contains(from, to);
-  });
+  };
+  const auto touches = [from, to](const Span& it) {
+    return it.Touches(from, to);
+  };
+  return std::ranges::any_of(history.planned, contains) &&
+         std::ranges::none_of(history.stalls, touches);
 }
 
 bool IsDisturbed(const History& history, std::size_t host, Span span) {
--- a/tools/soak_fleet.cc
+++ b/tools/soak_fleet.cc
@@ -111,6 +111,7 @@
 
 SoakFleet::SoakFleet(const SoakFleetOptions& options, const RunClock& clock)
     : clock_(clock),
+      proxies_(clock),
       fleet_(OptionsOf(options)),
       current_(options.hosts),
       gates_(options.hosts),
@@ -306,6 +307,7 @@
   }
   history->lives = lives_;
   history->disturbances = disturbances_;
+  history->stalls = proxies_.Stalls();
   history->gates = gates_seen_;
   history->versions = monitor_->Versions();
   history->commits = monitor_->Commits();
--- a/tools/soak_history.h
+++ b/tools/soak_history.h
@@ -124,6 +124,9 @@
   std::vector<CommitSeen> commits;
   std::vector<GateSeen> gates;
   std::vector<Disturbance> disturbances;
+  /// Spans in which the soak itself did not run, and so no proxy carried
+  /// anything.
+  std::vector<Span> stalls;
   /// Spans with planned work alone.
   std::vector<Span> planned;
   /// Spans at the end of a recovery, in which calls must be served.
--- a/tools/soak_main.cc
+++ b/tools/soak_main.cc
@@ -144,10 +144,13 @@
   tell({{"event", "start"}, {"seed", seed}, {"replay", ReplayOf(args, seed)}});
   const SystemClock clock;
   const soak::RunResult result = soak::Run(options, clock, tell);
-  const json::object summary{
-      {"event", "summary"},        {"seed", seed},
-      {"calls", result.calls},     {"answered", result.answered},
-      {"actions", result.actions}, {"violations", result.violations.size()}};
+  const json::object summary{{"event", "summary"},
+                             {"seed", seed},
+                             {"calls", result.calls},
+                             {"answered", result.answered},
+                             {"actions", result.actions},
+                             {"stalled_ms", result.stalled.count()},
+                             {"violations", result.violations.size()}};
   tell(summary);
   std::cout << json::serialize(summary) << std::endl;
   for (const soak::Violation& it : result.violations) {
--- a/tools/soak_proxy.cc
+++ b/tools/soak_proxy.cc
@@ -13,6 +13,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <map>
+#include <mutex>
 #include <optional>
 #include <set>
 #include <thread>
@@ -213,7 +214,11 @@
 
 class ProxySet::Impl {
  public:
-  Impl() : work_(asio::make_work_guard(io_)), thread_([this] { io_.run(); }) {}
+  explicit Impl(const RunClock& clock)
+      : clock_(clock), work_(asio::make_work_guard(io_)) {
+    asio::co_spawn(io_, WatchStalls(), asio::detached);
+    thread_ = std::thread([this] { io_.run(); });
+  }
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
   ~Impl() {
@@ -238,7 +243,28 @@
     });
   }
 
+  [[nodiscard]] std::vector<Span> Stalls() const {
+    const std::lock_guard lock(mutex_);
+    return stalls_;
+  }
+
  private:
+  asio::awaitable<void> WatchStalls() {
+    for (;;) {
+      const RunTime due = clock_.Now() + kHoldPoll;
+      co_await Sleep(kHoldPoll);
+      const RunTime now = clock_.Now();
+      if (now - due < kStallLimit) {
+        continue;
+      }
+      const std::lock_guard lock(mutex_);
+      stalls_.push_back({due, now});
+    }
+  }
+
+  const RunClock& clock_;
+  mutable std::mutex mutex_;
+  std::vector<Span> stalls_;
   asio::io_context io_;
   asio::executor_work_guard<asio::io_context::executor_type> work_;
   std::map<std::pair<std::string, std::uint16_t>, std::shared_ptr<Proxy>>
@@ -246,7 +272,8 @@
   std::thread thread_;
 };
 
-ProxySet::ProxySet() : impl_(std::make_unique<Impl>()) {}
+ProxySet::ProxySet(const RunClock& clock)
+    : impl_(std::make_unique<Impl>(clock)) {}
 
 ProxySet::~ProxySet() = default;
 
@@ -258,6 +285,10 @@
   impl_->With(proxy, [fault](Proxy* it) { it->SetFault(fault); });
 }
 
+std::vector<Span> ProxySet::Stalls() const {
+  return impl_->Stalls();
+}
+
 void ProxySet::Reset(const Address& proxy) {
   impl_->With(proxy, [](Proxy* it) { it->Reset(); });
 }
--- a/tools/soak_proxy.h
+++ b/tools/soak_proxy.h
@@ -3,8 +3,11 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "cassiabend/base/time.h"
+#include "tools/soak_history.h"
+#include "tools/soak_run_clock.h"
 
 namespace cassiabend::soak {
 
@@ -25,10 +28,14 @@
   bool opens_late = false;
 };
 
+/// The proxies count as stalled when they run so much later than they should:
+/// the nodes' `http.connect_timeout_ms`, the shortest time that they judge by.
+inline constexpr Milliseconds kStallLimit{250};
+
 /// \brief TCP proxies on loopback, on a thread of their own.
 class ProxySet {
  public:
-  ProxySet();
+  explicit ProxySet(const RunClock& clock);
   ProxySet(const ProxySet&) = delete;
   ProxySet& operator=(const ProxySet&) = delete;
   ~ProxySet();
@@ -42,6 +49,8 @@
   void SetFault(const Address& proxy, const LinkFault& fault);
   /// \brief Resets every connection of a proxy.
   void Reset(const Address& proxy);
+  /// \returns The spans in which the proxies stood still.
+  [[nodiscard]] std::vector<Span> Stalls() const;
 
  private:
   class Impl;
--- a/tools/soak_run.cc
+++ b/tools/soak_run.cc
@@ -119,6 +119,10 @@
     history.planned = planned_;
     history.recovered = recovered_;
     fleet_.Tell(&history);
+    result_.stalled = Milliseconds(0);
+    for (const Span& it : history.stalls) {
+      result_.stalled += it.end - it.begin;
+    }
     for (Violation& it : soak::Check(history)) {
       if (!known_.insert({it.promise, it.request, it.at}).second) {
         continue;
--- a/tools/soak_run.h
+++ b/tools/soak_run.h
@@ -33,6 +33,8 @@
   std::size_t calls = 0;
   std::size_t answered = 0;
   std::size_t actions = 0;
+  /// Time in which the soak itself stood still, which is not judged.
+  Milliseconds stalled{0};
   std::vector<Violation> violations;
 };
 
