--- a/tools/soak_callers.cc
+++ b/tools/soak_callers.cc
@@ -29,21 +29,25 @@
 
 struct Flow {
   CallKind kind;
-  /// Share of the calls, of `kWeights`.
+  /// Share of the calls that are no downloads, of `kWeights`.
   std::uint64_t weight;
   const char* method;
   Milliseconds deadline;
 };
+constexpr Flow kDownloads{CallKind::kDownload, 0, "GET", Milliseconds(10'000)};
 constexpr auto kFlows = std::to_array<Flow>({
-    {CallKind::kShortRead, 30, "PUT", Milliseconds(2'000)},
-    {CallKind::kSlowRead, 30, "GET", Milliseconds(10'000)},
-    {CallKind::kDownload, 20, "GET", Milliseconds(10'000)},
-    {CallKind::kOrder, 10, "POST", Milliseconds(5'000)},
-    {CallKind::kKeyedOrder, 10, "POST", Milliseconds(5'000)},
+    {CallKind::kShortRead, 3, "PUT", Milliseconds(2'000)},
+    {CallKind::kSlowRead, 3, "GET", Milliseconds(10'000)},
+    {CallKind::kOrder, 1, "POST", Milliseconds(5'000)},
+    {CallKind::kKeyedOrder, 1, "POST", Milliseconds(5'000)},
 });
-constexpr std::uint64_t kWeights = 100;
+constexpr std::uint64_t kWeights = 8;
+constexpr std::uint64_t kPercent = 100;
 
-const Flow& DrawFlow(Random* random) {
+const Flow& DrawFlow(std::uint32_t download_percent, Random* random) {
+  if (random->Below(kPercent) < download_percent) {
+    return kDownloads;
+  }
   std::uint64_t n = random->Below(kWeights);
   for (const Flow& it : kFlows) {
     if (n < it.weight) {
@@ -87,7 +91,7 @@
 
  private:
   void Call() {
-    const Flow& flow = DrawFlow(&random_);
+    const Flow& flow = DrawFlow(owner_->options_.download_percent, &random_);
     const std::string id =
         "c" + std::to_string(number_) + "-" + std::to_string(++calls_);
     const bool has_key = flow.kind == CallKind::kKeyedOrder;
--- a/tools/soak_callers.h
+++ b/tools/soak_callers.h
@@ -17,6 +17,8 @@
   /// Call ports of the nodes, by host.
   std::vector<Address> entries;
   std::size_t callers_per_host = 2;
+  /// Share of the calls that are downloads.
+  std::uint32_t download_percent = 20;
   std::uint64_t seed = 1;
 };
 
--- a/tools/soak_main.cc
+++ b/tools/soak_main.cc
@@ -27,6 +27,7 @@
 constexpr std::int64_t kMostMinutes = 1'440;
 constexpr std::int64_t kMostPhases = 1'000;
 constexpr std::int64_t kMostCallers = 16;
+constexpr std::int64_t kMostPercent = 100;
 constexpr std::int64_t kMostLink = 1'000'000'000;
 constexpr Milliseconds kPlantedAt{1'500};
 constexpr Milliseconds kPlantedLength{2'500};
@@ -46,6 +47,7 @@
   std::int64_t hosts = 9;
   std::int64_t callers = 2;
   std::int64_t phases = 5;
+  std::int64_t downloads = 20;
   std::int64_t link_kilobits = 13'300;
   std::string bin;
   std::string node;
@@ -77,6 +79,7 @@
   CheckRange("--hosts", args.hosts, 3, most_hosts);
   CheckRange("--callers", args.callers, 1, kMostCallers);
   CheckRange("--phases", args.phases, 1, kMostPhases);
+  CheckRange("--downloads", args.downloads, 0, kMostPercent);
   CheckRange("--link-kilobits", args.link_kilobits, 0, kMostLink);
   for (const char* it : {"cassiabend-node", "cassiabend-fake-store",
                          "cassiabend-fake-upstream"}) {
@@ -117,7 +120,8 @@
   return "cassiabend-soak --seed " + std::to_string(seed) + " --hosts " +
          std::to_string(args.hosts) + " --callers " +
          std::to_string(args.callers) + " --phases " +
-         std::to_string(args.phases) + " --link-kilobits " +
+         std::to_string(args.phases) + " --downloads " +
+         std::to_string(args.downloads) + " --link-kilobits " +
          std::to_string(args.link_kilobits) +
          (args.plant.empty() ? "" : " --plant " + args.plant);
 }
@@ -127,6 +131,7 @@
   soak::RunOptions options;
   options.seed = static_cast<std::uint64_t>(seed);
   options.callers_per_host = static_cast<std::size_t>(args.callers);
+  options.download_percent = static_cast<std::uint32_t>(args.downloads);
   options.fleet.hosts = static_cast<std::size_t>(args.hosts);
   options.fleet.bin = args.bin;
   options.fleet.node_program = args.node;
@@ -181,6 +186,8 @@
   line.AddNumber("hosts", &args.hosts, "Hosts, each a node and an upstream");
   line.AddNumber("callers", &args.callers, "Callers of each host");
   line.AddNumber("phases", &args.phases, "Phases of a schedule");
+  line.AddNumber("downloads", &args.downloads,
+                 "Share of the calls that are downloads, in per cent");
   line.AddNumber("link-kilobits", &args.link_kilobits,
                  "Width of each host's link; 0 leaves the setting out");
   line.AddText("bin", &args.bin, "Folder of the programs");
--- a/tools/soak_run.cc
+++ b/tools/soak_run.cc
@@ -36,6 +36,7 @@
     callers_.emplace(
         CallersOptions{.entries = fleet_.Entries(),
                        .callers_per_host = options_.callers_per_host,
+                       .download_percent = options_.download_percent,
                        .seed = options_.seed},
         clock_);
     callers_->Start();
--- a/tools/soak_run.h
+++ b/tools/soak_run.h
@@ -27,6 +27,7 @@
   std::uint64_t seed = 1;
   std::vector<Phase> schedule;
   std::size_t callers_per_host = 2;
+  std::uint32_t download_percent = 20;
 };
 
 struct RunResult {
