--- a/tools/soak_callers.cc
+++ b/tools/soak_callers.cc
@@ -20,13 +20,15 @@
 
 constexpr std::uint64_t kThinkLeast = 20;
 constexpr std::uint64_t kThinkMost = 200;
-constexpr Milliseconds kConnectTimeout{1'000};
 constexpr Milliseconds kRetryPause{50};
 constexpr std::uint64_t kDownloadLeast = 100'000;
 constexpr std::uint64_t kDownloadMost = 900'000;
 /// Times that a keyed order is sent before its caller gives up.
 constexpr int kOrderTries = 3;
 
+/// Longest wait for a step of any call that a kept connection may carry.
+constexpr Milliseconds kPatience = Milliseconds(10'000) + kDeadlineSlack;
+
 struct Flow {
   CallKind kind;
   /// Share of the calls that are no downloads, of `kWeights`.
@@ -116,7 +118,7 @@
   std::optional<Ending> Send(const Flow& flow,
                              std::uint64_t size,
                              CallRecord* record) {
-    if (!Connect(*record)) {
+    if (!Connect()) {
       return std::nullopt;
     }
     const bool is_download = flow.kind == CallKind::kDownload;
@@ -162,15 +164,13 @@
 
   /// \brief Keeps the connection; opens one to the same host, or to the next
   /// hosts when that has no process.
-  bool Connect(const CallRecord& record) {
+  bool Connect() {
     const std::vector<Address>& entries = owner_->options_.entries;
     for (std::size_t n = 0; !connection_ && n < entries.size(); ++n) {
       const Address& address = entries.at(entry_);
       try {
-        // Each step of a call may take its deadline and the slack.
-        connection_ = std::make_unique<HttpConnection>(
-            address.ip, address.port,
-            std::max(kConnectTimeout, record.deadline + kDeadlineSlack));
+        connection_ = std::make_unique<HttpConnection>(address.ip, address.port,
+                                                       kPatience);
         opened_ = owner_->clock_.Now();
       } catch (const std::runtime_error&) {
         entry_ = (entry_ + 1) % entries.size();
