Never let the soak's proxies wait for a connection of their own

Cause: a soak did not end: the thread of its proxies waited in a connect to its own closed gate, which the library carries out to its end even on a socket that does not block. A soak that was killed left its processes. Change: the connect is the system's own; a stall that goes on is told too; SIGTERM and SIGINT end a run, and its processes with it.

--- a/tools/soak_main.cc
+++ b/tools/soak_main.cc
@@ -40,6 +40,8 @@
     "line,\n"
     "2 the fleet failed.\n";
 
+volatile std::sig_atomic_t g_stop = 0;
+
 struct Arguments {
   std::int64_t seed = 1;
   std::int64_t seeds = 1;
@@ -129,6 +131,7 @@
 /// \returns Whether nothing was violated.
 bool RunSeed(const Arguments& args, std::int64_t seed, std::ostream* report) {
   soak::RunOptions options;
+  options.should_stop = [] { return g_stop != 0; };
   options.seed = static_cast<std::uint64_t>(seed);
   options.callers_per_host = static_cast<std::size_t>(args.callers);
   options.download_percent = static_cast<std::uint32_t>(args.downloads);
@@ -208,6 +211,8 @@
   }
   CheckArguments(args);
   std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGTERM, [](int) { g_stop = 1; });
+  std::signal(SIGINT, [](int) { g_stop = 1; });
   std::filesystem::create_directories(args.work);
   std::ofstream report(args.report.empty() ? args.work + "/report.jsonl"
                                            : args.report);
--- a/tools/soak_proxy.cc
+++ b/tools/soak_proxy.cc
@@ -1,5 +1,7 @@
 #include "tools/soak_proxy.h"
 
+#include <sys/socket.h>
+
 #include <array>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -118,7 +120,10 @@
     filler_.emplace(io_);
     filler_->open(tcp::v4(), ec);
     filler_->non_blocking(true, ec);
-    filler_->connect(acceptor_.local_endpoint(), ec);
+    // The library's own call would wait for the connection.
+    const tcp::endpoint self = acceptor_.local_endpoint();
+    (void)::connect(filler_->native_handle(), self.data(),
+                    static_cast<socklen_t>(self.size()));
   }
 
   void OpenGate() {
@@ -215,7 +220,9 @@
 class ProxySet::Impl {
  public:
   explicit Impl(const RunClock& clock)
-      : clock_(clock), work_(asio::make_work_guard(io_)) {
+      : clock_(clock),
+        due_(clock.Now() + kHoldPoll),
+        work_(asio::make_work_guard(io_)) {
     asio::co_spawn(io_, WatchStalls(), asio::detached);
     thread_ = std::thread([this] { io_.run(); });
   }
@@ -245,25 +252,32 @@
 
   [[nodiscard]] std::vector<Span> Stalls() const {
     const std::lock_guard lock(mutex_);
-    return stalls_;
+    std::vector<Span> stalls = stalls_;
+    const RunTime now = clock_.Now();
+    if (now - due_ >= kStallLimit) {
+      // One that goes on.
+      stalls.push_back({due_, now});
+    }
+    return stalls;
   }
 
  private:
   asio::awaitable<void> WatchStalls() {
     for (;;) {
-      const RunTime due = clock_.Now() + kHoldPoll;
       co_await Sleep(kHoldPoll);
+      const std::lock_guard lock(mutex_);
       const RunTime now = clock_.Now();
-      if (now - due < kStallLimit) {
-        continue;
+      if (now - due_ >= kStallLimit) {
+        stalls_.push_back({due_, now});
       }
-      const std::lock_guard lock(mutex_);
-      stalls_.push_back({due, now});
+      due_ = now + kHoldPoll;
     }
   }
 
   const RunClock& clock_;
   mutable std::mutex mutex_;
+  /// When the proxies' thread runs next.
+  RunTime due_{0};
   std::vector<Span> stalls_;
   asio::io_context io_;
   asio::executor_work_guard<asio::io_context::executor_type> work_;
--- a/tools/soak_run.cc
+++ b/tools/soak_run.cc
@@ -106,6 +106,9 @@
   }
 
   void TickUntil(RunTime time) {
+    if (options_.should_stop != nullptr && options_.should_stop()) {
+      throw std::runtime_error("stopped by a signal");
+    }
     fleet_.Tick();
     while (clock_.Now() < time) {
       std::this_thread::sleep_for(
--- a/tools/soak_run.h
+++ b/tools/soak_run.h
@@ -22,10 +22,14 @@
 /// Most memory that the processes of one host are taken to need.
 inline constexpr std::uint64_t kBytesPerHost = 96ULL * 1024 * 1024;
 
+/// \brief Asked often whether the run should end early.
+using ShouldStop = bool (*)();
+
 struct RunOptions {
   SoakFleetOptions fleet;
   std::uint64_t seed = 1;
   std::vector<Phase> schedule;
+  ShouldStop should_stop = nullptr;
   std::size_t callers_per_host = 2;
   std::uint32_t download_percent = 20;
 };
@@ -44,8 +48,8 @@
 
 /// \brief Runs one schedule against a fleet of its own. Ends after the first
 /// phase whose history breaks a promise.
-/// \throws std::runtime_error when the fleet cannot be started or a node ended
-/// by itself.
+/// \throws std::runtime_error when the fleet cannot be started, a node ended by
+/// itself, or the run was stopped early; its processes have ended then.
 [[nodiscard]] RunResult Run(const RunOptions& options,
                             const Clock& clock,
                             const Tell& tell);
