Say why a paused stand-in goes on before its fault ends

Cause: reading the soak as a newcomer: two signals had no reason, and a destructor did what the members' order does. Change: comments; the destructor is the default one. Conclusion: no change of behaviour.

--- a/tools/soak_fleet.cc
+++ b/tools/soak_fleet.cc
@@ -118,11 +118,7 @@
       paused_nodes_(options.hosts),
       paused_upstreams_(options.hosts) {}
 
-SoakFleet::~SoakFleet() {
-  // A process that is paused ends by SIGKILL alone.
-  undos_.clear();
-  monitor_.reset();
-}
+SoakFleet::~SoakFleet() = default;
 
 harness::FleetOptions SoakFleet::OptionsOf(const SoakFleetOptions& options) {
   harness::FleetOptions out;
@@ -459,6 +455,7 @@
     const std::string end = it.end;
     if (!end.empty()) {
       After(action.length, [this, end] {
+        // It must run to take the call.
         fleet_.store()->Signal(SIGCONT);
         fleet_.ControlStore(end);
       });
@@ -492,6 +489,7 @@
     }
     fleet_.ControlUpstream(host, it.begin);
     After(action.length, [this, host, end = std::string(it.end)] {
+      // It must run to take the call.
       fleet_.upstream(host)->Signal(SIGCONT);
       fleet_.ControlUpstream(host, end);
     });
