--- a/src/cassiabend/core/options.h
+++ b/src/cassiabend/core/options.h
@@ -129,8 +129,9 @@
   /// Whether a repeatable call whose upstream answered with a server error is
   /// tried at another upstream before its caller hears of it.
   std::uint32_t retry_errors = 0;
-  /// How long after the start of a shutdown attempts at this host's upstream
-  /// are taken; not above `shutdown_serve`.
+  /// How long after the start of a shutdown all attempts at this host's
+  /// upstream are taken; not above `shutdown_serve`, within which later ones
+  /// must end.
   Milliseconds shutdown_accept{0};
   /// How long after the start of a shutdown calls may go on. What is open then
   /// is answered, since the process ends soon after.
--- a/src/cassiabend/node/settings_fields.cc
+++ b/src/cassiabend/node/settings_fields.cc
@@ -211,8 +211,8 @@
      "1: an upstream that sends heartbeats is asked for its name before the "
      "first one."},
     {"shutdown_accept_ms", &Calls::shutdown_accept, 0, kHourMs,
-     "Time after the start of a shutdown in which attempts at this host's "
-     "upstream are taken."},
+     "Time after the start of a shutdown in which all attempts at this host's "
+     "upstream are taken; later ones if they end within shutdown_serve_ms."},
     {"shutdown_serve_ms", &Calls::shutdown_serve, 0, kHourMs,
      "Time after the start of a shutdown in which callers' new requests are "
      "taken."},
