--- a/tests/shell/bulk_pacer_test.cc
+++ b/tests/shell/bulk_pacer_test.cc
@@ -19,6 +19,8 @@
 /// Bytes a second of `kNarrow`.
 constexpr std::size_t kWidth = 1'250'000;
 constexpr Milliseconds kStep{20};
+/// Steps of a minute.
+constexpr int kMinute = 3'000;
 /// A leaving node takes requests for 2.3 s and ends 3 s later
 /// (`calls.shutdown_serve_ms` as deployed, a grace time of 6 s).
 constexpr Milliseconds kLeavingTime{3'000};
@@ -209,6 +211,12 @@
     });
   }
 
+  void Run(int steps) {
+    for (int step = 0; step < steps; ++step) {
+      Step();
+    }
+  }
+
   const std::string kClass = "download";
   /// Bytes of small answers in a step.
   std::size_t small_bytes = 0;
@@ -273,10 +281,7 @@
 
 TEST_CASE("a download that a leaving node took is whole when the node ends") {
   LoadedLink link;
-  constexpr int kMinute = 3'000;
-  for (int step = 0; step < kMinute; ++step) {
-    link.Step();
-  }
+  link.Run(kMinute);
   CHECK(link.done > 200);
   CHECK(link.slowest + LoadedLink::kService < kLeavingTime);
 }
@@ -285,10 +290,7 @@
   // Small answers take 0.7 MB/s of the link's 1.66 MB/s.
   LoadedLink link;
   link.small_bytes = 14'000;
-  constexpr int kMinute = 3'000;
-  for (int step = 0; step < kMinute; ++step) {
-    link.Step();
-  }
+  link.Run(kMinute);
   CHECK(link.done > 100);
   CHECK(link.slowest + LoadedLink::kService < kLeavingTime);
 }
@@ -300,9 +302,7 @@
     CAPTURE(steps);
     LoadedLink link;
     link.steps_per_download = steps;
-    for (int step = 0; step < 500; ++step) {
-      link.Step();
-    }
+    link.Run(500);
     const MonoTime begin = link.clock.Now().mono;
     constexpr Milliseconds kLeft{10'000};
     Answer late(&link.pacer, 280'000);
@@ -341,10 +341,7 @@
     CAPTURE(ms);
     LoadedLink link;
     link.step_time = Milliseconds(ms);
-    constexpr int kMinute = 3'000;
-    for (int step = 0; step < kMinute; ++step) {
-      link.Step();
-    }
+    link.Run(kMinute);
     CHECK(link.done > 200);
     CHECK(link.slowest + LoadedLink::kService < kLeavingTime);
   }
