Withdraw a leaving upstream in time for peers to learn of it

Cause: since an upstream was withdrawn as late as 2.27 s after SIGTERM and its node left at 2.31 s, so peers had 40 ms to hear of it. An attempt was sent 24 ms after the port had closed; the soak's proxy took the connection that the port would have refused, and the order could not be proved not run. Without a proxy it is proved, but on kept connections the same race is with the process's end.

Change: nothing is taken in the last 400 ms in which the node serves callers, which is one beat and its way.

Evidence: call_leave_test "a node that leaves runs what ends before it would leave anyway" asks for the withdrawal 400 ms before the end, and fails without the change. restart_load_test keeps its bound.

--- a/src/cassiabend/core/call_context.h
+++ b/src/cassiabend/core/call_context.h
@@ -19,6 +19,11 @@
   return options.order_memory / 2;
 }
 
+/// Time between the withdrawal of a leaving host's upstream and the end of the
+/// node at the earliest, in which peers learn of it: one beat
+/// (`beat_period_ms`, 300 ms as deployed) and its way.
+inline constexpr Milliseconds kWithdrawalNotice{400};
+
 /// \brief What the parts of the call reducer share: settings, the version in
 /// force, and the time and effects of the event being answered.
 struct CallContext {
@@ -61,7 +66,8 @@
     }
     const Nanoseconds age = now.mono - draining_since;
     const bool ends_in_time = needed < options.shutdown_serve &&
-                              age < options.shutdown_serve - needed;
+                              age < options.shutdown_serve - needed &&
+                              age < options.shutdown_serve - kWithdrawalNotice;
     return !withdrawn && (age < options.shutdown_accept || ends_in_time);
   }
   /// \returns The number of the version in force; 0 for none.
