--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -408,8 +408,8 @@
         self.process = await asyncio.create_subprocess_exec(
             *words, cwd=ROOT, stdout=log, stderr=log,
             env={"PATH": os.environ.get("PATH", ""), "CASSIABEND_NODE_FILE": str(self.file)})
-        self.bootstrap = False
         self.world.record.say("node_started", node=self.name, pid=self.process.pid, first_start=int(self.bootstrap))
+        self.bootstrap = False
 
     async def is_ready(self):
         try:
