Show that nodes keep an old version after the store was silent

The platform acknowledges a change, and its store gives no response for 4.5 s from then on. All nodes act on the older version long after the store serves again (rule CONFIG).

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,5 +1,5 @@
-"""MIXED: the bytes that a faulty backend sends after a complete response reach
-the next requester as the answer to its request."""
+"""CONFIG: the store gives no response for some seconds, just after a change. Long
+after it serves again, the nodes still act on the older version."""
 
 import asyncio
 import pathlib
@@ -8,64 +8,78 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
 import world as w  # noqa: E402
 
-# Bytes that belong to no request: they bear neither a Request-Id nor a
-# Response-Signature.
-EXTRA = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 11\r\n\r\nextra bytes"
-# The backend adds bytes to one in 50 of its answers (the share x of the kind
-# `garble` is 0.02).
-GARBLED_SHARE = 50
-REQUESTS = 1000
+CONFIG_APPLY_S, SETTLE_S, MAX_SKEW_S = 2.0, 3.0, 5.0
+# The store is silent this long; the site's days have up to 8 s.
+SILENT_S = 4.5
+JUDGED_S = 10.0
 
 
-class FaultyBackend(w.Backend):
-    """Sends extra bytes after a complete response: they arrive late, where the
-    next response on that connection is expected."""
+class SilentStore(w.Store):
+    """While silent, it gives no response, and a connection on which a response is
+    lost returns nothing further."""
 
-    answers = 0
-    late = None
+    silent = False
 
-    async def answer(self, run, writer):
-        if self.late == run["connection"]:
-            self.late = None
-            self.world.record.say("extra_bytes", connection=run["connection"], during=run["request"])
-            writer.write(EXTRA)
-            await writer.drain()
-        await asyncio.sleep(self.work_s)
-        writer.write(self.good_answer(run))
-        self.answers += 1
-        if w.TROUBLE and self.answers % GARBLED_SHARE == 0:
-            self.late = run["connection"]
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                first, headers = await w.read_head(reader)
+                body = await w.read_body(reader, headers)
+                method, target, _ = first.split()
+                status, out = await self.call(method, target, body)
+                if self.silent:
+                    self.record.say("store_silent", call=f"{method} {target}")
+                    await reader.read()
+                    return
+                writer.write(w.message(f"HTTP/1.1 {status} X", {"Content-Type": "application/json"},
+                                       w.json.dumps(out).encode()))
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, OSError):
+            pass
+        finally:
+            writer.close()
+
+
+w.Store = SilentStore
 
 
 async def case(world):
-    entry = world.add_node("puget-a", "orders")
-    faulty = world.add_node("puget-a", "catalog")
-    sound = world.add_node("puget-b", "catalog")
-    await world.configure(7, {"read": ("shop.example", "/read/", "idempotent", "catalog", {}),
-                              "order": ("shop.example", "/order/", "non_idempotent", "catalog", {})})
+    world.store.record = world.record
+    for zone in ("rvk-a", "aey-a"):
+        for service in ("orders", "tracker", "orders"):
+            world.add_node(zone, service)
+    def routes(service):
+        return {"moved": ("mesh.example", "/moved/", "idempotent", service, {})}
+    await world.configure(7, routes("orders"))
     await world.start_nodes()
-    for node, kind, service in ((entry, w.Backend, "orders"), (faulty, FaultyBackend, "catalog"),
-                                (sound, w.Backend, "catalog")):
-        await kind(world, node, service, work_s=0.01).start()
-    await asyncio.sleep(3)
+    for it in world.nodes:
+        await w.Backend(world, it, it.service, work_s=0.01).start()
+    await asyncio.sleep(6)
+    # The platform acknowledges a change and is silent from then on.
+    world.store.silent = w.TROUBLE
+    await world.configure(9, routes("tracker"))
+    acked_at = world.record.now()
+    await asyncio.sleep(SILENT_S)
+    world.store.silent = False
+    over_at = world.record.now()
+    world.record.say("store_serves")
+    # In touch again, and past the bound of the change, also if it is stretched.
+    judged_at = max(over_at + SETTLE_S, acked_at + CONFIG_APPLY_S + MAX_SKEW_S)
+    await asyncio.sleep(judged_at - world.record.now())
     answers = []
 
-    async def requester(n):
-        for i in range(REQUESTS // 4):
-            post = (i + n) % 2 == 0
-            answers.append(await world.request(entry, "shop.example", f"/order/{i}" if post else f"/read/{i}",
-                                               "POST" if post else "GET", body=b"x" if post else b""))
+    async def requester(node):
+        while world.record.now() < judged_at + JUDGED_S:
+            answers.append(await world.request(node, "mesh.example", f"/moved/{len(answers)}"))
+            await asyncio.sleep(0.4)
 
-    await asyncio.gather(*(requester(n) for n in range(4)))
-    broken = []
-    for request, status, headers, body in answers:
-        if status == 200 and not headers.get("response-signature", "").startswith(f"sig.{request}."):
-            broken.append(f"request {request} was answered 200 without the backend's signature, body {body!r}")
-    served = sum(1 for it in answers if it[1] == 200)
-    world.record.say("served", requests=len(answers), ok=served)
-    if served < REQUESTS * 0.9:
-        raise RuntimeError(f"only {served} of {len(answers)} requests were served")
-    return broken
+    await asyncio.gather(*(requester(it) for it in world.nodes))
+    asked = {it[0] for it in answers}
+    stale = [it for it in world.runs if it["request"] in asked and it["service"] == "orders"]
+    world.record.say("summary", requests=len(answers), served=sum(1 for it in answers if it[1] == 200),
+                     run_by_the_older_version=len(stale))
+    return [f"request {it['request']} was run by the service of the older version, {it['at'] - acked_at:.1f} s after "
+            f"the ack of the newer one, {it['at'] - over_at:.1f} s after the store served again" for it in stale]
 
 
 w.main(pathlib.Path(__file__).parent, case)
