--- a/review/also/late-report/case.py
+++ b/review/also/late-report/case.py
@@ -5,7 +5,7 @@
 import pathlib
 import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "lib"))
 import world as w  # noqa: E402
 
 DRAIN_S = 2.0
