--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -395,7 +395,7 @@
             return "%s:%d" % self.address(what)
         return {"node_id": self.name, "ip": self.ip, "zone": self.zone, "region": self.zone.split("-")[0],
                 "internal_port_range": [self.address("peer")[1], self.address("peer")[1]],
-                "bootstrap": self.bootstrap, "heartbeat": "1500ms", "bounds": BOUNDS,
+                "bootstrap": self.bootstrap, "heartbeat": "1500ms", "bounds": self.world.bounds,
                 "app": text("app"), "service": self.service,
                 "listen": {it: text(it) for it in ("inbound", "outbound", "readiness", "control")},
                 "limits": {"link_mbps": 1000.0}, "platform": {"address": self.world.store_address}}
@@ -443,6 +443,7 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="cassiabend-review-"))
         self.runs, self.nodes, self.tasks = [], [], []
         self.sent = 0
+        self.bounds = dict(BOUNDS)
         self.choose_addresses()
 
     def choose_addresses(self):
@@ -538,6 +539,8 @@
 def main(folder, case):
     """Runs `case(world)`, which returns the ways in which the rule was broken."""
     async def run():
+        # A script that is ended early ends its processes too.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         world = World(folder)
         try:
             async with asyncio.timeout(110):
@@ -551,7 +554,7 @@
             await world.stop()
     try:
         code = asyncio.run(run())
-    except Exception as e:  # The case could not run.
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as e:  # The case could not run.
         print(f"could not run: {type(e).__name__}: {e}", file=sys.stderr)
         code = 2
     print({0: "the rule held", 1: "the rule was broken", 2: "the case could not run"}[code])
