Pass on heads as long as the operator allows, and outlive a failed handler

Cause: heads were written through Beast's container of headers, which throws std::length_error for a name or value above 65,533 bytes, though Beast's parser accepts them; nothing caught it between the handler and main(). Behind it three more limits stopped such a request: the port for other nodes and the heads of answers kept the limit of the settings file, and so did callers' connections that were open when the limit was raised.

Change: heads are written as text, without a limit of their own. The operator's limit holds from the next request on every open connection and for answers. A node takes from another what that one has let in, up to 4 MiB or the operator's limit. Read-ahead of later messages stays at 64 KiB. An exception in a handler of a connection is logged and ends that connection; one in an event, an effect, a datagram or a timer ends that alone, and timers and ports are armed before what they serve runs.

--- a/src/cassiabend/http/call_server.cc
+++ b/src/cassiabend/http/call_server.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <limits>
 #include <unordered_map>
 #include <utility>
 #include <variant>
@@ -38,6 +39,9 @@
 constexpr Milliseconds kSingleProbeTimeout{500};
 /// Bytes that the headers of this system may add to a caller's.
 constexpr std::uint32_t kSystemHeaderBytes = 4 * 1024;
+/// Longest head of a request from another node. The node that took it from the
+/// caller has applied the operator's limit, perhaps that of a newer version.
+constexpr std::uint32_t kMaxPeerHeaderBytes = 4 * 1024 * 1024;
 /// Sending time from which a large answer is logged; the latency objectives of
 /// downloads are about as long.
 constexpr Milliseconds kSlowSendTime{1'000};
@@ -56,9 +60,16 @@
   return {address, port};
 }
 
+/// \returns The limit of a head to which this system has added its headers.
+std::uint32_t WithSystemHeaders(std::uint32_t max_header_bytes) noexcept {
+  constexpr std::uint32_t kMax = std::numeric_limits<std::uint32_t>::max();
+  return std::min(max_header_bytes, kMax - kSystemHeaderBytes) +
+         kSystemHeaderBytes;
+}
+
 SessionOptions SessionOptionsOf(const CallServerOptions& options) {
   return {
-      .limits = {.header_bytes = options.max_header_bytes + kSystemHeaderBytes,
+      .limits = {.header_bytes = WithSystemHeaders(options.max_header_bytes),
                  .body_bytes = options.max_request_body_bytes},
       .progress_timeout = options.progress_timeout,
       .idle_timeout = options.idle_timeout * kIncomingIdleFactor,
@@ -67,6 +78,15 @@
       .max_pipelined = options.max_pipelined_requests};
 }
 
+/// \brief Options of a port that only other nodes use.
+SessionOptions PeerSessionOptionsOf(const CallServerOptions& options) {
+  SessionOptions out = SessionOptionsOf(options);
+  if (options.caller_port != 0) {
+    out.limits.header_bytes = kMaxPeerHeaderBytes;
+  }
+  return out;
+}
+
 /// \brief Replaces an option by a limit of the configuration, if that is set.
 template <typename Value>
 void OverrideIfSet(Value bound, Value* option) {
@@ -77,7 +97,7 @@
   return {.connect_timeout = options.connect_timeout,
           .idle_timeout = options.idle_timeout,
           .idle_connections = options.idle_connections,
-          .max_header_bytes = options.max_header_bytes + kSystemHeaderBytes};
+          .max_header_bytes = WithSystemHeaders(options.max_header_bytes)};
 }
 
 DestinationOptions DestinationOptionsOf(const CallServerOptions& options) {
@@ -124,7 +144,7 @@
                sink),
         peers_{.acceptor = tcp::acceptor(io),
                .timer = boost::asio::steady_timer(io),
-               .session = SessionOptionsOf(options)},
+               .session = PeerSessionOptionsOf(options)},
         callers_{.acceptor = tcp::acceptor(io),
                  .timer = boost::asio::steady_timer(io),
                  .session = SessionOptionsOf(options)} {
@@ -185,7 +205,11 @@
     OverrideIfSet(limits.header_timeout, &session.header_timeout);
     if (limits.max_header_bytes != 0) {
       max_header_bytes_ = limits.max_header_bytes;
-      session.limits.header_bytes = max_header_bytes_ + kSystemHeaderBytes;
+      session.limits.header_bytes = WithSystemHeaders(max_header_bytes_);
+      ParseLimits& peer_limits = peers_.session.limits;
+      peer_limits.header_bytes =
+          std::max(peer_limits.header_bytes, session.limits.header_bytes);
+      pool_.SetMaxHeaderBytes(session.limits.header_bytes);
     }
     if (limits.max_body_bytes != 0) {
       session.limits.body_bytes = limits.max_body_bytes;
@@ -194,6 +218,9 @@
       // Callers may reuse a connection until this limit, so it closes later.
       session.idle_timeout = limits.idle_timeout + kIdleGrace;
     }
+    for (const auto& [open, owner] : sessions_) {
+      open->SetOptions(IsFromCaller(*open) ? callers_.session : peers_.session);
+    }
   }
 
   void AnnounceShutdown() {
@@ -263,18 +290,16 @@
           if (self == nullptr || self->is_closed_) {
             return;
           }
+          // First, so that the port goes on after an exception.
+          if (self->is_accepting_ && ec) {
+            self->PauseAccepting(ec, listener);
+          } else if (self->is_accepting_) {
+            self->Accept(listener);
+          }
           // A connection that was accepted before the stop is still served.
           if (!ec) {
             self->StartSession(std::move(socket), *listener);
           }
-          if (!self->is_accepting_) {
-            return;
-          }
-          if (ec) {
-            self->PauseAccepting(ec, listener);
-          } else {
-            self->Accept(listener);
-          }
         });
   }
 
--- a/src/cassiabend/http/call_server.h
+++ b/src/cassiabend/http/call_server.h
@@ -100,8 +100,8 @@
   /// the node, such as `StoreCall` and `DrainFinished`, are ignored.
   void Execute(const CallEffect& effect);
 
-  /// \brief Applies the configuration's limits to callers' connections that are
-  /// accepted from now on.
+  /// \brief Applies the configuration's limits to the requests that callers
+  /// begin to send from now on, and to answers.
   void SetLimits(const CallerLimits& limits);
   /// \brief Ends callers' connections with their next answer, which says
   /// "Connection: close". New connections are still accepted.
--- a/src/cassiabend/http/client_exchange.cc
+++ b/src/cassiabend/http/client_exchange.cc
@@ -1,7 +1,9 @@
 #include "cassiabend/http/client_exchange.h"
 
+#include <exception>
 #include <utility>
 
+#include "cassiabend/base/log.h"
 #include "cassiabend/http/header_text.h"
 #include "cassiabend/http/message_writer.h"
 
@@ -41,9 +43,24 @@
     : pool_(pool), endpoint_(endpoint), listener_(listener) {}
 
 void ClientExchange::Start(ExchangeRequest request) {
+  const RefPtr<ClientExchange> keep(this);
   request_ = std::move(request);
   self_ = this;
-  Open(request_.may_reuse);
+  try {
+    Open(request_.may_reuse);
+  } catch (const std::exception& e) {
+    Log(LogLevel::kError, "request_not_sent", {{"why", e.what()}});
+    Fail(ExchangeFailure::kNeverSent);
+  }
+}
+
+/// \brief Closes the connection and reports the failure.
+void ClientExchange::Fail(ExchangeFailure failure) {
+  ExchangeListener* listener = std::exchange(listener_, nullptr);
+  Cancel();
+  if (listener != nullptr) {
+    listener->OnExchangeFailed(failure);
+  }
 }
 
 void ClientExchange::Open(bool may_reuse) {
--- a/src/cassiabend/http/client_exchange.h
+++ b/src/cassiabend/http/client_exchange.h
@@ -88,6 +88,7 @@
   void Open(bool may_reuse);
   void Send();
   void Finish();
+  void Fail(ExchangeFailure failure);
 
   ConnectionPool* pool_;
   ConnectionPool::Endpoint endpoint_;
--- a/src/cassiabend/http/connection.cc
+++ b/src/cassiabend/http/connection.cc
@@ -9,6 +9,7 @@
 #include <cstring>
 #include <utility>
 
+#include "cassiabend/base/guard.h"
 #include "cassiabend/base/socket_options.h"
 
 namespace cassiabend {
@@ -20,6 +21,8 @@
 /// it up to the limit.
 constexpr std::size_t kFirstReadBytes = std::size_t{4} * 1024;
 constexpr std::size_t kMaxReadBytes = std::size_t{64} * 1024;
+/// Most bytes that are read ahead of the message being handled.
+constexpr std::size_t kMaxReadAheadBytes = std::size_t{64} * 1024;
 /// An output buffer larger than this is freed when it is empty.
 constexpr std::size_t kMaxKeptOutputBytes = std::size_t{64} * 1024;
 /// How long a refused peer may go on sending before the connection is closed.
@@ -50,7 +53,7 @@
     : socket_(std::move(socket)),
       timeouts_(timeouts),
       parser_(kind, limits),
-      max_unread_(limits.header_bytes + kFirstReadBytes),
+      max_head_bytes_(limits.header_bytes + kFirstReadBytes),
       next_read_bytes_(kFirstReadBytes) {
   timeouts_->Add(this);
   if (socket_.is_open()) {
@@ -58,6 +61,31 @@
   }
 }
 
+template <typename Func>
+void Connection::Guard(Func&& func) noexcept {
+  const RefPtr<Connection> keep(this);
+  if (RunGuarded("connection", func)) {
+    return;
+  }
+  is_parsing_ = false;
+  RunGuarded("connection_end", [this] { End(ConnectionEnd::kBroken); });
+  Close();
+}
+
+void Connection::OnTimeout() {
+  Guard([this] { End(ConnectionEnd::kTimeout); });
+}
+
+void Connection::SetLimits(const ParseLimits& limits) {
+  max_head_bytes_ = limits.header_bytes + kFirstReadBytes;
+  parser_.SetLimits(limits);
+}
+
+std::size_t Connection::MaxUnread() const noexcept {
+  return is_message_done_ ? std::min(max_head_bytes_, kMaxReadAheadBytes)
+                          : max_head_bytes_;
+}
+
 std::size_t Connection::unwritten() const noexcept {
   return writing_.size() - written_ + pending_.size();
 }
@@ -86,18 +114,22 @@
         if (!self->socket_.is_open() || self->listener_ == nullptr) {
           return;
         }
-        if (ec) {
-          self->End(ConnectionEnd::kConnectFailed);
-          return;
-        }
-        self->is_connected_ = true;
-        self->ClearTimeout();
-        ConfigureSocket(&self->socket_, kOutgoingLoss);
-        self->listener_->OnConnected();
-        self->Start();
+        self->Guard([&] { self->OnConnected(ec); });
       });
 }
 
+void Connection::OnConnected(const error_code& ec) {
+  if (ec) {
+    End(ConnectionEnd::kConnectFailed);
+    return;
+  }
+  is_connected_ = true;
+  ClearTimeout();
+  ConfigureSocket(&socket_, kOutgoingLoss);
+  listener_->OnConnected();
+  Start();
+}
+
 void Connection::Start() {
   Read();
 }
@@ -121,7 +153,7 @@
 
 void Connection::Read() {
   if (is_reading_ || is_paused_ || !is_connected_ || !socket_.is_open() ||
-      filled_ - parsed_ >= max_unread_) {
+      filled_ - parsed_ >= MaxUnread()) {
     return;
   }
   is_reading_ = true;
@@ -135,7 +167,7 @@
         if (n == wanted) {
           self->next_read_bytes_ = std::min(wanted * 2, kMaxReadBytes);
         }
-        self->OnRead(ec);
+        self->Guard([&] { self->OnRead(ec); });
       });
 }
 
@@ -249,7 +281,7 @@
                           writing_.size() - written_),
       [self = RefPtr<Connection>(this)](const error_code& ec, std::size_t n) {
         self->is_writing_ = false;
-        self->OnWritten(ec, n);
+        self->Guard([&] { self->OnWritten(ec, n); });
       });
 }
 
--- a/src/cassiabend/http/connection.h
+++ b/src/cassiabend/http/connection.h
@@ -86,6 +86,8 @@
   void Connect(const Endpoint& endpoint, Milliseconds timeout);
   /// \brief Starts to read messages.
   void Start();
+  /// \brief Sets the limits of the messages that have not begun to arrive.
+  void SetLimits(const ParseLimits& limits);
   /// \brief Starts to read the next message. Not to be called from `OnHead` or
   /// `OnBody`.
   /// \param skip_body Whether the message has no body whatever its head says,
@@ -113,9 +115,15 @@
   void CloseAfterWrite();
 
  private:
-  void OnTimeout() override { End(ConnectionEnd::kTimeout); }
+  void OnTimeout() override;
+  /// \brief Runs a handler. An exception in it ends this connection, and with
+  /// it the exchange that it serves, but nothing else.
+  template <typename Func>
+  void Guard(Func&& func) noexcept;
+  [[nodiscard]] std::size_t MaxUnread() const noexcept;
   void Read();
   void MakeRoom();
+  void OnConnected(const boost::system::error_code& ec);
   void OnRead(const boost::system::error_code& ec);
   void OnReadError(const boost::system::error_code& ec);
   void Parse();
@@ -129,7 +137,8 @@
   TimeoutList* timeouts_;
   ConnectionListener* listener_ = nullptr;
   MessageParser parser_;
-  std::size_t max_unread_;
+  /// Most bytes that may wait for the parser: it needs a whole head at once.
+  std::size_t max_head_bytes_;
   std::size_t next_read_bytes_;
   /// Bytes read from the socket: those before `parsed_` are parsed, and those
   /// from `filled_` on are space for the outstanding read.
--- a/src/cassiabend/http/connection_pool.cc
+++ b/src/cassiabend/http/connection_pool.cc
@@ -127,6 +127,14 @@
   list.push_back(std::move(idle));
 }
 
+void ConnectionPool::SetMaxHeaderBytes(std::uint32_t max_header_bytes) {
+  if (max_header_bytes == options_.max_header_bytes) {
+    return;
+  }
+  options_.max_header_bytes = max_header_bytes;
+  Close();
+}
+
 void ConnectionPool::Preconnect(const Endpoint& endpoint, std::uint32_t n) {
   IdleList& list = idle_[endpoint];
   while (list.size() < std::min(n, options_.idle_connections)) {
--- a/src/cassiabend/http/connection_pool.h
+++ b/src/cassiabend/http/connection_pool.h
@@ -49,6 +49,9 @@
   void AddIdle(const Endpoint& endpoint,
                RefPtr<Connection> connection,
                std::optional<Milliseconds> idle_limit);
+  /// \brief Sets the longest head of an answer. Idle connections, which have
+  /// the former limit, are closed.
+  void SetMaxHeaderBytes(std::uint32_t max_header_bytes);
   /// \brief Opens connections until `n` are idle or being opened.
   void Preconnect(const Endpoint& endpoint, std::uint32_t n);
   /// \brief Handles that a reused connection was reset, by which its peer is
--- a/src/cassiabend/http/message_parser.cc
+++ b/src/cassiabend/http/message_parser.cc
@@ -35,6 +35,7 @@
   Impl& operator=(const Impl&) = delete;
   virtual ~Impl() = default;
 
+  virtual void SetLimits(const ParseLimits& limits) = 0;
   virtual void Reset(bool skip_body) = 0;
   virtual std::size_t Put(std::string_view bytes, std::string* body) = 0;
   virtual bool PutEnd() = 0;
@@ -54,6 +55,13 @@
     Reset(false);
   }
 
+  void SetLimits(const ParseLimits& limits) override {
+    limits_ = limits;
+    if (!started) {
+      ApplyLimits();
+    }
+  }
+
   void Reset(bool skip_body) override {
     head = {};
     error = ParseError::kNone;
@@ -61,12 +69,7 @@
     head_done = false;
     done = false;
     parser_.emplace(&head);
-    parser_->header_limit(limits_.header_bytes);
-    if (limits_.body_bytes.has_value()) {
-      parser_->body_limit(*limits_.body_bytes);
-    } else {
-      parser_->body_limit(boost::none);
-    }
+    ApplyLimits();
     if (skip_body) {
       parser_->skip(true);
     }
@@ -167,6 +170,15 @@
     std::string* body_ = nullptr;
   };
 
+  void ApplyLimits() {
+    parser_->header_limit(limits_.header_bytes);
+    if (limits_.body_bytes.has_value()) {
+      parser_->body_limit(*limits_.body_bytes);
+    } else {
+      parser_->body_limit(boost::none);
+    }
+  }
+
   void UpdateState(const beast::error_code& ec) {
     error = ParseErrorOf(ec);
     if (error != ParseError::kNone) {
@@ -211,6 +223,9 @@
 MessageHead& MessageParser::head() noexcept {
   return impl_->head;
 }
+void MessageParser::SetLimits(const ParseLimits& limits) {
+  impl_->SetLimits(limits);
+}
 void MessageParser::Reset(bool skip_body) {
   impl_->Reset(skip_body);
 }
--- a/src/cassiabend/http/message_parser.h
+++ b/src/cassiabend/http/message_parser.h
@@ -43,6 +43,9 @@
   /// \brief The head; may be moved from. Valid once `head_done()`.
   [[nodiscard]] MessageHead& head() noexcept;
 
+  /// \brief Sets the limits of the messages that have not begun to arrive.
+  void SetLimits(const ParseLimits& limits);
+
   /// \brief Starts with the next message.
   /// \param skip_body Whether the message has no body whatever its head says,
   /// as the response to HEAD.
--- a/src/cassiabend/http/message_writer.cc
+++ b/src/cassiabend/http/message_writer.cc
@@ -1,11 +1,10 @@
 #include "cassiabend/http/message_writer.h"
 
-#include <boost/beast/core/buffer_traits.hpp>
+#include <algorithm>
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/status.hpp>
+#include <initializer_list>
 
 namespace cassiabend {
 namespace {
@@ -13,6 +12,9 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+constexpr std::string_view kVersion = "HTTP/1.1";
+constexpr std::string_view kLineEnd = "\r\n";
+
 template <typename Buffers>
 void AppendBuffers(const Buffers& buffers, std::string* out) {
   for (const boost::asio::const_buffer it : beast::buffers_range_ref(buffers)) {
@@ -20,69 +22,76 @@
   }
 }
 
-template <typename Message>
-void CopyFields(const MessageHead& head, Message* message) {
-  for (const HeaderField& it : head.fields) {
-    message->insert(it.name, it.value);
+/// \brief Appends one line, or a part of one.
+void AppendParts(std::initializer_list<std::string_view> parts,
+                 std::string* out) {
+  for (const std::string_view it : parts) {
+    out->append(it);
   }
-  message->erase(http::field::connection);
-  message->erase(http::field::transfer_encoding);
-  message->erase(http::field::content_length);
 }
 
-template <typename Message>
-void AppendHead(Message& message, std::string* out) {
-  http::serializer<Message::is_request::value, http::empty_body, http::fields>
-      serializer(message);
-  serializer.split(true);
-  while (!serializer.is_header_done()) {
-    beast::error_code ec;
-    serializer.next(ec, [&](beast::error_code&, const auto& buffers) {
-      AppendBuffers(buffers, out);
-      serializer.consume(beast::buffer_bytes(buffers));
-    });
-    if (ec) {
-      return;
+void AppendField(std::string_view name,
+                 std::string_view value,
+                 std::string* out) {
+  AppendParts({name, ": ", value, kLineEnd}, out);
+}
+
+/// \brief Appends the headers except those of the framing, which this side
+/// decides. Beast's container of headers is not used: it throws on names and
+/// values of more than 65,533 bytes, which its parser accepts.
+void AppendFields(const MessageHead& head, std::string* out) {
+  constexpr std::string_view kFraming[] = {"Connection", "Transfer-Encoding",
+                                           "Content-Length"};
+  for (const HeaderField& it : head.fields) {
+    const bool is_framing =
+        std::ranges::any_of(kFraming, [&it](std::string_view name) {
+          return EqualsIgnoreCase(it.name, name);
+        });
+    if (!is_framing) {
+      AppendField(it.name, it.value, out);
     }
   }
 }
 
+std::string_view ReasonOf(const MessageHead& head) {
+  if (!head.reason.empty()) {
+    return head.reason;
+  }
+  const auto reason = http::obsolete_reason(http::int_to_status(head.status));
+  return {reason.data(), reason.size()};
+}
+
 }  // namespace
 
 void AppendRequestHead(const MessageHead& head,
                        std::size_t body_bytes,
                        std::string* out) {
-  http::request<http::empty_body> message;
-  message.version(11);
-  message.method_string(head.method);
-  message.target(head.target);
-  CopyFields(head, &message);
+  AppendParts({head.method, " ", head.target, " ", kVersion, kLineEnd}, out);
+  AppendFields(head, out);
   if (body_bytes != 0 || head.content_length.has_value()) {
-    message.set(http::field::content_length, std::to_string(body_bytes));
+    AppendField("Content-Length", std::to_string(body_bytes), out);
   }
-  AppendHead(message, out);
+  out->append(kLineEnd);
 }
 
 void AppendResponseHead(const MessageHead& head,
                         BodyFraming framing,
                         bool keep_alive,
                         std::string* out) {
-  http::response<http::empty_body> message;
-  message.version(11);
-  message.result(static_cast<unsigned>(head.status));
-  message.reason(head.reason);
-  CopyFields(head, &message);
+  AppendParts({kVersion, " ", std::to_string(head.status), " ", ReasonOf(head),
+               kLineEnd},
+              out);
+  AppendFields(head, out);
   if (framing == BodyFraming::kChunked) {
-    message.set(http::field::transfer_encoding, "chunked");
+    AppendField("Transfer-Encoding", "chunked", out);
   } else if (head.content_length.has_value() &&
              framing != BodyFraming::kUntilClose) {
-    message.set(http::field::content_length,
-                std::to_string(*head.content_length));
+    AppendField("Content-Length", std::to_string(*head.content_length), out);
   }
   if (!keep_alive) {
-    message.set(http::field::connection, "close");
+    AppendField("Connection", "close", out);
   }
-  AppendHead(message, out);
+  out->append(kLineEnd);
 }
 
 void AppendBody(std::string_view bytes, BodyFraming framing, std::string* out) {
--- a/src/cassiabend/http/server_session.cc
+++ b/src/cassiabend/http/server_session.cc
@@ -58,6 +58,14 @@
   connection_->Start();
 }
 
+void ServerSession::SetOptions(const SessionOptions& options) {
+  options_ = options;
+  connection_->SetLimits(options.limits);
+  if (exchanges_.empty() && reading_ == Reading::kNothing) {
+    connection_->SetTimeout(options_.idle_timeout);
+  }
+}
+
 void ServerSession::OnMessageStart() {
   reading_ = is_ending_ ? Reading::kIgnored : Reading::kRequest;
   SetReadTimeout(options_.header_timeout);
--- a/src/cassiabend/http/server_session.h
+++ b/src/cassiabend/http/server_session.h
@@ -90,6 +90,8 @@
   }
 
   void Start();
+  /// \brief Sets the limits of the requests that have not begun to arrive.
+  void SetOptions(const SessionOptions& options);
   /// \brief Ends the connection after the requests that were read. Without any,
   /// the next one is still answered, as the peer may have sent it already.
   void EndAfterRequest() noexcept { keep_alive_ = false; }
--- a/src/cassiabend/http/timeout_list.cc
+++ b/src/cassiabend/http/timeout_list.cc
@@ -21,13 +21,12 @@
     if (ec || stopped_) {
       return;
     }
+    // First, so that the timer goes on after an exception.
+    ArmTimer();
     ExpireTimeouts();
     if (!stopped_ && on_tick_) {
       on_tick_();
     }
-    if (!stopped_) {
-      ArmTimer();
-    }
   });
 }
 
--- a/src/cassiabend/node/node.cc
+++ b/src/cassiabend/node/node.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "cassiabend/base/error.h"
+#include "cassiabend/base/guard.h"
 #include "cassiabend/base/log.h"
 #include "cassiabend/core/membership.h"
 
@@ -152,9 +153,11 @@
     if (const auto* fleet = std::get_if<FleetEvent>(&event.body)) {
       region_traffic_.Record(*fleet);
     }
-    for (const Effect& it : reducer_.Reduce(event)) {
-      Execute(it);
-    }
+    RunGuarded("event", [&] {
+      for (const Effect& it : reducer_.Reduce(event)) {
+        RunGuarded("effect", [&] { Execute(it); });
+      }
+    });
     LogReaderChange();
   }
   drain_scheduled_ = false;
--- a/src/cassiabend/node/ops_server.cc
+++ b/src/cassiabend/node/ops_server.cc
@@ -111,12 +111,13 @@
           if (ec == asio::error::operation_aborted) {
             return;
           }
+          // First, so that the port goes on after an exception.
+          self->Accept();
           if (!ec && *self->open_sessions_ < kMaxOpenSessions) {
             std::make_shared<Session>(std::move(socket), self->handler_,
                                       self->open_sessions_)
                 ->Read();
           }
-          self->Accept();
         });
   }
 
--- a/src/cassiabend/rpc/datagram_socket.cc
+++ b/src/cassiabend/rpc/datagram_socket.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "cassiabend/base/error.h"
+#include "cassiabend/base/guard.h"
 #include "cassiabend/base/log.h"
 #include "cassiabend/rpc/mesh_codec.h"
 
@@ -77,7 +78,7 @@
         // An error here reports the failure of an earlier send, such as to a
         // closed port.
         if (!ec) {
-          self->OnReceived(n);
+          RunGuarded("datagram", [&] { self->OnReceived(n); });
         }
         self->Receive();
       });
--- a/tools/node_main.cc
+++ b/tools/node_main.cc
@@ -7,6 +7,7 @@
 #include "cassiabend/base/clock.h"
 #include "cassiabend/base/command_line.h"
 #include "cassiabend/base/error.h"
+#include "cassiabend/base/guard.h"
 #include "cassiabend/base/log.h"
 #include "cassiabend/node/node.h"
 #include "cassiabend/node/settings.h"
@@ -61,7 +62,9 @@
   Node node(io, clock, AdapterOf(settings), settings, file);
   boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
   AwaitSignals(&signals, &node);
-  io.run();
+  // A handler that fails must not end what the other handlers serve.
+  while (!RunGuarded("main", [&io] { io.run(); })) {
+  }
   return kExitOk;
 }
 
