Verify the head while the store is silent, and rely on no reader alone

Cause: the answer of a waiting watch can be lost without an error. The reader held its watch for working for 32 s and its last read for valid for two minutes, told its zone so, and nobody read the head in its place. A claim to follow the head rested on no evidence.

Change: two rules, for fleets whose members have keys of their own. - A reader claims to follow the head as of the last answer of the store or the last heartbeat of a reader of another zone that follows it. When both fall silent for half of follow_limit it reads the head; its zone, which hears no fresh claim for follow_limit, reads it too. - No confirmation of the head gets older than about twice follow_limit. The roots of all zones have an order; the first reads the head at 1.8 times follow_limit, and its confirmations reach the others, which attach to it, before they would read at 2.0 and 2.2 times.

--- a/src/cassiabend/core/dissemination.cc
+++ b/src/cassiabend/core/dissemination.cc
@@ -104,15 +104,20 @@
         candidates.insert(candidates.end(), roots.begin(), roots.end());
       }
     }
-    // Readers come first, then members of this zone; ties are broken in an
-    // order that differs between nodes, which spreads the load.
+    // Readers come first, then members of this zone. Ties are broken in an
+    // order that differs between nodes, which spreads the load; but with
+    // `member_lease` all prefer the root that verifies the head, so that its
+    // confirmations reach them directly.
+    const bool has_leases = context.options().member_lease == Seconds(0);
     std::ranges::sort(candidates, std::greater<>(), [&](const NodeId& id) {
       const MemberEntry* entry = membership.Find(id);
       const bool reader = entry != nullptr && entry->member.is_reader;
       const bool own_zone =
           entry != nullptr && entry->member.zone == membership.self().zone;
-      return std::make_tuple(reader, own_zone,
-                             RendezvousWeight(ToString(self), ToString(id)));
+      return std::make_tuple(
+          reader, own_zone,
+          has_leases ? RendezvousWeight(ToString(self), ToString(id))
+                     : DisseminationTree::HeadRank(id));
     });
   }
   const std::vector<NodeId> zone = membership.LiveInZone();
--- a/src/cassiabend/core/dissemination.h
+++ b/src/cassiabend/core/dissemination.h
@@ -52,6 +52,8 @@
   [[nodiscard]] std::optional<MonoTime> OnHeartbeat(const FleetContext& context,
                                                     const NodeId& from,
                                                     const HeartbeatBody& body);
+  /// \brief Sends the next heartbeats with the next tick.
+  void HastenHeartbeats() noexcept { next_heartbeat_at_ = {}; }
   /// \brief Handles the version that a child reports.
   void OnChildMark(const NodeId& child, const VersionMark& mark);
 
--- a/src/cassiabend/core/dissemination_tree.cc
+++ b/src/cassiabend/core/dissemination_tree.cc
@@ -60,6 +60,22 @@
     by_rank.push_back(it.id);
   }
   ComputeOwnPosition(options, membership, by_rank);
+  ComputeHeadPlace(self.id);
+}
+
+void DisseminationTree::ComputeHeadPlace(const NodeId& self) {
+  head_place_.reset();
+  if (!self_is_root_) {
+    return;
+  }
+  const std::uint64_t own = HeadRank(self);
+  std::size_t place = 0;
+  for (const auto& [zone, roots] : roots_) {
+    for (const NodeId& id : roots) {
+      place += HeadRank(id) > own ? 1 : 0;
+    }
+  }
+  head_place_ = place;
 }
 
 const std::vector<NodeId>& DisseminationTree::RootsOf(
--- a/src/cassiabend/core/dissemination_tree.h
+++ b/src/cassiabend/core/dissemination_tree.h
@@ -50,6 +50,16 @@
   [[nodiscard]] const std::optional<NodeId>& parent() const noexcept {
     return parent_;
   }
+  /// \returns This node's place among the roots of all zones in the order of
+  /// `HeadRank`, from 0; unset unless it is a root.
+  [[nodiscard]] const std::optional<std::size_t>& head_place() const noexcept {
+    return head_place_;
+  }
+  /// \returns The rank by which the roots of all zones verify the head: the
+  /// first one does, and the others do when its confirmations fail to arrive.
+  [[nodiscard]] static std::uint64_t HeadRank(const NodeId& id) {
+    return RendezvousWeight("head", ToString(id));
+  }
   /// \returns A number that changes whenever the tree is recomputed.
   [[nodiscard]] std::uint64_t version() const noexcept { return version_; }
 
@@ -58,6 +68,8 @@
                           const Membership& membership,
                           const std::vector<NodeId>& by_rank);
 
+  void ComputeHeadPlace(const NodeId& self);
+
   std::uint64_t version_ = 0;
   std::string zone_;
   std::map<std::string, std::vector<NodeId>> roots_;
@@ -65,6 +77,7 @@
   bool is_reader_candidate_ = false;
   std::uint32_t other_readers_ = 0;
   std::optional<NodeId> parent_;
+  std::optional<std::size_t> head_place_;
 };
 
 }  // namespace cassiabend
--- a/src/cassiabend/core/fleet_reducer_impl.cc
+++ b/src/cassiabend/core/fleet_reducer_impl.cc
@@ -1,8 +1,18 @@
 #include "cassiabend/core/fleet_reducer_impl.h"
 
+#include <algorithm>
+#include <array>
 #include <utility>
 
 namespace cassiabend {
+namespace {
+
+/// Age of the confirmation of the head at which the first, the second and any
+/// other root in line verifies it, in hundredths of `follow_limit`. The
+/// platform expects changes in force after twice that limit.
+constexpr std::array<int, 3> kVerifyPercent = {180, 200, 220};
+
+}  // namespace
 
 FleetReducer::Impl::Impl(const FleetOptions& options,
                          const Member& self,
@@ -82,7 +92,7 @@
   membership_.Tick(context);
   prober_.Tick(context, tree_, &membership_);
   lease_.Tick(context, tree_);
-  watch_.Tick(context, ShouldReadHead(context));
+  watch_.Tick(context, DecideHeadDuty(context));
   seeds_.Tick(context, membership_, lease_.is_held());
   directory_.Tick(context, membership_, join_.joined());
   // A watch may break without an error, so with `member_lease` a node that
@@ -97,14 +107,42 @@
   survey_.Tick(context, membership_, versions_.mark());
 }
 
-bool FleetReducer::Impl::ShouldReadHead(const FleetContext& context) {
+bool FleetReducer::Impl::HasOtherZones() const {
+  return std::ranges::any_of(tree_.all_roots(), [this](const auto& it) {
+    return it.first != membership_.self().zone &&
+           !membership_.unreachable_zones().contains(it.first);
+  });
+}
+
+HeadDuty FleetReducer::Impl::DecideHeadDuty(const FleetContext& context) {
   if (options_.member_lease == Seconds(0)) {
-    return lease_.ShouldRead(context, tree_);
+    return {.reads = lease_.ShouldRead(context, tree_)};
   }
-  const bool follows = watch_.HasRecentRead(context);
+  const std::optional<MonoTime> last_read_at = watch_.last_read_at();
   reads_head_ = IsLive(membership_.self().status) &&
-                following_.Update(context, tree_, follows);
-  return reads_head_;
+                following_.Update(context, tree_, watch_.is_reading(),
+                                  last_read_at, HasOtherZones());
+  HeadDuty duty{.reads = reads_head_};
+  // The confirmations of the first root in line reach the others, which then
+  // need no reads of their own.
+  const std::size_t place =
+      std::min(tree_.head_place().value_or(kVerifyPercent.size()),
+               kVerifyPercent.size() - 1);
+  const Nanoseconds longest_age =
+      options_.follow_limit * kVerifyPercent[place] / 100;
+  duty.verify_at =
+      std::max(last_read_at, freshness_.confirmed_at()).value_or(MonoTime{}) +
+      longest_age;
+  if (versions_.newest()) {
+    duty.read_timeout = options_.follow_limit;
+  }
+  if (tree_.is_root()) {
+    duty.silence_pause = options_.follow_limit / 2;
+    const auto alone_at = following_.VerifyAloneAt(context, last_read_at);
+    duty.verify_at =
+        std::min(*duty.verify_at, alone_at.value_or(MonoTime::max()));
+  }
+  return duty;
 }
 
 bool FleetReducer::Impl::IsFromOlderProcess(const Datagram& datagram) const {
@@ -184,7 +222,10 @@
   const std::optional<MonoTime> sent_at =
       dissemination_.OnHeartbeat(context, datagram.from, body);
   if (dissemination_.parent() == datagram.from) {
-    following_.OnHeartbeat(context, body);
+    const MemberEntry* sender = membership_.Find(datagram.from);
+    const bool is_other_zone =
+        sender != nullptr && sender->member.zone != membership_.self().zone;
+    following_.OnHeartbeat(context, body, is_other_zone);
   }
   if (sent_at && versions_.Covers(datagram.mark)) {
     freshness_.ConfirmByPeer(context, *sent_at, body.held,
@@ -332,8 +373,14 @@
     }
     return;
   }
-  if (watch_.OnReply(context, event, &versions_, &freshness_) ||
-      join_.OnReply(context, event, membership_)) {
+  const std::optional<MonoTime> confirmed_at = freshness_.confirmed_at();
+  if (watch_.OnReply(context, event, &versions_, &freshness_)) {
+    if (freshness_.confirmed_at() != confirmed_at) {
+      dissemination_.HastenHeartbeats();
+    }
+    return;
+  }
+  if (join_.OnReply(context, event, membership_)) {
     return;
   }
   if (directory_.OnReply(context, event)) {
--- a/src/cassiabend/core/fleet_reducer_impl.h
+++ b/src/cassiabend/core/fleet_reducer_impl.h
@@ -93,7 +93,10 @@
                    const VersionMark& mark);
   void FillDatagram(const FleetContext& context, SendDatagram* send);
   void FinishEvent(const FleetContext& context, const VersionMark& mark_before);
-  [[nodiscard]] bool ShouldReadHead(const FleetContext& context);
+  [[nodiscard]] HeadDuty DecideHeadDuty(const FleetContext& context);
+  /// \returns Whether a root of another zone, which is not known to be out of
+  /// reach, may tell this node of changes.
+  [[nodiscard]] bool HasOtherZones() const;
 
   FleetOptions options_;
   Random random_;
--- a/src/cassiabend/core/head_follow_tracker.cc
+++ b/src/cassiabend/core/head_follow_tracker.cc
@@ -20,21 +20,31 @@
 }
 
 void HeadFollowTracker::OnHeartbeat(const FleetContext& context,
-                                    const HeartbeatBody& heartbeat) {
+                                    const HeartbeatBody& heartbeat,
+                                    bool is_other_zone) {
   if (!heartbeat.followed_age) {
     return;
   }
-  const MonoTime at = context.now() - *heartbeat.followed_age;
-  followed_at_ = followed_at_ ? std::max(*followed_at_, at) : at;
+  followed_at_ = std::max(
+      followed_at_,
+      std::optional<MonoTime>(context.now() - *heartbeat.followed_age));
+  if (is_other_zone &&
+      *heartbeat.followed_age <= context.options().follow_limit) {
+    witness_at_ = context.now();
+  }
 }
 
 bool HeadFollowTracker::Update(const FleetContext& context,
                                const DisseminationTree& tree,
-                               bool is_following) {
+                               bool is_reading,
+                               std::optional<MonoTime> last_read_at,
+                               bool has_other_zones) {
   const MonoTime now = context.now();
   const Milliseconds limit = context.options().follow_limit;
-  if (is_following) {
-    followed_at_ = now;
+  has_other_zones_ = has_other_zones;
+  if (is_reading) {
+    const std::optional<MonoTime> shown = std::max(last_read_at, witness_at_);
+    followed_at_ = std::max(followed_at_, has_other_zones ? shown : now);
   }
   const bool tree_changed = tree_version_ != tree.version();
   tree_version_ = tree.version();
@@ -42,20 +52,32 @@
     read_head_at_.reset();
     return true;
   }
-  if (tree_changed && read_head_at_ && is_following) {
+  if (tree_changed && read_head_at_ && is_reading) {
     // The tree changed, so the zone may have a new reader: its heartbeats get
     // the same time to arrive.
     read_head_at_.reset();
+    followed_at_ = now;
   }
   const bool lost = !followed_at_ || now - *followed_at_ > limit;
   if (lost && !read_head_at_) {
     read_head_at_ =
         now + context.random().Jitter(limit / kReadSpreadDivisor / 2, 1.0);
   }
-  if (!lost && !is_following) {
+  if (!lost && !is_reading) {
     read_head_at_.reset();
   }
   return read_head_at_ && now >= *read_head_at_;
 }
 
+std::optional<MonoTime> HeadFollowTracker::VerifyAloneAt(
+    const FleetContext& context,
+    std::optional<MonoTime> last_read_at) const {
+  if (!has_other_zones_) {
+    return std::nullopt;
+  }
+  const MonoTime shown =
+      std::max(last_read_at, witness_at_).value_or(MonoTime{});
+  return shown + context.options().follow_limit / 2;
+}
+
 }  // namespace cassiabend
--- a/src/cassiabend/core/head_watcher.cc
+++ b/src/cassiabend/core/head_watcher.cc
@@ -23,14 +23,15 @@
   const Milliseconds limit =
       context.options().confirm_period * kLostAfterPeriods +
       kStoreCallTimeout / 4;
-  return enabled_ && last_read_at_ && backoff_.failures() == 0 &&
-         context.now() - *last_read_at_ <= limit;
+  return is_reading() && context.now() - *last_read_at_ <= limit;
 }
 
-void HeadWatcher::Tick(const FleetContext& context, bool enabled) {
+void HeadWatcher::Tick(const FleetContext& context, const HeadDuty& duty) {
   const MonoTime now = context.now();
-  if (enabled != enabled_) {
-    enabled_ = enabled;
+  duty_ = duty;
+  if (duty.reads != enabled_) {
+    enabled_ = duty.reads;
+    reads_whole_head_ = true;
     read_call_.Abandon();
     watch_call_.Abandon();
     fetch_call_.Abandon();
@@ -58,20 +59,33 @@
     fetch_.reset();
     BackOff(context);
   }
-  if (!read_call_.active() && now >= next_read_at_) {
+  if (!read_call_.active() && IsReadDue(now)) {
     ReadHead(context);
   }
-  const bool read_works = last_read_at_ && backoff_.failures() == 0;
-  if (!watch_call_.active() && read_works && now >= next_watch_at_) {
+  if (!watch_call_.active() && is_reading() && now >= next_watch_at_) {
     StartWatch(context);
   }
 }
 
+bool HeadWatcher::IsReadDue(MonoTime now) const noexcept {
+  const bool is_verification =
+      duty_.verify_at && is_reading() && !reads_whole_head_;
+  return now >= next_read_at_ && (!is_verification || now >= *duty_.verify_at);
+}
+
 void HeadWatcher::ReadHead(const FleetContext& context) {
-  read_call_.Start(context, StoreGet{context.options().head_codec->key()},
-                   kStoreCallTimeout);
-  next_read_at_ = context.now() + context.random().Jitter(
-                                      context.options().confirm_period, 0.1);
+  reads_whole_head_ = reads_whole_head_ || !duty_.verify_at;
+  StoreGet get{context.options().head_codec->key()};
+  if (!reads_whole_head_) {
+    get.newer_than = std::max(head_revision_, known_until_);
+  }
+  get.timeout = duty_.read_timeout;
+  read_call_.Start(context, std::move(get), kStoreCallTimeout);
+  next_read_at_ = context.now();
+  if (!duty_.verify_at) {
+    next_read_at_ +=
+        context.random().Jitter(context.options().confirm_period, 0.1);
+  }
 }
 
 void HeadWatcher::StartWatch(const FleetContext& context) {
@@ -108,11 +122,20 @@
                               AppliedVersions* versions,
                               Freshness* freshness) {
   if (reply.status != StoreStatus::kOk) {
-    BackOff(context);
+    const bool unanswered =
+        duty_.silence_pause != Milliseconds(0) &&
+        context.now() - reply.sent_at >= duty_.read_timeout / 2;
+    BackOff(context, unanswered ? duty_.silence_pause
+                                : context.options().reader_retry_limit);
     return;
   }
   backoff_.Reset();
   last_read_at_ = reply.sent_at;
+  if (!reads_whole_head_ && !reply.entry) {
+    OnUnchanged(context, reply, freshness);
+    return;
+  }
+  reads_whole_head_ = false;
   known_until_ = reply.store_revision;
   if (!reply.entry) {
     head_state_ = HeadState::kAbsent;
@@ -130,6 +153,20 @@
   HandleHead(context, reply, versions, freshness);
 }
 
+void HeadWatcher::OnUnchanged(const FleetContext& context,
+                              const StoreReply& reply,
+                              Freshness* freshness) {
+  if (reply.store_revision < known_until_) {
+    // The store was restored to an older revision.
+    reads_whole_head_ = true;
+    return;
+  }
+  known_until_ = reply.store_revision;
+  if (head_state_ == HeadState::kCurrent) {
+    freshness->Confirm(context, reply.sent_at);
+  }
+}
+
 void HeadWatcher::OnWatchReply(const FleetContext& context,
                                const StoreReply& reply,
                                AppliedVersions* versions,
@@ -292,8 +329,12 @@
 }
 
 void HeadWatcher::BackOff(const FleetContext& context) {
-  next_read_at_ =
-      backoff_.NextAttemptTime(context, context.options().reader_retry_limit);
+  BackOff(context, context.options().reader_retry_limit);
+}
+
+void HeadWatcher::BackOff(const FleetContext& context, Milliseconds limit) {
+  reads_whole_head_ = true;
+  next_read_at_ = backoff_.NextAttemptTime(context, limit);
   next_watch_at_ = std::max(next_watch_at_, next_read_at_);
 }
 
--- a/src/cassiabend/core/store_types.h
+++ b/src/cassiabend/core/store_types.h
@@ -27,6 +27,12 @@
 /// \brief Reads one key.
 struct StoreGet {
   std::string key;
+  /// The reply may leave out an entry whose revision is not above this one; 0:
+  /// it never does.
+  StoreRevision newer_than = 0;
+  /// Time without an answer after which the read fails, if that is shorter than
+  /// the client's own limit; 0: it is not.
+  Milliseconds timeout{0};
 };
 
 /// \brief Writes one key if its revision is `expected`; 0 means absent.
--- a/src/cassiabend/node/settings_fields.cc
+++ b/src/cassiabend/node/settings_fields.cc
@@ -139,7 +139,9 @@
     {"reader_retry_limit_ms", &Fleet::reader_retry_limit, 1, 10 * kMinuteMs,
      "Longest pause before a reader repeats a failed read of the head."},
     {"confirm_period_ms", &Fleet::confirm_period, 100, kMinuteMs,
-     "Pause between reads that confirm the head."},
+     "Pause between a reader's reads that confirm the head. With "
+     "`member_lease_s` one reader of the fleet confirms it, in each 1.8 times "
+     "`follow_limit_ms`."},
     {"join_jitter_ms", &Fleet::join_jitter, 0, kMinuteMs,
      "Longest random pause before a started node reads seeds from the store."},
     {"unreachable_after_ms", &Fleet::unreachable_after, 100, kHourMs,
--- a/src/cassiabend/store/store_client.cc
+++ b/src/cassiabend/store/store_client.cc
@@ -75,7 +75,7 @@
   void Execute(const StoreCall& call) {
     auto op = std::make_shared<Operation>();
     op->call = call;
-    op->deadline = clock_.Now().mono + options_.request_timeout;
+    op->deadline = clock_.Now().mono + TimeoutOf(call.request);
     op->sent_at = clock_.Now().mono;
     op->endpoints_left = endpoints_.size();
     op->endpoint = preferred_endpoint_;
@@ -110,6 +110,13 @@
   }
 
  private:
+  Milliseconds TimeoutOf(const StoreRequest& request) const {
+    const auto* get = std::get_if<StoreGet>(&request);
+    return get == nullptr || get->timeout == Milliseconds(0)
+               ? options_.request_timeout
+               : std::min(get->timeout, options_.request_timeout);
+  }
+
   Milliseconds TimeLeft(const Operation& op) const {
     return std::chrono::duration_cast<Milliseconds>(op.deadline -
                                                     clock_.Now().mono);
--- a/tests/platform/kv_codec_test.cc
+++ b/tests/platform/kv_codec_test.cc
@@ -24,6 +24,7 @@
   };
   const Row rows[] = {
       {StoreGet{"op/config"}, "GET", "/kv-key?key=op/config", ""},
+      {StoreGet{"k", 411}, "GET", "/kv-watch?prefix=k&after=411&wait_ms=1", ""},
       {StoreGet{"a b&c"}, "GET", "/kv-key?key=a%20b%26c", ""},
       {StoreList{"/x/"}, "GET", "/kv-range?prefix=/x/&serializable=1", ""},
       {StoreWatch{"k", 411, Seconds(20)}, "GET",
@@ -63,6 +64,19 @@
   CHECK_FALSE(absent.entry.has_value());
   CHECK(absent.store_revision == 530);
 
+  const StoreGet newer{"k", 411};
+  const StoreReply unchanged = Decode(newer, 200, R"({"events":[],"at":530})");
+  CHECK(unchanged.status == StoreStatus::kOk);
+  CHECK_FALSE(unchanged.entry.has_value());
+  CHECK(unchanged.store_revision == 530);
+  const StoreReply changed = Decode(
+      newer, 200,
+      R"({"events":[{"key":"k","value":"bm9kZS0x","rev":412}],"at":530})");
+  CHECK(changed.entry == StoreEntry{"k", "node-1", 412});
+  for (const unsigned refused : {404U, 410U}) {
+    CHECK(Decode(newer, refused, "{}").status == StoreStatus::kUnavailable);
+  }
+
   const StoreReply list = Decode(
       StoreList{"/x/"}, 200,
       R"({"items":[{"key":"/x/a","value":"bm9kZS0x","rev":4},{"key":3},"..."],"has_more":false,"at":9})");
--- a/tests/reader_test.cc
+++ b/tests/reader_test.cc
@@ -142,6 +142,114 @@
   }
 }
 
+// The platform's bounds: a change is in force on every node this long after it
+// was made, and after the end of a fault this long nothing is expected.
+constexpr Seconds kApplyLimit{2};
+constexpr Seconds kSettleTime{3};
+
+TEST_CASE("a change made as the store falls silent arrives once it answers") {
+  const std::vector<std::vector<std::string>> deployments = {
+      {"puget-a"}, {"puget-a", "inland-a"}, ThreeZones()};
+  for (const std::vector<std::string>& zones : deployments) {
+    for (const int silent_ms : {10, 300, 1'500, 2'500, 4'500, 8'000}) {
+      for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        CAPTURE(zones.size());
+        CAPTURE(silent_ms);
+        CAPTURE(seed);
+        FleetDriver driver(3 * zones.size(), zones, MemberKeyOptions(), seed);
+        WarmUp(driver);
+        driver.SilenceStore();
+        driver.Commit();
+        driver.RunFor(Milliseconds(silent_ms));
+        driver.Heal();
+        CHECK(driver.RunUntil([&] { return driver.IsConverged(); },
+                              Seconds(60)) <= kSettleTime);
+        CHECK(driver.violations.empty());
+      }
+    }
+  }
+}
+
+TEST_CASE("a zone that the store does not answer receives changes in time") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    FleetDriver driver(18, ThreeZones(), MemberKeyOptions(), seed);
+    WarmUp(driver);
+    for (std::size_t i = 0; i < driver.size(); i += 3) {
+      driver.store_faults.silent_for.insert(i);
+    }
+    for (int n = 0; n < 4; ++n) {
+      driver.Commit();
+      CHECK(driver.RunUntil([&] { return driver.IsConverged(); },
+                            Seconds(60)) <= kApplyLimit);
+      driver.RunFor(Seconds(2));
+    }
+    CHECK(driver.violations.empty());
+  }
+}
+
+TEST_CASE("one reader verifies the head for all zones") {
+  for (const std::size_t count : {6, 18, 60}) {
+    CAPTURE(count);
+    FleetDriver driver(count, ThreeZones(), MemberKeyOptions(), 31);
+    WarmUp(driver);
+    int reads = 0;
+    driver.on_effect = [&reads](std::size_t, const FleetEffect& effect) {
+      const auto* call = std::get_if<StoreCall>(&effect);
+      reads +=
+          call != nullptr && std::holds_alternative<StoreGet>(call->request)
+              ? 1
+              : 0;
+    };
+    driver.RunFor(Seconds(60));
+    // One in 0.9 of the time within which a change is to be in force, counted
+    // from the first.
+    CHECK((reads - 1) * 9 * kApplyLimit / 10 <= Seconds(60));
+  }
+}
+
+/// \returns The index of the node that reads the head for `zone`.
+std::size_t ReaderOf(FleetDriver& driver, const std::string& zone) {
+  const std::vector<std::size_t> readers = ReadersOf(driver, zone);
+  REQUIRE_FALSE(readers.empty());
+  return readers.front();
+}
+
+TEST_CASE("members do without a reader that is cut off from all but them") {
+  const std::string zone = ThreeZones().front();
+  for (const int change_ms : {10, 300, 1'000, 3'000}) {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      CAPTURE(change_ms);
+      CAPTURE(seed);
+      FleetDriver driver(18, ThreeZones(), MemberKeyOptions(), seed);
+      WarmUp(driver);
+      const std::size_t reader = ReaderOf(driver, zone);
+      driver.store_faults.silent_for.insert(reader);
+      driver.nodes_without_other_zones.insert(reader);
+      driver.RunFor(Milliseconds(change_ms));
+      driver.Commit();
+      CHECK(driver.RunUntil([&] { return driver.IsConverged(); },
+                            Seconds(60)) <= kApplyLimit);
+      CHECK(driver.violations.empty());
+    }
+  }
+}
+
+TEST_CASE("a reader with a silent connection gets changes from the others") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    FleetDriver driver(18, ThreeZones(), MemberKeyOptions(), seed);
+    WarmUp(driver);
+    driver.store_faults.silent_for.insert(
+        ReaderOf(driver, ThreeZones().front()));
+    driver.RunFor(Milliseconds(50));
+    driver.Commit();
+    CHECK(driver.RunUntil([&] { return driver.IsConverged(); }, Seconds(60)) <=
+          kApplyLimit);
+    CHECK(driver.violations.empty());
+  }
+}
+
 TEST_CASE("a node restarted while the store is down is found by its peers") {
   for (const bool announced : {true, false}) {
     CAPTURE(announced);
--- a/tests/shell/store_client_test.cc
+++ b/tests/shell/store_client_test.cc
@@ -146,6 +146,15 @@
   CHECK(it.Ask(StoreCompareAndSwap{"k", 0, "v"}).status == StoreStatus::kOk);
 }
 
+TEST_CASE("a read may have a shorter time limit than other calls") {
+  StoreClientOptions options;
+  options.request_timeout = Milliseconds(60'000);
+  Fixture it({}, options);
+  it.server.Control(R"({"mute_next_answers":9})");
+  CHECK(it.Ask(StoreGet{"k", 0, Milliseconds(50)}).status ==
+        StoreStatus::kUnavailable);
+}
+
 TEST_CASE("reads from a slow store are not sent twice") {
   StoreClientOptions options;
   options.request_timeout = Milliseconds(4'000);
--- a/tests/support/fleet_driver.h
+++ b/tests/support/fleet_driver.h
@@ -78,6 +78,8 @@
 
   NetworkFaults network;
   StoreFaults store_faults;
+  /// Nodes that are cut off from the nodes of other zones.
+  std::set<std::size_t> nodes_without_other_zones;
   /// Pairs of zones (from, to): messages in this direction are dropped.
   std::set<std::pair<std::string, std::string>> blocked_zone_pairs;
   std::vector<std::string> violations;
@@ -172,9 +174,16 @@
     }
     store_faults.zones_without_store.insert(zone);
   }
+  /// \brief The store answers none of the calls until `Heal`.
+  void SilenceStore() {
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      store_faults.silent_for.insert(i);
+    }
+  }
   /// \brief Ends all faults of the network and the store.
   void Heal() {
     blocked_zone_pairs.clear();
+    nodes_without_other_zones.clear();
     network = {};
     store_faults = {};
   }
@@ -323,8 +332,12 @@
     return delay;
   }
   [[nodiscard]] bool IsCut(std::size_t from, std::size_t to) const {
-    return blocked_zone_pairs.contains(
-        {nodes_[from].self.zone, nodes_[to].self.zone});
+    const bool crosses = nodes_[from].self.zone != nodes_[to].self.zone;
+    const bool is_isolated = nodes_without_other_zones.contains(from) ||
+                             nodes_without_other_zones.contains(to);
+    return (crosses && is_isolated) ||
+           blocked_zone_pairs.contains(
+               {nodes_[from].self.zone, nodes_[to].self.zone});
   }
   [[nodiscard]] bool Chance(std::uint32_t permille) {
     return permille != 0 && random_.Below(1'000) < permille;
@@ -532,9 +545,12 @@
     StoreReply reply = store_.Execute(call.request, now_);
     reply.sent_at = sent_at;
     Nanoseconds delay = Milliseconds(2);
-    if (store_faults.replies_lost) {
+    if (store_faults.replies_lost || store_faults.silent_for.contains(i)) {
       reply = {.status = StoreStatus::kUnknown, .sent_at = sent_at};
-      delay = Seconds(2);
+      const auto* get = std::get_if<StoreGet>(&call.request);
+      delay = get == nullptr || get->timeout == Milliseconds(0)
+                  ? kStoreRequestTimeout
+                  : get->timeout;
     }
     ScheduleAt(now_ + delay, [this, i, epoch, id = call.id, reply] {
       Deliver(i, epoch, StoreReplied{id, reply});
@@ -558,6 +574,7 @@
     reply.sent_at = sent_at;
     const bool lost =
         store_faults.watches_hang || store_faults.down ||
+        store_faults.silent_for.contains(i) ||
         store_faults.zones_without_store.contains(nodes_[i].self.zone);
     if (lost || nodes_[i].epoch != epoch) {
       return;
@@ -576,6 +593,9 @@
                  PollStoreWatch(i, epoch, id, watch, sent_at, end);
                });
   }
+  /// Time after which the store client gives up a call.
+  static constexpr Milliseconds kStoreRequestTimeout{2'000};
+
   struct PeerCall {
     std::size_t from = 0;
     std::uint64_t epoch = 0;
--- a/tests/support/fleet_fake_store.h
+++ b/tests/support/fleet_fake_store.h
@@ -63,7 +63,8 @@
   };
 
   void Apply(const StoreGet& get, MonoTime, StoreReply* reply) {
-    if (const StoreEntry* entry = Find(get.key)) {
+    const StoreEntry* entry = Find(get.key);
+    if (entry != nullptr && entry->revision > get.newer_than) {
       reply->entry = *entry;
     }
   }
--- a/tests/support/fleet_faults.h
+++ b/tests/support/fleet_faults.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <set>
 #include <string>
@@ -39,6 +40,8 @@
   Milliseconds added_latency{0};
   /// Zones that cannot reach the store.
   std::set<std::string> zones_without_store;
+  /// Calls of these nodes get no answer, and watches that wait never do.
+  std::set<std::size_t> silent_for;
 };
 
 /// \brief Totals of what the fleet sent, with the sizes that the messages would
