Contact no address that another writer has left among the members

Reported by operators of other systems: an odd entry in a list ended its readers, or they stopped following it. Here: entries that are nested deeply, have a port out of range or a number too large neither ended a node nor kept the others from being found. But two of eight were taken for members and contacted ("somewhere:7000" and one of 9,000 characters), as only the port was checked.

Cause: any value of the form TEXT:PORT under the members' prefix named a member.

Change: an entry names a member only if its key is the member's prefix and its value, as each node writes its own.

Evidence: member_entries_test, "entries of other writers among the members are ignored", failed before (2 checks) and passes now.

--- a/src/cassiabend/core/member_directory.cc
+++ b/src/cassiabend/core/member_directory.cc
@@ -124,7 +124,9 @@
   }
   for (const StoreEntry& it : reply.entries) {
     NodeId id;
-    if (ParseNodeId(it.value, &id)) {
+    // A member writes its address under a key of that name; what another writer
+    // has left here names no member.
+    if (it.key == kMemberPrefix + it.value && ParseNodeId(it.value, &id)) {
       listed_.push_back(std::move(id));
     }
   }
