Take only a response that answers the request beyond doubt

Cause: only a response that named another request was told apart. One that named none was taken, whatever the connection had carried; a repeated attempt has the id of the one that was refused, so a copy of its refusal matched; probes shared the connections of calls; replies between nodes named no attempt at all.

Change: one rule in ClientExchange for upstreams and nodes. A response is taken if it names the request, or names none and is the first on its connection; one that names another is skipped; any other ends the exchange as a broken connection does, so that its outcome is unknown. A connection on which a request was refused does not carry that request again. Probes have connections of their own. A connection to the store with bytes left over is not reused.

--- a/src/cassiabend/http/attempt_client.cc
+++ b/src/cassiabend/http/attempt_client.cc
@@ -74,6 +74,14 @@
   }
 }
 
+ResponseMatch AttemptClient::MatchResponse(const MessageHead& head) {
+  const std::string_view id = head.Get(kAttemptHeader);
+  if (id.empty()) {
+    return ResponseMatch::kUnstated;
+  }
+  return id == ToHex(attempt_) ? ResponseMatch::kOwn : ResponseMatch::kOther;
+}
+
 void AttemptClient::OnResponseHead(MessageHead& head) {
   const Outcome outcome = ReadOutcome(head);
   if (outcome.name == kOutcomeAnswered) {
--- a/src/cassiabend/http/attempt_client.h
+++ b/src/cassiabend/http/attempt_client.h
@@ -30,6 +30,7 @@
   }
 
  private:
+  [[nodiscard]] ResponseMatch MatchResponse(const MessageHead& head) override;
   void OnResponseHead(MessageHead& head) override;
   void OnResponseBody(std::string_view bytes) override;
   void OnResponseEnd() override;
--- a/src/cassiabend/http/call_protocol.cc
+++ b/src/cassiabend/http/call_protocol.cc
@@ -31,6 +31,12 @@
                       answer.Get(kUpstreamShedHeader) == "1";
     return shed ? UpstreamOutcome::kRefused : UpstreamOutcome::kAnswered;
   }
+  [[nodiscard]] ResponseMatch MatchAnswer(
+      std::string_view /*request_id*/,
+      const MessageHead& /*answer*/) const override {
+    // Upstreams need not name the request that they answer.
+    return ResponseMatch::kOwn;
+  }
   [[nodiscard]] UpstreamProbed ReadHealth(
       const MessageHead& head,
       std::string_view body) const override {
--- a/src/cassiabend/http/call_protocol.h
+++ b/src/cassiabend/http/call_protocol.h
@@ -43,6 +43,10 @@
   [[nodiscard]] virtual UpstreamOutcome ReadUpstreamOutcome(
       std::string_view request_id,
       const MessageHead& answer) const = 0;
+  /// \param request_id `RequestIdOf` the head that was sent.
+  [[nodiscard]] virtual ResponseMatch MatchAnswer(
+      std::string_view request_id,
+      const MessageHead& answer) const = 0;
   /// \returns The result of a health probe.
   [[nodiscard]] virtual UpstreamProbed ReadHealth(
       const MessageHead& head,
--- a/src/cassiabend/http/call_server.cc
+++ b/src/cassiabend/http/call_server.cc
@@ -416,8 +416,9 @@
         options_.call_protocol->RequestIdOf(request->head());
     StripHopByHopHeaders(&request->head());
     StripSystemHeaders(&request->head());
-    destination_.AddConnection(exchange.id(), *peer, std::move(request),
-                               std::make_unique<PeerReplyConnection>(exchange));
+    destination_.AddConnection(
+        exchange.id(), *peer, std::move(request),
+        std::make_unique<PeerReplyConnection>(exchange, peer->attempt.id));
   }
 
   void RefuseRequest(ServerExchange& exchange,
--- a/src/cassiabend/http/client_exchange.cc
+++ b/src/cassiabend/http/client_exchange.cc
@@ -64,7 +64,8 @@
 }
 
 void ClientExchange::Open(bool may_reuse) {
-  connection_ = may_reuse ? pool_->AcquireIdle(endpoint_) : nullptr;
+  connection_ =
+      may_reuse ? pool_->AcquireIdle(endpoint_, request_.id) : nullptr;
   is_reused_ = connection_ != nullptr;
   if (is_reused_) {
     connection_->set_listener(this);
@@ -108,11 +109,23 @@
     }
     return;
   }
-  if (!listener_->IsOwnResponse(head)) {
+  const RefPtr<ClientExchange> keep(this);
+  const ResponseMatch match = listener_->MatchResponse(head);
+  if (match == ResponseMatch::kOther) {
     skips_response_ = true;
     has_skipped_ = true;
     return;
   }
+  const bool is_first = !is_reused_ && !has_skipped_;
+  if (match == ResponseMatch::kInvalid ||
+      (match == ResponseMatch::kUnstated && !is_first)) {
+    Log(LogLevel::kWarning, "response_rejected",
+        {{"status", head.status},
+         {"names_request", match != ResponseMatch::kUnstated},
+         {"reused_connection", is_reused_}});
+    Fail(ExchangeFailure::kBroken);
+    return;
+  }
   has_head_ = true;
   keep_alive_ = head.keep_alive && !has_skipped_;
   idle_limit_ = KeepAliveTimeoutOf(head);
@@ -120,6 +133,10 @@
   listener_->OnResponseHead(head);
 }
 
+void ClientExchange::MarkRefused() {
+  connection_->AddRefused(request_.id);
+}
+
 void ClientExchange::OnBody(std::string_view bytes) {
   if (listener_ == nullptr || skips_response_) {
     return;
@@ -145,7 +162,7 @@
   ExchangeListener* listener = std::exchange(listener_, nullptr);
   connection->set_listener(nullptr);
   connection->ClearTimeout();
-  if (keep_alive_ && connection->unwritten() == 0) {
+  if (keep_alive_ && request_.may_pool && connection->unwritten() == 0) {
     connection->ResumeReading();
     connection->NextMessage(false);
     if (!connection->HasInput()) {
--- a/src/cassiabend/http/client_exchange.h
+++ b/src/cassiabend/http/client_exchange.h
@@ -32,10 +32,10 @@
   ExchangeListener& operator=(const ExchangeListener&) = delete;
   virtual ~ExchangeListener() = default;
 
-  /// \returns Whether a response belongs to this request. One that an earlier
-  /// request left on the connection is skipped.
-  [[nodiscard]] virtual bool IsOwnResponse(const MessageHead& /*head*/) {
-    return true;
+  /// \returns Whether a response answers this request.
+  [[nodiscard]] virtual ResponseMatch MatchResponse(
+      const MessageHead& /*head*/) {
+    return ResponseMatch::kOwn;
   }
   virtual void OnResponseHead(MessageHead& head) = 0;
   virtual void OnResponseBody(std::string_view bytes) = 0;
@@ -59,9 +59,20 @@
   bool may_resend = false;
   /// Whether it may be sent over a pooled connection.
   bool may_reuse = true;
+  /// Whether the connection may be pooled after the response.
+  bool may_pool = true;
+  /// Names the request, equal in all its attempts; empty: it is not repeated.
+  std::string id;
 };
 
 /// \brief One request to another node or to the upstream, and its response.
+///
+/// The peer may send bytes that no request asked for: a copy of an earlier
+/// response, at any time. So a response is taken only if it answers this
+/// request beyond doubt: it names it, or it names none and the connection has
+/// carried no other; and a connection on which a request was refused does not
+/// carry that request again. Responses that name another request are skipped.
+/// Any other ends the exchange as a broken connection does.
 class ClientExchange final : public RefCounted<ClientExchange>,
                              private ConnectionListener {
  public:
@@ -70,6 +81,8 @@
                  ExchangeListener* listener);
 
   void Start(ExchangeRequest request);
+  /// \brief Notes that the response being read refuses the request.
+  void MarkRefused();
   /// \brief Stops reading the response until `Resume`.
   void Pause() noexcept;
   void Resume();
--- a/src/cassiabend/http/connection.h
+++ b/src/cassiabend/http/connection.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "cassiabend/base/ref_counted.h"
 #include "cassiabend/http/message.h"
@@ -93,6 +94,11 @@
   /// \param skip_body Whether the message has no body whatever its head says,
   /// as the response to HEAD.
   void NextMessage(bool skip_body);
+  /// \brief Notes that the peer has refused a request on this connection.
+  void AddRefused(const std::string& request) { refused_.push_back(request); }
+  [[nodiscard]] const std::vector<std::string>& refused() const noexcept {
+    return refused_;
+  }
   /// \brief Restarts `MayHaveSent` for the next use of the connection.
   void ResetSent() noexcept { sent_bytes_ = 0; }
   void PauseReading() noexcept { is_paused_ = true; }
@@ -151,6 +157,8 @@
   std::size_t written_ = 0;
   std::string pending_;
   std::uint64_t sent_bytes_ = 0;
+  /// Ids of the requests that the peer has refused on this connection.
+  std::vector<std::string> refused_;
   bool is_connected_ = true;
   bool is_reading_ = false;
   bool is_paused_ = false;
--- a/src/cassiabend/http/connection_pool.cc
+++ b/src/cassiabend/http/connection_pool.cc
@@ -16,6 +16,8 @@
 constexpr Milliseconds kMinIdleLimit{50};
 /// How long after the last reset the shortened idle time applies.
 constexpr Milliseconds kIdleLimitTime{30'000};
+/// Refused requests that a connection remembers; it is not pooled with more.
+constexpr std::size_t kMaxRefused = 16;
 /// Number of endpoints at which expired entries are removed, as hosts come and
 /// go.
 constexpr std::size_t kMaxIdleLimits = 1'024;
@@ -38,6 +40,10 @@
 
   [[nodiscard]] const Endpoint& endpoint() const noexcept { return endpoint_; }
   [[nodiscard]] bool connected() const noexcept { return is_connected_; }
+  [[nodiscard]] bool HasRefused(const std::string& request_id) const {
+    return !request_id.empty() &&
+           std::ranges::count(connection_->refused(), request_id) != 0;
+  }
 
   /// \brief Keeps an open connection for `limit`.
   void Hold(RefPtr<Connection> connection, Milliseconds limit) {
@@ -82,14 +88,15 @@
 
 ConnectionPool::~ConnectionPool() = default;
 
-RefPtr<Connection> ConnectionPool::AcquireIdle(const Endpoint& endpoint) {
+RefPtr<Connection> ConnectionPool::AcquireIdle(const Endpoint& endpoint,
+                                               const std::string& request_id) {
   const auto found = idle_.find(endpoint);
   if (found == idle_.end()) {
     return nullptr;
   }
   IdleList& list = found->second;
   for (std::size_t i = list.size(); i > 0; --i) {
-    if (!list[i - 1]->connected()) {
+    if (!list[i - 1]->connected() || list[i - 1]->HasRefused(request_id)) {
       continue;
     }
     RefPtr<Connection> connection = list[i - 1]->Release();
@@ -118,7 +125,8 @@
   const Milliseconds limit = std::min(
       {options_.idle_timeout, IdleLimitOf(endpoint),
        idle_limit.value_or(options_.idle_timeout + kIdleMargin) - kIdleMargin});
-  if (list.size() >= options_.idle_connections || limit <= Milliseconds(0)) {
+  if (list.size() >= options_.idle_connections || limit <= Milliseconds(0) ||
+      connection->refused().size() > kMaxRefused) {
     connection->Close();
     return;
   }
--- a/src/cassiabend/http/connection_pool.h
+++ b/src/cassiabend/http/connection_pool.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "cassiabend/base/clock.h"
@@ -35,9 +36,12 @@
   ConnectionPool& operator=(const ConnectionPool&) = delete;
   ~ConnectionPool();
 
-  /// \returns An idle connection that the peer has not closed; null when there
-  /// is none.
-  [[nodiscard]] RefPtr<Connection> AcquireIdle(const Endpoint& endpoint);
+  /// \param request_id Id of the request to send; empty for none.
+  /// \returns An idle connection that the peer has not closed and on which it
+  /// has not refused the request; null when there is none.
+  [[nodiscard]] RefPtr<Connection> AcquireIdle(
+      const Endpoint& endpoint,
+      const std::string& request_id = {});
   /// \returns A new connection that is being opened; `listener` receives its
   /// events.
   [[nodiscard]] RefPtr<Connection> Connect(const Endpoint& endpoint,
--- a/src/cassiabend/http/message.h
+++ b/src/cassiabend/http/message.h
@@ -89,6 +89,18 @@
   kUntilClose,
 };
 
+/// \brief Whether a response answers the request that was sent, as its head
+/// states it.
+enum class ResponseMatch : std::uint8_t {
+  kOwn,
+  /// It names another request.
+  kOther,
+  /// It names no request.
+  kUnstated,
+  /// It lacks what every answer has.
+  kInvalid,
+};
+
 /// \returns Whether two header names or tokens are equal, ignoring case.
 [[nodiscard]] bool EqualsIgnoreCase(std::string_view a,
                                     std::string_view b) noexcept;
--- a/src/cassiabend/http/peer_reply_connection.cc
+++ b/src/cassiabend/http/peer_reply_connection.cc
@@ -7,19 +7,23 @@
 
 namespace cassiabend {
 
+void PeerReplyConnection::Reply(MessageHead head, std::string_view body) {
+  head.Add(kAttemptHeader, attempt_);
+  exchange_->Reply(std::move(head), body);
+}
+
 void PeerReplyConnection::SendNotRun(const ReplyNotRun& reply) {
   MessageHead head = NotRunHead(reply.reason, reply.retry_after);
   head.Add(kTimesHeader, FormatTimes(reply.times));
   if (reply.reached_upstream) {
     head.Add(kReachedHeader, "1");
   }
-  exchange_->Reply(std::move(head),
-                   ExplanationBody(kOutcomeNotRun, NameOf(reply.reason), {}));
+  Reply(std::move(head),
+        ExplanationBody(kOutcomeNotRun, NameOf(reply.reason), {}));
 }
 
 void PeerReplyConnection::SendStillRunning() {
-  exchange_->Reply(StillRunningHead(),
-                   ExplanationBody(kOutcomeStillRunning, {}, {}));
+  Reply(StillRunningHead(), ExplanationBody(kOutcomeStillRunning, {}, {}));
 }
 
 void PeerReplyConnection::SendProgress() {
@@ -27,12 +31,14 @@
 }
 
 void PeerReplyConnection::SendUnknown() {
-  exchange_->Reply(UnknownHead(), ExplanationBody(kOutcomeUnknown, {}, {}));
+  Reply(UnknownHead(), ExplanationBody(kOutcomeUnknown, {}, {}));
 }
 
 void PeerReplyConnection::StreamAnswer(RefPtr<AnswerStream> answer,
                                        const SendAnswer& bound) {
-  exchange_->Relay(std::move(answer), bound.due, FormatTimes(bound.times));
+  exchange_->Relay(std::move(answer), bound.due,
+                   {{std::string(kAttemptHeader), attempt_},
+                    {std::string(kTimesHeader), FormatTimes(bound.times)}});
 }
 
 void PeerReplyConnection::Close() {
--- a/src/cassiabend/http/peer_reply_connection.h
+++ b/src/cassiabend/http/peer_reply_connection.h
@@ -8,8 +8,9 @@
 /// \brief Reply connection to another node: the exchange of its request.
 class PeerReplyConnection final : public ReplyConnection {
  public:
-  explicit PeerReplyConnection(ServerExchange& exchange)
-      : exchange_(&exchange) {}
+  /// \param attempt The attempt that the request concerns.
+  PeerReplyConnection(ServerExchange& exchange, const AttemptId& attempt)
+      : exchange_(&exchange), attempt_(ToHex(attempt)) {}
 
   void SendNotRun(const ReplyNotRun& reply) override;
   void SendStillRunning() override;
@@ -20,7 +21,11 @@
   void Close() override;
 
  private:
+  void Reply(MessageHead head, std::string_view body);
+
   RefPtr<ServerExchange> exchange_;
+  /// Named in each reply, by which the other node knows what it answers.
+  std::string attempt_;
 };
 
 }  // namespace cassiabend
--- a/src/cassiabend/http/prober.cc
+++ b/src/cassiabend/http/prober.cc
@@ -73,7 +73,11 @@
   exchange_->Start({.head = std::move(head),
                     .body_source = nullptr,
                     .head_timeout = options_.period,
-                    .body_timeout = options_.period});
+                    .body_timeout = options_.period,
+                    // A health answer names no request, so it must not be
+                    // taken for that of a call, nor a call's for it.
+                    .may_reuse = false,
+                    .may_pool = false});
 }
 
 void Prober::ScheduleNext() {
--- a/src/cassiabend/http/server_exchange.cc
+++ b/src/cassiabend/http/server_exchange.cc
@@ -64,13 +64,13 @@
 
 void ServerExchange::Relay(RefPtr<AnswerStream> answer,
                            MonoTime due,
-                           std::string times) {
+                           std::vector<HeaderField> more) {
   if (state_ != State::kWaiting) {
     return;
   }
   DetachAnswer();
   BulkPacer::Waiter::set_due(due);
-  times_ = std::move(times);
+  added_headers_ = std::move(more);
   answer_ = std::move(answer);
   answer_->set_reader(this);
   Pump();
@@ -163,8 +163,8 @@
   if (session_->adds_outcome_header()) {
     head.Add(kOutcomeHeader, kOutcomeAnswered);
   }
-  if (!times_.empty()) {
-    head.Add(kTimesHeader, times_);
+  for (const HeaderField& it : added_headers_) {
+    head.fields.push_back(it);
   }
   framing_ = FramingOf(head, is_head_request_, is_http_1_0_);
   if (framing_ == BodyFraming::kUntilClose) {
--- a/src/cassiabend/http/server_exchange.h
+++ b/src/cassiabend/http/server_exchange.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "cassiabend/base/ref_counted.h"
 #include "cassiabend/base/time.h"
@@ -72,10 +73,10 @@
   void Reply(MessageHead head, std::string_view body);
   /// \brief Answers with what arrives on `answer`.
   /// \param due When the receiver should have all of it.
-  /// \param times Value of `kTimesHeader` for another node; empty for none.
+  /// \param more Headers to add for another node.
   void Relay(RefPtr<AnswerStream> answer,
              MonoTime due = MonoTime::max(),
-             std::string times = {});
+             std::vector<HeaderField> more = {});
   /// \brief Sends "102 Processing" to show that the answer is still to come.
   /// Does nothing while earlier answers are outstanding or once this one has
   /// begun.
@@ -120,7 +121,8 @@
   /// Null once the exchange has ended.
   ServerSession* session_;
   RefPtr<AnswerStream> answer_;
-  std::string times_;
+  /// Headers that are added to the relayed answer.
+  std::vector<HeaderField> added_headers_;
   /// Answer from this node that is not sent yet.
   MessageHead reply_;
   std::string reply_body_;
--- a/src/cassiabend/http/server_session.cc
+++ b/src/cassiabend/http/server_session.cc
@@ -179,17 +179,22 @@
 
 /// \brief Answers a message that did not become a request, after the earlier
 /// answers, and closes.
-void ServerSession::Refuse(const MessageHead& head, std::string_view body) {
+void ServerSession::Refuse(MessageHead head, std::string_view body) {
   const RefPtr<ServerSession> keep(this);
   handler_->OnMessageRefused();
+  if (options_.accepts_peers && request_ != nullptr &&
+      request_->head().Has(kAttemptHeader)) {
+    head.Add(kAttemptHeader, request_->head().Get(kAttemptHeader));
+  }
   request_ = nullptr;
   reading_ = Reading::kIgnored;
   wants_continue_ = false;
   keep_alive_ = false;
   is_head_request_ = false;
   const RefPtr<ServerExchange> exchange = AddExchange();
-  exchange->Reply(
-      head, ExplanationBody(kOutcomeNotRun, head.Get(kReasonHeader), body));
+  const std::string text =
+      ExplanationBody(kOutcomeNotRun, head.Get(kReasonHeader), body);
+  exchange->Reply(std::move(head), text);
 }
 
 bool ServerSession::MarkEndingIfLast(const ServerExchange& exchange) noexcept {
--- a/src/cassiabend/http/server_session.h
+++ b/src/cassiabend/http/server_session.h
@@ -143,7 +143,7 @@
   [[nodiscard]] bool HasRoomFor(std::uint64_t more) const noexcept;
   [[nodiscard]] bool IsOpen() const noexcept { return !is_closed_; }
   void RefuseMessage(ParseError error);
-  void Refuse(const MessageHead& head, std::string_view body);
+  void Refuse(MessageHead head, std::string_view body);
   [[nodiscard]] RefPtr<ServerExchange> AddExchange();
   void SetReadTimeout(Milliseconds timeout);
   void SendContinueIfDue();
--- a/src/cassiabend/http/upstream_call.cc
+++ b/src/cassiabend/http/upstream_call.cc
@@ -32,6 +32,7 @@
                           .may_resend = !attempt.once};
   call_protocol_->WriteUpstreamHeaders(attempt, options.start, &request.head);
   request_id_ = call_protocol_->RequestIdOf(request.head);
+  request.id = request_id_;
   exchange_->Start(std::move(request));
 }
 
@@ -44,12 +45,15 @@
   }
 }
 
-bool UpstreamCall::IsOwnResponse(const MessageHead& head) {
-  outcome_ = call_protocol_->ReadUpstreamOutcome(request_id_, head);
-  return outcome_ != UpstreamOutcome::kMismatched;
+ResponseMatch UpstreamCall::MatchResponse(const MessageHead& head) {
+  return call_protocol_->MatchAnswer(request_id_, head);
 }
 
 void UpstreamCall::OnResponseHead(MessageHead& head) {
+  outcome_ = call_protocol_->ReadUpstreamOutcome(request_id_, head);
+  if (is_refused()) {
+    exchange_->MarkRefused();
+  }
   if (outcome_ == UpstreamOutcome::kReplaced) {
     sink_->Post(CallEvent(UpstreamReplaced{attempt_}));
     return;
--- a/src/cassiabend/http/upstream_call.h
+++ b/src/cassiabend/http/upstream_call.h
@@ -44,7 +44,7 @@
     return outcome_ == UpstreamOutcome::kRefused ||
            outcome_ == UpstreamOutcome::kReplaced;
   }
-  [[nodiscard]] bool IsOwnResponse(const MessageHead& head) override;
+  [[nodiscard]] ResponseMatch MatchResponse(const MessageHead& head) override;
   void OnResponseHead(MessageHead& head) override;
   void OnResponseBody(std::string_view bytes) override;
   void OnResponseEnd() override;
--- a/src/cassiabend/store/gateway_connection.cc
+++ b/src/cassiabend/store/gateway_connection.cc
@@ -44,7 +44,8 @@
       : stream_(io), endpoint_(endpoint) {}
 
   bool IsReusable() override {
-    if (!connected_ || !keep_alive_ || !stream_.socket().is_open()) {
+    if (!connected_ || !keep_alive_ || buffer_.size() != 0 ||
+        !stream_.socket().is_open()) {
       return false;
     }
     char byte = 0;
--- a/tools/fake_upstream_server.cc
+++ b/tools/fake_upstream_server.cc
@@ -26,6 +26,10 @@
 constexpr std::string_view kEchoPath = "/echo";
 /// Carries the caller's own id of a request, equal in all its attempts.
 constexpr std::string_view kTagHeader = "X-Request-Tag";
+/// Id of a request on the users' platform, where each answer repeats it and
+/// bears a signature.
+constexpr std::string_view kMeshRequestIdHeader = "Request-Id";
+constexpr std::string_view kMeshSignatureHeader = "Response-Signature";
 constexpr Milliseconds kHealthLag{2'000};
 constexpr Milliseconds kLoadSamplePeriod{100};
 constexpr std::size_t kMaxAnswerBytes = std::size_t{64} * 1024 * 1024;
@@ -277,6 +281,12 @@
                          : std::string(std::min(n, kMaxAnswerBytes), 'x');
   MessageHead head = HeadWithStatus(status);
   head.Add(kRequestIdHeader, pending.request->head().Get(kRequestIdHeader));
+  const std::string_view mesh_id =
+      pending.request->head().Get(kMeshRequestIdHeader);
+  if (!mesh_id.empty()) {
+    head.Add(kMeshRequestIdHeader, mesh_id);
+    head.Add(kMeshSignatureHeader, mesh_id);
+  }
   if (!faults_.break_answers) {
     pending.exchange->Reply(std::move(head), body);
     return;
