Ignore heartbeats that this host's upstream has not sent

Cause: a heartbeat in the form of an upstream's was taken for a new start of the upstream on this host, whatever it said of service, address and zone; its service then became that of the host's own callers. One with the upstream's own id changed the service too, and one that said "draining" withdrew the upstream. The very long caller fits: a service is any text of a report, which may have 16 KB; a name of 2,100 characters came through the same way in the test.

It is this upstream's only if it names the upstream's address and zone, and the service of this host or, as a new start, one that the version in force names; an instance does not change its service. Any other changes nothing and is answered 400.

Two stand-ins of upstreams in tests left out fields that each upstream states, and now state them. call_upstream_test used a service that no version named for an upstream that takes over the address; its version now names it, and a new case shows that it is ignored otherwise.

--- a/src/cassiabend/core/call_reducer.cc
+++ b/src/cassiabend/core/call_reducer.cc
@@ -53,6 +53,9 @@
     context_.out = nullptr;
   }
 
+  [[nodiscard]] const CallUpstreamHealth& health() const noexcept {
+    return health_;
+  }
   [[nodiscard]] CallCounts counts() const {
     CallCounts counts;
     counts.calls = entry_.calls();
@@ -245,4 +248,9 @@
   return impl_->counts();
 }
 
+std::string_view CallReducer::ForeignReasonOf(
+    const UpstreamHeartbeat& heartbeat) const {
+  return impl_->health().ForeignReasonOf(heartbeat);
+}
+
 }  // namespace cassiabend
--- a/src/cassiabend/core/call_reducer.h
+++ b/src/cassiabend/core/call_reducer.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 #include "cassiabend/base/time.h"
@@ -43,6 +44,10 @@
               std::vector<CallEffect>* out);
 
   [[nodiscard]] CallCounts counts() const;
+  /// \returns Why a heartbeat is ignored, as another writer has sent it; empty
+  /// when it is not.
+  [[nodiscard]] std::string_view ForeignReasonOf(
+      const UpstreamHeartbeat& heartbeat) const;
 
  private:
   class Impl;
--- a/src/cassiabend/core/call_upstream_health.cc
+++ b/src/cassiabend/core/call_upstream_health.cc
@@ -43,8 +43,33 @@
       context->options.slots > 0 ? context->options.slots : context->self.slots;
 }
 
+std::string_view CallUpstreamHealth::ForeignReasonOf(
+    const UpstreamHeartbeat& heartbeat) const {
+  const Member& self = context_->self;
+  const std::string& address = context_->options.upstream_address;
+  if (!heartbeat.address.empty() && !address.empty() &&
+      heartbeat.address != address) {
+    return "its address is not that of this host's upstream";
+  }
+  if (!heartbeat.zone.empty() && heartbeat.zone != self.zone) {
+    return "it is of another availability zone";
+  }
+  if (heartbeat.service.empty() || heartbeat.service == self.service) {
+    return {};
+  }
+  if (heartbeat.instance == identity_.instance()) {
+    return "an upstream does not change its service";
+  }
+  const bool is_known = context_->snapshot && context_->snapshot->ServiceByName(
+                                                  heartbeat.service) != nullptr;
+  return is_known ? "" : "no version in force names its service";
+}
+
 void CallUpstreamHealth::Reduce(const UpstreamHeartbeatReceived& event) {
   const UpstreamHeartbeat& heartbeat = event.heartbeat;
+  if (!ForeignReasonOf(heartbeat).empty()) {
+    return;
+  }
   const HeartbeatKind kind = identity_.OnHeartbeat(
       context_->now.mono,
       kMissedHeartbeats * context_->options.upstream_heartbeat, heartbeat);
--- a/src/cassiabend/core/call_upstream_health.h
+++ b/src/cassiabend/core/call_upstream_health.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <string_view>
+
 #include "cassiabend/core/call_context.h"
 #include "cassiabend/core/upstream_identity.h"
 
@@ -22,6 +24,11 @@
     return identity_.instance();
   }
 
+  /// \returns Why a heartbeat is not of this host's upstream; empty when it may
+  /// be.
+  [[nodiscard]] std::string_view ForeignReasonOf(
+      const UpstreamHeartbeat& heartbeat) const;
+
   void Reduce(const UpstreamProbed& event);
   void Reduce(const UpstreamHeartbeatReceived& event);
   /// \brief Records that another upstream answers at the known address.
--- a/src/cassiabend/core/options.h
+++ b/src/cassiabend/core/options.h
@@ -126,6 +126,9 @@
   /// Period of the upstream's heartbeats; 0: it sends none, and probes of its
   /// health endpoint decide whether it serves.
   Milliseconds upstream_heartbeat{0};
+  /// "ip:port" of this host's upstream, which its heartbeats state; empty: they
+  /// need not.
+  std::string upstream_address;
   /// 1: the upstream may have been started before this process, so it is asked
   /// for its instance before its first heartbeat; 0: it is not.
   std::uint32_t ask_upstream = 1;
--- a/src/cassiabend/core/upstream_heartbeat.h
+++ b/src/cassiabend/core/upstream_heartbeat.h
@@ -26,6 +26,10 @@
   /// Increases with each heartbeat of one start; unset if it reports none.
   std::optional<std::uint64_t> sequence;
   std::string service;
+  /// "ip:port" at which the upstream serves; empty if it states none.
+  std::string address;
+  /// Availability zone of the upstream; empty if it states none.
+  std::string zone;
   std::uint32_t slots = 0;
   UpstreamPhase phase = UpstreamPhase::kReady;
   /// Time for which the upstream is still slow after its start.
--- a/src/cassiabend/node/node.cc
+++ b/src/cassiabend/node/node.cc
@@ -15,6 +15,7 @@
 namespace cassiabend {
 namespace {
 
+constexpr std::uint16_t kBadRequest = 400;
 /// Minimum time between two log lines about answered calls, which are only
 /// sampled.
 constexpr Milliseconds kAnsweredLogInterval{500};
@@ -500,6 +501,13 @@
         {{"path", request.path}, {"why", message.error}});
     return message.response;
   }
+  const std::string_view why =
+      reducer_.calls().ForeignReasonOf(*message.report);
+  if (!why.empty()) {
+    Log(LogLevel::kWarning, "heartbeat_refused",
+        {{"path", request.path}, {"why", why}});
+    return {kBadRequest, "text/plain", std::string(why) + "\n"};
+  }
   Post(CallEvent(UpstreamHeartbeatReceived{std::move(*message.report)}));
   return message.response;
 }
--- a/tests/call_upstream_test.cc
+++ b/tests/call_upstream_test.cc
@@ -114,6 +114,9 @@
     driver->Tick(Milliseconds(600));
     CHECK_FALSE(driver->Only<ProbeUpstream>());
   }
+  Config config = MakeConfig(2);
+  config.services.insert(config.services.begin(), {"elsewhere", kCallerTeam});
+  driver->Do(ApplyVersion{RefPtr<const Snapshot>(new Snapshot(config))});
   UpstreamHeartbeat other = MakeHeartbeat("b", 1);
   other.service = "elsewhere";
   driver->Do(UpstreamHeartbeatReceived{other});
@@ -123,6 +126,59 @@
   CHECK(driver.Accepts());
 }
 
+TEST_CASE("a heartbeat with a service that no version names changes nothing") {
+  // Another writer may use the id of the upstream or one of its own.
+  std::string long_name;
+  for (int i = 0; i < 300; ++i) {
+    long_name += "xfd4c09";
+  }
+  for (const std::string& service : {std::string("nosuch41"), long_name}) {
+    for (const char* instance : {"a", "z"}) {
+      for (const UpstreamPhase phase :
+           {UpstreamPhase::kReady, UpstreamPhase::kDraining}) {
+        CAPTURE(service.size());
+        CAPTURE(instance);
+        UpstreamDriver driver;
+        driver->Do(UpstreamHeartbeatReceived{MakeHeartbeat("a", 1)});
+        UpstreamHeartbeat foreign = MakeHeartbeat(instance, 900, phase);
+        foreign.service = service;
+        foreign.slots = 1'000;
+        driver->Do(UpstreamHeartbeatReceived{foreign});
+        CHECK(driver->effects().empty());
+        driver->Do(CallArrived{1, MakeMetadata("status")});
+        REQUIRE(driver->Only<SendAttempt>());
+        CHECK(driver->Only<SendAttempt>()->request.caller_service == "svc");
+        driver.Send();
+        REQUIRE(driver->Only<StartUpstream>());
+        CHECK(driver->Only<StartUpstream>()->instance == "a");
+        // The upstream's own heartbeats go on.
+        driver->Do(UpstreamHeartbeatReceived{
+            MakeHeartbeat("a", 2, UpstreamPhase::kDraining)});
+        CHECK_FALSE(driver.Accepts());
+      }
+    }
+  }
+}
+
+TEST_CASE("a heartbeat of another host's upstream changes nothing") {
+  CallOptions options = HeartbeatOptions();
+  options.upstream_address = "10.0.0.1:8080";
+  CallNode node(MakeMember(1), options);
+  node.MakeReady({MakeMember(2)});
+  UpstreamHeartbeat own = MakeHeartbeat("a", 1);
+  own.address = "10.0.0.1:8080";
+  own.zone = "a";
+  node.Do(UpstreamHeartbeatReceived{own});
+  UpstreamHeartbeat elsewhere = MakeHeartbeat("b", 1, UpstreamPhase::kDraining);
+  elsewhere.address = "10.0.0.2:8080";
+  UpstreamHeartbeat of_other_zone = MakeHeartbeat("b", 1);
+  of_other_zone.zone = "b";
+  of_other_zone.slots = 1;
+  for (const UpstreamHeartbeat& it : {elsewhere, of_other_zone}) {
+    CHECK(node.Do(UpstreamHeartbeatReceived{it}).empty());
+  }
+}
+
 TEST_CASE("a restarted node probes its upstream for its instance id") {
   UpstreamDriver driver;
   driver->Tick(Milliseconds(20));
--- a/tests/platform/platform_path_test.cc
+++ b/tests/platform/platform_path_test.cc
@@ -153,13 +153,21 @@
   /// \brief Sends a request of a host's upstream to the control port.
   /// \param verb "heartbeat", or "deregister" when the upstream leaves.
   /// \returns The HTTP status of the response.
-  unsigned SendToControlPort(std::size_t host, const char* verb) {
+  /// \param service Service to state instead of that of the host's upstream.
+  unsigned SendToControlPort(std::size_t host,
+                             const char* verb,
+                             const std::string& service = {}) {
     const HostSpec& plan = fleet_.hosts().at(host);
-    const boost::json::object body{{"service", plan.service},
-                                   {"state", "ready"},
-                                   {"slots", 8},
-                                   {"seq", ++sequence_},
-                                   {"born", 1'700'000'000'000}};
+    const boost::json::object body{
+        {"service", service.empty() ? plan.service : service},
+        {"address", plan.ip + ":" + std::to_string(plan.upstream_port)},
+        {"zone", plan.zone},
+        {"version", "v1"},
+        {"state", "ready"},
+        {"slots", 8},
+        {"cold_remaining", "0ms"},
+        {"seq", ++sequence_},
+        {"born", 1'700'000'000'000}};
     const Request request{
         .method = "POST",
         .target = "/instances/up-" + std::to_string(host) + "/" + verb,
@@ -305,6 +313,17 @@
   }
 }
 
+TEST_CASE("a heartbeat of another writer is refused") {
+  PlatformFleet it("platform-foreign");
+  REQUIRE(it.fleet().WaitVersion(it.number(), kWait));
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    CHECK(it.SendToControlPort(i, "heartbeat", "nosuch41") == 400);
+    CHECK(it.SendToControlPort(i, "heartbeat", std::string(9'000, 'x')) == 400);
+    CHECK(it.Call(i, "/read/1").status == 200);
+    CHECK(it.SendToControlPort(i, "heartbeat") == 200);
+  }
+}
+
 TEST_CASE("an upstream that has left gets no more calls") {
   PlatformFleet it("platform-leave");
   REQUIRE(it.fleet().WaitVersion(it.number(), kWait));
