Count any other reader as evidence, and read the whole head once a minute

A zone may have more than one reader: a second one of the own zone tells of changes as one of another zone does, and without this its partner would read the head twice in each follow_limit. What the store tells of changes may lag behind the values that it returns, so one verification a minute asks for the whole head, as all did before. reader_test, fleet_test, dissemination_test, membership_test and fleet_matrix_test pass.

--- a/src/cassiabend/core/dissemination_tree.cc
+++ b/src/cassiabend/core/dissemination_tree.cc
@@ -63,6 +63,12 @@
   ComputeHeadPlace(self.id);
 }
 
+bool DisseminationTree::IsRoot(const NodeId& id) const noexcept {
+  return std::ranges::any_of(roots_, [&id](const auto& it) {
+    return std::ranges::find(it.second, id) != it.second.end();
+  });
+}
+
 void DisseminationTree::ComputeHeadPlace(const NodeId& self) {
   head_place_.reset();
   if (!self_is_root_) {
--- a/src/cassiabend/core/dissemination_tree.h
+++ b/src/cassiabend/core/dissemination_tree.h
@@ -38,6 +38,8 @@
     return roots_;
   }
   [[nodiscard]] bool is_root() const noexcept { return self_is_root_; }
+  /// \returns Whether `id` is a root of its zone.
+  [[nodiscard]] bool IsRoot(const NodeId& id) const noexcept;
   /// \returns Whether this node may try to acquire a reader lease.
   [[nodiscard]] bool is_reader_candidate() const noexcept {
     return is_reader_candidate_;
--- a/src/cassiabend/core/fleet_reducer_impl.cc
+++ b/src/cassiabend/core/fleet_reducer_impl.cc
@@ -107,10 +107,12 @@
   survey_.Tick(context, membership_, versions_.mark());
 }
 
-bool FleetReducer::Impl::HasOtherZones() const {
-  return std::ranges::any_of(tree_.all_roots(), [this](const auto& it) {
-    return it.first != membership_.self().zone &&
-           !membership_.unreachable_zones().contains(it.first);
+bool FleetReducer::Impl::HasOtherReaders() const {
+  const NodeId& self = membership_.self().id;
+  return std::ranges::any_of(tree_.all_roots(), [&](const auto& it) {
+    const bool has_other = std::ranges::any_of(
+        it.second, [&self](const NodeId& id) { return id != self; });
+    return has_other && !membership_.unreachable_zones().contains(it.first);
   });
 }
 
@@ -121,7 +123,7 @@
   const std::optional<MonoTime> last_read_at = watch_.last_read_at();
   reads_head_ = IsLive(membership_.self().status) &&
                 following_.Update(context, tree_, watch_.is_reading(),
-                                  last_read_at, HasOtherZones());
+                                  last_read_at, HasOtherReaders());
   HeadDuty duty{.reads = reads_head_};
   // The confirmations of the first root in line reach the others, which then
   // need no reads of their own.
@@ -222,10 +224,7 @@
   const std::optional<MonoTime> sent_at =
       dissemination_.OnHeartbeat(context, datagram.from, body);
   if (dissemination_.parent() == datagram.from) {
-    const MemberEntry* sender = membership_.Find(datagram.from);
-    const bool is_other_zone =
-        sender != nullptr && sender->member.zone != membership_.self().zone;
-    following_.OnHeartbeat(context, body, is_other_zone);
+    following_.OnHeartbeat(context, body, tree_.IsRoot(datagram.from));
   }
   if (sent_at && versions_.Covers(datagram.mark)) {
     freshness_.ConfirmByPeer(context, *sent_at, body.held,
--- a/src/cassiabend/core/fleet_reducer_impl.h
+++ b/src/cassiabend/core/fleet_reducer_impl.h
@@ -94,9 +94,9 @@
   void FillDatagram(const FleetContext& context, SendDatagram* send);
   void FinishEvent(const FleetContext& context, const VersionMark& mark_before);
   [[nodiscard]] HeadDuty DecideHeadDuty(const FleetContext& context);
-  /// \returns Whether a root of another zone, which is not known to be out of
-  /// reach, may tell this node of changes.
-  [[nodiscard]] bool HasOtherZones() const;
+  /// \returns Whether a root other than this node, in a zone that is not known
+  /// to be out of reach, may tell this node of changes.
+  [[nodiscard]] bool HasOtherReaders() const;
 
   FleetOptions options_;
   Random random_;
--- a/src/cassiabend/core/head_follow_tracker.cc
+++ b/src/cassiabend/core/head_follow_tracker.cc
@@ -21,14 +21,14 @@
 
 void HeadFollowTracker::OnHeartbeat(const FleetContext& context,
                                     const HeartbeatBody& heartbeat,
-                                    bool is_other_zone) {
+                                    bool is_from_reader) {
   if (!heartbeat.followed_age) {
     return;
   }
   followed_at_ = std::max(
       followed_at_,
       std::optional<MonoTime>(context.now() - *heartbeat.followed_age));
-  if (is_other_zone &&
+  if (is_from_reader &&
       *heartbeat.followed_age <= context.options().follow_limit) {
     witness_at_ = context.now();
   }
@@ -38,13 +38,13 @@
                                const DisseminationTree& tree,
                                bool is_reading,
                                std::optional<MonoTime> last_read_at,
-                               bool has_other_zones) {
+                               bool has_other_readers) {
   const MonoTime now = context.now();
   const Milliseconds limit = context.options().follow_limit;
-  has_other_zones_ = has_other_zones;
+  has_other_readers_ = has_other_readers;
   if (is_reading) {
     const std::optional<MonoTime> shown = std::max(last_read_at, witness_at_);
-    followed_at_ = std::max(followed_at_, has_other_zones ? shown : now);
+    followed_at_ = std::max(followed_at_, has_other_readers ? shown : now);
   }
   const bool tree_changed = tree_version_ != tree.version();
   tree_version_ = tree.version();
@@ -72,7 +72,7 @@
 std::optional<MonoTime> HeadFollowTracker::VerifyAloneAt(
     const FleetContext& context,
     std::optional<MonoTime> last_read_at) const {
-  if (!has_other_zones_) {
+  if (!has_other_readers_) {
     return std::nullopt;
   }
   const MonoTime shown =
--- a/src/cassiabend/core/head_follow_tracker.h
+++ b/src/cassiabend/core/head_follow_tracker.h
@@ -14,29 +14,29 @@
 /// before the zone has detected the loss.
 ///
 /// A watch that waits does not show whether it still works. So a reader relies
-/// on it only while it hears a reader of another zone, which would tell it of a
-/// change, or while the store has just answered a read.
+/// on it only while it hears another reader, which would tell it of a change,
+/// or while the store has just answered a read.
 class HeadFollowTracker {
  public:
   /// \returns Time since this node or one above it in the tree was known to
   /// follow the head, rounded up; unset for never.
   [[nodiscard]] std::optional<Milliseconds> AgeAt(MonoTime now) const;
   /// \brief Records how long ago the sender of a heartbeat followed the head.
-  /// \param is_other_zone Whether the sender belongs to another zone.
+  /// \param is_from_reader Whether the sender reads the head for its zone.
   void OnHeartbeat(const FleetContext& context,
                    const HeartbeatBody& heartbeat,
-                   bool is_other_zone);
+                   bool is_from_reader);
   /// \param is_reading Whether this node reads the head without failures.
   /// \param last_read_at When the newest of these reads was sent.
-  /// \param has_other_zones Whether readers of other zones can be reached.
+  /// \param has_other_readers Whether there are others that can be reached.
   /// \returns Whether this node should read the head itself.
   [[nodiscard]] bool Update(const FleetContext& context,
                             const DisseminationTree& tree,
                             bool is_reading,
                             std::optional<MonoTime> last_read_at,
-                            bool has_other_zones);
+                            bool has_other_readers);
   /// \returns When a reader has to verify the head, as the others that would
-  /// tell it of a change are silent; unset while there is no other zone.
+  /// tell it of a change are silent; unset while there are no others.
   /// \param last_read_at When its newest read was sent.
   [[nodiscard]] std::optional<MonoTime> VerifyAloneAt(
       const FleetContext& context,
@@ -44,9 +44,9 @@
 
  private:
   std::optional<MonoTime> followed_at_;
-  /// When a reader of another zone that follows the head was last heard.
+  /// When another reader that follows the head was last heard.
   std::optional<MonoTime> witness_at_;
-  bool has_other_zones_ = false;
+  bool has_other_readers_ = false;
   /// When this node starts to read the head itself, unless a heartbeat reports
   /// a follower before.
   std::optional<MonoTime> read_head_at_;
--- a/src/cassiabend/core/head_watcher.cc
+++ b/src/cassiabend/core/head_watcher.cc
@@ -14,6 +14,9 @@
 constexpr Milliseconds kWatchMargin{2'000};
 /// Delay of the first watch, in pauses between watches.
 constexpr int kFirstWatchPauses = 4;
+/// A read asks for the whole head at least this often: what a store tells of
+/// changes may lag behind the values that it returns.
+constexpr Milliseconds kWholeReadPeriod{60'000};
 /// Confirmation periods without a read after which the store counts as lost.
 constexpr std::int64_t kLostAfterPeriods = 2;
 
@@ -74,14 +77,16 @@
 }
 
 void HeadWatcher::ReadHead(const FleetContext& context) {
-  reads_whole_head_ = reads_whole_head_ || !duty_.verify_at;
+  const MonoTime now = context.now();
+  reads_whole_head_ = reads_whole_head_ || !duty_.verify_at ||
+                      now - last_whole_read_at_ >= kWholeReadPeriod;
   StoreGet get{context.options().head_codec->key()};
   if (!reads_whole_head_) {
     get.newer_than = std::max(head_revision_, known_until_);
   }
   get.timeout = duty_.read_timeout;
   read_call_.Start(context, std::move(get), kStoreCallTimeout);
-  next_read_at_ = context.now();
+  next_read_at_ = now;
   if (!duty_.verify_at) {
     next_read_at_ +=
         context.random().Jitter(context.options().confirm_period, 0.1);
@@ -135,7 +140,9 @@
     OnUnchanged(context, reply, freshness);
     return;
   }
-  reads_whole_head_ = false;
+  if (std::exchange(reads_whole_head_, false)) {
+    last_whole_read_at_ = reply.sent_at;
+  }
   known_until_ = reply.store_revision;
   if (!reply.entry) {
     head_state_ = HeadState::kAbsent;
--- a/src/cassiabend/core/head_watcher.h
+++ b/src/cassiabend/core/head_watcher.h
@@ -113,6 +113,8 @@
   /// Whether the next read asks for the whole head: the store may have dropped
   /// the changes since `known_until_`.
   bool reads_whole_head_ = true;
+  /// When the last successful read of the whole head was sent.
+  MonoTime last_whole_read_at_{};
   /// Revision of the last value that could not be decoded.
   StoreRevision refused_revision_ = 0;
   bool enabled_ = false;
