Tell a request that failed while it was sent from one that was not sent

After an exception in ClientExchange::Start the request counted as never sent, also if a write had begun, and "not run" must be true. No test reaches this path: the head is built before the write. The log line is request_failed.

--- a/src/cassiabend/http/client_exchange.cc
+++ b/src/cassiabend/http/client_exchange.cc
@@ -49,8 +49,10 @@
   try {
     Open(request_.may_reuse);
   } catch (const std::exception& e) {
-    Log(LogLevel::kError, "request_not_sent", {{"why", e.what()}});
-    Fail(ExchangeFailure::kNeverSent);
+    const bool may_have_sent =
+        connection_ != nullptr && connection_->MayHaveSent();
+    Log(LogLevel::kError, "request_failed", {{"why", e.what()}});
+    Fail(FailureOf(ConnectionEnd::kBroken, may_have_sent));
   }
 }
 
