--- a/tests/platform/unasked_answers_test.cc
+++ b/tests/platform/unasked_answers_test.cc
@@ -48,6 +48,14 @@
   return Message("200 OK", "Instance-Id: i-1\r\nServer-Load: 0,0,8\r\n", "");
 }
 
+/// Time in which bytes that were sent arrive.
+constexpr Milliseconds kSettleTime{20};
+
+void RunFor(boost::asio::io_context& io, Milliseconds time) {
+  io.restart();
+  io.run_for(time);
+}
+
 /// \brief A node that is entry and destination, and its raw upstream.
 struct NodeWithRawUpstream {
   NodeWithRawUpstream() : upstream(io), node(io, MeshOptions(upstream.port())) {
@@ -56,6 +64,7 @@
   }
 
   bool Until(const std::function<bool()>& holds) { return RunUntil(io, holds); }
+  void Settle() { RunFor(io, kSettleTime); }
   /// \brief Sends a caller's request.
   /// \returns The upstream's connection on which it arrives.
   std::shared_ptr<RawPeer> Send(const std::string& id) {
@@ -76,8 +85,7 @@
   /// \returns What the caller gets.
   std::string Result() {
     REQUIRE(Until([&] { return caller->Has("\r\n\r\n") || caller->closed(); }));
-    io.restart();
-    io.run_for(Milliseconds(20));
+    Settle();
     return caller->received();
   }
 
@@ -106,8 +114,7 @@
     REQUIRE(t.Result().ends_with("body of first"));
     REQUIRE(t.Send("second") == connection);
     connection->Send(it);
-    t.io.restart();
-    t.io.run_for(Milliseconds(20));
+    t.Settle();
     connection->Send(Answer("second"));
     const std::string result = t.Result();
     CAPTURE(result);
@@ -129,8 +136,7 @@
     connection->Send(Answer("first"));
     REQUIRE(t.Result().ends_with("body of first"));
     connection->Send(it);
-    t.io.restart();
-    t.io.run_for(Milliseconds(20));
+    t.Settle();
     const auto next = t.Send("second");
     CHECK(next != connection);
     next->Send(Answer("second"));
@@ -171,8 +177,7 @@
   CHECK(t.node.Await<UpstreamProbed>().instance == "i-1");
   const auto connection = t.Send("first");
   probed->Send(HealthAnswer());
-  t.io.restart();
-  t.io.run_for(Milliseconds(20));
+  t.Settle();
   connection->Send(Answer("first"));
   CHECK(t.Result().ends_with("body of first"));
 }
@@ -247,8 +252,7 @@
       (void)t.entry.Await<AttemptNotRun>();
       REQUIRE(t.Send(2) == connection);
       connection->Send(EntryWithRawDestination::Reply(outcome, attempt));
-      t.io.restart();
-      t.io.run_for(Milliseconds(20));
+      RunFor(t.io, kSettleTime);
       connection->Send(EntryWithRawDestination::Reply("answered", 2));
       REQUIRE(t.Until([&] {
         return t.entry.Count<AttemptAnswerStarted>() +
--- a/tests/shell/store_client_test.cc
+++ b/tests/shell/store_client_test.cc
@@ -9,6 +9,7 @@
 #include "cassiabend/base/clock.h"
 #include "cassiabend/base/error.h"
 #include "cassiabend/store/store_client.h"
+#include "tests/support/raw_peer.h"
 #include "tests/support/store_cases.h"
 #include "tests/support/store_fixture.h"
 #include "tools/fake_store_server.h"
@@ -155,6 +156,31 @@
         StoreStatus::kUnavailable);
 }
 
+TEST_CASE("a second answer of the store answers no other call") {
+  boost::asio::io_context io;
+  RawServer server(io);
+  testing::StoreReplySink sink;
+  StoreClientOptions options;
+  options.endpoints = {{"127.0.0.1", server.port()}};
+  StoreClient client(io, options, &sink);
+  const auto answer = [](const char* revision) {
+    const std::string body =
+        std::string(R"({"header":{"revision":")") + revision + R"("}})";
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+  };
+  client.Execute({{StoreClientRole::kFleet, 1}, StoreGet{"k"}});
+  REQUIRE(RunUntil(io, [&] { return server.peers().size() == 1; }));
+  server.peers()[0]->Send(answer("5") + answer("6"));
+  REQUIRE(RunUntil(io, [&] { return sink.replies.size() == 1; }));
+  client.Execute({{StoreClientRole::kFleet, 2}, StoreGet{"k"}});
+  REQUIRE(RunUntil(io, [&] { return server.peers().size() == 2; }));
+  server.peers()[1]->Send(answer("7"));
+  REQUIRE(RunUntil(io, [&] { return sink.replies.size() == 2; }));
+  CHECK(sink.replies[0].reply.store_revision == 5);
+  CHECK(sink.replies[1].reply.store_revision == 7);
+}
+
 TEST_CASE("reads from a slow store are not sent twice") {
   StoreClientOptions options;
   options.request_timeout = Milliseconds(4'000);
