Share the first answered request of two tests

unasked_answers_test: two cases began with the same three steps, which ServeFirst does now, and a fixture opened a connection that nothing used.

--- a/tests/platform/unasked_answers_test.cc
+++ b/tests/platform/unasked_answers_test.cc
@@ -82,6 +82,14 @@
     found->Clear();
     return found;
   }
+  /// \brief Has a first request answered as it should be.
+  /// \returns The connection that carried it.
+  std::shared_ptr<RawPeer> ServeFirst() {
+    std::shared_ptr<RawPeer> connection = Send("first");
+    connection->Send(Answer("first"));
+    REQUIRE(Result().ends_with("body of first"));
+    return connection;
+  }
   /// \returns What the caller gets.
   std::string Result() {
     REQUIRE(Until([&] { return caller->Has("\r\n\r\n") || caller->closed(); }));
@@ -109,9 +117,7 @@
   for (const std::string& it : unasked) {
     CAPTURE(it);
     NodeWithRawUpstream t;
-    const auto connection = t.Send("first");
-    connection->Send(Answer("first"));
-    REQUIRE(t.Result().ends_with("body of first"));
+    const auto connection = t.ServeFirst();
     REQUIRE(t.Send("second") == connection);
     connection->Send(it);
     t.Settle();
@@ -132,9 +138,7 @@
   for (const std::string& it : unasked) {
     CAPTURE(it);
     NodeWithRawUpstream t;
-    const auto connection = t.Send("first");
-    connection->Send(Answer("first"));
-    REQUIRE(t.Result().ends_with("body of first"));
+    const auto connection = t.ServeFirst();
     connection->Send(it);
     t.Settle();
     const auto next = t.Send("second");
@@ -197,9 +201,7 @@
 
 /// \brief An entry node whose destination is a raw TCP server.
 struct EntryWithRawDestination {
-  EntryWithRawDestination() : destination(io), entry(io, MeshOptions(0)) {
-    caller = RawPeer::Connect(io, entry.port());
-  }
+  EntryWithRawDestination() : destination(io), entry(io, MeshOptions(0)) {}
 
   bool Until(const std::function<bool()>& holds) { return RunUntil(io, holds); }
   /// \brief Sends attempt `n` for a new call.
@@ -237,7 +239,6 @@
   boost::asio::io_context io;
   RawServer destination;
   ScriptedNode entry;
-  std::shared_ptr<RawPeer> caller;
   std::vector<std::shared_ptr<RawPeer>> callers;
 };
 
