--- a/schema/config.capnp
+++ b/schema/config.capnp
@@ -84,6 +84,25 @@
   # Time within which an answer is worth most; 0 for none.
   priority @17 :UInt32;
   # Rank of the calls; 0 is served first.
+  public @18 :Bool;
+  # Calls need no key, where the configuration has teams.
+}
+
+struct Team {
+  # A group of callers that share keys, a priority and an allotment.
+  name @0 :Text;
+  team @1 :Text;
+  # Team whose operators may change this item.
+  keyDigests @2 :List(Id128);
+  # Sorted.
+  hasPriority @3 :Bool;
+  priority @4 :UInt32;
+  # With `hasPriority`: rank of the team's calls; 0 is served first.
+  ratePer1000s @5 :UInt64;
+  # Calls per 1,000 s, over all nodes; 0 for no limit.
+  burst @6 :UInt32;
+  # Calls beyond the rate that may be saved up, over all nodes.
+  revision @7 :UInt64;
 }
 
 struct QuietWindow {
@@ -121,6 +140,7 @@
   routes @6 :List(Route);
   windows @7 :List(QuietWindow);
   limits @8 :CallerLimits;
+  teams @9 :List(Team);
 }
 
 struct Edit {
@@ -134,6 +154,8 @@
     removeService @5 :Text;
     removeRoute @6 :Text;
     removeWindow @7 :Text;
+    putTeam @10 :Team;
+    removeTeam @11 :Text;
   }
   checkRevision @8 :Bool;
   expectedRevision @9 :UInt64;
--- a/schema/gen/config.capnp.h
+++ b/schema/gen/config.capnp.h
@@ -28,6 +28,7 @@
 };
 CAPNP_DECLARE_ENUM(RepeatPolicy, c6aae38497c50efa);
 CAPNP_DECLARE_SCHEMA(f45b67d271b0f009);
+CAPNP_DECLARE_SCHEMA(b453d505b61ba07e);
 CAPNP_DECLARE_SCHEMA(b6f1d300fd626ed9);
 CAPNP_DECLARE_SCHEMA(d7dc5a828cea9d90);
 CAPNP_DECLARE_SCHEMA(8a24872084945f55);
@@ -137,6 +138,21 @@
   };
 };
 
+struct Team {
+  Team() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b453d505b61ba07e, 4, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct QuietWindow {
   QuietWindow() = delete;
 
@@ -212,7 +228,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c8dbe8adf42d7596, 2, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(c8dbe8adf42d7596, 2, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -234,6 +250,8 @@
     REMOVE_SERVICE,
     REMOVE_ROUTE,
     REMOVE_WINDOW,
+    PUT_TEAM,
+    REMOVE_TEAM,
   };
 
   struct _capnpPrivate {
@@ -839,6 +857,8 @@
 
   inline  ::uint32_t getPriority() const;
 
+  inline bool getPublic() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -961,6 +981,9 @@
   inline  ::uint32_t getPriority();
   inline void setPriority( ::uint32_t value);
 
+  inline bool getPublic();
+  inline void setPublic(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -987,6 +1010,132 @@
 };
 #endif  // !CAPNP_LITE
 
+class Team::Reader {
+public:
+  typedef Team Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline bool hasTeam() const;
+  inline  ::capnp::Text::Reader getTeam() const;
+
+  inline bool hasKeyDigests() const;
+  inline  ::capnp::List< ::cassiabend::schema::Id128,  ::capnp::Kind::STRUCT>::Reader getKeyDigests() const;
+
+  inline bool getHasPriority() const;
+
+  inline  ::uint32_t getPriority() const;
+
+  inline  ::uint64_t getRatePer1000s() const;
+
+  inline  ::uint32_t getBurst() const;
+
+  inline  ::uint64_t getRevision() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Team::Builder {
+public:
+  typedef Team Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline bool hasTeam();
+  inline  ::capnp::Text::Builder getTeam();
+  inline void setTeam( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTeam(unsigned int size);
+  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
+
+  inline bool hasKeyDigests();
+  inline  ::capnp::List< ::cassiabend::schema::Id128,  ::capnp::Kind::STRUCT>::Builder getKeyDigests();
+  inline void setKeyDigests( ::capnp::List< ::cassiabend::schema::Id128,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cassiabend::schema::Id128,  ::capnp::Kind::STRUCT>::Builder initKeyDigests(unsigned int size);
+  inline void adoptKeyDigests(::capnp::Orphan< ::capnp::List< ::cassiabend::schema::Id128,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::Id128,  ::capnp::Kind::STRUCT>> disownKeyDigests();
+
+  inline bool getHasPriority();
+  inline void setHasPriority(bool value);
+
+  inline  ::uint32_t getPriority();
+  inline void setPriority( ::uint32_t value);
+
+  inline  ::uint64_t getRatePer1000s();
+  inline void setRatePer1000s( ::uint64_t value);
+
+  inline  ::uint32_t getBurst();
+  inline void setBurst( ::uint32_t value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Team::Pipeline {
+public:
+  typedef Team Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class QuietWindow::Reader {
 public:
   typedef QuietWindow Reads;
@@ -1395,6 +1544,9 @@
   inline bool hasLimits() const;
   inline  ::cassiabend::schema::CallerLimits::Reader getLimits() const;
 
+  inline bool hasTeams() const;
+  inline  ::capnp::List< ::cassiabend::schema::Team,  ::capnp::Kind::STRUCT>::Reader getTeams() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1478,6 +1630,13 @@
   inline void adoptLimits(::capnp::Orphan< ::cassiabend::schema::CallerLimits>&& value);
   inline ::capnp::Orphan< ::cassiabend::schema::CallerLimits> disownLimits();
 
+  inline bool hasTeams();
+  inline  ::capnp::List< ::cassiabend::schema::Team,  ::capnp::Kind::STRUCT>::Builder getTeams();
+  inline void setTeams( ::capnp::List< ::cassiabend::schema::Team,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cassiabend::schema::Team,  ::capnp::Kind::STRUCT>::Builder initTeams(unsigned int size);
+  inline void adoptTeams(::capnp::Orphan< ::capnp::List< ::cassiabend::schema::Team,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::Team,  ::capnp::Kind::STRUCT>> disownTeams();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1560,6 +1719,14 @@
 
   inline  ::uint64_t getExpectedRevision() const;
 
+  inline bool isPutTeam() const;
+  inline bool hasPutTeam() const;
+  inline  ::cassiabend::schema::Team::Reader getPutTeam() const;
+
+  inline bool isRemoveTeam() const;
+  inline bool hasRemoveTeam() const;
+  inline  ::capnp::Text::Reader getRemoveTeam() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1659,6 +1826,22 @@
   inline  ::uint64_t getExpectedRevision();
   inline void setExpectedRevision( ::uint64_t value);
 
+  inline bool isPutTeam();
+  inline bool hasPutTeam();
+  inline  ::cassiabend::schema::Team::Builder getPutTeam();
+  inline void setPutTeam( ::cassiabend::schema::Team::Reader value);
+  inline  ::cassiabend::schema::Team::Builder initPutTeam();
+  inline void adoptPutTeam(::capnp::Orphan< ::cassiabend::schema::Team>&& value);
+  inline ::capnp::Orphan< ::cassiabend::schema::Team> disownPutTeam();
+
+  inline bool isRemoveTeam();
+  inline bool hasRemoveTeam();
+  inline  ::capnp::Text::Builder getRemoveTeam();
+  inline void setRemoveTeam( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRemoveTeam(unsigned int size);
+  inline void adoptRemoveTeam(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRemoveTeam();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2986,6 +3169,192 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Route::Reader::getPublic() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+
+inline bool Route::Builder::getPublic() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+inline void Route::Builder::setPublic(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Team::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Team::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Team::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Team::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Team::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Team::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Team::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Team::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Team::Reader::hasTeam() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Team::Builder::hasTeam() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Team::Reader::getTeam() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Team::Builder::getTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Team::Builder::setTeam( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Team::Builder::initTeam(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Team::Builder::adoptTeam(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Team::Builder::disownTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Team::Reader::hasKeyDigests() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Team::Builder::hasKeyDigests() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cassiabend::schema::Id128,  ::capnp::Kind::STRUCT>::Reader Team::Reader::getKeyDigests() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::Id128,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cassiabend::schema::Id128,  ::capnp::Kind::STRUCT>::Builder Team::Builder::getKeyDigests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::Id128,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Team::Builder::setKeyDigests( ::capnp::List< ::cassiabend::schema::Id128,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::Id128,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cassiabend::schema::Id128,  ::capnp::Kind::STRUCT>::Builder Team::Builder::initKeyDigests(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::Id128,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Team::Builder::adoptKeyDigests(
+    ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::Id128,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::Id128,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::Id128,  ::capnp::Kind::STRUCT>> Team::Builder::disownKeyDigests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::Id128,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Team::Reader::getHasPriority() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Team::Builder::getHasPriority() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Team::Builder::setHasPriority(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Team::Reader::getPriority() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Team::Builder::getPriority() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Team::Builder::setPriority( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Team::Reader::getRatePer1000s() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Team::Builder::getRatePer1000s() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Team::Builder::setRatePer1000s( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Team::Reader::getBurst() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Team::Builder::getBurst() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Team::Builder::setBurst( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Team::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Team::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Team::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool QuietWindow::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3521,6 +3890,40 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool Config::Reader::hasTeams() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool Config::Builder::hasTeams() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cassiabend::schema::Team,  ::capnp::Kind::STRUCT>::Reader Config::Reader::getTeams() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::Team,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cassiabend::schema::Team,  ::capnp::Kind::STRUCT>::Builder Config::Builder::getTeams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::Team,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void Config::Builder::setTeams( ::capnp::List< ::cassiabend::schema::Team,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::Team,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cassiabend::schema::Team,  ::capnp::Kind::STRUCT>::Builder Config::Builder::initTeams(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::Team,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void Config::Builder::adoptTeams(
+    ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::Team,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::Team,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::Team,  ::capnp::Kind::STRUCT>> Config::Builder::disownTeams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::Team,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline  ::cassiabend::schema::Edit::Which Edit::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3990,6 +4393,114 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Edit::Reader::isPutTeam() const {
+  return which() == Edit::PUT_TEAM;
+}
+inline bool Edit::Builder::isPutTeam() {
+  return which() == Edit::PUT_TEAM;
+}
+inline bool Edit::Reader::hasPutTeam() const {
+  if (which() != Edit::PUT_TEAM) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Edit::Builder::hasPutTeam() {
+  if (which() != Edit::PUT_TEAM) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cassiabend::schema::Team::Reader Edit::Reader::getPutTeam() const {
+  KJ_IREQUIRE((which() == Edit::PUT_TEAM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cassiabend::schema::Team>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::cassiabend::schema::Team::Builder Edit::Builder::getPutTeam() {
+  KJ_IREQUIRE((which() == Edit::PUT_TEAM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cassiabend::schema::Team>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Edit::Builder::setPutTeam( ::cassiabend::schema::Team::Reader value) {
+  _builder.setDataField<Edit::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Edit::PUT_TEAM);
+  ::capnp::_::PointerHelpers< ::cassiabend::schema::Team>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::cassiabend::schema::Team::Builder Edit::Builder::initPutTeam() {
+  _builder.setDataField<Edit::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Edit::PUT_TEAM);
+  return ::capnp::_::PointerHelpers< ::cassiabend::schema::Team>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Edit::Builder::adoptPutTeam(
+    ::capnp::Orphan< ::cassiabend::schema::Team>&& value) {
+  _builder.setDataField<Edit::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Edit::PUT_TEAM);
+  ::capnp::_::PointerHelpers< ::cassiabend::schema::Team>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cassiabend::schema::Team> Edit::Builder::disownPutTeam() {
+  KJ_IREQUIRE((which() == Edit::PUT_TEAM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cassiabend::schema::Team>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Edit::Reader::isRemoveTeam() const {
+  return which() == Edit::REMOVE_TEAM;
+}
+inline bool Edit::Builder::isRemoveTeam() {
+  return which() == Edit::REMOVE_TEAM;
+}
+inline bool Edit::Reader::hasRemoveTeam() const {
+  if (which() != Edit::REMOVE_TEAM) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Edit::Builder::hasRemoveTeam() {
+  if (which() != Edit::REMOVE_TEAM) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Edit::Reader::getRemoveTeam() const {
+  KJ_IREQUIRE((which() == Edit::REMOVE_TEAM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Edit::Builder::getRemoveTeam() {
+  KJ_IREQUIRE((which() == Edit::REMOVE_TEAM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Edit::Builder::setRemoveTeam( ::capnp::Text::Reader value) {
+  _builder.setDataField<Edit::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Edit::REMOVE_TEAM);
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Edit::Builder::initRemoveTeam(unsigned int size) {
+  _builder.setDataField<Edit::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Edit::REMOVE_TEAM);
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Edit::Builder::adoptRemoveTeam(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  _builder.setDataField<Edit::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Edit::REMOVE_TEAM);
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Edit::Builder::disownRemoveTeam() {
+  KJ_IREQUIRE((which() == Edit::REMOVE_TEAM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t ConfigDelta::Reader::getBaseNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/schema/gen/mesh.capnp.h
+++ b/schema/gen/mesh.capnp.h
@@ -38,6 +38,7 @@
 };
 CAPNP_DECLARE_ENUM(UpstreamState, eba6428361e366dd);
 CAPNP_DECLARE_SCHEMA(f58a70a20e155194);
+CAPNP_DECLARE_SCHEMA(bf0d2373de326c82);
 CAPNP_DECLARE_SCHEMA(bd47d51d261602f1);
 CAPNP_DECLARE_SCHEMA(c29a73bbcf70fdd7);
 CAPNP_DECLARE_SCHEMA(f3403346a1dd913b);
@@ -85,7 +86,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f58a70a20e155194, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f58a70a20e155194, 4, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TeamUse {
+  TeamUse() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bf0d2373de326c82, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -101,7 +117,7 @@
   struct Body;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bd47d51d261602f1, 6, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(bd47d51d261602f1, 6, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -125,7 +141,7 @@
   struct PingRequest;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c29a73bbcf70fdd7, 6, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(c29a73bbcf70fdd7, 6, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -140,7 +156,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f3403346a1dd913b, 6, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(f3403346a1dd913b, 6, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -449,6 +465,9 @@
 
   inline bool getIsReader() const;
 
+  inline bool hasUpstreamVersion() const;
+  inline  ::capnp::Text::Reader getUpstreamVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -529,6 +548,13 @@
   inline bool getIsReader();
   inline void setIsReader(bool value);
 
+  inline bool hasUpstreamVersion();
+  inline  ::capnp::Text::Builder getUpstreamVersion();
+  inline void setUpstreamVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initUpstreamVersion(unsigned int size);
+  inline void adoptUpstreamVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownUpstreamVersion();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -555,6 +581,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class TeamUse::Reader {
+public:
+  typedef TeamUse Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getTeam() const;
+
+  inline  ::uint64_t getAdmitted() const;
+
+  inline  ::uint64_t getDemandPer1000s() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TeamUse::Builder {
+public:
+  typedef TeamUse Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getTeam();
+  inline void setTeam( ::uint64_t value);
+
+  inline  ::uint64_t getAdmitted();
+  inline void setAdmitted( ::uint64_t value);
+
+  inline  ::uint64_t getDemandPer1000s();
+  inline void setDemandPer1000s( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TeamUse::Pipeline {
+public:
+  typedef TeamUse Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Datagram::Reader {
 public:
   typedef Datagram Reads;
@@ -602,6 +714,11 @@
 
   inline  ::uint32_t getFollowedAgeMs() const;
 
+  inline  ::uint16_t getTimePercent() const;
+
+  inline bool hasTeamUses() const;
+  inline  ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>::Reader getTeamUses() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -686,6 +803,16 @@
   inline  ::uint32_t getFollowedAgeMs();
   inline void setFollowedAgeMs( ::uint32_t value);
 
+  inline  ::uint16_t getTimePercent();
+  inline void setTimePercent( ::uint16_t value);
+
+  inline bool hasTeamUses();
+  inline  ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>::Builder getTeamUses();
+  inline void setTeamUses( ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>::Builder initTeamUses(unsigned int size);
+  inline void adoptTeamUses(::capnp::Orphan< ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>> disownTeamUses();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2067,6 +2194,82 @@
       ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Member::Reader::hasUpstreamVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasUpstreamVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getUpstreamVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getUpstreamVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setUpstreamVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initUpstreamVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptUpstreamVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownUpstreamVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t TeamUse::Reader::getTeam() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TeamUse::Builder::getTeam() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TeamUse::Builder::setTeam( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TeamUse::Reader::getAdmitted() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TeamUse::Builder::getAdmitted() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TeamUse::Builder::setAdmitted( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TeamUse::Reader::getDemandPer1000s() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TeamUse::Builder::getDemandPer1000s() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TeamUse::Builder::setDemandPer1000s( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Datagram::Reader::hasFromIp() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2342,6 +2545,54 @@
       ::capnp::bounded<10>() * ::capnp::ELEMENTS, value, 4294967295u);
 }
 
+inline  ::uint16_t Datagram::Reader::getTimePercent() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<22>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Datagram::Builder::getTimePercent() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<22>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setTimePercent( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<22>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Datagram::Reader::hasTeamUses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasTeamUses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>::Reader Datagram::Reader::getTeamUses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::getTeamUses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setTeamUses( ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::initTeamUses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::Builder::adoptTeamUses(
+    ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>> Datagram::Builder::disownTeamUses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline  ::cassiabend::schema::Datagram::Body::Which Datagram::Body::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<10>() * ::capnp::ELEMENTS);
--- a/schema/mesh.capnp
+++ b/schema/mesh.capnp
@@ -42,6 +42,18 @@
   upstreamState @10 :UpstreamState;
   isReader @11 :Bool;
   # Holds one of its zone's reader leases.
+  upstreamVersion @12 :Text;
+  # Version of the upstream's software; empty when it states none.
+}
+
+struct TeamUse {
+  # What one node has admitted of one team's calls.
+  team @0 :UInt64;
+  # Hash of the team's name.
+  admitted @1 :UInt64;
+  # Calls admitted since the node's start.
+  demandPer1000s @2 :UInt64;
+  # Calls that asked to be admitted, per 1,000 s.
 }
 
 struct Datagram {
@@ -84,6 +96,10 @@
   followedAgeMs @19 :UInt32 = 0xffffffff;
   # With `beat`: time since a node that follows the store's head was heard;
   # 0xffffffff for never.
+  timePercent @20 :UInt16;
+  # Time that work takes at the sender's upstream, in hundredths of the usual;
+  # 0 when it states none.
+  teamUses @21 :List(TeamUse);
 }
 
 struct ConfigUpdate {
--- a/src/cassiabend/core/call_events.h
+++ b/src/cassiabend/core/call_events.h
@@ -13,6 +13,7 @@
 #include "cassiabend/core/destination_times.h"
 #include "cassiabend/core/fleet_events.h"
 #include "cassiabend/core/member.h"
+#include "cassiabend/core/placement/upstream_load.h"
 #include "cassiabend/core/upstream_heartbeat.h"
 #include "cassiabend/model/snapshot.h"
 
@@ -38,6 +39,8 @@
   std::string host;
   std::string path;
   std::string method;
+  /// Digest of the key by which the caller identifies its team; unset for none.
+  std::optional<KeyDigest> key;
   /// Idempotency key of an order; empty for none.
   std::string order_key;
   /// Custom headers ("x-…"), with lower-case names.
@@ -69,6 +72,10 @@
   kBadRequest,
   /// The store, in which orders with a key are claimed, cannot be reached.
   kStoreUnavailable,
+  /// The caller's key is missing or belongs to no team.
+  kUnknownKey,
+  /// The team has used up its allotment.
+  kAllotmentExceeded,
 };
 
 /// \returns The stable name of a reason, as callers and metrics see it.
@@ -111,6 +118,11 @@
   Milliseconds objective{0};
   /// Priority of the route; 0 is served first.
   std::uint32_t priority = 0;
+  /// Priority of the team, which outranks that of the route; 0 is served first.
+  std::uint32_t team_priority = 0;
+  /// Whether `team` was found by the caller's key, so that the upstream is told
+  /// that team, or none, in place of what the caller stated.
+  bool has_verified_team = false;
   /// Depth of the call itself; calls that the upstream makes are one deeper.
   std::uint8_t depth = 0;
   /// Whether this attempt, or a call above it, is a retry. It is passed on with
@@ -255,6 +267,10 @@
 struct UpstreamConnectionLost {
   AttemptId attempt;
 };
+/// \brief Event: an answer of the upstream on this host states its load.
+struct UpstreamLoadReported {
+  UpstreamLoad load;
+};
 /// \brief Event: the upstream's health endpoint answered, or failed to.
 struct UpstreamProbed {
   bool healthy = false;
@@ -262,8 +278,8 @@
   std::uint16_t load_permille = 0;
   /// Instance id of the upstream's start; empty if it reports none.
   std::string instance;
-  /// Slots that the upstream reports; 0 if it reports none.
-  std::uint32_t slots = 0;
+  /// Load that the upstream reports; zeros if it reports none.
+  UpstreamLoad load;
 };
 
 // Events at both.
@@ -301,6 +317,7 @@
                                UpstreamAnswerStarted,
                                UpstreamAnswerCompleted,
                                UpstreamConnectionLost,
+                               UpstreamLoadReported,
                                UpstreamProbed,
                                LinkLoadChanged,
                                CallTick,
--- a/src/cassiabend/core/call_names.cc
+++ b/src/cassiabend/core/call_names.cc
@@ -5,7 +5,7 @@
 namespace cassiabend {
 namespace {
 
-constexpr std::array<std::string_view, 16> kNotRunReasonNames = {
+constexpr std::array<std::string_view, 18> kNotRunReasonNames = {
     "no_route",
     "not_ready",
     "no_upstream",
@@ -22,9 +22,11 @@
     "depth_exceeded",
     "bad_request",
     "store_unavailable",
+    "unknown_key",
+    "allotment_exceeded",
 };
 static_assert(kNotRunReasonNames.size() ==
-              static_cast<std::size_t>(NotRunReason::kStoreUnavailable) + 1);
+              static_cast<std::size_t>(NotRunReason::kAllotmentExceeded) + 1);
 
 }  // namespace
 
--- a/src/cassiabend/core/call_refusals.cc
+++ b/src/cassiabend/core/call_refusals.cc
@@ -21,7 +21,7 @@
   AttemptOutcome outcome;
 };
 
-constexpr std::array<RefusalRule, 16> kRules = {{
+constexpr std::array<RefusalRule, 18> kRules = {{
     {NotRunReason::kNoRoute, false, false, false, AttemptOutcome::kNeutral},
     {NotRunReason::kNotReady, true, false, true, AttemptOutcome::kUnavailable},
     {NotRunReason::kNoUpstream, true, true, true, AttemptOutcome::kUnavailable},
@@ -42,6 +42,9 @@
     {NotRunReason::kBadRequest, false, false, false, AttemptOutcome::kNeutral},
     {NotRunReason::kStoreUnavailable, true, false, true,
      AttemptOutcome::kNeutral},
+    {NotRunReason::kUnknownKey, false, false, false, AttemptOutcome::kNeutral},
+    {NotRunReason::kAllotmentExceeded, false, false, true,
+     AttemptOutcome::kNeutral},
 }};
 
 constexpr bool IsInOrder() {
--- a/src/cassiabend/core/call_upstream_health.cc
+++ b/src/cassiabend/core/call_upstream_health.cc
@@ -121,7 +121,7 @@
       return;
     }
     identity_.SetInstance(context_->now.mono, event.instance);
-    slots_ = event.slots > 0 ? event.slots : slots_;
+    slots_ = event.load.slots > 0 ? event.load.slots : slots_;
     failures_ = 0;
     SetState(UpstreamState::kServing);
     return;
--- a/src/cassiabend/core/commit_plan.cc
+++ b/src/cassiabend/core/commit_plan.cc
@@ -28,6 +28,8 @@
       return RevisionIn<Route>(config, item.name);
     case ItemKind::kWindow:
       return RevisionIn<QuietWindow>(config, item.name);
+    case ItemKind::kTeam:
+      return RevisionIn<Team>(config, item.name);
   }
   return 0;
 }
--- a/src/cassiabend/core/fleet_events.h
+++ b/src/cassiabend/core/fleet_events.h
@@ -50,6 +50,18 @@
   std::uint32_t sequence = 0;
 };
 
+/// \brief One team's calls at one node.
+struct TeamUse {
+  /// Hash of the team's name.
+  std::uint64_t team = 0;
+  /// Calls admitted since the node's start.
+  std::uint64_t admitted = 0;
+  /// Calls that asked to be admitted, per 1,000 s.
+  std::uint64_t demand_per_1000s = 0;
+
+  [[nodiscard]] bool operator==(const TeamUse&) const = default;
+};
+
 /// \brief One UDP message between nodes.
 struct Datagram {
   NodeId from;
@@ -73,6 +85,11 @@
   std::vector<std::string> unreachable_zones;
   /// Digest of the live members that the sender knows; 0 if it states none.
   std::uint64_t members_digest = 0;
+  /// Time that work takes at the sender's upstream, in hundredths of the usual;
+  /// 0 if it states none.
+  std::uint16_t time_percent = 0;
+  /// Use of the sender's teams.
+  std::vector<TeamUse> team_uses;
 };
 
 /// \brief The sender has no newer version.
--- a/src/cassiabend/core/member.h
+++ b/src/cassiabend/core/member.h
@@ -62,6 +62,8 @@
   UpstreamState upstream_state = UpstreamState::kNone;
   /// Whether the node holds one of its zone's reader leases.
   bool is_reader = false;
+  /// Version of the upstream's software; empty if it states none.
+  std::string upstream_version;
 
   [[nodiscard]] bool operator==(const Member&) const = default;
 };
--- a/src/cassiabend/ctl/item_kind_handler.cc
+++ b/src/cassiabend/ctl/item_kind_handler.cc
@@ -18,6 +18,10 @@
 constexpr std::string_view kWindowColumns[] = {"name",   "team", "site",
                                                "weekly", "once", "revision"};
 
+constexpr std::string_view kTeamColumns[] = {
+    "name",           "team",  "key_digests", "priority",
+    "rate_per_1000s", "burst", "revision"};
+
 template <typename Item, auto parse>
 Edit Put(const boost::json::object& object) {
   Item item = parse(object, std::string(object.if_contains("name") != nullptr
@@ -50,6 +54,8 @@
      &List<Route>},
     {"window", ItemKind::kWindow, kWindowColumns,
      &Put<QuietWindow, &ParseWindow>, &List<QuietWindow>},
+    {"team", ItemKind::kTeam, kTeamColumns, &Put<Team, &ParseTeam>,
+     &List<Team>},
 };
 
 struct ToJsonVisitor {
--- a/src/cassiabend/http/call_headers.cc
+++ b/src/cassiabend/http/call_headers.cc
@@ -1,6 +1,7 @@
 #include "cassiabend/http/call_headers.h"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 
 #include "cassiabend/http/header_text.h"
@@ -76,6 +77,26 @@
   return ToLower(host);
 }
 
+std::optional<UpstreamLoad> ParseUpstreamLoad(std::string_view text) noexcept {
+  constexpr std::size_t kMinNumbers = 3;
+  std::array<std::uint32_t, 4> numbers{};
+  std::size_t n = 0;
+  for (bool more = !text.empty(); more; ++n) {
+    const std::size_t end = std::min(text.find(','), text.size());
+    const auto number = ParseNumber<std::uint32_t>(text.substr(0, end));
+    if (!number || n == numbers.size()) {
+      return std::nullopt;
+    }
+    numbers.at(n) = *number;
+    more = end < text.size();
+    text.remove_prefix(std::min(end + 1, text.size()));
+  }
+  if (n < kMinNumbers) {
+    return std::nullopt;
+  }
+  return UpstreamLoad{numbers[0], numbers[1], numbers[2], numbers[3]};
+}
+
 CallMetadata ReadCallMetadata(const MessageHead& head) {
   CallMetadata metadata;
   metadata.request_id = head.Get(kRequestIdHeader);
@@ -117,11 +138,12 @@
   const auto number = ParseNumber<std::uint64_t>(head.Get(kConfigHeader));
   const auto longest = ParseOptionalNumber(head.Get(kLongestJobHeader));
   const auto priority = ParseOptionalNumber(head.Get(kPriorityHeader));
+  const auto team_priority = ParseOptionalNumber(head.Get(kTeamPriorityHeader));
   const auto objective = ParseOptionalNumber(head.Get(kObjectiveHeader));
   const auto expires = ParseNumber<std::uint64_t>(head.Get(kExpiresHeader));
   if (!deadline.has_value() || !number.has_value() || !longest.has_value() ||
-      !priority.has_value() || !objective.has_value() || !expires.has_value() ||
-      *expires > kMaxWallMs) {
+      !priority.has_value() || !team_priority.has_value() ||
+      !objective.has_value() || !expires.has_value() || *expires > kMaxWallMs) {
     return std::nullopt;
   }
   attempt.deadline = *deadline;
@@ -135,6 +157,8 @@
   attempt.site = head.Get(kSiteHeader);
   attempt.caller_service = head.Get(kCallerHeader);
   attempt.priority = *priority;
+  attempt.team_priority = *team_priority;
+  attempt.has_verified_team = head.Get(kVerifiedTeamHeader) == "1";
   attempt.objective = Milliseconds(*objective);
   attempt.noisy = head.Get(kNoisyHeader) == "1";
   attempt.once = head.Get(kOnceHeader) == "1";
@@ -163,6 +187,10 @@
   AddUnlessDefault(kSiteHeader, attempt.site, head);
   AddUnlessDefault(kCallerHeader, attempt.caller_service, head);
   AddUnlessDefault(kPriorityHeader, std::to_string(attempt.priority), head);
+  AddUnlessDefault(kTeamPriorityHeader, std::to_string(attempt.team_priority),
+                   head);
+  AddUnlessDefault(kVerifiedTeamHeader, attempt.has_verified_team ? "1" : "",
+                   head);
   AddUnlessDefault(kObjectiveHeader, std::to_string(attempt.objective.count()),
                    head);
   AddUnlessDefault(kNoisyHeader, attempt.noisy ? "1" : "", head);
--- a/src/cassiabend/http/call_headers.h
+++ b/src/cassiabend/http/call_headers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <string_view>
 
 #include "cassiabend/core/call_events.h"
 #include "cassiabend/http/message.h"
@@ -10,6 +11,12 @@
 /// \returns The host of a "Host" header, in lower case.
 [[nodiscard]] std::string HostWithoutPort(std::string_view host);
 
+/// \returns The load that a text such as "3,0,8" or "3,0,8,100" states: running
+/// calls, waiting calls, slots and the time that work takes, in hundredths of
+/// the usual. Unset when it is malformed.
+[[nodiscard]] std::optional<UpstreamLoad> ParseUpstreamLoad(
+    std::string_view text) noexcept;
+
 /// \returns The metadata of a caller's request, from its head.
 [[nodiscard]] CallMetadata ReadCallMetadata(const MessageHead& head);
 
--- a/src/cassiabend/http/call_protocol.cc
+++ b/src/cassiabend/http/call_protocol.cc
@@ -37,6 +37,10 @@
     // Upstreams need not name the request that they answer.
     return ResponseMatch::kOwn;
   }
+  [[nodiscard]] std::optional<UpstreamLoad> ReadLoad(
+      const MessageHead& answer) const override {
+    return ParseUpstreamLoad(answer.Get(kUpstreamLoadHeader));
+  }
   [[nodiscard]] UpstreamProbed ReadHealth(
       const MessageHead& head,
       std::string_view body) const override {
--- a/src/cassiabend/http/call_protocol.h
+++ b/src/cassiabend/http/call_protocol.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -47,6 +48,10 @@
   [[nodiscard]] virtual ResponseMatch MatchAnswer(
       std::string_view request_id,
       const MessageHead& answer) const = 0;
+  /// \returns The load that the upstream states with an answer; unset if it
+  /// states none, or a malformed one.
+  [[nodiscard]] virtual std::optional<UpstreamLoad> ReadLoad(
+      const MessageHead& answer) const = 0;
   /// \returns The result of a health probe.
   [[nodiscard]] virtual UpstreamProbed ReadHealth(
       const MessageHead& head,
--- a/src/cassiabend/http/headers.h
+++ b/src/cassiabend/http/headers.h
@@ -32,6 +32,13 @@
 inline constexpr std::string_view kObjectiveHeader =
     "X-Cassiabend-Objective-Ms";
 inline constexpr std::string_view kPriorityHeader = "X-Cassiabend-Priority";
+inline constexpr std::string_view kTeamPriorityHeader =
+    "X-Cassiabend-Team-Priority";
+/// "1" when the entry node has found the team by the caller's key.
+inline constexpr std::string_view kVerifiedTeamHeader =
+    "X-Cassiabend-Verified-Team";
+/// Key by which a caller identifies its team.
+inline constexpr std::string_view kKeyHeader = "X-Cassiabend-Key";
 /// On a refusal: "1" when the upstream itself refused.
 inline constexpr std::string_view kReachedHeader = "X-Cassiabend-Reached";
 /// On answers and refusals: load in thousandths of the upstream's slots, then
@@ -50,6 +57,8 @@
 /// On requests to and answers from an upstream.
 inline constexpr std::string_view kRequestIdHeader = "X-Request-Id";
 inline constexpr std::string_view kUpstreamShedHeader = "X-Upstream-Shed";
+/// Load of the upstream, as `ParseUpstreamLoad` reads it.
+inline constexpr std::string_view kUpstreamLoadHeader = "X-Upstream-Load";
 
 /// Values of `kOutcomeHeader`.
 inline constexpr std::string_view kOutcomeAnswered = "answered";
--- a/src/cassiabend/http/upstream_call.cc
+++ b/src/cassiabend/http/upstream_call.cc
@@ -50,6 +50,9 @@
 }
 
 void UpstreamCall::OnResponseHead(MessageHead& head) {
+  if (const auto load = call_protocol_->ReadLoad(head)) {
+    sink_->Post(CallEvent(UpstreamLoadReported{*load}));
+  }
   outcome_ = call_protocol_->ReadUpstreamOutcome(request_id_, head);
   if (is_refused()) {
     exchange_->MarkRefused();
--- a/src/cassiabend/model/change.cc
+++ b/src/cassiabend/model/change.cc
@@ -62,6 +62,8 @@
       return RemoveItem<Route>(target, config);
     case ItemKind::kWindow:
       return RemoveItem<QuietWindow>(target, config);
+    case ItemKind::kTeam:
+      return RemoveItem<Team>(target, config);
   }
 }
 
@@ -113,6 +115,7 @@
                                const Config& to,
                                Revisions revisions) {
   std::vector<Edit> out;
+  AppendDifference<Team>(from, to, revisions, &out);
   AppendDifference<QuietWindow>(from, to, revisions, &out);
   AppendDifference<Route>(from, to, revisions, &out);
   AppendDifference<Service>(from, to, revisions, &out);
@@ -136,8 +139,8 @@
 }
 
 std::string PathOf(const ItemRef& item) {
-  constexpr std::array<const char*, 4> kListNames = {"sites", "services",
-                                                     "routes", "windows"};
+  constexpr std::array<const char*, 5> kListNames = {
+      "sites", "services", "routes", "windows", "teams"};
   std::string out = kListNames.at(static_cast<std::size_t>(item.kind));
   out += "[" + item.name + "]";
   return out;
--- a/src/cassiabend/model/change.h
+++ b/src/cassiabend/model/change.h
@@ -9,7 +9,7 @@
 
 namespace cassiabend {
 
-enum class ItemKind : std::uint8_t { kSite, kService, kRoute, kWindow };
+enum class ItemKind : std::uint8_t { kSite, kService, kRoute, kWindow, kTeam };
 
 /// \brief Identifies one item of a configuration by kind and name.
 struct ItemRef {
@@ -23,7 +23,7 @@
 
 /// \brief Adds, replaces or removes one item.
 struct Edit {
-  using Action = std::variant<Site, Service, Route, QuietWindow, ItemRef>;
+  using Action = std::variant<Site, Service, Route, QuietWindow, Team, ItemRef>;
 
   /// The item to add or replace, or a reference to the item to remove.
   Action action;
--- a/src/cassiabend/model/codec.cc
+++ b/src/cassiabend/model/codec.cc
@@ -149,6 +149,20 @@
   out.setLatencyObjectiveMs(ToUnsignedField<std::uint32_t>(
       route.latency_objective.count(), "route.latency_objective"));
   out.setPriority(route.priority);
+  out.setPublic(route.is_public);
+}
+
+void ToWire(const Team& team, schema::Team::Builder out) {
+  out.setName(team.name);
+  out.setTeam(team.team);
+  if (!team.key_digests.empty()) {
+    ToWireList(team.key_digests, out.initKeyDigests(team.key_digests.size()));
+  }
+  out.setHasPriority(team.priority.has_value());
+  out.setPriority(team.priority.value_or(0));
+  out.setRatePer1000s(team.rate_per_1000s);
+  out.setBurst(team.burst);
+  out.setRevision(team.revision);
 }
 
 void ToWire(const QuietWindow& window, schema::QuietWindow::Builder out) {
@@ -183,6 +197,9 @@
   if (config.limits != CallerLimits{}) {
     ToWire(config.limits, out.initLimits());
   }
+  if (!config.teams.empty()) {
+    ToWireList(config.teams, out.initTeams(config.teams.size()));
+  }
 }
 
 void ToWire(const Edit& edit, schema::Edit::Builder out) {
@@ -196,6 +213,8 @@
     ToWire(*route, out.initPutRoute());
   } else if (const auto* window = std::get_if<QuietWindow>(&edit.action)) {
     ToWire(*window, out.initPutWindow());
+  } else if (const auto* team = std::get_if<Team>(&edit.action)) {
+    ToWire(*team, out.initPutTeam());
   } else {
     const auto& item = std::get<ItemRef>(edit.action);
     switch (item.kind) {
@@ -211,6 +230,9 @@
       case ItemKind::kWindow:
         out.setRemoveWindow(item.name);
         break;
+      case ItemKind::kTeam:
+        out.setRemoveTeam(item.name);
+        break;
     }
   }
 }
@@ -298,6 +320,18 @@
           .site = TextOf(in.getSite()),
           .site_header = TextOf(in.getSiteHeader()),
           .longest_job = Seconds(in.getLongestJobSeconds()),
+          .is_public = in.getPublic(),
+          .revision = in.getRevision()};
+}
+
+Team FromWire(schema::Team::Reader in) {
+  return {.name = TextOf(in.getName()),
+          .team = TextOf(in.getTeam()),
+          .key_digests = FromWireList<KeyDigest>(in.getKeyDigests()),
+          .priority = in.getHasPriority() ? std::optional(in.getPriority())
+                                          : std::nullopt,
+          .rate_per_1000s = in.getRatePer1000s(),
+          .burst = in.getBurst(),
           .revision = in.getRevision()};
 }
 
@@ -335,7 +369,8 @@
           .services = FromWireList<Service>(in.getServices()),
           .routes = FromWireList<Route>(in.getRoutes()),
           .windows = FromWireList<QuietWindow>(in.getWindows()),
-          .limits = FromWire(in.getLimits())};
+          .limits = FromWire(in.getLimits()),
+          .teams = FromWireList<Team>(in.getTeams())};
 }
 
 namespace {
@@ -350,6 +385,8 @@
       return FromWire(in.getPutRoute());
     case schema::Edit::PUT_WINDOW:
       return FromWire(in.getPutWindow());
+    case schema::Edit::PUT_TEAM:
+      return FromWire(in.getPutTeam());
     case schema::Edit::REMOVE_SITE:
       return ItemRef{ItemKind::kSite, TextOf(in.getRemoveSite())};
     case schema::Edit::REMOVE_SERVICE:
@@ -358,6 +395,8 @@
       return ItemRef{ItemKind::kRoute, TextOf(in.getRemoveRoute())};
     case schema::Edit::REMOVE_WINDOW:
       return ItemRef{ItemKind::kWindow, TextOf(in.getRemoveWindow())};
+    case schema::Edit::REMOVE_TEAM:
+      return ItemRef{ItemKind::kTeam, TextOf(in.getRemoveTeam())};
   }
   throw ModelError("cannot decode", "edit", "unknown kind of edit");
 }
--- a/src/cassiabend/model/config.h
+++ b/src/cassiabend/model/config.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "cassiabend/base/hash.h"
 #include "cassiabend/base/time.h"
+#include "cassiabend/model/key_digest.h"
 #include "cassiabend/model/version.h"
 
 namespace cassiabend {
@@ -82,11 +84,35 @@
   std::string site_header;
   /// Upper bound of how long a job of a noisy call runs.
   Seconds longest_job{0};
+  /// Whether calls need no key, where the configuration has teams.
+  bool is_public = false;
   VersionNumber revision = 0;
 
   [[nodiscard]] bool operator==(const Route&) const = default;
 };
 
+/// \brief A group of callers. If a configuration has teams, callers of a route
+/// that is not public identify their team by one of its keys.
+struct Team {
+  std::string name;
+  /// Team whose operators may change this item; empty for operators of all
+  /// teams.
+  std::string team;
+  /// Digests of the team's keys (`DigestOfKey`), sorted. The keys themselves
+  /// are not stored.
+  std::vector<KeyDigest> key_digests;
+  /// Priority of the team's calls, which outranks that of their routes; 0 is
+  /// served first.
+  std::optional<std::uint32_t> priority;
+  /// Calls per 1,000 s that the team may make, over all nodes; 0 for no limit.
+  std::uint64_t rate_per_1000s = 0;
+  /// Calls beyond the rate that the team may save up, over all nodes.
+  std::uint32_t burst = 0;
+  VersionNumber revision = 0;
+
+  [[nodiscard]] bool operator==(const Team&) const = default;
+};
+
 /// \brief A quiet window between two fixed times.
 struct OnceSchedule {
   WallTime begin{};
@@ -146,6 +172,7 @@
   std::vector<Route> routes;
   std::vector<QuietWindow> windows;
   CallerLimits limits;
+  std::vector<Team> teams;
 
   [[nodiscard]] bool operator==(const Config&) const = default;
 };
--- a/src/cassiabend/model/delta.cc
+++ b/src/cassiabend/model/delta.cc
@@ -48,7 +48,8 @@
                     .edits = DifferenceWithRevisions(from, to),
                     .explicit_parent = to.parent};
   const std::size_t items = to.sites.size() + to.services.size() +
-                            to.routes.size() + to.windows.size();
+                            to.routes.size() + to.windows.size() +
+                            to.teams.size();
   if (delta.edits.size() >= items) {
     return std::nullopt;
   }
--- a/src/cassiabend/model/fwd.h
+++ b/src/cassiabend/model/fwd.h
@@ -6,6 +6,7 @@
 struct ConfigDelta;
 struct Edit;
 struct QuietWindow;
+struct Team;
 struct Route;
 struct Service;
 struct Site;
--- a/src/cassiabend/model/items.h
+++ b/src/cassiabend/model/items.h
@@ -19,6 +19,8 @@
 inline constexpr ItemKind kKindOf<Route> = ItemKind::kRoute;
 template <>
 inline constexpr ItemKind kKindOf<QuietWindow> = ItemKind::kWindow;
+template <>
+inline constexpr ItemKind kKindOf<Team> = ItemKind::kTeam;
 
 /// \returns The list of `config` that holds items of type `Item`.
 template <typename Item, typename C>
@@ -30,9 +32,11 @@
     return config.services;
   } else if constexpr (std::is_same_v<Item, Route>) {
     return config.routes;
-  } else {
-    static_assert(std::is_same_v<Item, QuietWindow>);
+  } else if constexpr (std::is_same_v<Item, QuietWindow>) {
     return config.windows;
+  } else {
+    static_assert(std::is_same_v<Item, Team>);
+    return config.teams;
   }
 }
 
--- a/src/cassiabend/model/json.cc
+++ b/src/cassiabend/model/json.cc
@@ -108,6 +108,9 @@
   if (route.longest_job != Seconds(0)) {
     out["longest_job_s"] = route.longest_job.count();
   }
+  if (route.is_public) {
+    out["public"] = true;
+  }
   out["revision"] = route.revision;
   return out;
 }
@@ -125,6 +128,25 @@
   return out;
 }
 
+boost::json::value ToJson(const Team& team) {
+  boost::json::object out{{"name", team.name}};
+  SetUnlessEmpty("team", team.team, &out);
+  boost::json::array digests;
+  for (const KeyDigest& it : team.key_digests) {
+    digests.emplace_back(ToHex(it));
+  }
+  out["key_digests"] = std::move(digests);
+  if (team.priority) {
+    out["priority"] = *team.priority;
+  }
+  if (team.rate_per_1000s != 0) {
+    out["rate_per_1000s"] = team.rate_per_1000s;
+  }
+  SetUnlessZero("burst", team.burst, &out);
+  out["revision"] = team.revision;
+  return out;
+}
+
 boost::json::value ToJson(const Config& config) {
   boost::json::object out{{"number", config.number},
                           {"parent", config.parent},
@@ -137,6 +159,9 @@
   if (config.limits != CallerLimits{}) {
     out["limits"] = ToJson(config.limits);
   }
+  if (!config.teams.empty()) {
+    out["teams"] = ListToJson(config.teams);
+  }
   return out;
 }
 
--- a/src/cassiabend/model/json.h
+++ b/src/cassiabend/model/json.h
@@ -22,6 +22,7 @@
 [[nodiscard]] boost::json::value ToJson(const Service& service);
 [[nodiscard]] boost::json::value ToJson(const Route& route);
 [[nodiscard]] boost::json::value ToJson(const QuietWindow& window);
+[[nodiscard]] boost::json::value ToJson(const Team& team);
 [[nodiscard]] boost::json::value ToJson(const Config& config);
 [[nodiscard]] boost::json::value ToJson(const HistoryEntry& entry);
 
@@ -34,14 +35,18 @@
                                const std::string& path = "route");
 [[nodiscard]] QuietWindow ParseWindow(const boost::json::object& in,
                                       const std::string& path = "window");
+/// \brief Parses a team. Its keys are given as "keys", in plain, or as
+/// "key_digests", or both; only their digests are kept.
+[[nodiscard]] Team ParseTeam(const boost::json::object& in,
+                             const std::string& path = "team");
 
 /// \brief Parses a full version. Its lists may be in any order.
 [[nodiscard]] Config ParseConfigJson(std::string_view text);
 
-/// \brief Parses the edits of an apply file. "sites", "services", "routes" and
-/// "windows" list the items to add or replace; "remove" holds lists of names
-/// under the same keys. The "revision" of an item is the one that its author
-/// saw: the edit is refused if the item has changed since.
+/// \brief Parses the edits of an apply file. "sites", "services", "routes",
+/// "windows" and "teams" list the items to add or replace; "remove" holds lists
+/// of names under the same keys. The "revision" of an item is the one that its
+/// author saw: the edit is refused if the item has changed since.
 [[nodiscard]] std::vector<Edit> ParseEditsJson(std::string_view text);
 
 /// \returns Indented JSON with one field per line, ending in a newline.
--- a/src/cassiabend/model/json_read.cc
+++ b/src/cassiabend/model/json_read.cc
@@ -107,6 +107,44 @@
   return out;
 }
 
+/// \brief Appends what `convert` makes of each text of a list.
+/// \param rule What the texts must be, for errors.
+template <typename Convert>
+void ReadTexts(JsonObjectReader* in,
+               std::string_view key,
+               const char* rule,
+               const Convert& convert) {
+  const boost::json::array* texts = in->Array(key);
+  if (texts == nullptr) {
+    return;
+  }
+  for (const boost::json::value& it : *texts) {
+    const boost::json::string* text = it.if_string();
+    if (text == nullptr || !convert({text->data(), text->size()})) {
+      in->Fail(key, rule);
+    }
+  }
+}
+
+/// \returns The digests of a team's keys, sorted. A key that is listed twice
+/// counts once.
+std::vector<KeyDigest> ReadKeyDigests(JsonObjectReader* in) {
+  std::vector<KeyDigest> out;
+  ReadTexts(in, "keys", "it must hold keys, which are not empty",
+            [&out](std::string_view text) {
+              out.push_back(DigestOfKey(text));
+              return !text.empty();
+            });
+  ReadTexts(in, "key_digests", "it must hold texts of 32 hexadecimal digits",
+            [&out](std::string_view text) {
+              return FromHex(text, &out.emplace_back());
+            });
+  std::ranges::sort(out);
+  const auto [first, last] = std::ranges::unique(out);
+  out.erase(first, last);
+  return out;
+}
+
 std::uint32_t ReadUint32(JsonObjectReader* in, std::string_view key) {
   return static_cast<std::uint32_t>(in->Number(key, kMaxUint32));
 }
@@ -130,6 +168,9 @@
                        QuietWindow*) {
   return ParseWindow(in, path);
 }
+Team ParseEntry(const boost::json::object& in, const std::string& path, Team*) {
+  return ParseTeam(in, path);
+}
 
 RouteTarget ParseEntry(const boost::json::object& object,
                        const std::string& path,
@@ -236,6 +277,7 @@
     return;
   }
   JsonObjectReader in(*object, "remove");
+  ReadRemovals(&in, "teams", ItemKind::kTeam, out);
   ReadRemovals(&in, "windows", ItemKind::kWindow, out);
   ReadRemovals(&in, "routes", ItemKind::kRoute, out);
   ReadRemovals(&in, "services", ItemKind::kService, out);
@@ -286,6 +328,7 @@
             .site = in.Text("site"),
             .site_header = in.Text("site_header"),
             .longest_job = Seconds(in.Number("longest_job_s", kMaxUint32)),
+            .is_public = in.Bool("public"),
             .revision = in.Number("revision")};
   in.CheckAllRead();
   return out;
@@ -312,6 +355,21 @@
   return out;
 }
 
+Team ParseTeam(const boost::json::object& object, const std::string& path) {
+  JsonObjectReader in(object, path);
+  Team out{.name = in.RequiredText("name"),
+           .team = in.Text("team"),
+           .key_digests = ReadKeyDigests(&in),
+           .priority = in.Has("priority")
+                           ? std::optional(ReadUint32(&in, "priority"))
+                           : std::nullopt,
+           .rate_per_1000s = in.Number("rate_per_1000s"),
+           .burst = ReadUint32(&in, "burst"),
+           .revision = in.Number("revision")};
+  in.CheckAllRead();
+  return out;
+}
+
 Config ParseConfigJson(std::string_view text) {
   const boost::json::value value = ParseJsonText(text);
   JsonObjectReader in(AsObject(value, "configuration"), "");
@@ -323,7 +381,8 @@
              .services = ReadSortedItems<Service>(&in, "services"),
              .routes = ReadSortedItems<Route>(&in, "routes"),
              .windows = ReadSortedItems<QuietWindow>(&in, "windows"),
-             .limits = ReadLimits(&in)};
+             .limits = ReadLimits(&in),
+             .teams = ReadSortedItems<Team>(&in, "teams")};
   in.CheckAllRead();
   return out;
 }
@@ -336,6 +395,7 @@
   ReadPuts<Service>(&in, "services", &out);
   ReadPuts<Route>(&in, "routes", &out);
   ReadPuts<QuietWindow>(&in, "windows", &out);
+  ReadPuts<Team>(&in, "teams", &out);
   ReadAllRemovals(&in, &out);
   in.CheckAllRead();
   return out;
--- a/src/cassiabend/model/snapshot.cc
+++ b/src/cassiabend/model/snapshot.cc
@@ -64,6 +64,11 @@
     }
     found->second.windows.push_back(&it);
   }
+  for (const Team& team : config_.teams) {
+    for (const KeyDigest& it : team.key_digests) {
+      teams_by_key_.emplace(it, &team);
+    }
+  }
 }
 
 const std::string& Snapshot::packed() const {
@@ -107,6 +112,15 @@
   return FindItem(config_.sites, name);
 }
 
+const Team* Snapshot::TeamByName(std::string_view name) const noexcept {
+  return FindItem(config_.teams, name);
+}
+
+const Team* Snapshot::TeamByKey(const KeyDigest& key) const noexcept {
+  const auto found = teams_by_key_.find(key);
+  return found == teams_by_key_.end() ? nullptr : found->second;
+}
+
 std::optional<WallTime> Snapshot::QuietUntil(std::string_view site,
                                              WallTime from,
                                              WallTime to) const {
--- a/src/cassiabend/model/snapshot.h
+++ b/src/cassiabend/model/snapshot.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -55,6 +56,13 @@
   /// is no such service.
   [[nodiscard]] std::string HealthPathOf(std::string_view service) const;
   [[nodiscard]] const Site* SiteByName(std::string_view name) const noexcept;
+  /// \returns Whether callers identify their team by a key.
+  [[nodiscard]] bool has_teams() const noexcept {
+    return !config_.teams.empty();
+  }
+  [[nodiscard]] const Team* TeamByName(std::string_view name) const noexcept;
+  /// \returns The team that has the key, or null.
+  [[nodiscard]] const Team* TeamByKey(const KeyDigest& key) const noexcept;
 
   /// \brief Checks work that runs at `site` during [from, to) against the quiet
   /// windows of the site.
@@ -80,6 +88,7 @@
   /// Routes by host; "" holds the routes for any host.
   std::map<std::string, RouteTable, std::less<>> routes_by_host_;
   std::map<std::string, SiteCalendar, std::less<>> calendars_by_site_;
+  std::unordered_map<KeyDigest, const Team*, Id128Hasher> teams_by_key_;
 };
 
 }  // namespace cassiabend
--- a/src/cassiabend/model/validate.cc
+++ b/src/cassiabend/model/validate.cc
@@ -4,6 +4,7 @@
 #include <map>
 #include <string_view>
 #include <tuple>
+#include <unordered_map>
 #include <utility>
 
 #include "cassiabend/model/items.h"
@@ -15,6 +16,8 @@
 constexpr std::size_t kMaxNameBytes = 128;
 constexpr std::size_t kMaxTextBytes = 1024;
 constexpr std::size_t kMaxItemsPerKind = 20'000;
+/// A billion calls a second.
+constexpr std::uint64_t kMaxRatePer1000s = 1'000'000'000'000;
 constexpr Milliseconds kMinTimeout{1};
 constexpr Milliseconds kMaxTimeout = std::chrono::minutes(10);
 constexpr Seconds kMaxLongestJob = std::chrono::hours(24);
@@ -43,7 +46,9 @@
     CheckList<Service>();
     CheckList<Route>();
     CheckList<QuietWindow>();
+    CheckList<Team>();
     CheckOverlaps();
+    CheckKeys();
     return std::move(out_);
   }
 
@@ -215,6 +220,33 @@
     }
   }
 
+  void Check(const ItemRef& ref, const Team& team) {
+    if (!std::ranges::is_sorted(team.key_digests)) {
+      Add(ref, "key_digests", "the list is not sorted");
+    }
+    if (team.rate_per_1000s > kMaxRatePer1000s) {
+      Add(ref, "rate_per_1000s", "it must be at most 1,000,000,000,000");
+    }
+    if (team.rate_per_1000s == 0 && team.burst != 0) {
+      Add(ref, "burst", "a team without a rate has no burst");
+    }
+  }
+
+  /// \brief Checks that no key identifies two teams.
+  void CheckKeys() {
+    std::unordered_map<KeyDigest, const Team*, Id128Hasher> owners;
+    for (const Team& team : config_.teams) {
+      for (const KeyDigest& it : team.key_digests) {
+        const auto [found, added] = owners.emplace(it, &team);
+        if (!added) {
+          Add({ItemKind::kTeam, team.name}, "key_digests",
+              "the key " + ToHex(it) + " also belongs to the team \"" +
+                  found->second->name + "\"");
+        }
+      }
+    }
+  }
+
   void CheckOverlaps() {
     using Match =
         std::tuple<std::string_view, std::string_view, std::string_view>;
--- a/src/cassiabend/model/validate.h
+++ b/src/cassiabend/model/validate.h
@@ -17,8 +17,9 @@
 };
 
 /// \brief Checks a full version against every rule of the model.
-/// \returns The violations: sites, services, routes and windows in this order,
-/// then routes that match the same calls. Empty when the version is valid.
+/// \returns The violations: sites, services, routes, windows and teams in this
+/// order, then routes that match the same calls. Empty when the version is
+/// valid.
 [[nodiscard]] std::vector<Violation> Validate(const Config& config);
 
 }  // namespace cassiabend
--- a/src/cassiabend/rpc/admin_scope.cc
+++ b/src/cassiabend/rpc/admin_scope.cc
@@ -50,6 +50,8 @@
       return FindIn<Route>(config, item.name);
     case ItemKind::kWindow:
       return FindIn<QuietWindow>(config, item.name);
+    case ItemKind::kTeam:
+      return FindIn<Team>(config, item.name);
   }
   return std::nullopt;
 }
--- a/src/cassiabend/rpc/mesh_codec.cc
+++ b/src/cassiabend/rpc/mesh_codec.cc
@@ -172,6 +172,9 @@
   out.setUpstreamState(
       static_cast<schema::UpstreamState>(member.upstream_state));
   out.setIsReader(member.is_reader);
+  if (!member.upstream_version.empty()) {
+    out.setUpstreamVersion(member.upstream_version);
+  }
 }
 
 Member FromWire(schema::Member::Reader in) {
@@ -190,6 +193,7 @@
       CheckedEnum(static_cast<std::uint16_t>(in.getUpstreamState()),
                   UpstreamState::kDraining, "member.upstreamState");
   out.is_reader = in.getIsReader();
+  out.upstream_version = ToText(in.getUpstreamVersion());
   return out;
 }
 
@@ -214,6 +218,19 @@
   for (const std::string& it : datagram.unreachable_zones) {
     zones.set(i++, it);
   }
+  out.setTimePercent(datagram.time_percent);
+  if (datagram.team_uses.empty()) {
+    return;
+  }
+  auto uses =
+      out.initTeamUses(static_cast<unsigned>(datagram.team_uses.size()));
+  i = 0;
+  for (const TeamUse& it : datagram.team_uses) {
+    auto use = uses[i++];
+    use.setTeam(it.team);
+    use.setAdmitted(it.admitted);
+    use.setDemandPer1000s(it.demand_per_1000s);
+  }
 }
 
 Datagram FromWire(schema::Datagram::Reader in) {
@@ -231,6 +248,11 @@
   for (const auto it : in.getUnreachableZones()) {
     out.unreachable_zones.push_back(ToText(it));
   }
+  out.time_percent = in.getTimePercent();
+  for (const auto it : in.getTeamUses()) {
+    out.team_uses.push_back(
+        {it.getTeam(), it.getAdmitted(), it.getDemandPer1000s()});
+  }
   return out;
 }
 
