Take only a message with a valid status for a response

Cause: a status outside 100 to 599 was read as a number like any other. 000 and 099 counted as interim responses, so a call waited for another one until its deadline while it held its slot; 600 and 999 were passed on to the caller with the upstream's signature. At the store, such a status of a write counted as proof that nothing was written. Change: the parser of responses refuses such a message and the connection ends; the store's client takes only a final status for a response.

--- a/src/cassiabend/http/client_exchange.cc
+++ b/src/cassiabend/http/client_exchange.cc
@@ -3,6 +3,7 @@
 #include <exception>
 #include <utility>
 
+#include "cassiabend/base/http_status.h"
 #include "cassiabend/base/log.h"
 #include "cassiabend/http/header_text.h"
 #include "cassiabend/http/message_writer.h"
@@ -10,8 +11,6 @@
 namespace cassiabend {
 namespace {
 
-constexpr std::uint16_t kFirstFinalStatus = 200;
-
 /// \returns The idle time that a "Keep-Alive" header states.
 std::optional<Milliseconds> KeepAliveTimeoutOf(const MessageHead& head) {
   constexpr std::string_view kTimeout = "timeout=";
@@ -104,7 +103,7 @@
 }
 
 void ClientExchange::OnHead(MessageHead& head) {
-  skips_response_ = head.status < kFirstFinalStatus;
+  skips_response_ = !IsFinalHttpStatus(head.status);
   if (skips_response_) {
     if (request_.interim_is_progress) {
       connection_->SetTimeout(request_.head_timeout);
--- a/src/cassiabend/http/message_parser.cc
+++ b/src/cassiabend/http/message_parser.cc
@@ -6,6 +6,8 @@
 #include <optional>
 #include <utility>
 
+#include "cassiabend/base/http_status.h"
+
 namespace cassiabend {
 namespace {
 
@@ -122,7 +124,11 @@
     void on_response_impl(int code,
                           View reason,
                           int version,
-                          beast::error_code& /*ec*/) override {
+                          beast::error_code& ec) override {
+      if (code < 0 || !IsHttpStatus(static_cast<unsigned>(code))) {
+        ec = http::error::bad_status;
+        return;
+      }
       head_->status = static_cast<std::uint16_t>(code);
       head_->reason.assign(reason.data(), reason.size());
       head_->is_http_1_0 = version < 11;
--- a/src/cassiabend/store/gateway_connection.cc
+++ b/src/cassiabend/store/gateway_connection.cc
@@ -12,6 +12,7 @@
 #include <optional>
 #include <utility>
 
+#include "cassiabend/base/http_status.h"
 #include "cassiabend/base/socket_options.h"
 
 namespace cassiabend {
@@ -151,10 +152,20 @@
       Finish(ExchangeResult::End::kIncomplete, ec);
       return;
     }
+    if (!HasFinalStatus()) {
+      Finish(ExchangeResult::End::kIncomplete, http::error::bad_status);
+      return;
+    }
     result_.body = std::move(parser_->get().body());
     FinishComplete();
   }
 
+  /// \returns Whether the message is a response: one with another status proves
+  /// nothing about the call.
+  [[nodiscard]] bool HasFinalStatus() const {
+    return IsFinalHttpStatus(parser_->get().result_int());
+  }
+
   void ReadSome() {
     http::async_read_some(
         stream_, buffer_, *parser_,
@@ -169,6 +180,10 @@
       Finish(ExchangeResult::End::kIncomplete, ec);
       return;
     }
+    if (parser_->is_header_done() && !HasFinalStatus()) {
+      Finish(ExchangeResult::End::kIncomplete, http::error::bad_status);
+      return;
+    }
     std::string chunk = std::exchange(parser_->get().body(), {});
     const bool keep_reading = chunk.empty() || on_chunk_(chunk);
     if (parser_->is_done()) {
--- a/tests/platform/unasked_answers_test.cc
+++ b/tests/platform/unasked_answers_test.cc
@@ -6,9 +6,12 @@
 #include <string>
 #include <vector>
 
+#include "cassiabend/store/store_client.h"
+#include "platform/kv_codec.h"
 #include "platform/mesh_call_protocol.h"
 #include "tests/support/raw_peer.h"
 #include "tests/support/scripted_node.h"
+#include "tests/support/store_fixture.h"
 
 namespace cassiabend::platform {
 namespace {
@@ -132,6 +135,52 @@
   }
 }
 
+TEST_CASE("a message without a valid status is no answer") {
+  const std::string statuses[] = {"000 OK",  "099 OK", "600 OK", "999 OK",
+                                  "2000 OK", "20 OK",  "OK",     "-20 OK",
+                                  "000",     "0x0 OK", "",       "1e2 OK"};
+  for (const std::string& it : statuses) {
+    for (const bool reused : {false, true}) {
+      CAPTURE(it);
+      CAPTURE(reused);
+      NodeWithRawUpstream t;
+      if (reused) {
+        (void)t.ServeFirst();
+      }
+      const auto connection = t.Send("own");
+      connection->Send(Message(
+          it, "Request-Id: own\r\nResponse-Signature: s-own\r\n", "bad"));
+      const bool closed = t.Until(
+          [&] { return connection->closed() || t.caller->Has("\r\n\r\n"); });
+      REQUIRE(closed);
+      // Nothing that follows on its connection is the answer.
+      connection->Send(Answer("own"));
+      const std::string result = t.Result();
+      CHECK(result.starts_with("HTTP/1.1 502"));
+      CHECK(result.find("Response-Signature") == std::string::npos);
+      CHECK(result.find("body of own") == std::string::npos);
+    }
+  }
+}
+
+TEST_CASE("a message without a valid status leaves a write to the store open") {
+  for (const std::string status : {"000 OK", "099 OK", "100 Go", "600 OK"}) {
+    CAPTURE(status);
+    boost::asio::io_context io;
+    RawServer server(io);
+    testing::StoreReplySink sink;
+    StoreClientOptions options;
+    options.endpoints = {{"127.0.0.1", server.port()}};
+    options.codec = &KvCodec();
+    StoreClient client(io, options, &sink);
+    client.Execute({{StoreClientRole::kFleet, 1}, StorePut{"k", "v"}});
+    REQUIRE(RunUntil(io, [&] { return server.peers().size() == 1; }));
+    server.peers()[0]->Send(Message(status, "", R"({"rev":7,"at":7})"));
+    REQUIRE(RunUntil(io, [&] { return sink.replies.size() == 1; }));
+    CHECK(sink.replies[0].reply.status == StoreStatus::kUnknown);
+  }
+}
+
 TEST_CASE("unasked bytes that arrive early close the connection") {
   const std::string unasked[] = {Answer("first"), Refusal("first"),
                                  HealthAnswer(), "HTTP/1.1 200 OK\r\nReq"};
