Keep the load that an upstream reports, with its age

Cause: running, waiting and speed of an upstream were read nowhere, and its slots only from probes and heartbeats. Change: CallUpstreamHealth handles UpstreamLoadReported and keeps the newest report for one second, each figure within bounds, with the mean speed of the last reports. Slots follow it, within a factor of two of the known ones. The tests name the slots of a probe as its load now, and four figures no longer make a hundred slots.

--- a/src/cassiabend/core/call_reducer.cc
+++ b/src/cassiabend/core/call_reducer.cc
@@ -80,7 +80,7 @@
   }
 
   void Handle(const UpstreamProbed& event) { health_.Reduce(event); }
-  void Handle(const UpstreamLoadReported& /*event*/) {}
+  void Handle(const UpstreamLoadReported& event) { health_.Reduce(event); }
   void Handle(const UpstreamHeartbeatReceived& event) {
     const UpstreamState before = health_.state();
     health_.Reduce(event);
--- a/src/cassiabend/core/call_upstream_health.cc
+++ b/src/cassiabend/core/call_upstream_health.cc
@@ -79,6 +79,7 @@
   if (kind == HeartbeatKind::kNewStart) {
     failures_ = 0;
     is_stopping_ = false;
+    load_.Reset();
   }
   probes_sent_ = 0;
   if (heartbeat.phase == UpstreamPhase::kReady && !is_stopping_) {
@@ -95,6 +96,7 @@
     return;
   }
   identity_.Reset();
+  load_.Reset();
   // The upstream at the address may now belong to another service, which only
   // its heartbeat says; so it is not probed.
   probes_sent_ = kMaxIdentityProbes;
@@ -121,7 +123,10 @@
       return;
     }
     identity_.SetInstance(context_->now.mono, event.instance);
-    slots_ = event.load.slots > 0 ? event.load.slots : slots_;
+    if (event.load.slots > 0) {
+      slots_ = std::min(event.load.slots, LoadRecord::kMaxSlots);
+    }
+    RecordLoad(event.load);
     failures_ = 0;
     SetState(UpstreamState::kServing);
     return;
@@ -148,9 +153,17 @@
   answered_at_ = context_->now.mono;
 }
 
+void CallUpstreamHealth::RecordLoad(const UpstreamLoad& reported) noexcept {
+  if (reported.slots > 0) {
+    load_.Record(context_->now.mono, reported, slots_);
+  }
+}
+
 std::uint32_t CallUpstreamHealth::slots() const noexcept {
-  return context_->now.mono < shed_until_ ? std::min(slots_, shed_slots_)
-                                          : slots_;
+  const std::optional<UpstreamLoad> reported = load();
+  const std::uint32_t slots = reported ? reported->slots : slots_;
+  return context_->now.mono < shed_until_ ? std::min(slots, shed_slots_)
+                                          : slots;
 }
 
 void CallUpstreamHealth::RecordShed(std::uint32_t running,
--- a/src/cassiabend/core/call_upstream_health.h
+++ b/src/cassiabend/core/call_upstream_health.h
@@ -3,6 +3,7 @@
 #include <string_view>
 
 #include "cassiabend/core/call_context.h"
+#include "cassiabend/core/placement/load_record.h"
 #include "cassiabend/core/upstream_identity.h"
 
 namespace cassiabend {
@@ -18,6 +19,12 @@
   /// \returns Number of calls that the upstream may be given at the same time.
   [[nodiscard]] std::uint32_t slots() const noexcept;
 
+  /// \returns What the upstream reported last of its load, with its mean speed;
+  /// unset when it reports none, or the newest report is too old.
+  [[nodiscard]] std::optional<UpstreamLoad> load() const noexcept {
+    return load_.At(context_->now.mono);
+  }
+
   /// \returns Instance id of the start of the upstream that calls are meant
   /// for; empty if it sends no heartbeats.
   [[nodiscard]] const std::string& instance() const noexcept {
@@ -31,6 +38,7 @@
 
   void Reduce(const UpstreamProbed& event);
   void Reduce(const UpstreamHeartbeatReceived& event);
+  void Reduce(const UpstreamLoadReported& event) { RecordLoad(event.load); }
   /// \brief Records that another upstream answers at the known address.
   void RecordReplaced();
   /// \brief Probes an upstream whose instance id is not known yet.
@@ -50,6 +58,7 @@
   void Drain();
 
  private:
+  void RecordLoad(const UpstreamLoad& reported) noexcept;
   /// \returns Whether the upstream has stopped serving because of this failure.
   bool RecordFailure();
   [[nodiscard]] bool expects_heartbeats() const noexcept {
@@ -68,7 +77,9 @@
   /// Whether the current start of the upstream has announced that it stops.
   bool is_stopping_ = false;
   UpstreamState state_ = UpstreamState::kNone;
+  /// Slots that the heartbeat, the first probe or the settings name.
   std::uint32_t slots_ = 0;
+  LoadRecord load_;
   /// Reduced number of slots until `shed_until_`, after the upstream shed a
   /// call.
   std::uint32_t shed_slots_ = 0;
--- a/tests/call_upstream_test.cc
+++ b/tests/call_upstream_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include "cassiabend/core/placement/load_record.h"
 #include "tests/call_support.h"
 
 namespace cassiabend::testing {
@@ -185,11 +186,63 @@
   REQUIRE(driver->Only<ProbeUpstream>());
   UpstreamProbed probed{.healthy = true};
   probed.instance = "a";
-  probed.slots = 2;
+  probed.load.slots = 2;
   driver->Do(probed);
   CHECK(driver.Accepts());
 }
 
+/// \returns The number of attempts that the upstream is given at once.
+int SlotsOf(UpstreamDriver* driver) {
+  int n = 0;
+  for (; n < 300; ++n) {
+    driver->Send();
+    if (!(*driver)->Only<StartUpstream>()) {
+      break;
+    }
+  }
+  return n;
+}
+
+TEST_CASE("the slots of an upstream follow what it reports, within bounds") {
+  const std::pair<UpstreamLoad, int> cases[] = {
+      {{0, 0, 8, 100}, 8},     // as the heartbeat says
+      {{2, 0, 6, 0}, 6},       // fewer
+      {{0, 0, 0, 150}, 8},     // tells no slots
+      {{0, 0, 100, 100}, 16},  // more than a report may add
+      {{0, 0, 1, 100}, 4},     // fewer than a report may leave
+  };
+  for (const auto& [load, slots] : cases) {
+    CAPTURE(load.slots);
+    UpstreamDriver driver;
+    UpstreamHeartbeat heartbeat = MakeHeartbeat("a", 1);
+    heartbeat.slots = 8;
+    driver->Do(UpstreamHeartbeatReceived{heartbeat});
+    driver->Do(UpstreamLoadReported{load});
+    CHECK(SlotsOf(&driver) == slots);
+  }
+}
+
+TEST_CASE("slots that were reported long ago count no more") {
+  UpstreamDriver driver;
+  UpstreamHeartbeat heartbeat = MakeHeartbeat("a", 1);
+  heartbeat.slots = 8;
+  driver->Do(UpstreamHeartbeatReceived{heartbeat});
+  driver->Do(UpstreamLoadReported{{0, 0, 5, 100}});
+  driver->Advance(LoadRecord::kHorizon);
+  CHECK(SlotsOf(&driver) == 8);
+}
+
+TEST_CASE("a probe with the speed of work names the slots alone") {
+  UpstreamDriver driver;
+  driver->Tick(Milliseconds(20));
+  REQUIRE(driver->Only<ProbeUpstream>());
+  UpstreamProbed probed{.healthy = true};
+  probed.instance = "a";
+  probed.load = {0, 0, 6, 100};
+  driver->Do(probed);
+  CHECK(SlotsOf(&driver) == 6);
+}
+
 TEST_CASE("an upstream that loses some of its answers keeps serving") {
   UpstreamDriver driver;
   driver->Do(UpstreamHeartbeatReceived{MakeHeartbeat("a", 1)});
--- a/tests/platform/mesh_call_protocol_test.cc
+++ b/tests/platform/mesh_call_protocol_test.cc
@@ -95,9 +95,33 @@
   const UpstreamProbed healthy = MeshCallProtocol().ReadHealth(head, "");
   CHECK(healthy.healthy);
   CHECK(healthy.instance == "i-7f");
-  CHECK(healthy.slots == 8);
+  CHECK(healthy.load.slots == 8);
   CHECK_FALSE(MeshCallProtocol().ReadHealth(Answer(503), "").healthy);
 }
 
+TEST_CASE("an answer states the load of its upstream whole, or none") {
+  const auto read = [](const char* text) {
+    MessageHead head = Answer(200);
+    head.Add("Server-Load", text);
+    return MeshCallProtocol().ReadLoad(head);
+  };
+  CHECK(read("3,1,8") == UpstreamLoad{3, 1, 8, 0});
+  CHECK(read("3,1,8,140") == UpstreamLoad{3, 1, 8, 140});
+  for (const char* it :
+       {"", "3", "3,1", "3,1,8,", "3,1,8,140,2", "3,-1,8", "3,1,8,x", ",,,",
+        "3,1,99999999999", "3;1;8;100", "3,1,8,1.4"}) {
+    CAPTURE(it);
+    CHECK_FALSE(read(it));
+  }
+  CHECK_FALSE(MeshCallProtocol().ReadLoad(Answer(200)));
+}
+
+TEST_CASE("a health check with the speed of work names the slots alone") {
+  MessageHead head = Answer(200);
+  head.Add("Server-Load", "3,0,6,100");
+  const UpstreamProbed probed = MeshCallProtocol().ReadHealth(head, "");
+  CHECK(probed.load == UpstreamLoad{3, 0, 6, 100});
+}
+
 }  // namespace
 }  // namespace cassiabend::platform
