Compare the era of the store before its revisions

Cause: after a drill the store may come back from a copy some seconds old. Its revisions go back and are given out again, and so are its leases. A reader took a head whose revision it believed to know for unchanged, and confirmed it; a node renewed a lease that may be another's. Change: each reply carries the era that the store states. Nodes tell each other the newest one with what they send anyway. Where it rises, a reader forgets the revisions that it knows and reads the head whole, replies of an older era count as unknown, and each node writes its own key again under a new lease, spread over seconds. The version in force stays. The commit path and the claims of orders compare the era first. The stand-in of the store states its era, and answers 410 to a watch from a revision that it does not have.

--- a/schema/gen/mesh.capnp.h
+++ b/schema/gen/mesh.capnp.h
@@ -117,7 +117,7 @@
   struct Body;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bd47d51d261602f1, 6, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(bd47d51d261602f1, 7, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -141,7 +141,7 @@
   struct PingRequest;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c29a73bbcf70fdd7, 6, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(c29a73bbcf70fdd7, 7, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -156,7 +156,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f3403346a1dd913b, 6, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(f3403346a1dd913b, 7, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -719,6 +719,8 @@
   inline bool hasTeamUses() const;
   inline  ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>::Reader getTeamUses() const;
 
+  inline  ::uint64_t getStoreEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -813,6 +815,9 @@
   inline void adoptTeamUses(::capnp::Orphan< ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>> disownTeamUses();
 
+  inline  ::uint64_t getStoreEra();
+  inline void setStoreEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2593,6 +2598,20 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Datagram::Reader::getStoreEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Datagram::Builder::getStoreEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setStoreEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::cassiabend::schema::Datagram::Body::Which Datagram::Body::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<10>() * ::capnp::ELEMENTS);
--- a/schema/mesh.capnp
+++ b/schema/mesh.capnp
@@ -100,6 +100,9 @@
   # Time that work takes at the sender's upstream, in hundredths of the usual;
   # 0 when it states none.
   teamUses @21 :List(TeamUse);
+  storeEra @22 :UInt64;
+  # Newest era of the store that the sender knows, where the first is 1; 0 if it
+  # knows none.
 }
 
 struct ConfigUpdate {
--- a/src/cassiabend/core/commit_job.cc
+++ b/src/cassiabend/core/commit_job.cc
@@ -85,7 +85,7 @@
     return;
   }
   if (FindChange(head_, change_id_)) {
-    OnChangeInHead(ctx, reply.store_revision);
+    OnChangeInHead(ctx, reply.position());
     return;
   }
   if (IsHeadUnchanged() && (in_doubt_ || IsNumberAvailable())) {
@@ -342,7 +342,7 @@
     case StoreStatus::kOk:
       head_ = attempt_->head;
       head_request_sent_at_ = reply.sent_at;
-      OnChangeInHead(ctx, reply.store_revision);
+      OnChangeInHead(ctx, reply.position());
       return;
     case StoreStatus::kConflict:
       OnHead(ctx, reply);
@@ -363,14 +363,14 @@
 }
 
 void CommitJob::OnChangeInHead(const ReduceContext& ctx,
-                               StoreRevision store_revision) {
+                               const StorePosition& position) {
   if (!IsHeadFromAttempt()) {
     FinishAccepted(ctx);
     return;
   }
   Publish(ctx, attempt_->next, head_request_sent_at_);
   values_.Check(
-      ctx, store_revision, deadline_,
+      ctx, position, deadline_,
       [this](const ReduceContext& at, bool /*done*/) { FinishAccepted(at); });
 }
 
--- a/src/cassiabend/core/commit_job.h
+++ b/src/cassiabend/core/commit_job.h
@@ -64,7 +64,7 @@
   void WriteHead(const ReduceContext& ctx);
   void OnHeadWritten(const ReduceContext& ctx, const StoreReply& reply);
 
-  void OnChangeInHead(const ReduceContext& ctx, StoreRevision store_revision);
+  void OnChangeInHead(const ReduceContext& ctx, const StorePosition& position);
 
   void FinishAccepted(const ReduceContext& ctx);
   void Publish(const ReduceContext& ctx,
--- a/src/cassiabend/core/fleet_events.h
+++ b/src/cassiabend/core/fleet_events.h
@@ -90,6 +90,8 @@
   std::uint16_t time_percent = 0;
   /// Use of the sender's teams.
   std::vector<TeamUse> team_uses;
+  /// Newest era of the store that the sender knows; 0 if it knows none.
+  StoreEra store_era = 0;
 };
 
 /// \brief The sender has no newer version.
@@ -253,6 +255,11 @@
   std::string reason;
 };
 
+/// \brief Effect: the store was restored from a copy; for logs.
+struct StoreRestored {
+  StoreEra era = 0;
+};
+
 using FleetEffect = std::variant<SendDatagram,
                                  SendPush,
                                  SendPull,
@@ -266,7 +273,8 @@
                                  MembersChanged,
                                  MemberLoadReported,
                                  ReadinessChanged,
-                                 HeadRefused>;
+                                 HeadRefused,
+                                 StoreRestored>;
 
 inline constexpr Milliseconds kFleetTickPeriod{100};
 
--- a/src/cassiabend/core/fleet_reducer_impl.cc
+++ b/src/cassiabend/core/fleet_reducer_impl.cc
@@ -66,6 +66,7 @@
   datagram.confirmed_age = freshness_.AgeAt(context.now());
   datagram.load_permille = load_permille_;
   datagram.members_digest = membership_.live_digest();
+  datagram.store_era = store_era_;
   const MemberEntry* receiver = membership_.Find(send->to);
   const auto* ack = std::get_if<AckBody>(&datagram.body);
   const bool introduces_self =
@@ -163,6 +164,7 @@
   if (IsFromOlderProcess(datagram)) {
     return;
   }
+  ObserveStoreEra(context, datagram.store_era);
   std::visit([&](const auto& it) { OnBody(context, datagram, it); },
              datagram.body);
   PullIfNewer(context, datagram.from, datagram.mark);
@@ -363,6 +365,37 @@
   if (event.id.role != StoreClientRole::kFleet) {
     return;
   }
+  ObserveStoreEra(context, event.reply.era);
+  if (event.reply.era != 0 && event.reply.era < store_era_) {
+    // The store has been restored since it replied, so what the reply tells
+    // may be undone.
+    OnStoreReply(context, {event.id,
+                           {.status = StoreStatus::kUnknown,
+                            .sent_at = event.reply.sent_at}});
+    return;
+  }
+  OnStoreReply(context, event);
+}
+
+void FleetReducer::Impl::ObserveStoreEra(const FleetContext& context,
+                                         StoreEra era) {
+  const bool is_first = store_era_ == 0;
+  if (era <= store_era_) {
+    return;
+  }
+  store_era_ = era;
+  if (is_first) {
+    return;
+  }
+  context.Emit(StoreRestored{era});
+  lease_.OnStoreRestored(context);
+  watch_.OnStoreRestored(context);
+  seeds_.OnStoreRestored(context);
+  directory_.OnStoreRestored(context, membership_.entries().size());
+}
+
+void FleetReducer::Impl::OnStoreReply(const FleetContext& context,
+                                      const StoreReplied& event) {
   store_reachable_ = event.reply.status != StoreStatus::kUnavailable &&
                      event.reply.status != StoreStatus::kUnknown;
   if (lease_.OnReply(context, event)) {
--- a/src/cassiabend/core/fleet_reducer_impl.h
+++ b/src/cassiabend/core/fleet_reducer_impl.h
@@ -64,6 +64,7 @@
   void On(const FleetContext& context, const VersionCommitted& event);
   void On(const FleetContext& context, const StoreReplied& event);
   void On(const FleetContext& context, const VersionSurveyRequested& event);
+  void OnStoreReply(const FleetContext& context, const StoreReplied& event);
 
   void OnBody(const FleetContext& context,
               const Datagram& datagram,
@@ -91,6 +92,10 @@
   void PullIfNewer(const FleetContext& context,
                    const NodeId& peer,
                    const VersionMark& mark);
+  /// \brief Compares an era of the store with the newest one known, and starts
+  /// over with the store when it was restored since.
+  /// \param era 0 for none.
+  void ObserveStoreEra(const FleetContext& context, StoreEra era);
   void FillDatagram(const FleetContext& context, SendDatagram* send);
   void FinishEvent(const FleetContext& context, const VersionMark& mark_before);
   [[nodiscard]] HeadDuty DecideHeadDuty(const FleetContext& context);
@@ -121,6 +126,8 @@
   VersionSurvey survey_;
   MemberSync member_sync_;
   std::uint16_t load_permille_ = 0;
+  /// Newest era of the store that this node or a peer has seen; 0 for none.
+  StoreEra store_era_ = 0;
   /// Whether the last call to the store was answered; unset before the first.
   std::optional<bool> store_reachable_;
   /// Whether this node reads the head without a reader lease, because it hears
--- a/src/cassiabend/core/head_watcher.cc
+++ b/src/cassiabend/core/head_watcher.cc
@@ -70,6 +70,20 @@
   }
 }
 
+void HeadWatcher::OnStoreRestored(const FleetContext& context) {
+  read_call_.Abandon();
+  watch_call_.Abandon();
+  fetch_call_.Abandon();
+  fetch_.reset();
+  head_revision_ = 0;
+  known_until_ = 0;
+  refused_revision_ = 0;
+  reads_whole_head_ = true;
+  head_state_ = HeadState::kUnknown;
+  next_read_at_ = context.now();
+  next_watch_at_ = context.now();
+}
+
 bool HeadWatcher::IsReadDue(MonoTime now) const noexcept {
   const bool is_verification =
       duty_.verify_at && is_reading() && !reads_whole_head_;
--- a/src/cassiabend/core/head_watcher.h
+++ b/src/cassiabend/core/head_watcher.h
@@ -48,6 +48,9 @@
 
   /// \brief Starts or continues to follow the head, or stops.
   void Tick(const FleetContext& context, const HeadDuty& duty);
+  /// \brief Forgets the revisions that are known: the store was restored from a
+  /// copy and gives them out again. The version in force stays.
+  void OnStoreRestored(const FleetContext& context);
   /// \brief Handles a reply of the store.
   /// \returns Whether the reply belongs to a call of this watch.
   bool OnReply(const FleetContext& context,
--- a/src/cassiabend/core/member_directory.cc
+++ b/src/cassiabend/core/member_directory.cc
@@ -8,6 +8,11 @@
 
 /// Renewals within one lease, so that two of them may fail.
 constexpr std::int64_t kRenewalsPerLease = 3;
+/// Time over which the nodes of a small fleet spread the writes of their keys
+/// after the store was restored, and how many write theirs in a second in a
+/// large one. The store takes several hundred writes a second.
+constexpr Milliseconds kLeastRewriteSpread{1'500};
+constexpr std::size_t kRewritesPerSecond = 100;
 
 }  // namespace
 
@@ -138,6 +143,24 @@
       backoff_.NextAttemptTime(context, context.options().store_retry_limit);
 }
 
+void MemberDirectory::OnStoreRestored(const FleetContext& context,
+                                      std::size_t nodes) {
+  if (context.options().member_lease == Seconds(0) ||
+      step_ == Step::kReleased) {
+    return;
+  }
+  pending_.Abandon();
+  listing_.Abandon();
+  lease_ = 0;
+  step_ = Step::kGrant;
+  const Milliseconds spread =
+      kLeastRewriteSpread +
+      Seconds(static_cast<std::int64_t>(nodes / kRewritesPerSecond));
+  next_at_ = context.now() +
+             Milliseconds(static_cast<std::int64_t>(context.random().Below(
+                 static_cast<std::uint64_t>(spread.count()))));
+}
+
 void MemberDirectory::Release(const FleetContext& context) {
   if (lease_ != 0 && step_ != Step::kReleased) {
     (void)context.CallStore(StoreLeaseRevoke{lease_});
--- a/src/cassiabend/core/member_directory.h
+++ b/src/cassiabend/core/member_directory.h
@@ -25,6 +25,11 @@
   /// \brief Handles a reply of the store.
   /// \returns Whether the reply belongs to a call of this class.
   bool OnReply(const FleetContext& context, const StoreReplied& replied);
+  /// \brief Writes this node's key again under a new lease within some seconds:
+  /// the store was restored from a copy, so the key may be gone and the lease
+  /// may be another node's. The nodes of a fleet spread these calls.
+  /// \param nodes Number of nodes in the fleet.
+  void OnStoreRestored(const FleetContext& context, std::size_t nodes);
   /// \brief Revokes the lease, which deletes the key, and stops for good.
   void Release(const FleetContext& context);
   /// \returns The addresses listed since the last call of this function.
--- a/src/cassiabend/core/order_claims.cc
+++ b/src/cassiabend/core/order_claims.cc
@@ -234,17 +234,20 @@
 
 void OrderClaims::DetectStoreRollback(const Order& order,
                                       const StoreReply& reply) {
-  if (reply.store_revision >= store_revision_) {
-    store_revision_ = reply.store_revision;
-    store_revision_at_ = context_->now.mono;
+  const StorePosition position = reply.position();
+  const bool has_new_era =
+      store_position_.era != 0 && position.era > store_position_.era;
+  if (!has_new_era && position >= store_position_) {
+    store_position_ = position;
+    store_position_at_ = context_->now.mono;
     return;
   }
-  const bool older = order.sent_at > store_revision_at_;
-  if (reply.store_revision == 0 || !older) {
+  const bool older = order.sent_at > store_position_at_;
+  if (!has_new_era && (position.revision == 0 || !older)) {
     return;
   }
-  store_revision_ = reply.store_revision;
-  store_revision_at_ = context_->now.mono;
+  store_position_ = position;
+  store_position_at_ = context_->now.mono;
   restored_until_ = context_->now.mono + context_->options.order_memory;
 }
 
--- a/src/cassiabend/core/order_claims.h
+++ b/src/cassiabend/core/order_claims.h
@@ -145,8 +145,8 @@
   /// claims may be missing.
   MonoTime restored_until_{};
   /// Newest known revision of the store, and when it was seen.
-  StoreRevision store_revision_ = 0;
-  MonoTime store_revision_at_{};
+  StorePosition store_position_;
+  MonoTime store_position_at_{};
   /// Tokens of the rate limit: claims that may be started now.
   double tokens_;
   MonoTime refilled_at_{};
--- a/src/cassiabend/core/reader_lease.cc
+++ b/src/cassiabend/core/reader_lease.cc
@@ -245,6 +245,12 @@
       backoff_.NextAttemptTime(context, context.options().reader_retry_limit);
 }
 
+void ReaderLease::OnStoreRestored(const FleetContext& context) {
+  if (state_ != State::kIdle && state_ != State::kReleased) {
+    DropLease(context);
+  }
+}
+
 void ReaderLease::Fail(const FleetContext& context) {
   // A lease that was already granted expires in the store.
   DropLease(context);
--- a/src/cassiabend/core/reader_lease.h
+++ b/src/cassiabend/core/reader_lease.h
@@ -29,6 +29,9 @@
   /// \brief Handles a reply of the store.
   /// \returns Whether the reply belongs to a call of this lease.
   bool OnReply(const FleetContext& context, const StoreReplied& replied);
+  /// \brief Drops the lease without a call: the store was restored from a copy
+  /// and may give the same id to another node.
+  void OnStoreRestored(const FleetContext& context);
   /// \brief Revokes the lease and stops trying to acquire one.
   void Release(const FleetContext& context);
   /// \returns The holder of the slot that was last found taken; empty for none
--- a/src/cassiabend/core/seed_directory.cc
+++ b/src/cassiabend/core/seed_directory.cc
@@ -105,6 +105,12 @@
   return true;
 }
 
+void SeedDirectory::OnStoreRestored(const FleetContext& context) {
+  pending_.Abandon();
+  fleet_key_ = false;
+  next_at_ = context.now() + context.random().Jitter(kShortPause, 0.5);
+}
+
 std::vector<NodeId> SeedDirectory::TakeSeenPeers() {
   return std::exchange(seen_peers_, {});
 }
--- a/src/cassiabend/core/seed_directory.h
+++ b/src/cassiabend/core/seed_directory.h
@@ -29,6 +29,8 @@
             const Membership& membership,
             bool enabled);
   /// \brief Handles a reply of the store.
+  /// \brief Checks the lists soon: the store was restored from a copy.
+  void OnStoreRestored(const FleetContext& context);
   /// \returns Whether the reply belongs to a call of this class.
   bool OnReply(const FleetContext& context,
                const StoreReplied& replied,
--- a/src/cassiabend/core/store_types.h
+++ b/src/cassiabend/core/store_types.h
@@ -122,6 +122,20 @@
                   static_cast<std::size_t>(StoreStatus::kUnknown) + 1,
               "each status has a name");
 
+/// \brief Counts how often the store has been restored from a copy. What was
+/// written after the copy is gone then, and revisions and leases are given out
+/// again. 0 when the store states none.
+using StoreEra = std::uint64_t;
+
+/// \brief A revision of the store and its era, which is compared first.
+struct StorePosition {
+  StoreEra era = 0;
+  StoreRevision revision = 0;
+
+  // NOLINTNEXTLINE(modernize-use-nullptr)
+  [[nodiscard]] auto operator<=>(const StorePosition&) const = default;
+};
+
 /// \brief The store's reply to one request.
 struct StoreReply {
   StoreStatus status = StoreStatus::kUnavailable;
@@ -133,6 +147,13 @@
   LeaseId lease = 0;
   /// When the request was sent.
   MonoTime sent_at{};
+  /// Era in which the store replied.
+  StoreEra era = 0;
+
+  /// \returns The position of the store as a whole when it replied.
+  [[nodiscard]] StorePosition position() const noexcept {
+    return {era, store_revision};
+  }
 };
 
 /// \brief The part of the node that sent a request.
--- a/src/cassiabend/core/value_writer.cc
+++ b/src/cassiabend/core/value_writer.cc
@@ -13,7 +13,7 @@
   deadline_ = deadline;
   handler_ = std::move(handler);
   values_pending_ = values.size();
-  written_revision_ = 0;
+  written_ = {};
   for (const KeyValue& it : values) {
     calls_->Send(
         ctx, StoreCompareAndSwap{.key = it.key, .value = it.value},
@@ -35,19 +35,19 @@
     Finish(ctx, false);
     return;
   }
-  written_revision_ = std::max(written_revision_, reply.store_revision);
+  written_ = std::max(written_, reply.position());
   if (--values_pending_ == 0) {
     Finish(ctx, true);
   }
 }
 
 void ValueWriter::Check(const ReduceContext& ctx,
-                        StoreRevision head_store_revision,
+                        const StorePosition& head_position,
                         MonoTime deadline,
                         Handler handler) {
   deadline_ = deadline;
   handler_ = std::move(handler);
-  if (CanTrustWrites(head_store_revision)) {
+  if (CanTrustWrites(head_position)) {
     values_pending_ = 1;
     CheckValue(ctx, values_->back());
     return;
@@ -58,9 +58,10 @@
   }
 }
 
-bool ValueWriter::CanTrustWrites(StoreRevision head_store_revision) const {
-  const bool went_back =
-      head_store_revision != 0 && head_store_revision <= written_revision_;
+bool ValueWriter::CanTrustWrites(const StorePosition& head_position) const {
+  const bool went_back = head_position.revision != 0 &&
+                         (head_position.era != written_.era ||
+                          head_position.revision <= written_.revision);
   return !calls_->has_failures() && !went_back;
 }
 
--- a/src/cassiabend/core/value_writer.h
+++ b/src/cassiabend/core/value_writer.h
@@ -27,11 +27,11 @@
   /// \brief Reads the values back, and writes all of them again when one is
   /// missing because the store was restored to an older state. Values that
   /// cannot be read count as present.
-  /// \param head_store_revision Revision of the store in the reply that showed
-  /// the new head; 0 when unknown.
-  /// \param handler Called once, always with true.
+  /// \param head_position Position of the store in the reply that showed the
+  /// new head; revision 0 when unknown. \param handler Called once, always with
+  /// true.
   void Check(const ReduceContext& ctx,
-             StoreRevision head_store_revision,
+             const StorePosition& head_position,
              MonoTime deadline,
              Handler handler);
 
@@ -40,8 +40,8 @@
                  const KeyValue& value,
                  const StoreReply& reply);
   /// \returns Whether it is enough to read the last value back: no call has
-  /// failed and the revision of the store has not gone back.
-  [[nodiscard]] bool CanTrustWrites(StoreRevision head_store_revision) const;
+  /// failed and the store has not been restored.
+  [[nodiscard]] bool CanTrustWrites(const StorePosition& head_position) const;
   void CheckValue(const ReduceContext& ctx, const KeyValue& value);
   void Rewrite(const ReduceContext& ctx);
   void OnChecked(const ReduceContext& ctx);
@@ -52,8 +52,8 @@
   MonoTime deadline_{};
   Handler handler_;
   std::size_t values_pending_ = 0;
-  /// Highest revision of the store in the replies to the writes.
-  StoreRevision written_revision_ = 0;
+  /// Highest position of the store in the replies to the writes.
+  StorePosition written_;
 };
 
 }  // namespace cassiabend
--- a/src/cassiabend/node/node.cc
+++ b/src/cassiabend/node/node.cc
@@ -225,6 +225,8 @@
   } else if (const auto* refused = std::get_if<HeadRefused>(&effect)) {
     Log(LogLevel::kError, "version_refused",
         {{"revision", refused->revision}, {"why", refused->reason}});
+  } else if (const auto* restored = std::get_if<StoreRestored>(&effect)) {
+    Log(LogLevel::kWarning, "store_restored", {{"era", restored->era}});
   } else if (const auto* readiness = std::get_if<ReadinessChanged>(&effect)) {
     ready_ = readiness->ready && !shutting_down_;
     not_ready_reason_ = readiness->reason;
--- a/src/cassiabend/rpc/mesh_codec.cc
+++ b/src/cassiabend/rpc/mesh_codec.cc
@@ -219,6 +219,7 @@
     zones.set(i++, it);
   }
   out.setTimePercent(datagram.time_percent);
+  out.setStoreEra(datagram.store_era);
   if (datagram.team_uses.empty()) {
     return;
   }
@@ -249,6 +250,7 @@
     out.unreachable_zones.push_back(ToText(it));
   }
   out.time_percent = in.getTimePercent();
+  out.store_era = in.getStoreEra();
   for (const auto it : in.getTeamUses()) {
     out.team_uses.push_back(
         {it.getTeam(), it.getAdmitted(), it.getDemandPer1000s()});
--- a/src/cassiabend/store/gateway_codec.h
+++ b/src/cassiabend/store/gateway_codec.h
@@ -13,6 +13,8 @@
   std::string path;
   std::string body;
   std::string method = "POST";
+  /// Name of the response header that states the store's era; empty for none.
+  std::string_view era_header;
 };
 
 /// \returns Whether a request can change the store.
--- a/src/cassiabend/store/gateway_connection.cc
+++ b/src/cassiabend/store/gateway_connection.cc
@@ -9,6 +9,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <charconv>
 #include <optional>
 #include <utility>
 
@@ -75,6 +76,7 @@
     on_chunk_ = std::move(on_chunk);
     timeout_ = timeout;
     result_ = {};
+    era_header_ = request.era_header;
     PrepareExchange(request);
     if (connected_) {
       stream_.expires_after(timeout_);
@@ -160,6 +162,19 @@
     FinishComplete();
   }
 
+  /// \returns The era that the response states, where the first is 1; 0 if it
+  /// states none.
+  [[nodiscard]] StoreEra ReadEra() const {
+    if (era_header_.empty()) {
+      return 0;
+    }
+    const beast::string_view text = parser_->get()[era_header_];
+    StoreEra era = 0;
+    const char* end = text.data() + text.size();
+    const auto [it, ec] = std::from_chars(text.data(), end, era);
+    return ec == std::errc() && it == end ? era + 1 : 0;
+  }
+
   /// \returns Whether the message is a response: one with another status proves
   /// nothing about the call.
   [[nodiscard]] bool HasFinalStatus() const {
@@ -199,6 +214,7 @@
 
   void FinishComplete() {
     result_.http_status = parser_->get().result_int();
+    result_.era = ReadEra();
     keep_alive_ = parser_->get().keep_alive();
     Finish(ExchangeResult::End::kComplete, {});
   }
@@ -225,6 +241,7 @@
   ChunkHandler on_chunk_;
   Milliseconds timeout_{0};
   ExchangeResult result_;
+  std::string_view era_header_;
   bool connected_ = false;
   bool keep_alive_ = true;
 };
--- a/src/cassiabend/store/gateway_connection.h
+++ b/src/cassiabend/store/gateway_connection.h
@@ -29,6 +29,8 @@
   std::string body;
   std::size_t bytes_sent = 0;
   std::size_t bytes_received = 0;
+  /// Era that the response states.
+  StoreEra era = 0;
   /// Why there is no complete response.
   std::string why;
 };
--- a/src/cassiabend/store/store_client.cc
+++ b/src/cassiabend/store/store_client.cc
@@ -134,8 +134,8 @@
     op->sent_at = clock_.Now().mono;
     const ConnectionPtr connection =
         pool_.Acquire(endpoints_[op->endpoint], &op->reused);
-    connection->Exchange(options_.codec->Encode(op->call.request),
-                         kConnectTimeout, AttemptTimeout(*op, left),
+    connection->Exchange(Encode(op->call.request), kConnectTimeout,
+                         AttemptTimeout(*op, left),
                          [self = shared_from_this(), op,
                           connection](const ExchangeResult& result) {
                            self->OnExchangeEnded(op, connection, result);
@@ -175,6 +175,20 @@
     StartNextWaiting();
   }
 
+  [[nodiscard]] GatewayRequest Encode(const StoreRequest& request) const {
+    GatewayRequest out = options_.codec->Encode(request);
+    out.era_header = options_.codec->era_header();
+    return out;
+  }
+
+  [[nodiscard]] StoreReply Decode(const StoreRequest& request,
+                                  const ExchangeResult& result) const {
+    StoreReply reply =
+        options_.codec->Decode(request, result.http_status, result.body);
+    reply.era = result.era;
+    return reply;
+  }
+
   void OnResponse(const OperationPtr& op,
                   const ConnectionPtr& connection,
                   const ExchangeResult& result) {
@@ -182,8 +196,7 @@
     last_round_trip_time_ = std::chrono::duration_cast<Milliseconds>(
         clock_.Now().mono - op->sent_at);
     pool_.Release(connection);
-    const StoreReply reply = options_.codec->Decode(
-        op->call.request, result.http_status, result.body);
+    const StoreReply reply = Decode(op->call.request, result);
     if (result.http_status < kFirstServerError) {
       preferred_endpoint_ = op->endpoint;
     } else if (reply.status == StoreStatus::kUnavailable &&
@@ -263,7 +276,7 @@
                    const StoreWatch& watch) {
     auto reader = std::make_shared<WatchReader>(watch.after);
     connection->Stream(
-        options_.codec->Encode(watch), kConnectTimeout, watch.wait,
+        Encode(watch), kConnectTimeout, watch.wait,
         [reader](std::string_view chunk) { return reader->ReadChunk(chunk); },
         [self = shared_from_this(), op, connection,
          reader](const ExchangeResult& result) {
@@ -277,7 +290,7 @@
   void PollWatch(const OperationPtr& op,
                  const ConnectionPtr& connection,
                  const StoreWatch& watch) {
-    connection->Exchange(options_.codec->Encode(watch), kConnectTimeout,
+    connection->Exchange(Encode(watch), kConnectTimeout,
                          watch.wait + kPollMargin,
                          [self = shared_from_this(), op, connection,
                           watch](const ExchangeResult& result) {
@@ -285,8 +298,7 @@
                            self->CountBytes(result);
                            StoreReply reply;
                            if (result.end == ExchangeResult::End::kComplete) {
-                             reply = self->options_.codec->Decode(
-                                 watch, result.http_status, result.body);
+                             reply = self->Decode(watch, result);
                            } else {
                              self->LogFailure(*op, result.why);
                            }
@@ -323,8 +335,7 @@
     op->sent_at = clock_.Now().mono;
     const ConnectionPtr connection =
         pool_.CreateConnection(endpoints_[op->endpoint]);
-    connection->Exchange(options_.codec->Encode(get), kConnectTimeout,
-                         options_.request_timeout,
+    connection->Exchange(Encode(get), kConnectTimeout, options_.request_timeout,
                          [self = shared_from_this(), op, get,
                           connection](const ExchangeResult& result) {
                            connection->Close();
@@ -338,7 +349,7 @@
     CountBytes(result);
     StoreReply reply;
     if (result.end == ExchangeResult::End::kComplete) {
-      reply = options_.codec->Decode(get, result.http_status, result.body);
+      reply = Decode(get, result);
     }
     const auto& watch = std::get<StoreWatch>(op->call.request);
     const bool changed = !reply.entry || reply.entry->revision != watch.after;
--- a/src/cassiabend/store/store_codec.h
+++ b/src/cassiabend/store/store_codec.h
@@ -22,6 +22,11 @@
   [[nodiscard]] virtual StoreReply Decode(const StoreRequest& request,
                                           unsigned http_status,
                                           std::string_view body) const = 0;
+  /// \returns Name of the response header that counts how often the store was
+  /// restored from a copy, from 0 on; empty if it states none.
+  [[nodiscard]] virtual std::string_view era_header() const noexcept {
+    return {};
+  }
   /// \returns Whether the response to a watch is a stream of messages.
   /// Otherwise it is a single message, read by `Decode`.
   [[nodiscard]] virtual bool streams_watches() const noexcept = 0;
--- a/tests/support/fleet_driver.h
+++ b/tests/support/fleet_driver.h
@@ -582,7 +582,7 @@
     if (store_faults.watches_miss_changes) {
       reply.entry.reset();
     }
-    if (reply.entry || now_ >= end) {
+    if (reply.entry || reply.status != StoreStatus::kOk || now_ >= end) {
       ScheduleAt(now_ + Milliseconds(2), [this, i, epoch, id, reply] {
         Deliver(i, epoch, StoreReplied{id, reply});
       });
--- a/tests/support/fleet_fake_store.h
+++ b/tests/support/fleet_fake_store.h
@@ -14,6 +14,16 @@
 /// time that the caller passes in.
 class FleetFakeStore {
  public:
+  /// \brief States eras from now on, beginning with the first.
+  void StateEras() { era_ = 1; }
+  /// \brief Goes back to an earlier state: keys, leases and revisions.
+  void Restore(const FleetFakeStore& copy) {
+    const StoreEra era = era_ + 1;
+    *this = copy;
+    era_ = era;
+  }
+  [[nodiscard]] StoreRevision revision() const noexcept { return revision_; }
+
   [[nodiscard]] const StoreEntry* Find(const std::string& key) const {
     const auto it = entries_.find(key);
     return it == entries_.end() ? nullptr : &it->second;
@@ -53,6 +63,7 @@
     reply.status = StoreStatus::kOk;
     std::visit([&](const auto& it) { Apply(it, now, &reply); }, request);
     reply.store_revision = revision_;
+    reply.era = era_;
     return reply;
   }
 
@@ -69,6 +80,10 @@
     }
   }
   void Apply(const StoreWatch& watch, MonoTime now, StoreReply* reply) {
+    if (watch.after > revision_) {
+      reply->status = StoreStatus::kUnavailable;
+      return;
+    }
     Apply(StoreGet{watch.key}, now, reply);
     if (reply->entry && reply->entry->revision <= watch.after) {
       reply->entry.reset();
@@ -139,6 +154,7 @@
   std::map<LeaseId, Lease> leases_;
   LeaseId last_lease_ = 0;
   StoreRevision revision_ = 0;
+  StoreEra era_ = 0;
 };
 
 }  // namespace cassiabend::testing
--- a/tools/fake_store_backend.cc
+++ b/tools/fake_store_backend.cc
@@ -224,6 +224,7 @@
 }
 void FakeStoreBackend::Restore(const json::value& value) {
   state_ = saved_.at(std::string(value.as_string()));
+  ++era_;
 }
 void FakeStoreBackend::Compact(const json::value& value) {
   if (value.as_bool()) {
--- a/tools/fake_store_backend.h
+++ b/tools/fake_store_backend.h
@@ -76,6 +76,8 @@
                    const FakeStoreProtocol* extra_protocol);
 
   [[nodiscard]] const FakeStoreState& state() const noexcept { return state_; }
+  /// \returns How often the store was restored from a copy.
+  [[nodiscard]] std::uint64_t era() const noexcept { return era_; }
   [[nodiscard]] const FakeStoreCounts& counts() const noexcept {
     return counts_;
   }
@@ -147,6 +149,7 @@
   FakeStoreState state_;
   MonoTime leases_checked_at_{};
   std::map<std::string, FakeStoreState> saved_;
+  std::uint64_t era_ = 0;
   FakeStoreFaults faults_;
   FakeStoreCounts counts_;
   std::uint64_t next_connection_ = 0;
--- a/tools/fake_store_protocol.h
+++ b/tools/fake_store_protocol.h
@@ -64,6 +64,11 @@
   [[nodiscard]] virtual bool Handles(std::string_view target) const = 0;
   [[nodiscard]] virtual FakeStoreCost CostOf(
       const FakeStoreCall& call) const = 0;
+  /// \returns Name of the response header that counts how often the store was
+  /// restored from a copy; empty for none.
+  [[nodiscard]] virtual std::string_view era_header() const noexcept {
+    return {};
+  }
   /// \returns The watch that `call` requests; unset for other calls.
   /// \throws std::exception when the request is malformed.
   [[nodiscard]] virtual std::optional<FakeStoreWatch> ParseWatch(
--- a/tools/fake_store_session.cc
+++ b/tools/fake_store_session.cc
@@ -239,6 +239,10 @@
     response_.version(kHttpVersion);
     response_.result(reply.http_status);
     response_.set(http::field::content_type, "application/json");
+    if (protocol_ != nullptr && !protocol_->era_header().empty()) {
+      response_.set(std::string(protocol_->era_header()),
+                    std::to_string(shared_->backend.era()));
+    }
     response_.keep_alive(request_.keep_alive());
     response_.body() = json::serialize(reply.body);
     response_.prepare_payload();
@@ -274,8 +278,11 @@
       return;
     }
     const FakeStoreState& state = shared_->backend.state();
+    // A store that was restored from a copy does not have the revisions that it
+    // gave out since.
+    const bool is_ahead = watch.wait && watch.from > state.revision() + 1;
     const bool compacted =
-        watch.from != 0 && watch.from <= state.compact_revision();
+        is_ahead || (watch.from != 0 && watch.from <= state.compact_revision());
     watch.from = watch.from == 0 ? state.revision() + 1 : watch.from;
     if (watch.wait) {
       StartLongPoll(std::move(watch), compacted);
