Read teams from the platform's table and keep what is readable

Cause: tenants, public routes and uploads were not read. One route type that is not known, or one malformed field of a route, refused the whole configuration, as did a max_body_bytes of 4 GiB or more. Change: tenants become teams with the digests of their keys. A malformed part names nothing, a key that two tenants hold identifies neither, and the rest holds; what cannot be used is logged once a version by the node that read it (version_part_refused), without keys.

--- a/src/cassiabend/base/log_events.h
+++ b/src/cassiabend/base/log_events.h
@@ -35,6 +35,7 @@
     "store_regained",
     "upstream_state_changed",
     "version_applied",
+    "version_part_refused",
     "version_refused",
 });
 static_assert(std::ranges::is_sorted(kNodeLogEvents),
--- a/src/cassiabend/core/fleet_events.h
+++ b/src/cassiabend/core/fleet_events.h
@@ -253,6 +253,13 @@
   std::string reason;
 };
 
+/// \brief Effect: a part of the value of the store's head key cannot be used;
+/// the rest of the version is in force.
+struct HeadPartRefused {
+  StoreRevision revision = 0;
+  std::string reason;
+};
+
 using FleetEffect = std::variant<SendDatagram,
                                  SendPush,
                                  SendPull,
@@ -266,7 +273,8 @@
                                  MembersChanged,
                                  MemberLoadReported,
                                  ReadinessChanged,
-                                 HeadRefused>;
+                                 HeadRefused,
+                                 HeadPartRefused>;
 
 inline constexpr Milliseconds kFleetTickPeriod{100};
 
--- a/src/cassiabend/core/head_codec.h
+++ b/src/cassiabend/core/head_codec.h
@@ -2,6 +2,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "cassiabend/base/ref_counted.h"
 #include "cassiabend/model/head.h"
@@ -15,6 +16,9 @@
   /// The full version when the head key contains it; else null, and the version
   /// is stored under the keys that `head` lists.
   RefPtr<const Snapshot> full_version;
+  /// What of the value cannot be used, one text for each part; the rest of the
+  /// version holds.
+  std::vector<std::string> remarks;
 };
 
 /// \brief The store key that names the newest accepted version, and the format
--- a/src/cassiabend/core/head_watcher.cc
+++ b/src/cassiabend/core/head_watcher.cc
@@ -229,6 +229,9 @@
   }
   head_state_ = HeadState::kCurrent;
   if (value.full_version) {
+    for (std::string& it : value.remarks) {
+      context.Emit(HeadPartRefused{reply.entry->revision, std::move(it)});
+    }
     versions->OfferFullAndDeriveDelta(context, value.full_version);
     freshness->Confirm(context, reply.sent_at);
     return;
--- a/src/cassiabend/node/node.cc
+++ b/src/cassiabend/node/node.cc
@@ -225,6 +225,9 @@
   } else if (const auto* refused = std::get_if<HeadRefused>(&effect)) {
     Log(LogLevel::kError, "version_refused",
         {{"revision", refused->revision}, {"why", refused->reason}});
+  } else if (const auto* part = std::get_if<HeadPartRefused>(&effect)) {
+    Log(LogLevel::kWarning, "version_part_refused",
+        {{"revision", part->revision}, {"why", part->reason}});
   } else if (const auto* readiness = std::get_if<ReadinessChanged>(&effect)) {
     ready_ = readiness->ready && !shutting_down_;
     not_ready_reason_ = readiness->reason;
--- a/tests/model_json_test.cc
+++ b/tests/model_json_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <boost/json/serialize.hpp>
 #include <cstdlib>
 #include <fstream>
@@ -27,6 +28,21 @@
   CHECK(ParseConfigJson(PrettyJson(ToJson(config))) == config);
 }
 
+TEST_CASE("the keys of a team are kept as digests only") {
+  const Config config = ParseConfigJson(
+      R"({"teams": [{"name": "red", "keys": ["secret", "secret", "other"],
+                     "priority": 1, "rate_per_1000s": 500, "burst": 3}]})");
+  REQUIRE(config.teams.size() == 1);
+  std::vector<KeyDigest> digests = {DigestOfKey("secret"),
+                                    DigestOfKey("other")};
+  std::ranges::sort(digests);
+  CHECK(config.teams[0].key_digests == digests);
+  const std::string text = boost::json::serialize(ToJson(config));
+  CHECK(text.find("secret") == std::string::npos);
+  CHECK(text.find(ToHex(DigestOfKey("secret"))) != std::string::npos);
+  CHECK(ParseConfigJson(text) == config);
+}
+
 TEST_CASE("comments and trailing commas are allowed") {
   const Config config = ParseConfigJson(R"(// head
   {"services": [{"name": "b"}, /* later */ {"name": "a"},],}
@@ -54,6 +70,12 @@
       {R"({"services": [{"name": "a", "revision": -1}]})",
        "services[a].revision"},
       {R"({"change_id": "12"})", "change_id"},
+      {R"({"teams": [{"name": "t", "keys": [""]}]})", "teams[t].keys"},
+      {R"({"teams": [{"name": "t", "keys": [7]}]})", "teams[t].keys"},
+      {R"({"teams": [{"name": "t", "key_digests": ["12"]}]})",
+       "teams[t].key_digests"},
+      {R"({"teams": [{"name": "t", "priority": -1}]})", "teams[t].priority"},
+      {R"({"teams": [{"name": "t", "rate_per_s": 1}]})", "teams[t].rate_per_s"},
       {R"({"routes": [{"name": "r", "path_prefix": "/", "service": "s",
            "timeout_ms": 4294967296}]})",
        "routes[r].timeout_ms"},
--- a/tests/model_test.cc
+++ b/tests/model_test.cc
@@ -96,6 +96,51 @@
   CHECK(HashConfig(other) != HashConfig(SmallConfig()));
 }
 
+/// \returns `SmallConfig` with two teams; "red" holds two keys.
+Config ConfigWithTeams() {
+  Config out = SmallConfig();
+  Team red{.name = "red",
+           .team = "club",
+           .key_digests = {DigestOfKey("a"), DigestOfKey("b")},
+           .priority = 0,
+           .rate_per_1000s = 2'500,
+           .burst = 40,
+           .revision = 2};
+  std::ranges::sort(red.key_digests);
+  out.teams = {{.name = "blue", .key_digests = {DigestOfKey("c")}}, red};
+  out.routes[1].is_public = true;
+  return out;
+}
+
+TEST_CASE("teams round-trip and are part of the hash") {
+  const Config config = ConfigWithTeams();
+  CHECK(DecodeConfig(EncodeConfig(config)) == config);
+  CHECK(HashConfig(config) != HashConfig(SmallConfig()));
+  Config other = config;
+  other.teams[1].priority.reset();
+  CHECK(HashConfig(other) != HashConfig(config));
+  const ConfigDelta delta{
+      .base = MarkOf(config),
+      .edits = {{.action = config.teams[1], .expected_revision = 2},
+                {.action = ItemRef{ItemKind::kTeam, "blue"}}}};
+  CHECK(DecodeDelta(EncodeDelta(delta)) == delta);
+}
+
+TEST_CASE("one more key is one edit of a delta") {
+  const Snapshot base(ConfigWithTeams());
+  Config next = ConfigWithTeams();
+  next.number = 4;
+  next.parent = 3;
+  next.teams[0].key_digests.push_back(DigestOfKey("d"));
+  std::ranges::sort(next.teams[0].key_digests);
+  const Snapshot target(next);
+  const auto delta = ComputeDelta(base, target);
+  REQUIRE(delta);
+  REQUIRE(delta->edits.size() == 1);
+  CHECK(std::get<Team>(delta->edits[0].action) == next.teams[0]);
+  CHECK(ApplyDelta(base, *delta)->mark() == target.mark());
+}
+
 TEST_CASE("truncated messages are refused and corrupt ones decode safely") {
   const std::string bytes = EncodeConfig(SmallConfig());
   for (std::size_t n = 0; n < bytes.size(); ++n) {
@@ -185,6 +230,27 @@
        [&](Config* it) { it->windows[0].schedule = weekly(1, 1440, 2); }},
       {"windows[night].schedule.to",
        [&](Config* it) { it->windows[0].schedule = weekly(1, 1, 1440); }},
+      {"teams[a b].name", [](Config* it) { it->teams = {{.name = "a b"}}; }},
+      {"teams[a].name",
+       [](Config* it) {
+         it->teams = {{.name = "b"}, {.name = "a"}};
+       }},
+      {"teams[b].key_digests",
+       [](Config* it) {
+         it->teams = {{.name = "a", .key_digests = {DigestOfKey("k")}},
+                      {.name = "b", .key_digests = {DigestOfKey("k")}}};
+       }},
+      {"teams[a].key_digests",
+       [](Config* it) {
+         it->teams = {{.name = "a", .key_digests = {{2, 0}, {1, 0}}}};
+       }},
+      {"teams[a].rate_per_1000s",
+       [](Config* it) {
+         it->teams = {{.name = "a", .rate_per_1000s = kMaxRatePer1000s + 1}};
+       }},
+      {"teams[a].burst",
+       [](Config* it) { it->teams = {{.name = "a", .burst = 1}}; }},
+      {"teams", [](Config* it) { it->teams.resize(20'001, {.name = "a"}); }},
   };
   CHECK(Validate(SmallConfig()).empty());
   for (const Row& row : rows) {
--- a/tests/support/fleet_driver.h
+++ b/tests/support/fleet_driver.h
@@ -508,6 +508,7 @@
   }
   void Execute(std::size_t, const MembersChanged&) {}
   void Execute(std::size_t, const HeadRefused&) {}
+  void Execute(std::size_t, const HeadPartRefused&) {}
   void Execute(std::size_t, const MemberLoadReported&) {}
 
   // The store.
