Identify callers by the key of their team

Cause: no key was read, so calls without a team's key were run, and the key was passed on to the upstream like any header. Change: where the version in force has teams and the route is not public, the entry node finds the team by the digest of the caller's key. Without one the call is refused as unknown_key, but only if no newer version can have the key: else it waits for one for a short time, and a node that may be behind refuses it as not run. The team replaces what the caller stated, and the key is removed before the request leaves the entry node. A team's priority is told with the attempt. With keyed_call_age_ms, calls with a key end with the confirmation of the version. Without teams, requests and attempts have the bytes that they had.

--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -58,7 +58,12 @@
 }
 
 void CallEntry::StartCall(Call* call) {
+  awaiting_key_.erase(call->id);
   if (const auto refusal = Route(call)) {
+    if (refusal->reason == NotRunReason::kUnknownKey) {
+      OnUnknownKey(call);
+      return;
+    }
     FinishNotRun(call, *refusal);
     return;
   }
@@ -116,15 +121,10 @@
     return Refusal{NotRunReason::kDepthExceeded};
   }
   call->snapshot = context_->snapshot;
-  call->route = call->snapshot->FindRoute(
-      {metadata.team, metadata.host, metadata.path, metadata.method});
+  call->route = FindRoute(*call);
   if (call->route == nullptr) {
     return Refusal{NotRunReason::kNoRoute};
   }
-  call->service = PickWeightedService(*call->route, &context_->random);
-  if (call->metadata.team.empty()) {
-    call->metadata.team = call->route->team;
-  }
   Milliseconds timeout = call->route->timeout > Milliseconds(0)
                              ? call->route->timeout
                              : context_->options.default_timeout;
@@ -139,6 +139,10 @@
   if (Remaining(*call) <= kMinAttemptTime) {
     return Refusal{NotRunReason::kDeadline};
   }
+  if (const auto refusal = Identify(call)) {
+    return refusal;
+  }
+  call->service = PickWeightedService(*call->route, &context_->random);
   return CheckSite(call);
 }
 
@@ -194,6 +198,8 @@
   request.site = call->site;
   request.caller_service = context_->self.service;
   request.priority = route.priority;
+  request.team_priority = TeamPriorityOf(call->caller, route);
+  request.has_verified_team = call->caller.kind != CallerKind::kUnchecked;
   request.noisy = route.noisy;
   request.once = route.repeat == RepeatPolicy::kOnce;
   request.longest_job = route.longest_job;
@@ -355,6 +361,7 @@
       return;
     case State::kWaitingForTurn:
     case State::kWaitingForReadiness:
+    case State::kWaitingForKey:
     case State::kWaitingToFetch:
     case State::kRelaying:
       return;
@@ -414,6 +421,10 @@
 }
 
 void CallEntry::OnTimerExpired(Call* call) {
+  if (call->state == State::kWaitingForKey) {
+    StartCall(call);
+    return;
+  }
   const bool is_late = context_->now.mono >= call->deadline;
   if (is_late && call->state == State::kWaitingForReadiness) {
     FinishNotRun(call, {NotRunReason::kNotReady});
@@ -441,6 +452,9 @@
 
 void CallEntry::Schedule(Call* call) {
   MonoTime due = call->deadline;
+  if (call->state == State::kWaitingForKey) {
+    due = std::min(due, KeyDeadline(*call));
+  }
   if (call->state == State::kWaitingToFetch) {
     due = std::min(due, context_->now.mono + kFetchRetryDelay);
   }
--- a/src/cassiabend/core/call_entry.h
+++ b/src/cassiabend/core/call_entry.h
@@ -3,6 +3,7 @@
 #include <boost/container/static_vector.hpp>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -13,6 +14,7 @@
 #include "cassiabend/core/dispatch_gate.h"
 #include "cassiabend/core/refused_calls.h"
 #include "cassiabend/core/retry_budget.h"
+#include "cassiabend/core/teams/caller_identity.h"
 #include "cassiabend/core/timer_queue.h"
 
 namespace cassiabend {
@@ -34,6 +36,9 @@
   void Reduce(const CallTurn& event);
   /// \brief Resumes the calls that wait for this node to be ready.
   void OnReady();
+  /// \brief Looks again at the calls whose key is unknown: a version was
+  /// applied, or the one in force was confirmed.
+  void OnVersionNews();
   void Reduce(const AttemptNotRun& event);
   void Reduce(const AttemptAnswerStarted& event);
   void Reduce(const AttemptStillRunning& event);
@@ -56,6 +61,8 @@
     /// Nothing was sent: this process has just started and has no configuration
     /// version yet.
     kWaitingForReadiness,
+    /// Nothing was sent: the version in force does not have the caller's key.
+    kWaitingForKey,
     /// The attempt was sent.
     kSent,
     /// Its answer is being fetched over a new connection.
@@ -73,6 +80,7 @@
     CallMetadata metadata;
     RefPtr<const Snapshot> snapshot;
     const Route* route = nullptr;
+    CallerIdentity caller;
     std::string site;
     /// The route's service, or the one chosen from its traffic split.
     std::string service;
@@ -118,6 +126,11 @@
   [[nodiscard]] Call* Find(CallId id) const;
   [[nodiscard]] Call* Find(CallId id, const AttemptId& attempt) const;
   [[nodiscard]] std::optional<Refusal> Route(Call* call);
+  [[nodiscard]] const cassiabend::Route* FindRoute(const Call& call) const;
+  [[nodiscard]] std::optional<Refusal> Identify(Call* call) const;
+  /// \returns Until when a call may wait for a version that has its key.
+  [[nodiscard]] MonoTime KeyDeadline(const Call& call) const;
+  void OnUnknownKey(Call* call);
   [[nodiscard]] std::optional<Refusal> CheckSite(Call* call) const;
   [[nodiscard]] MonoTime LimitDeadline(MonoTime deadline) const;
   void RecogniseCallerRetry(Call* call);
@@ -174,6 +187,8 @@
   RetryBudget budget_;
   RefusedCalls refused_calls_;
   CallTable calls_;
+  /// Calls in the state `kWaitingForKey`.
+  std::set<CallId> awaiting_key_;
   TimerQueue<Call> timers_;
 };
 
--- a/src/cassiabend/core/call_entry_end.cc
+++ b/src/cassiabend/core/call_entry_end.cc
@@ -13,7 +13,9 @@
 void CallEntry::FinishNotRun(Call* call, const Refusal& refusal) {
   const Milliseconds wait = RetryAfterOf(refusal, &context_->random);
   call->reason = NameOf(refusal.reason);
-  if (call->caller_deadline && call->route != nullptr) {
+  // Callers do not repeat a call that was refused for its key.
+  const bool may_return = refusal.reason != NotRunReason::kUnknownKey;
+  if (may_return && call->caller_deadline && call->route != nullptr) {
     refused_calls_.Record(call->route->name, context_->now.mono,
                           call->first_sent_at, *call->caller_deadline);
   }
@@ -71,6 +73,7 @@
   ended.attempts = static_cast<std::uint8_t>(call->tried.size());
   AddOutcomeDetails(*call, &ended);
   context_->Emit(std::move(ended));
+  awaiting_key_.erase(call->id);
   calls_.erase(CallId(call->id));
 }
 
--- a/src/cassiabend/core/call_reducer.cc
+++ b/src/cassiabend/core/call_reducer.cc
@@ -147,12 +147,14 @@
                        event.snapshot->mark().number > context_.config_number();
     if (newer) {
       context_.snapshot = event.snapshot;
+      entry_.OnVersionNews();
     }
   }
 
   void Handle(const HeadConfirmed& event) {
     if (!context_.confirmed_at || event.at > *context_.confirmed_at) {
       context_.confirmed_at = event.at;
+      entry_.OnVersionNews();
     }
   }
 
--- a/src/cassiabend/core/options.h
+++ b/src/cassiabend/core/options.h
@@ -161,6 +161,14 @@
   /// Time after the start of a shutdown in which new requests of callers are
   /// accepted: until the callers have learnt of the shutdown.
   Milliseconds shutdown_serve{0};
+  /// Longest time that a call with an unknown key waits for a version that has
+  /// the key.
+  Milliseconds unknown_key_wait{1'000};
+  /// Largest age of the head's confirmation at which a key counts as unknown.
+  Milliseconds unknown_key_age{10'000};
+  /// Largest age of the head's confirmation at which calls with a key are
+  /// served; 0 for no limit.
+  Milliseconds keyed_call_age{0};
 };
 
 /// \brief All settings of one node's reducers.
--- a/src/cassiabend/http/call_headers.cc
+++ b/src/cassiabend/http/call_headers.cc
@@ -97,6 +97,22 @@
   return UpstreamLoad{numbers[0], numbers[1], numbers[2], numbers[3]};
 }
 
+std::optional<KeyDigest> ReadKey(const MessageHead& head,
+                                 std::string_view name) {
+  std::optional<KeyDigest> out;
+  for (const HeaderField& it : head.fields) {
+    if (!EqualsIgnoreCase(it.name, name)) {
+      continue;
+    }
+    if (out) {
+      // No team has the empty key.
+      return DigestOfKey({});
+    }
+    out = DigestOfKey(it.value);
+  }
+  return out;
+}
+
 CallMetadata ReadCallMetadata(const MessageHead& head) {
   CallMetadata metadata;
   metadata.request_id = head.Get(kRequestIdHeader);
@@ -104,12 +120,14 @@
   metadata.host = HostWithoutPort(head.Get("Host"));
   metadata.path = head.target.substr(0, head.target.find('?'));
   metadata.method = head.method;
+  metadata.key = ReadKey(head, kKeyHeader);
   metadata.order_key = head.Get(kOrderKeyHeader);
   metadata.deadline = ParseMilliseconds(head.Get(kDeadlineHeader));
   metadata.depth = ParseDepth(head.Get(kDepthHeader));
   metadata.is_retry = IsRetry(head);
   for (const HeaderField& it : head.fields) {
-    if (StartsWithIgnoreCase(it.name, "x-")) {
+    if (StartsWithIgnoreCase(it.name, "x-") &&
+        !EqualsIgnoreCase(it.name, kKeyHeader)) {
       metadata.headers.emplace_back(ToLower(it.name), it.value);
     }
   }
--- a/src/cassiabend/http/call_headers.h
+++ b/src/cassiabend/http/call_headers.h
@@ -17,6 +17,11 @@
 [[nodiscard]] std::optional<UpstreamLoad> ParseUpstreamLoad(
     std::string_view text) noexcept;
 
+/// \returns The digest of the caller's key in the header `name`; unset when
+/// there is none. Two headers together are a key that no team has.
+[[nodiscard]] std::optional<KeyDigest> ReadKey(const MessageHead& head,
+                                               std::string_view name);
+
 /// \returns The metadata of a caller's request, from its head.
 [[nodiscard]] CallMetadata ReadCallMetadata(const MessageHead& head);
 
--- a/src/cassiabend/http/call_protocol.cc
+++ b/src/cassiabend/http/call_protocol.cc
@@ -19,6 +19,9 @@
       const MessageHead& head) const override {
     return head.Get(kRequestIdHeader);
   }
+  void RemoveKey(MessageHead* /*head*/) const override {
+    // The key is in a system header, which no request keeps.
+  }
   void WriteUpstreamHeaders(const AttemptRequest& attempt,
                             const StartUpstream& start,
                             MessageHead* head) const override {
--- a/src/cassiabend/http/call_protocol.h
+++ b/src/cassiabend/http/call_protocol.h
@@ -36,6 +36,9 @@
   /// \returns The id that the caller gave to a request; empty for none.
   [[nodiscard]] virtual std::string_view RequestIdOf(
       const MessageHead& head) const = 0;
+  /// \brief Removes the key that `ReadCall` has read. Called where the version
+  /// in force has teams, before the request leaves the entry node.
+  virtual void RemoveKey(MessageHead* head) const = 0;
   /// \brief Adds the headers that tell the upstream about an attempt.
   virtual void WriteUpstreamHeaders(const AttemptRequest& attempt,
                                     const StartUpstream& start,
--- a/src/cassiabend/http/call_table.cc
+++ b/src/cassiabend/http/call_table.cc
@@ -148,6 +148,9 @@
       return;
     }
     buffered_request = call->second.buffered_request;
+    if (effect.request.has_verified_team) {
+      call_protocol_->RemoveKey(&buffered_request->head());
+    }
   }
   if (effect.destination == self_) {
     SendLocally(effect, std::move(buffered_request));
--- a/src/cassiabend/http/system_answers.cc
+++ b/src/cassiabend/http/system_answers.cc
@@ -18,7 +18,10 @@
       return 400;
     case NotRunReason::kDeadline:
       return 504;
+    case NotRunReason::kUnknownKey:
+      return 401;
     case NotRunReason::kShareExceeded:
+    case NotRunReason::kAllotmentExceeded:
       return 429;
     case NotRunReason::kDepthExceeded:
       return 508;
@@ -44,6 +47,8 @@
       return "Accepted";
     case 400:
       return "Bad Request";
+    case 401:
+      return "Unauthorized";
     case 404:
       return "Not Found";
     case 413:
--- a/src/cassiabend/node/settings_fields.cc
+++ b/src/cassiabend/node/settings_fields.cc
@@ -221,6 +221,15 @@
     {"start_wait_ms", &Calls::start_wait, 0, kMinuteMs,
      "Time after the start of the process in which calls wait for the node to "
      "be ready."},
+    {"unknown_key_wait_ms", &Calls::unknown_key_wait, 0, kMinuteMs,
+     "Longest time that a call with an unknown key waits for a version of the "
+     "configuration that has the key; at most a quarter of its caller's time."},
+    {"unknown_key_age_ms", &Calls::unknown_key_age, 0, kDayMs,
+     "Largest age of the configuration's confirmation at which an unknown key "
+     "is refused as such; beyond it the call is refused as not run."},
+    {"keyed_call_age_ms", &Calls::keyed_call_age, 0, kDayMs,
+     "Largest age of the configuration's confirmation at which calls with a "
+     "key are served, so that removed keys end; 0 for no limit."},
     {"answer_hold_ms", &Calls::answer_hold, 100, 10 * kMinuteMs,
      "Time that an answer is held for an entry node whose link was lost."},
     {"order_memory_ms", &Calls::order_memory, 1'000, 7 * kDayMs,
--- a/tests/platform/mesh_call_protocol_test.cc
+++ b/tests/platform/mesh_call_protocol_test.cc
@@ -48,6 +48,42 @@
   CHECK(head.Get("Request-Id") == "9c41");
 }
 
+TEST_CASE("the key is read as a digest and removed") {
+  const CallProtocol& protocol = MeshCallProtocol();
+  MessageHead head = Request();
+  CHECK_FALSE(protocol.ReadCall(head).key);
+  head.Add("api-KEY", "secret");
+  CHECK(protocol.ReadCall(head).key == DigestOfKey("secret"));
+  head.Add("Api-Key", "secret");
+  CHECK(protocol.ReadCall(head).key == DigestOfKey(""));
+  protocol.RemoveKey(&head);
+  CHECK_FALSE(head.Has("Api-Key"));
+  CHECK(head.Get("Request-Id") == "9c41");
+}
+
+TEST_CASE(
+    "the upstream is told the team of the key instead of the stated one") {
+  const auto tenants = [](const AttemptRequest& attempt) {
+    MessageHead head = Request();
+    head.Add("Tenant-Id", "forged");
+    head.Add("tenant-id", "again");
+    MeshCallProtocol().WriteUpstreamHeaders(
+        attempt, {.attempt = {}, .deadline = Milliseconds(480)}, &head);
+    std::string out;
+    for (const HeaderField& it : head.fields) {
+      out += it.name == "Tenant-Id" || it.name == "tenant-id" ? it.value + " "
+                                                              : "";
+    }
+    return out;
+  };
+  AttemptRequest attempt;
+  CHECK(tenants(attempt) == "forged again ");
+  attempt.has_verified_team = true;
+  CHECK(tenants(attempt).empty());
+  attempt.team = "red";
+  CHECK(tenants(attempt) == "red ");
+}
+
 TEST_CASE("the outcome of an upstream follows from the head of its answer") {
   const CallProtocol& protocol = MeshCallProtocol();
   const MessageHead head = Request();
@@ -75,6 +111,11 @@
   CHECK(
       protocol.MakeNotRunHead(NotRunReason::kNoRoute, Milliseconds(0)).status ==
       404);
+  CHECK(protocol.MakeNotRunHead(NotRunReason::kUnknownKey, Milliseconds(0))
+            .status == 401);
+  CHECK(
+      protocol.MakeNotRunHead(NotRunReason::kAllotmentExceeded, Milliseconds(9))
+          .status == 429);
   const MessageHead overloaded =
       protocol.MakeNotRunHead(NotRunReason::kOverloaded, Milliseconds(150));
   CHECK(overloaded.status == 503);
@@ -95,7 +136,7 @@
   const UpstreamProbed healthy = MeshCallProtocol().ReadHealth(head, "");
   CHECK(healthy.healthy);
   CHECK(healthy.instance == "i-7f");
-  CHECK(healthy.slots == 8);
+  CHECK(healthy.load.slots == 8);
   CHECK_FALSE(MeshCallProtocol().ReadHealth(Answer(503), "").healthy);
 }
 
