Pass the order key between nodes in a system header

Cause: the destination took a caller's Idempotency-Key for the order key of the attempt, also where the call protocol knows no order keys. Two calls with the same header then got one answer, and the second never ran. Change: the entry node writes the order key that it has read into X-Cassiabend-Order-Key, which callers cannot set; the caller's own header is only passed on. A destination of this release takes no order key from an entry node of an earlier one, so keyed orders lose their claim while both run.

--- a/src/cassiabend/http/call_headers.cc
+++ b/src/cassiabend/http/call_headers.cc
@@ -121,7 +121,7 @@
   metadata.path = head.target.substr(0, head.target.find('?'));
   metadata.method = head.method;
   metadata.key = ReadKey(head, kKeyHeader);
-  metadata.order_key = head.Get(kOrderKeyHeader);
+  metadata.order_key = head.Get(kIdempotencyKeyHeader);
   metadata.deadline = ParseMilliseconds(head.Get(kDeadlineHeader));
   metadata.depth = ParseDepth(head.Get(kDepthHeader));
   metadata.is_retry = IsRetry(head);
@@ -202,6 +202,9 @@
                    std::to_string(attempt.longest_job.count()), head);
   AddUnlessDefault(kTeamHeader, attempt.team, head);
   AddUnlessDefault(kClassHeader, attempt.request_class, head);
+  if (!attempt.order_key.empty()) {
+    head->Add(kOrderKeyHeader, attempt.order_key);
+  }
   AddUnlessDefault(kSiteHeader, attempt.site, head);
   AddUnlessDefault(kCallerHeader, attempt.caller_service, head);
   AddUnlessDefault(kPriorityHeader, std::to_string(attempt.priority), head);
--- a/src/cassiabend/http/headers.h
+++ b/src/cassiabend/http/headers.h
@@ -10,7 +10,7 @@
 inline constexpr std::string_view kDeadlineHeader = "X-Cassiabend-Deadline-Ms";
 inline constexpr std::string_view kDepthHeader = "X-Cassiabend-Depth";
 inline constexpr std::string_view kRetryHeader = "X-Cassiabend-Retry";
-inline constexpr std::string_view kOrderKeyHeader = "Idempotency-Key";
+inline constexpr std::string_view kIdempotencyKeyHeader = "Idempotency-Key";
 
 /// On answers to callers and between nodes.
 inline constexpr std::string_view kOutcomeHeader = "X-Cassiabend-Outcome";
@@ -45,6 +45,9 @@
 /// the attempt's time at the destination and its service time in milliseconds,
 /// separated by spaces.
 inline constexpr std::string_view kTimesHeader = "X-Cassiabend-Times";
+/// The order key that the entry node has read. A caller's own header of another
+/// name that happens to mean an order key elsewhere is no order key here.
+inline constexpr std::string_view kOrderKeyHeader = "X-Cassiabend-Order-Key";
 inline constexpr std::string_view kOnceHeader = "X-Cassiabend-Once";
 inline constexpr std::string_view kLongestJobHeader =
     "X-Cassiabend-Longest-Job-S";
--- a/tools/fake_upstream_server.cc
+++ b/tools/fake_upstream_server.cc
@@ -233,7 +233,7 @@
 void FakeUpstream::StartRequest(std::uint64_t id) {
   PendingRequest& pending = *requests_.at(id);
   const MessageHead& head = pending.request->head();
-  executions_.RecordExecution(std::string(head.Get(kOrderKeyHeader)),
+  executions_.RecordExecution(std::string(head.Get(kIdempotencyKeyHeader)),
                               std::string(head.Get(kRequestIdHeader)),
                               std::string(head.Get(kTagHeader)));
   if (faults_.silent) {
