--- a/src/cassiabend/core/fleet_events.h
+++ b/src/cassiabend/core/fleet_events.h
@@ -260,6 +260,13 @@
   StoreEra era = 0;
 };
 
+/// \brief Effect: a part of the value of the store's head key cannot be used;
+/// the rest of the version is in force.
+struct HeadPartRefused {
+  StoreRevision revision = 0;
+  std::string reason;
+};
+
 using FleetEffect = std::variant<SendDatagram,
                                  SendPush,
                                  SendPull,
@@ -274,7 +281,8 @@
                                  MemberLoadReported,
                                  ReadinessChanged,
                                  HeadRefused,
-                                 StoreRestored>;
+                                 StoreRestored,
+                                 HeadPartRefused>;
 
 inline constexpr Milliseconds kFleetTickPeriod{100};
 
--- a/src/cassiabend/http/call_headers.cc
+++ b/src/cassiabend/http/call_headers.cc
@@ -97,6 +97,22 @@
   return UpstreamLoad{numbers[0], numbers[1], numbers[2], numbers[3]};
 }
 
+std::optional<KeyDigest> ReadKey(const MessageHead& head,
+                                 std::string_view name) {
+  std::optional<KeyDigest> out;
+  for (const HeaderField& it : head.fields) {
+    if (!EqualsIgnoreCase(it.name, name)) {
+      continue;
+    }
+    if (out) {
+      // No team has the empty key.
+      return DigestOfKey({});
+    }
+    out = DigestOfKey(it.value);
+  }
+  return out;
+}
+
 CallMetadata ReadCallMetadata(const MessageHead& head) {
   CallMetadata metadata;
   metadata.request_id = head.Get(kRequestIdHeader);
@@ -104,12 +120,14 @@
   metadata.host = HostWithoutPort(head.Get("Host"));
   metadata.path = head.target.substr(0, head.target.find('?'));
   metadata.method = head.method;
-  metadata.order_key = head.Get(kOrderKeyHeader);
+  metadata.key = ReadKey(head, kKeyHeader);
+  metadata.order_key = head.Get(kIdempotencyKeyHeader);
   metadata.deadline = ParseMilliseconds(head.Get(kDeadlineHeader));
   metadata.depth = ParseDepth(head.Get(kDepthHeader));
   metadata.is_retry = IsRetry(head);
   for (const HeaderField& it : head.fields) {
-    if (StartsWithIgnoreCase(it.name, "x-")) {
+    if (StartsWithIgnoreCase(it.name, "x-") &&
+        !EqualsIgnoreCase(it.name, kKeyHeader)) {
       metadata.headers.emplace_back(ToLower(it.name), it.value);
     }
   }
@@ -184,6 +202,9 @@
                    std::to_string(attempt.longest_job.count()), head);
   AddUnlessDefault(kTeamHeader, attempt.team, head);
   AddUnlessDefault(kClassHeader, attempt.request_class, head);
+  if (!attempt.order_key.empty()) {
+    head->Add(kOrderKeyHeader, attempt.order_key);
+  }
   AddUnlessDefault(kSiteHeader, attempt.site, head);
   AddUnlessDefault(kCallerHeader, attempt.caller_service, head);
   AddUnlessDefault(kPriorityHeader, std::to_string(attempt.priority), head);
--- a/src/cassiabend/node/node.cc
+++ b/src/cassiabend/node/node.cc
@@ -227,6 +227,9 @@
         {{"revision", refused->revision}, {"why", refused->reason}});
   } else if (const auto* restored = std::get_if<StoreRestored>(&effect)) {
     Log(LogLevel::kWarning, "store_restored", {{"era", restored->era}});
+  } else if (const auto* part = std::get_if<HeadPartRefused>(&effect)) {
+    Log(LogLevel::kWarning, "version_part_refused",
+        {{"revision", part->revision}, {"why", part->reason}});
   } else if (const auto* readiness = std::get_if<ReadinessChanged>(&effect)) {
     ready_ = readiness->ready && !shutting_down_;
     not_ready_reason_ = readiness->reason;
