Split the bytes beyond the zone by purpose in one metric

Change: cassiabend_beyond_zone_bytes_total counts answers, attempts with their refusals, membership, loads and versions, to other zones and other regions, sent and received: 20 values. Attempts and answers are counted at the entry node only.

--- a/src/cassiabend/http/attempt_client.cc
+++ b/src/cassiabend/http/attempt_client.cc
@@ -44,11 +44,14 @@
                              const RefPtr<BufferedRequest>& buffered_request,
                              RefPtr<BufferedBytes> buffered_bytes,
                              Milliseconds progress_timeout,
+                             TrafficSplit* traffic,
                              EventSink* sink)
     : call_(send.call),
       attempt_(send.request.id),
       verb_(send.verb),
       buffered_bytes_(std::move(buffered_bytes)),
+      traffic_(traffic),
+      peer_ip_(send.destination.ip),
       sink_(sink) {
   boost::system::error_code ec;
   const auto address = boost::asio::ip::make_address(send.destination.ip, ec);
@@ -82,7 +85,23 @@
   return id == ToHex(attempt_) ? ResponseMatch::kOwn : ResponseMatch::kOther;
 }
 
+void AttemptClient::OnRequestSent(std::uint64_t bytes) {
+  if (traffic_ != nullptr) {
+    traffic_->RecordSent(TrafficPurpose::kAttempts, peer_ip_, bytes);
+  }
+}
+
+/// \brief Counts received bytes as the answer's once it has begun.
+void AttemptClient::RecordReceived(std::uint64_t bytes) noexcept {
+  if (traffic_ != nullptr) {
+    traffic_->RecordReceived(answer_ != nullptr ? TrafficPurpose::kAnswers
+                                                : TrafficPurpose::kAttempts,
+                             peer_ip_, bytes);
+  }
+}
+
 void AttemptClient::OnResponseHead(MessageHead& head) {
+  const std::size_t head_bytes = head.wire_bytes;
   const Outcome outcome = ReadOutcome(head);
   if (outcome.name == kOutcomeAnswered) {
     const std::uint16_t status = head.status;
@@ -102,9 +121,11 @@
   } else {
     sink_->Post(CallEvent(AttemptUnknown{call_, attempt_}));
   }
+  RecordReceived(head_bytes);
 }
 
 void AttemptClient::OnResponseBody(std::string_view bytes) {
+  RecordReceived(bytes.size());
   if (answer_ == nullptr) {
     return;
   }
--- a/src/cassiabend/http/attempt_client.h
+++ b/src/cassiabend/http/attempt_client.h
@@ -5,6 +5,7 @@
 
 #include "cassiabend/core/call_events.h"
 #include "cassiabend/core/event_sink.h"
+#include "cassiabend/core/placement/traffic_split.h"
 #include "cassiabend/http/answer_stream.h"
 #include "cassiabend/http/client_exchange.h"
 
@@ -15,11 +16,13 @@
 class AttemptClient final : private ExchangeListener, private AnswerWriter {
  public:
   /// \param buffered_request The caller's request; null for a fetch or cancel.
+  /// \param traffic Counts the bytes; may be null.
   AttemptClient(ConnectionPool* pool,
                 const SendAttempt& send,
                 const RefPtr<BufferedRequest>& buffered_request,
                 RefPtr<BufferedBytes> buffered_bytes,
                 Milliseconds progress_timeout,
+                TrafficSplit* traffic,
                 EventSink* sink);
   ~AttemptClient() override;
 
@@ -31,6 +34,7 @@
 
  private:
   [[nodiscard]] ResponseMatch MatchResponse(const MessageHead& head) override;
+  void OnRequestSent(std::uint64_t bytes) override;
   void OnResponseHead(MessageHead& head) override;
   void OnResponseBody(std::string_view bytes) override;
   void OnResponseEnd() override;
@@ -38,11 +42,14 @@
   void OnRoomAvailable() override;
 
   void PostLost(ConnectionLoss loss);
+  void RecordReceived(std::uint64_t bytes) noexcept;
 
   CallId call_;
   AttemptId attempt_;
   AttemptVerb verb_;
   RefPtr<BufferedBytes> buffered_bytes_;
+  TrafficSplit* traffic_;
+  std::string peer_ip_;
   EventSink* sink_;
   RefPtr<ClientExchange> exchange_;
   RefPtr<AnswerStream> answer_;
--- a/src/cassiabend/http/call_server.h
+++ b/src/cassiabend/http/call_server.h
@@ -9,6 +9,7 @@
 #include "cassiabend/core/call_events.h"
 #include "cassiabend/core/event_sink.h"
 #include "cassiabend/core/member.h"
+#include "cassiabend/core/placement/traffic_split.h"
 #include "cassiabend/http/call_protocol.h"
 #include "cassiabend/model/config.h"
 
@@ -23,6 +24,9 @@
   /// Port for callers only; 0: callers and nodes share `call_port`.
   std::uint16_t caller_port = 0;
   const CallProtocol* call_protocol = &DefaultCallProtocol();
+  /// Counts the bytes exchanged with other nodes; may be null. Must outlive
+  /// the server.
+  TrafficSplit* traffic = nullptr;
   /// Upstream on this host; port 0: there is none.
   std::string upstream_ip;
   std::uint16_t upstream_port = 0;
--- a/src/cassiabend/http/call_table.cc
+++ b/src/cassiabend/http/call_table.cc
@@ -85,6 +85,7 @@
                      DestinationTable* destination,
                      std::uint64_t* next_id,
                      const CallProtocol* call_protocol,
+                     TrafficSplit* traffic,
                      EventSink* sink)
     : self_(std::move(self)),
       pool_(pool),
@@ -93,6 +94,7 @@
       destination_(destination),
       next_id_(next_id),
       call_protocol_(call_protocol),
+      traffic_(traffic),
       sink_(sink) {}
 
 void CallTable::AddCall(CallId id,
@@ -156,7 +158,7 @@
   Attempt& attempt = GetOrAddAttempt(effect.call, effect.request.id);
   attempt.client = std::make_unique<AttemptClient>(
       pool_, effect, buffered_request, buffered_bytes_, progress_timeout_,
-      sink_);
+      traffic_, sink_);
 }
 
 void CallTable::SendLocally(const SendAttempt& effect,
--- a/src/cassiabend/http/call_table.h
+++ b/src/cassiabend/http/call_table.h
@@ -27,6 +27,7 @@
             DestinationTable* destination,
             std::uint64_t* next_id,
             const CallProtocol* call_protocol,
+            TrafficSplit* traffic,
             EventSink* sink);
 
   /// \brief Adds a caller's request and posts `CallArrived`.
@@ -98,6 +99,7 @@
   DestinationTable* destination_;
   std::uint64_t* next_id_;
   const CallProtocol* call_protocol_;
+  TrafficSplit* traffic_;
   EventSink* sink_;
   std::unordered_map<CallId, Call> calls_;
   std::unordered_map<AttemptId, Attempt, Id128Hasher> attempts_;
--- a/src/cassiabend/http/client_exchange.cc
+++ b/src/cassiabend/http/client_exchange.cc
@@ -87,8 +87,10 @@
   const std::string_view body = request_.body_source == nullptr
                                     ? std::string_view()
                                     : request_.body_source->body();
+  const std::size_t before = out->size();
   AppendRequestHead(request_.head, body.size(), out);
   out->append(body);
+  listener_->OnRequestSent(out->size() - before);
   connection_->SetTimeout(request_.head_timeout);
   connection_->Flush();
 }
--- a/src/cassiabend/http/client_exchange.h
+++ b/src/cassiabend/http/client_exchange.h
@@ -37,6 +37,9 @@
       const MessageHead& /*head*/) {
     return ResponseMatch::kOwn;
   }
+  /// \brief The request was handed to a connection; called again if it is sent
+  /// once more.
+  virtual void OnRequestSent(std::uint64_t /*bytes*/) {}
   virtual void OnResponseHead(MessageHead& head) = 0;
   virtual void OnResponseBody(std::string_view bytes) = 0;
   virtual void OnResponseEnd() = 0;
--- a/src/cassiabend/node/metrics.cc
+++ b/src/cassiabend/node/metrics.cc
@@ -158,6 +158,7 @@
     AddStoreReplies(readings.store, &out);
     AddLogLines(readings, &out);
     AddTraffic(readings.traffic, &out);
+    AddTrafficSplit(readings.traffic_split, &out);
     AddCounts(kFleetMetrics, readings.fleet, &out);
     AddCounts(kStoreMetrics, readings.store, &out);
     AddCounts(kServerMetrics, readings.call_server, &out);
@@ -310,6 +311,28 @@
         static_cast<double>(traffic.rejected_messages)));
   }
 
+  static void AddTrafficSplit(const TrafficSplit::Counts& counts,
+                              std::vector<MetricFamily>* out) {
+    std::vector<LabelledValue> values;
+    for (std::size_t purpose = 0; purpose < counts.size(); ++purpose) {
+      for (std::size_t to = 0; to < counts.at(purpose).size(); ++to) {
+        const TrafficSplit::Bytes& bytes = counts.at(purpose).at(to);
+        const auto row = [&](const char* direction, std::uint64_t n) {
+          values.push_back({{{"beyond", kTrafficDistanceNames.at(to)},
+                             {"direction", direction},
+                             {"purpose", kTrafficPurposeNames.at(purpose)}},
+                            static_cast<double>(n)});
+        };
+        row("sent", bytes.sent);
+        row("received", bytes.received);
+      }
+    }
+    out->push_back(MakeLabelledFamily(
+        "cassiabend_beyond_zone_bytes_total",
+        "Bytes exchanged with nodes of other zones and regions.",
+        MetricType::Counter, values));
+  }
+
   std::function<NodeReadings()> read_;
 };
 
--- a/src/cassiabend/node/metrics.h
+++ b/src/cassiabend/node/metrics.h
@@ -18,6 +18,7 @@
 #include "cassiabend/core/call_reducer.h"
 #include "cassiabend/core/event.h"
 #include "cassiabend/core/fleet_reducer.h"
+#include "cassiabend/core/placement/traffic_split.h"
 #include "cassiabend/http/call_server.h"
 #include "cassiabend/rpc/peer_transport.h"
 #include "cassiabend/store/store_client.h"
@@ -42,6 +43,7 @@
   std::uint64_t cross_region_bytes = 0;
   CallServerCounts call_server;
   PeerTraffic traffic;
+  TrafficSplit::Counts traffic_split{};
   StoreClientCounts store;
   std::uint64_t events = 0;
   /// User and system CPU time of the process.
--- a/src/cassiabend/node/node.cc
+++ b/src/cassiabend/node/node.cc
@@ -65,7 +65,8 @@
       settings_file_(std::move(settings_file)),
       reducer_(CoreOptionsOf(settings_, StartId(clock), SeedOf(settings_))),
       metrics_([this] { return CollectReadings(); }),
-      region_traffic_(settings_.node.region),
+      traffic_split_(settings_.node.region, settings_.node.zone),
+      region_traffic_(settings_.node.region, &traffic_split_),
       fleet_timer_(io),
       call_timer_(io),
       shutdown_timer_(io) {
@@ -73,10 +74,12 @@
   const NodeId self{node_settings.ip, node_settings.peer_port};
   const std::uint64_t start_id =
       reducer_.fleet().Members(clock_.Now()).front().member.start_id;
-  calls_ = std::make_unique<CallServer>(
-      io_, clock_, CallServerOptionsOf(settings_, start_id), this);
+  CallServerOptions call_options = CallServerOptionsOf(settings_, start_id);
+  call_options.traffic = &traffic_split_;
+  calls_ = std::make_unique<CallServer>(io_, clock_, call_options, this);
   peers_ = std::make_unique<PeerTransport>(
-      io_, PeerTransportOptions{.self = self}, this);
+      io_, PeerTransportOptions{.self = self, .traffic = &traffic_split_},
+      this);
   peers_->SetDrainHandler([this] { Shutdown(); });
   store_ = std::make_unique<StoreClient>(io_, settings_.store, this);
   if (node_settings.admin_port != 0) {
@@ -460,6 +463,7 @@
   out.cross_region_bytes = region_traffic_.bytes();
   out.call_server = calls_->counts();
   out.traffic = peers_->traffic();
+  out.traffic_split = traffic_split_.counts();
   out.store = store_->counts();
   out.events = events_;
   out.cpu = ProcessCpuTime();
--- a/src/cassiabend/node/node.h
+++ b/src/cassiabend/node/node.h
@@ -82,6 +82,7 @@
   std::string settings_file_;
   NodeReducer reducer_;
   NodeMetrics metrics_;
+  TrafficSplit traffic_split_;
   RegionTraffic region_traffic_;
   std::deque<Body> queue_;
   bool drain_scheduled_ = false;
--- a/src/cassiabend/node/region_traffic.h
+++ b/src/cassiabend/node/region_traffic.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "cassiabend/core/event.h"
+#include "cassiabend/core/placement/traffic_split.h"
 
 namespace cassiabend {
 
@@ -14,7 +15,9 @@
 class RegionTraffic {
  public:
   /// \param region Region of this node.
-  explicit RegionTraffic(std::string region);
+  /// \param split Learns the places of members, and counts versions; may be
+  /// null. Must outlive this object.
+  explicit RegionTraffic(std::string region, TrafficSplit* split = nullptr);
 
   [[nodiscard]] std::uint64_t bytes() const noexcept { return bytes_; }
 
@@ -24,10 +27,12 @@
   void Record(const FleetEvent& event);
 
  private:
+  [[nodiscard]] bool IsCounted(const NodeId& peer) const;
   [[nodiscard]] static std::uint64_t SizeOf(const ConfigUpdate& update);
   void RecordRegions(const MembersChanged& changed);
 
   std::string region_;
+  TrafficSplit* split_;
   std::set<NodeId> other_region_members_;
   std::uint64_t bytes_ = 0;
 };
--- a/src/cassiabend/rpc/datagram_socket.cc
+++ b/src/cassiabend/rpc/datagram_socket.cc
@@ -24,10 +24,17 @@
          std::holds_alternative<AttachBody>(datagram.body);
 }
 
+TrafficPurpose PurposeOf(const Datagram& datagram) noexcept {
+  return IsHeartbeat(datagram) ? TrafficPurpose::kLoads
+                               : TrafficPurpose::kMembership;
+}
+
 }  // namespace
 
-DatagramSocket::DatagramSocket(asio::io_context& io, const NodeId& self)
-    : socket_(io) {
+DatagramSocket::DatagramSocket(asio::io_context& io,
+                               const NodeId& self,
+                               TrafficSplit* traffic)
+    : socket_(io), traffic_(traffic) {
   try {
     const udp::endpoint endpoint(asio::ip::make_address(self.ip),
                                  self.peer_port);
@@ -61,6 +68,10 @@
   (IsHeartbeat(datagram) ? counts_.heartbeat_bytes_sent
                          : counts_.membership_bytes_sent) +=
       bytes.size() + kUdpHeaderBytes;
+  if (traffic_ != nullptr) {
+    traffic_->RecordSent(PurposeOf(datagram), to.ip,
+                         bytes.size() + kUdpHeaderBytes);
+  }
 }
 
 void DatagramSocket::Close() {
@@ -96,6 +107,10 @@
     (IsHeartbeat(datagram) ? counts_.heartbeat_bytes_received
                            : counts_.membership_bytes_received) +=
         n + kUdpHeaderBytes;
+    if (traffic_ != nullptr) {
+      traffic_->RecordReceived(PurposeOf(datagram), sender.ip,
+                               n + kUdpHeaderBytes);
+    }
     handler_(std::move(datagram));
   } catch (const Error& ex) {
     ++counts_.rejected;
--- a/src/cassiabend/rpc/datagram_socket.h
+++ b/src/cassiabend/rpc/datagram_socket.h
@@ -9,6 +9,7 @@
 #include <memory>
 
 #include "cassiabend/core/fleet_events.h"
+#include "cassiabend/core/placement/traffic_split.h"
 
 namespace cassiabend {
 
@@ -31,8 +32,11 @@
  public:
   using Handler = std::function<void(Datagram datagram)>;
 
+  /// \param traffic Counts the bytes; may be null.
   /// \throws RpcError when the port cannot be opened.
-  DatagramSocket(boost::asio::io_context& io, const NodeId& self);
+  DatagramSocket(boost::asio::io_context& io,
+                 const NodeId& self,
+                 TrafficSplit* traffic = nullptr);
 
   [[nodiscard]] const DatagramCounts& counts() const noexcept {
     return counts_;
@@ -55,6 +59,7 @@
   std::array<char, 2'048> buf_{};
   Handler handler_;
   DatagramCounts counts_;
+  TrafficSplit* traffic_;
 };
 
 }  // namespace cassiabend
--- a/src/cassiabend/rpc/peer_transport.cc
+++ b/src/cassiabend/rpc/peer_transport.cc
@@ -26,7 +26,9 @@
        const PeerTransportOptions& options,
        EventSink* sink)
       : poster_(std::make_shared<EventPoster>(io, sink)),
-        datagrams_(std::make_shared<DatagramSocket>(io, options.self)) {
+        datagrams_(std::make_shared<DatagramSocket>(io,
+                                                    options.self,
+                                                    options.traffic)) {
     const auto on_drain = [this] {
       if (on_drain_) {
         on_drain_();
--- a/src/cassiabend/rpc/peer_transport.h
+++ b/src/cassiabend/rpc/peer_transport.h
@@ -9,6 +9,7 @@
 #include "cassiabend/core/event_sink.h"
 #include "cassiabend/core/fleet_events.h"
 #include "cassiabend/core/member.h"
+#include "cassiabend/core/placement/traffic_split.h"
 
 namespace cassiabend {
 
@@ -18,6 +19,8 @@
   Milliseconds rpc_timeout{2'000};
   std::uint32_t max_connections = 256;
   std::uint32_t max_message_bytes = 16 * 1024 * 1024;
+  /// Counts the bytes of datagrams; may be null. Must outlive the transport.
+  TrafficSplit* traffic = nullptr;
 };
 
 /// \brief Traffic by purpose; bytes include estimated IP and UDP or TCP
--- a/tests/shell/metrics_test.cc
+++ b/tests/shell/metrics_test.cc
@@ -76,8 +76,11 @@
   readings.log_lines_too_frequent = 12;
   readings.applied_at = WallTime(Milliseconds(2'500));
   readings.members_by_status = {{"alive", 3}, {"dead", 1}};
+  readings.traffic_split.at(0).at(1).received = 7'000;
   NodeMetrics metrics([&readings] { return readings; });
   const auto values = harness::ParseMetrics(metrics.Scrape());
+  CHECK(values.at("cassiabend_beyond_zone_bytes_total{beyond=\"region\","
+                  "direction=\"received\",purpose=\"answers\"}") == 7'000);
   CHECK(values.at("cassiabend_retry_budget_left{of=\"catalog\",class=\"\"}") ==
         1.5);
   CHECK(values.at("cassiabend_work{state=\"attempts_queued\"}") == 7);
