Take the ages of keys from the platform's bounds

Cause: the platform states how soon a change binds and, with revoke_fail_closed, for how long a node that is cut off may serve calls with a key. Change: unknown_key_age_ms follows from config_apply; keyed_call_age_ms from revoke where revoke_fail_closed is true, else it stays 0. The bounds are read into a table first, as the two belong together in any order.

--- a/tests/platform/platform_settings_test.cc
+++ b/tests/platform/platform_settings_test.cc
@@ -39,6 +39,7 @@
   CHECK(settings.node.shutdown_timeout > Seconds(5));
   CHECK(settings.http.link_kilobits == 13'300);
   CHECK(settings.fleet.follow_limit < Seconds(2));
+  CHECK(settings.calls.unknown_key_age == Seconds(2));
   // The node must not retry more than the platform allows.
   CHECK(settings.calls.retry_budget_permille <= 200);
   CHECK(settings.calls.retry_budget_permille > 0);
@@ -46,6 +47,20 @@
   CHECK(settings.calls.retry_burst > 0);
 }
 
+TEST_CASE("keyed calls end with the confirmation where the platform says so") {
+  const auto age = [](const char* bounds) {
+    Settings settings = SampleSettings();
+    settings.platform.bounds = bounds;
+    TranslateSettings(&settings);
+    return settings.calls.keyed_call_age;
+  };
+  CHECK(age("revoke_fail_closed=true,revoke=5000ms,") == Seconds(5));
+  CHECK(age("revoke=4s,revoke_fail_closed=true,") == Seconds(4));
+  CHECK(age("revoke_fail_closed=false,revoke=5000ms,") == Milliseconds(0));
+  CHECK(age("revoke=5000ms,") == Milliseconds(0));
+  CHECK(age("config_apply=3s,") == Milliseconds(0));
+}
+
 TEST_CASE("an invalid value is refused with the name of its field") {
   struct Row {
     std::string PlatformSettings::*field;
@@ -61,6 +76,8 @@
       {&PlatformSettings::bounds, "grace=soon", "platform.bounds.grace"},
       {&PlatformSettings::bounds, "budget_slack=x",
        "platform.bounds.budget_slack"},
+      {&PlatformSettings::bounds, "revoke_fail_closed=true,revoke=soon",
+       "platform.bounds.revoke"},
       {&PlatformSettings::link_mbps, "wide", "platform.link_mbps"},
       {&PlatformSettings::link_mbps, "1e99", "platform.link_mbps"},
   };
