--- a/src/cassiabend/model/json_read.cc
+++ b/src/cassiabend/model/json_read.cc
@@ -140,8 +140,7 @@
               return FromHex(text, &out.emplace_back());
             });
   std::ranges::sort(out);
-  const auto [first, last] = std::ranges::unique(out);
-  out.erase(first, last);
+  out.erase(std::unique(out.begin(), out.end()), out.end());
   return out;
 }
 
