Place work by expected completion

Cause: a load that had not been told for 1.5 s counted as none, so that in a large fleet the upstreams of other regions, which are heard of least, looked idle. Change: with calls.place_by_completion (off by default) the load of an upstream that has not told it lately is expected to be that of others of its service; its speed is what was measured, times what it tells against its own usual figure; an attempt leaves the region once, for a slot that is expected to be free, or to see where nothing is known and the near ones are full. Destinations tell the speed in a header of its own and in datagrams; a missing one means unknown.

--- a/src/cassiabend/core/balancer.cc
+++ b/src/cassiabend/core/balancer.cc
@@ -84,7 +84,9 @@
     return nullptr;
   }
   if (options_.place_by_time != 0) {
-    Upstream* cheapest = PickLowestCost(now, query, service, random);
+    Upstream* cheapest = options_.place_by_completion != 0
+                             ? PickByCompletion(now, query, service, random)
+                             : PickLowestCost(now, query, service, random);
     return cheapest != nullptr ? cheapest
                                : PickLastResort(query, *service, random);
   }
@@ -175,7 +177,8 @@
 
 void Balancer::UpdateLoad(MonoTime now,
                           const NodeId& id,
-                          std::uint16_t load_permille) {
+                          std::uint16_t load_permille,
+                          std::uint16_t time_percent) {
   const auto it = upstreams_.find(id);
   if (it == upstreams_.end()) {
     return;
@@ -183,6 +186,7 @@
   it->second->reported_load_permille_ = load_permille;
   it->second->load_reported_at_ = now;
   CostModel::RecordLoad(now, load_permille, &it->second->stats_);
+  RecordTold(now, load_permille, time_percent, it->second.get());
 }
 
 void Balancer::RecordEnd(MonoTime now,
@@ -343,9 +347,13 @@
                            Nanoseconds latency,
                            const DestinationTimes& times,
                            Upstream* upstream) {
-  cost_model_.RecordAnswer(now, upstream->member_.service, request_class,
-                           upstream->locality_, latency, times,
-                           &upstream->stats_);
+  const double ratio = cost_model_.RecordAnswer(
+      now, upstream->member_.service, request_class, upstream->locality_,
+      latency, times, &upstream->stats_);
+  if (options_.place_by_completion != 0) {
+    upstream->stats_.speed.RecordMeasured(now, ratio);
+  }
+  RecordTold(now, times.load_permille, times.time_percent, upstream);
 }
 
 Upstream* Balancer::PickInLevel(MonoTime now,
@@ -369,7 +377,7 @@
 Upstream* Balancer::PickLastResort(const UpstreamQuery& query,
                                    const Service& service,
                                    Random* random) const {
-  for (const Level& level : service.levels) {
+  for (const Level& level : LastResortLevels(service)) {
     std::size_t index = random->Below(level.size());
     const std::size_t limit = std::min(level.size(), kMaxExaminedUpstreams);
     for (std::size_t i = 0; i < limit; ++i) {
--- a/src/cassiabend/core/balancer.h
+++ b/src/cassiabend/core/balancer.h
@@ -17,6 +17,7 @@
 #include "cassiabend/core/ejection.h"
 #include "cassiabend/core/member.h"
 #include "cassiabend/core/options.h"
+#include "cassiabend/core/placement/load_expectation.h"
 
 namespace cassiabend {
 
@@ -117,7 +118,13 @@
 
   /// \brief Applies a member record.
   void Update(MonoTime now, const Member& member);
-  void UpdateLoad(MonoTime now, const NodeId& id, std::uint16_t load_permille);
+  /// \brief Applies a load that a member told other than with an answer.
+  /// \param time_percent Time that work takes there, in hundredths of the
+  /// usual; 0 if that is unknown.
+  void UpdateLoad(MonoTime now,
+                  const NodeId& id,
+                  std::uint16_t load_permille,
+                  std::uint16_t time_percent = 0);
   void RecordStart(Upstream* upstream) noexcept {
     ++upstream->outstanding_;
     CostModel::RecordStart(&upstream->stats_);
@@ -131,10 +138,11 @@
                    Upstream* upstream);
   /// \brief Records the load that a destination sent with a refusal or an error
   /// answer.
-  static void RecordLoad(MonoTime now,
-                         const DestinationTimes& times,
-                         Upstream* upstream) {
+  void RecordLoad(MonoTime now,
+                  const DestinationTimes& times,
+                  Upstream* upstream) {
     CostModel::RecordLoad(now, times.load_permille, &upstream->stats_);
+    RecordTold(now, times.load_permille, times.time_percent, upstream);
   }
   /// \brief Records the size of an answer's body.
   void RecordAnswerSize(std::string_view service,
@@ -163,6 +171,8 @@
     EjectionPolicy ejection;
     /// Moving average over all upstreams.
     Nanoseconds latency{0};
+    /// Kept with `CallOptions::place_by_completion` only.
+    LoadExpectation loads;
   };
   using Level = std::vector<Upstream*>;
 
@@ -187,6 +197,21 @@
                                          const UpstreamQuery& query,
                                          Service* service,
                                          Random* random);
+  /// \returns The upstream that is expected to complete the call at the lowest
+  /// cost, among some usable ones of each level; null when there is none.
+  [[nodiscard]] Upstream* PickByCompletion(MonoTime now,
+                                           const UpstreamQuery& query,
+                                           Service* service,
+                                           Random* random);
+  [[nodiscard]] UpstreamExpectation ExpectationOf(
+      MonoTime now,
+      const Service& service,
+      const Upstream& upstream) const noexcept;
+  /// \brief Records what an upstream told, for `PickByCompletion`.
+  void RecordTold(MonoTime now,
+                  std::uint16_t load_permille,
+                  std::uint16_t time_percent,
+                  Upstream* upstream);
   /// \returns The better one by `Score` of two random upstreams of a level;
   /// null when there is none.
   [[nodiscard]] Upstream* PickInLevel(MonoTime now,
@@ -199,6 +224,9 @@
   [[nodiscard]] Upstream* PickLastResort(const UpstreamQuery& query,
                                          const Service& service,
                                          Random* random) const;
+  /// \returns The levels in which `PickLastResort` searches.
+  [[nodiscard]] std::span<const Level> LastResortLevels(
+      const Service& service) const noexcept;
   /// \returns Whether an upstream may get a call now. In slow start this is
   /// random, with a probability that grows with the time since it began to
   /// serve.
--- a/src/cassiabend/core/call_destination.cc
+++ b/src/cassiabend/core/call_destination.cc
@@ -171,7 +171,8 @@
                     refusal.reason,
                     refusal.retry_after,
                     false,
-                    {.load_permille = LoadPermille()}};
+                    {.load_permille = LoadPermille(),
+                     .time_percent = health_->time_percent()}};
   AddRefusalDetails(event.request, event.request.deadline, &reply);
   context_->Emit(std::move(reply));
   table_.AddTombstone(event.request, TombstoneKind::kNotRun);
@@ -383,7 +384,8 @@
               std::chrono::floor<Milliseconds>(now - attempt.arrived_at),
           .service = started ? std::chrono::floor<Milliseconds>(
                                    now - attempt.started_at)
-                             : Milliseconds(0)};
+                             : Milliseconds(0),
+          .time_percent = health_->time_percent()};
 }
 
 void CallDestination::SendAnswerToWaiting(Attempt* attempt) {
--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -250,8 +250,8 @@
     call->refusal = Refusal{event.reason, event.retry_after};
   }
   if (event.times) {
-    Balancer::RecordLoad(context_->now.mono, *event.times,
-                         call->tried.back().get());
+    balancer_->RecordLoad(context_->now.mono, *event.times,
+                          call->tried.back().get());
   }
   call->upstream_attempts += event.reached_upstream ? 1 : 0;
   const bool needs_room = event.reason == NotRunReason::kOverloaded;
@@ -302,7 +302,7 @@
   if (errored) {
     // Errors take less or more time than answers, so their times are not
     // recorded.
-    Balancer::RecordLoad(now, times, upstream);
+    balancer_->RecordLoad(now, times, upstream);
     return;
   }
   balancer_->RecordTimes(now, call->route->request_class, now - call->sent_at,
--- a/src/cassiabend/core/call_reducer.cc
+++ b/src/cassiabend/core/call_reducer.cc
@@ -179,7 +179,8 @@
   }
 
   void Handle(const MemberLoadReported& event) {
-    balancer_.UpdateLoad(context_.now.mono, event.id, event.load_permille);
+    balancer_.UpdateLoad(context_.now.mono, event.id, event.load_permille,
+                         event.time_percent);
   }
 
   void Handle(const ReadinessChanged& event) {
--- a/src/cassiabend/core/call_upstream_health.cc
+++ b/src/cassiabend/core/call_upstream_health.cc
@@ -212,7 +212,7 @@
   }
   reported_permille_ = load;
   reported_at_ = context_->now.mono;
-  context_->Emit(LocalLoadChanged{load});
+  context_->Emit(LocalLoadChanged{load, time_percent()});
 }
 
 void CallUpstreamHealth::Drain() {
--- a/src/cassiabend/core/call_upstream_health.h
+++ b/src/cassiabend/core/call_upstream_health.h
@@ -25,6 +25,13 @@
     return load_.At(context_->now.mono);
   }
 
+  /// \returns Time that work takes there at present, in hundredths of the
+  /// usual; 0 if that is unknown.
+  [[nodiscard]] std::uint16_t time_percent() const noexcept {
+    const std::optional<UpstreamLoad> known = load();
+    return known ? static_cast<std::uint16_t>(known->time_percent) : 0;
+  }
+
   /// \returns Instance id of the start of the upstream that calls are meant
   /// for; empty if it sends no heartbeats.
   [[nodiscard]] const std::string& instance() const noexcept {
--- a/src/cassiabend/core/cost_model.cc
+++ b/src/cassiabend/core/cost_model.cc
@@ -70,13 +70,24 @@
                        std::uint32_t slots,
                        const UpstreamStats& stats) const {
   const double remaining = RemainingWeight(now, stats.observed_at);
-  const double relative_service_time =
-      1.0 + (stats.relative_service_time - 1.0) * remaining;
-  const double size = std::max(slots, 1U);
   const double reported = now - stats.load_reported_at < kLoadLifetime
                               ? stats.load_permille / kPermille
                               : 0.0;
-  const double load = reported + stats.sent_since_load / size;
+  const double size = std::max(slots, 1U);
+  return Cost(now, locality, slots, stats,
+              {.service_time_factor =
+                   1.0 + (stats.relative_service_time - 1.0) * remaining,
+               .load = reported + stats.sent_since_load / size});
+}
+
+double CostModel::Cost(MonoTime now,
+                       Locality locality,
+                       std::uint32_t slots,
+                       const UpstreamStats& stats,
+                       const UpstreamExpectation& expected) const {
+  const double remaining = RemainingWeight(now, stats.observed_at);
+  const double load = expected.load;
+  const double size = std::max(slots, 1U);
   // With a free slot, calls rarely wait; without, each waits for those ahead.
   const double contention =
       std::clamp((load - kQueueingLoad) / (1.0 - kQueueingLoad), 0.0, 1.0) /
@@ -85,7 +96,7 @@
       std::max(load - 1.0 + 1.0 / size, contention) * service_mean_ms_;
   const double time =
       network_ms_.at(static_cast<std::size_t>(locality)) +
-      (class_averages_.service_ms + wait) * relative_service_time +
+      (class_averages_.service_ms + wait) * expected.service_time_factor +
       stats.failure_rate * remaining * kFailureCostFactor *
           class_averages_.service_ms;
   const double counted = std::min(time, discounted_ms_) * kDiscountedWeight +
@@ -106,13 +117,13 @@
   return 0.0;
 }
 
-void CostModel::RecordAnswer(MonoTime now,
-                             std::string_view service,
-                             std::string_view request_class,
-                             Locality locality,
-                             Nanoseconds latency,
-                             const DestinationTimes& times,
-                             UpstreamStats* stats) {
+double CostModel::RecordAnswer(MonoTime now,
+                               std::string_view service,
+                               std::string_view request_class,
+                               Locality locality,
+                               Nanoseconds latency,
+                               const DestinationTimes& times,
+                               UpstreamStats* stats) {
   const double service_ms = std::max(ToMs(times.service), 0.5);
   ClassAverages* averages = AveragesOf(service, request_class);
   const double before = averages->service_ms;
@@ -122,10 +133,11 @@
   UpdateAverage(std::max(ToMs(latency - times.time_at_node), 0.0),
                 kNewestWeight,
                 &network_ms_.at(static_cast<std::size_t>(locality)));
-  RecordRelativeServiceTime(now, before > 0.0 ? service_ms / before : 1.0,
-                            stats);
+  const double ratio = before > 0.0 ? service_ms / before : 1.0;
+  RecordRelativeServiceTime(now, ratio, stats);
   stats->failure_rate -= stats->failure_rate * kNewestWeight;
   RecordLoad(now, times.load_permille, stats);
+  return ratio;
 }
 
 void CostModel::RecordRelativeServiceTime(MonoTime now,
--- a/src/cassiabend/core/cost_model.h
+++ b/src/cassiabend/core/cost_model.h
@@ -8,6 +8,7 @@
 
 #include "cassiabend/base/time.h"
 #include "cassiabend/core/destination_times.h"
+#include "cassiabend/core/placement/speed_expectation.h"
 
 namespace cassiabend {
 
@@ -38,6 +39,16 @@
   std::uint16_t load_permille = 0;
   std::uint32_t sent_since_load = 0;
   MonoTime load_reported_at{};
+  /// Kept with `CallOptions::place_by_completion` only.
+  SpeedExpectation speed;
+};
+
+/// \brief What is expected of an upstream at the moment.
+struct UpstreamExpectation {
+  /// Service time as a factor on the mean of its service.
+  double service_time_factor = 1.0;
+  /// Running and waiting calls as a share of its slots.
+  double load = 0.0;
 };
 
 /// \brief Estimates the cost of sending a call to an upstream: the expected
@@ -66,6 +77,12 @@
                             Locality locality,
                             std::uint32_t slots,
                             const UpstreamStats& stats) const;
+  /// \brief The same with an expectation from elsewhere.
+  [[nodiscard]] double Cost(MonoTime now,
+                            Locality locality,
+                            std::uint32_t slots,
+                            const UpstreamStats& stats,
+                            const UpstreamExpectation& expected) const;
 
   /// \brief Records that an attempt was sent.
   static void RecordStart(UpstreamStats* stats) noexcept {
@@ -73,13 +90,14 @@
   }
   /// \brief Records an answer.
   /// \param latency Time from sending the attempt to its answer.
-  void RecordAnswer(MonoTime now,
-                    std::string_view service,
-                    std::string_view request_class,
-                    Locality locality,
-                    Nanoseconds latency,
-                    const DestinationTimes& times,
-                    UpstreamStats* stats);
+  /// \returns Its service time as a factor on the mean of its class.
+  double RecordAnswer(MonoTime now,
+                      std::string_view service,
+                      std::string_view request_class,
+                      Locality locality,
+                      Nanoseconds latency,
+                      const DestinationTimes& times,
+                      UpstreamStats* stats);
   /// \brief Records an attempt that failed or was answered with an error.
   static void RecordFailure(MonoTime now, UpstreamStats* stats) noexcept;
   /// \brief Records the load that a destination reports.
--- a/src/cassiabend/core/destination_times.h
+++ b/src/cassiabend/core/destination_times.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+
 #include "cassiabend/base/time.h"
 
 namespace cassiabend {
@@ -14,6 +16,9 @@
   Milliseconds time_at_node{0};
   /// Part of that time spent at the upstream; 0 if it was not reached.
   Milliseconds service{0};
+  /// Time that work takes at its upstream at present, in hundredths of the
+  /// usual; 0 if that is unknown.
+  std::uint16_t time_percent = 0;
 
   [[nodiscard]] bool operator==(const DestinationTimes&) const = default;
 };
--- a/src/cassiabend/core/fleet_events.h
+++ b/src/cassiabend/core/fleet_events.h
@@ -161,6 +161,8 @@
 struct LocalLoadChanged {
   /// Outstanding calls in thousandths of the slots.
   std::uint16_t load_permille = 0;
+  /// Time that work takes there, in hundredths of the usual; 0: unknown.
+  std::uint16_t time_percent = 0;
 };
 /// \brief Event: this node is to leave the fleet and tell its peers.
 struct LeaveRequested {};
@@ -237,6 +239,8 @@
 struct MemberLoadReported {
   NodeId id;
   std::uint16_t load_permille = 0;
+  /// Time that work takes there, in hundredths of the usual; 0: unknown.
+  std::uint16_t time_percent = 0;
 };
 /// \brief Effect: the node became able or unable to serve calls, or the reason
 /// changed.
--- a/src/cassiabend/core/fleet_reducer_impl.cc
+++ b/src/cassiabend/core/fleet_reducer_impl.cc
@@ -65,6 +65,7 @@
   datagram.mark = versions_.mark();
   datagram.confirmed_age = freshness_.AgeAt(context.now());
   datagram.load_permille = load_permille_;
+  datagram.time_percent = time_percent_;
   datagram.members_digest = membership_.live_digest();
   const MemberEntry* receiver = membership_.Find(send->to);
   const auto* ack = std::get_if<AckBody>(&datagram.body);
@@ -327,6 +328,7 @@
 void FleetReducer::Impl::On(const FleetContext&,
                             const LocalLoadChanged& event) {
   load_permille_ = event.load_permille;
+  time_percent_ = event.time_percent;
 }
 
 void FleetReducer::Impl::On(const FleetContext& context,
--- a/src/cassiabend/core/fleet_reducer_impl.h
+++ b/src/cassiabend/core/fleet_reducer_impl.h
@@ -121,6 +121,7 @@
   VersionSurvey survey_;
   MemberSync member_sync_;
   std::uint16_t load_permille_ = 0;
+  std::uint16_t time_percent_ = 0;
   /// Whether the last call to the store was answered; unset before the first.
   std::optional<bool> store_reachable_;
   /// Whether this node reads the head without a reader lease, because it hears
--- a/src/cassiabend/core/membership.cc
+++ b/src/cassiabend/core/membership.cc
@@ -243,7 +243,8 @@
   entry.heard_at = context.now();
   entry.load_permille = datagram.load_permille;
   if (!entry.member.service.empty()) {
-    context.Emit(MemberLoadReported{datagram.from, datagram.load_permille});
+    context.Emit(MemberLoadReported{datagram.from, datagram.load_permille,
+                                    datagram.time_percent});
   }
 }
 
--- a/src/cassiabend/core/options.h
+++ b/src/cassiabend/core/options.h
@@ -138,6 +138,11 @@
   /// 1: the upstream with the lowest expected time to its answer is picked; 0:
   /// the nearest one that is not saturated.
   std::uint32_t place_by_time = 0;
+  /// 1, with `place_by_time`: the load of an upstream that has not told it
+  /// lately is expected to be that of others of its service, what it tells of
+  /// its speed counts, and attempts leave the region only for a slot that is
+  /// expected to be free.
+  std::uint32_t place_by_completion = 0;
   /// Time, in microseconds, that is worth waiting to avoid the transfer of a
   /// kilobyte of an answer from another zone of the region or another region.
   std::uint32_t region_kilobyte_us = 0;
--- a/src/cassiabend/http/headers.h
+++ b/src/cassiabend/http/headers.h
@@ -45,6 +45,10 @@
 /// the attempt's time at the destination and its service time in milliseconds,
 /// separated by spaces.
 inline constexpr std::string_view kTimesHeader = "X-Cassiabend-Times";
+/// On answers and refusals: time that work takes at the upstream, in hundredths
+/// of the usual. Left out when unknown; nodes that don't know it ignore it.
+inline constexpr std::string_view kTimePercentHeader =
+    "X-Cassiabend-Time-Percent";
 inline constexpr std::string_view kOnceHeader = "X-Cassiabend-Once";
 inline constexpr std::string_view kLongestJobHeader =
     "X-Cassiabend-Longest-Job-S";
--- a/src/cassiabend/http/peer_reply_connection.cc
+++ b/src/cassiabend/http/peer_reply_connection.cc
@@ -14,7 +14,9 @@
 
 void PeerReplyConnection::SendNotRun(const ReplyNotRun& reply) {
   MessageHead head = NotRunHead(reply.reason, reply.retry_after);
-  head.Add(kTimesHeader, FormatTimes(reply.times));
+  for (const HeaderField& it : TimesHeaders(reply.times)) {
+    head.Add(it.name, it.value);
+  }
   if (reply.reached_upstream) {
     head.Add(kReachedHeader, "1");
   }
@@ -36,9 +38,9 @@
 
 void PeerReplyConnection::StreamAnswer(RefPtr<AnswerStream> answer,
                                        const SendAnswer& bound) {
-  exchange_->Relay(std::move(answer), bound.due,
-                   {{std::string(kAttemptHeader), attempt_},
-                    {std::string(kTimesHeader), FormatTimes(bound.times)}});
+  std::vector<HeaderField> more = TimesHeaders(bound.times);
+  more.insert(more.begin(), {std::string(kAttemptHeader), attempt_});
+  exchange_->Relay(std::move(answer), bound.due, std::move(more));
 }
 
 void PeerReplyConnection::Close() {
--- a/src/cassiabend/http/system_answers.cc
+++ b/src/cassiabend/http/system_answers.cc
@@ -69,6 +69,15 @@
          std::to_string(times.service.count());
 }
 
+std::vector<HeaderField> TimesHeaders(const DestinationTimes& times) {
+  std::vector<HeaderField> out{{std::string(kTimesHeader), FormatTimes(times)}};
+  if (times.time_percent > 0) {
+    out.push_back(
+        {std::string(kTimePercentHeader), std::to_string(times.time_percent)});
+  }
+  return out;
+}
+
 std::optional<DestinationTimes> ParseTimes(std::string_view text) {
   const std::size_t first = std::min(text.find(' '), text.size());
   const std::string_view rest = text.substr(std::min(first + 1, text.size()));
@@ -90,6 +99,10 @@
                        .value_or(NotRunReason::kOverloaded);
   outcome.retry_after = ReadRetryAfter(head);
   outcome.times = ParseTimes(head.Get(kTimesHeader));
+  if (outcome.times) {
+    outcome.times->time_percent =
+        ParseNumber<std::uint16_t>(head.Get(kTimePercentHeader)).value_or(0);
+  }
   outcome.reached_upstream = head.Get(kReachedHeader) == "1";
   return outcome;
 }
--- a/src/cassiabend/http/system_answers.h
+++ b/src/cassiabend/http/system_answers.h
@@ -23,6 +23,9 @@
 
 /// \returns The value of `kTimesHeader`.
 [[nodiscard]] std::string FormatTimes(const DestinationTimes& times);
+/// \returns The headers that state load and times of a destination.
+[[nodiscard]] std::vector<HeaderField> TimesHeaders(
+    const DestinationTimes& times);
 /// \returns Unset when `text` is not in the format of `FormatTimes`.
 [[nodiscard]] std::optional<DestinationTimes> ParseTimes(std::string_view text);
 [[nodiscard]] Outcome ReadOutcome(const MessageHead& head);
--- a/src/cassiabend/node/settings_fields.cc
+++ b/src/cassiabend/node/settings_fields.cc
@@ -196,6 +196,10 @@
     {"place_by_time", &Calls::place_by_time, 0, 1,
      "1: an upstream is chosen by the expected time to its answer; 0: the "
      "nearest one that has room."},
+    {"place_by_completion", &Calls::place_by_completion, 0, 1,
+     "1, with place_by_time: loads that are not known are expected to be those "
+     "of others, told speeds count, and attempts leave the region only for a "
+     "free slot."},
     {"region_kilobyte_us", &Calls::region_kilobyte_us, 0, 1'000'000,
      "Time, in microseconds, that is waited rather than move a kilobyte of an "
      "answer from another zone of the region."},
--- a/tests/call_load.h
+++ b/tests/call_load.h
@@ -33,6 +33,10 @@
   /// Load that its node reports instead of the actual load.
   std::optional<std::uint16_t> claimed_load;
   std::vector<Slowdown> slowdowns;
+  std::string region = "north";
+  std::string zone = "a";
+  /// Whether the host has an upstream; callers use its node in any case.
+  bool serves = true;
 };
 
 /// \brief How a caller reacts if its call was not run.
@@ -52,6 +56,9 @@
   RefusedCaller refused = RefusedCaller::kGivesUp;
   /// Total time that callers wait; 0 for the timeout of the route.
   Milliseconds deadline{0};
+  /// Whether each node tells all others its load once a second. In a large
+  /// fleet they hear of it with answers only.
+  bool tells_loads = true;
 };
 
 /// \brief Counters of a load run for one class.
@@ -67,6 +74,8 @@
   std::uint64_t refusals = 0;
   std::uint64_t unknown = 0;
   std::uint64_t attempts = 0;
+  /// Attempts sent to another region.
+  std::uint64_t far_attempts = 0;
   std::vector<Nanoseconds> latencies;
 
   /// \returns The latency within which `permille` of the answered calls stay.
@@ -91,6 +100,13 @@
     for (std::size_t n = 0; n < upstreams.size(); ++n) {
       Member member = MakeMember(static_cast<int>(n + 1));
       member.slots = slots;
+      member.region = upstreams[n].region;
+      member.zone = upstreams[n].zone;
+      if (!upstreams[n].serves) {
+        member.service.clear();
+        member.slots = 0;
+        member.upstream_state = UpstreamState::kNone;
+      }
       members.push_back(member);
     }
     for (std::size_t n = 0; n < upstreams.size(); ++n) {
@@ -138,7 +154,9 @@
   void Run(Milliseconds duration) {
     const MonoTime end = now_.mono + duration;
     After(kCallTickPeriod, [this, end] { TickAll(end); });
-    After(Milliseconds(1'000), [this, end] { ReportLoads(end); });
+    if (options_.tells_loads) {
+      After(Milliseconds(1'000), [this, end] { ReportLoads(end); });
+    }
     while (!queue_.empty() && queue_.top().due <= end) {
       Item item = queue_.top();
       queue_.pop();
@@ -201,6 +219,7 @@
 
   static constexpr MonoTime kStart{Seconds(100)};
   static constexpr Microseconds kHop{250};
+  static constexpr Microseconds kFarHop{12'000};
   static constexpr int kMaxImmediateTries = 4;
   static constexpr int kMaxDelayedTries = 2;
   static constexpr int kRetryDelayShare = 3;
@@ -342,22 +361,34 @@
     }
     const ConnectionId id = ++last_connection_;
     connections_[id] = {n, to, effect.call, effect.request.id};
-    After(kHop, [this, id, to, effect] {
+    if (IsFar(n, to)) {
+      ++results_[requests_.at(effect.call).route].far_attempts;
+    }
+    After(HopBetween(n, to), [this, id, to, effect] {
       ReduceEvent(to, AttemptArrived{id, effect.request});
     });
   }
+  [[nodiscard]] bool IsFar(std::size_t from, std::size_t to) const {
+    return nodes_[from].member.region != nodes_[to].member.region;
+  }
+  [[nodiscard]] Microseconds HopBetween(std::size_t from,
+                                        std::size_t to) const {
+    return IsFar(from, to) ? kFarHop : kHop;
+  }
   template <typename T>
   void Reply(ConnectionId id, T event) {
-    After(kHop, [this, id, event] {
-      const auto it = connections_.find(id);
-      if (it == connections_.end()) {
-        return;
-      }
-      T reply = event;
-      reply.call = it->second.call;
-      reply.attempt = it->second.attempt;
-      ReduceEvent(it->second.entry, reply);
-    });
+    const Connection& connection = connections_.at(id);
+    After(HopBetween(connection.entry, connection.destination),
+          [this, id, event] {
+            const auto it = connections_.find(id);
+            if (it == connections_.end()) {
+              return;
+            }
+            T reply = event;
+            reply.call = it->second.call;
+            reply.attempt = it->second.attempt;
+            ReduceEvent(it->second.entry, reply);
+          });
   }
   void Execute(std::size_t /*n*/, const ReplyNotRun& effect) {
     Reply(effect.connection,
