--- a/src/cassiabend/core/fleet_reducer_impl.h
+++ b/src/cassiabend/core/fleet_reducer_impl.h
@@ -128,6 +128,7 @@
   std::uint16_t load_permille_ = 0;
   /// Newest era of the store that this node or a peer has seen; 0 for none.
   StoreEra store_era_ = 0;
+  std::uint16_t time_percent_ = 0;
   /// Whether the last call to the store was answered; unset before the first.
   std::optional<bool> store_reachable_;
   /// Whether this node reads the head without a reader lease, because it hears
--- a/src/cassiabend/http/headers.h
+++ b/src/cassiabend/http/headers.h
@@ -48,6 +48,10 @@
 /// The order key that the entry node has read. A caller's own header of another
 /// name that happens to mean an order key elsewhere is no order key here.
 inline constexpr std::string_view kOrderKeyHeader = "X-Cassiabend-Order-Key";
+/// On answers and refusals: time that work takes at the upstream, in hundredths
+/// of the usual. Left out when unknown; nodes that don't know it ignore it.
+inline constexpr std::string_view kTimePercentHeader =
+    "X-Cassiabend-Time-Percent";
 inline constexpr std::string_view kOnceHeader = "X-Cassiabend-Once";
 inline constexpr std::string_view kLongestJobHeader =
     "X-Cassiabend-Longest-Job-S";
