Let a watch or a read of one key return changes of others

A reader that watches the head is to learn of other things that operators write, without a second call that waits. A prefix may be given with the key; what else has changed under it is returned beside the key's own entry. A list may be asked to be current. Without a prefix the calls are as before.

--- a/src/cassiabend/core/store_types.h
+++ b/src/cassiabend/core/store_types.h
@@ -33,6 +33,9 @@
   /// Time without an answer after which the read fails, if that is shorter than
   /// the client's own limit; 0: it is not.
   Milliseconds timeout{0};
+  /// A read with `newer_than` may return changes of the other keys with this
+  /// prefix in `entries`; empty for none.
+  std::string prefix;
 };
 
 /// \brief Writes one key if its revision is `expected`; 0 means absent.
@@ -55,6 +58,8 @@
 /// \brief Reads the first page of the keys that begin with `prefix`.
 struct StoreList {
   std::string prefix;
+  /// Whether the list must be current; otherwise it may be some seconds old.
+  bool is_current = false;
 };
 
 /// \brief Deletes one key if its revision is `expected`.
@@ -68,6 +73,9 @@
   std::string key;
   StoreRevision after = 0;
   Milliseconds wait{0};
+  /// The watch also ends with changes of the other keys with this prefix, which
+  /// are returned in `entries`; empty for none.
+  std::string prefix;
 };
 
 /// \brief Creates a lease that expires `ttl` after its last keep-alive.
@@ -126,7 +134,8 @@
 struct StoreReply {
   StoreStatus status = StoreStatus::kUnavailable;
   std::optional<StoreEntry> entry;
-  /// The entries found by a `StoreList`.
+  /// The entries found by a `StoreList`, or changed under the prefix of a read
+  /// or watch.
   std::vector<StoreEntry> entries;
   /// Revision of the store as a whole when it replied; 0 when unknown.
   StoreRevision store_revision = 0;
--- a/tests/platform/kv_codec_test.cc
+++ b/tests/platform/kv_codec_test.cc
@@ -31,6 +31,12 @@
        "/kv-watch?prefix=k&after=411&wait_ms=20000", ""},
       {StoreWatch{"k", 1, Seconds(90)}, "GET",
        "/kv-watch?prefix=k&after=1&wait_ms=30000", ""},
+      {StoreGet{"op/config", 411, {}, "op/"}, "GET",
+       "/kv-watch?prefix=op/&after=411&wait_ms=1", ""},
+      {StoreWatch{"op/config", 1, Seconds(3), "op/"}, "GET",
+       "/kv-watch?prefix=op/&after=1&wait_ms=3000", ""},
+      {StoreList{"op/rollout/", true}, "GET", "/kv-range?prefix=op/rollout/",
+       ""},
       {StoreLeaseGrant{Seconds(3)}, "POST", "/kv-lease",
        R"({"ttl_time":"3000ms"})"},
       {StoreLeaseKeepAlive{77120}, "POST", "/kv-keep/77120", "{}"},
@@ -51,6 +57,21 @@
   }
 }
 
+TEST_CASE("a watch returns changes of other keys only where they are wanted") {
+  const char* body =
+      R"({"events":[{"key":"op/config","value":"bm9kZS0x","rev":412},{"key":"op/rollout/a","value":"bm9kZS0x","rev":413},{"key":"op/x","rev":414,"deleted":true}],"at":530})";
+  const StoreReply wanted =
+      Decode(StoreWatch{"op/config", 1, Seconds(3), "op/"}, 200, body);
+  CHECK(wanted.entry == StoreEntry{"op/config", "node-1", 412});
+  REQUIRE(wanted.entries.size() == 1);
+  CHECK(wanted.entries[0] == StoreEntry{"op/rollout/a", "node-1", 413});
+  const StoreReply read =
+      Decode(StoreGet{"op/config", 411, {}, "op/"}, 200, body);
+  CHECK(read.entries.size() == 1);
+  CHECK(Decode(StoreWatch{"op/config", 1, Seconds(3)}, 200, body)
+            .entries.empty());
+}
+
 TEST_CASE("replies to reads are decoded") {
   const char* item =
       R"({"key":"k","value":"bm9kZS0x","rev":412,"created":412,"lease_id":0,"at":530})";
--- a/tests/support/fleet_fake_store.h
+++ b/tests/support/fleet_fake_store.h
@@ -67,12 +67,29 @@
     if (entry != nullptr && entry->revision > get.newer_than) {
       reply->entry = *entry;
     }
+    if (get.newer_than != 0) {
+      ListChanges(get.key, get.prefix, get.newer_than, reply);
+    }
   }
   void Apply(const StoreWatch& watch, MonoTime now, StoreReply* reply) {
     Apply(StoreGet{watch.key}, now, reply);
     if (reply->entry && reply->entry->revision <= watch.after) {
       reply->entry.reset();
     }
+    ListChanges(watch.key, watch.prefix, watch.after, reply);
+  }
+  /// \brief Adds the changes of the other keys with a prefix; none if it is
+  /// empty.
+  void ListChanges(const std::string& key,
+                   const std::string& prefix,
+                   StoreRevision after,
+                   StoreReply* reply) const {
+    for (const auto& [other, entry] : entries_) {
+      if (!prefix.empty() && other != key && other.starts_with(prefix) &&
+          entry.revision > after) {
+        reply->entries.push_back(entry);
+      }
+    }
   }
   void Apply(const StoreCompareAndSwap& swap, MonoTime now, StoreReply* reply) {
     Apply(StoreGet{swap.key}, now, reply);
