--- a/schema/gen/mesh.capnp.h
+++ b/schema/gen/mesh.capnp.h
@@ -39,6 +39,17 @@
 CAPNP_DECLARE_ENUM(UpstreamState, eba6428361e366dd);
 CAPNP_DECLARE_SCHEMA(f58a70a20e155194);
 CAPNP_DECLARE_SCHEMA(bf0d2373de326c82);
+CAPNP_DECLARE_SCHEMA(e988b7837a47c347);
+enum class RolloutPhase_e988b7837a47c347: uint16_t {
+  RUNNING,
+  COMPLETED,
+  ROLLED_BACK,
+};
+CAPNP_DECLARE_ENUM(RolloutPhase, e988b7837a47c347);
+CAPNP_DECLARE_SCHEMA(e8dc914400af8aca);
+CAPNP_DECLARE_SCHEMA(d174cd4beb5a5855);
+CAPNP_DECLARE_SCHEMA(a66d3b8a606e3f18);
+CAPNP_DECLARE_SCHEMA(afa4ac9be8a751b4);
 CAPNP_DECLARE_SCHEMA(bd47d51d261602f1);
 CAPNP_DECLARE_SCHEMA(c29a73bbcf70fdd7);
 CAPNP_DECLARE_SCHEMA(f3403346a1dd913b);
@@ -108,6 +119,69 @@
   };
 };
 
+typedef ::capnp::schemas::RolloutPhase_e988b7837a47c347 RolloutPhase;
+
+struct Rollout {
+  Rollout() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e8dc914400af8aca, 4, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct VersionCounts {
+  VersionCounts() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d174cd4beb5a5855, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct VersionUse {
+  VersionUse() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  struct Class;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a66d3b8a606e3f18, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct VersionUse::Class {
+  Class() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(afa4ac9be8a751b4, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Datagram {
   Datagram() = delete;
 
@@ -117,7 +191,7 @@
   struct Body;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bd47d51d261602f1, 6, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(bd47d51d261602f1, 6, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -137,11 +211,12 @@
     BEAT,
     JOIN,
     ATTACH,
+    VERSION_REPORT,
   };
   struct PingRequest;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c29a73bbcf70fdd7, 6, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(c29a73bbcf70fdd7, 6, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -156,7 +231,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f3403346a1dd913b, 6, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(f3403346a1dd913b, 6, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -667,9 +742,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Datagram::Reader {
+class Rollout::Reader {
 public:
-  typedef Datagram Reads;
+  typedef Rollout Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -684,40 +759,25 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFromIp() const;
-  inline  ::capnp::Text::Reader getFromIp() const;
-
-  inline  ::uint16_t getFromPort() const;
-
-  inline  ::uint64_t getFromStartId() const;
-
-  inline bool hasMark() const;
-  inline  ::cassiabend::schema::VersionMark::Reader getMark() const;
-
-  inline  ::uint32_t getConfirmedAgeMs() const;
-
-  inline  ::uint16_t getLoadPermille() const;
-
-  inline bool hasUpdates() const;
-  inline  ::capnp::List< ::cassiabend::schema::Member,  ::capnp::Kind::STRUCT>::Reader getUpdates() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline typename Body::Reader getBody() const;
+  inline bool hasTargetVersion() const;
+  inline  ::capnp::Text::Reader getTargetVersion() const;
 
-  inline  ::uint32_t getAttachSequence() const;
+  inline  ::uint32_t getDurationMs() const;
 
-  inline  ::uint32_t getHeldMs() const;
+  inline  ::int64_t getOrderRevision() const;
 
-  inline bool hasUnreachableZones() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getUnreachableZones() const;
+  inline  ::uint32_t getStep() const;
 
-  inline  ::uint64_t getMembersDigest() const;
+  inline  ::uint16_t getSharePermille() const;
 
-  inline  ::uint32_t getFollowedAgeMs() const;
+  inline  ::cassiabend::schema::RolloutPhase getPhase() const;
 
-  inline  ::uint16_t getTimePercent() const;
+  inline  ::uint32_t getOrderAgeMs() const;
 
-  inline bool hasTeamUses() const;
-  inline  ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>::Reader getTeamUses() const;
+  inline  ::uint32_t getVouchedAgeMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -731,9 +791,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Datagram::Builder {
+class Rollout::Builder {
 public:
-  typedef Datagram Builds;
+  typedef Rollout Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -747,71 +807,40 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFromIp();
-  inline  ::capnp::Text::Builder getFromIp();
-  inline void setFromIp( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFromIp(unsigned int size);
-  inline void adoptFromIp(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFromIp();
-
-  inline  ::uint16_t getFromPort();
-  inline void setFromPort( ::uint16_t value);
-
-  inline  ::uint64_t getFromStartId();
-  inline void setFromStartId( ::uint64_t value);
-
-  inline bool hasMark();
-  inline  ::cassiabend::schema::VersionMark::Builder getMark();
-  inline void setMark( ::cassiabend::schema::VersionMark::Reader value);
-  inline  ::cassiabend::schema::VersionMark::Builder initMark();
-  inline void adoptMark(::capnp::Orphan< ::cassiabend::schema::VersionMark>&& value);
-  inline ::capnp::Orphan< ::cassiabend::schema::VersionMark> disownMark();
-
-  inline  ::uint32_t getConfirmedAgeMs();
-  inline void setConfirmedAgeMs( ::uint32_t value);
-
-  inline  ::uint16_t getLoadPermille();
-  inline void setLoadPermille( ::uint16_t value);
-
-  inline bool hasUpdates();
-  inline  ::capnp::List< ::cassiabend::schema::Member,  ::capnp::Kind::STRUCT>::Builder getUpdates();
-  inline void setUpdates( ::capnp::List< ::cassiabend::schema::Member,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cassiabend::schema::Member,  ::capnp::Kind::STRUCT>::Builder initUpdates(unsigned int size);
-  inline void adoptUpdates(::capnp::Orphan< ::capnp::List< ::cassiabend::schema::Member,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::Member,  ::capnp::Kind::STRUCT>> disownUpdates();
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline typename Body::Builder getBody();
-  inline typename Body::Builder initBody();
+  inline bool hasTargetVersion();
+  inline  ::capnp::Text::Builder getTargetVersion();
+  inline void setTargetVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTargetVersion(unsigned int size);
+  inline void adoptTargetVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTargetVersion();
 
-  inline  ::uint32_t getAttachSequence();
-  inline void setAttachSequence( ::uint32_t value);
+  inline  ::uint32_t getDurationMs();
+  inline void setDurationMs( ::uint32_t value);
 
-  inline  ::uint32_t getHeldMs();
-  inline void setHeldMs( ::uint32_t value);
+  inline  ::int64_t getOrderRevision();
+  inline void setOrderRevision( ::int64_t value);
 
-  inline bool hasUnreachableZones();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getUnreachableZones();
-  inline void setUnreachableZones( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setUnreachableZones(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initUnreachableZones(unsigned int size);
-  inline void adoptUnreachableZones(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownUnreachableZones();
+  inline  ::uint32_t getStep();
+  inline void setStep( ::uint32_t value);
 
-  inline  ::uint64_t getMembersDigest();
-  inline void setMembersDigest( ::uint64_t value);
+  inline  ::uint16_t getSharePermille();
+  inline void setSharePermille( ::uint16_t value);
 
-  inline  ::uint32_t getFollowedAgeMs();
-  inline void setFollowedAgeMs( ::uint32_t value);
+  inline  ::cassiabend::schema::RolloutPhase getPhase();
+  inline void setPhase( ::cassiabend::schema::RolloutPhase value);
 
-  inline  ::uint16_t getTimePercent();
-  inline void setTimePercent( ::uint16_t value);
+  inline  ::uint32_t getOrderAgeMs();
+  inline void setOrderAgeMs( ::uint32_t value);
 
-  inline bool hasTeamUses();
-  inline  ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>::Builder getTeamUses();
-  inline void setTeamUses( ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>::Builder initTeamUses(unsigned int size);
-  inline void adoptTeamUses(::capnp::Orphan< ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>> disownTeamUses();
+  inline  ::uint32_t getVouchedAgeMs();
+  inline void setVouchedAgeMs( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -823,16 +852,14 @@
 };
 
 #if !CAPNP_LITE
-class Datagram::Pipeline {
+class Rollout::Pipeline {
 public:
-  typedef Datagram Pipelines;
+  typedef Rollout Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::cassiabend::schema::VersionMark::Pipeline getMark();
-  inline typename Body::Pipeline getBody();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -841,9 +868,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Datagram::Body::Reader {
+class VersionCounts::Reader {
 public:
-  typedef Body Reads;
+  typedef VersionCounts Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -858,24 +885,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isPing() const;
-  inline  ::uint32_t getPing() const;
-
-  inline bool isAck() const;
-  inline  ::uint32_t getAck() const;
-
-  inline bool isPingRequest() const;
-  inline typename PingRequest::Reader getPingRequest() const;
-
-  inline bool isBeat() const;
-  inline  ::capnp::Void getBeat() const;
-
-  inline bool isJoin() const;
-  inline  ::capnp::Void getJoin() const;
+  inline  ::uint32_t getFailures() const;
 
-  inline bool isAttach() const;
-  inline  ::capnp::Void getAttach() const;
+  inline bool hasTimes() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getTimes() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -889,9 +902,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Datagram::Body::Builder {
+class VersionCounts::Builder {
 public:
-  typedef Body Builds;
+  typedef VersionCounts Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -905,30 +918,16 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline bool isPing();
-  inline  ::uint32_t getPing();
-  inline void setPing( ::uint32_t value);
-
-  inline bool isAck();
-  inline  ::uint32_t getAck();
-  inline void setAck( ::uint32_t value);
-
-  inline bool isPingRequest();
-  inline typename PingRequest::Builder getPingRequest();
-  inline typename PingRequest::Builder initPingRequest();
-
-  inline bool isBeat();
-  inline  ::capnp::Void getBeat();
-  inline void setBeat( ::capnp::Void value = ::capnp::VOID);
-
-  inline bool isJoin();
-  inline  ::capnp::Void getJoin();
-  inline void setJoin( ::capnp::Void value = ::capnp::VOID);
+  inline  ::uint32_t getFailures();
+  inline void setFailures( ::uint32_t value);
 
-  inline bool isAttach();
-  inline  ::capnp::Void getAttach();
-  inline void setAttach( ::capnp::Void value = ::capnp::VOID);
+  inline bool hasTimes();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getTimes();
+  inline void setTimes( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTimes(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initTimes(unsigned int size);
+  inline void adoptTimes(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownTimes();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -940,9 +939,9 @@
 };
 
 #if !CAPNP_LITE
-class Datagram::Body::Pipeline {
+class VersionCounts::Pipeline {
 public:
-  typedef Body Pipelines;
+  typedef VersionCounts Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -956,9 +955,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Datagram::Body::PingRequest::Reader {
+class VersionUse::Reader {
 public:
-  typedef PingRequest Reads;
+  typedef VersionUse Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -973,12 +972,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getSequence() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline bool hasTargetIp() const;
-  inline  ::capnp::Text::Reader getTargetIp() const;
+  inline  ::int64_t getOrderRevision() const;
 
-  inline  ::uint16_t getTargetPort() const;
+  inline  ::uint32_t getStep() const;
+
+  inline bool getUsesOld() const;
+
+  inline bool hasClasses() const;
+  inline  ::capnp::List< ::cassiabend::schema::VersionUse::Class,  ::capnp::Kind::STRUCT>::Reader getClasses() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -992,9 +996,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Datagram::Body::PingRequest::Builder {
+class VersionUse::Builder {
 public:
-  typedef PingRequest Builds;
+  typedef VersionUse Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1008,18 +1012,28 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getSequence();
-  inline void setSequence( ::uint32_t value);
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline bool hasTargetIp();
-  inline  ::capnp::Text::Builder getTargetIp();
-  inline void setTargetIp( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTargetIp(unsigned int size);
-  inline void adoptTargetIp(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTargetIp();
+  inline  ::int64_t getOrderRevision();
+  inline void setOrderRevision( ::int64_t value);
 
-  inline  ::uint16_t getTargetPort();
-  inline void setTargetPort( ::uint16_t value);
+  inline  ::uint32_t getStep();
+  inline void setStep( ::uint32_t value);
+
+  inline bool getUsesOld();
+  inline void setUsesOld(bool value);
+
+  inline bool hasClasses();
+  inline  ::capnp::List< ::cassiabend::schema::VersionUse::Class,  ::capnp::Kind::STRUCT>::Builder getClasses();
+  inline void setClasses( ::capnp::List< ::cassiabend::schema::VersionUse::Class,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cassiabend::schema::VersionUse::Class,  ::capnp::Kind::STRUCT>::Builder initClasses(unsigned int size);
+  inline void adoptClasses(::capnp::Orphan< ::capnp::List< ::cassiabend::schema::VersionUse::Class,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::VersionUse::Class,  ::capnp::Kind::STRUCT>> disownClasses();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1031,9 +1045,9 @@
 };
 
 #if !CAPNP_LITE
-class Datagram::Body::PingRequest::Pipeline {
+class VersionUse::Pipeline {
 public:
-  typedef PingRequest Pipelines;
+  typedef VersionUse Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1047,9 +1061,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ConfigUpdate::Reader {
+class VersionUse::Class::Reader {
 public:
-  typedef ConfigUpdate Reads;
+  typedef Class Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1064,33 +1078,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool hasMark() const;
-  inline  ::cassiabend::schema::VersionMark::Reader getMark() const;
-
-  inline bool isNone() const;
-  inline  ::capnp::Void getNone() const;
-
-  inline bool isDelta() const;
-  inline bool hasDelta() const;
-  inline  ::cassiabend::schema::ConfigDelta::Reader getDelta() const;
-
-  inline bool isFull() const;
-  inline bool hasFull() const;
-  inline  ::cassiabend::schema::Config::Reader getFull() const;
-
-  inline bool isBusy() const;
-  inline  ::uint32_t getBusy() const;
-
-  inline  ::uint32_t getConfirmedAgeMs() const;
+  inline  ::uint64_t getRequestClass() const;
 
-  inline bool isPackedDelta() const;
-  inline bool hasPackedDelta() const;
-  inline  ::capnp::Data::Reader getPackedDelta() const;
+  inline bool hasOldVersion() const;
+  inline  ::cassiabend::schema::VersionCounts::Reader getOldVersion() const;
 
-  inline bool isPackedFull() const;
-  inline bool hasPackedFull() const;
-  inline  ::capnp::Data::Reader getPackedFull() const;
+  inline bool hasNewVersion() const;
+  inline  ::cassiabend::schema::VersionCounts::Reader getNewVersion() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1104,9 +1098,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ConfigUpdate::Builder {
+class VersionUse::Class::Builder {
 public:
-  typedef ConfigUpdate Builds;
+  typedef Class Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1120,56 +1114,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline bool hasMark();
-  inline  ::cassiabend::schema::VersionMark::Builder getMark();
-  inline void setMark( ::cassiabend::schema::VersionMark::Reader value);
-  inline  ::cassiabend::schema::VersionMark::Builder initMark();
-  inline void adoptMark(::capnp::Orphan< ::cassiabend::schema::VersionMark>&& value);
-  inline ::capnp::Orphan< ::cassiabend::schema::VersionMark> disownMark();
-
-  inline bool isNone();
-  inline  ::capnp::Void getNone();
-  inline void setNone( ::capnp::Void value = ::capnp::VOID);
-
-  inline bool isDelta();
-  inline bool hasDelta();
-  inline  ::cassiabend::schema::ConfigDelta::Builder getDelta();
-  inline void setDelta( ::cassiabend::schema::ConfigDelta::Reader value);
-  inline  ::cassiabend::schema::ConfigDelta::Builder initDelta();
-  inline void adoptDelta(::capnp::Orphan< ::cassiabend::schema::ConfigDelta>&& value);
-  inline ::capnp::Orphan< ::cassiabend::schema::ConfigDelta> disownDelta();
-
-  inline bool isFull();
-  inline bool hasFull();
-  inline  ::cassiabend::schema::Config::Builder getFull();
-  inline void setFull( ::cassiabend::schema::Config::Reader value);
-  inline  ::cassiabend::schema::Config::Builder initFull();
-  inline void adoptFull(::capnp::Orphan< ::cassiabend::schema::Config>&& value);
-  inline ::capnp::Orphan< ::cassiabend::schema::Config> disownFull();
-
-  inline bool isBusy();
-  inline  ::uint32_t getBusy();
-  inline void setBusy( ::uint32_t value);
-
-  inline  ::uint32_t getConfirmedAgeMs();
-  inline void setConfirmedAgeMs( ::uint32_t value);
+  inline  ::uint64_t getRequestClass();
+  inline void setRequestClass( ::uint64_t value);
 
-  inline bool isPackedDelta();
-  inline bool hasPackedDelta();
-  inline  ::capnp::Data::Builder getPackedDelta();
-  inline void setPackedDelta( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initPackedDelta(unsigned int size);
-  inline void adoptPackedDelta(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownPackedDelta();
+  inline bool hasOldVersion();
+  inline  ::cassiabend::schema::VersionCounts::Builder getOldVersion();
+  inline void setOldVersion( ::cassiabend::schema::VersionCounts::Reader value);
+  inline  ::cassiabend::schema::VersionCounts::Builder initOldVersion();
+  inline void adoptOldVersion(::capnp::Orphan< ::cassiabend::schema::VersionCounts>&& value);
+  inline ::capnp::Orphan< ::cassiabend::schema::VersionCounts> disownOldVersion();
 
-  inline bool isPackedFull();
-  inline bool hasPackedFull();
-  inline  ::capnp::Data::Builder getPackedFull();
-  inline void setPackedFull( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initPackedFull(unsigned int size);
-  inline void adoptPackedFull(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownPackedFull();
+  inline bool hasNewVersion();
+  inline  ::cassiabend::schema::VersionCounts::Builder getNewVersion();
+  inline void setNewVersion( ::cassiabend::schema::VersionCounts::Reader value);
+  inline  ::cassiabend::schema::VersionCounts::Builder initNewVersion();
+  inline void adoptNewVersion(::capnp::Orphan< ::cassiabend::schema::VersionCounts>&& value);
+  inline ::capnp::Orphan< ::cassiabend::schema::VersionCounts> disownNewVersion();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1181,15 +1141,16 @@
 };
 
 #if !CAPNP_LITE
-class ConfigUpdate::Pipeline {
+class VersionUse::Class::Pipeline {
 public:
-  typedef ConfigUpdate Pipelines;
+  typedef Class Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::cassiabend::schema::VersionMark::Pipeline getMark();
+  inline  ::cassiabend::schema::VersionCounts::Pipeline getOldVersion();
+  inline  ::cassiabend::schema::VersionCounts::Pipeline getNewVersion();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1198,80 +1159,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Peer::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Peer Calls;
-  typedef Peer Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::cassiabend::schema::Peer::PushParams,  ::cassiabend::schema::Peer::PushResults> pushRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::cassiabend::schema::Peer::PullParams,  ::cassiabend::schema::Peer::PullResults> pullRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::cassiabend::schema::Peer::MembersParams,  ::cassiabend::schema::Peer::MembersResults> membersRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::cassiabend::schema::Peer::DrainParams,  ::cassiabend::schema::Peer::DrainResults> drainRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Peer::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Peer Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::cassiabend::schema::Peer::PushParams PushParams;
-  typedef  ::cassiabend::schema::Peer::PushResults PushResults;
-  typedef ::capnp::CallContext<PushParams, PushResults> PushContext;
-  virtual ::kj::Promise<void> push(PushContext context);
-  typedef  ::cassiabend::schema::Peer::PullParams PullParams;
-  typedef  ::cassiabend::schema::Peer::PullResults PullResults;
-  typedef ::capnp::CallContext<PullParams, PullResults> PullContext;
-  virtual ::kj::Promise<void> pull(PullContext context);
-  typedef  ::cassiabend::schema::Peer::MembersParams MembersParams;
-  typedef  ::cassiabend::schema::Peer::MembersResults MembersResults;
-  typedef ::capnp::CallContext<MembersParams, MembersResults> MembersContext;
-  virtual ::kj::Promise<void> members(MembersContext context);
-  typedef  ::cassiabend::schema::Peer::DrainParams DrainParams;
-  typedef  ::cassiabend::schema::Peer::DrainResults DrainResults;
-  typedef ::capnp::CallContext<DrainParams, DrainResults> DrainContext;
-  virtual ::kj::Promise<void> drain(DrainContext context);
-
-  inline  ::cassiabend::schema::Peer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::cassiabend::schema::Peer>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Peer::PushParams::Reader {
+class Datagram::Reader {
 public:
-  typedef PushParams Reads;
+  typedef Datagram Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1286,8 +1176,43 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasUpdate() const;
-  inline  ::cassiabend::schema::ConfigUpdate::Reader getUpdate() const;
+  inline bool hasFromIp() const;
+  inline  ::capnp::Text::Reader getFromIp() const;
+
+  inline  ::uint16_t getFromPort() const;
+
+  inline  ::uint64_t getFromStartId() const;
+
+  inline bool hasMark() const;
+  inline  ::cassiabend::schema::VersionMark::Reader getMark() const;
+
+  inline  ::uint32_t getConfirmedAgeMs() const;
+
+  inline  ::uint16_t getLoadPermille() const;
+
+  inline bool hasUpdates() const;
+  inline  ::capnp::List< ::cassiabend::schema::Member,  ::capnp::Kind::STRUCT>::Reader getUpdates() const;
+
+  inline typename Body::Reader getBody() const;
+
+  inline  ::uint32_t getAttachSequence() const;
+
+  inline  ::uint32_t getHeldMs() const;
+
+  inline bool hasUnreachableZones() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getUnreachableZones() const;
+
+  inline  ::uint64_t getMembersDigest() const;
+
+  inline  ::uint32_t getFollowedAgeMs() const;
+
+  inline  ::uint16_t getTimePercent() const;
+
+  inline bool hasTeamUses() const;
+  inline  ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>::Reader getTeamUses() const;
+
+  inline bool hasRollouts() const;
+  inline  ::capnp::List< ::cassiabend::schema::Rollout,  ::capnp::Kind::STRUCT>::Reader getRollouts() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1301,9 +1226,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::PushParams::Builder {
+class Datagram::Builder {
 public:
-  typedef PushParams Builds;
+  typedef Datagram Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1317,12 +1242,78 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasUpdate();
-  inline  ::cassiabend::schema::ConfigUpdate::Builder getUpdate();
-  inline void setUpdate( ::cassiabend::schema::ConfigUpdate::Reader value);
-  inline  ::cassiabend::schema::ConfigUpdate::Builder initUpdate();
-  inline void adoptUpdate(::capnp::Orphan< ::cassiabend::schema::ConfigUpdate>&& value);
-  inline ::capnp::Orphan< ::cassiabend::schema::ConfigUpdate> disownUpdate();
+  inline bool hasFromIp();
+  inline  ::capnp::Text::Builder getFromIp();
+  inline void setFromIp( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFromIp(unsigned int size);
+  inline void adoptFromIp(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFromIp();
+
+  inline  ::uint16_t getFromPort();
+  inline void setFromPort( ::uint16_t value);
+
+  inline  ::uint64_t getFromStartId();
+  inline void setFromStartId( ::uint64_t value);
+
+  inline bool hasMark();
+  inline  ::cassiabend::schema::VersionMark::Builder getMark();
+  inline void setMark( ::cassiabend::schema::VersionMark::Reader value);
+  inline  ::cassiabend::schema::VersionMark::Builder initMark();
+  inline void adoptMark(::capnp::Orphan< ::cassiabend::schema::VersionMark>&& value);
+  inline ::capnp::Orphan< ::cassiabend::schema::VersionMark> disownMark();
+
+  inline  ::uint32_t getConfirmedAgeMs();
+  inline void setConfirmedAgeMs( ::uint32_t value);
+
+  inline  ::uint16_t getLoadPermille();
+  inline void setLoadPermille( ::uint16_t value);
+
+  inline bool hasUpdates();
+  inline  ::capnp::List< ::cassiabend::schema::Member,  ::capnp::Kind::STRUCT>::Builder getUpdates();
+  inline void setUpdates( ::capnp::List< ::cassiabend::schema::Member,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cassiabend::schema::Member,  ::capnp::Kind::STRUCT>::Builder initUpdates(unsigned int size);
+  inline void adoptUpdates(::capnp::Orphan< ::capnp::List< ::cassiabend::schema::Member,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::Member,  ::capnp::Kind::STRUCT>> disownUpdates();
+
+  inline typename Body::Builder getBody();
+  inline typename Body::Builder initBody();
+
+  inline  ::uint32_t getAttachSequence();
+  inline void setAttachSequence( ::uint32_t value);
+
+  inline  ::uint32_t getHeldMs();
+  inline void setHeldMs( ::uint32_t value);
+
+  inline bool hasUnreachableZones();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getUnreachableZones();
+  inline void setUnreachableZones( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setUnreachableZones(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initUnreachableZones(unsigned int size);
+  inline void adoptUnreachableZones(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownUnreachableZones();
+
+  inline  ::uint64_t getMembersDigest();
+  inline void setMembersDigest( ::uint64_t value);
+
+  inline  ::uint32_t getFollowedAgeMs();
+  inline void setFollowedAgeMs( ::uint32_t value);
+
+  inline  ::uint16_t getTimePercent();
+  inline void setTimePercent( ::uint16_t value);
+
+  inline bool hasTeamUses();
+  inline  ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>::Builder getTeamUses();
+  inline void setTeamUses( ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>::Builder initTeamUses(unsigned int size);
+  inline void adoptTeamUses(::capnp::Orphan< ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::TeamUse,  ::capnp::Kind::STRUCT>> disownTeamUses();
+
+  inline bool hasRollouts();
+  inline  ::capnp::List< ::cassiabend::schema::Rollout,  ::capnp::Kind::STRUCT>::Builder getRollouts();
+  inline void setRollouts( ::capnp::List< ::cassiabend::schema::Rollout,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cassiabend::schema::Rollout,  ::capnp::Kind::STRUCT>::Builder initRollouts(unsigned int size);
+  inline void adoptRollouts(::capnp::Orphan< ::capnp::List< ::cassiabend::schema::Rollout,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::Rollout,  ::capnp::Kind::STRUCT>> disownRollouts();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1334,15 +1325,16 @@
 };
 
 #if !CAPNP_LITE
-class Peer::PushParams::Pipeline {
+class Datagram::Pipeline {
 public:
-  typedef PushParams Pipelines;
+  typedef Datagram Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::cassiabend::schema::ConfigUpdate::Pipeline getUpdate();
+  inline  ::cassiabend::schema::VersionMark::Pipeline getMark();
+  inline typename Body::Pipeline getBody();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1351,9 +1343,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::PushResults::Reader {
+class Datagram::Body::Reader {
 public:
-  typedef PushResults Reads;
+  typedef Body Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1368,10 +1360,30 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMark() const;
-  inline  ::cassiabend::schema::VersionMark::Reader getMark() const;
+  inline Which which() const;
+  inline bool isPing() const;
+  inline  ::uint32_t getPing() const;
 
-private:
+  inline bool isAck() const;
+  inline  ::uint32_t getAck() const;
+
+  inline bool isPingRequest() const;
+  inline typename PingRequest::Reader getPingRequest() const;
+
+  inline bool isBeat() const;
+  inline  ::capnp::Void getBeat() const;
+
+  inline bool isJoin() const;
+  inline  ::capnp::Void getJoin() const;
+
+  inline bool isAttach() const;
+  inline  ::capnp::Void getAttach() const;
+
+  inline bool isVersionReport() const;
+  inline bool hasVersionReport() const;
+  inline  ::capnp::List< ::cassiabend::schema::VersionUse,  ::capnp::Kind::STRUCT>::Reader getVersionReport() const;
+
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1383,9 +1395,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::PushResults::Builder {
+class Datagram::Body::Builder {
 public:
-  typedef PushResults Builds;
+  typedef Body Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1399,12 +1411,38 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMark();
-  inline  ::cassiabend::schema::VersionMark::Builder getMark();
-  inline void setMark( ::cassiabend::schema::VersionMark::Reader value);
-  inline  ::cassiabend::schema::VersionMark::Builder initMark();
-  inline void adoptMark(::capnp::Orphan< ::cassiabend::schema::VersionMark>&& value);
-  inline ::capnp::Orphan< ::cassiabend::schema::VersionMark> disownMark();
+  inline Which which();
+  inline bool isPing();
+  inline  ::uint32_t getPing();
+  inline void setPing( ::uint32_t value);
+
+  inline bool isAck();
+  inline  ::uint32_t getAck();
+  inline void setAck( ::uint32_t value);
+
+  inline bool isPingRequest();
+  inline typename PingRequest::Builder getPingRequest();
+  inline typename PingRequest::Builder initPingRequest();
+
+  inline bool isBeat();
+  inline  ::capnp::Void getBeat();
+  inline void setBeat( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isJoin();
+  inline  ::capnp::Void getJoin();
+  inline void setJoin( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isAttach();
+  inline  ::capnp::Void getAttach();
+  inline void setAttach( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isVersionReport();
+  inline bool hasVersionReport();
+  inline  ::capnp::List< ::cassiabend::schema::VersionUse,  ::capnp::Kind::STRUCT>::Builder getVersionReport();
+  inline void setVersionReport( ::capnp::List< ::cassiabend::schema::VersionUse,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cassiabend::schema::VersionUse,  ::capnp::Kind::STRUCT>::Builder initVersionReport(unsigned int size);
+  inline void adoptVersionReport(::capnp::Orphan< ::capnp::List< ::cassiabend::schema::VersionUse,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::VersionUse,  ::capnp::Kind::STRUCT>> disownVersionReport();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1416,15 +1454,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::PushResults::Pipeline {
+class Datagram::Body::Pipeline {
 public:
-  typedef PushResults Pipelines;
+  typedef Body Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::cassiabend::schema::VersionMark::Pipeline getMark();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1433,9 +1470,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::PullParams::Reader {
+class Datagram::Body::PingRequest::Reader {
 public:
-  typedef PullParams Reads;
+  typedef PingRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1450,8 +1487,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHave() const;
-  inline  ::cassiabend::schema::VersionMark::Reader getHave() const;
+  inline  ::uint32_t getSequence() const;
+
+  inline bool hasTargetIp() const;
+  inline  ::capnp::Text::Reader getTargetIp() const;
+
+  inline  ::uint16_t getTargetPort() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1465,9 +1506,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::PullParams::Builder {
+class Datagram::Body::PingRequest::Builder {
 public:
-  typedef PullParams Builds;
+  typedef PingRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1481,12 +1522,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHave();
-  inline  ::cassiabend::schema::VersionMark::Builder getHave();
-  inline void setHave( ::cassiabend::schema::VersionMark::Reader value);
-  inline  ::cassiabend::schema::VersionMark::Builder initHave();
-  inline void adoptHave(::capnp::Orphan< ::cassiabend::schema::VersionMark>&& value);
-  inline ::capnp::Orphan< ::cassiabend::schema::VersionMark> disownHave();
+  inline  ::uint32_t getSequence();
+  inline void setSequence( ::uint32_t value);
+
+  inline bool hasTargetIp();
+  inline  ::capnp::Text::Builder getTargetIp();
+  inline void setTargetIp( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTargetIp(unsigned int size);
+  inline void adoptTargetIp(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTargetIp();
+
+  inline  ::uint16_t getTargetPort();
+  inline void setTargetPort( ::uint16_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1498,15 +1545,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::PullParams::Pipeline {
+class Datagram::Body::PingRequest::Pipeline {
 public:
-  typedef PullParams Pipelines;
+  typedef PingRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::cassiabend::schema::VersionMark::Pipeline getHave();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1515,9 +1561,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::PullResults::Reader {
+class ConfigUpdate::Reader {
 public:
-  typedef PullResults Reads;
+  typedef ConfigUpdate Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1532,8 +1578,33 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasUpdate() const;
-  inline  ::cassiabend::schema::ConfigUpdate::Reader getUpdate() const;
+  inline Which which() const;
+  inline bool hasMark() const;
+  inline  ::cassiabend::schema::VersionMark::Reader getMark() const;
+
+  inline bool isNone() const;
+  inline  ::capnp::Void getNone() const;
+
+  inline bool isDelta() const;
+  inline bool hasDelta() const;
+  inline  ::cassiabend::schema::ConfigDelta::Reader getDelta() const;
+
+  inline bool isFull() const;
+  inline bool hasFull() const;
+  inline  ::cassiabend::schema::Config::Reader getFull() const;
+
+  inline bool isBusy() const;
+  inline  ::uint32_t getBusy() const;
+
+  inline  ::uint32_t getConfirmedAgeMs() const;
+
+  inline bool isPackedDelta() const;
+  inline bool hasPackedDelta() const;
+  inline  ::capnp::Data::Reader getPackedDelta() const;
+
+  inline bool isPackedFull() const;
+  inline bool hasPackedFull() const;
+  inline  ::capnp::Data::Reader getPackedFull() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1547,9 +1618,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::PullResults::Builder {
+class ConfigUpdate::Builder {
 public:
-  typedef PullResults Builds;
+  typedef ConfigUpdate Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1563,84 +1634,56 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasUpdate();
-  inline  ::cassiabend::schema::ConfigUpdate::Builder getUpdate();
-  inline void setUpdate( ::cassiabend::schema::ConfigUpdate::Reader value);
-  inline  ::cassiabend::schema::ConfigUpdate::Builder initUpdate();
-  inline void adoptUpdate(::capnp::Orphan< ::cassiabend::schema::ConfigUpdate>&& value);
-  inline ::capnp::Orphan< ::cassiabend::schema::ConfigUpdate> disownUpdate();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Peer::PullResults::Pipeline {
-public:
-  typedef PullResults Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::cassiabend::schema::ConfigUpdate::Pipeline getUpdate();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Peer::MembersParams::Reader {
-public:
-  typedef MembersParams Reads;
+  inline Which which();
+  inline bool hasMark();
+  inline  ::cassiabend::schema::VersionMark::Builder getMark();
+  inline void setMark( ::cassiabend::schema::VersionMark::Reader value);
+  inline  ::cassiabend::schema::VersionMark::Builder initMark();
+  inline void adoptMark(::capnp::Orphan< ::cassiabend::schema::VersionMark>&& value);
+  inline ::capnp::Orphan< ::cassiabend::schema::VersionMark> disownMark();
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline bool isNone();
+  inline  ::capnp::Void getNone();
+  inline void setNone( ::capnp::Void value = ::capnp::VOID);
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline bool isDelta();
+  inline bool hasDelta();
+  inline  ::cassiabend::schema::ConfigDelta::Builder getDelta();
+  inline void setDelta( ::cassiabend::schema::ConfigDelta::Reader value);
+  inline  ::cassiabend::schema::ConfigDelta::Builder initDelta();
+  inline void adoptDelta(::capnp::Orphan< ::cassiabend::schema::ConfigDelta>&& value);
+  inline ::capnp::Orphan< ::cassiabend::schema::ConfigDelta> disownDelta();
 
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+  inline bool isFull();
+  inline bool hasFull();
+  inline  ::cassiabend::schema::Config::Builder getFull();
+  inline void setFull( ::cassiabend::schema::Config::Reader value);
+  inline  ::cassiabend::schema::Config::Builder initFull();
+  inline void adoptFull(::capnp::Orphan< ::cassiabend::schema::Config>&& value);
+  inline ::capnp::Orphan< ::cassiabend::schema::Config> disownFull();
 
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
+  inline bool isBusy();
+  inline  ::uint32_t getBusy();
+  inline void setBusy( ::uint32_t value);
 
-class Peer::MembersParams::Builder {
-public:
-  typedef MembersParams Builds;
+  inline  ::uint32_t getConfirmedAgeMs();
+  inline void setConfirmedAgeMs( ::uint32_t value);
 
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
+  inline bool isPackedDelta();
+  inline bool hasPackedDelta();
+  inline  ::capnp::Data::Builder getPackedDelta();
+  inline void setPackedDelta( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initPackedDelta(unsigned int size);
+  inline void adoptPackedDelta(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownPackedDelta();
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+  inline bool isPackedFull();
+  inline bool hasPackedFull();
+  inline  ::capnp::Data::Builder getPackedFull();
+  inline void setPackedFull( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initPackedFull(unsigned int size);
+  inline void adoptPackedFull(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownPackedFull();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1652,14 +1695,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::MembersParams::Pipeline {
+class ConfigUpdate::Pipeline {
 public:
-  typedef MembersParams Pipelines;
+  typedef ConfigUpdate Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::cassiabend::schema::VersionMark::Pipeline getMark();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1668,9 +1712,80 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::MembersResults::Reader {
+#if !CAPNP_LITE
+class Peer::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef MembersResults Reads;
+  typedef Peer Calls;
+  typedef Peer Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::cassiabend::schema::Peer::PushParams,  ::cassiabend::schema::Peer::PushResults> pushRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::cassiabend::schema::Peer::PullParams,  ::cassiabend::schema::Peer::PullResults> pullRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::cassiabend::schema::Peer::MembersParams,  ::cassiabend::schema::Peer::MembersResults> membersRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::cassiabend::schema::Peer::DrainParams,  ::cassiabend::schema::Peer::DrainResults> drainRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Peer::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Peer Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::cassiabend::schema::Peer::PushParams PushParams;
+  typedef  ::cassiabend::schema::Peer::PushResults PushResults;
+  typedef ::capnp::CallContext<PushParams, PushResults> PushContext;
+  virtual ::kj::Promise<void> push(PushContext context);
+  typedef  ::cassiabend::schema::Peer::PullParams PullParams;
+  typedef  ::cassiabend::schema::Peer::PullResults PullResults;
+  typedef ::capnp::CallContext<PullParams, PullResults> PullContext;
+  virtual ::kj::Promise<void> pull(PullContext context);
+  typedef  ::cassiabend::schema::Peer::MembersParams MembersParams;
+  typedef  ::cassiabend::schema::Peer::MembersResults MembersResults;
+  typedef ::capnp::CallContext<MembersParams, MembersResults> MembersContext;
+  virtual ::kj::Promise<void> members(MembersContext context);
+  typedef  ::cassiabend::schema::Peer::DrainParams DrainParams;
+  typedef  ::cassiabend::schema::Peer::DrainResults DrainResults;
+  typedef ::capnp::CallContext<DrainParams, DrainResults> DrainContext;
+  virtual ::kj::Promise<void> drain(DrainContext context);
+
+  inline  ::cassiabend::schema::Peer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::cassiabend::schema::Peer>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Peer::PushParams::Reader {
+public:
+  typedef PushParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1685,8 +1800,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMembers() const;
-  inline  ::capnp::List< ::cassiabend::schema::Member,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
+  inline bool hasUpdate() const;
+  inline  ::cassiabend::schema::ConfigUpdate::Reader getUpdate() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1700,9 +1815,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::MembersResults::Builder {
+class Peer::PushParams::Builder {
 public:
-  typedef MembersResults Builds;
+  typedef PushParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1716,12 +1831,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMembers();
-  inline  ::capnp::List< ::cassiabend::schema::Member,  ::capnp::Kind::STRUCT>::Builder getMembers();
-  inline void setMembers( ::capnp::List< ::cassiabend::schema::Member,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cassiabend::schema::Member,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
-  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::cassiabend::schema::Member,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::Member,  ::capnp::Kind::STRUCT>> disownMembers();
+  inline bool hasUpdate();
+  inline  ::cassiabend::schema::ConfigUpdate::Builder getUpdate();
+  inline void setUpdate( ::cassiabend::schema::ConfigUpdate::Reader value);
+  inline  ::cassiabend::schema::ConfigUpdate::Builder initUpdate();
+  inline void adoptUpdate(::capnp::Orphan< ::cassiabend::schema::ConfigUpdate>&& value);
+  inline ::capnp::Orphan< ::cassiabend::schema::ConfigUpdate> disownUpdate();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1733,14 +1848,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::MembersResults::Pipeline {
+class Peer::PushParams::Pipeline {
 public:
-  typedef MembersResults Pipelines;
+  typedef PushParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::cassiabend::schema::ConfigUpdate::Pipeline getUpdate();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1749,9 +1865,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::DrainParams::Reader {
+class Peer::PushResults::Reader {
 public:
-  typedef DrainParams Reads;
+  typedef PushResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1766,6 +1882,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasMark() const;
+  inline  ::cassiabend::schema::VersionMark::Reader getMark() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1778,9 +1897,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::DrainParams::Builder {
+class Peer::PushResults::Builder {
 public:
-  typedef DrainParams Builds;
+  typedef PushResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1794,6 +1913,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasMark();
+  inline  ::cassiabend::schema::VersionMark::Builder getMark();
+  inline void setMark( ::cassiabend::schema::VersionMark::Reader value);
+  inline  ::cassiabend::schema::VersionMark::Builder initMark();
+  inline void adoptMark(::capnp::Orphan< ::cassiabend::schema::VersionMark>&& value);
+  inline ::capnp::Orphan< ::cassiabend::schema::VersionMark> disownMark();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1804,14 +1930,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::DrainParams::Pipeline {
+class Peer::PushResults::Pipeline {
 public:
-  typedef DrainParams Pipelines;
+  typedef PushResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::cassiabend::schema::VersionMark::Pipeline getMark();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1820,9 +1947,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::DrainResults::Reader {
+class Peer::PullParams::Reader {
 public:
-  typedef DrainResults Reads;
+  typedef PullParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1837,6 +1964,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasHave() const;
+  inline  ::cassiabend::schema::VersionMark::Reader getHave() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1849,9 +1979,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::DrainResults::Builder {
+class Peer::PullParams::Builder {
 public:
-  typedef DrainResults Builds;
+  typedef PullParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1865,6 +1995,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasHave();
+  inline  ::cassiabend::schema::VersionMark::Builder getHave();
+  inline void setHave( ::cassiabend::schema::VersionMark::Reader value);
+  inline  ::cassiabend::schema::VersionMark::Builder initHave();
+  inline void adoptHave(::capnp::Orphan< ::cassiabend::schema::VersionMark>&& value);
+  inline ::capnp::Orphan< ::cassiabend::schema::VersionMark> disownHave();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1875,14 +2012,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::DrainResults::Pipeline {
+class Peer::PullParams::Pipeline {
 public:
-  typedef DrainResults Pipelines;
+  typedef PullParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::cassiabend::schema::VersionMark::Pipeline getHave();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1891,383 +2029,1179 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Peer::PullResults::Reader {
+public:
+  typedef PullResults Reads;
 
-inline  ::uint64_t VersionMark::Reader::getNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint64_t VersionMark::Builder::getNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void VersionMark::Builder::setNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline bool VersionMark::Reader::hasHash() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool VersionMark::Builder::hasHash() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::cassiabend::schema::Id128::Reader VersionMark::Reader::getHash() const {
-  return ::capnp::_::PointerHelpers< ::cassiabend::schema::Id128>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::cassiabend::schema::Id128::Builder VersionMark::Builder::getHash() {
-  return ::capnp::_::PointerHelpers< ::cassiabend::schema::Id128>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
 #if !CAPNP_LITE
-inline  ::cassiabend::schema::Id128::Pipeline VersionMark::Pipeline::getHash() {
-  return  ::cassiabend::schema::Id128::Pipeline(_typeless.getPointerField(0));
-}
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
 #endif  // !CAPNP_LITE
-inline void VersionMark::Builder::setHash( ::cassiabend::schema::Id128::Reader value) {
-  ::capnp::_::PointerHelpers< ::cassiabend::schema::Id128>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::cassiabend::schema::Id128::Builder VersionMark::Builder::initHash() {
-  return ::capnp::_::PointerHelpers< ::cassiabend::schema::Id128>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void VersionMark::Builder::adoptHash(
-    ::capnp::Orphan< ::cassiabend::schema::Id128>&& value) {
-  ::capnp::_::PointerHelpers< ::cassiabend::schema::Id128>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::cassiabend::schema::Id128> VersionMark::Builder::disownHash() {
-  return ::capnp::_::PointerHelpers< ::cassiabend::schema::Id128>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
 
-inline bool Member::Reader::hasIp() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Member::Builder::hasIp() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Member::Reader::getIp() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Member::Builder::getIp() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Member::Builder::setIp( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Member::Builder::initIp(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Member::Builder::adoptIp(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownIp() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  inline bool hasUpdate() const;
+  inline  ::cassiabend::schema::ConfigUpdate::Reader getUpdate() const;
 
-inline  ::uint16_t Member::Reader::getPeerPort() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-inline  ::uint16_t Member::Builder::getPeerPort() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+class Peer::PullResults::Builder {
+public:
+  typedef PullResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpdate();
+  inline  ::cassiabend::schema::ConfigUpdate::Builder getUpdate();
+  inline void setUpdate( ::cassiabend::schema::ConfigUpdate::Reader value);
+  inline  ::cassiabend::schema::ConfigUpdate::Builder initUpdate();
+  inline void adoptUpdate(::capnp::Orphan< ::cassiabend::schema::ConfigUpdate>&& value);
+  inline ::capnp::Orphan< ::cassiabend::schema::ConfigUpdate> disownUpdate();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::PullResults::Pipeline {
+public:
+  typedef PullResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::cassiabend::schema::ConfigUpdate::Pipeline getUpdate();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::MembersParams::Reader {
+public:
+  typedef MembersParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::MembersParams::Builder {
+public:
+  typedef MembersParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::MembersParams::Pipeline {
+public:
+  typedef MembersParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::MembersResults::Reader {
+public:
+  typedef MembersResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMembers() const;
+  inline  ::capnp::List< ::cassiabend::schema::Member,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::MembersResults::Builder {
+public:
+  typedef MembersResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMembers();
+  inline  ::capnp::List< ::cassiabend::schema::Member,  ::capnp::Kind::STRUCT>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::cassiabend::schema::Member,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cassiabend::schema::Member,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::cassiabend::schema::Member,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::Member,  ::capnp::Kind::STRUCT>> disownMembers();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::MembersResults::Pipeline {
+public:
+  typedef MembersResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::DrainParams::Reader {
+public:
+  typedef DrainParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::DrainParams::Builder {
+public:
+  typedef DrainParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::DrainParams::Pipeline {
+public:
+  typedef DrainParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::DrainResults::Reader {
+public:
+  typedef DrainResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::DrainResults::Builder {
+public:
+  typedef DrainResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::DrainResults::Pipeline {
+public:
+  typedef DrainResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::uint64_t VersionMark::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t VersionMark::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void VersionMark::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool VersionMark::Reader::hasHash() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool VersionMark::Builder::hasHash() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cassiabend::schema::Id128::Reader VersionMark::Reader::getHash() const {
+  return ::capnp::_::PointerHelpers< ::cassiabend::schema::Id128>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::cassiabend::schema::Id128::Builder VersionMark::Builder::getHash() {
+  return ::capnp::_::PointerHelpers< ::cassiabend::schema::Id128>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cassiabend::schema::Id128::Pipeline VersionMark::Pipeline::getHash() {
+  return  ::cassiabend::schema::Id128::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void VersionMark::Builder::setHash( ::cassiabend::schema::Id128::Reader value) {
+  ::capnp::_::PointerHelpers< ::cassiabend::schema::Id128>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::cassiabend::schema::Id128::Builder VersionMark::Builder::initHash() {
+  return ::capnp::_::PointerHelpers< ::cassiabend::schema::Id128>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void VersionMark::Builder::adoptHash(
+    ::capnp::Orphan< ::cassiabend::schema::Id128>&& value) {
+  ::capnp::_::PointerHelpers< ::cassiabend::schema::Id128>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cassiabend::schema::Id128> VersionMark::Builder::disownHash() {
+  return ::capnp::_::PointerHelpers< ::cassiabend::schema::Id128>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Member::Reader::hasIp() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasIp() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getIp() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getIp() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setIp( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initIp(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptIp(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownIp() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t Member::Reader::getPeerPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Member::Builder::getPeerPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
 inline void Member::Builder::setPeerPort( ::uint16_t value) {
   _builder.setDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Member::Reader::getCallPort() const {
-  return _reader.getDataField< ::uint16_t>(
+inline  ::uint16_t Member::Reader::getCallPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Member::Builder::getCallPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setCallPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Member::Reader::hasRegion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasRegion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Member::Reader::hasZone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasZone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Member::Reader::getStartId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Member::Builder::getStartId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setStartId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Member::Reader::getRevision() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Member::Builder::getRevision() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setRevision( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::cassiabend::schema::MemberStatus Member::Reader::getStatus() const {
+  return _reader.getDataField< ::cassiabend::schema::MemberStatus>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::cassiabend::schema::MemberStatus Member::Builder::getStatus() {
+  return _builder.getDataField< ::cassiabend::schema::MemberStatus>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setStatus( ::cassiabend::schema::MemberStatus value) {
+  _builder.setDataField< ::cassiabend::schema::MemberStatus>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Member::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Member::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Member::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::cassiabend::schema::UpstreamState Member::Reader::getUpstreamState() const {
+  return _reader.getDataField< ::cassiabend::schema::UpstreamState>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::cassiabend::schema::UpstreamState Member::Builder::getUpstreamState() {
+  return _builder.getDataField< ::cassiabend::schema::UpstreamState>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setUpstreamState( ::cassiabend::schema::UpstreamState value) {
+  _builder.setDataField< ::cassiabend::schema::UpstreamState>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Member::Reader::getIsReader() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool Member::Builder::getIsReader() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setIsReader(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Member::Reader::hasUpstreamVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasUpstreamVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getUpstreamVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getUpstreamVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setUpstreamVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initUpstreamVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptUpstreamVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownUpstreamVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t TeamUse::Reader::getTeam() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TeamUse::Builder::getTeam() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TeamUse::Builder::setTeam( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TeamUse::Reader::getAdmitted() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Member::Builder::getCallPort() {
-  return _builder.getDataField< ::uint16_t>(
+inline  ::uint64_t TeamUse::Builder::getAdmitted() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setCallPort( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
+inline void TeamUse::Builder::setAdmitted( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Member::Reader::hasRegion() const {
+inline  ::uint64_t TeamUse::Reader::getDemandPer1000s() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TeamUse::Builder::getDemandPer1000s() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TeamUse::Builder::setDemandPer1000s( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Rollout::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Rollout::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Rollout::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Rollout::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Rollout::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Rollout::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Rollout::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Rollout::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Rollout::Reader::hasTargetVersion() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Member::Builder::hasRegion() {
+inline bool Rollout::Builder::hasTargetVersion() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Member::Reader::getRegion() const {
+inline  ::capnp::Text::Reader Rollout::Reader::getTargetVersion() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Member::Builder::getRegion() {
+inline  ::capnp::Text::Builder Rollout::Builder::getTargetVersion() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::setRegion( ::capnp::Text::Reader value) {
+inline void Rollout::Builder::setTargetVersion( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Member::Builder::initRegion(unsigned int size) {
+inline  ::capnp::Text::Builder Rollout::Builder::initTargetVersion(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Member::Builder::adoptRegion(
+inline void Rollout::Builder::adoptTargetVersion(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownRegion() {
+inline ::capnp::Orphan< ::capnp::Text> Rollout::Builder::disownTargetVersion() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Member::Reader::hasZone() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline  ::uint32_t Rollout::Reader::getDurationMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool Member::Builder::hasZone() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint32_t Rollout::Builder::getDurationMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Reader Member::Reader::getZone() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void Rollout::Builder::setDurationMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder Member::Builder::getZone() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline  ::int64_t Rollout::Reader::getOrderRevision() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setZone( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+
+inline  ::int64_t Rollout::Builder::getOrderRevision() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder Member::Builder::initZone(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline void Rollout::Builder::setOrderRevision( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Rollout::Reader::getStep() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Rollout::Builder::getStep() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Rollout::Builder::setStep( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Rollout::Reader::getSharePermille() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Rollout::Builder::getSharePermille() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Rollout::Builder::setSharePermille( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::cassiabend::schema::RolloutPhase Rollout::Reader::getPhase() const {
+  return _reader.getDataField< ::cassiabend::schema::RolloutPhase>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::adoptZone(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::cassiabend::schema::RolloutPhase Rollout::Builder::getPhase() {
+  return _builder.getDataField< ::cassiabend::schema::RolloutPhase>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownZone() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void Rollout::Builder::setPhase( ::cassiabend::schema::RolloutPhase value) {
+  _builder.setDataField< ::cassiabend::schema::RolloutPhase>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Member::Reader::getStartId() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Rollout::Reader::getOrderAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Member::Builder::getStartId() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Rollout::Builder::getOrderAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setStartId( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Rollout::Builder::setOrderAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Member::Reader::getRevision() const {
+inline  ::uint32_t Rollout::Reader::getVouchedAgeMs() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Member::Builder::getRevision() {
+inline  ::uint32_t Rollout::Builder::getVouchedAgeMs() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setRevision( ::uint32_t value) {
+inline void Rollout::Builder::setVouchedAgeMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::cassiabend::schema::MemberStatus Member::Reader::getStatus() const {
-  return _reader.getDataField< ::cassiabend::schema::MemberStatus>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint32_t VersionCounts::Reader::getFailures() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::cassiabend::schema::MemberStatus Member::Builder::getStatus() {
-  return _builder.getDataField< ::cassiabend::schema::MemberStatus>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint32_t VersionCounts::Builder::getFailures() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setStatus( ::cassiabend::schema::MemberStatus value) {
-  _builder.setDataField< ::cassiabend::schema::MemberStatus>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void VersionCounts::Builder::setFailures( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Member::Reader::hasService() const {
+inline bool VersionCounts::Reader::hasTimes() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Member::Builder::hasService() {
+inline bool VersionCounts::Builder::hasTimes() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Member::Reader::getService() const {
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader VersionCounts::Reader::getTimes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder VersionCounts::Builder::getTimes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void VersionCounts::Builder::setTimes( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void VersionCounts::Builder::setTimes(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder VersionCounts::Builder::initTimes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void VersionCounts::Builder::adoptTimes(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> VersionCounts::Builder::disownTimes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool VersionUse::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool VersionUse::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader VersionUse::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Member::Builder::getService() {
+inline  ::capnp::Text::Builder VersionUse::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::setService( ::capnp::Text::Reader value) {
+inline void VersionUse::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Member::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder VersionUse::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Member::Builder::adoptService(
+inline void VersionUse::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> VersionUse::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Member::Reader::getSlots() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::int64_t VersionUse::Reader::getOrderRevision() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Member::Builder::getSlots() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::int64_t VersionUse::Builder::getOrderRevision() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setSlots( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void VersionUse::Builder::setOrderRevision( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::cassiabend::schema::UpstreamState Member::Reader::getUpstreamState() const {
-  return _reader.getDataField< ::cassiabend::schema::UpstreamState>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+inline  ::uint32_t VersionUse::Reader::getStep() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::cassiabend::schema::UpstreamState Member::Builder::getUpstreamState() {
-  return _builder.getDataField< ::cassiabend::schema::UpstreamState>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+inline  ::uint32_t VersionUse::Builder::getStep() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setUpstreamState( ::cassiabend::schema::UpstreamState value) {
-  _builder.setDataField< ::cassiabend::schema::UpstreamState>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+inline void VersionUse::Builder::setStep( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Member::Reader::getIsReader() const {
+inline bool VersionUse::Reader::getUsesOld() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
 }
 
-inline bool Member::Builder::getIsReader() {
+inline bool VersionUse::Builder::getUsesOld() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setIsReader(bool value) {
+inline void VersionUse::Builder::setUsesOld(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Member::Reader::hasUpstreamVersion() const {
+inline bool VersionUse::Reader::hasClasses() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Member::Builder::hasUpstreamVersion() {
+inline bool VersionUse::Builder::hasClasses() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Member::Reader::getUpstreamVersion() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::cassiabend::schema::VersionUse::Class,  ::capnp::Kind::STRUCT>::Reader VersionUse::Reader::getClasses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::VersionUse::Class,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Member::Builder::getUpstreamVersion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::cassiabend::schema::VersionUse::Class,  ::capnp::Kind::STRUCT>::Builder VersionUse::Builder::getClasses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::VersionUse::Class,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::setUpstreamVersion( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void VersionUse::Builder::setClasses( ::capnp::List< ::cassiabend::schema::VersionUse::Class,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::VersionUse::Class,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Member::Builder::initUpstreamVersion(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::cassiabend::schema::VersionUse::Class,  ::capnp::Kind::STRUCT>::Builder VersionUse::Builder::initClasses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::VersionUse::Class,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Member::Builder::adoptUpstreamVersion(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline void VersionUse::Builder::adoptClasses(
+    ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::VersionUse::Class,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::VersionUse::Class,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownUpstreamVersion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::VersionUse::Class,  ::capnp::Kind::STRUCT>> VersionUse::Builder::disownClasses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::VersionUse::Class,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t TeamUse::Reader::getTeam() const {
+inline  ::uint64_t VersionUse::Class::Reader::getRequestClass() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t TeamUse::Builder::getTeam() {
+inline  ::uint64_t VersionUse::Class::Builder::getRequestClass() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TeamUse::Builder::setTeam( ::uint64_t value) {
+inline void VersionUse::Class::Builder::setRequestClass( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t TeamUse::Reader::getAdmitted() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool VersionUse::Class::Reader::hasOldVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t TeamUse::Builder::getAdmitted() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool VersionUse::Class::Builder::hasOldVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void TeamUse::Builder::setAdmitted( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::cassiabend::schema::VersionCounts::Reader VersionUse::Class::Reader::getOldVersion() const {
+  return ::capnp::_::PointerHelpers< ::cassiabend::schema::VersionCounts>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t TeamUse::Reader::getDemandPer1000s() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::cassiabend::schema::VersionCounts::Builder VersionUse::Class::Builder::getOldVersion() {
+  return ::capnp::_::PointerHelpers< ::cassiabend::schema::VersionCounts>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cassiabend::schema::VersionCounts::Pipeline VersionUse::Class::Pipeline::getOldVersion() {
+  return  ::cassiabend::schema::VersionCounts::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void VersionUse::Class::Builder::setOldVersion( ::cassiabend::schema::VersionCounts::Reader value) {
+  ::capnp::_::PointerHelpers< ::cassiabend::schema::VersionCounts>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::cassiabend::schema::VersionCounts::Builder VersionUse::Class::Builder::initOldVersion() {
+  return ::capnp::_::PointerHelpers< ::cassiabend::schema::VersionCounts>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void VersionUse::Class::Builder::adoptOldVersion(
+    ::capnp::Orphan< ::cassiabend::schema::VersionCounts>&& value) {
+  ::capnp::_::PointerHelpers< ::cassiabend::schema::VersionCounts>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cassiabend::schema::VersionCounts> VersionUse::Class::Builder::disownOldVersion() {
+  return ::capnp::_::PointerHelpers< ::cassiabend::schema::VersionCounts>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t TeamUse::Builder::getDemandPer1000s() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool VersionUse::Class::Reader::hasNewVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void TeamUse::Builder::setDemandPer1000s( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline bool VersionUse::Class::Builder::hasNewVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cassiabend::schema::VersionCounts::Reader VersionUse::Class::Reader::getNewVersion() const {
+  return ::capnp::_::PointerHelpers< ::cassiabend::schema::VersionCounts>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::cassiabend::schema::VersionCounts::Builder VersionUse::Class::Builder::getNewVersion() {
+  return ::capnp::_::PointerHelpers< ::cassiabend::schema::VersionCounts>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cassiabend::schema::VersionCounts::Pipeline VersionUse::Class::Pipeline::getNewVersion() {
+  return  ::cassiabend::schema::VersionCounts::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void VersionUse::Class::Builder::setNewVersion( ::cassiabend::schema::VersionCounts::Reader value) {
+  ::capnp::_::PointerHelpers< ::cassiabend::schema::VersionCounts>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::cassiabend::schema::VersionCounts::Builder VersionUse::Class::Builder::initNewVersion() {
+  return ::capnp::_::PointerHelpers< ::cassiabend::schema::VersionCounts>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void VersionUse::Class::Builder::adoptNewVersion(
+    ::capnp::Orphan< ::cassiabend::schema::VersionCounts>&& value) {
+  ::capnp::_::PointerHelpers< ::cassiabend::schema::VersionCounts>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cassiabend::schema::VersionCounts> VersionUse::Class::Builder::disownNewVersion() {
+  return ::capnp::_::PointerHelpers< ::cassiabend::schema::VersionCounts>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool Datagram::Reader::hasFromIp() const {
@@ -2593,6 +3527,40 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::hasRollouts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasRollouts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cassiabend::schema::Rollout,  ::capnp::Kind::STRUCT>::Reader Datagram::Reader::getRollouts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::Rollout,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cassiabend::schema::Rollout,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::getRollouts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::Rollout,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setRollouts( ::capnp::List< ::cassiabend::schema::Rollout,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::Rollout,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cassiabend::schema::Rollout,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::initRollouts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::Rollout,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::Builder::adoptRollouts(
+    ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::Rollout,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::Rollout,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::Rollout,  ::capnp::Kind::STRUCT>> Datagram::Builder::disownRollouts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::Rollout,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline  ::cassiabend::schema::Datagram::Body::Which Datagram::Body::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<10>() * ::capnp::ELEMENTS);
@@ -2756,6 +3724,60 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Datagram::Body::Reader::isVersionReport() const {
+  return which() == Datagram::Body::VERSION_REPORT;
+}
+inline bool Datagram::Body::Builder::isVersionReport() {
+  return which() == Datagram::Body::VERSION_REPORT;
+}
+inline bool Datagram::Body::Reader::hasVersionReport() const {
+  if (which() != Datagram::Body::VERSION_REPORT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Body::Builder::hasVersionReport() {
+  if (which() != Datagram::Body::VERSION_REPORT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cassiabend::schema::VersionUse,  ::capnp::Kind::STRUCT>::Reader Datagram::Body::Reader::getVersionReport() const {
+  KJ_IREQUIRE((which() == Datagram::Body::VERSION_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::VersionUse,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cassiabend::schema::VersionUse,  ::capnp::Kind::STRUCT>::Builder Datagram::Body::Builder::getVersionReport() {
+  KJ_IREQUIRE((which() == Datagram::Body::VERSION_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::VersionUse,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Datagram::Body::Builder::setVersionReport( ::capnp::List< ::cassiabend::schema::VersionUse,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<Datagram::Body::Which>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, Datagram::Body::VERSION_REPORT);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::VersionUse,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cassiabend::schema::VersionUse,  ::capnp::Kind::STRUCT>::Builder Datagram::Body::Builder::initVersionReport(unsigned int size) {
+  _builder.setDataField<Datagram::Body::Which>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, Datagram::Body::VERSION_REPORT);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::VersionUse,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::Body::Builder::adoptVersionReport(
+    ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::VersionUse,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<Datagram::Body::Which>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, Datagram::Body::VERSION_REPORT);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::VersionUse,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cassiabend::schema::VersionUse,  ::capnp::Kind::STRUCT>> Datagram::Body::Builder::disownVersionReport() {
+  KJ_IREQUIRE((which() == Datagram::Body::VERSION_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cassiabend::schema::VersionUse,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t Datagram::Body::PingRequest::Reader::getSequence() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
--- a/schema/mesh.capnp
+++ b/schema/mesh.capnp
@@ -56,6 +56,52 @@
   # Calls that asked to be admitted, per 1,000 s.
 }
 
+enum RolloutPhase {
+  running @0;
+  completed @1;
+  rolledBack @2;
+}
+
+struct Rollout {
+  # State of the newest roll-out of a service, as the sender knows it.
+  service @0 :Text;
+  targetVersion @1 :Text;
+  durationMs @2 :UInt32;
+  orderRevision @3 :Int64;
+  # Revision of the order in the store.
+  step @4 :UInt32;
+  sharePermille @5 :UInt16;
+  phase @6 :RolloutPhase;
+  orderAgeMs @7 :UInt32;
+  # Time since the order became known.
+  vouchedAgeMs @8 :UInt32;
+  # Time since a node that decides on it vouched for this state; 0xffffffff for
+  # never.
+}
+
+struct VersionCounts {
+  # Answers of one version.
+  failures @0 :UInt32;
+  times @1 :List(UInt32);
+  # Other answers by the binary logarithm of their time in milliseconds.
+}
+
+struct VersionUse {
+  # How the versions of a roll-out answer the sender's calls.
+  struct Class {
+    requestClass @0 :UInt64;
+    # Hash of the request class.
+    oldVersion @1 :VersionCounts;
+    newVersion @2 :VersionCounts;
+  }
+  service @0 :Text;
+  orderRevision @1 :Int64;
+  step @2 :UInt32;
+  usesOld @3 :Bool;
+  # Whether calls of the sender run at upstreams of other versions.
+  classes @4 :List(Class);
+}
+
 struct Datagram {
   # One UDP message.
   fromIp @0 :Text;
@@ -84,6 +130,8 @@
     # Asks for the members that the receiver knows.
     attach @14 :Void;
     # From a child to the parent that it has chosen.
+    versionReport @22 :List(VersionUse);
+    # To a node that decides on roll-outs; empty in its answer.
   }
   attachSequence @15 :UInt32;
   # With `attach`: its number. With `beat`: that of the receiver's newest attach.
@@ -100,6 +148,8 @@
   # Time that work takes at the sender's upstream, in hundredths of the usual;
   # 0 when it states none.
   teamUses @21 :List(TeamUse);
+  rollouts @23 :List(Rollout);
+  # With `beat` and `versionReport`: roll-outs that the sender knows.
 }
 
 struct ConfigUpdate {
--- a/src/cassiabend/core/balancer.cc
+++ b/src/cassiabend/core/balancer.cc
@@ -79,7 +79,7 @@
 RefPtr<Upstream> Balancer::Pick(MonoTime now,
                                 const UpstreamQuery& query,
                                 Random* random) {
-  Service* service = FindService(query.service);
+  Service* service = FindService(query.service, query.version);
   if (service == nullptr) {
     return nullptr;
   }
@@ -108,7 +108,7 @@
 RefPtr<Upstream> Balancer::PickHome(MonoTime now,
                                     const UpstreamQuery& query,
                                     std::string_view key) {
-  Service* service = FindService(query.service);
+  Service* service = FindService(query.service, query.version);
   if (service == nullptr) {
     return nullptr;
   }
@@ -131,6 +131,40 @@
   return best;
 }
 
+RefPtr<Upstream> Balancer::PickAmong(MonoTime now,
+                                     const UpstreamQuery& query,
+                                     std::span<const NodeId> ids,
+                                     Random* random) {
+  Service* service = FindService(query.service, query.version);
+  if (service == nullptr || ids.empty()) {
+    return nullptr;
+  }
+  cost_model_.SetCall(query.service, query.request_class, query.objective);
+  Upstream* best = nullptr;
+  double best_cost = 0;
+  std::size_t index = random->Below(ids.size());
+  const std::size_t limit = std::min(ids.size(), kMaxExaminedUpstreams);
+  for (std::size_t i = 0; i < limit; ++i) {
+    const auto found = upstreams_.find(ids[index]);
+    index = index + 1 == ids.size() ? 0 : index + 1;
+    if (found == upstreams_.end()) {
+      continue;
+    }
+    Upstream* it = found->second.get();
+    if (!it->indexed_ || !IsUsable(now, query, service, it) ||
+        now < it->shed_until_) {
+      continue;
+    }
+    const double cost =
+        cost_model_.Cost(now, it->locality_, it->member_.slots, it->stats_);
+    if (best == nullptr || cost < best_cost) {
+      best = it;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
 bool Balancer::IsSaturated(MonoTime now,
                            const Upstream& upstream) const noexcept {
   const std::uint64_t slots = std::max(upstream.member_.slots, 1U);
@@ -152,8 +186,10 @@
   }
   Upstream* upstream = slot.get();
   const Locality locality = LocalityOf(member);
-  const bool moved = upstream->member_.service != member.service ||
-                     upstream->locality_ != locality;
+  const bool moved =
+      upstream->member_.service != member.service ||
+      upstream->member_.upstream_version != member.upstream_version ||
+      upstream->locality_ != locality;
   if (moved || !IsCandidate(member)) {
     Unindex(upstream);
   }
@@ -198,7 +234,8 @@
   if (failed) {
     CostModel::RecordFailure(now, &upstream->stats_);
   }
-  Service* service = FindService(upstream->member_.service);
+  Service* service = FindService(upstream->member_.service,
+                                 upstream->member_.upstream_version);
   if (service == nullptr || !upstream->indexed_) {
     return;
   }
@@ -239,8 +276,20 @@
                                    : Locality::kSameRegion;
 }
 
-Balancer::Service* Balancer::FindService(std::string_view name) {
-  const auto it = services_.find(std::string(name));
+std::string Balancer::KeyOf(std::string_view service,
+                            std::string_view version) const {
+  constexpr char kSeparator = '\n';
+  std::string key(service);
+  if (options_.gate_versions != 0) {
+    key.push_back(kSeparator);
+    key.append(version);
+  }
+  return key;
+}
+
+Balancer::Service* Balancer::FindService(std::string_view service,
+                                         std::string_view version) {
+  const auto it = services_.find(KeyOf(service, version));
   return it == services_.end() ? nullptr : &it->second;
 }
 
@@ -251,8 +300,11 @@
   const EjectionLimits limits{options_.ejection_failures,
                               options_.ejection_time,
                               options_.ejection_permille};
-  Service& service =
-      services_.try_emplace(upstream->member_.service, limits).first->second;
+  Service& service = services_
+                         .try_emplace(KeyOf(upstream->member_.service,
+                                            upstream->member_.upstream_version),
+                                      limits)
+                         .first->second;
   const auto level = static_cast<std::size_t>(upstream->locality_);
   service.levels.at(level).push_back(upstream);
   ++service.size;
@@ -263,7 +315,8 @@
   if (!upstream->indexed_) {
     return;
   }
-  const auto it = services_.find(upstream->member_.service);
+  const auto it = services_.find(
+      KeyOf(upstream->member_.service, upstream->member_.upstream_version));
   Service& service = it->second;
   std::erase(service.levels.at(static_cast<std::size_t>(upstream->locality_)),
              upstream);
--- a/src/cassiabend/core/balancer.h
+++ b/src/cassiabend/core/balancer.h
@@ -83,6 +83,8 @@
   std::string_view request_class;
   /// Time left until the latency objective of the call; 0 for none.
   Milliseconds objective{0};
+  /// Version of the upstreams; used with `CallOptions::gate_versions`.
+  std::string_view version;
 };
 
 /// \brief Picks the upstream of each attempt. `Pick` examines a bounded number
@@ -111,6 +113,13 @@
                                           const UpstreamQuery& query,
                                           std::string_view key);
 
+  /// \returns The one of the lowest expected cost among some of `ids`; null
+  /// when none of them is usable.
+  [[nodiscard]] RefPtr<Upstream> PickAmong(MonoTime now,
+                                           const UpstreamQuery& query,
+                                           std::span<const NodeId> ids,
+                                           Random* random);
+
   /// \returns Whether a further attempt there would be queued or refused.
   [[nodiscard]] bool IsSaturated(MonoTime now,
                                  const Upstream& upstream) const noexcept;
@@ -167,7 +176,12 @@
   using Level = std::vector<Upstream*>;
 
   [[nodiscard]] Locality LocalityOf(const Member& member) const noexcept;
-  [[nodiscard]] Service* FindService(std::string_view name);
+  /// \returns The key of `services_` for the upstreams of a service that a call
+  /// may use.
+  [[nodiscard]] std::string KeyOf(std::string_view service,
+                                  std::string_view version) const;
+  [[nodiscard]] Service* FindService(std::string_view service,
+                                     std::string_view version);
   void Index(Upstream* upstream);
   void Unindex(Upstream* upstream);
   [[nodiscard]] bool IsUsable(MonoTime now,
@@ -215,6 +229,7 @@
   Member self_;
   CostModel cost_model_;
   std::unordered_map<NodeId, RefPtr<Upstream>, NodeIdHasher> upstreams_;
+  /// By service; with `CallOptions::gate_versions` by service and version.
   std::unordered_map<std::string, Service> services_;
 };
 
--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -30,9 +30,12 @@
 
 }  // namespace
 
-CallEntry::CallEntry(CallContext* context, Balancer* balancer)
+CallEntry::CallEntry(CallContext* context,
+                     Balancer* balancer,
+                     VersionGate* versions)
     : context_(context),
       balancer_(balancer),
+      versions_(versions),
       budget_(context->options.retry_budget_permille) {}
 
 void CallEntry::Reduce(const CallArrived& event) {
@@ -167,10 +170,29 @@
 }
 
 RefPtr<Upstream> CallEntry::ChooseUpstream(const Call& call) {
-  const UpstreamQuery query{call.service,
-                            {call.tried.data(), call.tried.size()},
-                            call.route->request_class,
-                            ObjectiveLeft(call)};
+  UpstreamQuery query{call.service,
+                      {call.tried.data(), call.tried.size()},
+                      call.route->request_class,
+                      ObjectiveLeft(call),
+                      {}};
+  const VersionChoice choice =
+      versions_->Choose(context_->now.mono, call.service,
+                        call.tried.empty() && !call.metadata.is_retry);
+  query.version = choice.version;
+  RefPtr<Upstream> upstream =
+      choice.canaries.empty()
+          ? PickUpstream(call, query)
+          : balancer_->PickAmong(context_->now.mono, query, choice.canaries,
+                                 &context_->random);
+  if (!upstream && choice.fallback) {
+    query.version = *choice.fallback;
+    upstream = PickUpstream(call, query);
+  }
+  return upstream;
+}
+
+RefPtr<Upstream> CallEntry::PickUpstream(const Call& call,
+                                         const UpstreamQuery& query) {
   const bool keyed = call.route->repeat == RepeatPolicy::kOnce &&
                      !call.metadata.order_key.empty();
   if (keyed) {
@@ -206,6 +228,7 @@
   request.objective = ObjectiveLeft(*call);
   request.expires_at = context_->now.wall + request.deadline;
   balancer_->RecordStart(upstream.get());
+  versions_->RecordStart(upstream->member());
   call->tried.push_back(std::move(upstream));
   call->outstanding = true;
   call->connection_timed_out = false;
@@ -279,9 +302,9 @@
     RecordTimes(call, *event.times, errored);
   }
   const bool failed = errored && context_->options.retry_errors != 0;
-  EndAttempt(call,
-             failed ? AttemptOutcome::kServerError : AttemptOutcome::kAnswered,
-             Milliseconds(0));
+  EndAnswered(
+      call, event,
+      failed ? AttemptOutcome::kServerError : AttemptOutcome::kAnswered);
   ++call->upstream_attempts;
   if (failed && MayRepeat(call->request) && RetryAfterError(call)) {
     return;
@@ -571,9 +594,35 @@
     return;
   }
   call->outstanding = false;
+  Upstream* upstream = call->tried.back().get();
   balancer_->RecordEnd(context_->now.mono, outcome,
                        context_->now.mono - call->sent_at, retry_after,
-                       call->tried.back().get());
+                       upstream);
+  const bool failed =
+      outcome == AttemptOutcome::kFailed || outcome == AttemptOutcome::kSilent;
+  versions_->RecordEnd(
+      context_->now.mono, upstream->member(), call->route->request_class,
+      failed ? VersionOutcome::kFailed : VersionOutcome::kNeutral,
+      Milliseconds(0));
+}
+
+void CallEntry::EndAnswered(Call* call,
+                            const AttemptAnswerStarted& event,
+                            AttemptOutcome outcome) {
+  if (!call->outstanding) {
+    return;
+  }
+  call->outstanding = false;
+  const Nanoseconds elapsed = context_->now.mono - call->sent_at;
+  Upstream* upstream = call->tried.back().get();
+  balancer_->RecordEnd(context_->now.mono, outcome, elapsed, Milliseconds(0),
+                       upstream);
+  versions_->RecordEnd(context_->now.mono, upstream->member(),
+                       call->route->request_class,
+                       IsServerError(event.status) ? VersionOutcome::kFailed
+                                                   : VersionOutcome::kAnswered,
+                       event.times ? event.times->service
+                                   : std::chrono::floor<Milliseconds>(elapsed));
 }
 
 void CallEntry::AbandonAttempt(Call* call, AttemptOutcome outcome) {
--- a/src/cassiabend/core/call_entry.h
+++ b/src/cassiabend/core/call_entry.h
@@ -13,6 +13,7 @@
 #include "cassiabend/core/dispatch_gate.h"
 #include "cassiabend/core/refused_calls.h"
 #include "cassiabend/core/retry_budget.h"
+#include "cassiabend/core/rollout/version_gate.h"
 #include "cassiabend/core/timer_queue.h"
 
 namespace cassiabend {
@@ -25,7 +26,7 @@
 /// outcome to the caller.
 class CallEntry {
  public:
-  CallEntry(CallContext* context, Balancer* balancer);
+  CallEntry(CallContext* context, Balancer* balancer, VersionGate* versions);
 
   [[nodiscard]] std::size_t calls() const noexcept { return calls_.size(); }
   [[nodiscard]] const RetryBudget& budget() const noexcept { return budget_; }
@@ -127,6 +128,8 @@
   void SendFirstAttempt(Call* call);
   [[nodiscard]] static bool MustWaitTurn(const Call& call);
   [[nodiscard]] RefPtr<Upstream> ChooseUpstream(const Call& call);
+  [[nodiscard]] RefPtr<Upstream> PickUpstream(const Call& call,
+                                              const UpstreamQuery& query);
   void SendAttemptTo(Call* call, RefPtr<Upstream> upstream);
   /// \returns The state of a call once `verb` is sent.
   [[nodiscard]] static State StateAfter(AttemptVerb verb);
@@ -153,6 +156,10 @@
   void OnFetchFailed(Call* call);
   void GiveUpAttempt(Call* call);
   void EndAttempt(Call* call, AttemptOutcome outcome, Milliseconds retry_after);
+  /// \brief Ends an attempt that was answered.
+  void EndAnswered(Call* call,
+                   const AttemptAnswerStarted& event,
+                   AttemptOutcome outcome);
   /// \brief Ends the attempt and drops its answer.
   void AbandonAttempt(Call* call, AttemptOutcome outcome);
   /// \param errored Whether the answer is a server error.
@@ -171,6 +178,7 @@
 
   CallContext* context_;
   Balancer* balancer_;
+  VersionGate* versions_;
   RetryBudget budget_;
   RefusedCalls refused_calls_;
   CallTable calls_;
--- a/src/cassiabend/core/call_events.h
+++ b/src/cassiabend/core/call_events.h
@@ -328,6 +328,7 @@
                                MembersChanged,
                                MemberLoadReported,
                                ReadinessChanged,
+                               RolloutsChanged,
                                StoreReplied>;
 
 // Effects at the entry node.
@@ -515,6 +516,7 @@
                                 ReleaseAttempt,
                                 LocalUpstreamChanged,
                                 LocalLoadChanged,
+                                VersionsUsed,
                                 StoreCall,
                                 DrainFinished>;
 
--- a/src/cassiabend/core/call_reducer.cc
+++ b/src/cassiabend/core/call_reducer.cc
@@ -1,6 +1,8 @@
 #include "cassiabend/core/call_reducer.h"
 
+#include <algorithm>
 #include <type_traits>
+#include <utility>
 #include <variant>
 
 #include "cassiabend/core/balancer.h"
@@ -8,6 +10,7 @@
 #include "cassiabend/core/call_destination.h"
 #include "cassiabend/core/call_entry.h"
 #include "cassiabend/core/call_upstream_health.h"
+#include "cassiabend/core/rollout/version_gate.h"
 
 namespace cassiabend {
 
@@ -15,6 +18,10 @@
 
 /// Most retry budgets listed in `CallCounts`, so that metrics stay bounded.
 constexpr std::size_t kMaxReportedBudgets = 32;
+/// Shortest time between two reports of how versions answer, and the time for
+/// each node of the fleet, since all report to the same two.
+constexpr Milliseconds kVersionReportPeriod{500};
+constexpr Milliseconds kVersionReportPause{3};
 
 /// \returns A seed that depends on the node and on the start of its process, so
 /// that nodes with equal settings generate different attempt ids.
@@ -34,7 +41,8 @@
                  .random = Random(MixSeed(self, seed))},
         balancer_(options, self),
         health_(&context_),
-        entry_(&context_, &balancer_),
+        versions_(options, self.id),
+        entry_(&context_, &balancer_, &versions_),
         destination_(&context_, &health_) {}
 
   void Reduce(const Instant& now,
@@ -119,6 +127,25 @@
     destination_.Tick();
     health_.Tick();
     health_.ReportLoad(destination_.queued() + destination_.running());
+    ReportVersions();
+  }
+
+  /// \brief Reports to the fleet how the versions answer that are being rolled
+  /// out.
+  void ReportVersions() {
+    const MonoTime now = context_.now.mono;
+    if (!versions_.is_enabled() || now < next_version_report_at_) {
+      return;
+    }
+    next_version_report_at_ =
+        now +
+        std::max<Milliseconds>(
+            kVersionReportPeriod,
+            kVersionReportPause * static_cast<std::int64_t>(balancer_.nodes()));
+    std::vector<VersionUse> uses = versions_.Uses(now);
+    if (!uses.empty()) {
+      context_.Emit(VersionsUsed{std::move(uses)});
+    }
   }
 
   void Handle(const DrainRequested& /*event*/) {
@@ -162,10 +189,19 @@
         AdoptStartId(it.start_id);
         continue;
       }
-      balancer_.Update(context_.now.mono, it);
+      UpdateUpstream(it);
     }
   }
 
+  void UpdateUpstream(Member member) {
+    versions_.Update(&member);
+    balancer_.Update(context_.now.mono, member);
+  }
+
+  void Handle(const RolloutsChanged& event) {
+    versions_.Update(context_.now.mono, event.rollouts);
+  }
+
   /// \brief Adopts the start id under which peers know this process. It is
   /// greater than the one derived from the clock if an earlier process of this
   /// node had a greater one.
@@ -192,14 +228,16 @@
   /// \brief Updates the entry of this host's own upstream in the balancer.
   void UpdateSelf() {
     if (context_.self.upstream_state == health_.state() &&
-        balancer_knows_self_ && known_service_ == context_.self.service) {
+        balancer_knows_self_ && known_service_ == context_.self.service &&
+        known_version_ == context_.self.upstream_version) {
       return;
     }
     balancer_knows_self_ = true;
     known_service_ = context_.self.service;
+    known_version_ = context_.self.upstream_version;
     context_.self.upstream_state = health_.state();
     context_.self.slots = health_.slots();
-    balancer_.Update(context_.now.mono, context_.self);
+    UpdateUpstream(context_.self);
   }
 
   /// \brief Refuses the attempts that wait for the upstream if it has just
@@ -223,12 +261,15 @@
   CallContext context_;
   Balancer balancer_;
   CallUpstreamHealth health_;
+  VersionGate versions_;
   CallEntry entry_;
   CallDestination destination_;
   bool has_started_ = false;
   bool balancer_knows_self_ = false;
   /// Service under which the balancer knows this host's upstream.
   std::string known_service_;
+  std::string known_version_;
+  MonoTime next_version_report_at_{};
   bool drain_finished_ = false;
 };
 
--- a/src/cassiabend/core/call_upstream_health.cc
+++ b/src/cassiabend/core/call_upstream_health.cc
@@ -83,11 +83,11 @@
   probes_sent_ = 0;
   if (heartbeat.phase == UpstreamPhase::kReady && !is_stopping_) {
     slots_ = heartbeat.slots > 0 ? heartbeat.slots : slots_;
-    SetStateAndService(UpstreamState::kServing, heartbeat.service);
+    SetStateAndKind(UpstreamState::kServing, heartbeat);
     return;
   }
   is_stopping_ = true;
-  SetStateAndService(UpstreamState::kDraining, heartbeat.service);
+  SetStateAndKind(UpstreamState::kDraining, heartbeat);
 }
 
 void CallUpstreamHealth::RecordReplaced() {
@@ -95,6 +95,7 @@
     return;
   }
   identity_.Reset();
+  context_->self.upstream_version.clear();
   // The upstream at the address may now belong to another service, which only
   // its heartbeat says; so it is not probed.
   probes_sent_ = kMaxIdentityProbes;
@@ -216,20 +217,34 @@
     return;
   }
   state_ = state;
-  context_->Emit(LocalUpstreamChanged{state_, slots_, context_->self.service});
+  EmitChange();
 }
 
-void CallUpstreamHealth::SetStateAndService(UpstreamState state,
-                                            const std::string& service) {
-  const bool moved = !service.empty() && service != context_->self.service;
+void CallUpstreamHealth::SetStateAndKind(UpstreamState state,
+                                         const UpstreamHeartbeat& heartbeat) {
+  Member& self = context_->self;
+  const bool moved =
+      !heartbeat.service.empty() && heartbeat.service != self.service;
   if (moved) {
-    context_->self.service = service;
+    self.service = heartbeat.service;
+  }
+  const bool is_other_version = context_->options.gate_versions != 0 &&
+                                !heartbeat.version.empty() &&
+                                heartbeat.version != self.upstream_version;
+  if (is_other_version) {
+    self.upstream_version = heartbeat.version;
   }
   const bool same = state_ == state;
   SetState(state);
-  if (same && moved) {
-    context_->Emit(LocalUpstreamChanged{state_, slots_, service});
+  if (same && (moved || is_other_version)) {
+    EmitChange();
   }
 }
 
+void CallUpstreamHealth::EmitChange() {
+  const Member& self = context_->self;
+  context_->Emit(LocalUpstreamChanged{state_, slots_, self.service,
+                                      self.upstream_version});
+}
+
 }  // namespace cassiabend
--- a/src/cassiabend/core/call_upstream_health.h
+++ b/src/cassiabend/core/call_upstream_health.h
@@ -56,7 +56,9 @@
     return context_->options.upstream_heartbeat > Milliseconds(0);
   }
   void SetState(UpstreamState state);
-  void SetStateAndService(UpstreamState state, const std::string& service);
+  /// \brief Sets the state, and the service and version that a heartbeat names.
+  void SetStateAndKind(UpstreamState state, const UpstreamHeartbeat& heartbeat);
+  void EmitChange();
 
   CallContext* context_;
   UpstreamIdentity identity_;
--- a/src/cassiabend/core/fleet_events.h
+++ b/src/cassiabend/core/fleet_events.h
@@ -3,12 +3,15 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
 #include "cassiabend/base/ref_counted.h"
 #include "cassiabend/core/config_events.h"
 #include "cassiabend/core/member.h"
+#include "cassiabend/core/rollout/rollout.h"
+#include "cassiabend/core/rollout/version_counts.h"
 #include "cassiabend/core/store_types.h"
 #include "cassiabend/model/change.h"
 #include "cassiabend/model/shared_delta.h"
@@ -50,6 +53,12 @@
   std::uint32_t sequence = 0;
 };
 
+/// \brief Tells a node that decides on roll-outs how their versions answer the
+/// sender's calls.
+struct VersionReportBody {
+  std::vector<VersionUse> uses;
+};
+
 /// \brief One team's calls at one node.
 struct TeamUse {
   /// Hash of the team's name.
@@ -79,7 +88,8 @@
                PingRequestBody,
                HeartbeatBody,
                JoinBody,
-               AttachBody>
+               AttachBody,
+               VersionReportBody>
       body;
   /// In a heartbeat: zones that the sender's zone cannot reach.
   std::vector<std::string> unreachable_zones;
@@ -90,6 +100,9 @@
   std::uint16_t time_percent = 0;
   /// Use of the sender's teams.
   std::vector<TeamUse> team_uses;
+  /// In heartbeats and answers to version reports: roll-outs that the sender
+  /// knows.
+  std::vector<RolloutNews> rollouts;
 };
 
 /// \brief The sender has no newer version.
@@ -156,12 +169,19 @@
   std::uint32_t slots = 0;
   /// Service of the upstream; empty to keep the present one.
   std::string service;
+  /// Version of the upstream's software; empty if it states none.
+  std::string version;
 };
 /// \brief Event: the load of this host's upstream changed.
 struct LocalLoadChanged {
   /// Outstanding calls in thousandths of the slots.
   std::uint16_t load_permille = 0;
 };
+/// \brief Event: how versions that are being rolled out answer this node's
+/// calls.
+struct VersionsUsed {
+  std::vector<VersionUse> uses;
+};
 /// \brief Event: this node is to leave the fleet and tell its peers.
 struct LeaveRequested {};
 
@@ -178,6 +198,7 @@
                                 MembersReplied,
                                 LocalUpstreamChanged,
                                 LocalLoadChanged,
+                                VersionsUsed,
                                 LeaveRequested,
                                 VersionCommitted,
                                 StoreReplied,
@@ -253,6 +274,28 @@
   std::string reason;
 };
 
+/// \brief Effect: what is known of these roll-outs has changed, or was vouched
+/// for again.
+struct RolloutsChanged {
+  std::vector<RolloutNews> rollouts;
+};
+
+/// \brief Effect: this node has decided on a roll-out, for logs.
+struct RolloutDecided {
+  Rollout rollout;
+  /// Stable name of the reason.
+  std::string_view reason;
+  /// Answers of both versions since the order.
+  VersionComparison counts;
+};
+
+/// \brief Effect: an order of a roll-out, or its state, cannot be read; it is
+/// ignored.
+struct RolloutRefused {
+  std::string key;
+  std::string reason;
+};
+
 using FleetEffect = std::variant<SendDatagram,
                                  SendPush,
                                  SendPull,
@@ -266,7 +309,10 @@
                                  MembersChanged,
                                  MemberLoadReported,
                                  ReadinessChanged,
-                                 HeadRefused>;
+                                 HeadRefused,
+                                 RolloutsChanged,
+                                 RolloutDecided,
+                                 RolloutRefused>;
 
 inline constexpr Milliseconds kFleetTickPeriod{100};
 
--- a/src/cassiabend/core/fleet_reducer_impl.cc
+++ b/src/cassiabend/core/fleet_reducer_impl.cc
@@ -30,8 +30,12 @@
   const std::size_t begin = out->size();
   const FleetContext context(options_, now, &random_, &store_sequence_, out);
   const VersionMark mark_before = versions_.mark();
+  const std::uint64_t rollouts_before = rollouts_.changes();
   committed_here_ = false;
   std::visit([&](const auto& it) { On(context, it); }, event);
+  if (rollouts_.changes() != rollouts_before) {
+    dissemination_.HastenHeartbeats();
+  }
   FinishEvent(context, mark_before);
   for (std::size_t i = begin; i < out->size(); ++i) {
     if (auto* send = std::get_if<SendDatagram>(&(*out)[i])) {
@@ -74,7 +78,9 @@
       !receiver->heard_at;
   auto* heartbeat = std::get_if<HeartbeatBody>(&datagram.body);
   const bool is_heartbeat = heartbeat != nullptr;
-  if (!is_heartbeat || introduces_self) {
+  const bool is_report =
+      std::holds_alternative<VersionReportBody>(datagram.body);
+  if ((!is_heartbeat && !is_report) || introduces_self) {
     datagram.updates = membership_.PiggybackUpdates(send->to, introduces_self);
   }
   if (is_heartbeat) {
@@ -85,6 +91,9 @@
     const auto& zones = membership_.unreachable_zones();
     datagram.unreachable_zones.assign(zones.begin(), zones.end());
   }
+  if (is_heartbeat || is_report) {
+    datagram.rollouts = rollouts_.News(context.now());
+  }
 }
 
 void FleetReducer::Impl::On(const FleetContext& context, const FleetTick&) {
@@ -105,6 +114,8 @@
   join_.Tick(context, tree_, membership_);
   reconnector_.Tick(context, tree_, membership_);
   survey_.Tick(context, membership_, versions_.mark());
+  rollout_orders_.Tick(context, watch_.whole_reads());
+  rollout_decider_.Tick(context, tree_, membership_, &rollouts_);
 }
 
 bool FleetReducer::Impl::HasOtherReaders() const {
@@ -163,6 +174,7 @@
   if (IsFromOlderProcess(datagram)) {
     return;
   }
+  rollouts_.Merge(context, datagram.rollouts);
   std::visit([&](const auto& it) { OnBody(context, datagram, it); },
              datagram.body);
   PullIfNewer(context, datagram.from, datagram.mark);
@@ -253,6 +265,17 @@
   dissemination_.OnAttach(context, datagram.from, datagram.mark, body);
 }
 
+void FleetReducer::Impl::OnBody(const FleetContext& context,
+                                const Datagram& datagram,
+                                const VersionReportBody& body) {
+  if (body.uses.empty()) {
+    return;
+  }
+  rollout_decider_.OnReport(context, datagram.from, rollouts_, body.uses);
+  // Tells the sender the state of its roll-outs.
+  context.Send(datagram.from, VersionReportBody{});
+}
+
 void FleetReducer::Impl::On(const FleetContext& context,
                             const PushReceived& event) {
   const ConfigUpdate& update = event.update;
@@ -312,8 +335,10 @@
   Member self = membership_.self();
   const bool should_announce =
       self.upstream_state != event.state ||
-      (!event.service.empty() && self.service != event.service);
+      (!event.service.empty() && self.service != event.service) ||
+      self.upstream_version != event.version;
   self.upstream_state = event.state;
+  self.upstream_version = event.version;
   if (!event.service.empty()) {
     self.service = event.service;
   }
@@ -329,6 +354,11 @@
   load_permille_ = event.load_permille;
 }
 
+void FleetReducer::Impl::On(const FleetContext& context,
+                            const VersionsUsed& event) {
+  rollout_decider_.OnUsed(context, tree_, membership_, rollouts_, event.uses);
+}
+
 void FleetReducer::Impl::On(const FleetContext& context,
                             const LeaveRequested&) {
   if (!IsLive(membership_.self().status)) {
@@ -374,6 +404,7 @@
   }
   const std::optional<MonoTime> confirmed_at = freshness_.confirmed_at();
   if (watch_.OnReply(context, event, &versions_, &freshness_)) {
+    rollout_orders_.OnWatched(context, event.reply.entries, &rollouts_);
     if (freshness_.confirmed_at() != confirmed_at) {
       dissemination_.HastenHeartbeats();
     }
@@ -386,6 +417,10 @@
     join_.OnPeersListed(context, directory_.TakeListedPeers(), membership_);
     return;
   }
+  if (rollout_orders_.OnReply(context, event, &rollouts_) ||
+      rollout_decider_.OnReply(context, event, &rollouts_)) {
+    return;
+  }
   if (seeds_.OnReply(context, event, tree_, membership_)) {
     join_.ContactUnknown(context, seeds_.TakeSeenPeers(), membership_);
   }
--- a/src/cassiabend/core/fleet_reducer_impl.h
+++ b/src/cassiabend/core/fleet_reducer_impl.h
@@ -21,6 +21,9 @@
 #include "cassiabend/core/membership_prober.h"
 #include "cassiabend/core/membership_server.h"
 #include "cassiabend/core/reader_lease.h"
+#include "cassiabend/core/rollout/rollout_decider.h"
+#include "cassiabend/core/rollout/rollout_orders.h"
+#include "cassiabend/core/rollout/rollout_table.h"
 #include "cassiabend/core/seed_directory.h"
 #include "cassiabend/core/version_puller.h"
 #include "cassiabend/core/version_survey.h"
@@ -60,6 +63,7 @@
   void On(const FleetContext& context, const MembersReplied& event);
   void On(const FleetContext& context, const LocalUpstreamChanged& event);
   void On(const FleetContext& context, const LocalLoadChanged& event);
+  void On(const FleetContext& context, const VersionsUsed& event);
   void On(const FleetContext& context, const LeaveRequested& event);
   void On(const FleetContext& context, const VersionCommitted& event);
   void On(const FleetContext& context, const StoreReplied& event);
@@ -83,6 +87,9 @@
   void OnBody(const FleetContext& context,
               const Datagram& datagram,
               const AttachBody& body);
+  void OnBody(const FleetContext& context,
+              const Datagram& datagram,
+              const VersionReportBody& body);
 
   /// \returns Whether an earlier process at the sender's address sent the
   /// datagram.
@@ -120,6 +127,9 @@
   JoinReadiness readiness_;
   VersionSurvey survey_;
   MemberSync member_sync_;
+  RolloutTable rollouts_;
+  RolloutOrders rollout_orders_;
+  RolloutDecider rollout_decider_;
   std::uint16_t load_permille_ = 0;
   /// Whether the last call to the store was answered; unset before the first.
   std::optional<bool> store_reachable_;
--- a/src/cassiabend/core/head_watcher.cc
+++ b/src/cassiabend/core/head_watcher.cc
@@ -20,6 +20,13 @@
 /// Confirmation periods without a read after which the store counts as lost.
 constexpr std::int64_t kLostAfterPeriods = 2;
 
+/// \returns Prefix of the keys that are watched beside the head; empty for
+/// none.
+std::string WatchPrefix(const FleetContext& context) {
+  const RolloutCodec* codec = context.options().rollout_codec;
+  return codec == nullptr ? std::string() : codec->watch_prefix();
+}
+
 }  // namespace
 
 bool HeadWatcher::HasRecentRead(const FleetContext& context) const noexcept {
@@ -83,6 +90,7 @@
   StoreGet get{context.options().head_codec->key()};
   if (!reads_whole_head_) {
     get.newer_than = std::max(head_revision_, known_until_);
+    get.prefix = WatchPrefix(context);
   }
   get.timeout = duty_.read_timeout;
   read_call_.Start(context, std::move(get), kStoreCallTimeout);
@@ -98,7 +106,8 @@
   next_watch_at_ = context.now() + context.options().watch_pause;
   watch_call_.Start(context,
                     StoreWatch{context.options().head_codec->key(),
-                               std::max(head_revision_, known_until_), wait},
+                               std::max(head_revision_, known_until_), wait,
+                               WatchPrefix(context)},
                     wait + kWatchMargin);
 }
 
@@ -142,6 +151,7 @@
   }
   if (std::exchange(reads_whole_head_, false)) {
     last_whole_read_at_ = reply.sent_at;
+    ++whole_reads_;
   }
   known_until_ = reply.store_revision;
   if (!reply.entry) {
--- a/src/cassiabend/core/head_watcher.h
+++ b/src/cassiabend/core/head_watcher.h
@@ -46,6 +46,12 @@
     return last_read_at_;
   }
 
+  /// \returns Number of reads of the whole head, before which changes of other
+  /// watched keys may have been missed.
+  [[nodiscard]] std::uint64_t whole_reads() const noexcept {
+    return whole_reads_;
+  }
+
   /// \brief Starts or continues to follow the head, or stops.
   void Tick(const FleetContext& context, const HeadDuty& duty);
   /// \brief Handles a reply of the store.
@@ -115,6 +121,7 @@
   bool reads_whole_head_ = true;
   /// When the last successful read of the whole head was sent.
   MonoTime last_whole_read_at_{};
+  std::uint64_t whole_reads_ = 0;
   /// Revision of the last value that could not be decoded.
   StoreRevision refused_revision_ = 0;
   bool enabled_ = false;
--- a/src/cassiabend/core/node_reducer.cc
+++ b/src/cassiabend/core/node_reducer.cc
@@ -90,6 +90,9 @@
       continue;
     } else if (const auto* readiness = std::get_if<ReadinessChanged>(&it)) {
       ReduceCall(now, *readiness, out);
+    } else if (const auto* rollouts = std::get_if<RolloutsChanged>(&it)) {
+      ReduceCall(now, *rollouts, out);
+      continue;
     }
     out->emplace_back(std::move(it));
   }
@@ -106,6 +109,10 @@
       ReduceFleet(now, *load, out);
       continue;
     }
+    if (auto* used = std::get_if<VersionsUsed>(&it)) {
+      ReduceFleet(now, std::move(*used), out);
+      continue;
+    }
     out->emplace_back(std::move(it));
   }
 }
--- a/src/cassiabend/core/options.h
+++ b/src/cassiabend/core/options.h
@@ -7,6 +7,7 @@
 #include "cassiabend/base/time.h"
 #include "cassiabend/core/head_codec.h"
 #include "cassiabend/core/member.h"
+#include "cassiabend/core/rollout/rollout_codec.h"
 
 namespace cassiabend {
 
@@ -82,8 +83,16 @@
   /// Largest age, at the node's start, of a confirmation of the head that makes
   /// the node ready without further peers.
   Milliseconds join_confirmation_age{10'000};
+  /// Share of a service's calls, in thousandths, that a version may get while
+  /// it is not known to be good; 0: there are no roll-outs.
+  std::uint32_t rollout_permille = 0;
+  /// Calls that such a version may get beyond that share.
+  std::uint32_t rollout_slack = 0;
   /// Never null; must outlive the reducer.
   const HeadCodec* head_codec = &StoredHeadCodec();
+  /// Null where roll-outs are not ordered in the store; else must outlive the
+  /// reducer.
+  const RolloutCodec* rollout_codec = nullptr;
 };
 
 /// \brief Settings of the call path.
@@ -161,6 +170,12 @@
   /// Time after the start of a shutdown in which new requests of callers are
   /// accepted: until the callers have learnt of the shutdown.
   Milliseconds shutdown_serve{0};
+  /// 1: calls go to the versions of their service that roll-outs name; 0: the
+  /// versions of upstreams say nothing.
+  std::uint32_t gate_versions = 0;
+  /// Time after which a node that hears nothing of a roll-out sends no calls to
+  /// the version that is being rolled out.
+  Milliseconds rollout_vouch_limit{2'500};
 };
 
 /// \brief All settings of one node's reducers.
--- /dev/null
+++ b/src/cassiabend/core/rollout/version_judge.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+
+#include "cassiabend/core/rollout/version_counts.h"
+
+namespace cassiabend {
+
+/// \brief In what a version is worse than the one before it.
+enum class VersionFault : std::uint8_t { kNone, kFailures, kTimes };
+
+/// \brief Compares two versions by the answers to calls of the same class in
+/// the same time, so that what strikes both condemns neither.
+///
+/// A version is worse if, beyond reasonable doubt, it fails more than twice as
+/// often, or if its answers take more than 2.5 times as long. Upstreams that
+/// have just started take up to twice as long.
+[[nodiscard]] VersionFault FindFault(const VersionCounts& new_version,
+                                     const VersionCounts& old_version);
+
+}  // namespace cassiabend
--- a/src/cassiabend/core/upstream_heartbeat.h
+++ b/src/cassiabend/core/upstream_heartbeat.h
@@ -30,6 +30,8 @@
   std::string address;
   /// Availability zone of the upstream; empty if it states none.
   std::string zone;
+  /// Version of the upstream's software; empty if it states none.
+  std::string version;
   std::uint32_t slots = 0;
   UpstreamPhase phase = UpstreamPhase::kReady;
   /// Time for which the upstream is still slow after its start.
--- a/src/cassiabend/node/node.cc
+++ b/src/cassiabend/node/node.cc
@@ -225,6 +225,11 @@
   } else if (const auto* refused = std::get_if<HeadRefused>(&effect)) {
     Log(LogLevel::kError, "version_refused",
         {{"revision", refused->revision}, {"why", refused->reason}});
+  } else if (const auto* decided = std::get_if<RolloutDecided>(&effect)) {
+    LogRollout(*decided);
+  } else if (const auto* refused = std::get_if<RolloutRefused>(&effect)) {
+    Log(LogLevel::kError, "rollout_refused",
+        {{"key", refused->key}, {"why", refused->reason}});
   } else if (const auto* readiness = std::get_if<ReadinessChanged>(&effect)) {
     ready_ = readiness->ready && !shutting_down_;
     not_ready_reason_ = readiness->reason;
@@ -233,6 +238,23 @@
   }
 }
 
+void Node::LogRollout(const RolloutDecided& decided) {
+  const Rollout& rollout = decided.rollout;
+  const VersionCounts& fresh = decided.counts.new_version;
+  const VersionCounts& old = decided.counts.old_version;
+  Log(LogLevel::kInfo, "rollout_decided",
+      {{"service", rollout.order.service},
+       {"target_version", rollout.order.target_version},
+       {"phase", NameOf(rollout.phase)},
+       {"step", std::uint64_t{rollout.step}},
+       {"share_permille", std::uint64_t{rollout.share_permille}},
+       {"reason", decided.reason},
+       {"new_answers", std::uint64_t{fresh.answers()}},
+       {"new_failures", std::uint64_t{fresh.failures}},
+       {"old_answers", std::uint64_t{old.answers()}},
+       {"old_failures", std::uint64_t{old.failures}}});
+}
+
 /// \brief Logs that a peer was lost, or that a lost peer is back.
 void Node::LogPeerChange(const Member& member) {
   if (member.id == NodeId{settings_.node.ip, settings_.node.peer_port}) {
--- a/src/cassiabend/node/node.h
+++ b/src/cassiabend/node/node.h
@@ -53,6 +53,7 @@
   void RecordFleetEffect(const FleetEffect& effect);
   void RecordCallEffect(const CallEffect& effect);
   void LogCallEnded(const CallEnded& ended);
+  static void LogRollout(const RolloutDecided& decided);
   void LogPeerChange(const Member& member);
   void LogReaderChange();
   void ScheduleTick(boost::asio::steady_timer* timer,
--- a/src/cassiabend/node/settings_fields.cc
+++ b/src/cassiabend/node/settings_fields.cc
@@ -159,6 +159,11 @@
     {"join_confirmation_age_ms", &Fleet::join_confirmation_age, 0, kHourMs,
      "Oldest confirmation of the head, before the start, that makes a node "
      "ready without further peers."},
+    {"rollout_permille", &Fleet::rollout_permille, 0, 1'000,
+     "Share of a service's calls, in thousandths, that a version may get while "
+     "it is not known to be good."},
+    {"rollout_slack", &Fleet::rollout_slack, 0, 1'000'000,
+     "Calls that such a version may get beyond that share."},
     {"forget_after_ms", &Fleet::forget_after, 1'000, 7 * kDayMs,
      "Time after which a dead member is forgotten."},
     {"join_quorum", &Fleet::join_quorum, 1, 16,
@@ -196,6 +201,12 @@
     {"place_by_time", &Calls::place_by_time, 0, 1,
      "1: an upstream is chosen by the expected time to its answer; 0: the "
      "nearest one that has room."},
+    {"gate_versions", &Calls::gate_versions, 0, 1,
+     "1: calls go to the versions of their service that roll-outs name; 0: "
+     "versions of upstreams say nothing."},
+    {"rollout_vouch_limit_ms", &Calls::rollout_vouch_limit, 100, kMinuteMs,
+     "Time after which a node that hears nothing of a roll-out sends no calls "
+     "to the version that is being rolled out."},
     {"region_kilobyte_us", &Calls::region_kilobyte_us, 0, 1'000'000,
      "Time, in microseconds, that is waited rather than move a kilobyte of an "
      "answer from another zone of the region."},
--- a/src/cassiabend/rpc/mesh_codec.cc
+++ b/src/cassiabend/rpc/mesh_codec.cc
@@ -43,6 +43,88 @@
   return {chars.begin(), chars.size()};
 }
 
+void WriteCounts(const VersionCounts& counts,
+                 schema::VersionCounts::Builder out) {
+  out.setFailures(counts.failures);
+  std::size_t n = counts.times.size();
+  while (n > 0 && counts.times.at(n - 1) == 0) {
+    --n;
+  }
+  auto times = out.initTimes(static_cast<unsigned>(n));
+  for (std::size_t i = 0; i < n; ++i) {
+    times.set(static_cast<unsigned>(i), counts.times.at(i));
+  }
+}
+
+VersionCounts ReadCounts(schema::VersionCounts::Reader in) {
+  VersionCounts out;
+  out.failures = in.getFailures();
+  std::size_t i = 0;
+  for (const std::uint32_t it : in.getTimes()) {
+    if (i < out.times.size()) {
+      out.times.at(i++) = it;
+    }
+  }
+  return out;
+}
+
+void WriteUse(const VersionUse& use, schema::VersionUse::Builder out) {
+  out.setService(use.service);
+  out.setOrderRevision(use.order_revision);
+  out.setStep(use.step);
+  out.setUsesOld(use.uses_old);
+  auto classes = out.initClasses(static_cast<unsigned>(use.classes.size()));
+  unsigned i = 0;
+  for (const VersionUse::Class& it : use.classes) {
+    auto one = classes[i++];
+    one.setRequestClass(it.request_class);
+    WriteCounts(it.counts.old_version, one.initOldVersion());
+    WriteCounts(it.counts.new_version, one.initNewVersion());
+  }
+}
+
+VersionUse ReadUse(schema::VersionUse::Reader in) {
+  VersionUse out;
+  out.service = ToText(in.getService());
+  out.order_revision = in.getOrderRevision();
+  out.step = in.getStep();
+  out.uses_old = in.getUsesOld();
+  for (const auto it : in.getClasses()) {
+    out.classes.push_back(
+        {it.getRequestClass(),
+         {ReadCounts(it.getOldVersion()), ReadCounts(it.getNewVersion())}});
+  }
+  return out;
+}
+
+void WriteRollout(const RolloutNews& news, schema::Rollout::Builder out) {
+  const Rollout& rollout = news.rollout;
+  out.setService(rollout.order.service);
+  out.setTargetVersion(rollout.order.target_version);
+  out.setDurationMs(ToWireAge(rollout.order.duration));
+  out.setOrderRevision(rollout.order_revision);
+  out.setStep(rollout.step);
+  out.setSharePermille(static_cast<std::uint16_t>(rollout.share_permille));
+  out.setPhase(static_cast<schema::RolloutPhase>(rollout.phase));
+  out.setOrderAgeMs(ToWireAge(news.order_age));
+  out.setVouchedAgeMs(ToWireAge(news.vouched_age));
+}
+
+RolloutNews ReadRollout(schema::Rollout::Reader in) {
+  RolloutNews out;
+  Rollout& rollout = out.rollout;
+  rollout.order = {ToText(in.getService()), ToText(in.getTargetVersion()),
+                   Milliseconds(in.getDurationMs())};
+  rollout.order_revision = in.getOrderRevision();
+  rollout.step = in.getStep();
+  rollout.share_permille = in.getSharePermille();
+  rollout.phase = CheckedEnum(static_cast<std::uint16_t>(in.getPhase()),
+                              RolloutPhase::kRolledBack, "rollout.phase");
+  out.order_age = Milliseconds(in.getOrderAgeMs());
+  out.vouched_age = FromWireAge(in.getVouchedAgeMs());
+  return out;
+}
+
 /// \brief Writes the body of a datagram.
 struct BodyWriter {
   schema::Datagram::Builder datagram;
@@ -67,6 +149,13 @@
     out.setAttach();
     datagram.setAttachSequence(it.sequence);
   }
+  void operator()(const VersionReportBody& it) {
+    auto uses = out.initVersionReport(static_cast<unsigned>(it.uses.size()));
+    unsigned i = 0;
+    for (const VersionUse& use : it.uses) {
+      WriteUse(use, uses[i++]);
+    }
+  }
 };
 
 decltype(Datagram::body) ReadBody(schema::Datagram::Reader datagram) {
@@ -90,6 +179,13 @@
       return JoinBody{};
     case schema::Datagram::Body::ATTACH:
       return AttachBody{datagram.getAttachSequence()};
+    case schema::Datagram::Body::VERSION_REPORT: {
+      VersionReportBody body;
+      for (const auto it : in.getVersionReport()) {
+        body.uses.push_back(ReadUse(it));
+      }
+      return body;
+    }
   }
   throw RpcError("read a datagram", "body", "unknown kind");
 }
@@ -218,6 +314,14 @@
   for (const std::string& it : datagram.unreachable_zones) {
     zones.set(i++, it);
   }
+  if (!datagram.rollouts.empty()) {
+    auto rollouts =
+        out.initRollouts(static_cast<unsigned>(datagram.rollouts.size()));
+    i = 0;
+    for (const RolloutNews& it : datagram.rollouts) {
+      WriteRollout(it, rollouts[i++]);
+    }
+  }
   out.setTimePercent(datagram.time_percent);
   if (datagram.team_uses.empty()) {
     return;
@@ -249,6 +353,9 @@
     out.unreachable_zones.push_back(ToText(it));
   }
   out.time_percent = in.getTimePercent();
+  for (const auto it : in.getRollouts()) {
+    out.rollouts.push_back(ReadRollout(it));
+  }
   for (const auto it : in.getTeamUses()) {
     out.team_uses.push_back(
         {it.getTeam(), it.getAdmitted(), it.getDemandPer1000s()});
--- a/tests/platform/control_message_test.cc
+++ b/tests/platform/control_message_test.cc
@@ -26,6 +26,7 @@
       .service = "huvo",
       .address = "10.1.0.9:8080",
       .zone = "z",
+      .version = "v1",
       .slots = 9,
       .phase = UpstreamPhase::kReady,
       .cold_left = Milliseconds(1'500)};
--- a/tests/platform/platform_settings_test.cc
+++ b/tests/platform/platform_settings_test.cc
@@ -44,6 +44,20 @@
   CHECK(settings.calls.retry_budget_permille > 0);
   CHECK(settings.calls.retry_burst <= 58);
   CHECK(settings.calls.retry_burst > 0);
+  // Without bounds for them there are no roll-outs.
+  CHECK(settings.calls.gate_versions == 0);
+  CHECK(settings.fleet.rollout_codec == nullptr);
+}
+
+TEST_CASE("bounds of roll-outs switch them on") {
+  Settings settings = SampleSettings();
+  settings.platform.bounds = "expose_share=0.1,expose_slack=50,rollback=5000ms";
+  TranslateSettings(&settings);
+  CHECK(settings.calls.gate_versions == 1);
+  CHECK(settings.calls.rollout_vouch_limit < Seconds(5));
+  CHECK(settings.fleet.rollout_permille == 100);
+  CHECK(settings.fleet.rollout_slack == 50);
+  CHECK(settings.fleet.rollout_codec != nullptr);
 }
 
 TEST_CASE("an invalid value is refused with the name of its field") {
--- a/tests/support/fleet_driver.h
+++ b/tests/support/fleet_driver.h
@@ -205,6 +205,11 @@
   void RestoreOldestHead() { history_.RestoreOldestHead(now_, &store_); }
   [[nodiscard]] bool IsRestored() const { return history_.IsRestored(); }
 
+  /// \brief Hands an event of the host to a node.
+  void Inject(std::size_t i, FleetEvent event) {
+    Deliver(i, nodes_[i].epoch, std::move(event));
+  }
+
   /// \brief Advances to the next scheduled action and runs it.
   /// \returns Whether there was one.
   bool Step() {
@@ -508,6 +513,9 @@
   }
   void Execute(std::size_t, const MembersChanged&) {}
   void Execute(std::size_t, const HeadRefused&) {}
+  void Execute(std::size_t, const RolloutsChanged&) {}
+  void Execute(std::size_t, const RolloutDecided&) {}
+  void Execute(std::size_t, const RolloutRefused&) {}
   void Execute(std::size_t, const MemberLoadReported&) {}
 
   // The store.
@@ -581,8 +589,9 @@
     }
     if (store_faults.watches_miss_changes) {
       reply.entry.reset();
+      reply.entries.clear();
     }
-    if (reply.entry || now_ >= end) {
+    if (reply.entry || !reply.entries.empty() || now_ >= end) {
       ScheduleAt(now_ + Milliseconds(2), [this, i, epoch, id, reply] {
         Deliver(i, epoch, StoreReplied{id, reply});
       });
