--- a/src/cassiabend/core/fleet_events.h
+++ b/src/cassiabend/core/fleet_events.h
@@ -3,12 +3,15 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
 #include "cassiabend/base/ref_counted.h"
 #include "cassiabend/core/config_events.h"
 #include "cassiabend/core/member.h"
+#include "cassiabend/core/rollout/rollout.h"
+#include "cassiabend/core/rollout/version_counts.h"
 #include "cassiabend/core/store_types.h"
 #include "cassiabend/model/change.h"
 #include "cassiabend/model/shared_delta.h"
@@ -50,6 +53,12 @@
   std::uint32_t sequence = 0;
 };
 
+/// \brief Tells a node that decides on roll-outs how their versions answer the
+/// sender's calls.
+struct VersionReportBody {
+  std::vector<VersionUse> uses;
+};
+
 /// \brief One team's calls at one node.
 struct TeamUse {
   /// Hash of the team's name.
@@ -79,7 +88,8 @@
                PingRequestBody,
                HeartbeatBody,
                JoinBody,
-               AttachBody>
+               AttachBody,
+               VersionReportBody>
       body;
   /// In a heartbeat: zones that the sender's zone cannot reach.
   std::vector<std::string> unreachable_zones;
@@ -92,6 +102,9 @@
   std::vector<TeamUse> team_uses;
   /// Newest era of the store that the sender knows; 0 if it knows none.
   StoreEra store_era = 0;
+  /// In heartbeats and answers to version reports: roll-outs that the sender
+  /// knows.
+  std::vector<RolloutNews> rollouts;
 };
 
 /// \brief The sender has no newer version.
@@ -158,6 +171,8 @@
   std::uint32_t slots = 0;
   /// Service of the upstream; empty to keep the present one.
   std::string service;
+  /// Version of the upstream's software; empty if it states none.
+  std::string version;
 };
 /// \brief Event: the load of this host's upstream changed.
 struct LocalLoadChanged {
@@ -166,6 +181,11 @@
   /// Time that work takes there, in hundredths of the usual; 0: unknown.
   std::uint16_t time_percent = 0;
 };
+/// \brief Event: how versions that are being rolled out answer this node's
+/// calls.
+struct VersionsUsed {
+  std::vector<VersionUse> uses;
+};
 /// \brief Event: this node is to leave the fleet and tell its peers.
 struct LeaveRequested {};
 
@@ -182,6 +202,7 @@
                                 MembersReplied,
                                 LocalUpstreamChanged,
                                 LocalLoadChanged,
+                                VersionsUsed,
                                 LeaveRequested,
                                 VersionCommitted,
                                 StoreReplied,
@@ -271,6 +292,28 @@
   std::string reason;
 };
 
+/// \brief Effect: what is known of these roll-outs has changed, or was vouched
+/// for again.
+struct RolloutsChanged {
+  std::vector<RolloutNews> rollouts;
+};
+
+/// \brief Effect: this node has decided on a roll-out, for logs.
+struct RolloutDecided {
+  Rollout rollout;
+  /// Stable name of the reason.
+  std::string_view reason;
+  /// Answers of both versions since the order.
+  VersionComparison counts;
+};
+
+/// \brief Effect: an order of a roll-out, or its state, cannot be read; it is
+/// ignored.
+struct RolloutRefused {
+  std::string key;
+  std::string reason;
+};
+
 using FleetEffect = std::variant<SendDatagram,
                                  SendPush,
                                  SendPull,
@@ -286,7 +329,10 @@
                                  ReadinessChanged,
                                  HeadRefused,
                                  StoreRestored,
-                                 HeadPartRefused>;
+                                 HeadPartRefused,
+                                 RolloutsChanged,
+                                 RolloutDecided,
+                                 RolloutRefused>;
 
 inline constexpr Milliseconds kFleetTickPeriod{100};
 
--- a/src/cassiabend/core/fleet_reducer_impl.cc
+++ b/src/cassiabend/core/fleet_reducer_impl.cc
@@ -30,8 +30,12 @@
   const std::size_t begin = out->size();
   const FleetContext context(options_, now, &random_, &store_sequence_, out);
   const VersionMark mark_before = versions_.mark();
+  const std::uint64_t rollouts_before = rollouts_.changes();
   committed_here_ = false;
   std::visit([&](const auto& it) { On(context, it); }, event);
+  if (rollouts_.changes() != rollouts_before) {
+    dissemination_.HastenHeartbeats();
+  }
   FinishEvent(context, mark_before);
   for (std::size_t i = begin; i < out->size(); ++i) {
     if (auto* send = std::get_if<SendDatagram>(&(*out)[i])) {
@@ -76,7 +80,9 @@
       !receiver->heard_at;
   auto* heartbeat = std::get_if<HeartbeatBody>(&datagram.body);
   const bool is_heartbeat = heartbeat != nullptr;
-  if (!is_heartbeat || introduces_self) {
+  const bool is_report =
+      std::holds_alternative<VersionReportBody>(datagram.body);
+  if ((!is_heartbeat && !is_report) || introduces_self) {
     datagram.updates = membership_.PiggybackUpdates(send->to, introduces_self);
   }
   if (is_heartbeat) {
@@ -87,6 +93,9 @@
     const auto& zones = membership_.unreachable_zones();
     datagram.unreachable_zones.assign(zones.begin(), zones.end());
   }
+  if (is_heartbeat || is_report) {
+    datagram.rollouts = rollouts_.News(context.now());
+  }
 }
 
 void FleetReducer::Impl::On(const FleetContext& context, const FleetTick&) {
@@ -107,6 +116,8 @@
   join_.Tick(context, tree_, membership_);
   reconnector_.Tick(context, tree_, membership_);
   survey_.Tick(context, membership_, versions_.mark());
+  rollout_orders_.Tick(context, watch_.whole_reads());
+  rollout_decider_.Tick(context, tree_, membership_, &rollouts_);
 }
 
 bool FleetReducer::Impl::HasOtherReaders() const {
@@ -166,6 +177,7 @@
     return;
   }
   ObserveStoreEra(context, datagram.store_era);
+  rollouts_.Merge(context, datagram.rollouts);
   std::visit([&](const auto& it) { OnBody(context, datagram, it); },
              datagram.body);
   PullIfNewer(context, datagram.from, datagram.mark);
@@ -256,6 +268,17 @@
   dissemination_.OnAttach(context, datagram.from, datagram.mark, body);
 }
 
+void FleetReducer::Impl::OnBody(const FleetContext& context,
+                                const Datagram& datagram,
+                                const VersionReportBody& body) {
+  if (body.uses.empty()) {
+    return;
+  }
+  rollout_decider_.OnReport(context, datagram.from, rollouts_, body.uses);
+  // Tells the sender the state of its roll-outs.
+  context.Send(datagram.from, VersionReportBody{});
+}
+
 void FleetReducer::Impl::On(const FleetContext& context,
                             const PushReceived& event) {
   const ConfigUpdate& update = event.update;
@@ -315,8 +338,10 @@
   Member self = membership_.self();
   const bool should_announce =
       self.upstream_state != event.state ||
-      (!event.service.empty() && self.service != event.service);
+      (!event.service.empty() && self.service != event.service) ||
+      self.upstream_version != event.version;
   self.upstream_state = event.state;
+  self.upstream_version = event.version;
   if (!event.service.empty()) {
     self.service = event.service;
   }
@@ -333,6 +358,11 @@
   time_percent_ = event.time_percent;
 }
 
+void FleetReducer::Impl::On(const FleetContext& context,
+                            const VersionsUsed& event) {
+  rollout_decider_.OnUsed(context, tree_, membership_, rollouts_, event.uses);
+}
+
 void FleetReducer::Impl::On(const FleetContext& context,
                             const LeaveRequested&) {
   if (!IsLive(membership_.self().status)) {
@@ -409,6 +439,7 @@
   }
   const std::optional<MonoTime> confirmed_at = freshness_.confirmed_at();
   if (watch_.OnReply(context, event, &versions_, &freshness_)) {
+    rollout_orders_.OnWatched(context, event.reply.entries, &rollouts_);
     if (freshness_.confirmed_at() != confirmed_at) {
       dissemination_.HastenHeartbeats();
     }
@@ -421,6 +452,10 @@
     join_.OnPeersListed(context, directory_.TakeListedPeers(), membership_);
     return;
   }
+  if (rollout_orders_.OnReply(context, event, &rollouts_) ||
+      rollout_decider_.OnReply(context, event, &rollouts_)) {
+    return;
+  }
   if (seeds_.OnReply(context, event, tree_, membership_)) {
     join_.ContactUnknown(context, seeds_.TakeSeenPeers(), membership_);
   }
