Number orders of roll-outs by the store's era first

Cause: revisions are given out again after the store comes back from a copy, so an order that the operator writes again may look older than the one known. Change: the number of an order is its revision with the era before it. An order that is written again unchanged keeps the state that it had reached.

--- a/src/cassiabend/core/fleet_reducer_impl.cc
+++ b/src/cassiabend/core/fleet_reducer_impl.cc
@@ -439,7 +439,7 @@
   }
   const std::optional<MonoTime> confirmed_at = freshness_.confirmed_at();
   if (watch_.OnReply(context, event, &versions_, &freshness_)) {
-    rollout_orders_.OnWatched(context, event.reply.entries, &rollouts_);
+    rollout_orders_.OnWatched(context, event.reply, &rollouts_);
     if (freshness_.confirmed_at() != confirmed_at) {
       dissemination_.HastenHeartbeats();
     }
--- a/src/cassiabend/core/rollout/rollout.h
+++ b/src/cassiabend/core/rollout/rollout.h
@@ -40,10 +40,24 @@
 /// \brief The share of all calls, in thousandths.
 inline constexpr std::uint32_t kWholeShare = 1'000;
 
+/// Bits of an order's number that hold its revision in the store.
+inline constexpr int kOrderRevisionBits = 40;
+/// \returns The number of an order. Revisions are given out again when the
+/// store is restored from a copy, so the store's era comes first.
+[[nodiscard]] constexpr StoreRevision OrderRevision(
+    const StorePosition& position) noexcept {
+  return static_cast<StoreRevision>(position.era << kOrderRevisionBits) +
+         position.revision;
+}
+/// \returns The era in the number of an order.
+[[nodiscard]] constexpr StoreEra EraOfOrder(StoreRevision number) noexcept {
+  return static_cast<StoreEra>(number) >> kOrderRevisionBits;
+}
+
 /// \brief State of the newest order for a service.
 struct Rollout {
   RolloutOrder order;
-  /// Revision of the order in the store; a later order has a higher one.
+  /// `OrderRevision` of the order; a later order has a higher one.
   StoreRevision order_revision = 0;
   /// Increases with each change of the share.
   std::uint32_t step = 0;
--- a/src/cassiabend/core/rollout/rollout_orders.cc
+++ b/src/cassiabend/core/rollout/rollout_orders.cc
@@ -20,6 +20,7 @@
 
 bool RolloutOrders::ReadOrder(const FleetContext& context,
                               const StoreEntry& entry,
+                              StoreEra era,
                               Rollout* rollout) {
   const RolloutCodec& codec = *context.options().rollout_codec;
   if (!entry.key.starts_with(codec.order_prefix())) {
@@ -35,7 +36,7 @@
     context.Emit(RolloutRefused{entry.key, "it names another service"});
     return false;
   }
-  rollout->order_revision = entry.revision;
+  rollout->order_revision = OrderRevision({era, entry.revision});
   return true;
 }
 
@@ -63,16 +64,32 @@
 }
 
 void RolloutOrders::OnWatched(const FleetContext& context,
-                              const std::vector<StoreEntry>& entries,
+                              const StoreReply& reply,
                               RolloutTable* table) {
-  for (const StoreEntry& it : entries) {
+  for (const StoreEntry& it : reply.entries) {
     Rollout rollout;
-    if (ReadOrder(context, it, &rollout)) {
+    if (ReadOrder(context, it, reply.era, &rollout)) {
+      KeepStateAcrossRestore(*table, &rollout);
       table->Update(context, rollout);
     }
   }
 }
 
+/// \brief Gives an order that the operator has written again, after the store
+/// was restored, the state that it had reached.
+void RolloutOrders::KeepStateAcrossRestore(const RolloutTable& table,
+                                           Rollout* rollout) {
+  const RolloutTable::Entry* entry = table.Find(rollout->order.service);
+  if (entry == nullptr || entry->rollout.order != rollout->order ||
+      EraOfOrder(entry->rollout.order_revision) ==
+          EraOfOrder(rollout->order_revision)) {
+    return;
+  }
+  const StoreRevision number = rollout->order_revision;
+  *rollout = entry->rollout;
+  rollout->order_revision = number;
+}
+
 bool RolloutOrders::OnReply(const FleetContext& context,
                             const StoreReplied& replied,
                             RolloutTable* table) {
@@ -106,9 +123,10 @@
   }
   for (const StoreEntry& it : reply.entries) {
     Rollout rollout;
-    if (!ReadOrder(context, it, &rollout)) {
+    if (!ReadOrder(context, it, reply.era, &rollout)) {
       continue;
     }
+    KeepStateAcrossRestore(*table, &rollout);
     const RolloutTable::Entry* known = table->Find(rollout.order.service);
     if (known == nullptr ||
         known->rollout.order_revision < rollout.order_revision) {
--- a/src/cassiabend/core/rollout/rollout_orders.h
+++ b/src/cassiabend/core/rollout/rollout_orders.h
@@ -20,7 +20,7 @@
   void Tick(const FleetContext& context, std::uint64_t whole_reads);
   /// \brief Handles changes that the watch of the head has returned.
   void OnWatched(const FleetContext& context,
-                 const std::vector<StoreEntry>& entries,
+                 const StoreReply& reply,
                  RolloutTable* table);
   /// \brief Handles a reply of the store.
   /// \returns Whether the reply belongs to a call of this class.
@@ -31,7 +31,10 @@
  private:
   [[nodiscard]] static bool ReadOrder(const FleetContext& context,
                                       const StoreEntry& entry,
+                                      StoreEra era,
                                       Rollout* rollout);
+  static void KeepStateAcrossRestore(const RolloutTable& table,
+                                     Rollout* rollout);
   void ReadNextStatus(const FleetContext& context);
 
   std::uint64_t listed_after_ = 0;
