--- a/tests/call_upstream_test.cc
+++ b/tests/call_upstream_test.cc
@@ -232,6 +232,31 @@
   CHECK(SlotsOf(&driver) == 8);
 }
 
+TEST_CASE(
+    "answers, refusals and heartbeats tell the speed, while it is known") {
+  UpstreamDriver driver;
+  driver->Do(UpstreamHeartbeatReceived{MakeHeartbeat("a", 1)});
+  const auto answer = [&driver] {
+    const AttemptId id = driver.Send();
+    driver->Do(UpstreamAnswerStarted{id, 200});
+    const auto sent = driver->Only<SendAnswer>();
+    driver->Do(UpstreamAnswerCompleted{id});
+    return sent ? sent->times.time_percent : -1;
+  };
+  CHECK(answer() == 0);
+  driver->Do(UpstreamLoadReported{{1, 0, 2, 140}});
+  CHECK(answer() == 140);
+  const AttemptId running = driver.Send();
+  driver->Tick(Milliseconds(100));
+  REQUIRE(driver->Only<LocalLoadChanged>());
+  CHECK(driver->Only<LocalLoadChanged>()->time_percent == 140);
+  driver->Do(UpstreamShed{running, Milliseconds(50)});
+  REQUIRE(driver->Only<ReplyNotRun>());
+  CHECK(driver->Only<ReplyNotRun>()->times.time_percent == 140);
+  driver->Advance(LoadRecord::kHorizon);
+  CHECK(answer() == 0);
+}
+
 TEST_CASE("a probe with the speed of work names the slots alone") {
   UpstreamDriver driver;
   driver->Tick(Milliseconds(20));
