--- a/src/cassiabend/core/balancer_completion.cc
+++ b/src/cassiabend/core/balancer_completion.cc
@@ -103,8 +103,10 @@
     return;
   }
   upstream->stats_.speed.RecordTold(now, time_percent);
-  Service* service =
-      upstream->indexed_ ? FindService(upstream->member_.service) : nullptr;
+  Service* service = upstream->indexed_
+                         ? FindService(upstream->member_.service,
+                                       upstream->member_.upstream_version)
+                         : nullptr;
   if (service != nullptr) {
     service->loads.Record(now, upstream->locality_, load_permille / kPermille);
   }
