--- a/src/cassiabend/core/admission.h
+++ b/src/cassiabend/core/admission.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/intrusive/list.hpp>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -12,6 +13,8 @@
 #include "cassiabend/core/attempt.h"
 #include "cassiabend/core/objective_order.h"
 #include "cassiabend/core/options.h"
+#include "cassiabend/core/queueing/queue_rank.h"
+#include "cassiabend/core/queueing/team_shares.h"
 #include "cassiabend/core/service_time.h"
 
 namespace cassiabend {
@@ -23,19 +26,28 @@
 /// one team and class form a flow. Waiting flows are served round-robin, and
 /// while others wait, no class holds more than its share of the slots. With the
 /// setting `order_by_objective`, waiting attempts are served in the order of
-/// `ObjectiveRank` instead.
+/// `QueueRank` instead and, with `team_shares`, teams by their shares.
 class AdmissionQueue {
  public:
   explicit AdmissionQueue(const CallOptions& options)
       : queue_limit_(options.queue_limit),
         class_share_permille_(options.class_share_permille),
-        by_objective_(options.order_by_objective != 0) {}
+        by_objective_(options.order_by_objective != 0),
+        by_team_(by_objective_ && options.team_shares != 0) {}
   AdmissionQueue(const AdmissionQueue&) = delete;
   AdmissionQueue& operator=(const AdmissionQueue&) = delete;
   ~AdmissionQueue() = default;
 
   [[nodiscard]] std::uint32_t running() const noexcept { return running_; }
   [[nodiscard]] std::size_t queued() const noexcept { return queued_; }
+  /// \brief Sets how many slots may hold attempts that are no inner calls. Has
+  /// an effect only with `order_by_objective`.
+  void set_new_work_slots(std::uint32_t slots) noexcept {
+    new_work_slots_ = slots;
+  }
+  [[nodiscard]] std::uint32_t new_work_slots() const noexcept {
+    return new_work_slots_;
+  }
   /// \brief Counts an attempt that asks for a slot, whether it is admitted or
   /// not.
   void RecordArrival(MonoTime now) noexcept { arrivals_.Record(now); }
@@ -51,6 +63,12 @@
     return service_time_.mean() * static_cast<std::int64_t>(queued_ + 1) /
            std::max<std::uint32_t>(slots, 1);
   }
+  /// \returns Work that arrives, as a multiple of what `slots` serve.
+  [[nodiscard]] double Demand(std::uint32_t slots, MonoTime now) const {
+    return arrivals_.PerSecond(now) *
+           std::chrono::duration<double>(service_time_.mean()).count() /
+           std::max<std::uint32_t>(slots, 1);
+  }
   /// \returns The latest start at which a waiting attempt meets its objective;
   /// the maximum if it has none.
   [[nodiscard]] MonoTime LatestTimelyStart(const Attempt& attempt) const;
@@ -103,17 +121,46 @@
   };
   using FlowTable = std::map<FlowKey, Flow>;
 
-  [[nodiscard]] ObjectiveRank RankOf(const Attempt& attempt,
-                                     MonoTime now) const;
+  [[nodiscard]] QueueRank RankOf(const Attempt& attempt, MonoTime now) const;
+  [[nodiscard]] QueueRank RankOf(const AttemptRequest& request,
+                                 MonoTime now,
+                                 MonoTime objective_at,
+                                 MonoTime deadline) const;
+  /// \returns The slots that an attempt may get.
+  [[nodiscard]] std::uint32_t SlotsFor(const AttemptRequest& request,
+                                       std::uint32_t slots) const noexcept {
+    return request.is_inner ? slots : std::min(slots, new_work_slots_);
+  }
   /// \returns Whether an attempt that can no longer meet its objective is
   /// expected to get a slot within `left`. Attempts that can still meet theirs
   /// go first, including those expected to arrive in that time.
-  [[nodiscard]] bool GetsSlotWithin(const ObjectiveRank& rank,
+  [[nodiscard]] bool GetsSlotWithin(const AttemptRequest& request,
+                                    const QueueRank& rank,
                                     Nanoseconds left,
                                     std::uint32_t slots,
                                     MonoTime now) const;
-  [[nodiscard]] std::int64_t CountAhead(const ObjectiveRank& rank,
+  [[nodiscard]] std::int64_t CountAhead(const AttemptRequest& request,
+                                        const QueueRank& rank,
                                         MonoTime now) const;
+  /// \returns Attempts of a flow that are served before one of another team:
+  /// the flow's inner calls, and new work up to its share.
+  [[nodiscard]] static std::int64_t CountAheadByShare(
+      const Flow& flow,
+      const AttemptRequest& request,
+      std::int64_t own_ahead);
+  /// \returns What the waiting team with new work that has used least of the
+  /// upstream's time has used.
+  [[nodiscard]] double LeastUsedByTeam() const;
+  [[nodiscard]] bool MayBeNext(const Attempt& attempt, double least_used) const;
+  void ChargeTeam(const Attempt& attempt, double least_used);
+  /// \returns Whether an attempt of the team waits.
+  [[nodiscard]] bool IsTeamWaiting(const std::string& team) const;
+  /// \returns The newest new work of the longest flow that has any; null for
+  /// none.
+  [[nodiscard]] Attempt* NewestNewWork();
+  /// \returns The waiting attempt that must make room for a new one; null if
+  /// the new one has no right to its place.
+  [[nodiscard]] Attempt* ChooseVictim(const AttemptRequest& request);
   [[nodiscard]] Attempt* AdmitRoundRobin(std::uint32_t slots);
   [[nodiscard]] Attempt* AdmitByObjective(MonoTime now);
   [[nodiscard]] Attempt* DequeueFront(FlowTable::iterator it);
@@ -124,7 +171,12 @@
   std::uint32_t queue_limit_;
   std::uint32_t class_share_permille_;
   bool by_objective_;
+  bool by_team_;
+  std::uint32_t new_work_slots_ = std::numeric_limits<std::uint32_t>::max();
   std::uint32_t running_ = 0;
+  /// Those of them that are no inner calls.
+  std::uint32_t running_new_ = 0;
+  TeamShares team_shares_;
   std::size_t queued_ = 0;
   ArrivalRate arrivals_;
   ServiceTime service_time_;
--- a/src/cassiabend/core/call_context.h
+++ b/src/cassiabend/core/call_context.h
@@ -9,6 +9,8 @@
 #include "cassiabend/base/time.h"
 #include "cassiabend/core/call_events.h"
 #include "cassiabend/core/options.h"
+#include "cassiabend/core/queueing/run_gate.h"
+#include "cassiabend/core/queueing/running_requests.h"
 
 namespace cassiabend {
 
@@ -46,6 +48,13 @@
   bool upstream_withdrawn = false;
   /// Attempts that run at this host's upstream.
   std::uint32_t upstream_calls = 0;
+  /// How the inner calls fare that enter here, which this host's upstream
+  /// makes.
+  RunGate run_gate;
+  /// Requests that run at this host's upstream; only with `inner_calls`.
+  RunningRequests running_requests;
+  /// The newest load of this host's network link.
+  LinkLoadChanged link;
   Instant now;
   std::vector<CallEffect>* out = nullptr;
 
--- a/src/cassiabend/core/call_destination.cc
+++ b/src/cassiabend/core/call_destination.cc
@@ -24,6 +24,9 @@
 /// Time for which a draining node holds an answer whose connection was lost:
 /// the entry node fetches it at once, or not at all.
 constexpr Milliseconds kDrainHold{1'000};
+/// Weight of callers without an allotment among teams that wait, whose weights
+/// are their calls per 1,000 s: that of ten calls a second.
+constexpr std::uint64_t kWeightWithoutAllotment = 10'000;
 constexpr Milliseconds kUnreachedRetryAfter{100};
 constexpr Milliseconds kStoreRetryAfter{1'000};
 constexpr Milliseconds kClaimRetryAfter{100};
@@ -35,6 +38,7 @@
     : context_(context),
       health_(health),
       admission_(context->options),
+      inner_calls_(static_cast<InnerCallMode>(context->options.inner_calls)),
       order_claims_(context),
       table_(context) {}
 
@@ -58,6 +62,7 @@
     AttachConnection(known, request.id, event.connection, false);
     return;
   }
+  bodies_.OnArrived(request.id);
   if (table_.HasEnded(request.id)) {
     ReplyToUnknownAttempt(event.connection, request.id,
                           request.destination_start_id);
@@ -70,6 +75,31 @@
   if (AttachToOrder(event)) {
     return;
   }
+  const bool is_ranked =
+      context_->options.inner_calls != 0 || context_->options.team_shares != 0;
+  HandleNewAttempt(is_ranked ? Localise(event) : event);
+}
+
+AttemptArrived CallDestination::Localise(const AttemptArrived& event) {
+  AttemptArrived out = event;
+  AttemptRequest& request = out.request;
+  inner_calls_.Record(request);
+  request.is_inner = inner_calls_.IsInner(request);
+  if (context_->options.team_shares != 0) {
+    const Team* team = context_->snapshot && request.has_verified_team
+                           ? context_->snapshot->TeamByName(request.team)
+                           : nullptr;
+    request.team_weight = team != nullptr && team->rate_per_1000s > 0
+                              ? team->rate_per_1000s
+                              : kWeightWithoutAllotment;
+  }
+  return out;
+}
+
+void CallDestination::HandleNewAttempt(const AttemptArrived& event) {
+  const AttemptRequest& request = event.request;
+  UpdateNewWorkSlots();
+  HandleOffers();
   admission_.RecordArrival(context_->now.mono);
   if (const auto refusal = CheckCapacity(request)) {
     RefuseArrival(event, *refusal);
@@ -111,7 +141,7 @@
   const Nanoseconds wait =
       admission_.ExpectedWait(request, health_->slots(), context_->now.mono);
   if (wait == kNeverServed) {
-    return Refusal{NotRunReason::kOverloaded, QueueRetryAfter()};
+    return Refusal{NotRunReason::kOverloaded, QueueRetryAfter(request)};
   }
   if (needed != kNeverServed && !context_->MayStart(wait + needed)) {
     return Refusal{NotRunReason::kDraining};
@@ -186,6 +216,9 @@
   reply->running = admission_.running();
   reply->queued = admission_.queued();
   reply->slots = health_->slots();
+  reply->team = request.team;
+  reply->new_work_slots = NewWorkSlots();
+  reply->body_bytes = bodies_.bytes();
 }
 
 bool CallDestination::AttachToOrder(const AttemptArrived& event) {
@@ -264,17 +297,31 @@
   const bool pushed_out = refused != attempt;
   Refuse(refused,
          {pushed_out ? NotRunReason::kShareExceeded : NotRunReason::kOverloaded,
-          QueueRetryAfter()});
+          QueueRetryAfter(refused->request)});
 }
 
 /// \returns The retry delay of a refusal for lack of room: the time until the
 /// queue has been served.
-Milliseconds CallDestination::QueueRetryAfter() const {
-  return std::chrono::ceil<Milliseconds>(
-      admission_.QueueDrainTime(health_->slots()));
+Milliseconds CallDestination::QueueRetryAfter(
+    const AttemptRequest& request) const {
+  const Nanoseconds drain_time = admission_.QueueDrainTime(health_->slots());
+  if (context_->options.spread_returns != 0) {
+    return ReturnTime({drain_time,
+                       admission_.Demand(health_->slots(), context_->now.mono),
+                       request.priority});
+  }
+  return std::chrono::ceil<Milliseconds>(drain_time);
+}
+
+void CallDestination::UpdateNewWorkSlots() {
+  if (context_->options.inner_calls != 0) {
+    admission_.set_new_work_slots(context_->run_gate.SlotsForNewWork(
+        context_->now.mono, health_->slots()));
+  }
 }
 
 void CallDestination::StartQueued() {
+  UpdateNewWorkSlots();
   while (Attempt* attempt =
              admission_.AdmitNext(health_->slots(), context_->now.mono)) {
     attempt->holds_slot = true;
@@ -294,6 +341,10 @@
 void CallDestination::StartAttempt(Attempt* attempt) {
   attempt->state = AttemptState::kRunning;
   attempt->started_at = context_->now.mono;
+  if (context_->options.inner_calls != 0) {
+    context_->running_requests.Add(attempt->request.request_id,
+                                   attempt->request.depth);
+  }
   const auto left = attempt->deadline - context_->now.mono;
   context_->Emit(StartUpstream{attempt->request.id,
                                std::chrono::ceil<Milliseconds>(left),
@@ -405,6 +456,7 @@
 }
 
 void CallDestination::Reduce(const ConnectionLost& event) {
+  bodies_.Remove(event.connection);
   Attempt* attempt = table_.FindByConnection(event.connection);
   if (attempt == nullptr) {
     return;
@@ -520,6 +572,7 @@
 
 void CallDestination::Tick() {
   table_.Expire();
+  HandleOffers();
   order_claims_.Tick();
   HandleClaimOutcomes();
   while (Attempt* attempt = timers_.PopDue(context_->now.mono)) {
@@ -543,7 +596,8 @@
   if (attempt->state == AttemptState::kQueued &&
       (admission_.IsTooLateToStart(*attempt, now) ||
        admission_.WillMissDeadline(*attempt, health_->slots(), now))) {
-    Refuse(attempt, {NotRunReason::kOverloaded, QueueRetryAfter()});
+    Refuse(attempt,
+           {NotRunReason::kOverloaded, QueueRetryAfter(attempt->request)});
     return;
   }
   if (!started && now >= attempt->deadline) {
--- a/src/cassiabend/core/call_destination.h
+++ b/src/cassiabend/core/call_destination.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+
 #include "cassiabend/core/admission.h"
 #include "cassiabend/core/attempt.h"
 #include "cassiabend/core/attempt_table.h"
@@ -7,7 +9,10 @@
 #include "cassiabend/core/call_upstream_health.h"
 #include "cassiabend/core/dispatch_gate.h"
 #include "cassiabend/core/link_queue.h"
+#include "cassiabend/core/links/body_queue.h"
 #include "cassiabend/core/order_claims.h"
+#include "cassiabend/core/queueing/inner_calls.h"
+#include "cassiabend/core/queueing/return_time.h"
 
 namespace cassiabend {
 
@@ -25,11 +30,18 @@
     return admission_.running();
   }
   [[nodiscard]] std::size_t held() const noexcept { return held_; }
+  /// \returns Bodies that wait for this host's link or are on their way here.
+  [[nodiscard]] std::size_t bodies() const noexcept { return bodies_.size(); }
+  /// \returns Slots that may hold attempts that are no inner calls.
+  [[nodiscard]] std::uint32_t NewWorkSlots() const noexcept {
+    return std::min(health_->slots(), admission_.new_work_slots());
+  }
   /// \returns Whether an attempt is queued or running, or has an answer that is
   /// being sent or may be fetched, or a store call for a claim is in progress.
   [[nodiscard]] bool has_work() const noexcept;
 
   void Reduce(const AttemptArrived& event);
+  void Reduce(const BodyOffered& event);
   void Reduce(const FetchArrived& event);
   void Reduce(const CancelArrived& event);
   void Reduce(const ConnectionLost& event);
@@ -40,7 +52,7 @@
   void Reduce(const UpstreamAnswerStarted& event);
   void Reduce(const UpstreamAnswerCompleted& event);
   void Reduce(const UpstreamConnectionLost& event);
-  void Reduce(const LinkLoadChanged& event) { link_.OnLoadChanged(event); }
+  void Reduce(const LinkLoadChanged& event);
   void Reduce(const StoreReplied& event);
   /// \brief Handles the timers that have expired.
   void Tick();
@@ -52,6 +64,21 @@
   void RefuseWaiting(NotRunReason reason);
 
  private:
+  /// \returns `event` with what this node knows of its call and team.
+  [[nodiscard]] AttemptArrived Localise(const AttemptArrived& event);
+  void HandleNewAttempt(const AttemptArrived& event);
+  /// \returns Why the body of an offered attempt could not arrive in time to be
+  /// of use; unset if it could.
+  [[nodiscard]] std::optional<Refusal> CheckBody(
+      const AttemptRequest& request) const;
+  /// \returns The latest time at which the body must begin to be sent.
+  [[nodiscard]] MonoTime BodyBeginBy(const AttemptRequest& request) const;
+  void RefuseOffer(const BodyOffer& offer, const Refusal& refusal);
+  /// \brief Lets bodies in for which the link has room, and refuses those that
+  /// could not arrive in time.
+  void HandleOffers();
+  /// \brief Adapts the slots of new work to the inner calls of this upstream.
+  void UpdateNewWorkSlots();
   [[nodiscard]] std::optional<Refusal> CheckIdentity(
       const AttemptRequest& request) const;
   [[nodiscard]] std::optional<Refusal> CheckCapacity(
@@ -75,7 +102,8 @@
   /// `kNeverServed` if none was measured, or if its answer takes long to send
   /// over this host's network link.
   [[nodiscard]] Nanoseconds TimeNeeded(const std::string& request_class) const;
-  [[nodiscard]] Milliseconds QueueRetryAfter() const;
+  [[nodiscard]] Milliseconds QueueRetryAfter(
+      const AttemptRequest& request) const;
   void StartQueued();
   void StartAttempt(Attempt* attempt);
 
@@ -110,7 +138,9 @@
   CallContext* context_;
   const CallUpstreamHealth* health_;
   AdmissionQueue admission_;
+  InnerCalls inner_calls_;
   LinkQueue link_;
+  BodyQueue bodies_;
   OrderClaims order_claims_;
   AttemptTable table_;
   TimerQueue<Attempt> timers_;
--- a/src/cassiabend/core/call_destination_end.cc
+++ b/src/cassiabend/core/call_destination_end.cc
@@ -43,6 +43,9 @@
     return;
   }
   attempt->holds_slot = false;
+  if (context_->options.inner_calls != 0 && attempt->started_at != MonoTime{}) {
+    context_->running_requests.Remove(attempt->request.request_id);
+  }
   const bool ran = attempt->state == AttemptState::kAnswering;
   admission_.Release(*attempt, ran ? context_->now.mono - attempt->started_at
                                    : Nanoseconds(0));
@@ -69,6 +72,9 @@
 }
 
 void CallDestination::RefuseWaiting(NotRunReason reason) {
+  for (const BodyOffer& it : bodies_.TakeAll()) {
+    RefuseOffer(it, {reason});
+  }
   std::vector<Attempt*> waiting;
   for (const auto& [id, attempt] : table_.attempts()) {
     if (attempt->state == AttemptState::kQueued ||
--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -48,6 +48,7 @@
   call->first_sent_at = call->arrived_at;
   call->deadline = call->arrived_at + context_->options.default_timeout;
   call->waits_turn = event.waits_turn;
+  RecogniseInnerCall(call);
   if (MayAwaitReadiness(*call)) {
     call->state = State::kWaitingForReadiness;
     call->deadline = ReadinessDeadline(*call);
@@ -163,6 +164,12 @@
     FinishNotRun(call, {NotRunReason::kNoUpstream});
     return;
   }
+  if (MustOfferBody(*call, *upstream)) {
+    if (const auto refusal = CheckOwnLink(*call)) {
+      FinishNotRun(call, *refusal);
+      return;
+    }
+  }
   SendAttemptTo(call, std::move(upstream));
 }
 
@@ -200,21 +207,31 @@
   request.config_number = call->snapshot->mark().number;
   request.depth = call->metadata.depth;
   request.is_retry = call->metadata.is_retry || !call->tried.empty();
-  const Milliseconds left = Remaining(*call);
-  const Milliseconds margin = std::min(kReplyMargin, left / kMarginShare);
-  request.deadline = std::max(left - margin, kMinAttemptTime);
-  request.objective = ObjectiveLeft(*call);
-  request.expires_at = context_->now.wall + request.deadline;
+  const bool offers_body = MustOfferBody(*call, *upstream);
+  request.body_bytes = offers_body ? call->metadata.body_bytes : 0;
+  SetTimesLeft(call);
   balancer_->RecordStart(upstream.get());
   call->tried.push_back(std::move(upstream));
   call->outstanding = true;
   call->connection_timed_out = false;
   call->failed_fetches = 0;
   call->sent_at = context_->now.mono;
-  SendVerb(call, AttemptVerb::kRun);
+  SendVerb(call, offers_body ? AttemptVerb::kOffer : AttemptVerb::kRun);
+}
+
+void CallEntry::SetTimesLeft(Call* call) {
+  const Milliseconds left = Remaining(*call);
+  const Milliseconds margin = std::min(kReplyMargin, left / kMarginShare);
+  AttemptRequest& request = call->request;
+  request.deadline = std::max(left - margin, kMinAttemptTime);
+  request.objective = ObjectiveLeft(*call);
+  request.expires_at = context_->now.wall + request.deadline;
 }
 
 CallEntry::State CallEntry::StateAfter(AttemptVerb verb) {
+  if (verb == AttemptVerb::kOffer) {
+    return State::kOffered;
+  }
   if (verb == AttemptVerb::kRun) {
     return State::kSent;
   }
@@ -234,7 +251,8 @@
   if (call == nullptr || call->state == State::kRelaying) {
     return;
   }
-  if (call->state != State::kSent && context_->now.mono >= call->deadline) {
+  if (call->state != State::kSent && call->state != State::kOffered &&
+      context_->now.mono >= call->deadline) {
     // The destination may have dropped its record by now that it ran the
     // attempt.
     GiveUpAttempt(call);
@@ -332,7 +350,10 @@
   if (call == nullptr || call->state == State::kRelaying) {
     return;
   }
-  if (call->state == State::kSent && event.loss == ConnectionLoss::kNeverSent) {
+  const bool is_unsent =
+      call->state == State::kOffered ||
+      (call->state == State::kSent && event.loss == ConnectionLoss::kNeverSent);
+  if (is_unsent) {
     Reduce(AttemptNotRun{event.call, event.attempt, NotRunReason::kUnreachable,
                          Milliseconds(0)});
     return;
@@ -355,6 +376,7 @@
       return;
     case State::kWaitingForTurn:
     case State::kWaitingForReadiness:
+    case State::kOffered:
     case State::kWaitingToFetch:
     case State::kRelaying:
       return;
@@ -423,6 +445,11 @@
     FinishNotRun(call, {NotRunReason::kDeadline});
     return;
   }
+  if (is_late && call->state == State::kOffered && !call->may_have_run) {
+    AbandonAttempt(call, AttemptOutcome::kNeutral);
+    FinishNotRun(call, {NotRunReason::kDeadline});
+    return;
+  }
   if (is_late) {
     AbandonAttempt(call, AttemptOutcome::kFailed);
     FinishUnknown(call, "deadline", "no answer came before the deadline", true);
--- a/src/cassiabend/core/call_entry.h
+++ b/src/cassiabend/core/call_entry.h
@@ -37,6 +37,7 @@
   void Reduce(const AttemptNotRun& event);
   void Reduce(const AttemptAnswerStarted& event);
   void Reduce(const AttemptStillRunning& event);
+  void Reduce(const BodyWanted& event);
   void Reduce(const AttemptUnknown& event);
   void Reduce(const AttemptConnectionLost& event);
   void Reduce(const AnswerRelayed& event);
@@ -56,6 +57,8 @@
     /// Nothing was sent: this process has just started and has no configuration
     /// version yet.
     kWaitingForReadiness,
+    /// The attempt was offered, and its body not sent yet.
+    kOffered,
     /// The attempt was sent.
     kSent,
     /// Its answer is being fetched over a new connection.
@@ -131,6 +134,19 @@
   /// \returns The state of a call once `verb` is sent.
   [[nodiscard]] static State StateAfter(AttemptVerb verb);
   void SendVerb(Call* call, AttemptVerb verb);
+  /// \brief Sets the times left to the newest attempt.
+  void SetTimesLeft(Call* call);
+  /// \returns Whether the body is offered to `upstream` before it is sent.
+  [[nodiscard]] bool MustOfferBody(const Call& call,
+                                   const Upstream& upstream) const;
+  /// \returns Why the body could not leave over this host's link in time; unset
+  /// if it could.
+  [[nodiscard]] std::optional<Refusal> CheckOwnLink(const Call& call) const;
+  /// \brief If the call is made for a run at this host's upstream, sets its
+  /// depth.
+  void RecogniseInnerCall(Call* call) const;
+  /// \brief Counts how an inner call of this host's upstream has ended.
+  void RecordInnerCall(const Call& call, std::string_view outcome);
   [[nodiscard]] Milliseconds Remaining(const Call& call) const;
   /// \returns Time left to the latency objective; 0 if the route has none. A
   /// missed objective has 1 ms left, which no upstream can meet.
--- a/src/cassiabend/core/call_entry_end.cc
+++ b/src/cassiabend/core/call_entry_end.cc
@@ -58,7 +58,17 @@
       context_->now.mono - upstream.stats().load_reported_at);
 }
 
+void CallEntry::RecordInnerCall(const Call& call, std::string_view outcome) {
+  if (context_->options.inner_calls == 0 || call.metadata.depth == 0 ||
+      outcome == "caller_gone") {
+    return;
+  }
+  context_->run_gate.Record(
+      context_->now.mono, outcome == "answered" && !IsServerError(call.status));
+}
+
 void CallEntry::Finish(Call* call, std::string_view outcome) {
+  RecordInnerCall(*call, outcome);
   CallEnded ended;
   ended.call = call->id;
   ended.team = call->metadata.team;
--- a/src/cassiabend/core/call_events.h
+++ b/src/cassiabend/core/call_events.h
@@ -51,6 +51,8 @@
   std::uint8_t depth = 0;
   /// Whether a caller above this one already retries; see docs/CALLERS.md.
   bool is_retry = false;
+  /// Size of the request's body.
+  std::uint64_t body_bytes = 0;
 };
 
 /// \brief Why a call was not run. `kNotRunReasonNames` has the same order.
@@ -125,6 +127,15 @@
   bool has_verified_team = false;
   /// Depth of the call itself; calls that the upstream makes are one deeper.
   std::uint8_t depth = 0;
+  /// Size of the request's body if it is large and waits for the network links;
+  /// else 0.
+  std::uint64_t body_bytes = 0;
+  /// Whether a run of an upstream waits for it, as the destination has
+  /// recognised; not sent.
+  bool is_inner = false;
+  /// Weight of the team among those that wait, as the destination knows it; not
+  /// sent.
+  std::uint64_t team_weight = 0;
   /// Whether this attempt, or a call above it, is a retry. It is passed on with
   /// the calls that the upstream makes, which are then not retried.
   bool is_retry = false;
@@ -172,6 +183,12 @@
   CallId call = 0;
   AttemptId attempt;
 };
+/// \brief Event: the destination has room on its link for the body of an
+/// attempt that was offered.
+struct BodyWanted {
+  CallId call = 0;
+  AttemptId attempt;
+};
 /// \brief Event: the destination cannot tell whether the attempt was run to its
 /// end, such as after the connection to its upstream broke.
 struct AttemptUnknown {
@@ -213,6 +230,12 @@
   ConnectionId connection = 0;
   AttemptRequest request;
 };
+/// \brief Event: an entry node offers an attempt whose large body it has not
+/// sent.
+struct BodyOffered {
+  ConnectionId connection = 0;
+  AttemptRequest request;
+};
 /// \brief Event: an entry node asks for the answer of an earlier attempt.
 struct FetchArrived {
   ConnectionId connection = 0;
@@ -289,6 +312,8 @@
 struct LinkLoadChanged {
   std::uint64_t waiting_bytes = 0;
   std::uint64_t bytes_per_second = 0;
+  /// What the link carries of large messages when nothing else uses it.
+  std::uint64_t idle_bytes_per_second = 0;
 };
 /// \brief Event: time has passed; sent every `kCallTickPeriod`.
 struct CallTick {};
@@ -301,11 +326,13 @@
                                AttemptNotRun,
                                AttemptAnswerStarted,
                                AttemptStillRunning,
+                               BodyWanted,
                                AttemptUnknown,
                                AttemptConnectionLost,
                                AnswerRelayed,
                                CallerDisconnected,
                                AttemptArrived,
+                               BodyOffered,
                                FetchArrived,
                                CancelArrived,
                                ConnectionLost,
@@ -339,6 +366,8 @@
   kFetch,
   /// Cancel the attempt if it has not started.
   kCancel,
+  /// Ask whether the destination has room on its link for the attempt's body.
+  kOffer,
 };
 /// \brief Effect: send an attempt, fetch or cancel to a destination node. A run
 /// is written at most once, on one connection, which may be a pooled one. A
@@ -464,13 +493,17 @@
   /// Whether the attempt reached the upstream, which refused it.
   bool reached_upstream = false;
   DestinationTimes times;
-  /// Details of the decision, for logs: the caller's request id, the time left,
-  /// the attempts that ran and waited, and the slots.
+  /// Details of the decision, for logs: the caller's request id and team, the
+  /// time left, the attempts that ran and waited, the slots, those of them for
+  /// new work, and the bytes of bodies that wait for the link or are coming.
   std::string request_id;
+  std::string team;
   Milliseconds left{0};
   std::uint32_t running = 0;
   std::size_t queued = 0;
   std::uint32_t slots = 0;
+  std::uint32_t new_work_slots = 0;
+  std::uint64_t body_bytes = 0;
 };
 /// \brief Effect: reply to the connection that the attempt is queued or running
 /// and should be fetched again.
@@ -478,6 +511,12 @@
   ConnectionId connection = 0;
   AttemptId attempt;
 };
+/// \brief Effect: reply to the connection that the body of the attempt may be
+/// sent now.
+struct ReplyBodyWanted {
+  ConnectionId connection = 0;
+  AttemptId attempt;
+};
 /// \brief Effect: send a sign of progress on the connection while the attempt
 /// is queued or running, so that its other end does not treat it as lost.
 struct ReplyProgress {
@@ -510,6 +549,7 @@
                                 SendAnswer,
                                 ReplyNotRun,
                                 ReplyStillRunning,
+                                ReplyBodyWanted,
                                 ReplyProgress,
                                 ReplyUnknown,
                                 ReleaseAttempt,
--- a/src/cassiabend/core/call_reducer.cc
+++ b/src/cassiabend/core/call_reducer.cc
@@ -62,6 +62,8 @@
     counts.attempts_queued = destination_.queued();
     counts.attempts_running = destination_.running();
     counts.attempts_held = destination_.held();
+    counts.bodies_coming = destination_.bodies();
+    counts.new_work_slots = destination_.NewWorkSlots();
     counts.ejected = balancer_.ejected();
     counts.retries = entry_.budget().granted();
     counts.retries_refused = entry_.budget().refused();
@@ -79,6 +81,10 @@
     }
   }
 
+  void Handle(const LinkLoadChanged& event) {
+    context_.link = event;
+    destination_.Reduce(event);
+  }
   void Handle(const UpstreamProbed& event) { health_.Reduce(event); }
   void Handle(const UpstreamLoadReported& /*event*/) {}
   void Handle(const UpstreamHeartbeatReceived& event) {
--- a/src/cassiabend/core/call_reducer.h
+++ b/src/cassiabend/core/call_reducer.h
@@ -18,6 +18,8 @@
   std::size_t attempts_queued = 0;
   std::size_t attempts_running = 0;
   std::size_t attempts_held = 0;
+  std::size_t bodies_coming = 0;
+  std::uint32_t new_work_slots = 0;
   std::size_t ejected = 0;
   std::uint64_t retries = 0;
   std::uint64_t retries_refused = 0;
--- a/src/cassiabend/core/objective_order.h
+++ b/src/cassiabend/core/objective_order.h
@@ -14,6 +14,8 @@
 /// start, and gives the remaining slots to attempts that are already late.
 struct ObjectiveRank {
   bool is_late = false;
+  /// Priority of the team, which outranks that of the route.
+  std::uint32_t team_priority = 0;
   std::uint32_t priority = 0;
   /// Latest start that meets the objective; once that can no longer be met, the
   /// latest start that meets the deadline.
--- a/src/cassiabend/core/options.h
+++ b/src/cassiabend/core/options.h
@@ -135,6 +135,19 @@
   /// 1: waiting attempts are served by their objectives; 0: teams and classes
   /// are served round-robin.
   std::uint32_t order_by_objective = 0;
+  /// Which attempts go before all others because a run of an upstream waits for
+  /// them, an `InnerCallMode`: 0 none, 1 those with a depth, 2 also those of
+  /// routes on which only upstreams call. Used with `order_by_objective`.
+  std::uint32_t inner_calls = 0;
+  /// 1: teams that wait share the upstream by their allotments; 0: they do not.
+  /// Used with `order_by_objective`.
+  std::uint32_t team_shares = 0;
+  /// 1: refused callers are told to come back the later, the greater the demand
+  /// is and the less urgent the call; 0: once the queue has been served.
+  std::uint32_t spread_returns = 0;
+  /// 1: a large request body for another host is offered first, and sent when
+  /// the links of both hosts have room; 0: it is sent at once.
+  std::uint32_t offer_bodies = 0;
   /// 1: the upstream with the lowest expected time to its answer is picked; 0:
   /// the nearest one that is not saturated.
   std::uint32_t place_by_time = 0;
--- a/src/cassiabend/http/attempt_client.cc
+++ b/src/cassiabend/http/attempt_client.cc
@@ -40,6 +40,7 @@
 }  // namespace
 
 AttemptClient::AttemptClient(ConnectionPool* pool,
+                             BulkPacer* pacer,
                              const SendAttempt& send,
                              const RefPtr<BufferedRequest>& buffered_request,
                              RefPtr<BufferedBytes> buffered_bytes,
@@ -59,10 +60,12 @@
   exchange_ = new ClientExchange(pool, {address, send.call_port}, this);
   exchange_->Start({.head = PeerHead(send, buffered_request.get()),
                     .body_source = buffered_request,
+                    .body_pacer = send.request.body_bytes > 0 ? pacer : nullptr,
                     .head_timeout = progress_timeout,
                     .body_timeout = progress_timeout,
                     .interim_is_progress = true,
-                    .may_reuse = verb_ == AttemptVerb::kRun});
+                    .may_reuse = verb_ == AttemptVerb::kRun ||
+                                 verb_ == AttemptVerb::kOffer});
 }
 
 AttemptClient::~AttemptClient() {
@@ -97,6 +100,8 @@
     sink_->Post(CallEvent(
         AttemptNotRun{call_, attempt_, outcome.reason, outcome.retry_after,
                       outcome.reached_upstream, outcome.times}));
+  } else if (outcome.name == kOutcomeBodyWanted) {
+    sink_->Post(CallEvent(BodyWanted{call_, attempt_}));
   } else if (outcome.name == kOutcomeStillRunning) {
     sink_->Post(CallEvent(AttemptStillRunning{call_, attempt_}));
   } else {
--- a/src/cassiabend/http/attempt_client.h
+++ b/src/cassiabend/http/attempt_client.h
@@ -14,8 +14,10 @@
 /// node, and posts what comes back as events.
 class AttemptClient final : private ExchangeListener, private AnswerWriter {
  public:
+  /// \param pacer Paces the body if the attempt states its size.
   /// \param buffered_request The caller's request; null for a fetch or cancel.
   AttemptClient(ConnectionPool* pool,
+                BulkPacer* pacer,
                 const SendAttempt& send,
                 const RefPtr<BufferedRequest>& buffered_request,
                 RefPtr<BufferedBytes> buffered_bytes,
--- a/src/cassiabend/http/bulk_pacer.h
+++ b/src/cassiabend/http/bulk_pacer.h
@@ -70,6 +70,11 @@
   /// \returns Bytes per second that recent unpaced sending leaves for large
   /// answers; 0: unknown.
   [[nodiscard]] std::uint64_t rate() const noexcept;
+  /// \returns Bytes per second for large messages when nothing else is sent; 0:
+  /// unknown.
+  [[nodiscard]] std::uint64_t idle_rate() const noexcept {
+    return static_cast<std::uint64_t>(rate_);
+  }
   /// \returns Bytes of large answers that are still to be sent.
   [[nodiscard]] std::uint64_t pending_bytes() const noexcept {
     return pending_bytes_;
--- a/src/cassiabend/http/call_headers.cc
+++ b/src/cassiabend/http/call_headers.cc
@@ -50,14 +50,16 @@
       return "fetch";
     case AttemptVerb::kCancel:
       return "cancel";
+    case AttemptVerb::kOffer:
+      return "offer";
     default:
       return "run";
   }
 }
 
 std::optional<AttemptVerb> VerbByName(std::string_view name) noexcept {
-  for (const AttemptVerb it :
-       {AttemptVerb::kRun, AttemptVerb::kFetch, AttemptVerb::kCancel}) {
+  for (const AttemptVerb it : {AttemptVerb::kRun, AttemptVerb::kFetch,
+                               AttemptVerb::kCancel, AttemptVerb::kOffer}) {
     if (NameOfVerb(it) == name) {
       return it;
     }
@@ -65,6 +67,11 @@
   return std::nullopt;
 }
 
+/// \returns Whether the request states all of the attempt.
+bool StatesAttempt(AttemptVerb verb) noexcept {
+  return verb == AttemptVerb::kRun || verb == AttemptVerb::kOffer;
+}
+
 }  // namespace
 
 std::string HostWithoutPort(std::string_view host) {
@@ -131,7 +138,7 @@
   }
   request.verb = *verb;
   attempt.destination_start_id = *start_id;
-  if (*verb != AttemptVerb::kRun) {
+  if (!StatesAttempt(*verb)) {
     return request;
   }
   const auto deadline = ParseMilliseconds(head.Get(kDeadlineHeader));
@@ -140,10 +147,12 @@
   const auto priority = ParseOptionalNumber(head.Get(kPriorityHeader));
   const auto team_priority = ParseOptionalNumber(head.Get(kTeamPriorityHeader));
   const auto objective = ParseOptionalNumber(head.Get(kObjectiveHeader));
+  const auto body_bytes = ParseOptionalNumber(head.Get(kBodyBytesHeader));
   const auto expires = ParseNumber<std::uint64_t>(head.Get(kExpiresHeader));
   if (!deadline.has_value() || !number.has_value() || !longest.has_value() ||
       !priority.has_value() || !team_priority.has_value() ||
-      !objective.has_value() || !expires.has_value() || *expires > kMaxWallMs) {
+      !objective.has_value() || !body_bytes.has_value() ||
+      !expires.has_value() || *expires > kMaxWallMs) {
     return std::nullopt;
   }
   attempt.deadline = *deadline;
@@ -160,6 +169,7 @@
   attempt.team_priority = *team_priority;
   attempt.has_verified_team = head.Get(kVerifiedTeamHeader) == "1";
   attempt.objective = Milliseconds(*objective);
+  attempt.body_bytes = *body_bytes;
   attempt.noisy = head.Get(kNoisyHeader) == "1";
   attempt.once = head.Get(kOnceHeader) == "1";
   attempt.depth = ParseDepth(head.Get(kDepthHeader));
@@ -173,7 +183,7 @@
   head->Add(kAttemptHeader, ToHex(attempt.id));
   head->Add(kVerbHeader, NameOfVerb(request.verb));
   head->Add(kStartIdHeader, std::to_string(attempt.destination_start_id));
-  if (request.verb != AttemptVerb::kRun) {
+  if (!StatesAttempt(request.verb)) {
     return;
   }
   head->Add(kDeadlineHeader, std::to_string(attempt.deadline.count()));
@@ -193,6 +203,7 @@
                    head);
   AddUnlessDefault(kObjectiveHeader, std::to_string(attempt.objective.count()),
                    head);
+  AddUnlessDefault(kBodyBytesHeader, std::to_string(attempt.body_bytes), head);
   AddUnlessDefault(kNoisyHeader, attempt.noisy ? "1" : "", head);
   AddUnlessDefault(kOnceHeader, attempt.once ? "1" : "", head);
   AddUnlessDefault(kDepthHeader, std::to_string(attempt.depth), head);
--- a/src/cassiabend/http/call_server.cc
+++ b/src/cassiabend/http/call_server.cc
@@ -136,6 +136,7 @@
                      sink),
         calls_(options.self,
                &pool_,
+               &pacer_,
                options.progress_timeout,
                buffered_bytes_,
                &destination_,
@@ -358,7 +359,8 @@
   /// \brief Reports the load of the network link to the reducer when it has
   /// changed.
   void ReportLinkLoad() {
-    const LinkLoadChanged load{pacer_.pending_bytes(), pacer_.rate()};
+    const LinkLoadChanged load{pacer_.pending_bytes(), pacer_.rate(),
+                               pacer_.idle_rate()};
     const std::uint64_t rate_change =
         std::max(load.bytes_per_second, reported_link_load_.bytes_per_second) -
         std::min(load.bytes_per_second, reported_link_load_.bytes_per_second);
@@ -398,6 +400,7 @@
       return;
     }
     CallMetadata metadata = options_.call_protocol->ReadCall(request->head());
+    metadata.body_bytes = request->body().size();
     StripHopByHopHeaders(&request->head());
     StripSystemHeaders(&request->head());
     calls_.AddCall(exchange.id(), std::move(metadata), std::move(request),
@@ -515,6 +518,7 @@
   void Dispatch(const ReplyStillRunning& effect) {
     destination_.Execute(effect);
   }
+  void Dispatch(const ReplyBodyWanted& effect) { destination_.Execute(effect); }
   void Dispatch(const ReplyProgress& effect) { destination_.Execute(effect); }
   void Dispatch(const ReplyUnknown& effect) { destination_.Execute(effect); }
   void Dispatch(const ReleaseAttempt& effect) { destination_.Execute(effect); }
--- a/src/cassiabend/http/call_table.cc
+++ b/src/cassiabend/http/call_table.cc
@@ -37,6 +37,7 @@
   void SendStillRunning() override {
     Post(AttemptStillRunning{call_, attempt_});
   }
+  void SendBodyWanted() override { Post(BodyWanted{call_, attempt_}); }
   void SendProgress() override {}
   void SendUnknown() override { Post(AttemptUnknown{call_, attempt_}); }
   void Close() override { StopWaiting(); }
@@ -80,6 +81,7 @@
 
 CallTable::CallTable(NodeId self,
                      ConnectionPool* pool,
+                     BulkPacer* pacer,
                      Milliseconds progress_timeout,
                      RefPtr<BufferedBytes> buffered_bytes,
                      DestinationTable* destination,
@@ -88,6 +90,7 @@
                      EventSink* sink)
     : self_(std::move(self)),
       pool_(pool),
+      pacer_(pacer),
       progress_timeout_(progress_timeout),
       buffered_bytes_(std::move(buffered_bytes)),
       destination_(destination),
@@ -155,8 +158,8 @@
   }
   Attempt& attempt = GetOrAddAttempt(effect.call, effect.request.id);
   attempt.client = std::make_unique<AttemptClient>(
-      pool_, effect, buffered_request, buffered_bytes_, progress_timeout_,
-      sink_);
+      pool_, pacer_, effect, buffered_request, buffered_bytes_,
+      progress_timeout_, sink_);
 }
 
 void CallTable::SendLocally(const SendAttempt& effect,
--- a/src/cassiabend/http/call_table.h
+++ b/src/cassiabend/http/call_table.h
@@ -22,6 +22,7 @@
   /// \param next_id Next id of a call or connection, shared with the server.
   CallTable(NodeId self,
             ConnectionPool* pool,
+            BulkPacer* pacer,
             Milliseconds progress_timeout,
             RefPtr<BufferedBytes> buffered_bytes,
             DestinationTable* destination,
@@ -93,6 +94,7 @@
 
   NodeId self_;
   ConnectionPool* pool_;
+  BulkPacer* pacer_;
   Milliseconds progress_timeout_;
   RefPtr<BufferedBytes> buffered_bytes_;
   DestinationTable* destination_;
--- a/src/cassiabend/http/client_exchange.cc
+++ b/src/cassiabend/http/client_exchange.cc
@@ -88,8 +88,14 @@
                                     ? std::string_view()
                                     : request_.body_source->body();
   AppendRequestHead(request_.head, body.size(), out);
-  out->append(body);
   connection_->SetTimeout(request_.head_timeout);
+  if (request_.body_pacer != nullptr && !body.empty()) {
+    body_sender_ = std::make_unique<BodySender>(
+        request_.body_pacer, request_.body_source, connection_);
+    body_sender_->Pump();
+    return;
+  }
+  out->append(body);
   connection_->Flush();
 }
 
@@ -101,6 +107,9 @@
 
 void ClientExchange::OnDrained() {
   OnWriteProgress();
+  if (body_sender_ != nullptr && !body_sender_->is_done()) {
+    body_sender_->Pump();
+  }
 }
 
 void ClientExchange::OnHead(MessageHead& head) {
@@ -164,7 +173,10 @@
   ExchangeListener* listener = std::exchange(listener_, nullptr);
   connection->set_listener(nullptr);
   connection->ClearTimeout();
-  if (keep_alive_ && request_.may_pool && connection->unwritten() == 0) {
+  const bool is_sent = body_sender_ == nullptr || body_sender_->is_done();
+  body_sender_ = nullptr;
+  if (keep_alive_ && is_sent && request_.may_pool &&
+      connection->unwritten() == 0) {
     connection->ResumeReading();
     connection->NextMessage(false);
     if (!connection->HasInput()) {
@@ -181,6 +193,7 @@
 void ClientExchange::OnEnd(ConnectionEnd end) {
   const RefPtr<ClientExchange> keep(this);
   const RefPtr<Connection> connection = std::move(connection_);
+  body_sender_ = nullptr;
   const bool may_have_sent = connection->MayHaveSent();
   connection->Close();
   const bool has_closed =
@@ -223,6 +236,7 @@
 void ClientExchange::Cancel() noexcept {
   const RefPtr<ClientExchange> keep = std::move(self_);
   listener_ = nullptr;
+  body_sender_ = nullptr;
   if (connection_ != nullptr) {
     connection_->Close();
     connection_ = nullptr;
--- a/src/cassiabend/http/client_exchange.h
+++ b/src/cassiabend/http/client_exchange.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 
 #include "cassiabend/base/ref_counted.h"
 #include "cassiabend/base/time.h"
+#include "cassiabend/http/body_sender.h"
 #include "cassiabend/http/connection.h"
 #include "cassiabend/http/connection_pool.h"
 #include "cassiabend/http/message.h"
@@ -48,6 +50,8 @@
   MessageHead head;
   /// The request whose body is sent; null: no body.
   RefPtr<const BufferedRequest> body_source;
+  /// Paces the body; null: it is sent at once.
+  BulkPacer* body_pacer = nullptr;
   /// Longest time without progress until the head of the response.
   Milliseconds head_timeout{2'000};
   /// Longest pause within the response.
@@ -107,6 +111,8 @@
   ConnectionPool::Endpoint endpoint_;
   ExchangeListener* listener_;
   ExchangeRequest request_;
+  /// Sends a paced body; null for others.
+  std::unique_ptr<BodySender> body_sender_;
   RefPtr<Connection> connection_;
   /// Keeps this object alive until the exchange has ended.
   RefPtr<ClientExchange> self_;
--- a/src/cassiabend/http/destination_table.cc
+++ b/src/cassiabend/http/destination_table.cc
@@ -38,6 +38,10 @@
         CallEvent(CancelArrived{id, attempt.id, attempt.destination_start_id}));
     return;
   }
+  if (request.verb == AttemptVerb::kOffer) {
+    sink_->Post(CallEvent(BodyOffered{id, attempt}));
+    return;
+  }
   Attempt& entry = attempts_[attempt.id];
   ++entry.run_connections;
   if (entry.buffered_request == nullptr) {
@@ -167,6 +171,12 @@
   }
 }
 
+void DestinationTable::Execute(const ReplyBodyWanted& effect) {
+  if (const auto connection = RemoveConnection(effect.connection)) {
+    connection->SendBodyWanted();
+  }
+}
+
 void DestinationTable::Execute(const ReplyProgress& effect) {
   const auto connection = connections_.find(effect.connection);
   if (connection != connections_.end()) {
--- a/src/cassiabend/http/destination_table.h
+++ b/src/cassiabend/http/destination_table.h
@@ -64,6 +64,7 @@
   void Execute(const SendAnswer& effect);
   void Execute(const ReplyNotRun& effect);
   void Execute(const ReplyStillRunning& effect);
+  void Execute(const ReplyBodyWanted& effect);
   void Execute(const ReplyProgress& effect);
   void Execute(const ReplyUnknown& effect);
   void Execute(const ReleaseAttempt& effect);
--- a/src/cassiabend/http/headers.h
+++ b/src/cassiabend/http/headers.h
@@ -45,6 +45,8 @@
 /// the attempt's time at the destination and its service time in milliseconds,
 /// separated by spaces.
 inline constexpr std::string_view kTimesHeader = "X-Cassiabend-Times";
+/// Size of a large body that waits for the network links.
+inline constexpr std::string_view kBodyBytesHeader = "X-Cassiabend-Body-Bytes";
 inline constexpr std::string_view kOnceHeader = "X-Cassiabend-Once";
 inline constexpr std::string_view kLongestJobHeader =
     "X-Cassiabend-Longest-Job-S";
@@ -65,5 +67,6 @@
 inline constexpr std::string_view kOutcomeNotRun = "not-run";
 inline constexpr std::string_view kOutcomeUnknown = "unknown";
 inline constexpr std::string_view kOutcomeStillRunning = "still-running";
+inline constexpr std::string_view kOutcomeBodyWanted = "body-wanted";
 
 }  // namespace cassiabend
--- a/src/cassiabend/http/peer_reply_connection.cc
+++ b/src/cassiabend/http/peer_reply_connection.cc
@@ -26,6 +26,10 @@
   Reply(StillRunningHead(), ExplanationBody(kOutcomeStillRunning, {}, {}));
 }
 
+void PeerReplyConnection::SendBodyWanted() {
+  Reply(BodyWantedHead(), {});
+}
+
 void PeerReplyConnection::SendProgress() {
   exchange_->SendInterim();
 }
--- a/src/cassiabend/http/peer_reply_connection.h
+++ b/src/cassiabend/http/peer_reply_connection.h
@@ -14,6 +14,7 @@
 
   void SendNotRun(const ReplyNotRun& reply) override;
   void SendStillRunning() override;
+  void SendBodyWanted() override;
   void SendProgress() override;
   void SendUnknown() override;
   void StreamAnswer(RefPtr<AnswerStream> answer,
--- a/src/cassiabend/http/reply_connection.h
+++ b/src/cassiabend/http/reply_connection.h
@@ -16,6 +16,8 @@
 
   virtual void SendNotRun(const ReplyNotRun& reply) = 0;
   virtual void SendStillRunning() = 0;
+  /// \brief Asks for the body of the attempt that was offered.
+  virtual void SendBodyWanted() = 0;
   /// \brief Shows that the attempt is queued or running; the connection
   /// stays open.
   virtual void SendProgress() = 0;
--- a/src/cassiabend/http/system_answers.cc
+++ b/src/cassiabend/http/system_answers.cc
@@ -113,6 +113,10 @@
   return SystemHead(202, kOutcomeStillRunning);
 }
 
+MessageHead BodyWantedHead() {
+  return SystemHead(202, kOutcomeBodyWanted);
+}
+
 MessageHead RefusalHead(std::uint16_t status) {
   MessageHead head = SystemHead(status, kOutcomeNotRun);
   head.Add(kReasonHeader, NameOf(NotRunReason::kBadRequest));
--- a/src/cassiabend/http/system_answers.h
+++ b/src/cassiabend/http/system_answers.h
@@ -38,6 +38,8 @@
 [[nodiscard]] MessageHead UnknownHead();
 /// \returns The head of the answer to a fetch whose attempt is still running.
 [[nodiscard]] MessageHead StillRunningHead();
+/// \returns The head of a reply that asks for the body of an offered attempt.
+[[nodiscard]] MessageHead BodyWantedHead();
 /// \returns The head of an answer that refuses an invalid message with
 /// `status`.
 [[nodiscard]] MessageHead RefusalHead(std::uint16_t status);
--- a/src/cassiabend/node/metrics.cc
+++ b/src/cassiabend/node/metrics.cc
@@ -232,6 +232,8 @@
          row("attempts_queued", counts.attempts_queued),
          row("attempts_running", counts.attempts_running),
          row("attempts_held", counts.attempts_held),
+         row("bodies_coming", counts.bodies_coming),
+         row("new_work_slots", counts.new_work_slots),
          row("upstreams_ejected", counts.ejected)}));
     out->push_back(MakeSingleValueFamily(
         "cassiabend_retries_total", "Attempts sent again.", MetricType::Counter,
--- a/src/cassiabend/node/node.cc
+++ b/src/cassiabend/node/node.cc
@@ -280,6 +280,9 @@
          {"running", refused->running},
          {"queued", std::uint64_t{refused->queued}},
          {"slots", refused->slots},
+         {"new_work_slots", refused->new_work_slots},
+         {"team", refused->team},
+         {"body_bytes", refused->body_bytes},
          {"waited_ms", refused->times.time_at_node.count()},
          {"left_ms", refused->left.count()},
          {"retry_after_ms", refused->retry_after.count()}});
--- a/src/cassiabend/node/settings_fields.cc
+++ b/src/cassiabend/node/settings_fields.cc
@@ -193,6 +193,21 @@
     {"order_by_objective", &Calls::order_by_objective, 0, 1,
      "1: what waits is served by its objective; 0: teams and classes take "
      "turns."},
+    {"inner_calls", &Calls::inner_calls, 0, 2,
+     "Calls of upstreams for which a run waits go before new work: 0: none; 1: "
+     "those with a depth, which they state or their request id shows; 2: also "
+     "those of routes on which only upstreams call, "
+     "while no call has a depth. Needs order_by_objective."},
+    {"team_shares", &Calls::team_shares, 0, 1,
+     "1: teams that wait share an upstream in proportion to their allotments; "
+     "0: they do not. Needs order_by_objective."},
+    {"spread_returns", &Calls::spread_returns, 0, 1,
+     "1: refused callers are told to come back the later, the greater the "
+     "demand is and the less urgent the call; 0: once the queue has been "
+     "served."},
+    {"offer_bodies", &Calls::offer_bodies, 0, 1,
+     "1: a large request body for another host is offered first, and sent when "
+     "the links of both hosts have room; 0: it is sent at once."},
     {"place_by_time", &Calls::place_by_time, 0, 1,
      "1: an upstream is chosen by the expected time to its answer; 0: the "
      "nearest one that has room."},
--- a/tests/call_load.h
+++ b/tests/call_load.h
@@ -33,6 +33,13 @@
   /// Load that its node reports instead of the actual load.
   std::optional<std::uint16_t> claimed_load;
   std::vector<Slowdown> slowdowns;
+  std::string service = "svc";
+};
+
+/// \brief A call that each run of `route` makes and without which it fails.
+struct InnerCallRule {
+  std::string route;
+  std::string inner_route;
 };
 
 /// \brief How a caller reacts if its call was not run.
@@ -52,12 +59,20 @@
   RefusedCaller refused = RefusedCaller::kGivesUp;
   /// Total time that callers wait; 0 for the timeout of the route.
   Milliseconds deadline{0};
+  /// Each run makes at most one call.
+  std::vector<InnerCallRule> inner_calls;
+  /// Total time that a run waits for its call.
+  Milliseconds inner_deadline{500};
+  /// Service times of routes whose calls do not take that of the upstream.
+  std::map<std::string, Microseconds> service_times;
 };
 
 /// \brief Counters of a load run for one class.
 struct LoadResult {
   std::uint64_t calls = 0;
   std::uint64_t answered = 0;
+  /// Answered with an error, as the call of the run was not answered.
+  std::uint64_t failed = 0;
   /// Answered within the latency objective of the route, counted from the first
   /// try.
   std::uint64_t timely = 0;
@@ -91,6 +106,7 @@
     for (std::size_t n = 0; n < upstreams.size(); ++n) {
       Member member = MakeMember(static_cast<int>(n + 1));
       member.slots = slots;
+      member.service = upstreams[n].service;
       members.push_back(member);
     }
     for (std::size_t n = 0; n < upstreams.size(); ++n) {
@@ -197,6 +213,15 @@
     MonoTime first_sent_at;
     int tries = 1;
     Milliseconds retry_after{0};
+    /// The run that makes the call; zero for other callers.
+    AttemptId run;
+  };
+  /// \brief An attempt that runs at an upstream.
+  struct UpstreamRun {
+    std::size_t node = 0;
+    /// Its work, and its call if it makes one.
+    int parts = 1;
+    bool has_failed = false;
   };
 
   static constexpr MonoTime kStart{Seconds(100)};
@@ -238,6 +263,11 @@
           request.first_sent_at + options_.deadline - now_.mono);
     }
     const CallId call = ++last_call_;
+    metadata.request_id = std::to_string(call);
+    if (!request.run.IsZero()) {
+      metadata.request_id = request_ids_.at(request.run) + ".1";
+      metadata.deadline = options_.inner_deadline;
+    }
     requests_[call] = request;
     ReduceEvent(request.entry, CallArrived{call, metadata});
   }
@@ -250,7 +280,7 @@
         repeats ? Nanoseconds(Milliseconds(1))
                 : std::min<Nanoseconds>(request.retry_after,
                                         (end - now_.mono) / kRetryDelayShare);
-    if (options_.refused == RefusedCaller::kGivesUp ||
+    if (options_.refused == RefusedCaller::kGivesUp || !request.run.IsZero() ||
         request.tries >= (repeats ? kMaxImmediateTries : kMaxDelayedTries) ||
         now_.mono + pause >= end) {
       return false;
@@ -333,6 +363,8 @@
 
   void Execute(std::size_t n, const SendAttempt& effect) {
     const std::size_t to = index_.at(effect.destination);
+    routes_[effect.request.id] = effect.request.route;
+    request_ids_[effect.request.id] = effect.request.request_id;
     if ((nodes_[to].behaviour.refuses || nodes_[to].down) && to != n) {
       After(2 * kHop, [this, n, effect] {
         ReduceEvent(n, AttemptConnectionLost{effect.call, effect.request.id,
@@ -370,8 +402,12 @@
     Reply(effect.connection, AttemptUnknown{});
   }
   void Execute(std::size_t n, const SendAnswer& effect) {
+    const auto run = runs_.find(effect.attempt);
+    const bool has_failed = run != runs_.end() && run->second.has_failed;
     Reply(effect.connection,
-          AttemptAnswerStarted{.status = 200, .times = effect.times});
+          AttemptAnswerStarted{
+              .status = static_cast<std::uint16_t>(has_failed ? 500 : 200),
+              .times = effect.times});
     Reply(effect.connection, AnswerRelayed{.complete = true});
     After(kHop, [this, n, connection = effect.connection] {
       ReduceEvent(n, AnswerSent{connection});
@@ -386,17 +422,40 @@
             [this, n, id] { ReduceEvent(n, UpstreamConnectionLost{id}); });
       return;
     }
+    const std::string& route = routes_.at(id);
+    runs_[id] = {.node = n};
+    for (const InnerCallRule& it : options_.inner_calls) {
+      if (it.route == route) {
+        runs_[id].parts = 2;
+        ++results_[it.inner_route].calls;
+        SendRequest({.route = it.inner_route,
+                     .entry = n,
+                     .first_sent_at = now_.mono,
+                     .run = id});
+      }
+    }
+    const auto own_time = options_.service_times.find(route);
     double mean =
-        static_cast<double>(Nanoseconds(node.behaviour.service_time).count());
+        static_cast<double>(Nanoseconds(own_time == options_.service_times.end()
+                                            ? node.behaviour.service_time
+                                            : own_time->second)
+                                .count());
     for (const Slowdown& it : node.behaviour.slowdowns) {
       const bool slow =
           now_.mono >= kStart + it.from && now_.mono < kStart + it.to;
       mean *= slow ? it.factor : 1.0;
     }
-    After(Exponential(mean), [this, n, id] {
-      ReduceEvent(n, UpstreamAnswerStarted{id, 200});
-      ReduceEvent(n, UpstreamAnswerCompleted{id});
-    });
+    After(Exponential(mean), [this, id] { EndPart(id); });
+  }
+  /// \brief Ends the run once its work and its call have ended.
+  void EndPart(const AttemptId& id) {
+    UpstreamRun& run = runs_.at(id);
+    if (--run.parts > 0) {
+      return;
+    }
+    const auto status = static_cast<std::uint16_t>(run.has_failed ? 500 : 200);
+    ReduceEvent(run.node, UpstreamAnswerStarted{id, status});
+    ReduceEvent(run.node, UpstreamAnswerCompleted{id});
   }
   void Execute(std::size_t n, const LocalLoadChanged& effect) {
     nodes_[n].load = effect.load_permille;
@@ -413,7 +472,14 @@
       ++result.refusals;
       result.held += effect.elapsed;
     }
-    if (effect.outcome == "answered") {
+    if (!request.run.IsZero()) {
+      const AttemptId run = request.run;
+      runs_.at(run).has_failed |= effect.outcome != "answered";
+      After(Nanoseconds(0), [this, run] { EndPart(run); });
+    }
+    if (effect.outcome == "answered" && IsServerError(effect.status)) {
+      ++result.failed;
+    } else if (effect.outcome == "answered") {
       const Nanoseconds whole = now_.mono - request.first_sent_at;
       ++result.answered;
       result.timely += whole <= effect.objective ? 1 : 0;
@@ -438,6 +504,9 @@
   ConnectionId last_connection_ = 0;
   CallId last_call_ = 0;
   std::unordered_map<CallId, Request> requests_;
+  std::unordered_map<AttemptId, UpstreamRun, Id128Hasher> runs_;
+  std::unordered_map<AttemptId, std::string, Id128Hasher> routes_;
+  std::unordered_map<AttemptId, std::string, Id128Hasher> request_ids_;
   std::map<std::string, LoadResult> results_;
 };
 
--- a/tests/call_world.h
+++ b/tests/call_world.h
@@ -584,6 +584,9 @@
         ReduceEvent(
             to, CancelArrived{id, request.id, request.destination_start_id});
         break;
+      case AttemptVerb::kOffer:
+        ReduceEvent(to, BodyOffered{id, request});
+        break;
     }
     if (!connections_[id].open) {
       ReduceEvent(to, ConnectionLost{id});
