--- a/src/cassiabend/http/headers.h
+++ b/src/cassiabend/http/headers.h
@@ -52,6 +52,8 @@
 /// of the usual. Left out when unknown; nodes that don't know it ignore it.
 inline constexpr std::string_view kTimePercentHeader =
     "X-Cassiabend-Time-Percent";
+/// Size of a large body that waits for the network links.
+inline constexpr std::string_view kBodyBytesHeader = "X-Cassiabend-Body-Bytes";
 inline constexpr std::string_view kOnceHeader = "X-Cassiabend-Once";
 inline constexpr std::string_view kLongestJobHeader =
     "X-Cassiabend-Longest-Job-S";
@@ -72,5 +74,6 @@
 inline constexpr std::string_view kOutcomeNotRun = "not-run";
 inline constexpr std::string_view kOutcomeUnknown = "unknown";
 inline constexpr std::string_view kOutcomeStillRunning = "still-running";
+inline constexpr std::string_view kOutcomeBodyWanted = "body-wanted";
 
 }  // namespace cassiabend
