Take the speed of a report that tells no slots

Cause: a report without slots was dropped whole, with its speed. Change: only a report without any figure is dropped. Result: call_upstream_test passes.

--- a/src/cassiabend/core/call_upstream_health.cc
+++ b/src/cassiabend/core/call_upstream_health.cc
@@ -154,7 +154,7 @@
 }
 
 void CallUpstreamHealth::RecordLoad(const UpstreamLoad& reported) noexcept {
-  if (reported.slots > 0) {
+  if (reported != UpstreamLoad{}) {
     load_.Record(context_->now.mono, reported, slots_);
   }
 }
