Judge slow answers before they end, and roll back withdrawn orders

Bad answers, failures and those well above the old version's median, are compared as a share too; a call that has taken several times as long as usual counts as a slow answer while it still runs; and the first share lasts a fifth of the duration at least, however late it began. An order that is deleted before its end is rolled back.

--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -228,7 +228,8 @@
   request.objective = ObjectiveLeft(*call);
   request.expires_at = context_->now.wall + request.deadline;
   balancer_->RecordStart(upstream.get());
-  versions_->RecordStart(upstream->member());
+  versions_->RecordStart(context_->now.mono, upstream->member(),
+                         route.request_class);
   call->tried.push_back(std::move(upstream));
   call->outstanding = true;
   call->connection_timed_out = false;
@@ -601,7 +602,8 @@
   const bool failed =
       outcome == AttemptOutcome::kFailed || outcome == AttemptOutcome::kSilent;
   versions_->RecordEnd(
-      context_->now.mono, upstream->member(), call->route->request_class,
+      context_->now.mono, call->sent_at, upstream->member(),
+      call->route->request_class,
       failed ? VersionOutcome::kFailed : VersionOutcome::kNeutral,
       Milliseconds(0));
 }
@@ -617,7 +619,7 @@
   Upstream* upstream = call->tried.back().get();
   balancer_->RecordEnd(context_->now.mono, outcome, elapsed, Milliseconds(0),
                        upstream);
-  versions_->RecordEnd(context_->now.mono, upstream->member(),
+  versions_->RecordEnd(context_->now.mono, call->sent_at, upstream->member(),
                        call->route->request_class,
                        IsServerError(event.status) ? VersionOutcome::kFailed
                                                    : VersionOutcome::kAnswered,
--- a/src/cassiabend/core/rollout/rollout.h
+++ b/src/cassiabend/core/rollout/rollout.h
@@ -64,6 +64,13 @@
          std::tuple(b.order_revision, !b.is_running(), b.step);
 }
 
+/// \returns `rollout`, stopped.
+[[nodiscard]] inline Rollout Halted(Rollout rollout) {
+  rollout.step = kHaltedStep;
+  rollout.share_permille = 0;
+  return rollout;
+}
+
 /// \brief A roll-out as nodes tell it to each other.
 struct RolloutNews {
   Rollout rollout;
--- a/src/cassiabend/core/rollout/rollout_decider.cc
+++ b/src/cassiabend/core/rollout/rollout_decider.cc
@@ -47,13 +47,6 @@
   return fault == VersionFault::kFailures ? "failures" : "times";
 }
 
-Rollout Halted(const Rollout& rollout) {
-  Rollout out = rollout;
-  out.step = kHaltedStep;
-  out.share_permille = 0;
-  return out;
-}
-
 }  // namespace
 
 std::vector<NodeId> RolloutDecider::JudgesOf(const DisseminationTree& tree,
@@ -67,6 +60,7 @@
   std::ranges::sort(ranked, std::greater<>());
   ranked.resize(std::min(ranked.size(), kJudges));
   std::vector<NodeId> out;
+  out.reserve(ranked.size());
   for (auto& [rank, id] : ranked) {
     out.push_back(std::move(id));
   }
--- a/src/cassiabend/core/rollout/rollout_orders.cc
+++ b/src/cassiabend/core/rollout/rollout_orders.cc
@@ -67,12 +67,30 @@
                               RolloutTable* table) {
   for (const StoreEntry& it : entries) {
     Rollout rollout;
-    if (ReadOrder(context, it, &rollout)) {
+    if (it.value.empty()) {
+      Withdraw(context, it, table);
+    } else if (ReadOrder(context, it, &rollout)) {
       table->Update(context, rollout);
     }
   }
 }
 
+/// \brief Stops the roll-out whose order was deleted, unless it has ended.
+void RolloutOrders::Withdraw(const FleetContext& context,
+                             const StoreEntry& entry,
+                             RolloutTable* table) {
+  const std::string& prefix = context.options().rollout_codec->order_prefix();
+  if (!entry.key.starts_with(prefix)) {
+    return;
+  }
+  const RolloutTable::Entry* known =
+      table->Find(entry.key.substr(prefix.size()));
+  if (known != nullptr && known->rollout.is_running() &&
+      known->rollout.order_revision < entry.revision) {
+    table->Update(context, Halted(known->rollout));
+  }
+}
+
 bool RolloutOrders::OnReply(const FleetContext& context,
                             const StoreReplied& replied,
                             RolloutTable* table) {
--- a/src/cassiabend/core/rollout/rollout_orders.h
+++ b/src/cassiabend/core/rollout/rollout_orders.h
@@ -32,6 +32,9 @@
   [[nodiscard]] static bool ReadOrder(const FleetContext& context,
                                       const StoreEntry& entry,
                                       Rollout* rollout);
+  static void Withdraw(const FleetContext& context,
+                       const StoreEntry& entry,
+                       RolloutTable* table);
   void ReadNextStatus(const FleetContext& context);
 
   std::uint64_t listed_after_ = 0;
--- a/src/cassiabend/core/rollout/rollout_plan.cc
+++ b/src/cassiabend/core/rollout/rollout_plan.cc
@@ -21,6 +21,9 @@
 constexpr Milliseconds kRateTime{1'000};
 /// Shortest time at a share before a greater one.
 constexpr Milliseconds kMinStepTime{1'000};
+/// Part of the duration for which the first share lasts at least, however late
+/// it began: slow answers take their time.
+constexpr int kMinFirstPart = 5;
 /// Answers of a new version by which it can be judged.
 constexpr std::uint32_t kMinAnswers = 20;
 /// Answers that do when the time runs out.
@@ -67,7 +70,10 @@
     return std::nullopt;
   }
   if (progress.share_permille < kSecondShare) {
-    return part >= kSecondFrom ? std::optional(kSecondShare) : std::nullopt;
+    const bool has_lasted =
+        progress.at_step >= progress.duration / kMinFirstPart;
+    return part >= kSecondFrom && has_lasted ? std::optional(kSecondShare)
+                                             : std::nullopt;
   }
   return part >= kLastFrom ? std::optional(kWholeShare) : std::nullopt;
 }
--- a/src/cassiabend/core/rollout/version_gate.cc
+++ b/src/cassiabend/core/rollout/version_gate.cc
@@ -19,6 +19,10 @@
 /// Time for which an upstream may still send the answer of a call that counts
 /// as ended.
 constexpr Milliseconds kAnswerTail{500};
+/// Buckets of times above the old version's median from which a call that still
+/// runs is slow, and the answers from which that median is known.
+constexpr std::size_t kOpenSlowBuckets = 3;
+constexpr std::uint32_t kMinTimes = 6;
 
 bool IsCandidate(const Member& member) noexcept {
   return !member.service.empty() &&
@@ -35,16 +39,6 @@
   return std::pair(CanaryRank(a), a) < std::pair(CanaryRank(b), b);
 }
 
-VersionCounts Sum(
-    const std::map<std::string, VersionComparison, std::less<>>& counts,
-    VersionCounts VersionComparison::*version) {
-  VersionCounts sum;
-  for (const auto& [name, it] : counts) {
-    sum += it.*version;
-  }
-  return sum;
-}
-
 }  // namespace
 
 VersionGate::VersionGate(const CallOptions& options, const NodeId& self)
@@ -165,7 +159,7 @@
     const bool is_other_order =
         !known || known->rollout.order_revision != it.rollout.order_revision;
     if (is_other_order) {
-      service.counts.clear();
+      service.classes.clear();
       service.is_halted = false;
       service.credit = first_credit_;
     }
@@ -244,14 +238,33 @@
       .version = target, .canaries = std::span(all).first(n), .fallback = old};
 }
 
-void VersionGate::RecordStart(const Member& member) {
+void VersionGate::RecordStart(MonoTime now,
+                              const Member& member,
+                              std::string_view request_class) {
   const auto it = enabled_ ? services_.find(member.service) : services_.end();
-  if (it != services_.end()) {
-    ++it->second.running[member.upstream_version];
+  if (it == services_.end()) {
+    return;
   }
+  Service& service = it->second;
+  ++service.running[member.upstream_version];
+  if (!service.known || !service.known->rollout.is_running()) {
+    return;
+  }
+  ClassUse& use = ClassOf(request_class, &service);
+  const std::string& target = service.known->rollout.order.target_version;
+  (member.upstream_version == target ? use.open_new : use.open_old).insert(now);
+}
+
+VersionGate::ClassUse& VersionGate::ClassOf(std::string_view request_class,
+                                            Service* service) {
+  const bool has_room = service->classes.size() < kMaxClasses ||
+                        service->classes.contains(request_class);
+  return service
+      ->classes[std::string(has_room ? request_class : kOtherClasses)];
 }
 
 void VersionGate::RecordEnd(MonoTime now,
+                            MonoTime started_at,
                             const Member& member,
                             std::string_view request_class,
                             VersionOutcome outcome,
@@ -273,14 +286,22 @@
   if (!is_new) {
     service.old_ended_at = now;
   }
-  if (!rollout.is_running() || outcome == VersionOutcome::kNeutral) {
+  if (!rollout.is_running()) {
+    return;
+  }
+  ClassUse& use = ClassOf(request_class, &service);
+  std::multiset<MonoTime>& open = is_new ? use.open_new : use.open_old;
+  const auto call = open.find(started_at);
+  if (call == open.end()) {
+    // It was counted as slow, or began before the order.
+    return;
+  }
+  open.erase(call);
+  if (outcome == VersionOutcome::kNeutral) {
     return;
   }
-  const bool has_room = service.counts.size() < kMaxClasses ||
-                        service.counts.contains(request_class);
-  VersionComparison& counts =
-      service.counts[std::string(has_room ? request_class : kOtherClasses)];
-  VersionCounts& version = is_new ? counts.new_version : counts.old_version;
+  VersionCounts& version =
+      is_new ? use.counts.new_version : use.counts.old_version;
   if (outcome == VersionOutcome::kAnswered) {
     version.AddSuccess(time);
     return;
@@ -291,13 +312,39 @@
   }
 }
 
+void VersionGate::CountOpen(MonoTime now, ClassUse* use) {
+  if (use->counts.old_version.successes() < kMinTimes) {
+    return;
+  }
+  const std::size_t bucket =
+      std::min(MedianBucket(use->counts.old_version) + kOpenSlowBuckets,
+               VersionCounts::kBuckets - 1);
+  const Milliseconds limit(std::int64_t{1} << (bucket - 1));
+  const auto count = [&](std::multiset<MonoTime>* open,
+                         VersionCounts* version) {
+    while (!open->empty() && now - *open->begin() >= limit) {
+      open->erase(open->begin());
+      version->AddSuccess(limit);
+    }
+  };
+  count(&use->open_old, &use->counts.old_version);
+  count(&use->open_new, &use->counts.new_version);
+}
+
+VersionCounts VersionGate::Sum(const Service& service,
+                               VersionCounts VersionComparison::*version) {
+  VersionCounts sum;
+  for (const auto& [name, it] : service.classes) {
+    sum += it.counts.*version;
+  }
+  return sum;
+}
+
 /// \brief Keeps calls from the target version if it fails many calls of this
 /// node, as the old version does not.
 void VersionGate::HaltIfFailing(Service* service) {
-  const VersionCounts fresh =
-      Sum(service->counts, &VersionComparison::new_version);
-  const VersionCounts old =
-      Sum(service->counts, &VersionComparison::old_version);
+  const VersionCounts fresh = Sum(*service, &VersionComparison::new_version);
+  const VersionCounts old = Sum(*service, &VersionComparison::old_version);
   const bool fails = fresh.failures >= kHaltFailures &&
                      fresh.failures * kHaltPart >= fresh.answers();
   const bool old_fails =
@@ -305,9 +352,9 @@
   service->is_halted = service->is_halted || (fails && !old_fails);
 }
 
-std::vector<VersionUse> VersionGate::Uses(MonoTime now) const {
+std::vector<VersionUse> VersionGate::Uses(MonoTime now) {
   std::vector<VersionUse> out;
-  for (const auto& [name, service] : services_) {
+  for (auto& [name, service] : services_) {
     if (!service.known || !service.known->rollout.is_running()) {
       continue;
     }
@@ -316,8 +363,9 @@
     use.order_revision = service.known->rollout.order_revision;
     use.step = service.known->rollout.step;
     use.uses_old = service.UsesOld(now);
-    for (const auto& [request_class, counts] : service.counts) {
-      use.classes.push_back({Hash64(request_class, 0), counts});
+    for (auto& [request_class, it] : service.classes) {
+      CountOpen(now, &it);
+      use.classes.push_back({Hash64(request_class, 0), it.counts});
     }
     out.push_back(std::move(use));
   }
--- a/src/cassiabend/core/rollout/version_gate.h
+++ b/src/cassiabend/core/rollout/version_gate.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -61,15 +62,21 @@
   [[nodiscard]] VersionChoice Choose(MonoTime now,
                                      std::string_view service,
                                      bool is_first);
-  void RecordStart(const Member& member);
+  void RecordStart(MonoTime now,
+                   const Member& member,
+                   std::string_view request_class);
+  /// \param started_at When `RecordStart` was called for the call.
   /// \param time Time at the upstream; used for `kAnswered` only.
   void RecordEnd(MonoTime now,
+                 MonoTime started_at,
                  const Member& member,
                  std::string_view request_class,
                  VersionOutcome outcome,
                  Milliseconds time);
-  /// \returns What was counted for the roll-outs that are running.
-  [[nodiscard]] std::vector<VersionUse> Uses(MonoTime now) const;
+  /// \returns What was counted for the roll-outs that are running. A call that
+  /// has already taken several times as long as usual counts as a slow answer
+  /// before it ends, so that answers to come weigh too.
+  [[nodiscard]] std::vector<VersionUse> Uses(MonoTime now);
 
  private:
   struct Known {
@@ -77,6 +84,12 @@
     /// When a deciding node last vouched for `rollout`; unset for never.
     std::optional<MonoTime> vouched_at;
   };
+  struct ClassUse {
+    VersionComparison counts;
+    /// When the calls began that run and are not counted yet.
+    std::multiset<MonoTime> open_old;
+    std::multiset<MonoTime> open_new;
+  };
   struct Service {
     /// Serving upstreams by version, ordered by a hash that all nodes share.
     std::map<std::string, std::vector<NodeId>, std::less<>> versions;
@@ -87,7 +100,7 @@
     std::uint32_t credit = 0;
     /// Whether failures seen here keep calls from the target version.
     bool is_halted = false;
-    std::map<std::string, VersionComparison, std::less<>> counts;
+    std::map<std::string, ClassUse, std::less<>> classes;
     /// Calls that run, by the version of their upstream.
     std::map<std::string, std::uint32_t, std::less<>> running;
     /// When the last call at another version than the target ended.
@@ -110,6 +123,13 @@
   [[nodiscard]] VersionChoice ChooseRunning(MonoTime now,
                                             Service* service,
                                             bool is_first) const;
+  /// \returns The counts of a request class, or of all classes beyond a limit.
+  [[nodiscard]] static ClassUse& ClassOf(std::string_view request_class,
+                                         Service* service);
+  static void CountOpen(MonoTime now, ClassUse* use);
+  [[nodiscard]] static VersionCounts Sum(
+      const Service& service,
+      VersionCounts VersionComparison::*version);
   static void HaltIfFailing(Service* service);
 
   bool enabled_;
--- a/src/cassiabend/core/rollout/version_judge.cc
+++ b/src/cassiabend/core/rollout/version_judge.cc
@@ -10,15 +10,21 @@
 constexpr double kConfidence = 3.0;
 /// Standard deviations by which the old version may be worse than it appears.
 constexpr double kOldConfidence = 2.0;
-/// Failures that are too few to say anything.
-constexpr std::uint32_t kMinFailures = 4;
-constexpr double kFailureFactor = 2.0;
+/// Bad answers that are too few to say anything.
+constexpr std::uint32_t kMinBad = 4;
+constexpr double kBadFactor = 2.0;
 /// Share of failures that is tolerated beyond the old version's.
 constexpr double kFailureMargin = 0.02;
 /// Fewest answers of each version whose times are compared.
 constexpr std::uint32_t kMinTimes = 6;
 /// Binary logarithm of the tolerated ratio of times, 2.5.
-const double kTimeRatioLog = std::log2(2.5);
+constexpr double kTimeRatioLog = 1.321928094887362;
+/// Buckets above that of the old version's median from which an answer is slow:
+/// it takes more than twice as long as the median, at least.
+constexpr std::size_t kSlowBuckets = 2;
+/// Share of bad answers, failures and slow ones, that is tolerated beyond the
+/// old version's.
+constexpr double kBadMargin = 0.08;
 /// Variance that the width of the buckets of times adds.
 constexpr double kBucketVariance = 0.25;
 
@@ -39,16 +45,45 @@
   return {(centre - width) / scale, (centre + width) / scale};
 }
 
-bool FailsMore(const VersionCounts& new_version,
-               const VersionCounts& old_version) {
-  if (new_version.failures < kMinFailures) {
+/// \brief How many of some answers are bad.
+struct BadShare {
+  std::uint32_t answers = 0;
+  std::uint32_t bad = 0;
+};
+
+/// \returns Whether the share of bad answers has more than doubled, and grown
+/// by `margin`.
+bool IsWorse(const BadShare& new_share,
+             const BadShare& old_share,
+             double margin) {
+  if (new_share.bad < kMinBad) {
     return false;
   }
-  const Interval fresh = ProportionInterval(new_version.answers(),
-                                            new_version.failures, kConfidence);
-  const Interval old = ProportionInterval(old_version.answers(),
-                                          old_version.failures, kOldConfidence);
-  return fresh.low > kFailureFactor * old.high + kFailureMargin;
+  const Interval fresh =
+      ProportionInterval(new_share.answers, new_share.bad, kConfidence);
+  const Interval old =
+      ProportionInterval(old_share.answers, old_share.bad, kOldConfidence);
+  return fresh.low > kBadFactor * old.high + margin;
+}
+
+/// \returns The failures, and the answers from a bucket of times on.
+BadShare ShareFrom(const VersionCounts& counts, std::size_t bucket) {
+  BadShare out{counts.answers(), counts.failures};
+  for (std::size_t i = bucket; i < VersionCounts::kBuckets; ++i) {
+    out.bad += counts.times.at(i);
+  }
+  return out;
+}
+
+/// \brief Finds a version of which some answers are much slower.
+bool IsOftenSlow(const VersionCounts& new_version,
+                 const VersionCounts& old_version) {
+  if (old_version.successes() < kMinTimes) {
+    return false;
+  }
+  const std::size_t limit = MedianBucket(old_version) + kSlowBuckets;
+  return IsWorse(ShareFrom(new_version, limit), ShareFrom(old_version, limit),
+                 kBadMargin);
 }
 
 struct LogTime {
@@ -85,13 +120,26 @@
 
 }  // namespace
 
+std::size_t MedianBucket(const VersionCounts& counts) {
+  std::uint32_t below = 0;
+  std::size_t i = 0;
+  while (i + 1 < VersionCounts::kBuckets &&
+         2 * (below + counts.times.at(i)) < counts.successes()) {
+    below += counts.times.at(i++);
+  }
+  return i;
+}
+
 VersionFault FindFault(const VersionCounts& new_version,
                        const VersionCounts& old_version) {
-  if (FailsMore(new_version, old_version)) {
+  if (IsWorse({new_version.answers(), new_version.failures},
+              {old_version.answers(), old_version.failures}, kFailureMargin)) {
     return VersionFault::kFailures;
   }
-  return TakesLonger(new_version, old_version) ? VersionFault::kTimes
-                                               : VersionFault::kNone;
+  return TakesLonger(new_version, old_version) ||
+                 IsOftenSlow(new_version, old_version)
+             ? VersionFault::kTimes
+             : VersionFault::kNone;
 }
 
 }  // namespace cassiabend
--- a/src/cassiabend/core/store_types.h
+++ b/src/cassiabend/core/store_types.h
@@ -74,7 +74,8 @@
   StoreRevision after = 0;
   Milliseconds wait{0};
   /// The watch also ends with changes of the other keys with this prefix, which
-  /// are returned in `entries`; empty for none.
+  /// are returned in `entries`, those that were deleted with empty values;
+  /// empty for none.
   std::string prefix;
 };
 
--- a/tests/platform/kv_codec_test.cc
+++ b/tests/platform/kv_codec_test.cc
@@ -63,11 +63,12 @@
   const StoreReply wanted =
       Decode(StoreWatch{"op/config", 1, Seconds(3), "op/"}, 200, body);
   CHECK(wanted.entry == StoreEntry{"op/config", "node-1", 412});
-  REQUIRE(wanted.entries.size() == 1);
+  REQUIRE(wanted.entries.size() == 2);
   CHECK(wanted.entries[0] == StoreEntry{"op/rollout/a", "node-1", 413});
+  CHECK(wanted.entries[1] == StoreEntry{"op/x", "", 414});
   const StoreReply read =
       Decode(StoreGet{"op/config", 411, {}, "op/"}, 200, body);
-  CHECK(read.entries.size() == 1);
+  CHECK(read.entries.size() == 2);
   CHECK(Decode(StoreWatch{"op/config", 1, Seconds(3)}, 200, body)
             .entries.empty());
 }
--- a/tests/rollout_test.cc
+++ b/tests/rollout_test.cc
@@ -180,6 +180,7 @@
   static constexpr Milliseconds kStep{20};
   struct Running {
     MonoTime at{};
+    MonoTime started_at{};
     std::size_t node = 0;
     std::size_t upstream = 0;
     std::string request_class;
@@ -261,9 +262,9 @@
       last_to_new_at = driver_.now();
     }
     ++load_[*upstream];
-    gates_[node].RecordStart(MemberOf(*upstream));
-    running_.push(
-        {driver_.now() + answer.time, node, *upstream, request_class, answer});
+    gates_[node].RecordStart(driver_.now(), MemberOf(*upstream), request_class);
+    running_.push({driver_.now() + answer.time, driver_.now(), node, *upstream,
+                   request_class, answer});
   }
 
   void End(const Running& it) {
@@ -274,7 +275,7 @@
       fiftieth_bad_at = driver_.now();
     }
     gates_[it.node].RecordEnd(
-        driver_.now(), member, it.request_class,
+        driver_.now(), it.started_at, member, it.request_class,
         it.answer.fails ? VersionOutcome::kFailed : VersionOutcome::kAnswered,
         it.answer.time);
   }
@@ -331,6 +332,12 @@
          answer.time *= 8;
          return answer;
        }},
+      {"half slow",
+       [](const auto& request_class, auto since, auto running, auto* random) {
+         Answer answer = Good(request_class, since, running, random);
+         answer.time *= random->Below(2) == 0 ? 8 : 1;
+         return answer;
+       }},
       {"one class",
        [](const auto& request_class, auto since, auto running, auto* random) {
          Answer answer = Good(request_class, since, running, random);
@@ -407,6 +414,36 @@
   CheckRolledBack(&world);
 }
 
+TEST_CASE("an order that is withdrawn is rolled back") {
+  RolloutWorld world(300, Good);
+  world.Order(kDuration);
+  world.Run(Seconds(4), [&] { return world.to_new > 0; });
+  world.driver().store().Put(std::string(kOrderPrefix) + kService, "");
+  world.Run(Seconds(2));
+  CHECK(world.State() == "rolled_back");
+  const int stopped = world.to_new;
+  world.Run(Seconds(2));
+  CHECK(world.to_new == stopped);
+}
+
+TEST_CASE("a slow version shows though its roll-out begins late") {
+  RolloutWorld world(300, [](const auto& request_class, auto since,
+                             auto running, auto* random) {
+    Answer answer = Good(request_class, since, running, random);
+    answer.time *= random->Below(2) == 0 ? 10 : 1;
+    return answer;
+  });
+  world.driver().store_faults.down = true;
+  world.Run(Seconds(1));
+  world.driver().store_faults.down = false;
+  world.Order(kDuration);
+  world.driver().store_faults.down = true;
+  world.Run(Seconds(6));
+  world.driver().store_faults.down = false;
+  world.RunUntilEnded(kDuration);
+  CheckRolledBack(&world);
+}
+
 TEST_CASE("without a node that decides a new version gets no calls") {
   VersionGate gate(GateOptions(), NodeId{"10.0.0.9", 7000});
   for (int i = 1; i <= 4; ++i) {
@@ -437,8 +474,8 @@
     Member bad = MakeMember(3);
     bad.upstream_version = "v2";
     for (int i = 0; i < 4; ++i) {
-      gate.RecordStart(bad);
-      gate.RecordEnd(start, bad, "c", VersionOutcome::kFailed, {});
+      gate.RecordStart(start, bad, "c");
+      gate.RecordEnd(start, start, bad, "c", VersionOutcome::kFailed, {});
     }
     CHECK(count_new(start, true) == 0);
   }
