--- a/src/cassiabend/core/rollout/rollout_orders.cc
+++ b/src/cassiabend/core/rollout/rollout_orders.cc
@@ -68,7 +68,9 @@
                               RolloutTable* table) {
   for (const StoreEntry& it : reply.entries) {
     Rollout rollout;
-    if (ReadOrder(context, it, reply.era, &rollout)) {
+    if (it.value.empty()) {
+      Withdraw(context, it, reply.era, table);
+    } else if (ReadOrder(context, it, reply.era, &rollout)) {
       KeepStateAcrossRestore(*table, &rollout);
       table->Update(context, rollout);
     }
@@ -90,6 +92,23 @@
   rollout->order_revision = number;
 }
 
+/// \brief Stops the roll-out whose order was deleted, unless it has ended.
+void RolloutOrders::Withdraw(const FleetContext& context,
+                             const StoreEntry& entry,
+                             StoreEra era,
+                             RolloutTable* table) {
+  const std::string& prefix = context.options().rollout_codec->order_prefix();
+  if (!entry.key.starts_with(prefix)) {
+    return;
+  }
+  const RolloutTable::Entry* known =
+      table->Find(entry.key.substr(prefix.size()));
+  if (known != nullptr && known->rollout.is_running() &&
+      known->rollout.order_revision < OrderRevision({era, entry.revision})) {
+    table->Update(context, Halted(known->rollout));
+  }
+}
+
 bool RolloutOrders::OnReply(const FleetContext& context,
                             const StoreReplied& replied,
                             RolloutTable* table) {
--- a/src/cassiabend/core/rollout/rollout_orders.h
+++ b/src/cassiabend/core/rollout/rollout_orders.h
@@ -35,6 +35,10 @@
                                       Rollout* rollout);
   static void KeepStateAcrossRestore(const RolloutTable& table,
                                      Rollout* rollout);
+  static void Withdraw(const FleetContext& context,
+                       const StoreEntry& entry,
+                       StoreEra era,
+                       RolloutTable* table);
   void ReadNextStatus(const FleetContext& context);
 
   std::uint64_t listed_after_ = 0;
