Hold new work back for lack of room only

An error that an upstream gives to an inner call, such as one that fails part of its calls, shows no lack of room; fewer runs would not mend it and cost others. Only inner calls that were refused or not answered count now.

--- a/src/cassiabend/core/call_entry_end.cc
+++ b/src/cassiabend/core/call_entry_end.cc
@@ -63,8 +63,9 @@
       outcome == "caller_gone") {
     return;
   }
-  context_->run_gate.Record(
-      context_->now.mono, outcome == "answered" && !IsServerError(call.status));
+  // An error of an upstream shows no lack of room, and less new work would not
+  // mend it.
+  context_->run_gate.Record(context_->now.mono, outcome == "answered");
 }
 
 void CallEntry::Finish(Call* call, std::string_view outcome) {
--- a/src/cassiabend/core/queueing/run_gate.h
+++ b/src/cassiabend/core/queueing/run_gate.h
@@ -32,7 +32,8 @@
       return slots;
     }
     const double open = slots * served_ / all;
-    return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(open + 0.5));
+    return std::max<std::uint32_t>(
+        1, static_cast<std::uint32_t>(std::lround(open)));
   }
 
  private:
