Limit the calls of teams over all nodes

Cause: a team's rate and burst were part of the configuration and bound nobody.

Change: nodes tell each other each team's use and demand in the window, up and down the dissemination tree and between the first nodes of zones. The entry node of a call with a key admits it by that, gives back what reached no upstream, and refuses the rest with 429. Without teams that have a rate nothing is sent. A datagram's body may be such a report; Datagram::team_uses moved into it.

--- a/schema/gen/mesh.capnp.h
+++ b/schema/gen/mesh.capnp.h
@@ -38,10 +38,19 @@
 };
 CAPNP_DECLARE_ENUM(UpstreamState, eba6428361e366dd);
 CAPNP_DECLARE_SCHEMA(f58a70a20e155194);
+CAPNP_DECLARE_SCHEMA(e6ff1a3f7636faeb);
+enum class UseScope_e6ff1a3f7636faeb: uint16_t {
+  BELOW,
+  ELSEWHERE,
+  ZONE,
+  NONE,
+};
+CAPNP_DECLARE_ENUM(UseScope, e6ff1a3f7636faeb);
 CAPNP_DECLARE_SCHEMA(bf0d2373de326c82);
 CAPNP_DECLARE_SCHEMA(bd47d51d261602f1);
 CAPNP_DECLARE_SCHEMA(c29a73bbcf70fdd7);
 CAPNP_DECLARE_SCHEMA(f3403346a1dd913b);
+CAPNP_DECLARE_SCHEMA(d1161cb4752222ca);
 CAPNP_DECLARE_SCHEMA(c2cc1890368c3ed1);
 CAPNP_DECLARE_SCHEMA(f8fad09eaed48aa8);
 CAPNP_DECLARE_SCHEMA(dbd67154d802aa9c);
@@ -93,6 +102,8 @@
   };
 };
 
+typedef ::capnp::schemas::UseScope_e6ff1a3f7636faeb UseScope;
+
 struct TeamUse {
   TeamUse() = delete;
 
@@ -101,7 +112,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bf0d2373de326c82, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(bf0d2373de326c82, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -137,8 +148,10 @@
     BEAT,
     JOIN,
     ATTACH,
+    USES,
   };
   struct PingRequest;
+  struct Uses;
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c29a73bbcf70fdd7, 6, 6)
@@ -163,6 +176,21 @@
   };
 };
 
+struct Datagram::Body::Uses {
+  Uses() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d1161cb4752222ca, 6, 6)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct ConfigUpdate {
   ConfigUpdate() = delete;
 
@@ -604,6 +632,8 @@
 
   inline  ::uint64_t getDemandPer1000s() const;
 
+  inline  ::uint32_t getHeld() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -641,6 +671,9 @@
   inline  ::uint64_t getDemandPer1000s();
   inline void setDemandPer1000s( ::uint64_t value);
 
+  inline  ::uint32_t getHeld();
+  inline void setHeld( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -877,6 +910,9 @@
   inline bool isAttach() const;
   inline  ::capnp::Void getAttach() const;
 
+  inline bool isUses() const;
+  inline typename Uses::Reader getUses() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -930,6 +966,10 @@
   inline  ::capnp::Void getAttach();
   inline void setAttach( ::capnp::Void value = ::capnp::VOID);
 
+  inline bool isUses();
+  inline typename Uses::Builder getUses();
+  inline typename Uses::Builder initUses();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1047,6 +1087,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class Datagram::Body::Uses::Reader {
+public:
+  typedef Uses Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::cassiabend::schema::UseScope getScope() const;
+
+  inline  ::uint32_t getUnknownPpm() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Datagram::Body::Uses::Builder {
+public:
+  typedef Uses Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::cassiabend::schema::UseScope getScope();
+  inline void setScope( ::cassiabend::schema::UseScope value);
+
+  inline  ::uint32_t getUnknownPpm();
+  inline void setUnknownPpm( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Datagram::Body::Uses::Pipeline {
+public:
+  typedef Uses Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ConfigUpdate::Reader {
 public:
   typedef ConfigUpdate Reads;
@@ -2270,6 +2391,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t TeamUse::Reader::getHeld() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TeamUse::Builder::getHeld() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void TeamUse::Builder::setHeld( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Datagram::Reader::hasFromIp() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2756,6 +2891,29 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Datagram::Body::Reader::isUses() const {
+  return which() == Datagram::Body::USES;
+}
+inline bool Datagram::Body::Builder::isUses() {
+  return which() == Datagram::Body::USES;
+}
+inline typename Datagram::Body::Uses::Reader Datagram::Body::Reader::getUses() const {
+  KJ_IREQUIRE((which() == Datagram::Body::USES),
+              "Must check which() before get()ing a union member.");
+  return typename Datagram::Body::Uses::Reader(_reader);
+}
+inline typename Datagram::Body::Uses::Builder Datagram::Body::Builder::getUses() {
+  KJ_IREQUIRE((which() == Datagram::Body::USES),
+              "Must check which() before get()ing a union member.");
+  return typename Datagram::Body::Uses::Builder(_builder);
+}
+inline typename Datagram::Body::Uses::Builder Datagram::Body::Builder::initUses() {
+  _builder.setDataField<Datagram::Body::Which>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, Datagram::Body::USES);
+  _builder.setDataField< ::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint16_t>(::capnp::bounded<11>() * ::capnp::ELEMENTS, 0);
+  return typename Datagram::Body::Uses::Builder(_builder);
+}
 inline  ::uint32_t Datagram::Body::PingRequest::Reader::getSequence() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
@@ -2818,6 +2976,34 @@
       ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::cassiabend::schema::UseScope Datagram::Body::Uses::Reader::getScope() const {
+  return _reader.getDataField< ::cassiabend::schema::UseScope>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+
+inline  ::cassiabend::schema::UseScope Datagram::Body::Uses::Builder::getScope() {
+  return _builder.getDataField< ::cassiabend::schema::UseScope>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Body::Uses::Builder::setScope( ::cassiabend::schema::UseScope value) {
+  _builder.setDataField< ::cassiabend::schema::UseScope>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Datagram::Body::Uses::Reader::getUnknownPpm() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Datagram::Body::Uses::Builder::getUnknownPpm() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Body::Uses::Builder::setUnknownPpm( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::cassiabend::schema::ConfigUpdate::Which ConfigUpdate::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/schema/mesh.capnp
+++ b/schema/mesh.capnp
@@ -46,14 +46,23 @@
   # Version of the upstream's software; empty when it states none.
 }
 
+enum UseScope {
+  below @0;
+  elsewhere @1;
+  zone @2;
+  none @3;
+}
+
 struct TeamUse {
-  # What one node has admitted of one team's calls.
+  # What some nodes have admitted of one team's calls within the allotment window.
   team @0 :UInt64;
   # Hash of the team's name.
   admitted @1 :UInt64;
-  # Calls admitted since the node's start.
+  # Calls admitted by nodes that are heard.
   demandPer1000s @2 :UInt64;
-  # Calls that asked to be admitted, per 1,000 s.
+  # Calls that asked to be admitted there, per 1,000 s.
+  held @3 :UInt32;
+  # Calls that nodes that are not heard may have admitted.
 }
 
 struct Datagram {
@@ -84,6 +93,12 @@
     # Asks for the members that the receiver knows.
     attach @14 :Void;
     # From a child to the parent that it has chosen.
+    uses :group {
+      # Reports `teamUses`.
+      scope @22 :UseScope;
+      unknownPpm @23 :UInt32;
+      # Share of all nodes, in millionths, whose use in the window is unknown.
+    }
   }
   attachSequence @15 :UInt32;
   # With `attach`: its number. With `beat`: that of the receiver's newest attach.
--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -30,9 +30,12 @@
 
 }  // namespace
 
-CallEntry::CallEntry(CallContext* context, Balancer* balancer)
+CallEntry::CallEntry(CallContext* context,
+                     Balancer* balancer,
+                     Allotments* allotments)
     : context_(context),
       balancer_(balancer),
+      allotments_(allotments),
       budget_(context->options.retry_budget_permille) {}
 
 void CallEntry::Reduce(const CallArrived& event) {
@@ -163,6 +166,10 @@
     FinishNotRun(call, {NotRunReason::kNoUpstream});
     return;
   }
+  if (const auto refusal = TakeAllotment(call)) {
+    FinishNotRun(call, *refusal);
+    return;
+  }
   SendAttemptTo(call, std::move(upstream));
 }
 
--- a/src/cassiabend/core/call_entry.h
+++ b/src/cassiabend/core/call_entry.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "cassiabend/core/allotments/allotments.h"
 #include "cassiabend/core/balancer.h"
 #include "cassiabend/core/call_context.h"
 #include "cassiabend/core/dispatch_gate.h"
@@ -25,7 +26,7 @@
 /// outcome to the caller.
 class CallEntry {
  public:
-  CallEntry(CallContext* context, Balancer* balancer);
+  CallEntry(CallContext* context, Balancer* balancer, Allotments* allotments);
 
   [[nodiscard]] std::size_t calls() const noexcept { return calls_.size(); }
   [[nodiscard]] const RetryBudget& budget() const noexcept { return budget_; }
@@ -80,6 +81,9 @@
     /// Whether the request is pipelined behind others that are not answered
     /// yet.
     bool waits_turn = false;
+    /// When the call was counted against its team's allotment; unset if it was
+    /// not.
+    std::optional<MonoTime> allotted_at;
     /// When the caller first sent the request, as far as is known; before
     /// `arrived_at` if it was refused and retries.
     MonoTime first_sent_at{};
@@ -125,6 +129,11 @@
   [[nodiscard]] MonoTime ReadinessDeadline(const Call& call) const;
   void StartCall(Call* call);
   void SendFirstAttempt(Call* call);
+  /// \brief Counts the call against its team's allotment.
+  /// \returns Why it must not be sent; unset if it may.
+  [[nodiscard]] std::optional<Refusal> TakeAllotment(Call* call);
+  /// \brief Takes back what was counted if no upstream was reached.
+  void ReturnAllotment(const Call& call);
   [[nodiscard]] static bool MustWaitTurn(const Call& call);
   [[nodiscard]] RefPtr<Upstream> ChooseUpstream(const Call& call);
   void SendAttemptTo(Call* call, RefPtr<Upstream> upstream);
@@ -171,6 +180,7 @@
 
   CallContext* context_;
   Balancer* balancer_;
+  Allotments* allotments_;
   RetryBudget budget_;
   RefusedCalls refused_calls_;
   CallTable calls_;
--- a/src/cassiabend/core/call_entry_end.cc
+++ b/src/cassiabend/core/call_entry_end.cc
@@ -13,6 +13,7 @@
 void CallEntry::FinishNotRun(Call* call, const Refusal& refusal) {
   const Milliseconds wait = RetryAfterOf(refusal, &context_->random);
   call->reason = NameOf(refusal.reason);
+  ReturnAllotment(*call);
   if (call->caller_deadline && call->route != nullptr) {
     refused_calls_.Record(call->route->name, context_->now.mono,
                           call->first_sent_at, *call->caller_deadline);
--- a/src/cassiabend/core/call_events.h
+++ b/src/cassiabend/core/call_events.h
@@ -327,6 +327,8 @@
                                HeadConfirmed,
                                MembersChanged,
                                MemberLoadReported,
+                               UseLinksChanged,
+                               UseReportReceived,
                                ReadinessChanged,
                                StoreReplied>;
 
@@ -515,6 +517,7 @@
                                 ReleaseAttempt,
                                 LocalUpstreamChanged,
                                 LocalLoadChanged,
+                                SendUseReport,
                                 StoreCall,
                                 DrainFinished>;
 
--- a/src/cassiabend/core/call_reducer.cc
+++ b/src/cassiabend/core/call_reducer.cc
@@ -3,6 +3,7 @@
 #include <type_traits>
 #include <variant>
 
+#include "cassiabend/core/allotments/allotments.h"
 #include "cassiabend/core/balancer.h"
 #include "cassiabend/core/call_context.h"
 #include "cassiabend/core/call_destination.h"
@@ -15,6 +16,8 @@
 
 /// Most retry budgets listed in `CallCounts`, so that metrics stay bounded.
 constexpr std::size_t kMaxReportedBudgets = 32;
+/// Most teams listed there by name.
+constexpr std::size_t kMaxReportedTeams = 32;
 
 /// \returns A seed that depends on the node and on the start of its process, so
 /// that nodes with equal settings generate different attempt ids.
@@ -34,7 +37,10 @@
                  .random = Random(MixSeed(self, seed))},
         balancer_(options, self),
         health_(&context_),
-        entry_(&context_, &balancer_),
+        allotments_({options.allotment_window,
+                     options.allotment_overage_permille,
+                     options.allotment_tolerance}),
+        entry_(&context_, &balancer_, &allotments_),
         destination_(&context_, &health_) {}
 
   void Reduce(const Instant& now,
@@ -66,6 +72,8 @@
     counts.retries = entry_.budget().granted();
     counts.retries_refused = entry_.budget().refused();
     counts.retry_budgets = entry_.budget().LowestBalances(kMaxReportedBudgets);
+    counts.allotments =
+        allotments_.Counts(context_.now.mono, kMaxReportedTeams);
     return counts;
   }
 
@@ -119,6 +127,24 @@
     destination_.Tick();
     health_.Tick();
     health_.ReportLoad(destination_.queued() + destination_.running());
+    std::vector<SendUseReport> reports;
+    allotments_.Tick(context_.now.mono, &reports);
+    EmitAll(std::move(reports));
+  }
+
+  void Handle(const UseLinksChanged& event) {
+    allotments_.SetLinks(context_.now.mono, event.links);
+  }
+  void Handle(const UseReportReceived& event) {
+    std::vector<SendUseReport> replies;
+    allotments_.OnReport(context_.now.mono, event.from, event.zone,
+                         event.report, &replies);
+    EmitAll(std::move(replies));
+  }
+  void EmitAll(std::vector<SendUseReport> reports) {
+    for (SendUseReport& it : reports) {
+      context_.Emit(std::move(it));
+    }
   }
 
   void Handle(const DrainRequested& /*event*/) {
@@ -147,6 +173,7 @@
                        event.snapshot->mark().number > context_.config_number();
     if (newer) {
       context_.snapshot = event.snapshot;
+      allotments_.SetLimits(context_.now.mono, event.snapshot->config().teams);
     }
   }
 
@@ -223,6 +250,7 @@
   CallContext context_;
   Balancer balancer_;
   CallUpstreamHealth health_;
+  Allotments allotments_;
   CallEntry entry_;
   CallDestination destination_;
   bool has_started_ = false;
--- a/src/cassiabend/core/call_reducer.h
+++ b/src/cassiabend/core/call_reducer.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "cassiabend/base/time.h"
+#include "cassiabend/core/allotments/allotments.h"
 #include "cassiabend/core/call_events.h"
 #include "cassiabend/core/options.h"
 #include "cassiabend/core/retry_budget.h"
@@ -23,6 +24,8 @@
   std::uint64_t retries_refused = 0;
   /// The retry budgets with the lowest balances.
   std::vector<RetryBudget::Balance> retry_budgets;
+  /// The teams with the most calls, then all others under an empty name.
+  std::vector<AllotmentCounts> allotments;
 };
 
 /// \brief Decides routing, balancing, admission, attempts, retries, orders,
--- a/src/cassiabend/core/fleet_events.h
+++ b/src/cassiabend/core/fleet_events.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "cassiabend/base/ref_counted.h"
+#include "cassiabend/core/allotments/team_use.h"
 #include "cassiabend/core/config_events.h"
 #include "cassiabend/core/member.h"
 #include "cassiabend/core/store_types.h"
@@ -50,18 +51,6 @@
   std::uint32_t sequence = 0;
 };
 
-/// \brief One team's calls at one node.
-struct TeamUse {
-  /// Hash of the team's name.
-  std::uint64_t team = 0;
-  /// Calls admitted since the node's start.
-  std::uint64_t admitted = 0;
-  /// Calls that asked to be admitted, per 1,000 s.
-  std::uint64_t demand_per_1000s = 0;
-
-  [[nodiscard]] bool operator==(const TeamUse&) const = default;
-};
-
 /// \brief One UDP message between nodes.
 struct Datagram {
   NodeId from;
@@ -79,7 +68,8 @@
                PingRequestBody,
                HeartbeatBody,
                JoinBody,
-               AttachBody>
+               AttachBody,
+               UseReport>
       body;
   /// In a heartbeat: zones that the sender's zone cannot reach.
   std::vector<std::string> unreachable_zones;
@@ -88,8 +78,6 @@
   /// Time that work takes at the sender's upstream, in hundredths of the usual;
   /// 0 if it states none.
   std::uint16_t time_percent = 0;
-  /// Use of the sender's teams.
-  std::vector<TeamUse> team_uses;
 };
 
 /// \brief The sender has no newer version.
@@ -165,6 +153,12 @@
 /// \brief Event: this node is to leave the fleet and tell its peers.
 struct LeaveRequested {};
 
+/// \brief Event: a report on the teams' use is to be sent.
+struct SendUseReport {
+  NodeId to;
+  UseReport report;
+};
+
 /// \brief Event: an operator asked for the members' versions.
 struct VersionSurveyRequested {};
 
@@ -179,6 +173,7 @@
                                 LocalUpstreamChanged,
                                 LocalLoadChanged,
                                 LeaveRequested,
+                                SendUseReport,
                                 VersionCommitted,
                                 StoreReplied,
                                 VersionSurveyRequested>;
@@ -238,6 +233,16 @@
   NodeId id;
   std::uint16_t load_permille = 0;
 };
+/// \brief Effect: the nodes to which this one reports the teams' use changed.
+struct UseLinksChanged {
+  UseLinks links;
+};
+/// \brief Effect: a node reported the teams' use.
+struct UseReportReceived {
+  NodeId from;
+  std::string zone;
+  UseReport report;
+};
 /// \brief Effect: the node became able or unable to serve calls, or the reason
 /// changed.
 struct ReadinessChanged {
@@ -265,6 +270,8 @@
                                  HeadConfirmed,
                                  MembersChanged,
                                  MemberLoadReported,
+                                 UseLinksChanged,
+                                 UseReportReceived,
                                  ReadinessChanged,
                                  HeadRefused>;
 
--- a/src/cassiabend/core/fleet_reducer_impl.cc
+++ b/src/cassiabend/core/fleet_reducer_impl.cc
@@ -74,7 +74,8 @@
       !receiver->heard_at;
   auto* heartbeat = std::get_if<HeartbeatBody>(&datagram.body);
   const bool is_heartbeat = heartbeat != nullptr;
-  if (!is_heartbeat || introduces_self) {
+  const bool is_report = std::holds_alternative<UseReport>(datagram.body);
+  if ((!is_heartbeat && !is_report) || introduces_self) {
     datagram.updates = membership_.PiggybackUpdates(send->to, introduces_self);
   }
   if (is_heartbeat) {
@@ -105,6 +106,45 @@
   join_.Tick(context, tree_, membership_);
   reconnector_.Tick(context, tree_, membership_);
   survey_.Tick(context, membership_, versions_.mark());
+  UpdateUseLinks(context);
+}
+
+void FleetReducer::Impl::UpdateUseLinks(const FleetContext& context) {
+  if (use_links_view_ == membership_.view_version()) {
+    return;
+  }
+  use_links_view_ = membership_.view_version();
+  const NodeId& self = membership_.self().id;
+  const std::vector<NodeId>& roots = tree_.roots();
+  UseLinks links;
+  links.nodes = static_cast<std::uint32_t>(
+      1 + std::ranges::count_if(membership_.entries(), [](const auto& it) {
+        return IsLive(it.second.member.status);
+      }));
+  if (!tree_.is_root()) {
+    links.parent = tree_.parent();
+    const auto other = std::ranges::find_if(
+        roots, [&](const NodeId& id) { return id != links.parent; });
+    if (other != roots.end()) {
+      links.backup = *other;
+    }
+  } else if (roots.front() != self) {
+    links.parent = roots.front();
+    if (roots[1] != self) {
+      links.backup = roots[1];
+    }
+  }
+  if (tree_.is_root() && !links.backup) {
+    for (const auto& [zone, zone_roots] : tree_.all_roots()) {
+      if (zone != membership_.self().zone && !zone_roots.empty()) {
+        links.zones[zone] = zone_roots.front();
+      }
+    }
+  }
+  if (links != use_links_) {
+    use_links_ = links;
+    context.Emit(UseLinksChanged{std::move(links)});
+  }
 }
 
 bool FleetReducer::Impl::HasOtherReaders() const {
@@ -344,6 +384,20 @@
   prober_.Announce(context, tree_, membership_);
 }
 
+void FleetReducer::Impl::On(const FleetContext& context,
+                            const SendUseReport& event) {
+  context.Send(event.to, event.report);
+}
+
+void FleetReducer::Impl::OnBody(const FleetContext& context,
+                                const Datagram& datagram,
+                                const UseReport& body) {
+  const MemberEntry* sender = membership_.Find(datagram.from);
+  if (sender != nullptr) {
+    context.Emit(UseReportReceived{datagram.from, sender->member.zone, body});
+  }
+}
+
 void FleetReducer::Impl::On(const FleetContext& context,
                             const VersionCommitted& event) {
   if (!event.snapshot) {
--- a/src/cassiabend/core/fleet_reducer_impl.h
+++ b/src/cassiabend/core/fleet_reducer_impl.h
@@ -61,6 +61,7 @@
   void On(const FleetContext& context, const LocalUpstreamChanged& event);
   void On(const FleetContext& context, const LocalLoadChanged& event);
   void On(const FleetContext& context, const LeaveRequested& event);
+  void On(const FleetContext& context, const SendUseReport& event);
   void On(const FleetContext& context, const VersionCommitted& event);
   void On(const FleetContext& context, const StoreReplied& event);
   void On(const FleetContext& context, const VersionSurveyRequested& event);
@@ -83,6 +84,9 @@
   void OnBody(const FleetContext& context,
               const Datagram& datagram,
               const AttachBody& body);
+  void OnBody(const FleetContext& context,
+              const Datagram& datagram,
+              const UseReport& body);
 
   /// \returns Whether an earlier process at the sender's address sent the
   /// datagram.
@@ -91,6 +95,8 @@
   void PullIfNewer(const FleetContext& context,
                    const NodeId& peer,
                    const VersionMark& mark);
+  /// \brief Tells the call path whom it reports the teams' use to.
+  void UpdateUseLinks(const FleetContext& context);
   void FillDatagram(const FleetContext& context, SendDatagram* send);
   void FinishEvent(const FleetContext& context, const VersionMark& mark_before);
   [[nodiscard]] HeadDuty DecideHeadDuty(const FleetContext& context);
@@ -121,6 +127,9 @@
   VersionSurvey survey_;
   MemberSync member_sync_;
   std::uint16_t load_permille_ = 0;
+  UseLinks use_links_;
+  /// View of the membership from which `use_links_` follows.
+  std::uint64_t use_links_view_ = 0;
   /// Whether the last call to the store was answered; unset before the first.
   std::optional<bool> store_reachable_;
   /// Whether this node reads the head without a reader lease, because it hears
--- a/src/cassiabend/core/node_reducer.cc
+++ b/src/cassiabend/core/node_reducer.cc
@@ -88,6 +88,12 @@
     } else if (const auto* load = std::get_if<MemberLoadReported>(&it)) {
       ReduceCall(now, *load, out);
       continue;
+    } else if (const auto* links = std::get_if<UseLinksChanged>(&it)) {
+      ReduceCall(now, *links, out);
+      continue;
+    } else if (const auto* report = std::get_if<UseReportReceived>(&it)) {
+      ReduceCall(now, *report, out);
+      continue;
     } else if (const auto* readiness = std::get_if<ReadinessChanged>(&it)) {
       ReduceCall(now, *readiness, out);
     }
@@ -106,6 +112,10 @@
       ReduceFleet(now, *load, out);
       continue;
     }
+    if (const auto* report = std::get_if<SendUseReport>(&it)) {
+      ReduceFleet(now, *report, out);
+      continue;
+    }
     out->emplace_back(std::move(it));
   }
 }
--- a/src/cassiabend/core/options.h
+++ b/src/cassiabend/core/options.h
@@ -161,6 +161,12 @@
   /// Time after the start of a shutdown in which new requests of callers are
   /// accepted: until the callers have learnt of the shutdown.
   Milliseconds shutdown_serve{0};
+  /// Time in which a team may make the calls of its rate and its burst.
+  Milliseconds allotment_window{5'000};
+  /// Calls beyond its limit that a team may make in error, over all nodes: this
+  /// share of the limit, in thousandths, and this number.
+  std::uint32_t allotment_overage_permille = 0;
+  std::uint32_t allotment_tolerance = 0;
 };
 
 /// \brief All settings of one node's reducers.
--- a/src/cassiabend/http/system_answers.cc
+++ b/src/cassiabend/http/system_answers.cc
@@ -19,6 +19,7 @@
     case NotRunReason::kDeadline:
       return 504;
     case NotRunReason::kShareExceeded:
+    case NotRunReason::kAllotmentExceeded:
       return 429;
     case NotRunReason::kDepthExceeded:
       return 508;
--- a/src/cassiabend/rpc/mesh_codec.cc
+++ b/src/cassiabend/rpc/mesh_codec.cc
@@ -67,8 +67,38 @@
     out.setAttach();
     datagram.setAttachSequence(it.sequence);
   }
+  void operator()(const UseReport& it) {
+    auto report = out.initUses();
+    report.setScope(static_cast<schema::UseScope>(it.scope));
+    report.setUnknownPpm(it.unknown_ppm);
+    auto uses = datagram.initTeamUses(static_cast<unsigned>(it.uses.size()));
+    unsigned i = 0;
+    for (const TeamUse& use : it.uses) {
+      auto next = uses[i++];
+      next.setTeam(use.team);
+      next.setAdmitted(use.admitted);
+      next.setHeld(use.held);
+      next.setDemandPer1000s(use.demand_per_1000s);
+    }
+  }
 };
 
+UseReport ReadUseReport(schema::Datagram::Reader datagram) {
+  const auto in = datagram.getBody().getUses();
+  UseReport report;
+  report.scope = CheckedEnum(static_cast<std::uint16_t>(in.getScope()),
+                             UseScope::kNone, "uses.scope");
+  report.unknown_ppm = in.getUnknownPpm();
+  for (const auto it : datagram.getTeamUses()) {
+    constexpr std::uint64_t kMost = std::numeric_limits<std::uint32_t>::max();
+    report.uses.push_back(
+        {it.getTeam(),
+         static_cast<std::uint32_t>(std::min(it.getAdmitted(), kMost)),
+         it.getHeld(), it.getDemandPer1000s()});
+  }
+  return report;
+}
+
 decltype(Datagram::body) ReadBody(schema::Datagram::Reader datagram) {
   const schema::Datagram::Body::Reader in = datagram.getBody();
   switch (in.which()) {
@@ -90,6 +120,8 @@
       return JoinBody{};
     case schema::Datagram::Body::ATTACH:
       return AttachBody{datagram.getAttachSequence()};
+    case schema::Datagram::Body::USES:
+      return ReadUseReport(datagram);
   }
   throw RpcError("read a datagram", "body", "unknown kind");
 }
@@ -219,18 +251,6 @@
     zones.set(i++, it);
   }
   out.setTimePercent(datagram.time_percent);
-  if (datagram.team_uses.empty()) {
-    return;
-  }
-  auto uses =
-      out.initTeamUses(static_cast<unsigned>(datagram.team_uses.size()));
-  i = 0;
-  for (const TeamUse& it : datagram.team_uses) {
-    auto use = uses[i++];
-    use.setTeam(it.team);
-    use.setAdmitted(it.admitted);
-    use.setDemandPer1000s(it.demand_per_1000s);
-  }
 }
 
 Datagram FromWire(schema::Datagram::Reader in) {
@@ -249,10 +269,6 @@
     out.unreachable_zones.push_back(ToText(it));
   }
   out.time_percent = in.getTimePercent();
-  for (const auto it : in.getTeamUses()) {
-    out.team_uses.push_back(
-        {it.getTeam(), it.getAdmitted(), it.getDemandPer1000s()});
-  }
   return out;
 }
 
--- a/tests/shell/peer_transport_test.cc
+++ b/tests/shell/peer_transport_test.cc
@@ -143,7 +143,13 @@
       PingRequestBody{3, {kIp, 7002}},
       HeartbeatBody{4, Milliseconds(250)},
       JoinBody{},
-      AttachBody{5}};
+      AttachBody{5},
+      UseReport{UseScope::kElsewhere,
+                700,
+                {{.team = ~0ULL,
+                  .admitted = 8,
+                  .held = 9,
+                  .demand_per_1000s = 1ULL << 40}}}};
   asio::io_context io;
   Node a(io);
   Node b(io);
@@ -170,11 +176,14 @@
     if (const auto* attach = std::get_if<AttachBody>(&got.body)) {
       CHECK(attach->sequence == 5);
     }
+    if (const auto* report = std::get_if<UseReport>(&got.body)) {
+      CHECK(*report == std::get<UseReport>(body));
+    }
   }
   const PeerTraffic sent = a.transport.traffic();
   const PeerTraffic received = b.transport.traffic();
-  CHECK(sent.datagrams_sent == 6);
-  CHECK(received.datagrams_received == 6);
+  CHECK(sent.datagrams_sent == 7);
+  CHECK(received.datagrams_received == 7);
   CHECK(sent.heartbeat_bytes_sent == received.heartbeat_bytes_received);
   CHECK(sent.membership_bytes_sent == received.membership_bytes_received);
   CHECK(sent.heartbeat_bytes_sent > 0);
--- a/tests/support/fleet_driver.h
+++ b/tests/support/fleet_driver.h
@@ -509,6 +509,8 @@
   void Execute(std::size_t, const MembersChanged&) {}
   void Execute(std::size_t, const HeadRefused&) {}
   void Execute(std::size_t, const MemberLoadReported&) {}
+  void Execute(std::size_t, const UseLinksChanged&) {}
+  void Execute(std::size_t, const UseReportReceived&) {}
 
   // The store.
 
