--- a/src/cassiabend/node/settings_fields.cc
+++ b/src/cassiabend/node/settings_fields.cc
@@ -221,6 +221,14 @@
     {"start_wait_ms", &Calls::start_wait, 0, kMinuteMs,
      "Time after the start of the process in which calls wait for the node to "
      "be ready."},
+    {"allotment_window_ms", &Calls::allotment_window, 100, kMinuteMs,
+     "Time in which a team may make the calls of its rate and its burst, over "
+     "all nodes."},
+    {"allotment_overage_permille", &Calls::allotment_overage_permille, 0, 1'000,
+     "Error allowed to a team's limit, in thousandths of it."},
+    {"allotment_tolerance", &Calls::allotment_tolerance, 0, 1'000'000,
+     "Further calls in a window by which a team's limit may be missed in "
+     "error."},
     {"answer_hold_ms", &Calls::answer_hold, 100, 10 * kMinuteMs,
      "Time that an answer is held for an entry node whose link was lost."},
     {"order_memory_ms", &Calls::order_memory, 1'000, 7 * kDayMs,
--- a/tests/platform/platform_settings_test.cc
+++ b/tests/platform/platform_settings_test.cc
@@ -46,6 +46,16 @@
   CHECK(settings.calls.retry_burst > 0);
 }
 
+TEST_CASE("the platform's bounds of allotments are taken as they are") {
+  Settings settings = SampleSettings();
+  settings.platform.bounds =
+      "quota_window=4s,quota_overage=0.15,quota_tolerance=30";
+  TranslateSettings(&settings);
+  CHECK(settings.calls.allotment_window == Seconds(4));
+  CHECK(settings.calls.allotment_overage_permille == 150);
+  CHECK(settings.calls.allotment_tolerance == 30);
+}
+
 TEST_CASE("an invalid value is refused with the name of its field") {
   struct Row {
     std::string PlatformSettings::*field;
