--- a/src/cassiabend/node/metrics.cc
+++ b/src/cassiabend/node/metrics.cc
@@ -155,6 +155,7 @@
     AddMembers(readings, &out);
     AddCalls(readings.calls, &out);
     AddBudgets(readings.calls, &out);
+    AddAllotments(readings.calls, &out);
     AddStoreReplies(readings.store, &out);
     AddLogLines(readings, &out);
     AddTraffic(readings.traffic, &out);
@@ -255,6 +256,39 @@
                            MetricType::Gauge, budgets));
   }
 
+  static void AddAllotments(const CallCounts& counts,
+                            std::vector<MetricFamily>* out) {
+    if (counts.allotments.empty()) {
+      return;
+    }
+    std::vector<LabelledValue> calls;
+    std::vector<LabelledValue> used;
+    for (const AllotmentCounts& it : counts.allotments) {
+      const std::string of = it.team.empty() ? "other" : it.team;
+      calls.push_back({{{"of", of}, {"result", "admitted"}},
+                       static_cast<double>(it.admitted)});
+      for (std::size_t i = 1; i < it.refused.size(); ++i) {
+        const auto refusal = static_cast<AllotmentRefusal>(i);
+        calls.push_back({{{"of", of}, {"result", std::string(NameOf(refusal))}},
+                         static_cast<double>(it.refused.at(i))});
+      }
+      used.push_back(
+          {{{"of", of}, {"at", "node"}}, static_cast<double>(it.used_here)});
+      if (!it.team.empty()) {
+        used.push_back({{{"of", of}, {"at", "fleet"}}, it.used});
+        used.push_back({{{"of", of}, {"at", "unheard"}}, it.held});
+        used.push_back({{{"of", of}, {"at", "limit"}}, it.limit});
+      }
+    }
+    out->push_back(
+        MakeLabelledFamily("cassiabend_allotment_calls_total",
+                           "Calls that entered here, by team and result.",
+                           MetricType::Counter, calls));
+    out->push_back(MakeLabelledFamily(
+        "cassiabend_allotment_used",
+        "Calls of a team in the window; its limit.", MetricType::Gauge, used));
+  }
+
   static void AddStoreReplies(const StoreClientCounts& counts,
                               std::vector<MetricFamily>* out) {
     std::vector<LabelledValue> replies;
