--- a/src/cassiabend/core/call_entry.cc
+++ b/src/cassiabend/core/call_entry.cc
@@ -32,10 +32,12 @@
 
 CallEntry::CallEntry(CallContext* context,
                      Balancer* balancer,
-                     VersionGate* versions)
+                     VersionGate* versions,
+                     Allotments* allotments)
     : context_(context),
       balancer_(balancer),
       versions_(versions),
+      allotments_(allotments),
       budget_(context->options.retry_budget_permille) {}
 
 void CallEntry::Reduce(const CallArrived& event) {
@@ -177,6 +179,10 @@
       return;
     }
   }
+  if (const auto refusal = TakeAllotment(call)) {
+    FinishNotRun(call, *refusal);
+    return;
+  }
   SendAttemptTo(call, std::move(upstream));
 }
 
--- a/src/cassiabend/core/call_entry_end.cc
+++ b/src/cassiabend/core/call_entry_end.cc
@@ -13,6 +13,7 @@
 void CallEntry::FinishNotRun(Call* call, const Refusal& refusal) {
   const Milliseconds wait = RetryAfterOf(refusal, &context_->random);
   call->reason = NameOf(refusal.reason);
+  ReturnAllotment(*call);
   // Callers do not repeat a call that was refused for its key.
   const bool may_return = refusal.reason != NotRunReason::kUnknownKey;
   if (may_return && call->caller_deadline && call->route != nullptr) {
--- a/src/cassiabend/core/call_events.h
+++ b/src/cassiabend/core/call_events.h
@@ -354,6 +354,8 @@
                                HeadConfirmed,
                                MembersChanged,
                                MemberLoadReported,
+                               UseLinksChanged,
+                               UseReportReceived,
                                ReadinessChanged,
                                RolloutsChanged,
                                StoreReplied>;
@@ -557,6 +559,7 @@
                                 LocalUpstreamChanged,
                                 LocalLoadChanged,
                                 VersionsUsed,
+                                SendUseReport,
                                 StoreCall,
                                 DrainFinished>;
 
--- a/src/cassiabend/core/call_reducer.cc
+++ b/src/cassiabend/core/call_reducer.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <variant>
 
+#include "cassiabend/core/allotments/allotments.h"
 #include "cassiabend/core/balancer.h"
 #include "cassiabend/core/call_context.h"
 #include "cassiabend/core/call_destination.h"
@@ -22,6 +23,8 @@
 /// each node of the fleet, since all report to the same two.
 constexpr Milliseconds kVersionReportPeriod{500};
 constexpr Milliseconds kVersionReportPause{3};
+/// Most teams listed there by name.
+constexpr std::size_t kMaxReportedTeams = 32;
 
 /// \returns A seed that depends on the node and on the start of its process, so
 /// that nodes with equal settings generate different attempt ids.
@@ -42,7 +45,10 @@
         balancer_(options, self),
         health_(&context_),
         versions_(options, self.id),
-        entry_(&context_, &balancer_, &versions_),
+        allotments_({options.allotment_window,
+                     options.allotment_overage_permille,
+                     options.allotment_tolerance}),
+        entry_(&context_, &balancer_, &versions_, &allotments_),
         destination_(&context_, &health_) {}
 
   void Reduce(const Instant& now,
@@ -76,6 +82,8 @@
     counts.retries = entry_.budget().granted();
     counts.retries_refused = entry_.budget().refused();
     counts.retry_budgets = entry_.budget().LowestBalances(kMaxReportedBudgets);
+    counts.allotments =
+        allotments_.Counts(context_.now.mono, kMaxReportedTeams);
     return counts;
   }
 
@@ -134,6 +142,9 @@
     health_.Tick();
     health_.ReportLoad(destination_.queued() + destination_.running());
     ReportVersions();
+    std::vector<SendUseReport> reports;
+    allotments_.Tick(context_.now.mono, &reports);
+    EmitAll(std::move(reports));
   }
 
   /// \brief Reports to the fleet how the versions answer that are being rolled
@@ -154,6 +165,21 @@
     }
   }
 
+  void Handle(const UseLinksChanged& event) {
+    allotments_.SetLinks(context_.now.mono, event.links);
+  }
+  void Handle(const UseReportReceived& event) {
+    std::vector<SendUseReport> replies;
+    allotments_.OnReport(context_.now.mono, event.from, event.zone,
+                         event.report, &replies);
+    EmitAll(std::move(replies));
+  }
+  void EmitAll(std::vector<SendUseReport> reports) {
+    for (SendUseReport& it : reports) {
+      context_.Emit(std::move(it));
+    }
+  }
+
   void Handle(const DrainRequested& /*event*/) {
     if (context_.draining) {
       return;
@@ -181,6 +207,7 @@
     if (newer) {
       context_.snapshot = event.snapshot;
       entry_.OnVersionNews();
+      allotments_.SetLimits(context_.now.mono, event.snapshot->config().teams);
     }
   }
 
@@ -271,6 +298,7 @@
   Balancer balancer_;
   CallUpstreamHealth health_;
   VersionGate versions_;
+  Allotments allotments_;
   CallEntry entry_;
   CallDestination destination_;
   bool has_started_ = false;
--- a/src/cassiabend/core/fleet_events.h
+++ b/src/cassiabend/core/fleet_events.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cassiabend/base/ref_counted.h"
+#include "cassiabend/core/allotments/team_use.h"
 #include "cassiabend/core/config_events.h"
 #include "cassiabend/core/member.h"
 #include "cassiabend/core/rollout/rollout.h"
@@ -59,18 +60,6 @@
   std::vector<VersionUse> uses;
 };
 
-/// \brief One team's calls at one node.
-struct TeamUse {
-  /// Hash of the team's name.
-  std::uint64_t team = 0;
-  /// Calls admitted since the node's start.
-  std::uint64_t admitted = 0;
-  /// Calls that asked to be admitted, per 1,000 s.
-  std::uint64_t demand_per_1000s = 0;
-
-  [[nodiscard]] bool operator==(const TeamUse&) const = default;
-};
-
 /// \brief One UDP message between nodes.
 struct Datagram {
   NodeId from;
@@ -89,7 +78,8 @@
                HeartbeatBody,
                JoinBody,
                AttachBody,
-               VersionReportBody>
+               VersionReportBody,
+               UseReport>
       body;
   /// In a heartbeat: zones that the sender's zone cannot reach.
   std::vector<std::string> unreachable_zones;
@@ -98,8 +88,6 @@
   /// Time that work takes at the sender's upstream, in hundredths of the usual;
   /// 0 if it states none.
   std::uint16_t time_percent = 0;
-  /// Use of the sender's teams.
-  std::vector<TeamUse> team_uses;
   /// Newest era of the store that the sender knows; 0 if it knows none.
   StoreEra store_era = 0;
   /// In heartbeats and answers to version reports: roll-outs that the sender
@@ -189,6 +177,12 @@
 /// \brief Event: this node is to leave the fleet and tell its peers.
 struct LeaveRequested {};
 
+/// \brief Event: a report on the teams' use is to be sent.
+struct SendUseReport {
+  NodeId to;
+  UseReport report;
+};
+
 /// \brief Event: an operator asked for the members' versions.
 struct VersionSurveyRequested {};
 
@@ -204,6 +198,7 @@
                                 LocalLoadChanged,
                                 VersionsUsed,
                                 LeaveRequested,
+                                SendUseReport,
                                 VersionCommitted,
                                 StoreReplied,
                                 VersionSurveyRequested>;
@@ -265,6 +260,16 @@
   /// Time that work takes there, in hundredths of the usual; 0: unknown.
   std::uint16_t time_percent = 0;
 };
+/// \brief Effect: the nodes to which this one reports the teams' use changed.
+struct UseLinksChanged {
+  UseLinks links;
+};
+/// \brief Effect: a node reported the teams' use.
+struct UseReportReceived {
+  NodeId from;
+  std::string zone;
+  UseReport report;
+};
 /// \brief Effect: the node became able or unable to serve calls, or the reason
 /// changed.
 struct ReadinessChanged {
@@ -326,6 +331,8 @@
                                  HeadConfirmed,
                                  MembersChanged,
                                  MemberLoadReported,
+                                 UseLinksChanged,
+                                 UseReportReceived,
                                  ReadinessChanged,
                                  HeadRefused,
                                  StoreRestored,
--- a/src/cassiabend/core/fleet_reducer_impl.h
+++ b/src/cassiabend/core/fleet_reducer_impl.h
@@ -65,6 +65,7 @@
   void On(const FleetContext& context, const LocalLoadChanged& event);
   void On(const FleetContext& context, const VersionsUsed& event);
   void On(const FleetContext& context, const LeaveRequested& event);
+  void On(const FleetContext& context, const SendUseReport& event);
   void On(const FleetContext& context, const VersionCommitted& event);
   void On(const FleetContext& context, const StoreReplied& event);
   void On(const FleetContext& context, const VersionSurveyRequested& event);
@@ -91,6 +92,9 @@
   void OnBody(const FleetContext& context,
               const Datagram& datagram,
               const VersionReportBody& body);
+  void OnBody(const FleetContext& context,
+              const Datagram& datagram,
+              const UseReport& body);
 
   /// \returns Whether an earlier process at the sender's address sent the
   /// datagram.
@@ -103,6 +107,8 @@
   /// over with the store when it was restored since.
   /// \param era 0 for none.
   void ObserveStoreEra(const FleetContext& context, StoreEra era);
+  /// \brief Tells the call path whom it reports the teams' use to.
+  void UpdateUseLinks(const FleetContext& context);
   void FillDatagram(const FleetContext& context, SendDatagram* send);
   void FinishEvent(const FleetContext& context, const VersionMark& mark_before);
   [[nodiscard]] HeadDuty DecideHeadDuty(const FleetContext& context);
@@ -139,6 +145,9 @@
   /// Newest era of the store that this node or a peer has seen; 0 for none.
   StoreEra store_era_ = 0;
   std::uint16_t time_percent_ = 0;
+  UseLinks use_links_;
+  /// View of the membership from which `use_links_` follows.
+  std::uint64_t use_links_view_ = 0;
   /// Whether the last call to the store was answered; unset before the first.
   std::optional<bool> store_reachable_;
   /// Whether this node reads the head without a reader lease, because it hears
--- a/tests/support/fleet_driver.h
+++ b/tests/support/fleet_driver.h
@@ -519,6 +519,8 @@
   void Execute(std::size_t, const RolloutDecided&) {}
   void Execute(std::size_t, const RolloutRefused&) {}
   void Execute(std::size_t, const MemberLoadReported&) {}
+  void Execute(std::size_t, const UseLinksChanged&) {}
+  void Execute(std::size_t, const UseReportReceived&) {}
 
   // The store.
 
