--- a/src/cassiabend/core/allotments/allotments.cc
+++ b/src/cassiabend/core/allotments/allotments.cc
@@ -504,8 +504,8 @@
   std::erase_if(children_, [now](const auto& it) {
     return now - it.second.heard_at > kForgetChildAfter;
   });
-  const auto forget_uses = [now](Neighbour* it) {
-    std::erase_if(it->uses, [now, it](const auto& use) {
+  const auto forget_uses = [](Neighbour* it) {
+    std::erase_if(it->uses, [it](const auto& use) {
       return it->heard_at - use.second.at > kForgetUseAfter;
     });
   };
@@ -545,8 +545,7 @@
     add(it.uses);
   }
   std::ranges::sort(teams);
-  const auto rest = std::ranges::unique(teams);
-  teams.erase(rest.begin(), rest.end());
+  teams.erase(std::unique(teams.begin(), teams.end()), teams.end());
   return teams;
 }
 
@@ -675,11 +674,14 @@
     changed.resize(kMaxChangedUses);
   }
   std::vector<TeamUse> uses;
+  uses.reserve(changed.size() + kMaxRepeatedUses);
   for (const auto& [change, use] : changed) {
     uses.push_back(use);
   }
-  std::ranges::rotate(same, std::ranges::upper_bound(same, neighbour->repeated,
-                                                     {}, &TeamUse::team));
+  std::rotate(
+      same.begin(),
+      std::ranges::upper_bound(same, neighbour->repeated, {}, &TeamUse::team),
+      same.end());
   same.resize(std::min(same.size(), kMaxRepeatedUses));
   if (!same.empty()) {
     neighbour->repeated = same.back().team;
