Hold all cuts to the stated loss of calls within the limits

Cause: the bound of one pattern followed what was measured. Change: nodes that are cut off singly are held to the same 3 % as all others. The case fails and is listed in KNOWN-RED.txt; its bound of calls beyond the limit is a case of its own, which passes.

--- a/tests/allotments_test.cc
+++ b/tests/allotments_test.cc
@@ -67,18 +67,6 @@
      [](double at, std::size_t team, std::size_t) {
        return Hot(at, team, 11.2);
      }},
-    {"nodes cut off singly",
-     [](double at, AllotmentFleet* fleet, AllotmentWay*) {
-       for (std::size_t i = 0; i < fleet->nodes; ++i) {
-         const auto turn = static_cast<std::size_t>(at / 6);
-         fleet->part[i] =
-             at > 0 && i % 20 == turn ? 1 + static_cast<int>(i) : 0;
-       }
-     },
-     Usual,
-     // A twentieth of the nodes is cut off at any time, first nodes of zones
-     // too.
-     8},
     {"half of the nodes started anew",
      [](double at, AllotmentFleet* fleet, AllotmentWay* way) {
        if (IsAt(at, 15)) {
@@ -108,6 +96,17 @@
      Usual},
 };
 
+/// A twentieth of the nodes is cut off at any time, first nodes of zones too.
+const AllotmentPattern kCutSingly = {
+    "nodes cut off singly",
+    [](double at, AllotmentFleet* fleet, AllotmentWay*) {
+      for (std::size_t i = 0; i < fleet->nodes; ++i) {
+        const auto turn = static_cast<std::size_t>(at / 6);
+        fleet->part[i] = at > 0 && i % 20 == turn ? 1 + static_cast<int>(i) : 0;
+      }
+    },
+    Usual};
+
 /// Surges that meet a fault within a second or two.
 const AllotmentPattern kSurgesInFaults[] = {
     {"halves cut off, hot",
@@ -169,6 +168,17 @@
   }
 }
 
+TEST_CASE("nodes cut off singly keep the bound") {
+  CHECK(PlayAllotments<ToldUse>(60, kCutSingly, 11).most_percent <= 100);
+}
+
+// In KNOWN-RED.txt: a node that is cut off keeps to the share that it had.
+TEST_CASE("nodes cut off singly lose few of the calls that are owed" *
+          doctest::should_fail()) {
+  const AllotmentResult result = PlayAllotments<ToldUse>(60, kCutSingly, 11);
+  CHECK(result.lost_percent <= kCutSingly.most_lost_percent);
+}
+
 // In KNOWN-RED.txt: shares follow the demand with a delay.
 TEST_CASE("no window has more calls than the bound when a surge meets a fault" *
           doctest::should_fail()) {
