--- a/tests/allotments_test.cc
+++ b/tests/allotments_test.cc
@@ -34,7 +34,7 @@
   }
 }
 
-const AllotmentPattern kPatterns[] = {
+const AllotmentPattern patterns[] = {
     {"usual", Rest, Usual},
     {"all at one zone", Rest,
      [](double, std::size_t, std::size_t zone) {
@@ -96,7 +96,7 @@
 };
 
 /// A twentieth of the nodes is cut off at any time, first nodes of zones too.
-const AllotmentPattern kCutSingly = {
+const AllotmentPattern cut_singly = {
     "nodes cut off singly",
     [](double at, AllotmentFleet* fleet, AllotmentWay*) {
       for (std::size_t i = 0; i < fleet->nodes; ++i) {
@@ -107,7 +107,7 @@
     Usual};
 
 /// Surges that meet a fault within a second or two.
-const AllotmentPattern kSurgesInFaults[] = {
+const AllotmentPattern surges_in_faults[] = {
     {"halves cut off, hot",
      [](double at, AllotmentFleet* fleet, AllotmentWay*) {
        CutZones(fleet, at >= 10 && at < 24 ? 3 : 0);
@@ -146,10 +146,10 @@
       "| pattern | nodes | way | lost % | worst team | most % of bound | "
       "messages/s in zones | between |\n|---|---|---|---|---|---|---|---|");
   for (const std::size_t nodes : {24U, 72U, 300U}) {
-    for (const std::span<const AllotmentPattern> patterns :
-         {std::span<const AllotmentPattern>(kPatterns),
-          std::span<const AllotmentPattern>(kSurgesInFaults)}) {
-      for (const AllotmentPattern& it : patterns) {
+    for (const std::span<const AllotmentPattern> list :
+         {std::span<const AllotmentPattern>(patterns),
+          std::span<const AllotmentPattern>(surges_in_faults)}) {
+      for (const AllotmentPattern& it : list) {
         Print<ToldUse>("told use", nodes, it);
         Print<HomeLeases>("home", nodes, it);
         Print<EqualParts>("equal parts", nodes, it);
@@ -159,7 +159,7 @@
 }
 
 TEST_CASE("no window has more calls than the bound, and few owed are lost") {
-  for (const AllotmentPattern& it : kPatterns) {
+  for (const AllotmentPattern& it : patterns) {
     CAPTURE(std::string(it.name));
     const AllotmentResult result = PlayAllotments<ToldUse>(60, it, 11);
     CHECK(result.most_percent <= 100);
@@ -168,20 +168,20 @@
 }
 
 TEST_CASE("nodes cut off singly keep the bound") {
-  CHECK(PlayAllotments<ToldUse>(60, kCutSingly, 11).most_percent <= 100);
+  CHECK(PlayAllotments<ToldUse>(60, cut_singly, 11).most_percent <= 100);
 }
 
 // In KNOWN-RED.txt: a node that is cut off keeps to the share that it had.
 TEST_CASE("nodes cut off singly lose few of the calls that are owed" *
           doctest::should_fail()) {
-  const AllotmentResult result = PlayAllotments<ToldUse>(60, kCutSingly, 11);
-  CHECK(result.lost_percent <= kCutSingly.most_lost_percent);
+  const AllotmentResult result = PlayAllotments<ToldUse>(60, cut_singly, 11);
+  CHECK(result.lost_percent <= cut_singly.most_lost_percent);
 }
 
 // In KNOWN-RED.txt: shares follow the demand with a delay.
 TEST_CASE("no window has more calls than the bound when a surge meets a fault" *
           doctest::should_fail()) {
-  for (const AllotmentPattern& it : kSurgesInFaults) {
+  for (const AllotmentPattern& it : surges_in_faults) {
     CAPTURE(std::string(it.name));
     CHECK(PlayAllotments<ToldUse>(60, it, 11).most_percent <= 100);
   }
@@ -263,8 +263,10 @@
 TEST_CASE("reports are bounded, however many teams there are") {
   const MonoTime now{Seconds(100)};
   Allotments allotments({Milliseconds(5'000), 100, 20});
+  constexpr int kTeams = 10'000;
   std::vector<Team> teams;
-  for (int i = 0; i < 10'000; ++i) {
+  teams.reserve(kTeams);
+  for (int i = 0; i < kTeams; ++i) {
     teams.push_back({.name = std::to_string(i), .rate_per_1000s = 50'000});
   }
   allotments.SetLimits(now, teams);
--- a/tests/call_upstream_test.cc
+++ b/tests/call_upstream_test.cc
@@ -211,14 +211,15 @@
       {{0, 0, 100, 100}, 16},  // more than a report may add
       {{0, 0, 1, 100}, 4},     // fewer than a report may leave
   };
-  for (const auto& [load, slots] : cases) {
+  for (const auto& it : cases) {
+    const UpstreamLoad load = it.first;
     CAPTURE(load.slots);
     UpstreamDriver driver;
     UpstreamHeartbeat heartbeat = MakeHeartbeat("a", 1);
     heartbeat.slots = 8;
     driver->Do(UpstreamHeartbeatReceived{heartbeat});
     driver->Do(UpstreamLoadReported{load});
-    CHECK(SlotsOf(&driver) == slots);
+    CHECK(SlotsOf(&driver) == it.second);
   }
 }
 
