--- a/tests/rollout_test.cc
+++ b/tests/rollout_test.cc
@@ -356,9 +356,9 @@
          answer.fails = running >= 5 && random->Below(2) == 0;
          return answer;
        }}};
-  for (const auto& [name, behaviour] : kinds) {
-    CAPTURE(name);
-    RolloutWorld world(300, behaviour);
+  for (const auto& it : kinds) {
+    CAPTURE(it.first);
+    RolloutWorld world(300, it.second);
     world.Order(kDuration);
     world.RunUntilEnded(kDuration);
     CheckRolledBack(&world);
