--- a/tests/platform/desired_state_test.cc
+++ b/tests/platform/desired_state_test.cc
@@ -289,8 +289,11 @@
     std::string out;
     for (int i = 0; i < n; ++i) {
       const std::string id = std::to_string(i);
-      out +=
-          (i == 0 ? "\"t" : ",\"t") + id + R"(":{"api_keys":["k)" + id + "\"]}";
+      out.append(i == 0 ? "\"t" : ",\"t")
+          .append(id)
+          .append(R"(":{"api_keys":["k)")
+          .append(id)
+          .append("\"]}");
     }
     return out;
   };
