--- a/tests/shell/body_offer_test.cc
+++ b/tests/shell/body_offer_test.cc
@@ -50,7 +50,7 @@
     return out;
   }
   [[nodiscard]] std::shared_ptr<RawPeer> SendBody(const std::string& body) {
-    const auto caller = RawPeer::Connect(io, entry->port());
+    auto caller = RawPeer::Connect(io, entry->port());
     caller->Send("POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: " +
                  std::to_string(body.size()) + "\r\n\r\n" + body);
     return caller;
--- a/tests/store_restore_test.cc
+++ b/tests/store_restore_test.cc
@@ -4,7 +4,6 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <ranges>
 #include <string>
 #include <vector>
 
@@ -38,12 +37,12 @@
   }
 
   [[nodiscard]] std::size_t member_keys() {
-    return static_cast<std::size_t>(std::ranges::count_if(
-        std::views::iota(std::size_t{0}, driver.size()), [this](std::size_t i) {
-          return driver.store().Find(kMemberPrefix +
-                                     ToString(driver.node(i).self.id)) !=
-                 nullptr;
-        }));
+    std::size_t n = 0;
+    for (std::size_t i = 0; i < driver.size(); ++i) {
+      const std::string key = kMemberPrefix + ToString(driver.node(i).self.id);
+      n += driver.store().Find(key) != nullptr ? 1 : 0;
+    }
+    return n;
   }
 
   FleetDriver driver;
