--- a/review/stand-ins-2/mesh.py
+++ b/review/stand-ins-2/mesh.py
@@ -317,6 +317,7 @@
     async def answer(self, reader, writer, method, target, headers, body):
         load = ("Server-Load", f"{self.running},0,{self.slots}")
         if target == "/health":
+            self.mesh.record("health check of the backend at", self.host.name, "answered", 503 if self.leaving else 200)
             writer.write(answer_bytes(503 if self.leaving else 200, b"",
                                       [("Instance-Id", self.instance), load]))
             return True
