--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,6 +5,6 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 export PYTHONDONTWRITEBYTECODE=1
-for it in stand-ins-2/mesh.py [0-9]*/case.py; do
+for it in stand-ins-2/mesh.py {6..10}/case.py also-2/*/case.py; do
   python3 -c 'import ast, sys; ast.parse(open(sys.argv[1], encoding="utf-8").read())' "$it"
 done
--- a/review/stand-ins-2/mesh.py
+++ b/review/stand-ins-2/mesh.py
@@ -363,6 +363,7 @@
         self.process = None
         self.log = None
         self.is_ready = False
+        self.link_mbps = "1000.0"
 
 
 def is_free(ip, port):
@@ -414,7 +415,7 @@
             "listen.outbound": f"{host.ip}:{host.outbound}",
             "listen.readiness": f"{host.ip}:{host.ready}",
             "listen.control": f"{host.ip}:{host.control}",
-            "limits.link_mbps": "1000.0",
+            "limits.link_mbps": host.link_mbps,
             "platform.address": f"{self.store.ip}:{self.store.port}",
         }
         with open(os.path.join(TOP, self.deploy["roles"]["node"]["template"]), encoding="utf-8") as it:
