--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,6 +1,7 @@
-"""A tenant asks for many times its allotment. The process that has let its
-requests through is killed and started again. All machines together must not let
-more through than the allotment in any window."""
+"""A backend that never reports `draining` deregisters and goes on serving. The
+node beside it has acknowledged that; then the node is killed and started again.
+A liveness report that the backend had sent before, and that arrives late, must
+not bring requests to the backend again."""
 import asyncio
 import os
 import sys
@@ -11,79 +12,64 @@
 sys.path.insert(0, os.path.join(HERE, "..", "stand-ins-2"))
 import mesh  # noqa: E402
 
-# Those of tavberidze-outlet-grown.
-BOUNDS = dict(mesh.BOUNDS, settle_window="4000ms", ack="5000ms", catch_up="6s", drain="3000ms",
-              config_apply="3000ms", revoke_fail_closed="false", revoke="5000ms",
-              quota_window="5s", quota_overage="0.1", quota_tolerance="20")
-WINDOW_S, OVERAGE, TOLERANCE = 5.0, 0.1, 20
-RATE, BURST = 40, 100
-USUAL_PER_S = 40.0
-HOT_X = 7.5  # strength of hot_tenant on the site
-HOT_S = 6.5  # its longest time there
-KILL_AFTER_S = 1.5
+LATE_S = 3.0  # how late the last liveness report arrives
+KILL_AFTER_S = 0.5
 RESTART_AFTER_S = 0.3
-KEY = "the-key-of-t1"
-
-
-def tenant(name, key):
-    return {"name": name, "api_keys": [key], "rate_per_s": RATE, "burst": BURST, "priority": 1}
+SERVES_S = 14.0  # how long the backend serves after its leaving was acknowledged
 
 
 async def case(record):
-    it = mesh.Mesh(record, ["shopfront", "shopfront", "shopfront", "checkout", "checkout"], BOUNDS)
-    begin = 0.0
-    statuses = {}
+    it = mesh.Mesh(record, ["orders", "orders", "shop"])
     try:
-        await it.start({"routes": {"browse": mesh.route("shopfront", "/browse/")},
-                        "services": {"shopfront": mesh.service_entry(), "checkout": mesh.service_entry()},
-                        "tenants": {"t1": tenant("t1", KEY), "t2": tenant("t2", "the-key-of-t2")},
+        await it.start({"routes": {"order": mesh.route("orders", "/order/", "idempotent")},
+                        "services": {"orders": mesh.service_entry(), "shop": mesh.service_entry()},
                         "limits": mesh.LIMITS})
-        await asyncio.sleep(8)  # all have been up for longer than the window
-        host = it.hosts[3]
-        begin = time.monotonic()
-        done = asyncio.Event()
-        tasks = set()
-
-        async def request(requester):
-            _, status, _, _ = await requester.send("GET", "/browse/a", headers=[("Api-Key", KEY)])
-            statuses[status] = statuses.get(status, 0) + 1
+        await asyncio.sleep(mesh.SETTLE_S + 1)
+        leaving, host = it.backends[0], it.hosts[0]
+        done = False
 
-        async def ask(n):
-            """One of ten requesters of the tenant, all on one machine."""
-            requester = mesh.Requester(it, host)
-            await asyncio.sleep(n * 0.01)
-            while not done.is_set():
-                hot = 1.0 <= time.monotonic() - begin < 1.0 + HOT_S
-                pause = asyncio.create_task(asyncio.sleep(10 / (USUAL_PER_S * (HOT_X if hot else 1.0))))
-                await request(requester)
-                await pause
+        async def request_forever():
+            requester = mesh.Requester(it, it.hosts[2])
+            while not done:
+                await requester.send("GET", "/order/a")
+                await asyncio.sleep(0.02)
 
-        for n in range(10):
-            tasks.add(asyncio.create_task(ask(n)))
-        await asyncio.sleep(1.0)
-        record("the tenant asks for", HOT_X, "times its usual")
+        requests = asyncio.create_task(request_forever())
+        await asyncio.sleep(1)
+        # The last report is under way and arrives late.
+        leaving.beats.cancel()
+        late = leaving.beat_body()
+        sent = time.monotonic()
+        leaving.leaving = True  # its health check fails from now on
+        status = await leaving.deregister()
+        acknowledged = time.monotonic()
+        record("the backend at host-0 deregisters:", status)
+        if status != 200:
+            raise RuntimeError("the deregistration wasn't acknowledged")
         await asyncio.sleep(KILL_AFTER_S)
+        started = 0.0
         if mesh.trouble():
             it.kill_node(host)
             await asyncio.sleep(RESTART_AFTER_S)
             it.start_node(host)
-        await asyncio.sleep(begin + 1.0 + HOT_S - time.monotonic())
-        record("the tenant is as usual")
-        await asyncio.sleep(2)
-        done.set()
-        await asyncio.gather(*tasks)
+            started = time.monotonic()
+        await asyncio.sleep(sent + LATE_S - time.monotonic())
+        record("a report of before, seq", leaving.seq, "arrives late:", await leaving.send_beat(late))
+        await asyncio.sleep(acknowledged + SERVES_S - time.monotonic())
+        record("the backend at host-0 ends")
+        done = True
+        await requests
         if it.ended_by_themselves():
             raise RuntimeError("a node has ended")
     finally:
         await it.stop()
-    foreign = [run for run in it.runs if run[5].get("tenant-id") != "t1"]
-    times = [run[0] for run in it.runs]
-    most, first = max((sum(1 for t in times if s <= t < s + WINDOW_S), s) for s in times)
-    allowed = (RATE * WINDOW_S + BURST) * (1 + OVERAGE) + TOLERANCE
-    record("answers by status (0: the connection closed):", statuses, "runs of another tenant:", len(foreign))
-    record(f"{most} requests of t1 ran in {WINDOW_S:.0f} s from {first - begin:.2f} s after the first request on;",
-           f"allowed are {allowed:.0f}")
-    return 1 if most > allowed else 0
+    # Only what machines in touch sent on: from `settle_window` after the start.
+    bound = max(acknowledged + mesh.DRAIN_S, started + mesh.SETTLE_S if started else 0.0)
+    late_runs = [run for run in it.runs if run[1] == host.name and run[0] > bound]
+    record(len(late_runs), "requests ran at the backend that had left, from",
+           f"{bound - acknowledged:.2f} s after the acknowledgement on; {mesh.DRAIN_S:.0f} s are allowed;",
+           len(it.runs), "requests ran in all")
+    return 1 if late_runs else 0
 
 
 mesh.main(case, HERE)
