--- a/review/stand-ins-2/mesh.py
+++ b/review/stand-ins-2/mesh.py
@@ -11,6 +11,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -511,6 +512,10 @@
             await backend.stop()
         if self.store.server:
             self.store.server.close()
+        for host in self.hosts:
+            if host.log:
+                host.log.close()
+        shutil.rmtree(self.work, ignore_errors=True)
 
     def ended_by_themselves(self):
         return [it.name for it in self.hosts if it.process.poll() is not None]
@@ -578,15 +583,24 @@
 
 
 def main(case, folder, limit_s=110):
-    """Runs `case(record, mesh maker)` and exits with what it returns: 1 broken, 0 held."""
+    """Runs `case(record)` and exits with what it returns: 1 broken, 0 held."""
     record = Record(os.path.join(folder, "record.txt"))
     record("trouble:", "yes" if trouble() else "no")
-    code = 2
-    try:
-        code = asyncio.run(asyncio.wait_for(case(record), limit_s))
-    except Exception as error:  # noqa: BLE001 - whatever happens is told and ends with 2
-        record("the case couldn't run:", repr(error))
-        print("the case couldn't run:", repr(error), file=sys.stderr)
-    record("result:", {0: "the rule held", 1: "the rule was broken", 2: "not run"}[code])
-    print({0: "held", 1: "broken", 2: "not run"}[code])
-    sys.exit(code)
+
+    async def run():
+        # A script that is told to end ends its processes first.
+        task = asyncio.current_task()
+        for it in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(it, task.cancel)
+        code = 2
+        try:
+            code = await asyncio.wait_for(case(record), limit_s)
+        except (Exception, asyncio.CancelledError) as error:  # whatever happens is told
+            record("the case couldn't run:", repr(error))
+            print("the case couldn't run:", repr(error), file=sys.stderr)
+        record("result:", {0: "the rule held", 1: "the rule was broken", 2: "not run"}[code])
+        print({0: "held", 1: "broken", 2: "not run"}[code], flush=True)
+        # Tasks of the stand-ins may be left; the nodes have ended.
+        os._exit(code)
+
+    asyncio.run(run())
