review: stricter counts in cases 6 and 7, the platform's questions in case 8

Cases 6 and 7 count only kept connections, each of which has just served a page. In case 8 the SIGTERM comes right after a question of the platform, so that the requests lie before the second miss.

--- a/review/stand-ins-2/mesh.py
+++ b/review/stand-ins-2/mesh.py
@@ -403,6 +403,7 @@
         self.runs = []  # (time, host name, request id, method, target, headers)
         self.version = 6
         self.probes = None
+        self.probed = asyncio.Event()  # set after each round of readiness questions
 
     # Settings, as the platform fills them in.
 
@@ -480,6 +481,7 @@
 
     async def probe_forever(self):
         """The platform asks each node once a second whether it is ready."""
+        started = False
         while True:
             for host in self.hosts:
                 try:
@@ -489,7 +491,10 @@
                 if (status == 200) != host.is_ready:
                     host.is_ready = status == 200
                     self.record("node", host.name, "is ready" if host.is_ready else "isn't ready")
-            await asyncio.sleep(0.5 if not all(it.is_ready for it in self.hosts) else 1.0)
+            self.probed.set()
+            # More often only until all have started.
+            started = started or all(it.is_ready for it in self.hosts)
+            await asyncio.sleep(1.0 if started else 0.5)
 
     def write_config(self, config):
         self.version += 1
@@ -539,6 +544,7 @@
     def __init__(self, mesh, host):
         self.mesh, self.host = mesh, host
         self.reader = self.writer = None
+        self.was_kept = False  # whether the last request went over a connection that had served another
 
     async def connect(self):
         self.reader, self.writer = await asyncio.wait_for(
@@ -560,6 +566,7 @@
         lines += [f"{name}: {value}" for name, value in headers]
         self.mesh.record("sent", request, method, target, f"({len(body)} bytes)", "to", self.host.name)
         status, answer, text = 0, {}, b""
+        self.was_kept = self.writer is not None
         try:
             if self.writer is None:
                 await self.connect()
